--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,73 @@
+// Messages between the instances of one fleet, and the sealed texts that callers carry for them.
+// Regenerate with `make generate`; the result is committed under lib/Wire/gen.
+namespace cpp jaytrack.wire
+
+enum MemberState { Joining = 0, Live = 1, Suspect = 2, Leaving = 3, Gone = 4 }
+
+// What is known of one instance. The pair (incarnation, version) orders what is said about it.
+struct MemberRecord {
+  1: string name
+  2: string dataCentre
+  3: string peerAddress
+  4: string callerAddress
+  5: i64 incarnation
+  6: i32 version
+  7: MemberState state
+}
+
+enum PeerKind { Ping = 0, Ack = 1, PingRequest = 2, Rumour = 3, Grant = 4 }
+
+// An engine whose memory the sender asks for or grants.
+struct GrantBody {
+  1: i64 serial
+  2: string engine
+  3: i32 kind            // see GrantKind in Policy
+  4: i64 tokens
+  5: i32 priority
+  6: string customer
+  7: i64 expectedTokens
+  8: i32 maxWaitMs
+}
+
+// How loaded an engine is, as its home instance sees it.
+struct EngineSummary {
+  1: string engine
+  2: i32 roomPercent
+  3: i32 queued
+}
+
+// One datagram between two instances.
+struct PeerMessage {
+  1: PeerKind kind
+  2: i64 sequence
+  3: MemberRecord sender
+  4: i64 revision
+  5: i32 configAgeMs
+  6: list<MemberRecord> records
+  7: string probeTarget
+  8: list<GrantBody> grants
+  9: list<EngineSummary> summaries
+}
+
+// A datagram on the wire: a serialised PeerMessage and its authentication.
+struct SealedMessage {
+  1: binary body
+  2: binary mac
+}
+
+// What a resume handle names. Callers hold it sealed.
+struct StreamHandleBody {
+  1: string engine
+  2: string generation
+  3: string customer
+  4: string model
+}
+
+// What a ticket names. Callers hold it sealed.
+struct TicketBody {
+  1: string issuer
+  2: i64 incarnation
+  3: i64 serial
+  4: string customer
+  5: string scope
+}
--- /dev/null
+++ b/include/jaytrack/Http/client.h
@@ -0,0 +1,94 @@
+// An HTTP/1.1 client over libcurl: many streams on few threads, with flow control.
+#ifndef JAYTRACK_HTTP_CLIENT_H
+#define JAYTRACK_HTTP_CLIENT_H
+
+#include "jaytrack/Http/message.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace jaytrack {
+
+// One request to send.
+struct HttpCall
+{
+    std::string method = "GET";
+    std::string url;
+    std::vector<HttpHeader> headers;
+    std::string body;
+    std::chrono::milliseconds connectTimeout{500};
+    std::chrono::milliseconds totalTimeout{0}; // 0 is unbounded
+    // False forces a new connection. libcurl silently sends a request again when a kept connection
+    // breaks before the answer's first byte, which would run a non-idempotent request twice.
+    bool mayRepeat = false;
+};
+
+// How a call ended.
+struct HttpCallEnd
+{
+    bool whole = false;       // the answer arrived complete
+    bool maySentBytes = true; // false only if no connection was made, so nothing reached the peer
+    int status = 0;
+    std::string error;
+};
+
+// Receives one answer. All functions are called from one thread of the client and must not block.
+class HttpCallListener
+{
+public:
+    virtual ~HttpCallListener() = default;
+    virtual void onHeaders(int status, std::span<const HttpHeader> headers) = 0;
+
+    // Takes the next bytes; false leaves them in the client, which stops reading from the peer
+    // until HttpClient::resume is called, so that a slow reader costs no memory.
+    virtual bool onData(std::string_view data) = 0;
+
+    virtual void onEnd(const HttpCallEnd &end) = 0;
+};
+
+using HttpCallId = std::uint64_t;
+
+// Sends calls. Functions may be called from any thread.
+class HttpClient
+{
+public:
+    explicit HttpClient(std::size_t threads);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    HttpCallId start(HttpCall call, std::shared_ptr<HttpCallListener> listener);
+
+    // Goes on reading for a call whose listener declined data.
+    void resume(HttpCallId call);
+
+    // Ends a call; the listener hears nothing more once the client's thread has taken this up.
+    void cancel(HttpCallId call);
+
+private:
+    class Worker;
+    std::vector<std::unique_ptr<Worker>> workers;
+    std::unique_ptr<struct HttpClientCounter> counter;
+};
+
+// What fetch() returns.
+struct FetchedAnswer
+{
+    HttpCallEnd end;
+    std::vector<HttpHeader> headers;
+    std::string body;
+};
+
+// Sends one call and waits for the whole answer. For tools and start-up, not the request path.
+FetchedAnswer fetch(HttpClient &client, HttpCall call);
+
+// Sends one call and hands the whole answer, at most maxBytes of it, to a function.
+void fetchLater(HttpClient &client, HttpCall call, std::size_t maxBytes,
+                std::function<void(FetchedAnswer)> done);
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Http/message.h
@@ -0,0 +1,41 @@
+// HTTP messages as plain values, shared by the server and the client side.
+#ifndef JAYTRACK_HTTP_MESSAGE_H
+#define JAYTRACK_HTTP_MESSAGE_H
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jaytrack {
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
+// The value of the first header with that name, compared without regard to case; empty if absent.
+std::string_view findHeader(std::span<const HttpHeader> headers, std::string_view name);
+
+// Whether two header names are the same; HTTP disregards their case.
+bool sameHeaderName(std::string_view left, std::string_view right);
+
+// A request as a server received it, whole.
+struct HttpRequest
+{
+    std::string method;
+    std::string path;
+    std::string query;
+    std::vector<HttpHeader> headers;
+    std::string body;
+
+    std::string_view header(std::string_view name) const { return findHeader(this->headers, name); }
+
+    // The decoded value of a query parameter; empty if absent or malformed.
+    std::string queryValue(std::string_view name) const;
+};
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Load/loadplan.h
@@ -0,0 +1,56 @@
+// What the load tool is to do, read from a TOML file.
+#ifndef JAYTRACK_LOAD_LOADPLAN_H
+#define JAYTRACK_LOAD_LOADPLAN_H
+
+#include "jaytrack/Support/tomlreader.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jaytrack {
+
+// One kind of generation that customers ask for.
+struct GenerationLoad
+{
+    std::string model;
+    double perSecond = 1.0;
+    double medianTokens = 100; // lengths are log-normal
+    double spread = 1.0;       // sigma of the logarithm
+    std::uint32_t mostTokens = 30'000;
+    std::uint32_t promptBytes = 400;
+    std::uint32_t prefixes = 4; // distinct shared prefixes
+    std::uint32_t prefixBytes = 2000;
+    bool stream = true;
+};
+
+// One kind of plain request.
+struct ServiceLoad
+{
+    std::string service;
+    std::string method = "GET";
+    std::string path = "/";
+    double perSecond = 1.0;
+    bool once = false; // must run at most once; taken by ticket
+};
+
+struct LoadPlan
+{
+    std::uint64_t seed = 1;
+    std::chrono::milliseconds duration{10'000};
+    std::chrono::milliseconds patience{60'000}; // for one answer
+    std::uint64_t mostRequests = 100'000;
+    double reconnectShare = 0;          // of streams that the caller drops and resumes
+    std::vector<std::string> entries;   // base URLs of instances
+    std::vector<std::string> keys;      // API keys of customers
+    std::vector<std::string> countUrls; // of the stand-ins, to compare with
+    std::vector<GenerationLoad> generations;
+    std::vector<ServiceLoad> services;
+};
+
+LoadPlan readLoadPlan(const std::string &file, Problems &problems);
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Serve/instance.h
@@ -0,0 +1,48 @@
+// One entry instance: owns every part and its threads.
+#ifndef JAYTRACK_SERVE_INSTANCE_H
+#define JAYTRACK_SERVE_INSTANCE_H
+
+#include "jaytrack/Config/settings.h"
+#include "jaytrack/Support/clock.h"
+#include "jaytrack/Support/result.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace jaytrack {
+
+// A running instance. Functions may be called from any thread.
+class Instance
+{
+public:
+    // Starts listening. It is not ready before it holds a document.
+    static Result<std::unique_ptr<Instance>> start(const Settings &settings, const Clock &clock);
+
+    ~Instance();
+    Instance(const Instance &) = delete;
+    Instance &operator=(const Instance &) = delete;
+
+    // Begins a graceful shutdown: refuses new requests, lets those in service finish.
+    void drain();
+
+    // Whether a graceful shutdown has come to its end.
+    bool drained() const;
+
+    // Ends every request at once, naming each in the log.
+    void cut();
+
+    bool isReady() const;
+    std::uint16_t callerPort() const;
+    std::uint16_t peerPort() const;
+
+private:
+    struct Parts;
+    explicit Instance(std::unique_ptr<Parts> parts);
+
+    std::unique_ptr<Parts> parts;
+};
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Standin/servers.h
@@ -0,0 +1,76 @@
+// Small servers that stand in for the systems around jaytrack: engines, plain services, the
+// configuration service and the list of instances. They speak those systems' published protocols
+// and count what really ran.
+#ifndef JAYTRACK_STANDIN_SERVERS_H
+#define JAYTRACK_STANDIN_SERVERS_H
+
+#include "jaytrack/Standin/batchengine.h"
+#include "jaytrack/Support/result.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace jaytrack {
+
+// A running stand-in; destroying it is its sudden death.
+class Standin
+{
+public:
+    virtual ~Standin() = default;
+    virtual std::uint16_t port() const = 0;
+};
+
+// What goes wrong with an engine, from its settings or by POST /control while it runs.
+struct EngineFaults
+{
+    double slowFactor = 1.0;            // each step takes this many times as long
+    bool stalled = false;               // takes requests and decodes, but sends nothing
+    bool duplicates = false;            // sends each frame twice
+    std::uint32_t closeAfterTokens = 0; // ends each stream early, once, after so many; 0 is never
+    std::chrono::milliseconds answerLate{0};
+    std::chrono::milliseconds reportLag{300};
+};
+
+struct EngineStandinOptions
+{
+    std::string name = "engine";
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    std::size_t threads = 1;
+    BatchEngineSpec size;
+    bool honoursFencing = true;
+    bool leaving = false;
+    std::uint64_t seed = 1;
+    EngineFaults faults;
+};
+
+Result<std::unique_ptr<Standin>> startEngineStandin(const EngineStandinOptions &options);
+
+struct ServiceStandinOptions
+{
+    std::string name = "service";
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    std::chrono::milliseconds takes{2};
+    bool deduplicates = false;  // recognises Idempotency-Key
+    std::uint32_t dieAfter = 0; // runs this many requests, answers none of the later ones; 0 never
+};
+
+Result<std::unique_ptr<Standin>> startServiceStandin(const ServiceStandinOptions &options);
+
+struct ConfigStandinOptions
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    std::string documentFile; // published at start; empty starts with none
+    std::chrono::milliseconds instancesLag{2000};
+};
+
+// Serves GET and PUT of /v1/document, with waiting watches, and of /v1/instances.
+Result<std::unique_ptr<Standin>> startConfigStandin(const ConfigStandinOptions &options);
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Support/clock.h
@@ -0,0 +1,41 @@
+// The clock as an interface, so that tests and randomised runs decide what time it is.
+#ifndef JAYTRACK_SUPPORT_CLOCK_H
+#define JAYTRACK_SUPPORT_CLOCK_H
+
+#include <atomic>
+#include <chrono>
+
+namespace jaytrack {
+
+using Duration = std::chrono::nanoseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+// A monotonic clock that counts on while the process is stopped.
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    virtual TimePoint now() const = 0;
+};
+
+// The operating system's monotonic clock.
+class SystemClock final : public Clock
+{
+public:
+    TimePoint now() const override { return std::chrono::steady_clock::now(); }
+};
+
+// A clock that moves only when told to.
+class ManualClock final : public Clock
+{
+public:
+    TimePoint now() const override { return TimePoint(Duration(this->ticks.load())); }
+    void advance(Duration by) { this->ticks.fetch_add(by.count()); }
+
+private:
+    std::atomic<Duration::rep> ticks{0};
+};
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Support/log.h
@@ -0,0 +1,46 @@
+// Structured logs: one line of key=value pairs for each event, written through glog.
+#ifndef JAYTRACK_SUPPORT_LOG_H
+#define JAYTRACK_SUPPORT_LOG_H
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace jaytrack {
+
+enum class Severity { Info, Warning, Error };
+
+// One key and its value, already in text.
+struct LogField
+{
+    LogField(std::string_view fieldKey, std::string_view text)
+        : key(fieldKey)
+        , value(text)
+    {
+    }
+    LogField(std::string_view fieldKey, const char *text)
+        : key(fieldKey)
+        , value(text)
+    {
+    }
+    LogField(std::string_view fieldKey, std::int64_t number)
+        : key(fieldKey)
+        , value(std::to_string(number))
+    {
+    }
+
+    std::string_view key;
+    std::string value;
+};
+
+// Sends log lines to standard error without glog's own prefix. Call once, from main.
+void initialiseLog(const char *program);
+
+// Writes one event. Values with blanks, quotes or control characters are quoted, so that a line
+// stays a line whatever a caller sent. Secrets must never be passed.
+void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields);
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/lib/Config/document.cpp
@@ -0,0 +1,339 @@
+#include "jaytrack/Config/document.h"
+
+#include "jaytrack/Support/digest.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace jaytrack {
+
+namespace {
+
+using nlohmann::json;
+
+json toJson(const Engine &engine)
+{
+    json abilities = json::array();
+    if (engine.can.resume)
+        abilities.push_back("resume");
+    if (engine.can.cancel)
+        abilities.push_back("cancel");
+    if (engine.can.priority)
+        abilities.push_back("priority");
+    if (engine.can.fencing)
+        abilities.push_back("fencing");
+    return {{"name", engine.name},       {"dc", engine.dataCentre}, {"address", engine.address},
+            {"model", engine.model},     {"slots", engine.slots},   {"memory", engine.memoryTokens},
+            {"leaving", engine.leaving}, {"can", abilities}};
+}
+
+void fromJson(const json &from, Engine &engine)
+{
+    from.at("name").get_to(engine.name);
+    from.at("dc").get_to(engine.dataCentre);
+    from.at("address").get_to(engine.address);
+    from.at("model").get_to(engine.model);
+    from.at("slots").get_to(engine.slots);
+    from.at("memory").get_to(engine.memoryTokens);
+    from.at("leaving").get_to(engine.leaving);
+    for (const std::string &ability : from.at("can").get<std::vector<std::string>>()) {
+        engine.can.resume |= ability == "resume";
+        engine.can.cancel |= ability == "cancel";
+        engine.can.priority |= ability == "priority";
+        engine.can.fencing |= ability == "fencing";
+    }
+}
+
+json toJson(const Service &service)
+{
+    json targets = json::array();
+    for (const ServiceTarget &target : service.targets) {
+        targets.push_back({{"name", target.name},
+                           {"dc", target.dataCentre},
+                           {"address", target.address},
+                           {"leaving", target.leaving}});
+    }
+    json routes = json::array();
+    for (const Route &route : service.routes) {
+        routes.push_back({{"method", route.method},
+                          {"path", route.pathPrefix},
+                          {"idempotent", route.idempotent}});
+    }
+    return {{"name", service.name},
+            {"targets", targets},
+            {"routes", routes},
+            {"deduplicates", service.deduplicates},
+            {"timeout_ms", service.timeout.count()}};
+}
+
+void fromJson(const json &from, Service &service)
+{
+    from.at("name").get_to(service.name);
+    from.at("deduplicates").get_to(service.deduplicates);
+    service.timeout = std::chrono::milliseconds(from.at("timeout_ms").get<std::int64_t>());
+    for (const json &entry : from.at("targets")) {
+        ServiceTarget &target = service.targets.emplace_back();
+        entry.at("name").get_to(target.name);
+        entry.at("dc").get_to(target.dataCentre);
+        entry.at("address").get_to(target.address);
+        entry.at("leaving").get_to(target.leaving);
+    }
+    for (const json &entry : from.at("routes")) {
+        Route &route = service.routes.emplace_back();
+        entry.at("method").get_to(route.method);
+        entry.at("path").get_to(route.pathPrefix);
+        entry.at("idempotent").get_to(route.idempotent);
+    }
+}
+
+json toJson(const Model &model)
+{
+    return {{"name", model.name},
+            {"may_wait", model.mayWait},
+            {"max_wait_ms", model.maxWait.count()},
+            {"priority", model.priority},
+            {"repeatable", model.repeatable},
+            {"overflow_bound", model.overflowBound},
+            {"silence_ms", model.silenceTimeout.count()}};
+}
+
+void fromJson(const json &from, Model &model)
+{
+    from.at("name").get_to(model.name);
+    from.at("may_wait").get_to(model.mayWait);
+    model.maxWait = std::chrono::milliseconds(from.at("max_wait_ms").get<std::int64_t>());
+    from.at("priority").get_to(model.priority);
+    from.at("repeatable").get_to(model.repeatable);
+    from.at("overflow_bound").get_to(model.overflowBound);
+    model.silenceTimeout = std::chrono::milliseconds(from.at("silence_ms").get<std::int64_t>());
+}
+
+json toJson(const Customer &customer)
+{
+    return {{"name", customer.name},
+            {"keys", customer.keyDigests},
+            {"weight", customer.weight},
+            {"max_concurrent", customer.maxConcurrent}};
+}
+
+void fromJson(const json &from, Customer &customer)
+{
+    from.at("name").get_to(customer.name);
+    from.at("keys").get_to(customer.keyDigests);
+    from.at("weight").get_to(customer.weight);
+    from.at("max_concurrent").get_to(customer.maxConcurrent);
+}
+
+template <typename Item>
+json listToJson(const std::vector<Item> &items)
+{
+    json list = json::array();
+    for (const Item &item : items)
+        list.push_back(toJson(item));
+    return list;
+}
+
+template <typename Item>
+void listFromJson(const json &from, std::vector<Item> &items)
+{
+    for (const json &entry : from)
+        fromJson(entry, items.emplace_back());
+}
+
+// Collects the names of one kind of entry and reports those that come twice.
+class NameCheck
+{
+public:
+    NameCheck(std::string_view kindOfEntry, std::vector<Error> &found)
+        : kind(kindOfEntry)
+        , errors(found)
+    {
+    }
+
+    void add(const std::string &name)
+    {
+        if (name.empty())
+            this->errors.push_back({ResultCode::DocumentMalformed, this->kind + " without a name"});
+        if (!this->names.insert(name).second) {
+            this->errors.push_back(
+                    {ResultCode::DocumentDuplicateName, this->kind + " " + name + " comes twice"});
+        }
+    }
+
+private:
+    std::string kind;
+    std::vector<Error> &errors;
+    std::set<std::string> names;
+};
+
+template <typename Item>
+const Item *findByName(const std::vector<Item> &items, std::string_view name)
+{
+    const auto found = std::find_if(items.begin(), items.end(),
+                                    [name](const Item &item) { return item.name == name; });
+    return found == items.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+bool Service::isIdempotent(std::string_view method, std::string_view path) const
+{
+    const Route *best = nullptr;
+    for (const Route &route : this->routes) {
+        if (route.method != method || path.substr(0, route.pathPrefix.size()) != route.pathPrefix)
+            continue;
+        if (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())
+            best = &route;
+    }
+    return best != nullptr && best->idempotent;
+}
+
+Result<std::shared_ptr<const Document>> Document::parse(std::string_view text,
+                                                        std::uint64_t revision)
+{
+    if (text.size() > maxDocumentBytes)
+        return Error{ResultCode::DocumentTooLarge, std::to_string(text.size()) + " bytes"};
+    auto document = std::make_shared<Document>();
+    try {
+        const json root = json::parse(text);
+        listFromJson(root.at("models"), document->models);
+        listFromJson(root.at("engines"), document->engines);
+        listFromJson(root.at("services"), document->services);
+        listFromJson(root.at("customers"), document->customers);
+    } catch (const json::exception &e) {
+        return Error{ResultCode::DocumentMalformed, e.what()};
+    }
+    document->revision = revision;
+    document->index();
+    const std::vector<Error> errors = document->check();
+    if (!errors.empty())
+        return errors.front();
+    return std::shared_ptr<const Document>(std::move(document));
+}
+
+std::string Document::serialise() const
+{
+    const json root = {{"models", listToJson(this->models)},
+                       {"engines", listToJson(this->engines)},
+                       {"services", listToJson(this->services)},
+                       {"customers", listToJson(this->customers)}};
+    return root.dump();
+}
+
+std::vector<Error> Document::check() const
+{
+    std::vector<Error> errors;
+    NameCheck modelNames("model", errors);
+    for (const Model &model : this->models)
+        modelNames.add(model.name);
+    NameCheck targetNames("target", errors);
+    for (const Engine &engine : this->engines) {
+        targetNames.add(engine.name);
+        if (this->findModel(engine.model) == nullptr) {
+            errors.push_back({ResultCode::DocumentDanglingName,
+                              "engine " + engine.name + " runs unknown model " + engine.model});
+        }
+    }
+    NameCheck serviceNames("service", errors);
+    for (const Service &service : this->services) {
+        serviceNames.add(service.name);
+        for (const ServiceTarget &target : service.targets)
+            targetNames.add(target.name);
+        if (service.name == "v1" || service.name == "healthz" || service.name == "readyz" ||
+            service.name == "metrics") {
+            errors.push_back({ResultCode::DocumentMalformed,
+                              "service name " + service.name + " is taken by jaytrack itself"});
+        }
+    }
+    NameCheck customerNames("customer", errors);
+    NameCheck digests("key digest", errors);
+    for (const Customer &customer : this->customers) {
+        customerNames.add(customer.name);
+        for (const std::string &digest : customer.keyDigests)
+            digests.add(digest);
+    }
+    return errors;
+}
+
+void Document::index()
+{
+    this->enginesByName.clear();
+    this->customersByDigestPrefix.clear();
+    for (std::size_t i = 0; i < this->engines.size(); ++i)
+        this->enginesByName.emplace(this->engines[i].name, i);
+    for (std::size_t i = 0; i < this->customers.size(); ++i) {
+        for (const std::string &digest : this->customers[i].keyDigests)
+            this->customersByDigestPrefix.emplace(digest, i);
+    }
+}
+
+const Model *Document::findModel(std::string_view name) const
+{
+    return findByName(this->models, name);
+}
+
+const Service *Document::findService(std::string_view name) const
+{
+    return findByName(this->services, name);
+}
+
+const Engine *Document::findEngine(std::string_view name) const
+{
+    const auto found = this->enginesByName.find(name);
+    return found == this->enginesByName.end() ? nullptr : &this->engines[found->second];
+}
+
+// The map is searched by the digest of what the caller sent, so the time it takes tells nothing
+// about a stored key; the final comparison is in constant time all the same.
+const Customer *Document::findCustomerByDigest(std::string_view digestHex) const
+{
+    const auto found = this->customersByDigestPrefix.find(digestHex);
+    if (found == this->customersByDigestPrefix.end())
+        return nullptr;
+    if (!equalInConstantTime(found->first, digestHex))
+        return nullptr;
+    return &this->customers[found->second];
+}
+
+namespace {
+
+template <typename Item>
+void describeListChanges(std::string_view kind, const std::vector<Item> &from,
+                         const std::vector<Item> &to, std::vector<std::string> &lines)
+{
+    for (const Item &item : from) {
+        if (findByName(to, item.name) == nullptr)
+            lines.push_back(std::string(kind) + " " + item.name + " is removed");
+    }
+    for (const Item &item : to) {
+        const Item *old = findByName(from, item.name);
+        if (old == nullptr) {
+            lines.push_back(std::string(kind) + " " + item.name + " is added");
+            continue;
+        }
+        const json before = toJson(*old);
+        const json after = toJson(item);
+        for (const auto &[key, value] : after.items()) {
+            if (value == before.at(key))
+                continue;
+            lines.push_back(std::string(kind) + " " + item.name + ": " + key + " changes from " +
+                            before.at(key).dump() + " to " + value.dump());
+        }
+    }
+}
+
+} // namespace
+
+std::vector<std::string> describeChanges(const Document &from, const Document &to)
+{
+    std::vector<std::string> lines;
+    describeListChanges("model", from.models, to.models, lines);
+    describeListChanges("engine", from.engines, to.engines, lines);
+    describeListChanges("service", from.services, to.services, lines);
+    describeListChanges("customer", from.customers, to.customers, lines);
+    return lines;
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Config/documentstore.cpp
@@ -0,0 +1,54 @@
+#include "jaytrack/Config/documentstore.h"
+
+#include "jaytrack/Support/log.h"
+
+namespace jaytrack {
+
+OfferVerdict DocumentStore::offer(std::string_view bytes, std::uint64_t revision,
+                                  std::string_view source)
+{
+    if (revision <= this->revision())
+        return revision == this->revision() ? OfferVerdict::Same : OfferVerdict::Stale;
+    const auto parsed = Document::parse(bytes, revision);
+    if (!parsed) {
+        logEvent(Severity::Warning, "document_refused",
+                 {{"source", source},
+                  {"revision", static_cast<std::int64_t>(revision)},
+                  {"code", static_cast<std::int64_t>(parsed.error().code)},
+                  {"detail", parsed.error().detail}});
+        return OfferVerdict::Faulty;
+    }
+    {
+        const std::lock_guard lock(this->mutex);
+        // Two sources may have offered at once; the one that came second may be the older.
+        if (revision <= this->currentRevision)
+            return revision == this->currentRevision ? OfferVerdict::Same : OfferVerdict::Stale;
+        this->currentRevision = revision;
+        this->currentBytes = bytes;
+        this->inForce.set(parsed.value());
+    }
+    logEvent(Severity::Info, "document_in_force",
+             {{"source", source}, {"revision", static_cast<std::int64_t>(revision)}});
+    if (this->onChange)
+        this->onChange(parsed.value());
+    return OfferVerdict::Accepted;
+}
+
+std::uint64_t DocumentStore::revision() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->currentRevision;
+}
+
+std::pair<std::uint64_t, std::string> DocumentStore::bytes() const
+{
+    const std::lock_guard lock(this->mutex);
+    return {this->currentRevision, this->currentBytes};
+}
+
+void DocumentStore::watch(Watcher watcher)
+{
+    this->onChange = std::move(watcher);
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Http/client.cpp
@@ -0,0 +1,429 @@
+#include "jaytrack/Http/client.h"
+
+#include <asio.hpp>
+#include <curl/curl.h>
+
+#include <atomic>
+#include <cassert>
+#include <functional>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace jaytrack {
+
+struct HttpClientCounter
+{
+    std::atomic<HttpCallId> next{1};
+};
+
+namespace {
+
+struct CurlGlobal
+{
+    CurlGlobal() { curl_global_init(CURL_GLOBAL_DEFAULT); }
+};
+
+// The state of one call on its worker's thread.
+struct Transfer
+{
+    HttpCallId id = 0;
+    CURL *easy = nullptr;
+    curl_slist *headerList = nullptr;
+    HttpCall call;
+    std::shared_ptr<HttpCallListener> listener;
+    std::vector<HttpHeader> received;
+    bool headersTold = false;
+
+    Transfer() = default;
+    Transfer(const Transfer &) = delete;
+    Transfer &operator=(const Transfer &) = delete;
+
+    ~Transfer()
+    {
+        curl_easy_cleanup(this->easy);
+        curl_slist_free_all(this->headerList);
+    }
+
+    int status() const
+    {
+        long code = 0;
+        curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &code);
+        return static_cast<int>(code);
+    }
+
+    void tellHeaders()
+    {
+        if (this->headersTold)
+            return;
+        this->headersTold = true;
+        this->listener->onHeaders(this->status(), this->received);
+    }
+};
+
+std::size_t onCurlHeader(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    std::string_view line(data, size * count);
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+        line.remove_suffix(1);
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return size * count;
+    std::string_view value = line.substr(colon + 1);
+    while (!value.empty() && value.front() == ' ')
+        value.remove_prefix(1);
+    transfer->received.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    return size * count;
+}
+
+std::size_t onCurlData(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    transfer->tellHeaders();
+    if (!transfer->listener->onData({data, size * count}))
+        return CURL_WRITEFUNC_PAUSE;
+    return size * count;
+}
+
+// Whether the failure shows that no connection stood, so that no byte of the request left.
+bool failedBeforeSending(CURLcode code, CURL *easy)
+{
+    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+        code == CURLE_URL_MALFORMAT)
+        return true;
+    curl_off_t connected = 0;
+    curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connected);
+    return code == CURLE_OPERATION_TIMEDOUT && connected == 0;
+}
+
+} // namespace
+
+// One thread with its own multi handle, driven by the readiness of its sockets.
+class HttpClient::Worker
+{
+public:
+    Worker()
+        : work(asio::make_work_guard(this->context))
+        , timer(this->context)
+    {
+        static const CurlGlobal global;
+        this->multi = curl_multi_init();
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &Worker::onSocket);
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &Worker::onTimer);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, maxKeptConnections);
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~Worker()
+    {
+        this->context.stop();
+        this->thread.join();
+        for (auto &[id, transfer] : this->transfers)
+            curl_multi_remove_handle(this->multi, transfer->easy);
+        this->transfers.clear();
+        curl_multi_cleanup(this->multi);
+        for (auto &[fd, watch] : this->watches)
+            watch->descriptor.release();
+    }
+
+    Worker(const Worker &) = delete;
+    Worker &operator=(const Worker &) = delete;
+
+    void post(std::function<void()> step) { asio::post(this->context, std::move(step)); }
+
+    void start(HttpCallId id, HttpCall call, std::shared_ptr<HttpCallListener> listener)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->id = id;
+        transfer->easy = curl_easy_init();
+        transfer->call = std::move(call);
+        transfer->listener = std::move(listener);
+        prepare(*transfer);
+        CURL *easy = transfer->easy;
+        this->transfers.emplace(id, std::move(transfer));
+        curl_multi_add_handle(this->multi, easy);
+    }
+
+    void resume(HttpCallId id)
+    {
+        const auto found = this->transfers.find(id);
+        if (found == this->transfers.end())
+            return;
+        curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
+        this->reap();
+    }
+
+    void cancel(HttpCallId id)
+    {
+        const auto found = this->transfers.find(id);
+        if (found == this->transfers.end())
+            return;
+        curl_multi_remove_handle(this->multi, found->second->easy);
+        this->transfers.erase(found);
+    }
+
+private:
+    static constexpr long maxKeptConnections = 4096;
+
+    // One socket of libcurl's and what it waits for. The generation distinguishes a wait that was
+    // armed before the socket number was closed and used anew.
+    struct Watch
+    {
+        Watch(asio::io_context &owner, curl_socket_t fd)
+            : descriptor(owner, fd)
+        {
+        }
+        asio::posix::stream_descriptor descriptor;
+        int wanted = 0;
+        bool reading = false;
+        bool writing = false;
+    };
+
+    static void prepare(Transfer &transfer)
+    {
+        CURL *easy = transfer.easy;
+        const HttpCall &call = transfer.call;
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        if (call.method == "HEAD")
+            curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        if (!call.body.empty() || call.method == "POST") {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                             static_cast<curl_off_t>(call.body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+        }
+        curl_slist *list = curl_slist_append(nullptr, "Expect:");
+        for (const HttpHeader &header : call.headers)
+            list = curl_slist_append(list, (header.name + ": " + header.value).c_str());
+        transfer.headerList = list;
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onCurlHeader);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onCurlData);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                         static_cast<long>(call.connectTimeout.count()));
+        if (call.totalTimeout.count() > 0)
+            curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                             static_cast<long>(call.totalTimeout.count()));
+        if (!call.mayRepeat)
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+
+    static int onSocket(CURL *, curl_socket_t fd, int what, void *worker, void *)
+    {
+        auto *self = static_cast<Worker *>(worker);
+        if (what == CURL_POLL_REMOVE) {
+            self->forget(fd);
+            return 0;
+        }
+        auto found = self->watches.find(fd);
+        if (found == self->watches.end())
+            found = self->watches.emplace(fd, std::make_shared<Watch>(self->context, fd)).first;
+        found->second->wanted = what;
+        self->arm(fd, found->second);
+        return 0;
+    }
+
+    // libcurl closes its sockets itself, so asio must let go of the number before that.
+    void forget(curl_socket_t fd)
+    {
+        const auto found = this->watches.find(fd);
+        if (found == this->watches.end())
+            return;
+        found->second->wanted = 0;
+        found->second->descriptor.release();
+        this->watches.erase(found);
+    }
+
+    static int onTimer(CURLM *, long millis, void *worker)
+    {
+        auto *self = static_cast<Worker *>(worker);
+        self->timer.cancel();
+        if (millis < 0)
+            return 0;
+        self->timer.expires_after(std::chrono::milliseconds(millis));
+        self->timer.async_wait([self](const asio::error_code &ec) {
+            if (!ec)
+                self->act(CURL_SOCKET_TIMEOUT, 0);
+        });
+        return 0;
+    }
+
+    void arm(curl_socket_t fd, const std::shared_ptr<Watch> &watch)
+    {
+        using Wait = asio::posix::stream_descriptor;
+        if ((watch->wanted & CURL_POLL_IN) != 0 && !watch->reading) {
+            watch->reading = true;
+            watch->descriptor.async_wait(Wait::wait_read, [this, fd, watch](asio::error_code ec) {
+                watch->reading = false;
+                this->ready(fd, watch, CURL_POLL_IN, CURL_CSELECT_IN, ec);
+            });
+        }
+        if ((watch->wanted & CURL_POLL_OUT) != 0 && !watch->writing) {
+            watch->writing = true;
+            watch->descriptor.async_wait(Wait::wait_write, [this, fd, watch](asio::error_code ec) {
+                watch->writing = false;
+                this->ready(fd, watch, CURL_POLL_OUT, CURL_CSELECT_OUT, ec);
+            });
+        }
+    }
+
+    void ready(curl_socket_t fd, const std::shared_ptr<Watch> &watch, int interest, int event,
+               const asio::error_code &ec)
+    {
+        if ((watch->wanted & interest) == 0)
+            return;
+        this->act(fd, ec ? CURL_CSELECT_ERR : event);
+        if (watch->wanted != 0 && !ec)
+            this->arm(fd, watch);
+    }
+
+    void act(curl_socket_t fd, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(this->multi, fd, events, &running);
+        this->reap();
+    }
+
+    void reap()
+    {
+        int left = 0;
+        while (const CURLMsg *message = curl_multi_info_read(this->multi, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            this->complete(message->easy_handle, message->data.result);
+        }
+    }
+
+    void complete(CURL *easy, CURLcode code)
+    {
+        char *owner = nullptr;
+        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &owner);
+        const auto found = this->transfers.find(reinterpret_cast<Transfer *>(owner)->id);
+        assert(found != this->transfers.end() && "a finished transfer is still listed");
+        const std::unique_ptr<Transfer> transfer = std::move(found->second);
+        this->transfers.erase(found);
+        curl_multi_remove_handle(this->multi, easy);
+        HttpCallEnd end;
+        end.whole = code == CURLE_OK;
+        end.maySentBytes = code == CURLE_OK || !failedBeforeSending(code, easy);
+        end.status = transfer->status();
+        if (code != CURLE_OK)
+            end.error = curl_easy_strerror(code);
+        if (end.status != 0)
+            transfer->tellHeaders();
+        transfer->listener->onEnd(end);
+    }
+
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    asio::steady_timer timer;
+    CURLM *multi = nullptr;
+    std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> watches;
+    std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> transfers;
+    std::thread thread;
+};
+
+HttpClient::HttpClient(std::size_t threads)
+    : counter(std::make_unique<HttpClientCounter>())
+{
+    assert(threads > 0 && "a client needs a thread");
+    for (std::size_t i = 0; i < threads; ++i)
+        this->workers.push_back(std::make_unique<Worker>());
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpCallId HttpClient::start(HttpCall call, std::shared_ptr<HttpCallListener> listener)
+{
+    const HttpCallId id = this->counter->next.fetch_add(1);
+    Worker *worker = this->workers[id % this->workers.size()].get();
+    worker->post([worker, id, call = std::move(call), listener = std::move(listener)]() mutable {
+        worker->start(id, std::move(call), std::move(listener));
+    });
+    return id;
+}
+
+void HttpClient::resume(HttpCallId call)
+{
+    Worker *worker = this->workers[call % this->workers.size()].get();
+    worker->post([worker, call] { worker->resume(call); });
+}
+
+void HttpClient::cancel(HttpCallId call)
+{
+    Worker *worker = this->workers[call % this->workers.size()].get();
+    worker->post([worker, call] { worker->cancel(call); });
+}
+
+namespace {
+
+class Collector final : public HttpCallListener
+{
+public:
+    Collector(std::size_t bound, std::function<void(FetchedAnswer)> done)
+        : maxBytes(bound)
+        , whenDone(std::move(done))
+    {
+    }
+
+    void onHeaders(int, std::span<const HttpHeader> headers) override
+    {
+        this->answer.headers.assign(headers.begin(), headers.end());
+    }
+
+    bool onData(std::string_view data) override
+    {
+        if (this->answer.body.size() + data.size() > this->maxBytes)
+            this->tooLarge = true;
+        else
+            this->answer.body += data;
+        return true;
+    }
+
+    void onEnd(const HttpCallEnd &end) override
+    {
+        this->answer.end = end;
+        if (this->tooLarge) {
+            this->answer.end.whole = false;
+            this->answer.end.error = "the answer is larger than the limit";
+        }
+        this->whenDone(std::move(this->answer));
+    }
+
+private:
+    std::size_t maxBytes;
+    bool tooLarge = false;
+    std::function<void(FetchedAnswer)> whenDone;
+    FetchedAnswer answer;
+};
+
+} // namespace
+
+void fetchLater(HttpClient &client, HttpCall call, std::size_t maxBytes,
+                std::function<void(FetchedAnswer)> done)
+{
+    client.start(std::move(call), std::make_shared<Collector>(maxBytes, std::move(done)));
+}
+
+FetchedAnswer fetch(HttpClient &client, HttpCall call)
+{
+    static constexpr std::size_t toolLimit = 64U << 20U;
+    std::promise<FetchedAnswer> promise;
+    fetchLater(client, std::move(call), toolLimit,
+               [&promise](FetchedAnswer answer) { promise.set_value(std::move(answer)); });
+    return promise.get_future().get();
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Http/message.cpp
@@ -0,0 +1,43 @@
+#include "jaytrack/Http/message.h"
+
+#include <restinio/uri_helpers.hpp>
+
+#include <algorithm>
+
+namespace jaytrack {
+
+namespace {
+
+char lowered(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+} // namespace
+
+bool sameHeaderName(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](char a, char b) { return lowered(a) == lowered(b); });
+}
+
+std::string_view findHeader(std::span<const HttpHeader> headers, std::string_view name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const HttpHeader &h) {
+        return sameHeaderName(h.name, name);
+    });
+    return found == headers.end() ? std::string_view{} : std::string_view(found->value);
+}
+
+std::string HttpRequest::queryValue(std::string_view name) const
+{
+    const auto parsed =
+            restinio::try_parse_query<restinio::parse_query_traits::javascript_compatible>(
+                    restinio::string_view_t(this->query));
+    if (!parsed)
+        return {};
+    const auto value = parsed->get_param(restinio::string_view_t(name.data(), name.size()));
+    return value ? std::string(value->data(), value->size()) : std::string();
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Http/server.cpp
@@ -0,0 +1,209 @@
+#include "jaytrack/Http/server.h"
+
+#include <restinio/all.hpp>
+
+#include <cassert>
+#include <future>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace jaytrack {
+
+namespace {
+
+struct Traits : restinio::default_traits_t
+{
+    static constexpr bool use_connection_count_limiter = true;
+};
+
+using RestinioServer = restinio::http_server_t<Traits>;
+using StreamBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+// The gap between two writes after which RESTinio gives a connection up. Streams send a comment
+// far more often than this, so only a handler that forgot its request runs into it.
+constexpr std::chrono::minutes handlerGap{30};
+constexpr std::chrono::seconds idleConnection{60};
+constexpr std::chrono::seconds writeBound{60};
+
+restinio::http_status_line_t statusLine(int status)
+{
+    const auto code = restinio::http_status_code_t(static_cast<std::uint16_t>(status));
+    return {code, status < 400 ? "OK" : "Refused"};
+}
+
+class RestinioWriter final : public ResponseWriter
+{
+public:
+    explicit RestinioWriter(restinio::request_handle_t handle)
+        : request(std::move(handle))
+    {
+    }
+
+    void respond(int status, std::span<const HttpHeader> headers, std::string body) override
+    {
+        const std::lock_guard lock(this->mutex);
+        assert(this->request && "a request is answered once");
+        auto response = this->request->create_response(statusLine(status));
+        for (const HttpHeader &header : headers)
+            response.append_header(header.name, header.value);
+        response.set_body(std::move(body));
+        response.done();
+        this->request.reset();
+    }
+
+    void begin(int status, std::span<const HttpHeader> headers) override
+    {
+        const std::lock_guard lock(this->mutex);
+        assert(this->request && !this->stream && "a stream begins once");
+        this->stream.emplace(
+                this->request->create_response<restinio::chunked_output_t>(statusLine(status)));
+        for (const HttpHeader &header : headers)
+            this->stream->append_header(header.name, header.value);
+        this->request.reset();
+    }
+
+    void write(std::string chunk, WriteDone done) override
+    {
+        const std::lock_guard lock(this->mutex);
+        assert(this->stream && "write() comes between begin() and finish()");
+        this->stream->append_chunk(std::move(chunk));
+        if (!done) {
+            this->stream->flush();
+            return;
+        }
+        this->stream->flush([done = std::move(done)](const asio::error_code &ec) { done(!ec); });
+    }
+
+    void finish() override
+    {
+        const std::lock_guard lock(this->mutex);
+        assert(this->stream && "finish() comes after begin()");
+        this->stream->done();
+        this->stream.reset();
+    }
+
+private:
+    std::mutex mutex;
+    restinio::request_handle_t request;
+    std::optional<StreamBuilder> stream;
+};
+
+HttpRequest toRequest(const restinio::request_t &from)
+{
+    HttpRequest request;
+    const auto &header = from.header();
+    request.method = header.method().c_str();
+    request.path = std::string(header.path().data(), header.path().size());
+    request.query = std::string(header.query().data(), header.query().size());
+    header.for_each_field([&request](const restinio::http_header_field_t &field) {
+        request.headers.push_back({field.name(), field.value()});
+    });
+    request.body = from.body();
+    return request;
+}
+
+class RestinioHttpServer final : public HttpServer
+{
+public:
+    RestinioHttpServer(const HttpServerOptions &options, HttpHandler &handler)
+        : work(asio::make_work_guard(this->context))
+        , server(restinio::external_io_context(this->context), this->settings(options, handler))
+        , threadCount(options.threads)
+    {
+    }
+
+    ~RestinioHttpServer() override { this->stop(); }
+
+    RestinioHttpServer(const RestinioHttpServer &) = delete;
+    RestinioHttpServer &operator=(const RestinioHttpServer &) = delete;
+
+    Result<void> start()
+    {
+        for (std::size_t i = 0; i < this->threadCount; ++i)
+            this->threads.emplace_back([this] { this->context.run(); });
+        std::promise<std::string> opened;
+        this->server.open_async(
+                [&opened] { opened.set_value({}); },
+                [&opened](std::exception_ptr failure) { opened.set_value(messageOf(failure)); });
+        const std::string failure = opened.get_future().get();
+        if (!failure.empty())
+            return Error{ResultCode::SettingsContradiction, "cannot listen: " + failure};
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    std::uint16_t port() const override { return this->boundPort; }
+
+    void stop() override
+    {
+        if (this->threads.empty())
+            return;
+        this->context.stop();
+        for (std::thread &thread : this->threads)
+            thread.join();
+        this->threads.clear();
+    }
+
+private:
+    static std::string messageOf(const std::exception_ptr &failure)
+    {
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception &e) {
+            return e.what();
+        }
+    }
+
+    restinio::server_settings_t<Traits> settings(const HttpServerOptions &options,
+                                                 HttpHandler &handler)
+    {
+        restinio::server_settings_t<Traits> made;
+        made.address(options.address)
+                .port(options.port)
+                .max_parallel_connections(options.maxConnections)
+                .read_next_http_message_timelimit(idleConnection)
+                .handle_request_timeout(handlerGap)
+                .write_http_response_timelimit(writeBound)
+                .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                                  .max_url_size(options.maxHeaderBytes)
+                                                  .max_field_name_size(options.maxHeaderBytes)
+                                                  .max_field_value_size(options.maxHeaderBytes)
+                                                  .max_field_count(100)
+                                                  .max_body_size(options.maxBodyBytes))
+                .acceptor_options_setter([](restinio::acceptor_options_t &socket) {
+                    socket.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+                })
+                .socket_options_setter([](restinio::socket_options_t &socket) {
+                    socket.set_option(asio::ip::tcp::no_delay{true});
+                })
+                .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
+                    this->boundPort = acceptor.local_endpoint().port();
+                })
+                .request_handler([&handler](const restinio::request_handle_t &request) {
+                    handler.handle(toRequest(*request), std::make_shared<RestinioWriter>(request));
+                    return restinio::request_accepted();
+                });
+        return made;
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::atomic<std::uint16_t> boundPort{0};
+    RestinioServer server;
+    std::size_t threadCount;
+    std::vector<std::thread> threads;
+};
+
+} // namespace
+
+Result<std::unique_ptr<HttpServer>> startHttpServer(const HttpServerOptions &options,
+                                                    HttpHandler &handler)
+{
+    auto server = std::make_unique<RestinioHttpServer>(options, handler);
+    const Result<void> started = server->start();
+    if (!started)
+        return started.error();
+    return std::unique_ptr<HttpServer>(std::move(server));
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Load/servicecaller.cpp
@@ -0,0 +1,110 @@
+#include "tally.h"
+
+#include "jaytrack/Stream/handle.h"
+
+#include <nlohmann/json.hpp>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr int maxTries = 8;
+constexpr int redirect = 307;
+constexpr int stillRunning = 409;
+constexpr int comeBackLater = 503;
+constexpr std::chrono::milliseconds tryPause{300};
+constexpr std::size_t answerBound = 1U << 20U;
+
+// One caller of a plain service. For a request that must run once it takes the ticket that it is
+// offered and repeats under that ticket, at any instance, until it has an answer.
+class ServiceCaller final : public std::enable_shared_from_this<ServiceCaller>
+{
+public:
+    ServiceCaller(Tally &shared, const ServiceLoad &kind, std::uint64_t callNumber)
+        : tally(shared)
+        , load(kind)
+        , number(callNumber)
+        , id("s" + std::to_string(callNumber))
+        , url("/" + kind.service + kind.path)
+    {
+    }
+
+    void send()
+    {
+        ++this->tries;
+        if (this->tries == 1)
+            this->startedAt = std::chrono::steady_clock::now();
+        const std::string &key = this->tally.plan.keys[this->number % this->tally.plan.keys.size()];
+        HttpCall call;
+        call.method = this->load.method;
+        call.url = this->tally.entryAfter(this->number + static_cast<std::size_t>(this->tries)) +
+                   this->url;
+        call.headers = {{"Authorization", "Bearer " + key}, {"Content-Type", "application/json"}};
+        if (this->load.method != "GET")
+            call.body = nlohmann::json{{"order", this->id}}.dump();
+        call.totalTimeout = this->tally.plan.patience;
+        fetchLater(this->tally.client, std::move(call), answerBound,
+                   [self = this->shared_from_this()](const FetchedAnswer &answer) {
+                       self->onAnswer(answer);
+                   });
+    }
+
+private:
+    void onAnswer(const FetchedAnswer &answer)
+    {
+        const std::string outcome(findHeader(answer.headers, "Jaytrack-Outcome"));
+        if (answer.end.whole && answer.end.status == redirect) {
+            this->url = findHeader(answer.headers, "Location");
+            this->ticketed = true;
+            this->send();
+            return;
+        }
+        const bool answered = answer.end.whole && !outcome.empty();
+        // Without a ticket nothing has run yet, so trying again is safe for this caller too.
+        const bool repeatable = this->ticketed || !this->load.once || !answer.end.maySentBytes;
+        const bool later = answer.end.status == comeBackLater || answer.end.status == stillRunning;
+        if ((!answered || later) && repeatable && this->tries < maxTries) {
+            this->everUnanswered |= !answered;
+            this->tally.later(tryPause, [self = this->shared_from_this()] { self->send(); });
+            return;
+        }
+        const auto code = parseIndex(findHeader(answer.headers, "Jaytrack-Code"));
+        this->conclude(answered ? outcome : "unknown", code ? static_cast<int>(*code) : -1, answer);
+    }
+
+    void conclude(const std::string &outcome, int code, const FetchedAnswer &answer)
+    {
+        const auto took = std::chrono::steady_clock::now() - this->startedAt;
+        if (outcome == "complete" && this->load.method != "GET") {
+            const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+            if (!body.is_object() || body.value("order", "") != this->id)
+                this->tally.garbled(this->id + " received another caller's answer");
+        }
+        if (outcome == "complete")
+            this->tally.with([&](LoadReport &report) {
+                report.serviceTime.add(std::chrono::duration<double>(took).count());
+            });
+        this->tally.ended(this->id, {outcome, code, this->load.once, false});
+    }
+
+    Tally &tally;
+    const ServiceLoad &load;
+    std::uint64_t number;
+    std::string id;
+    std::string url;
+    bool ticketed = false;
+    bool everUnanswered = false;
+    int tries = 0;
+    std::chrono::steady_clock::time_point startedAt;
+};
+
+} // namespace
+
+void startServiceCaller(Tally &tally, const ServiceLoad &load, std::uint64_t number)
+{
+    tally.open.fetch_add(1);
+    tally.with([](LoadReport &report) { ++report.requests; });
+    std::make_shared<ServiceCaller>(tally, load, number)->send();
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Load/tally.cpp
@@ -0,0 +1,119 @@
+#include "tally.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr std::size_t faultsKept = 20;
+
+void addCounts(const nlohmann::json &counts, const char *key,
+               std::map<std::string, std::uint64_t> &sum)
+{
+    if (!counts.contains(key))
+        return;
+    for (const auto &[name, value] : counts[key].items())
+        sum[name] += value.get<std::uint64_t>();
+}
+
+} // namespace
+
+double Samples::quantile(double q) const
+{
+    if (this->values.empty())
+        return 0;
+    std::vector<double> sorted = this->values;
+    const auto rank = static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1) + 0.5);
+    const auto at = sorted.begin() + static_cast<std::ptrdiff_t>(rank);
+    std::nth_element(sorted.begin(), at, sorted.end());
+    return *at;
+}
+
+void Tally::later(std::chrono::milliseconds pause, std::function<void()> step)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(this->timers, pause);
+    timer->async_wait([timer, step = std::move(step)](const asio::error_code &) { step(); });
+}
+
+void Tally::ended(const std::string &id, const Told &last)
+{
+    const std::lock_guard lock(this->mutex);
+    this->told[id] = last;
+    ++this->report.byCode[last.code];
+    if (last.outcome == "complete")
+        ++this->report.complete;
+    else if (last.outcome == "not-run")
+        ++this->report.notRun;
+    else
+        ++this->report.unknown;
+    this->open.fetch_sub(1);
+}
+
+void Tally::garbled(const std::string &what)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->report.garbled;
+    if (this->report.faults.size() < faultsKept)
+        this->report.faults.push_back(what);
+}
+
+void Tally::with(const std::function<void(LoadReport &)> &change)
+{
+    const std::lock_guard lock(this->mutex);
+    change(this->report);
+}
+
+void Tally::mismatch(const std::string &what)
+{
+    ++this->report.mismatches;
+    if (this->report.faults.size() < faultsKept)
+        this->report.faults.push_back(what);
+}
+
+void Tally::compare(const std::map<std::string, std::uint64_t> &runs,
+                    const std::map<std::string, std::uint64_t> &starts)
+{
+    for (const auto &[id, last] : this->told) {
+        const auto &counted = last.generation ? starts : runs;
+        const auto found = counted.find(id);
+        const std::uint64_t count = found == counted.end() ? 0 : found->second;
+        const std::string words =
+                id + " was told " + last.outcome + " and ran " + std::to_string(count) + " times";
+        if (last.outcome == "not-run" && count != 0)
+            this->mismatch(words);
+        if (last.once && count > 1)
+            this->mismatch(words);
+        if (last.once && last.outcome == "complete" && count != 1)
+            this->mismatch(words);
+    }
+}
+
+LoadReport Tally::conclude()
+{
+    std::map<std::string, std::uint64_t> runs;
+    std::map<std::string, std::uint64_t> starts;
+    std::uint64_t preemptions = 0;
+    for (const std::string &url : this->plan.countUrls) {
+        HttpCall call;
+        call.url = url;
+        call.totalTimeout = std::chrono::seconds(5);
+        call.mayRepeat = true;
+        const FetchedAnswer answer = fetch(this->client, call);
+        const auto counts = nlohmann::json::parse(answer.body, nullptr, false);
+        if (!answer.end.whole || !counts.is_object())
+            continue; // a stand-in that was killed; its counts are gone with it
+        addCounts(counts, "runs", runs);
+        addCounts(counts, "by_user", starts);
+        preemptions += counts.value("preempted", 0ULL);
+    }
+    const std::lock_guard lock(this->mutex);
+    this->report.preemptions = preemptions;
+    if (!this->plan.countUrls.empty())
+        this->compare(runs, starts);
+    return this->report;
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Policy/baselines.cpp
@@ -0,0 +1,420 @@
+#include "jaytrack/Policy/baselines.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <list>
+#include <map>
+#include <random>
+#include <unordered_map>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr double staticThresholdShare = 0.8; // of an engine's memory
+constexpr double staticReserveTokens = 1000; // assumed length of a generation
+
+// What the simple policies keep of an engine.
+struct EngineState
+{
+    EngineSpec spec;
+    EngineReport report;
+    std::uint32_t own = 0; // placed by this instance and not yet departed
+    std::uint64_t ownTokens = 0;
+
+    bool usable() const
+    {
+        return !this->spec.leaving && !this->report.leaving && this->report.alive;
+    }
+};
+
+struct Placed
+{
+    std::string engine;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t produced = 0;
+};
+
+// What all baselines share: the tables, the bookkeeping and the queue of those that wait.
+class SimplePolicy : public PlacementPolicy
+{
+public:
+    SimplePolicy(const Clock &time, PlacementListener &target)
+        : clock(time)
+        , listener(target)
+    {
+    }
+
+    void setEngines(std::span<const EngineSpec> specs) override
+    {
+        std::map<std::string, EngineState, std::less<>> fresh;
+        for (const EngineSpec &spec : specs) {
+            EngineState &state = fresh[spec.name];
+            const auto old = this->engines.find(spec.name);
+            if (old != this->engines.end())
+                state = old->second;
+            state.spec = spec;
+        }
+        this->engines = std::move(fresh);
+    }
+
+    void setInstances(std::span<const std::string>) override {}
+
+    void submit(const GenerationAsk &ask) override
+    {
+        if (!this->tryPlace(ask))
+            this->waiting.push_back({ask, this->clock.now()});
+    }
+
+    void withdraw(std::uint64_t id) override
+    {
+        this->waiting.remove_if([id](const Waiting &entry) { return entry.ask.id == id; });
+    }
+
+    void progress(std::uint64_t id, std::uint32_t producedTokens) override
+    {
+        const auto found = this->placed.find(id);
+        if (found == this->placed.end())
+            return;
+        EngineState &engine = this->engines[found->second.engine];
+        engine.ownTokens += producedTokens - found->second.produced;
+        found->second.produced = producedTokens;
+    }
+
+    void departed(std::uint64_t id, Departure, std::uint32_t) override
+    {
+        const auto found = this->placed.find(id);
+        if (found == this->placed.end())
+            return;
+        EngineState &engine = this->engines[found->second.engine];
+        --engine.own;
+        engine.ownTokens -= found->second.promptTokens + found->second.produced;
+        this->placed.erase(found);
+    }
+
+    void report(std::string_view name, const EngineReport &report) override
+    {
+        const auto found = this->engines.find(name);
+        if (found != this->engines.end())
+            found->second.report = report;
+    }
+
+    void receive(std::string_view, std::string_view) override {}
+
+    void tick() override
+    {
+        const TimePoint now = this->clock.now();
+        for (auto it = this->waiting.begin(); it != this->waiting.end();) {
+            if (this->tryPlace(it->ask)) {
+                it = this->waiting.erase(it);
+            } else if (now - it->since > it->ask.maxWait) {
+                const std::uint64_t id = it->ask.id;
+                it = this->waiting.erase(it);
+                this->listener.onPlacement(id,
+                                           {ResultCode::WaitExpired, "",
+                                            "no engine had room in time", std::chrono::seconds(1)});
+            } else {
+                ++it;
+            }
+        }
+    }
+
+protected:
+    // The engine to use now; null to wait.
+    virtual EngineState *choose(const GenerationAsk &ask, std::span<EngineState *const> usable) = 0;
+
+    const Clock &clock;
+
+private:
+    struct Waiting
+    {
+        GenerationAsk ask;
+        TimePoint since;
+    };
+
+    bool tryPlace(const GenerationAsk &ask)
+    {
+        std::vector<EngineState *> usable;
+        for (auto &[name, engine] : this->engines) {
+            const bool avoided =
+                    std::find(ask.avoid.begin(), ask.avoid.end(), name) != ask.avoid.end();
+            if (engine.spec.model == ask.model && engine.usable() && !avoided)
+                usable.push_back(&engine);
+        }
+        EngineState *chosen = usable.empty() ? nullptr : this->choose(ask, usable);
+        if (chosen == nullptr)
+            return false;
+        ++chosen->own;
+        chosen->ownTokens += ask.promptTokens;
+        this->placed[ask.id] = {chosen->spec.name, ask.promptTokens, 0};
+        this->listener.onPlacement(ask.id, {ResultCode::Ok, chosen->spec.name, "baseline", {}});
+        return true;
+    }
+
+    PlacementListener &listener;
+    std::map<std::string, EngineState, std::less<>> engines;
+    std::unordered_map<std::uint64_t, Placed> placed;
+    std::list<Waiting> waiting;
+};
+
+class RoundRobinPolicy final : public SimplePolicy
+{
+public:
+    using SimplePolicy::SimplePolicy;
+
+protected:
+    EngineState *choose(const GenerationAsk &, std::span<EngineState *const> usable) override
+    {
+        return usable[this->turn++ % usable.size()];
+    }
+
+private:
+    std::size_t turn = 0;
+};
+
+class LeastOutstandingPolicy final : public SimplePolicy
+{
+public:
+    LeastOutstandingPolicy(const Clock &time, PlacementListener &target, std::uint64_t seed)
+        : SimplePolicy(time, target)
+        , random(seed)
+    {
+    }
+
+protected:
+    EngineState *choose(const GenerationAsk &, std::span<EngineState *const> usable) override
+    {
+        // Ties are broken at random, or every instance would fill the engines in the same order.
+        const std::size_t start = this->random() % usable.size();
+        EngineState *best = usable[start];
+        for (std::size_t i = 1; i < usable.size(); ++i) {
+            EngineState *other = usable[(start + i) % usable.size()];
+            if (other->own < best->own)
+                best = other;
+        }
+        return best;
+    }
+
+private:
+    std::mt19937_64 random;
+};
+
+class PowerOfTwoPolicy final : public SimplePolicy
+{
+public:
+    PowerOfTwoPolicy(const Clock &time, PlacementListener &target, std::uint64_t seed)
+        : SimplePolicy(time, target)
+        , random(seed)
+    {
+    }
+
+protected:
+    EngineState *choose(const GenerationAsk &, std::span<EngineState *const> usable) override
+    {
+        EngineState *left = usable[this->random() % usable.size()];
+        EngineState *right = usable[this->random() % usable.size()];
+        return load(*left) <= load(*right) ? left : right;
+    }
+
+private:
+    static double load(const EngineState &engine)
+    {
+        const double memory = static_cast<double>(engine.report.memoryUsed) /
+                              static_cast<double>(engine.spec.memoryTokens);
+        return memory + engine.report.waiting;
+    }
+
+    std::mt19937_64 random;
+};
+
+class StaticThresholdPolicy final : public SimplePolicy
+{
+public:
+    StaticThresholdPolicy(const Clock &time, PlacementListener &target, std::uint64_t seed)
+        : SimplePolicy(time, target)
+        , random(seed)
+    {
+    }
+
+protected:
+    EngineState *choose(const GenerationAsk &ask, std::span<EngineState *const> usable) override
+    {
+        const std::size_t start = this->random() % usable.size();
+        EngineState *best = nullptr;
+        for (std::size_t i = 0; i < usable.size(); ++i) {
+            EngineState *engine = usable[(start + i) % usable.size()];
+            const double used = std::max(static_cast<double>(engine->report.memoryUsed),
+                                         static_cast<double>(engine->ownTokens));
+            const double limit =
+                    staticThresholdShare * static_cast<double>(engine->spec.memoryTokens);
+            if (used + ask.promptTokens + staticReserveTokens > limit)
+                continue;
+            if (best == nullptr || engine->own < best->own)
+                best = engine;
+        }
+        return best;
+    }
+
+private:
+    std::mt19937_64 random;
+};
+
+} // namespace
+
+// Exact remaining demand of every generation in the fleet.
+class OracleBoard
+{
+public:
+    struct Job
+    {
+        std::uint64_t id;
+        std::uint32_t size; // prompt and produced tokens
+        std::uint32_t remaining;
+    };
+
+    std::map<std::string, std::vector<Job>, std::less<>> jobs;
+
+    // The largest memory that the jobs will occupy together, all decoding at the same pace.
+    static std::uint64_t peak(std::vector<Job> list)
+    {
+        std::sort(list.begin(), list.end(),
+                  [](const Job &a, const Job &b) { return a.remaining < b.remaining; });
+        std::uint64_t size = 0;
+        for (const Job &job : list)
+            size += job.size;
+        std::uint64_t highest = size;
+        std::uint64_t elapsed = 0;
+        std::uint64_t alive = list.size();
+        for (const Job &job : list) {
+            size += alive * (job.remaining - elapsed);
+            elapsed = job.remaining;
+            highest = std::max(highest, size);
+            size -= job.size + job.remaining;
+            --alive;
+        }
+        return highest;
+    }
+};
+
+std::shared_ptr<OracleBoard> makeOracleBoard()
+{
+    return std::make_shared<OracleBoard>();
+}
+
+namespace {
+
+class OraclePolicy final : public SimplePolicy
+{
+public:
+    OraclePolicy(const Clock &time, PlacementListener &target, std::shared_ptr<OracleBoard> shared)
+        : SimplePolicy(time, target)
+        , board(std::move(shared))
+    {
+        assert(this->board && "the oracle needs the board of its fleet");
+    }
+
+    void progress(std::uint64_t id, std::uint32_t producedTokens) override
+    {
+        SimplePolicy::progress(id, producedTokens);
+        const auto at = this->where.find(id);
+        if (at == this->where.end())
+            return;
+        for (OracleBoard::Job &job : this->board->jobs[at->second.engine]) {
+            if (job.id != id)
+                continue;
+            job.size = at->second.promptTokens + producedTokens;
+            job.remaining =
+                    at->second.length > producedTokens ? at->second.length - producedTokens : 0;
+        }
+    }
+
+    void departed(std::uint64_t id, Departure how, std::uint32_t producedTokens) override
+    {
+        SimplePolicy::departed(id, how, producedTokens);
+        const auto at = this->where.find(id);
+        if (at == this->where.end())
+            return;
+        std::erase_if(this->board->jobs[at->second.engine],
+                      [id](const OracleBoard::Job &job) { return job.id == id; });
+        this->where.erase(at);
+    }
+
+protected:
+    EngineState *choose(const GenerationAsk &ask, std::span<EngineState *const> usable) override
+    {
+        EngineState *best = nullptr;
+        double bestLoad = std::numeric_limits<double>::max();
+        const OracleBoard::Job job{ask.id, ask.promptTokens, ask.trueLength};
+        for (EngineState *engine : usable) {
+            std::vector<OracleBoard::Job> jobs = this->board->jobs[engine->spec.name];
+            const std::size_t running = jobs.size();
+            jobs.push_back(job);
+            const std::uint64_t peak = OracleBoard::peak(std::move(jobs));
+            if (peak > engine->spec.memoryTokens || running >= engine->spec.slots)
+                continue;
+            const double load =
+                    static_cast<double>(peak) / static_cast<double>(engine->spec.memoryTokens);
+            if (load < bestLoad) {
+                best = engine;
+                bestLoad = load;
+            }
+        }
+        if (best == nullptr)
+            return nullptr;
+        this->board->jobs[best->spec.name].push_back(job);
+        this->where[ask.id] = {best->spec.name, ask.promptTokens, ask.trueLength};
+        return best;
+    }
+
+private:
+    struct Spot
+    {
+        std::string engine;
+        std::uint32_t promptTokens = 0;
+        std::uint32_t length = 0;
+    };
+
+    std::shared_ptr<OracleBoard> board;
+    std::unordered_map<std::uint64_t, Spot> where;
+};
+
+} // namespace
+
+std::unique_ptr<PlacementPolicy> makeBaseline(Baseline kind, const Clock &clock, std::uint64_t seed,
+                                              PlacementListener &listener,
+                                              std::shared_ptr<OracleBoard> board)
+{
+    switch (kind) {
+    case Baseline::RoundRobin:
+        return std::make_unique<RoundRobinPolicy>(clock, listener);
+    case Baseline::LeastOutstanding:
+        return std::make_unique<LeastOutstandingPolicy>(clock, listener, seed);
+    case Baseline::PowerOfTwo:
+        return std::make_unique<PowerOfTwoPolicy>(clock, listener, seed);
+    case Baseline::StaticThreshold:
+        return std::make_unique<StaticThresholdPolicy>(clock, listener, seed);
+    case Baseline::Oracle:
+        return std::make_unique<OraclePolicy>(clock, listener, std::move(board));
+    }
+    return nullptr;
+}
+
+std::string_view baselineName(Baseline kind)
+{
+    switch (kind) {
+    case Baseline::RoundRobin:
+        return "round_robin";
+    case Baseline::LeastOutstanding:
+        return "least_outstanding";
+    case Baseline::PowerOfTwo:
+        return "power_of_two";
+    case Baseline::StaticThreshold:
+        return "static_threshold";
+    case Baseline::Oracle:
+        return "oracle";
+    }
+    return "";
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Serve/gateway.cpp
@@ -0,0 +1,343 @@
+#include "jaytrack/Serve/gateway.h"
+
+#include "jaytrack/Cluster/wakefulness.h"
+#include "jaytrack/Config/settings.h"
+#include "jaytrack/Support/digest.h"
+#include "jaytrack/Support/metrics.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace jaytrack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view streamsPath = "/v1/streams/";
+constexpr std::string_view chatPath = "/v1/chat/completions";
+constexpr std::string_view textPath = "/v1/completions";
+constexpr std::chrono::milliseconds comeBackSoon{1000};
+constexpr std::uint32_t bytesPerToken = 4;
+constexpr std::uint32_t leastPrefixTokens = 16;
+
+std::uint32_t tokensOf(std::string_view text)
+{
+    return static_cast<std::uint32_t>(text.size() / bytesPerToken) + 1;
+}
+
+// The text of a chat message, whose content is a string or a list of parts.
+std::string contentOf(const json &message)
+{
+    if (!message.is_object() || !message.contains("content"))
+        return {};
+    const json &content = message["content"];
+    if (content.is_string())
+        return content.get<std::string>();
+    std::string text;
+    if (!content.is_array())
+        return text;
+    for (const json &part : content) {
+        if (part.is_object() && part.contains("text") && part["text"].is_string())
+            text += part["text"].get<std::string>();
+    }
+    return text;
+}
+
+void describePrefix(GenerationAsk &ask, std::string_view prefix)
+{
+    const std::uint32_t tokens = tokensOf(prefix);
+    if (tokens < leastPrefixTokens)
+        return;
+    ask.prefixTokens = tokens;
+    ask.prefixHash = placementHash(prefix);
+}
+
+// Reads what placement needs from a chat request: its size and the prefix that it may share.
+bool describeChat(const json &body, GenerationAsk &ask)
+{
+    if (!body.contains("messages") || !body["messages"].is_array() || body["messages"].empty())
+        return false;
+    std::uint32_t tokens = 0;
+    for (const json &message : body["messages"])
+        tokens += tokensOf(contentOf(message));
+    ask.promptTokens = tokens;
+    if (body["messages"].size() > 1)
+        describePrefix(ask, contentOf(body["messages"][0]));
+    return true;
+}
+
+bool describeText(const json &body, GenerationAsk &ask)
+{
+    static constexpr std::size_t prefixBytes = 1024;
+    if (!body.contains("prompt") || !body["prompt"].is_string())
+        return false;
+    const auto prompt = body["prompt"].get<std::string>();
+    ask.promptTokens = tokensOf(prompt);
+    if (prompt.size() > prefixBytes)
+        describePrefix(ask, std::string_view(prompt).substr(0, prefixBytes));
+    return true;
+}
+
+// Fills an order from the body of a completion request. Fails with words for the caller.
+Result<GenerationOrder> readOrder(const HttpRequest &request)
+{
+    json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object())
+        return Error{ResultCode::BadRequest, "the body is not a JSON object"};
+    if (!body.contains("model") || !body["model"].is_string())
+        return Error{ResultCode::BadRequest, "model must be a string"};
+    GenerationOrder order;
+    order.path = request.path;
+    order.chat = request.path == chatPath;
+    order.ask.model = body["model"].get<std::string>();
+    if (order.chat && !describeChat(body, order.ask))
+        return Error{ResultCode::BadRequest, "messages must be a list that is not empty"};
+    if (!order.chat && !describeText(body, order.ask))
+        return Error{ResultCode::BadRequest, "prompt must be a string"};
+    if (body.contains("stream") && !body["stream"].is_boolean())
+        return Error{ResultCode::BadRequest, "stream must be true or false"};
+    order.wantsStream = body.value("stream", false);
+    if (body.contains("max_tokens") && body["max_tokens"].is_number_unsigned())
+        order.ask.maxTokens = body["max_tokens"].get<std::uint32_t>();
+    body["stream"] = true;
+    order.body = body.dump();
+    return order;
+}
+
+std::string bearerKey(const HttpRequest &request)
+{
+    static constexpr std::string_view scheme = "Bearer ";
+    const std::string_view value = request.header("Authorization");
+    if (value.size() <= scheme.size() || !sameHeaderName(value.substr(0, scheme.size()), scheme))
+        return {};
+    return std::string(value.substr(scheme.size()));
+}
+
+} // namespace
+
+std::shared_ptr<void> AdmissionMeter::admit(const Customer &customer, ResultCode &code)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->used >= this->total) {
+        code = ResultCode::Overloaded;
+        return nullptr;
+    }
+    std::size_t &own = this->perCustomer[customer.name];
+    if (own >= customer.maxConcurrent) {
+        code = ResultCode::CustomerLimit;
+        return nullptr;
+    }
+    ++own;
+    ++this->used;
+    const auto self = this->shared_from_this();
+    return {this, [self, name = customer.name](void *) { self->release(name); }};
+}
+
+void AdmissionMeter::release(const std::string &customer)
+{
+    const std::lock_guard lock(this->mutex);
+    --this->used;
+    const auto own = this->perCustomer.find(customer);
+    if (--own->second == 0)
+        this->perCustomer.erase(own);
+}
+
+std::size_t AdmissionMeter::inService() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->used;
+}
+
+Gateway::Gateway(ServeContext &ctx, DocumentStore &store)
+    : context(ctx)
+    , documents(store)
+    , meter(std::make_shared<AdmissionMeter>(ctx.settings.maxRequests))
+    , log(ctx.metrics)
+    , serviceDesk(ctx, this->log)
+{
+}
+
+void Gateway::handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer)
+{
+    if (request.path == "/healthz" || request.path == "/readyz") {
+        this->handleHealth(request, *writer);
+        return;
+    }
+    Caller caller;
+    caller.requestId = this->context.newRequestId();
+    Ending refusal;
+    if (!this->identify(request, caller, refusal)) {
+        this->context.metrics.count("jaytrack_refused_total{code=\"" +
+                                    std::to_string(static_cast<int>(refusal.code)) + "\"}");
+        answerError(*writer, refusal, caller.requestId);
+        return;
+    }
+    const std::string_view path = request.path;
+    if (path == "/v1/models" && request.method == "GET")
+        this->handleModels(caller, *writer);
+    else if ((path == chatPath || path == textPath) && request.method == "POST")
+        this->handleCompletion(std::move(caller), std::move(request), std::move(writer));
+    else if (path.substr(0, streamsPath.size()) == streamsPath && request.method == "GET")
+        this->handleResume(std::move(caller), path.substr(streamsPath.size()), request,
+                           std::move(writer));
+    else
+        this->handleService(std::move(caller), std::move(request), std::move(writer));
+}
+
+void Gateway::handleHealth(const HttpRequest &request, ResponseWriter &writer) const
+{
+    static constexpr int unavailable = 503;
+    const bool good = request.path == "/healthz" || this->isReady();
+    const std::vector<HttpHeader> headers = {{"Content-Type", "text/plain"}};
+    writer.respond(good ? 200 : unavailable, headers, good ? "ok\n" : "not ready\n");
+}
+
+bool Gateway::identify(const HttpRequest &request, Caller &caller, Ending &refusal)
+{
+    if (this->draining.load()) {
+        refusal = {ResultCode::Draining, "", comeBackSoon};
+        return false;
+    }
+    caller.document = this->documents.current();
+    if (!caller.document || !this->ready.load()) {
+        refusal = {ResultCode::NotReady, "", comeBackSoon};
+        return false;
+    }
+    // Even a refusal would rest on old knowledge here, so it is the one that asks to come again.
+    if (!this->context.wakefulness.mayAct()) {
+        refusal = {ResultCode::AsleepTooLong, "", comeBackSoon};
+        return false;
+    }
+    caller.customer = caller.document->findCustomerByDigest(sha256Hex(bearerKey(request)));
+    if (caller.customer == nullptr) {
+        refusal = {ResultCode::UnknownKey, "", {}};
+        return false;
+    }
+    ResultCode code = ResultCode::Ok;
+    caller.admission = this->meter->admit(*caller.customer, code);
+    if (!caller.admission) {
+        refusal = {code, "", comeBackSoon};
+        return false;
+    }
+    return true;
+}
+
+void Gateway::handleModels(const Caller &caller, ResponseWriter &writer) const
+{
+    json data = json::array();
+    for (const Model &model : caller.document->models)
+        data.push_back({{"id", model.name}, {"object", "model"}, {"owned_by", "jaytrack"}});
+    std::vector<HttpHeader> headers = outcomeHeaders(ResultCode::Ok, caller.requestId);
+    headers.push_back({"Content-Type", "application/json"});
+    writer.respond(200, headers, json{{"object", "list"}, {"data", data}}.dump());
+}
+
+void Gateway::handleCompletion(Caller caller, HttpRequest request,
+                               std::shared_ptr<ResponseWriter> writer)
+{
+    // A client that reconnects by repeating its POST says where it stands; starting another
+    // generation for it would hand it the tokens of two.
+    const std::string_view cursor = request.header("Last-Event-ID");
+    if (!cursor.empty()) {
+        this->handleResume(std::move(caller), "", request, std::move(writer));
+        return;
+    }
+    Result<GenerationOrder> order = readOrder(request);
+    if (!order) {
+        answerError(*writer, {order.error().code, order.error().detail, {}}, caller.requestId);
+        return;
+    }
+    const Model *model = caller.document->findModel(order.value().ask.model);
+    if (model == nullptr) {
+        answerError(*writer, {ResultCode::UnknownModel, order.value().ask.model, {}},
+                    caller.requestId);
+        return;
+    }
+    GenerationAsk &ask = order.value().ask;
+    ask.id = this->context.nextRequest.fetch_add(1);
+    ask.customer = caller.customer->name;
+    ask.weight = caller.customer->weight;
+    ask.priority = model->priority;
+    ask.mayWait = model->mayWait;
+    ask.maxWait = model->maxWait;
+    ask.overflowBound = model->overflowBound;
+    this->startGeneration(std::move(caller), std::move(order.value()), std::move(writer));
+}
+
+void Gateway::handleResume(Caller caller, std::string_view handleText, const HttpRequest &request,
+                           std::shared_ptr<ResponseWriter> writer)
+{
+    const std::string_view lastId = request.header("Last-Event-ID");
+    const std::optional<Cursor> cursor = Cursor::parse(lastId);
+    if ((!lastId.empty() && !cursor) ||
+        (cursor && !handleText.empty() && cursor->handle != handleText)) {
+        answerError(*writer, {ResultCode::MalformedCursor, "", {}}, caller.requestId);
+        return;
+    }
+    const std::string_view sealed =
+            handleText.empty() ? std::string_view(cursor->handle) : handleText;
+    const std::optional<StreamHandle> handle = StreamHandle::unseal(this->context.keys, sealed);
+    const bool own = handle && handle->customer == caller.customer->name &&
+                     caller.document->findModel(handle->model) != nullptr;
+    if (!own) {
+        answerError(*writer, {ResultCode::ForeignHandle, "", {}}, caller.requestId);
+        return;
+    }
+    GenerationOrder order;
+    order.ask.model = handle->model;
+    order.ask.id = this->context.nextRequest.fetch_add(1);
+    order.ask.customer = caller.customer->name;
+    order.resumed = handle;
+    order.firstIndex = cursor ? cursor->index + 1 : 0;
+    this->context.metrics.count("jaytrack_resumes_total");
+    this->startGeneration(std::move(caller), std::move(order), std::move(writer));
+}
+
+void Gateway::startGeneration(Caller caller, GenerationOrder order,
+                              std::shared_ptr<ResponseWriter> writer)
+{
+    const auto call = std::make_shared<GenerationCall>(this->context, this->registry, this->log,
+                                                       std::move(caller), std::move(order),
+                                                       std::move(writer));
+    call->start();
+}
+
+void Gateway::handleService(Caller caller, HttpRequest request,
+                            std::shared_ptr<ResponseWriter> writer)
+{
+    const std::string_view path = request.path;
+    const std::size_t slash = path.find('/', 1);
+    const std::string name(path.substr(1, slash == std::string_view::npos ? slash : slash - 1));
+    const Service *service = caller.document->findService(name);
+    if (service == nullptr) {
+        const bool api = path.substr(0, 4) == "/v1/";
+        answerError(*writer, {api ? ResultCode::NotFound : ResultCode::UnknownService, name, {}},
+                    caller.requestId);
+        return;
+    }
+    std::string rest(slash == std::string_view::npos ? std::string_view("/") : path.substr(slash));
+    this->serviceDesk.handle(std::move(caller), *service, std::move(rest), std::move(request),
+                             std::move(writer));
+}
+
+void Gateway::sweep()
+{
+    for (const auto &call : this->registry.all())
+        call->sweep();
+}
+
+bool Gateway::idle() const
+{
+    return this->meter->inService() == 0;
+}
+
+void Gateway::cut()
+{
+    for (const auto &call : this->registry.all())
+        call->cut();
+    this->serviceDesk.logInService();
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Serve/servicecall.cpp
@@ -0,0 +1,451 @@
+#include "jaytrack/Serve/servicecall.h"
+
+#include "jaytrack/Cluster/wakefulness.h"
+#include "jaytrack/Config/settings.h"
+#include "jaytrack/Support/digest.h"
+#include "jaytrack/Support/keyring.h"
+#include "jaytrack/Support/log.h"
+#include "jaytrack/Support/metrics.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr std::string_view ticketParameter = "jaytrack_ticket";
+constexpr std::string_view keyHeader = "Idempotency-Key";
+constexpr int redirectStatus = 307;
+constexpr int maxAttempts = 3;
+constexpr std::chrono::milliseconds connectBound{500};
+constexpr std::chrono::milliseconds comeBackSoon{1000};
+
+// Headers that concern one connection only, or that jaytrack sets itself.
+constexpr std::array<std::string_view, 14> notPassedOn = {"Connection",
+                                                          "Keep-Alive",
+                                                          "Proxy-Authenticate",
+                                                          "Proxy-Authorization",
+                                                          "TE",
+                                                          "Trailer",
+                                                          "Transfer-Encoding",
+                                                          "Upgrade",
+                                                          "Content-Length",
+                                                          "Host",
+                                                          "Authorization",
+                                                          "Expect",
+                                                          "Jaytrack-Ticket",
+                                                          "Idempotency-Key"};
+
+bool passedOn(std::string_view name)
+{
+    return std::none_of(notPassedOn.begin(), notPassedOn.end(),
+                        [name](std::string_view other) { return sameHeaderName(name, other); });
+}
+
+// The query without the ticket, which is not the target's business.
+std::string queryWithoutTicket(std::string_view query)
+{
+    std::string kept;
+    while (!query.empty()) {
+        const std::size_t end = query.find('&');
+        const std::string_view pair = query.substr(0, end);
+        query.remove_prefix(end == std::string_view::npos ? query.size() : end + 1);
+        if (pair.substr(0, pair.find('=')) == ticketParameter)
+            continue;
+        kept += kept.empty() ? "" : "&";
+        kept += pair;
+    }
+    return kept;
+}
+
+} // namespace
+
+struct ServiceDesk::Call
+{
+    Caller caller;
+    const Service *service = nullptr; // within the caller's document
+    std::string path;
+    std::string query;
+    HttpRequest request;
+    std::shared_ptr<ResponseWriter> writer;
+    bool idempotent = false;
+    bool mayRunAgain = false;      // idempotent, or the target recognises repeats
+    std::string bodyDigest;        // set if it carries a ticket
+    std::int64_t ticketSerial = 0; // 0 if it runs without a ticket
+    int attempts = 0;
+    bool everSent = false;
+    std::vector<std::string> tried;
+    TimePoint startedAt;
+    TimePoint sentAt;
+    RequestRecord record;
+
+    std::string scope() const
+    {
+        return this->request.method + " /" + this->service->name + this->path;
+    }
+
+    std::string ticketedUrl(const std::string &sealed) const
+    {
+        return "/" + this->service->name + this->path + "?" +
+               (this->query.empty() ? "" : this->query + "&") + std::string(ticketParameter) + "=" +
+               sealed;
+    }
+
+    // Of what the ticket binds: query and body.
+    std::string digest() const { return sha256Hex(this->query + "\n" + this->request.body); }
+};
+
+ServiceDesk::ServiceDesk(ServeContext &ctx, RequestLog &requestLog)
+    : context(ctx)
+    , log(requestLog)
+    , ledger(ctx.instanceName, ctx.incarnation, LedgerBounds{ctx.settings.ledgerBytes})
+    , health(ctx.clock, static_cast<std::uint64_t>(ctx.incarnation))
+{
+}
+
+void ServiceDesk::handle(Caller caller, const Service &service, std::string path,
+                         HttpRequest request, std::shared_ptr<ResponseWriter> writer)
+{
+    auto call = std::make_shared<Call>();
+    call->caller = std::move(caller);
+    call->service = &service;
+    call->path = std::move(path);
+    call->query = queryWithoutTicket(request.query);
+    call->request = std::move(request);
+    call->writer = std::move(writer);
+    call->startedAt = this->context.clock.now();
+    call->idempotent = service.isIdempotent(call->request.method, call->path);
+    const bool keyed = !call->request.header(keyHeader).empty();
+    call->mayRunAgain = call->idempotent || (keyed && service.deduplicates);
+    call->record.id = call->caller.requestId;
+    call->record.customer = call->caller.customer->name;
+    call->record.subject = call->scope();
+    call->record.revision = call->caller.document->revision;
+
+    std::string sealed(call->request.header(ticketHeader));
+    if (sealed.empty())
+        sealed = call->request.queryValue(ticketParameter);
+    if (!sealed.empty())
+        call->bodyDigest = call->digest();
+    const std::lock_guard lock(this->mutex);
+    this->active[call->caller.requestId] = call;
+    if (!sealed.empty()) {
+        this->runTicketed(call, sealed);
+        return;
+    }
+    if (call->mayRunAgain) {
+        call->record.reason = call->idempotent ? "idempotent" : "the target recognises repeats";
+        this->attempt(call);
+        return;
+    }
+    this->offerTicket(call);
+}
+
+// Nothing of the request runs until its caller holds the ticket. A repeat of the first request,
+// lost on the way, thus only obtains another ticket, and repeats under one ticket meet in the one
+// ledger that knows whether it ran.
+void ServiceDesk::offerTicket(const CallPointer &call)
+{
+    const Ticket ticket = this->ledger.issue(call->caller.customer->name, call->scope(),
+                                             this->context.clock.now());
+    const std::string sealed = ticket.seal(this->context.keys);
+    const std::string url = call->ticketedUrl(sealed);
+    // With an idempotency key a silent redirect would be wrong: the key says that the caller may
+    // start over at the first URL, which would obtain a second ticket for the same key.
+    const bool keyed = !call->request.header(keyHeader).empty();
+    std::vector<HttpHeader> headers =
+            outcomeHeaders(ResultCode::TicketRequired, call->caller.requestId);
+    headers.push_back({"Location", url});
+    headers.push_back({std::string(ticketHeader), sealed});
+    headers.push_back({"Content-Type", "application/json"});
+    const nlohmann::json body = {{"ticket", sealed},
+                                 {"url", url},
+                                 {"outcome", "not-run"},
+                                 {"code", static_cast<int>(ResultCode::TicketRequired)},
+                                 {"message", "repeat the request at this URL; it then runs at "
+                                             "most once however often it is repeated"}};
+    const int status = keyed ? describe(ResultCode::TicketRequired).httpStatus : redirectStatus;
+    call->writer->respond(status, headers, body.dump());
+    call->record.reason = "offered a ticket";
+    this->end(call, ResultCode::TicketRequired);
+}
+
+void ServiceDesk::runTicketed(const CallPointer &call, const std::string &sealed)
+{
+    const std::optional<Ticket> ticket = Ticket::unseal(this->context.keys, sealed);
+    if (!ticket || ticket->customer != call->caller.customer->name ||
+        ticket->scope != call->scope()) {
+        this->refuse(call, {ResultCode::MalformedTicket, "", {}});
+        return;
+    }
+    if (this->ledger.isMine(*ticket))
+        this->runMine(call, *ticket);
+    else
+        this->forward(call, *ticket);
+}
+
+void ServiceDesk::runMine(const CallPointer &call, const Ticket &ticket)
+{
+    call->record.reason = "under its ticket, issued here";
+    const Claim claim = this->ledger.claim(ticket, call->bodyDigest, this->context.clock.now());
+    switch (claim.kind) {
+    case ClaimKind::Run:
+        call->ticketSerial = ticket.serial;
+        this->attempt(call);
+        return;
+    case ClaimKind::Wait:
+        this->waiters[ticket.serial].push_back(call);
+        return;
+    case ClaimKind::Answered:
+        this->answer(call, claim.answer);
+        return;
+    case ClaimKind::Refused:
+        this->refuse(call, {claim.code, "", {}});
+        return;
+    }
+}
+
+// Only the issuer's incarnation knows whether the ticket ran. If it is gone, so is that knowledge,
+// and the only true answer is that it is unknown.
+void ServiceDesk::forward(const CallPointer &call, const Ticket &ticket)
+{
+    call->record.reason = "forwarded to " + ticket.issuer + ", which issued its ticket";
+    call->everSent = true;
+    const auto issuer = this->context.peers.find(ticket.issuer, ticket.incarnation);
+    const bool forwardedBefore = !call->request.header(forwardedHeader).empty();
+    if (!issuer || !issuer->alive || forwardedBefore) {
+        this->refuse(call, {ResultCode::IssuerGone, "", {}});
+        return;
+    }
+    HttpCall onward;
+    onward.method = call->request.method;
+    onward.url =
+            "http://" + issuer->callerAddress + call->ticketedUrl(ticket.seal(this->context.keys));
+    onward.body = call->request.body;
+    onward.connectTimeout = connectBound;
+    onward.totalTimeout = call->service->timeout + connectBound;
+    onward.mayRepeat = true; // the issuer's ledger recognises repeats
+    for (const HttpHeader &header : call->request.headers) {
+        if (passedOn(header.name) || sameHeaderName(header.name, "Authorization"))
+            onward.headers.push_back(header);
+    }
+    onward.headers.push_back({std::string(forwardedHeader), this->context.instanceName});
+    fetchLater(this->context.targets, std::move(onward), this->context.settings.maxAnswerBytes,
+               [this, call](FetchedAnswer answer) { this->onForwarded(call, std::move(answer)); });
+}
+
+void ServiceDesk::onForwarded(const CallPointer &call, FetchedAnswer answer)
+{
+    const std::lock_guard lock(this->mutex);
+    const std::optional<int> code = [&answer]() -> std::optional<int> {
+        const std::string_view text = findHeader(answer.headers, codeHeader);
+        if (text.empty() || text.find_first_not_of("0123456789") != std::string_view::npos)
+            return std::nullopt;
+        return std::stoi(std::string(text.substr(0, 4)));
+    }();
+    const auto codes = allResultCodes();
+    const bool known = code && std::any_of(codes.begin(), codes.end(), [&](const auto &row) {
+                           return static_cast<int>(row.code) == *code;
+                       });
+    if (!answer.end.whole || !known) {
+        this->refuse(call, {ResultCode::IssuerGone, answer.end.error, {}});
+        return;
+    }
+    const KeptAnswer kept{static_cast<ResultCode>(*code), answer.end.status,
+                          std::string(findHeader(answer.headers, "Content-Type")),
+                          std::move(answer.body)};
+    this->answer(call, kept);
+}
+
+const ServiceTarget *ServiceDesk::chooseTarget(const Call &call)
+{
+    std::vector<const ServiceTarget *> usable;
+    std::vector<std::string_view> names;
+    for (const ServiceTarget &target : call.service->targets) {
+        const bool tried =
+                std::find(call.tried.begin(), call.tried.end(), target.name) != call.tried.end();
+        if (target.leaving || tried)
+            continue;
+        usable.push_back(&target);
+        names.push_back(target.name);
+    }
+    const int chosen = usable.empty() ? -1 : this->health.choose(names);
+    return chosen < 0 ? nullptr : usable[static_cast<std::size_t>(chosen)];
+}
+
+void ServiceDesk::attempt(const CallPointer &call)
+{
+    // See Wakefulness: a process that woke late must not send on what it knew before.
+    if (!this->context.wakefulness.mayAct()) {
+        this->refuse(call, {ResultCode::AsleepTooLong, "", comeBackSoon});
+        return;
+    }
+    const ServiceTarget *target = this->chooseTarget(*call);
+    if (target == nullptr) {
+        this->refuse(call,
+                     {ResultCode::Overloaded, "no target of the service has room", comeBackSoon});
+        return;
+    }
+    ++call->attempts;
+    call->tried.push_back(target->name);
+    call->record.target = target->name;
+    call->sentAt = this->context.clock.now();
+    this->health.began(target->name, call->service->name);
+    HttpCall out;
+    out.method = call->request.method;
+    out.url = "http://" + target->address + call->path +
+              (call->query.empty() ? "" : "?" + call->query);
+    out.body = call->request.body;
+    out.connectTimeout = connectBound;
+    out.totalTimeout = call->service->timeout;
+    out.mayRepeat = call->mayRunAgain;
+    for (const HttpHeader &header : call->request.headers) {
+        if (passedOn(header.name))
+            out.headers.push_back(header);
+    }
+    out.headers.push_back({"X-Request-Id", call->caller.requestId});
+    out.headers.push_back({"X-Customer", call->caller.customer->name});
+    // Keys of two customers may be equal, so the customer's name goes in front.
+    const std::string_view key = call->request.header(keyHeader);
+    if (!key.empty() && call->service->deduplicates)
+        out.headers.push_back(
+                {std::string(keyHeader), call->caller.customer->name + ":" + std::string(key)});
+    fetchLater(this->context.targets, std::move(out), this->context.settings.maxAnswerBytes,
+               [this, call, target](FetchedAnswer answer) {
+                   this->onAnswer(call, *target, std::move(answer));
+               });
+}
+
+void ServiceDesk::onAnswer(const CallPointer &call, const ServiceTarget &target,
+                           FetchedAnswer answer)
+{
+    const std::lock_guard lock(this->mutex);
+    const TimePoint now = this->context.clock.now();
+    this->health.ended(target.name, !answer.end.whole, now - call->sentAt);
+    call->record.firstByte = now - call->startedAt;
+    call->everSent |= answer.end.maySentBytes;
+    if (answer.end.whole) {
+        KeptAnswer kept{ResultCode::Ok, answer.end.status,
+                        std::string(findHeader(answer.headers, "Content-Type")),
+                        std::move(answer.body)};
+        this->settle(call, std::move(kept));
+        return;
+    }
+    if (this->mayRepeat(call, answer)) {
+        this->attempt(call);
+        return;
+    }
+    if (!call->everSent) {
+        this->refuse(call, {ResultCode::TargetUnreachable, answer.end.error, comeBackSoon});
+        return;
+    }
+    const bool timedOut = now - call->sentAt >= call->service->timeout;
+    const Ending ending{
+            timedOut ? ResultCode::TargetTimeout : ResultCode::TargetLost, answer.end.error, {}};
+    this->settle(call, {ending.code, describe(ending.code).httpStatus, "application/json",
+                        errorBody(ending, call->caller.requestId)});
+}
+
+// The rule of at most once: a request goes out again only if it may run twice, or if nothing of it
+// can have reached the target.
+bool ServiceDesk::mayRepeat(const CallPointer &call, const FetchedAnswer &answer)
+{
+    const bool safe = call->mayRunAgain || !answer.end.maySentBytes;
+    if (!safe || call->attempts >= maxAttempts)
+        return false;
+    const bool elsewhere = call->tried.size() < call->service->targets.size();
+    return elsewhere && this->health.takeRetry();
+}
+
+// The final word on a request that ran, or may have run.
+void ServiceDesk::settle(const CallPointer &call, KeptAnswer answer)
+{
+    if (call->ticketSerial != 0) {
+        this->ledger.complete(call->ticketSerial, answer, this->context.clock.now());
+        this->tellWaiters(call->ticketSerial, answer);
+    }
+    this->answer(call, answer);
+}
+
+void ServiceDesk::tellWaiters(std::int64_t serial, const KeptAnswer &answer)
+{
+    const auto found = this->waiters.find(serial);
+    if (found == this->waiters.end())
+        return;
+    const std::vector<CallPointer> waiting = std::move(found->second);
+    this->waiters.erase(found);
+    for (const CallPointer &call : waiting)
+        this->answer(call, answer);
+}
+
+void ServiceDesk::answer(const CallPointer &call, const KeptAnswer &answer)
+{
+    std::vector<HttpHeader> headers = outcomeHeaders(answer.code, call->caller.requestId);
+    if (!answer.contentType.empty())
+        headers.push_back({"Content-Type", answer.contentType});
+    call->writer->respond(answer.status, headers, answer.body);
+    this->end(call, answer.code);
+}
+
+// Refuses a request of which this instance knows that it did not run, or does not know whether.
+void ServiceDesk::refuse(const CallPointer &call, const Ending &wanted)
+{
+    Ending ending = wanted;
+    if (call->everSent && describe(ending.code).outcome == Outcome::NotRun)
+        ending.code = ResultCode::TargetLost;
+    if (call->ticketSerial != 0) {
+        const bool notRun = describe(ending.code).outcome == Outcome::NotRun;
+        const KeptAnswer kept{ending.code, describe(ending.code).httpStatus, "application/json",
+                              errorBody(ending, call->caller.requestId)};
+        if (notRun)
+            this->ledger.release(call->ticketSerial);
+        else
+            this->ledger.complete(call->ticketSerial, kept, this->context.clock.now());
+        this->tellWaiters(call->ticketSerial, kept);
+    }
+    answerError(*call->writer, ending, call->caller.requestId);
+    if (!ending.detail.empty())
+        call->record.reason += "; " + ending.detail;
+    this->end(call, ending.code);
+}
+
+void ServiceDesk::end(const CallPointer &call, ResultCode code)
+{
+    call->record.code = code;
+    call->record.recoveries = std::max(0, call->attempts - 1);
+    call->record.total = this->context.clock.now() - call->startedAt;
+    call->caller.admission.reset();
+    this->active.erase(call->caller.requestId);
+    this->log.add(call->record);
+}
+
+std::size_t ServiceDesk::inService() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->active.size();
+}
+
+std::size_t ServiceDesk::ledgerSize() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->ledger.size();
+}
+
+std::size_t ServiceDesk::ledgerBytes() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->ledger.bytesKept();
+}
+
+void ServiceDesk::logInService() const
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto &[id, call] : this->active)
+        logEvent(Severity::Warning, "request_cut", {{"id", id}});
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Standin/serviceserver.cpp
@@ -0,0 +1,138 @@
+#include "jaytrack/Http/server.h"
+#include "jaytrack/Standin/servers.h"
+
+#include <asio.hpp>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace jaytrack {
+
+namespace {
+
+using nlohmann::json;
+
+// Runs each request it receives and counts by the "order" that its body names.
+class ServiceStandin final : public Standin, private HttpHandler
+{
+public:
+    explicit ServiceStandin(const ServiceStandinOptions &chosen)
+        : options(chosen)
+        , work(asio::make_work_guard(this->context))
+    {
+    }
+
+    ~ServiceStandin() override
+    {
+        this->server.reset();
+        this->context.stop();
+        if (this->timerThread.joinable())
+            this->timerThread.join();
+    }
+
+    ServiceStandin(const ServiceStandin &) = delete;
+    ServiceStandin &operator=(const ServiceStandin &) = delete;
+
+    Result<void> start()
+    {
+        HttpServerOptions listen;
+        listen.address = this->options.address;
+        listen.port = this->options.port;
+        listen.threads = 1;
+        auto started = startHttpServer(listen, *this);
+        if (!started)
+            return started.error();
+        this->server = std::move(started.value());
+        this->timerThread = std::thread([this] { this->context.run(); });
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    std::uint16_t port() const override { return this->server->port(); }
+
+private:
+    void handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) override
+    {
+        if (request.path == "/counts") {
+            const std::lock_guard lock(this->mutex);
+            respond(*writer, {{"name", this->options.name}, {"runs", this->runs}});
+            return;
+        }
+        if (request.path == "/control" && request.method == "POST") {
+            this->control(json::parse(request.body, nullptr, false));
+            respond(*writer, json::object());
+            return;
+        }
+        const json body = json::parse(request.body, nullptr, false);
+        const std::string order = body.is_object() ? body.value("order", "") : "";
+        const json answer = {{"service", this->options.name},
+                             {"path", request.path},
+                             {"customer", std::string(request.header("X-Customer"))},
+                             {"order", order}};
+        if (this->run(order, std::string(request.header("Idempotency-Key"))))
+            this->respondLater(std::move(writer), answer);
+    }
+
+    static void respond(ResponseWriter &writer, const json &body)
+    {
+        const std::vector<HttpHeader> headers = {{"Content-Type", "application/json"}};
+        writer.respond(200, headers, body.dump());
+    }
+
+    // Runs a request; false if the answer to it is to be lost.
+    bool run(const std::string &order, const std::string &key)
+    {
+        const std::lock_guard lock(this->mutex);
+        ++this->requests;
+        const bool repeat = this->options.deduplicates && !key.empty() && ++this->keys[key] > 1;
+        if (!repeat && !order.empty())
+            ++this->runs[order];
+        return this->options.dieAfter == 0 || this->requests <= this->options.dieAfter;
+    }
+
+    void control(const json &order)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!order.is_object())
+            return;
+        this->options.dieAfter = order.value("die_after", this->options.dieAfter);
+        this->options.takes =
+                std::chrono::milliseconds(order.value("takes_ms", this->options.takes.count()));
+    }
+
+    void respondLater(std::shared_ptr<ResponseWriter> writer, json answer)
+    {
+        std::chrono::milliseconds takes{0};
+        {
+            const std::lock_guard lock(this->mutex);
+            takes = this->options.takes;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(this->context, takes);
+        timer->async_wait([timer, writer = std::move(writer), answer = std::move(answer)](
+                                  const asio::error_code &) { respond(*writer, answer); });
+    }
+
+    ServiceStandinOptions options;
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::mutex mutex;
+    std::uint64_t requests = 0;
+    std::map<std::string, std::uint64_t> runs;
+    std::map<std::string, std::uint64_t> keys;
+    std::thread timerThread;
+    std::unique_ptr<HttpServer> server;
+};
+
+} // namespace
+
+Result<std::unique_ptr<Standin>> startServiceStandin(const ServiceStandinOptions &options)
+{
+    auto standin = std::make_unique<ServiceStandin>(options);
+    const Result<void> started = standin->start();
+    if (!started)
+        return started.error();
+    return std::unique_ptr<Standin>(std::move(standin));
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Stream/relay.cpp
@@ -0,0 +1,41 @@
+#include "jaytrack/Stream/relay.h"
+
+namespace jaytrack {
+
+FrameVerdict StreamRelay::onGeneration(AttemptId attempt, std::string_view name)
+{
+    if (!this->isCurrent(attempt))
+        return FrameVerdict::Drop;
+    // Two generations of one prompt differ after any token. Passing tokens of a second one after
+    // some of a first would hand the caller a text that no generation produced.
+    const bool resumed = this->next != 0;
+    if (resumed && !this->generationName.empty() && this->generationName != name)
+        return FrameVerdict::Broken;
+    this->generationName = name;
+    return FrameVerdict::Pass;
+}
+
+FrameVerdict StreamRelay::onToken(AttemptId attempt, std::uint64_t index)
+{
+    if (!this->isCurrent(attempt) || index < this->next)
+        return FrameVerdict::Drop;
+    if (index > this->next)
+        return FrameVerdict::Broken;
+    ++this->next;
+    return FrameVerdict::Pass;
+}
+
+RecoveryStep StreamRelay::recover(const LostAttempt &lost) const
+{
+    if (lost.recoveries >= maxRecoveries)
+        return RecoveryStep::GiveUp;
+    if (!lost.maySentBytes && this->generationName.empty())
+        return RecoveryStep::Elsewhere;
+    if (lost.engineResumes && lost.generationKnown)
+        return RecoveryStep::Resume;
+    if (this->next == 0 && lost.repeatable)
+        return RecoveryStep::Restart;
+    return RecoveryStep::GiveUp;
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/tools/jaytrackd/main.cpp
@@ -0,0 +1,83 @@
+// jaytrackd: one entry instance. Reads its settings, serves until told to stop, and stops
+// gracefully.
+#include "jaytrack/Serve/instance.h"
+#include "jaytrack/Support/commandline.h"
+#include "jaytrack/Support/log.h"
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+volatile std::sig_atomic_t stopSignals = 0;
+
+void onStopSignal(int)
+{
+    stopSignals = stopSignals + 1;
+}
+
+void installSignals()
+{
+    std::signal(SIGTERM, onStopSignal);
+    std::signal(SIGINT, onStopSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+// The first signal begins a graceful shutdown; a second one cuts what is still in service.
+void serveUntilStopped(jaytrack::Instance &instance)
+{
+    static constexpr std::chrono::milliseconds pollGap{50};
+    bool draining = false;
+    while (!instance.drained()) {
+        std::this_thread::sleep_for(pollGap);
+        if (stopSignals > 0 && !draining) {
+            draining = true;
+            instance.drain();
+        }
+        if (stopSignals > 1) {
+            instance.cut();
+            return;
+        }
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    po::options_description options("options");
+    options.add_options()("help,h", "print this help")(
+            "settings,s", po::value<std::string>()->required(),
+            "the settings file, TOML")("check", "check the settings and exit");
+    po::variables_map values;
+    int exitCode = jaytrack::ExitGood;
+    if (!jaytrack::parseCommandLine(argc, argv, options, "jaytrackd --settings FILE [--check]",
+                                    values, exitCode))
+        return exitCode;
+
+    jaytrack::Problems problems;
+    const jaytrack::Settings settings =
+            jaytrack::readSettings(values["settings"].as<std::string>(), problems);
+    for (const jaytrack::Problem &problem : problems)
+        std::cerr << problem.text() << "\n";
+    if (!problems.empty())
+        return jaytrack::ExitFailed;
+    if (values.count("check") != 0) {
+        std::cout << "settings are good\n";
+        return jaytrack::ExitGood;
+    }
+
+    jaytrack::initialiseLog(argv[0]);
+    installSignals();
+    const jaytrack::SystemClock clock;
+    auto instance = jaytrack::Instance::start(settings, clock);
+    if (!instance) {
+        std::cerr << "error: " << instance.error().detail << "\n";
+        return jaytrack::ExitFailed;
+    }
+    serveUntilStopped(*instance.value());
+    jaytrack::logEvent(jaytrack::Severity::Info, "instance_stopped", {{"name", settings.name}});
+    return jaytrack::ExitGood;
+}
