--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -15,25 +15,39 @@
   7: MemberState state
 }
 
-enum PeerKind { Ping = 0, Ack = 1, PingRequest = 2, Rumour = 3, Grant = 4 }
+enum PeerKind { Ping = 0, Ack = 1, PingRequest = 2, Rumour = 3, Policy = 4 }
 
-// An engine whose memory the sender asks for or grants.
+// A step in the handing out of one engine's room; see GrantKind in Policy.
 struct GrantBody {
   1: i64 serial
   2: string engine
-  3: i32 kind            // see GrantKind in Policy
-  4: i64 tokens
-  5: i32 priority
-  6: string customer
-  7: i64 expectedTokens
-  8: i32 maxWaitMs
+  3: i32 kind
+  4: i64 promptTokens
+  5: i64 producedTokens
+  6: i32 priority
+  7: string customer
+  8: i32 weight
+  9: i32 waitMs
+  10: i64 maxTokens
+  11: i64 prefixHash
+  12: i32 prefixTokens
+  13: i32 boundPerMille
 }
 
 // How loaded an engine is, as its home instance sees it.
 struct EngineSummary {
   1: string engine
-  2: i32 roomPercent
+  2: i32 roomPerMille
   3: i32 queued
+  4: i32 stepMicros
+  5: bool leaving
+  6: bool alive
+}
+
+// What the placement policies of two instances tell each other.
+struct PolicyMessage {
+  1: list<GrantBody> grants
+  2: list<EngineSummary> summaries
 }
 
 // One datagram between two instances.
@@ -45,8 +59,7 @@
   5: i32 configAgeMs
   6: list<MemberRecord> records
   7: string probeTarget
-  8: list<GrantBody> grants
-  9: list<EngineSummary> summaries
+  8: binary policy
 }
 
 // A datagram on the wire: a serialised PeerMessage and its authentication.
--- a/lib/Config/documentstore.cpp
+++ b/lib/Config/documentstore.cpp
@@ -7,8 +7,9 @@
 OfferVerdict DocumentStore::offer(std::string_view bytes, std::uint64_t revision,
                                   std::string_view source)
 {
-    if (revision <= this->revision())
-        return revision == this->revision() ? OfferVerdict::Same : OfferVerdict::Stale;
+    const OfferVerdict early = this->judge(revision);
+    if (early != OfferVerdict::Accepted)
+        return early;
     const auto parsed = Document::parse(bytes, revision);
     if (!parsed) {
         logEvent(Severity::Warning, "document_refused",
@@ -19,10 +20,12 @@
         return OfferVerdict::Faulty;
     }
     {
-        const std::lock_guard lock(this->mutex);
+        const std::lock_guard offering(this->offers);
         // Two sources may have offered at once; the one that came second may be the older.
-        if (revision <= this->currentRevision)
-            return revision == this->currentRevision ? OfferVerdict::Same : OfferVerdict::Stale;
+        const OfferVerdict late = this->judge(revision);
+        if (late != OfferVerdict::Accepted)
+            return late;
+        const std::lock_guard lock(this->mutex);
         this->currentRevision = revision;
         this->currentBytes = bytes;
         this->inForce.set(parsed.value());
@@ -34,6 +37,14 @@
     return OfferVerdict::Accepted;
 }
 
+OfferVerdict DocumentStore::judge(std::uint64_t revision) const
+{
+    const std::uint64_t held = this->revision();
+    if (revision > held)
+        return OfferVerdict::Accepted;
+    return revision == held ? OfferVerdict::Same : OfferVerdict::Stale;
+}
+
 std::uint64_t DocumentStore::revision() const
 {
     const std::lock_guard lock(this->mutex);
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -53,14 +53,14 @@
   PeerKind::Ack,
   PeerKind::PingRequest,
   PeerKind::Rumour,
-  PeerKind::Grant
+  PeerKind::Policy
 };
 const char* _kPeerKindNames[] = {
   "Ping",
   "Ack",
   "PingRequest",
   "Rumour",
-  "Grant"
+  "Policy"
 };
 const std::map<int, const char*> _PeerKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kPeerKindValues, _kPeerKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
@@ -314,8 +314,12 @@
   this->kind = val;
 }
 
-void GrantBody::__set_tokens(const int64_t val) {
-  this->tokens = val;
+void GrantBody::__set_promptTokens(const int64_t val) {
+  this->promptTokens = val;
+}
+
+void GrantBody::__set_producedTokens(const int64_t val) {
+  this->producedTokens = val;
 }
 
 void GrantBody::__set_priority(const int32_t val) {
@@ -326,12 +330,28 @@
   this->customer = val;
 }
 
-void GrantBody::__set_expectedTokens(const int64_t val) {
-  this->expectedTokens = val;
+void GrantBody::__set_weight(const int32_t val) {
+  this->weight = val;
+}
+
+void GrantBody::__set_waitMs(const int32_t val) {
+  this->waitMs = val;
+}
+
+void GrantBody::__set_maxTokens(const int64_t val) {
+  this->maxTokens = val;
+}
+
+void GrantBody::__set_prefixHash(const int64_t val) {
+  this->prefixHash = val;
 }
 
-void GrantBody::__set_maxWaitMs(const int32_t val) {
-  this->maxWaitMs = val;
+void GrantBody::__set_prefixTokens(const int32_t val) {
+  this->prefixTokens = val;
+}
+
+void GrantBody::__set_boundPerMille(const int32_t val) {
+  this->boundPerMille = val;
 }
 std::ostream& operator<<(std::ostream& out, const GrantBody& obj)
 {
@@ -387,13 +407,21 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->tokens);
-          this->__isset.tokens = true;
+          xfer += iprot->readI64(this->promptTokens);
+          this->__isset.promptTokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->producedTokens);
+          this->__isset.producedTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->priority);
           this->__isset.priority = true;
@@ -401,7 +429,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->customer);
           this->__isset.customer = true;
@@ -409,18 +437,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->weight);
+          this->__isset.weight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitMs);
+          this->__isset.waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->expectedTokens);
-          this->__isset.expectedTokens = true;
+          xfer += iprot->readI64(this->maxTokens);
+          this->__isset.maxTokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prefixHash);
+          this->__isset.prefixHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prefixTokens);
+          this->__isset.prefixTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->maxWaitMs);
-          this->__isset.maxWaitMs = true;
+          xfer += iprot->readI32(this->boundPerMille);
+          this->__isset.boundPerMille = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -454,24 +514,44 @@
   xfer += oprot->writeI32(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldBegin("promptTokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->promptTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("producedTokens", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->producedTokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 6);
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 7);
   xfer += oprot->writeString(this->customer);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("expectedTokens", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->expectedTokens);
+  xfer += oprot->writeFieldBegin("weight", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->weight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxTokens", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->maxTokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("maxWaitMs", ::apache::thrift::protocol::T_I32, 8);
-  xfer += oprot->writeI32(this->maxWaitMs);
+  xfer += oprot->writeFieldBegin("prefixHash", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->prefixHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefixTokens", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->prefixTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boundPerMille", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->boundPerMille);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -484,11 +564,16 @@
   swap(a.serial, b.serial);
   swap(a.engine, b.engine);
   swap(a.kind, b.kind);
-  swap(a.tokens, b.tokens);
+  swap(a.promptTokens, b.promptTokens);
+  swap(a.producedTokens, b.producedTokens);
   swap(a.priority, b.priority);
   swap(a.customer, b.customer);
-  swap(a.expectedTokens, b.expectedTokens);
-  swap(a.maxWaitMs, b.maxWaitMs);
+  swap(a.weight, b.weight);
+  swap(a.waitMs, b.waitMs);
+  swap(a.maxTokens, b.maxTokens);
+  swap(a.prefixHash, b.prefixHash);
+  swap(a.prefixTokens, b.prefixTokens);
+  swap(a.boundPerMille, b.boundPerMille);
   swap(a.__isset, b.__isset);
 }
 
@@ -496,22 +581,32 @@
   serial = other3.serial;
   engine = other3.engine;
   kind = other3.kind;
-  tokens = other3.tokens;
+  promptTokens = other3.promptTokens;
+  producedTokens = other3.producedTokens;
   priority = other3.priority;
   customer = other3.customer;
-  expectedTokens = other3.expectedTokens;
-  maxWaitMs = other3.maxWaitMs;
+  weight = other3.weight;
+  waitMs = other3.waitMs;
+  maxTokens = other3.maxTokens;
+  prefixHash = other3.prefixHash;
+  prefixTokens = other3.prefixTokens;
+  boundPerMille = other3.boundPerMille;
   __isset = other3.__isset;
 }
 GrantBody& GrantBody::operator=(const GrantBody& other4) {
   serial = other4.serial;
   engine = other4.engine;
   kind = other4.kind;
-  tokens = other4.tokens;
+  promptTokens = other4.promptTokens;
+  producedTokens = other4.producedTokens;
   priority = other4.priority;
   customer = other4.customer;
-  expectedTokens = other4.expectedTokens;
-  maxWaitMs = other4.maxWaitMs;
+  weight = other4.weight;
+  waitMs = other4.waitMs;
+  maxTokens = other4.maxTokens;
+  prefixHash = other4.prefixHash;
+  prefixTokens = other4.prefixTokens;
+  boundPerMille = other4.boundPerMille;
   __isset = other4.__isset;
   return *this;
 }
@@ -521,11 +616,16 @@
   out << "serial=" << to_string(serial);
   out << ", " << "engine=" << to_string(engine);
   out << ", " << "kind=" << to_string(kind);
-  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "promptTokens=" << to_string(promptTokens);
+  out << ", " << "producedTokens=" << to_string(producedTokens);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "customer=" << to_string(customer);
-  out << ", " << "expectedTokens=" << to_string(expectedTokens);
-  out << ", " << "maxWaitMs=" << to_string(maxWaitMs);
+  out << ", " << "weight=" << to_string(weight);
+  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ", " << "maxTokens=" << to_string(maxTokens);
+  out << ", " << "prefixHash=" << to_string(prefixHash);
+  out << ", " << "prefixTokens=" << to_string(prefixTokens);
+  out << ", " << "boundPerMille=" << to_string(boundPerMille);
   out << ")";
 }
 
@@ -538,13 +638,25 @@
   this->engine = val;
 }
 
-void EngineSummary::__set_roomPercent(const int32_t val) {
-  this->roomPercent = val;
+void EngineSummary::__set_roomPerMille(const int32_t val) {
+  this->roomPerMille = val;
 }
 
 void EngineSummary::__set_queued(const int32_t val) {
   this->queued = val;
 }
+
+void EngineSummary::__set_stepMicros(const int32_t val) {
+  this->stepMicros = val;
+}
+
+void EngineSummary::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void EngineSummary::__set_alive(const bool val) {
+  this->alive = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineSummary& obj)
 {
   obj.printTo(out);
@@ -583,8 +695,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->roomPercent);
-          this->__isset.roomPercent = true;
+          xfer += iprot->readI32(this->roomPerMille);
+          this->__isset.roomPerMille = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -597,6 +709,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->stepMicros);
+          this->__isset.stepMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->alive);
+          this->__isset.alive = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -618,14 +754,26 @@
   xfer += oprot->writeString(this->engine);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("roomPercent", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->roomPercent);
+  xfer += oprot->writeFieldBegin("roomPerMille", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->roomPerMille);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 3);
   xfer += oprot->writeI32(this->queued);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stepMicros", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->stepMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("alive", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->alive);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -634,21 +782,30 @@
 void swap(EngineSummary &a, EngineSummary &b) {
   using ::std::swap;
   swap(a.engine, b.engine);
-  swap(a.roomPercent, b.roomPercent);
+  swap(a.roomPerMille, b.roomPerMille);
   swap(a.queued, b.queued);
+  swap(a.stepMicros, b.stepMicros);
+  swap(a.leaving, b.leaving);
+  swap(a.alive, b.alive);
   swap(a.__isset, b.__isset);
 }
 
 EngineSummary::EngineSummary(const EngineSummary& other5) {
   engine = other5.engine;
-  roomPercent = other5.roomPercent;
+  roomPerMille = other5.roomPerMille;
   queued = other5.queued;
+  stepMicros = other5.stepMicros;
+  leaving = other5.leaving;
+  alive = other5.alive;
   __isset = other5.__isset;
 }
 EngineSummary& EngineSummary::operator=(const EngineSummary& other6) {
   engine = other6.engine;
-  roomPercent = other6.roomPercent;
+  roomPerMille = other6.roomPerMille;
   queued = other6.queued;
+  stepMicros = other6.stepMicros;
+  leaving = other6.leaving;
+  alive = other6.alive;
   __isset = other6.__isset;
   return *this;
 }
@@ -656,8 +813,163 @@
   using ::apache::thrift::to_string;
   out << "EngineSummary(";
   out << "engine=" << to_string(engine);
-  out << ", " << "roomPercent=" << to_string(roomPercent);
+  out << ", " << "roomPerMille=" << to_string(roomPerMille);
   out << ", " << "queued=" << to_string(queued);
+  out << ", " << "stepMicros=" << to_string(stepMicros);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "alive=" << to_string(alive);
+  out << ")";
+}
+
+
+PolicyMessage::~PolicyMessage() noexcept {
+}
+
+
+void PolicyMessage::__set_grants(const std::vector<GrantBody> & val) {
+  this->grants = val;
+}
+
+void PolicyMessage::__set_summaries(const std::vector<EngineSummary> & val) {
+  this->summaries = val;
+}
+std::ostream& operator<<(std::ostream& out, const PolicyMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PolicyMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size7;
+            ::apache::thrift::protocol::TType _etype10;
+            xfer += iprot->readListBegin(_etype10, _size7);
+            this->grants.resize(_size7);
+            uint32_t _i11;
+            for (_i11 = 0; _i11 < _size7; ++_i11)
+            {
+              xfer += this->grants[_i11].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->summaries.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->summaries.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += this->summaries[_i16].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.summaries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PolicyMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PolicyMessage");
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<GrantBody> ::const_iterator _iter17;
+    for (_iter17 = this->grants.begin(); _iter17 != this->grants.end(); ++_iter17)
+    {
+      xfer += (*_iter17).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
+    std::vector<EngineSummary> ::const_iterator _iter18;
+    for (_iter18 = this->summaries.begin(); _iter18 != this->summaries.end(); ++_iter18)
+    {
+      xfer += (*_iter18).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PolicyMessage &a, PolicyMessage &b) {
+  using ::std::swap;
+  swap(a.grants, b.grants);
+  swap(a.summaries, b.summaries);
+  swap(a.__isset, b.__isset);
+}
+
+PolicyMessage::PolicyMessage(const PolicyMessage& other19) {
+  grants = other19.grants;
+  summaries = other19.summaries;
+  __isset = other19.__isset;
+}
+PolicyMessage& PolicyMessage::operator=(const PolicyMessage& other20) {
+  grants = other20.grants;
+  summaries = other20.summaries;
+  __isset = other20.__isset;
+  return *this;
+}
+void PolicyMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PolicyMessage(";
+  out << "grants=" << to_string(grants);
+  out << ", " << "summaries=" << to_string(summaries);
   out << ")";
 }
 
@@ -694,12 +1006,8 @@
   this->probeTarget = val;
 }
 
-void PeerMessage::__set_grants(const std::vector<GrantBody> & val) {
-  this->grants = val;
-}
-
-void PeerMessage::__set_summaries(const std::vector<EngineSummary> & val) {
-  this->summaries = val;
+void PeerMessage::__set_policy(const std::string& val) {
+  this->policy = val;
 }
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
@@ -731,9 +1039,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast7;
-          xfer += iprot->readI32(ecast7);
-          this->kind = static_cast<PeerKind::type>(ecast7);
+          int32_t ecast21;
+          xfer += iprot->readI32(ecast21);
+          this->kind = static_cast<PeerKind::type>(ecast21);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -775,14 +1083,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->records.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->records.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->records[_i12].read(iprot);
+              xfer += this->records[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -800,41 +1108,9 @@
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->grants.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->grants.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
-            {
-              xfer += this->grants[_i17].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.grants = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->summaries.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->summaries.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
-            {
-              xfer += this->summaries[_i22].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.summaries = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->policy);
+          this->__isset.policy = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -879,10 +1155,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter23;
-    for (_iter23 = this->records.begin(); _iter23 != this->records.end(); ++_iter23)
+    std::vector<MemberRecord> ::const_iterator _iter27;
+    for (_iter27 = this->records.begin(); _iter27 != this->records.end(); ++_iter27)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -892,28 +1168,8 @@
   xfer += oprot->writeString(this->probeTarget);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 8);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<GrantBody> ::const_iterator _iter24;
-    for (_iter24 = this->grants.begin(); _iter24 != this->grants.end(); ++_iter24)
-    {
-      xfer += (*_iter24).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 9);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<EngineSummary> ::const_iterator _iter25;
-    for (_iter25 = this->summaries.begin(); _iter25 != this->summaries.end(); ++_iter25)
-    {
-      xfer += (*_iter25).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("policy", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->policy);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -930,34 +1186,31 @@
   swap(a.configAgeMs, b.configAgeMs);
   swap(a.records, b.records);
   swap(a.probeTarget, b.probeTarget);
-  swap(a.grants, b.grants);
-  swap(a.summaries, b.summaries);
+  swap(a.policy, b.policy);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other26) {
-  kind = other26.kind;
-  sequence = other26.sequence;
-  sender = other26.sender;
-  revision = other26.revision;
-  configAgeMs = other26.configAgeMs;
-  records = other26.records;
-  probeTarget = other26.probeTarget;
-  grants = other26.grants;
-  summaries = other26.summaries;
-  __isset = other26.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other27) {
-  kind = other27.kind;
-  sequence = other27.sequence;
-  sender = other27.sender;
-  revision = other27.revision;
-  configAgeMs = other27.configAgeMs;
-  records = other27.records;
-  probeTarget = other27.probeTarget;
-  grants = other27.grants;
-  summaries = other27.summaries;
-  __isset = other27.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other28) {
+  kind = other28.kind;
+  sequence = other28.sequence;
+  sender = other28.sender;
+  revision = other28.revision;
+  configAgeMs = other28.configAgeMs;
+  records = other28.records;
+  probeTarget = other28.probeTarget;
+  policy = other28.policy;
+  __isset = other28.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other29) {
+  kind = other29.kind;
+  sequence = other29.sequence;
+  sender = other29.sender;
+  revision = other29.revision;
+  configAgeMs = other29.configAgeMs;
+  records = other29.records;
+  probeTarget = other29.probeTarget;
+  policy = other29.policy;
+  __isset = other29.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -970,8 +1223,7 @@
   out << ", " << "configAgeMs=" << to_string(configAgeMs);
   out << ", " << "records=" << to_string(records);
   out << ", " << "probeTarget=" << to_string(probeTarget);
-  out << ", " << "grants=" << to_string(grants);
-  out << ", " << "summaries=" << to_string(summaries);
+  out << ", " << "policy=" << to_string(policy);
   out << ")";
 }
 
@@ -1068,15 +1320,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other28) {
-  body = other28.body;
-  mac = other28.mac;
-  __isset = other28.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other30) {
+  body = other30.body;
+  mac = other30.mac;
+  __isset = other30.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other29) {
-  body = other29.body;
-  mac = other29.mac;
-  __isset = other29.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other31) {
+  body = other31.body;
+  mac = other31.mac;
+  __isset = other31.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -1214,19 +1466,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other30) {
-  engine = other30.engine;
-  generation = other30.generation;
-  customer = other30.customer;
-  model = other30.model;
-  __isset = other30.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other32) {
+  engine = other32.engine;
+  generation = other32.generation;
+  customer = other32.customer;
+  model = other32.model;
+  __isset = other32.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other31) {
-  engine = other31.engine;
-  generation = other31.generation;
-  customer = other31.customer;
-  model = other31.model;
-  __isset = other31.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other33) {
+  engine = other33.engine;
+  generation = other33.generation;
+  customer = other33.customer;
+  model = other33.model;
+  __isset = other33.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -1383,21 +1635,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other32) {
-  issuer = other32.issuer;
-  incarnation = other32.incarnation;
-  serial = other32.serial;
-  customer = other32.customer;
-  scope = other32.scope;
-  __isset = other32.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other33) {
-  issuer = other33.issuer;
-  incarnation = other33.incarnation;
-  serial = other33.serial;
-  customer = other33.customer;
-  scope = other33.scope;
-  __isset = other33.__isset;
+TicketBody::TicketBody(const TicketBody& other34) {
+  issuer = other34.issuer;
+  incarnation = other34.incarnation;
+  serial = other34.serial;
+  customer = other34.customer;
+  scope = other34.scope;
+  __isset = other34.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other35) {
+  issuer = other35.issuer;
+  incarnation = other35.incarnation;
+  serial = other35.serial;
+  customer = other35.customer;
+  scope = other35.scope;
+  __isset = other35.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -43,7 +43,7 @@
     Ack = 1,
     PingRequest = 2,
     Rumour = 3,
-    Grant = 4
+    Policy = 4
   };
 };
 
@@ -59,6 +59,8 @@
 
 class EngineSummary;
 
+class PolicyMessage;
+
 class PeerMessage;
 
 class SealedMessage;
@@ -157,15 +159,20 @@
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
 
 typedef struct _GrantBody__isset {
-  _GrantBody__isset() : serial(false), engine(false), kind(false), tokens(false), priority(false), customer(false), expectedTokens(false), maxWaitMs(false) {}
+  _GrantBody__isset() : serial(false), engine(false), kind(false), promptTokens(false), producedTokens(false), priority(false), customer(false), weight(false), waitMs(false), maxTokens(false), prefixHash(false), prefixTokens(false), boundPerMille(false) {}
   bool serial :1;
   bool engine :1;
   bool kind :1;
-  bool tokens :1;
+  bool promptTokens :1;
+  bool producedTokens :1;
   bool priority :1;
   bool customer :1;
-  bool expectedTokens :1;
-  bool maxWaitMs :1;
+  bool weight :1;
+  bool waitMs :1;
+  bool maxTokens :1;
+  bool prefixHash :1;
+  bool prefixTokens :1;
+  bool boundPerMille :1;
 } _GrantBody__isset;
 
 class GrantBody : public virtual ::apache::thrift::TBase {
@@ -177,22 +184,32 @@
             : serial(0),
               engine(),
               kind(0),
-              tokens(0),
+              promptTokens(0),
+              producedTokens(0),
               priority(0),
               customer(),
-              expectedTokens(0),
-              maxWaitMs(0) {
+              weight(0),
+              waitMs(0),
+              maxTokens(0),
+              prefixHash(0),
+              prefixTokens(0),
+              boundPerMille(0) {
   }
 
   virtual ~GrantBody() noexcept;
   int64_t serial;
   std::string engine;
   int32_t kind;
-  int64_t tokens;
+  int64_t promptTokens;
+  int64_t producedTokens;
   int32_t priority;
   std::string customer;
-  int64_t expectedTokens;
-  int32_t maxWaitMs;
+  int32_t weight;
+  int32_t waitMs;
+  int64_t maxTokens;
+  int64_t prefixHash;
+  int32_t prefixTokens;
+  int32_t boundPerMille;
 
   _GrantBody__isset __isset;
 
@@ -202,15 +219,25 @@
 
   void __set_kind(const int32_t val);
 
-  void __set_tokens(const int64_t val);
+  void __set_promptTokens(const int64_t val);
+
+  void __set_producedTokens(const int64_t val);
 
   void __set_priority(const int32_t val);
 
   void __set_customer(const std::string& val);
 
-  void __set_expectedTokens(const int64_t val);
+  void __set_weight(const int32_t val);
+
+  void __set_waitMs(const int32_t val);
+
+  void __set_maxTokens(const int64_t val);
 
-  void __set_maxWaitMs(const int32_t val);
+  void __set_prefixHash(const int64_t val);
+
+  void __set_prefixTokens(const int32_t val);
+
+  void __set_boundPerMille(const int32_t val);
 
   bool operator == (const GrantBody & rhs) const
   {
@@ -220,15 +247,25 @@
       return false;
     if (!(kind == rhs.kind))
       return false;
-    if (!(tokens == rhs.tokens))
+    if (!(promptTokens == rhs.promptTokens))
+      return false;
+    if (!(producedTokens == rhs.producedTokens))
       return false;
     if (!(priority == rhs.priority))
       return false;
     if (!(customer == rhs.customer))
       return false;
-    if (!(expectedTokens == rhs.expectedTokens))
+    if (!(weight == rhs.weight))
+      return false;
+    if (!(waitMs == rhs.waitMs))
       return false;
-    if (!(maxWaitMs == rhs.maxWaitMs))
+    if (!(maxTokens == rhs.maxTokens))
+      return false;
+    if (!(prefixHash == rhs.prefixHash))
+      return false;
+    if (!(prefixTokens == rhs.prefixTokens))
+      return false;
+    if (!(boundPerMille == rhs.boundPerMille))
       return false;
     return true;
   }
@@ -249,10 +286,13 @@
 std::ostream& operator<<(std::ostream& out, const GrantBody& obj);
 
 typedef struct _EngineSummary__isset {
-  _EngineSummary__isset() : engine(false), roomPercent(false), queued(false) {}
+  _EngineSummary__isset() : engine(false), roomPerMille(false), queued(false), stepMicros(false), leaving(false), alive(false) {}
   bool engine :1;
-  bool roomPercent :1;
+  bool roomPerMille :1;
   bool queued :1;
+  bool stepMicros :1;
+  bool leaving :1;
+  bool alive :1;
 } _EngineSummary__isset;
 
 class EngineSummary : public virtual ::apache::thrift::TBase {
@@ -262,31 +302,49 @@
   EngineSummary& operator=(const EngineSummary&);
   EngineSummary() noexcept
                 : engine(),
-                  roomPercent(0),
-                  queued(0) {
+                  roomPerMille(0),
+                  queued(0),
+                  stepMicros(0),
+                  leaving(0),
+                  alive(0) {
   }
 
   virtual ~EngineSummary() noexcept;
   std::string engine;
-  int32_t roomPercent;
+  int32_t roomPerMille;
   int32_t queued;
+  int32_t stepMicros;
+  bool leaving;
+  bool alive;
 
   _EngineSummary__isset __isset;
 
   void __set_engine(const std::string& val);
 
-  void __set_roomPercent(const int32_t val);
+  void __set_roomPerMille(const int32_t val);
 
   void __set_queued(const int32_t val);
 
+  void __set_stepMicros(const int32_t val);
+
+  void __set_leaving(const bool val);
+
+  void __set_alive(const bool val);
+
   bool operator == (const EngineSummary & rhs) const
   {
     if (!(engine == rhs.engine))
       return false;
-    if (!(roomPercent == rhs.roomPercent))
+    if (!(roomPerMille == rhs.roomPerMille))
       return false;
     if (!(queued == rhs.queued))
       return false;
+    if (!(stepMicros == rhs.stepMicros))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(alive == rhs.alive))
+      return false;
     return true;
   }
   bool operator != (const EngineSummary &rhs) const {
@@ -305,8 +363,56 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineSummary& obj);
 
+typedef struct _PolicyMessage__isset {
+  _PolicyMessage__isset() : grants(false), summaries(false) {}
+  bool grants :1;
+  bool summaries :1;
+} _PolicyMessage__isset;
+
+class PolicyMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  PolicyMessage(const PolicyMessage&);
+  PolicyMessage& operator=(const PolicyMessage&);
+  PolicyMessage() noexcept {
+  }
+
+  virtual ~PolicyMessage() noexcept;
+  std::vector<GrantBody>  grants;
+  std::vector<EngineSummary>  summaries;
+
+  _PolicyMessage__isset __isset;
+
+  void __set_grants(const std::vector<GrantBody> & val);
+
+  void __set_summaries(const std::vector<EngineSummary> & val);
+
+  bool operator == (const PolicyMessage & rhs) const
+  {
+    if (!(grants == rhs.grants))
+      return false;
+    if (!(summaries == rhs.summaries))
+      return false;
+    return true;
+  }
+  bool operator != (const PolicyMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PolicyMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PolicyMessage &a, PolicyMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const PolicyMessage& obj);
+
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : kind(false), sequence(false), sender(false), revision(false), configAgeMs(false), records(false), probeTarget(false), grants(false), summaries(false) {}
+  _PeerMessage__isset() : kind(false), sequence(false), sender(false), revision(false), configAgeMs(false), records(false), probeTarget(false), policy(false) {}
   bool kind :1;
   bool sequence :1;
   bool sender :1;
@@ -314,8 +420,7 @@
   bool configAgeMs :1;
   bool records :1;
   bool probeTarget :1;
-  bool grants :1;
-  bool summaries :1;
+  bool policy :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -328,7 +433,8 @@
                 sequence(0),
                 revision(0),
                 configAgeMs(0),
-                probeTarget() {
+                probeTarget(),
+                policy() {
   }
 
   virtual ~PeerMessage() noexcept;
@@ -343,8 +449,7 @@
   int32_t configAgeMs;
   std::vector<MemberRecord>  records;
   std::string probeTarget;
-  std::vector<GrantBody>  grants;
-  std::vector<EngineSummary>  summaries;
+  std::string policy;
 
   _PeerMessage__isset __isset;
 
@@ -362,9 +467,7 @@
 
   void __set_probeTarget(const std::string& val);
 
-  void __set_grants(const std::vector<GrantBody> & val);
-
-  void __set_summaries(const std::vector<EngineSummary> & val);
+  void __set_policy(const std::string& val);
 
   bool operator == (const PeerMessage & rhs) const
   {
@@ -382,9 +485,7 @@
       return false;
     if (!(probeTarget == rhs.probeTarget))
       return false;
-    if (!(grants == rhs.grants))
-      return false;
-    if (!(summaries == rhs.summaries))
+    if (!(policy == rhs.policy))
       return false;
     return true;
   }
--- /dev/null
+++ b/unittests/Stream/relaytest.cpp
@@ -0,0 +1,99 @@
+#include "jaytrack/Stream/relay.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace jaytrack;
+
+// Symptom: a caller sees a token twice. Events: the link to the engine breaks, the relay attaches
+// again, and frames of the first connection arrive late. Cause: judging frames by index alone.
+Test(relay, dropsFramesOfAbandonedAttempts)
+{
+    StreamRelay relay;
+    const AttemptId first = relay.beginAttempt();
+    cr_assert(relay.onGeneration(first, "g") == FrameVerdict::Pass);
+    cr_assert(relay.onToken(first, 0) == FrameVerdict::Pass);
+    const AttemptId second = relay.beginAttempt();
+    cr_assert(relay.onToken(first, 1) == FrameVerdict::Drop);
+    cr_assert(relay.onGeneration(second, "g") == FrameVerdict::Pass);
+    cr_assert(relay.onToken(second, 0) == FrameVerdict::Drop);
+    cr_assert(relay.onToken(second, 1) == FrameVerdict::Pass);
+    cr_assert(relay.nextIndex() == 2);
+}
+
+Test(relay, breaksOnGaps)
+{
+    StreamRelay relay;
+    const AttemptId attempt = relay.beginAttempt();
+    cr_assert(relay.onToken(attempt, 1) == FrameVerdict::Broken);
+    cr_assert(!relay.seenAny());
+}
+
+// Symptom: a draft whose second half belongs to another text. Events: the engine dies and restarts,
+// the relay asks for the rest. Cause: joining two generations under one stream.
+Test(relay, neverJoinsTwoGenerations)
+{
+    StreamRelay relay;
+    const AttemptId first = relay.beginAttempt();
+    relay.onGeneration(first, "g1");
+    relay.onToken(first, 0);
+    const AttemptId second = relay.beginAttempt();
+    cr_assert(relay.onGeneration(second, "g2") == FrameVerdict::Broken);
+}
+
+Test(relay, startsAtTheCursor)
+{
+    StreamRelay relay(7);
+    const AttemptId attempt = relay.beginAttempt();
+    cr_assert(relay.onToken(attempt, 6) == FrameVerdict::Drop);
+    cr_assert(relay.onToken(attempt, 7) == FrameVerdict::Pass);
+}
+
+struct RecoveryCase
+{
+    bool maySentBytes;
+    bool engineResumes;
+    bool generationKnown;
+    bool repeatable;
+    int recoveries;
+    int seen;
+    RecoveryStep expected;
+};
+
+ParameterizedTestParameters(relay, recovers)
+{
+    static RecoveryCase cases[] = {
+            // Nothing reached the engine: anybody may run it, also what may run only once.
+            {false, false, false, false, 0, 0, RecoveryStep::Elsewhere},
+            {false, true, false, true, 3, 0, RecoveryStep::Elsewhere},
+            // It may be running and may not be repeated.
+            {true, false, false, false, 0, 0, RecoveryStep::GiveUp},
+            {true, true, false, false, 0, 0, RecoveryStep::GiveUp},
+            // The engine still has it.
+            {true, true, true, false, 0, 5, RecoveryStep::Resume},
+            {false, true, true, true, 0, 5, RecoveryStep::Resume},
+            // Nothing was seen and another one may start.
+            {true, false, true, true, 0, 0, RecoveryStep::Restart},
+            {true, true, false, true, 0, 0, RecoveryStep::Restart},
+            // Something was seen and the engine cannot go on.
+            {true, false, true, true, 0, 5, RecoveryStep::GiveUp},
+            {true, true, false, true, 0, 5, RecoveryStep::GiveUp},
+            // Enough is enough.
+            {false, false, false, true, 4, 0, RecoveryStep::GiveUp},
+            {true, true, true, true, 4, 5, RecoveryStep::GiveUp},
+    };
+    return cr_make_param_array(RecoveryCase, cases, std::size(cases));
+}
+
+ParameterizedTest(RecoveryCase *param, relay, recovers)
+{
+    StreamRelay relay;
+    const AttemptId attempt = relay.beginAttempt();
+    if (param->generationKnown)
+        relay.onGeneration(attempt, "g");
+    for (int i = 0; i < param->seen; ++i)
+        relay.onToken(attempt, static_cast<std::uint64_t>(i));
+    const LostAttempt lost{param->maySentBytes, param->engineResumes, param->generationKnown,
+                           param->repeatable, param->recoveries};
+    cr_assert(relay.recover(lost) == param->expected);
+}
--- /dev/null
+++ b/unittests/Stream/ssetest.cpp
@@ -0,0 +1,111 @@
+#include "jaytrack/Stream/handle.h"
+#include "jaytrack/Stream/sse.h"
+#include "jaytrack/Support/keyring.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <vector>
+
+using namespace jaytrack;
+
+namespace {
+
+// Splits the text cut into pieces of the given size and joins what was found.
+std::string split(std::string_view text, std::size_t piece)
+{
+    SseSplitter splitter;
+    std::string found;
+    while (!text.empty()) {
+        const std::string_view part = text.substr(0, piece);
+        text.remove_prefix(part.size());
+        splitter.feed(part, [&found](const SseEvent &event) {
+            found += std::string(event.id) + "|" + std::string(event.name) + "|"
+                    + std::string(event.data) + ";";
+            return true;
+        });
+    }
+    return found;
+}
+
+} // namespace
+
+struct SseCase
+{
+    char text[96];
+    char expected[64];
+};
+
+ParameterizedTestParameters(sse, splitsHoweverItIsCut)
+{
+    static SseCase cases[] = {
+            {"data: a\n\n", "||a;"},
+            {"id: 4\ndata: a\n\ndata: b\n\n", "4||a;||b;"},
+            {"id:4\r\nevent: error\r\ndata:x\r\n\r\n", "4|error|x;"},
+            {": comment\n\ndata: a\n\n", "||a;"},
+            {"data: a\ndata: b\n\n", "||a\nb;"},
+            {"data: unfinished\n", ""},
+            {"\n\n\ndata: a\n\n", "||a;"},
+            {"datax: a\n\n", ""},
+    };
+    return cr_make_param_array(SseCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SseCase *param, sse, splitsHoweverItIsCut)
+{
+    for (std::size_t piece = 1; piece < 100; ++piece)
+        cr_assert_eq(split(param->text, piece), std::string(param->expected), "piece %zu", piece);
+}
+
+// Symptom: the instance's memory grows until it is killed. Events: a target sends one event without
+// end. Cause: buffering without a bound.
+Test(sse, boundsAnEvent)
+{
+    SseSplitter splitter;
+    const std::string large(SseSplitter::maxEventBytes / 2 + 1, 'x');
+    const auto ignore = [](const SseEvent &) { return true; };
+    cr_assert(splitter.feed("data: " + large, ignore));
+    cr_assert(!splitter.feed(large, ignore));
+}
+
+Test(sse, formatsWhatItSplits)
+{
+    const std::string text = formatSseEvent({"7", "error", "a\nb"});
+    cr_assert_eq(split(text, 3), std::string("7|error|a\nb;"));
+}
+
+struct CursorCase
+{
+    char text[32];
+    bool good;
+};
+
+ParameterizedTestParameters(cursor, parses)
+{
+    static CursorCase cases[] = {
+            {"abc.0", true}, {"abc.41", true}, {"abc", false},   {".4", false},
+            {"abc.", false}, {"abc.x", false}, {"abc.-1", false}, {"abc.99999999999999999999", false},
+    };
+    return cr_make_param_array(CursorCase, cases, std::size(cases));
+}
+
+ParameterizedTest(CursorCase *param, cursor, parses)
+{
+    cr_assert(Cursor::parse(param->text).has_value() == param->good);
+}
+
+// Symptom: one customer reads another's draft. Events: it changes a byte of its own handle.
+// Cause: handles that are not authenticated.
+Test(handle, cannotBeChanged)
+{
+    const KeyRing keys({"0123456789abcdef"});
+    const StreamHandle handle{"engine", "generation", "customer", "model"};
+    const std::string sealed = handle.seal(keys);
+    cr_assert(StreamHandle::unseal(keys, sealed)->customer == "customer");
+    for (std::size_t i = 0; i < sealed.size(); ++i) {
+        std::string changed = sealed;
+        changed[i] = changed[i] == 'A' ? 'B' : 'A';
+        const auto opened = StreamHandle::unseal(keys, changed);
+        cr_assert(!opened || opened->customer == "customer");
+    }
+}
