--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -31,7 +31,8 @@
   10: i64 maxTokens
   11: i64 prefixHash
   12: i32 prefixTokens
-  13: i32 boundPerMille
+  13: i32 boundPerMillion
+  14: i32 waitedMs
 }
 
 // How loaded an engine is, as its home instance sees it.
@@ -39,9 +40,8 @@
   1: string engine
   2: i32 roomPerMille
   3: i32 queued
-  4: i32 stepMicros
-  5: bool leaving
-  6: bool alive
+  4: bool leaving
+  5: bool alive
 }
 
 // What the placement policies of two instances tell each other.
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -350,8 +350,12 @@
   this->prefixTokens = val;
 }
 
-void GrantBody::__set_boundPerMille(const int32_t val) {
-  this->boundPerMille = val;
+void GrantBody::__set_boundPerMillion(const int32_t val) {
+  this->boundPerMillion = val;
+}
+
+void GrantBody::__set_waitedMs(const int32_t val) {
+  this->waitedMs = val;
 }
 std::ostream& operator<<(std::ostream& out, const GrantBody& obj)
 {
@@ -479,8 +483,16 @@
         break;
       case 13:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->boundPerMille);
-          this->__isset.boundPerMille = true;
+          xfer += iprot->readI32(this->boundPerMillion);
+          this->__isset.boundPerMillion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitedMs);
+          this->__isset.waitedMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -550,8 +562,12 @@
   xfer += oprot->writeI32(this->prefixTokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("boundPerMille", ::apache::thrift::protocol::T_I32, 13);
-  xfer += oprot->writeI32(this->boundPerMille);
+  xfer += oprot->writeFieldBegin("boundPerMillion", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->boundPerMillion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitedMs", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->waitedMs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -573,7 +589,8 @@
   swap(a.maxTokens, b.maxTokens);
   swap(a.prefixHash, b.prefixHash);
   swap(a.prefixTokens, b.prefixTokens);
-  swap(a.boundPerMille, b.boundPerMille);
+  swap(a.boundPerMillion, b.boundPerMillion);
+  swap(a.waitedMs, b.waitedMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -590,7 +607,8 @@
   maxTokens = other3.maxTokens;
   prefixHash = other3.prefixHash;
   prefixTokens = other3.prefixTokens;
-  boundPerMille = other3.boundPerMille;
+  boundPerMillion = other3.boundPerMillion;
+  waitedMs = other3.waitedMs;
   __isset = other3.__isset;
 }
 GrantBody& GrantBody::operator=(const GrantBody& other4) {
@@ -606,7 +624,8 @@
   maxTokens = other4.maxTokens;
   prefixHash = other4.prefixHash;
   prefixTokens = other4.prefixTokens;
-  boundPerMille = other4.boundPerMille;
+  boundPerMillion = other4.boundPerMillion;
+  waitedMs = other4.waitedMs;
   __isset = other4.__isset;
   return *this;
 }
@@ -625,7 +644,8 @@
   out << ", " << "maxTokens=" << to_string(maxTokens);
   out << ", " << "prefixHash=" << to_string(prefixHash);
   out << ", " << "prefixTokens=" << to_string(prefixTokens);
-  out << ", " << "boundPerMille=" << to_string(boundPerMille);
+  out << ", " << "boundPerMillion=" << to_string(boundPerMillion);
+  out << ", " << "waitedMs=" << to_string(waitedMs);
   out << ")";
 }
 
@@ -646,10 +666,6 @@
   this->queued = val;
 }
 
-void EngineSummary::__set_stepMicros(const int32_t val) {
-  this->stepMicros = val;
-}
-
 void EngineSummary::__set_leaving(const bool val) {
   this->leaving = val;
 }
@@ -710,14 +726,6 @@
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->stepMicros);
-          this->__isset.stepMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->leaving);
           this->__isset.leaving = true;
@@ -725,7 +733,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->alive);
           this->__isset.alive = true;
@@ -762,15 +770,11 @@
   xfer += oprot->writeI32(this->queued);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("stepMicros", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->stepMicros);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("alive", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeFieldBegin("alive", ::apache::thrift::protocol::T_BOOL, 5);
   xfer += oprot->writeBool(this->alive);
   xfer += oprot->writeFieldEnd();
 
@@ -784,7 +788,6 @@
   swap(a.engine, b.engine);
   swap(a.roomPerMille, b.roomPerMille);
   swap(a.queued, b.queued);
-  swap(a.stepMicros, b.stepMicros);
   swap(a.leaving, b.leaving);
   swap(a.alive, b.alive);
   swap(a.__isset, b.__isset);
@@ -794,7 +797,6 @@
   engine = other5.engine;
   roomPerMille = other5.roomPerMille;
   queued = other5.queued;
-  stepMicros = other5.stepMicros;
   leaving = other5.leaving;
   alive = other5.alive;
   __isset = other5.__isset;
@@ -803,7 +805,6 @@
   engine = other6.engine;
   roomPerMille = other6.roomPerMille;
   queued = other6.queued;
-  stepMicros = other6.stepMicros;
   leaving = other6.leaving;
   alive = other6.alive;
   __isset = other6.__isset;
@@ -815,7 +816,6 @@
   out << "engine=" << to_string(engine);
   out << ", " << "roomPerMille=" << to_string(roomPerMille);
   out << ", " << "queued=" << to_string(queued);
-  out << ", " << "stepMicros=" << to_string(stepMicros);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "alive=" << to_string(alive);
   out << ")";
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -159,7 +159,7 @@
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
 
 typedef struct _GrantBody__isset {
-  _GrantBody__isset() : serial(false), engine(false), kind(false), promptTokens(false), producedTokens(false), priority(false), customer(false), weight(false), waitMs(false), maxTokens(false), prefixHash(false), prefixTokens(false), boundPerMille(false) {}
+  _GrantBody__isset() : serial(false), engine(false), kind(false), promptTokens(false), producedTokens(false), priority(false), customer(false), weight(false), waitMs(false), maxTokens(false), prefixHash(false), prefixTokens(false), boundPerMillion(false), waitedMs(false) {}
   bool serial :1;
   bool engine :1;
   bool kind :1;
@@ -172,7 +172,8 @@
   bool maxTokens :1;
   bool prefixHash :1;
   bool prefixTokens :1;
-  bool boundPerMille :1;
+  bool boundPerMillion :1;
+  bool waitedMs :1;
 } _GrantBody__isset;
 
 class GrantBody : public virtual ::apache::thrift::TBase {
@@ -193,7 +194,8 @@
               maxTokens(0),
               prefixHash(0),
               prefixTokens(0),
-              boundPerMille(0) {
+              boundPerMillion(0),
+              waitedMs(0) {
   }
 
   virtual ~GrantBody() noexcept;
@@ -209,7 +211,8 @@
   int64_t maxTokens;
   int64_t prefixHash;
   int32_t prefixTokens;
-  int32_t boundPerMille;
+  int32_t boundPerMillion;
+  int32_t waitedMs;
 
   _GrantBody__isset __isset;
 
@@ -237,7 +240,9 @@
 
   void __set_prefixTokens(const int32_t val);
 
-  void __set_boundPerMille(const int32_t val);
+  void __set_boundPerMillion(const int32_t val);
+
+  void __set_waitedMs(const int32_t val);
 
   bool operator == (const GrantBody & rhs) const
   {
@@ -265,7 +270,9 @@
       return false;
     if (!(prefixTokens == rhs.prefixTokens))
       return false;
-    if (!(boundPerMille == rhs.boundPerMille))
+    if (!(boundPerMillion == rhs.boundPerMillion))
+      return false;
+    if (!(waitedMs == rhs.waitedMs))
       return false;
     return true;
   }
@@ -286,11 +293,10 @@
 std::ostream& operator<<(std::ostream& out, const GrantBody& obj);
 
 typedef struct _EngineSummary__isset {
-  _EngineSummary__isset() : engine(false), roomPerMille(false), queued(false), stepMicros(false), leaving(false), alive(false) {}
+  _EngineSummary__isset() : engine(false), roomPerMille(false), queued(false), leaving(false), alive(false) {}
   bool engine :1;
   bool roomPerMille :1;
   bool queued :1;
-  bool stepMicros :1;
   bool leaving :1;
   bool alive :1;
 } _EngineSummary__isset;
@@ -304,7 +310,6 @@
                 : engine(),
                   roomPerMille(0),
                   queued(0),
-                  stepMicros(0),
                   leaving(0),
                   alive(0) {
   }
@@ -313,7 +318,6 @@
   std::string engine;
   int32_t roomPerMille;
   int32_t queued;
-  int32_t stepMicros;
   bool leaving;
   bool alive;
 
@@ -325,8 +329,6 @@
 
   void __set_queued(const int32_t val);
 
-  void __set_stepMicros(const int32_t val);
-
   void __set_leaving(const bool val);
 
   void __set_alive(const bool val);
@@ -339,8 +341,6 @@
       return false;
     if (!(queued == rhs.queued))
       return false;
-    if (!(stepMicros == rhs.stepMicros))
-      return false;
     if (!(leaving == rhs.leaving))
       return false;
     if (!(alive == rhs.alive))
