--- a/include/jaytrack/Config/document.h
+++ b/include/jaytrack/Config/document.h
@@ -79,7 +79,7 @@
     std::chrono::milliseconds maxWait{30'000};
     int priority = 0;            // larger goes first
     bool repeatable = true;      // a generation of which nothing was seen may start again elsewhere
-    double overflowBound = 0.01; // accepted chance that an engine's memory overflows
+    double overflowBound = 0.02; // accepted chance that an engine's memory overflows
     std::chrono::milliseconds silenceTimeout{20'000}; // longest gap between two tokens
 };
 
--- a/include/jaytrack/Policy/enginehome.h
+++ b/include/jaytrack/Policy/enginehome.h
@@ -30,7 +30,7 @@
     std::uint32_t maxTokens = 0;
     std::uint64_t prefixHash = 0;
     std::uint32_t prefixTokens = 0;
-    double overflowBound = 0.01;
+    double overflowBound = 0.02;
     TimePoint since; // when its caller asked
     TimePoint deadline;
 };
--- a/include/jaytrack/Policy/fleetpolicy.h
+++ b/include/jaytrack/Policy/fleetpolicy.h
@@ -31,6 +31,7 @@
     bool affinity = true; // prefer the engine that likely caches the prompt's prefix
     std::size_t subset = 24; // engines of a model that one instance uses at the most
     std::size_t candidates = 4; // random engines compared for each request
+    std::size_t queues = 3; // engines that a waiting request queues at
     Duration answerWait = std::chrono::milliseconds(60); // for a home's answer
     Duration reconsider = std::chrono::milliseconds(200); // while waiting for one engine
     Duration summaryGap = std::chrono::milliseconds(100);
@@ -43,7 +44,7 @@
     std::uint64_t asked = 0;
     std::uint64_t granted = 0;
     std::uint64_t fallbacks = 0; // placed without a home's answer
-    std::uint64_t moved = 0; // waiting requests that changed their engine
+    std::uint64_t queuedTwice = 0; // further queues that waiting requests joined
     std::uint64_t expired = 0;
     std::uint64_t sentMessages = 0;
     std::uint64_t sentBytes = 0;
@@ -79,7 +80,7 @@
         EngineSpec spec;
         std::string homeName;
         std::unique_ptr<EngineHome> home; // if this instance is its home
-        bool mine = false; // within the subset that this instance uses
+        std::uint64_t nameHash = 0; // for ranking prefixes
         bool alive = true;
         bool leaving = false;
         double room = 1; // share of memory free, as its home said last
@@ -96,7 +97,8 @@
     {
         GenerationAsk ask;
         AskPhase phase = AskPhase::Asking;
-        std::string engine;
+        std::string engine; // asked last, or placed on
+        std::vector<std::string> queuedAt; // engines whose homes hold it in their queues
         TimePoint submittedAt;
         TimePoint stepAt; // when it entered its phase or last changed its engine
         int attempts = 0;
@@ -106,13 +108,14 @@
     };
 
     using Views = std::map<std::string, EngineView, std::less<>>;
+    using ViewList = std::vector<EngineView *>;
     using Asks = std::unordered_map<std::uint64_t, AskState>;
 
     bool usable(const EngineView &view, const AskState &state) const;
     double score(const EngineView &view, const AskState &state, double medianStep) const;
     EngineView *choose(const AskState &state);
     EngineView *affinityChoice(const AskState &state, std::span<EngineView *const> usableViews);
-    double medianStep(std::string_view model) const;
+    double medianStep(const ViewList &views) const;
     void askFor(AskState &state);
     void askEngine(AskState &state, EngineView &view);
     void place(AskState &state, EngineView &view, std::string reason);
@@ -121,10 +124,14 @@
     void checkAsk(AskState &state);
 
     RoomRequest roomRequest(const AskState &state) const;
-    wire::GrantBody grantBody(const AskState &state, int kind) const;
+    wire::GrantBody grantBody(const AskState &state, const std::string &engine, int kind) const;
+    void queueElsewhere(AskState &state);
+    void onRefused(AskState &state, const std::string &engine);
     void post(const std::string &instance, const wire::GrantBody &body);
     void sendMessage(const std::string &instance, const wire::PolicyMessage &message);
     void tellHome(const AskState &state, int kind);
+    void tellHomeOf(const std::string &engine, const AskState &state, int kind);
+    void withdrawElsewhere(AskState &state, std::string_view keep);
     void onGrantBody(std::string_view from, const wire::GrantBody &body);
     void onAnswer(std::string_view from, const wire::GrantBody &body);
     void onSummary(const wire::EngineSummary &summary);
@@ -133,6 +140,7 @@
     wire::EngineSummary summaryOf(EngineView &view);
     void sendSummaries();
     void assignHomes();
+    void assignSubsets();
     void moveCommitments(const EngineView &view);
 
     std::string self;
@@ -143,6 +151,7 @@
     FleetPolicyOptions options;
     LengthEstimator lengths;
     Views engines;
+    std::map<std::string, ViewList, std::less<>> used; // by model, within the subset
     std::vector<std::string> instances;
     Asks asks;
     std::map<std::string, TimePoint, std::less<>> subscribers; // who asked here lately
--- a/include/jaytrack/Policy/placement.h
+++ b/include/jaytrack/Policy/placement.h
@@ -50,7 +50,7 @@
     std::uint32_t prefixTokens = 0;
     bool mayWait = true;
     Duration maxWait = std::chrono::seconds(30);
-    double overflowBound = 0.01;
+    double overflowBound = 0.02;
     std::uint32_t trueLength = 0;   // only the oracle of the measurements may read this
     std::vector<std::string> avoid; // engines that failed this request before
 };
--- a/lib/Config/inventory.cpp
+++ b/lib/Config/inventory.cpp
@@ -161,7 +161,7 @@
         model.maxWait = std::chrono::milliseconds(entry.integer("max_wait_ms", waitRange, 30'000));
         model.priority = static_cast<int>(entry.integer("priority", {0, 9}, 0));
         model.repeatable = entry.flag("repeatable", true);
-        model.overflowBound = entry.number("overflow_bound", 0.0001, 0.5, 0.01);
+        model.overflowBound = entry.number("overflow_bound", 0.0001, 0.5, 0.02);
         model.silenceTimeout =
                 std::chrono::milliseconds(entry.integer("silence_ms", timeoutRange, 20'000));
         if (!model.mayWait && entry.has("max_wait_ms"))
--- a/lib/Policy/enginehome.cpp
+++ b/lib/Policy/enginehome.cpp
@@ -15,6 +15,7 @@
 constexpr double smoothing = 0.1;
 constexpr double staticReserve = 1000;
 constexpr double staticShare = 0.8;
+constexpr double harmlessShare = 0.002; // of memory
 constexpr double agedShare = 0.5; // of its time to wait, after which a request goes first
 
 // The number of standard deviations that a normal variable exceeds with this chance (Abramowitz
@@ -129,7 +130,10 @@
     for (std::size_t i = 0; i < horizons; ++i) {
         const double mean = this->sums.mean[i] + own.mean[i];
         const double variance = this->sums.variance[i] + own.variance[i];
-        if (mean + deviations * std::sqrt(variance) > capacity)
+        // A short request that is gone before the moment foreseen does not add to its risk, and
+        // holding it back would not lessen that.
+        const bool harmless = i > 0 && own.mean[i] < harmlessShare * capacity;
+        if (mean + deviations * std::sqrt(variance) > capacity && !harmless)
             return false;
     }
     return true;
--- a/lib/Policy/fleetpolicy.cpp
+++ b/lib/Policy/fleetpolicy.cpp
@@ -5,6 +5,8 @@
 
 #include "peer_types.h"
 
+#include <boost/functional/hash.hpp>
+
 #include <algorithm>
 #include <cassert>
 
@@ -71,6 +73,7 @@
         if (old != this->engines.end())
             view = std::move(old->second);
         view.spec = spec;
+        view.nameHash = placementHash(spec.name);
         if (view.home)
             view.home->setSpec(spec);
     }
@@ -104,7 +107,6 @@
 // preemptions and nothing else.
 void FleetPolicy::assignHomes()
 {
-    std::map<std::string, std::vector<std::pair<std::uint64_t, EngineView *>>> byModel;
     for (auto &[name, view] : this->engines) {
         const auto best = std::max_element(
                 this->instances.begin(), this->instances.end(),
@@ -121,12 +123,24 @@
         }
         if (moved)
             this->moveCommitments(view);
-        byModel[view.spec.model].emplace_back(rank(this->self, name), &view);
     }
-    for (auto &[model, views] : byModel) {
+    this->assignSubsets();
+}
+
+// Each instance uses a bounded number of engines of a model, which differ from one instance to the
+// next, so that its work and its messages do not grow with the fleet.
+void FleetPolicy::assignSubsets()
+{
+    std::map<std::string, std::vector<std::pair<std::uint64_t, EngineView *>>> ranked;
+    for (auto &[name, view] : this->engines)
+        ranked[view.spec.model].emplace_back(rank(this->self, name), &view);
+    this->used.clear();
+    for (auto &[model, views] : ranked) {
         std::sort(views.begin(), views.end());
-        for (std::size_t i = 0; i < views.size(); ++i)
-            views[i].second->mine = i < this->options.subset;
+        if (views.size() > this->options.subset)
+            views.resize(this->options.subset);
+        for (const auto &[hash, view] : views)
+            this->used[model].push_back(view);
     }
 }
 
@@ -134,12 +148,11 @@
 void FleetPolicy::moveCommitments(const EngineView &view)
 {
     for (auto &[id, state] : this->asks) {
-        if (state.engine != view.spec.name)
-            continue;
-        if (state.phase == AskPhase::Placed)
+        if (state.phase == AskPhase::Placed && state.engine == view.spec.name)
             this->tellHome(state, GrantHeld);
-        else
-            state.stepAt = TimePoint{}; // ask again at the next tick
+        // The queue went with the former home; the request joins one again at the next tick.
+        if (std::erase(state.queuedAt, view.spec.name) > 0)
+            state.stepAt = TimePoint{};
     }
 }
 
@@ -155,18 +168,20 @@
 {
     const auto &avoid = state.ask.avoid;
     const auto &silent = state.silent;
-    return view.spec.model == state.ask.model && view.mine && view.alive && !view.leaving
+    const auto &queuedAt = state.queuedAt;
+    return view.alive && !view.leaving
             && !view.spec.leaving && view.distrustedUntil <= this->clock.now()
             && std::find(avoid.begin(), avoid.end(), view.spec.name) == avoid.end()
-            && std::find(silent.begin(), silent.end(), view.spec.name) == silent.end();
+            && std::find(silent.begin(), silent.end(), view.spec.name) == silent.end()
+            && std::find(queuedAt.begin(), queuedAt.end(), view.spec.name) == queuedAt.end();
 }
 
-double FleetPolicy::medianStep(std::string_view model) const
+double FleetPolicy::medianStep(const ViewList &views) const
 {
     std::vector<double> steps;
-    for (const auto &[name, view] : this->engines) {
-        if (view.spec.model == model && view.stepSeconds > 0)
-            steps.push_back(view.stepSeconds);
+    for (const EngineView *view : views) {
+        if (view->stepSeconds > 0)
+            steps.push_back(view->stepSeconds);
     }
     if (steps.size() < 3)
         return 0;
@@ -193,25 +208,28 @@
 {
     if (!this->options.affinity || state.ask.prefixHash == 0)
         return nullptr;
-    const std::string prefix = std::to_string(state.ask.prefixHash);
+    const auto rankOf = [&state](const EngineView *view) {
+        return boost::hash<std::pair<std::uint64_t, std::uint64_t>>()(
+                {view->nameHash, state.ask.prefixHash});
+    };
     EngineView *best = *std::max_element(
-            usableViews.begin(), usableViews.end(), [&prefix](const EngineView *a, const EngineView *b) {
-                return rank(prefix, a->spec.name) < rank(prefix, b->spec.name);
-            });
+            usableViews.begin(), usableViews.end(),
+            [&rankOf](const EngineView *a, const EngineView *b) { return rankOf(a) < rankOf(b); });
     const bool roomy = best->room - best->askedSince > affinityRoom && best->queued == 0;
     return roomy ? best : nullptr;
 }
 
 FleetPolicy::EngineView *FleetPolicy::choose(const AskState &state)
 {
-    std::vector<EngineView *> usableViews;
-    for (auto &[name, view] : this->engines) {
-        if (this->usable(view, state))
-            usableViews.push_back(&view);
-    }
+    const auto views = this->used.find(state.ask.model);
+    if (views == this->used.end())
+        return nullptr;
+    ViewList usableViews;
+    std::copy_if(views->second.begin(), views->second.end(), std::back_inserter(usableViews),
+                 [&](const EngineView *view) { return this->usable(*view, state); });
     if (usableViews.empty())
         return nullptr;
-    const double median = this->medianStep(state.ask.model);
+    const double median = this->medianStep(views->second);
     EngineView *best = nullptr;
     double bestScore = 0;
     // A few at random instead of the best of all, or all instances would choose the same one
@@ -255,7 +273,6 @@
             return;
         }
         state.phase = AskPhase::Queued;
-        state.engine.clear();
         state.stepAt = this->clock.now();
         return;
     }
@@ -325,12 +342,12 @@
 {
     EngineView *best = nullptr;
     state.silent.clear();
-    for (auto &[name, view] : this->engines) {
-        const std::size_t part = std::max<std::size_t>(1, view.spec.slots / this->instances.size());
-        if (!this->usable(view, state) || view.own >= part)
+    for (EngineView *view : this->used[state.ask.model]) {
+        const std::size_t part = std::max<std::size_t>(1, view->spec.slots / this->instances.size());
+        if (!this->usable(*view, state) || view->own >= part)
             continue;
-        if (best == nullptr || view.own < best->own)
-            best = &view;
+        if (best == nullptr || view->own < best->own)
+            best = view;
     }
     if (best != nullptr) {
         ++this->tally.fallbacks;
@@ -338,7 +355,6 @@
         return;
     }
     state.phase = AskPhase::Queued;
-    state.engine.clear();
     state.stepAt = this->clock.now();
 }
 
@@ -348,10 +364,23 @@
     if (found == this->asks.end())
         return;
     if (found->second.phase != AskPhase::Placed)
-        this->tellHome(found->second, GrantWithdrawn);
+        this->withdrawElsewhere(found->second, "");
     this->asks.erase(found);
 }
 
+// Takes the request out of every queue but that of one engine.
+void FleetPolicy::withdrawElsewhere(AskState &state, std::string_view keep)
+{
+    std::vector<std::string> queues = std::move(state.queuedAt);
+    state.queuedAt.clear();
+    if (state.phase == AskPhase::Asking)
+        queues.push_back(state.engine);
+    for (const std::string &engine : queues) {
+        if (engine != keep)
+            this->tellHomeOf(engine, state, GrantWithdrawn);
+    }
+}
+
 // ---- Progress and end ----
 
 void FleetPolicy::progress(std::uint64_t id, std::uint32_t producedTokens)
@@ -434,7 +463,7 @@
     const Duration patience = state.ask.mayWait ? state.ask.maxWait : this->options.answerWait * mostAttempts;
     if (waited > patience) {
         ++this->tally.expired;
-        this->tellHome(state, GrantWithdrawn);
+        this->withdrawElsewhere(state, "");
         this->refuse(state.ask.id, ResultCode::WaitExpired, "no engine had room in time");
         return;
     }
@@ -442,30 +471,37 @@
     if (state.phase == AskPhase::Asking && inStep > this->options.answerWait) {
         this->tellHome(state, GrantWithdrawn);
         state.silent.push_back(state.engine);
-        if (state.silent.size() >= mostAttempts)
+        if (!state.queuedAt.empty())
+            state.phase = AskPhase::Queued;
+        else if (state.silent.size() >= mostAttempts)
             this->fallBack(state);
         else
             this->askFor(state);
         return;
     }
-    if (state.phase != AskPhase::Queued || inStep < this->options.reconsider)
+    if (state.phase == AskPhase::Queued && inStep >= this->options.reconsider)
+        this->queueElsewhere(state);
+}
+
+// One queue may be stuck behind a long generation while another moves. A request that waits joins
+// a few, the first that grants it room wins, and the others are told; so it waits for the best of
+// several engines without anybody having to know which one that will be.
+void FleetPolicy::queueElsewhere(AskState &state)
+{
+    state.stepAt = this->clock.now();
+    if (state.queuedAt.size() >= this->options.queues)
         return;
-    state.stepAt = now;
     EngineView *other = this->choose(state);
-    const bool better = other != nullptr && other->spec.name != state.engine && other->queued == 0
-            && other->room - other->askedSince > affinityRoom;
-    if (!better && !state.engine.empty())
-        return;
     if (other == nullptr)
         return;
-    ++this->tally.moved;
-    this->tellHome(state, GrantWithdrawn);
+    ++this->tally.queuedTwice;
     this->askEngine(state, *other);
 }
 
 // ---- Messages ----
 
-wire::GrantBody FleetPolicy::grantBody(const AskState &state, int kind) const
+wire::GrantBody FleetPolicy::grantBody(const AskState &state, const std::string &engine,
+                                       int kind) const
 {
     const TimePoint now = this->clock.now();
     const RoomRequest request = this->roomRequest(state);
@@ -475,7 +511,7 @@
     };
     wire::GrantBody body;
     body.serial = request.key.second;
-    body.engine = state.engine;
+    body.engine = engine;
     body.kind = kind;
     body.producedTokens = request.producedTokens;
     const bool describes = kind == GrantAsk || kind == GrantHeld;
@@ -499,10 +535,15 @@
 // Tells the home of the request's engine, which may be this instance, about it.
 void FleetPolicy::tellHome(const AskState &state, int kind)
 {
-    const auto view = this->engines.find(state.engine);
+    this->tellHomeOf(state.engine, state, kind);
+}
+
+void FleetPolicy::tellHomeOf(const std::string &engine, const AskState &state, int kind)
+{
+    const auto view = this->engines.find(engine);
     if (view == this->engines.end() || !this->options.askHomes)
         return;
-    const wire::GrantBody body = this->grantBody(state, kind);
+    const wire::GrantBody body = this->grantBody(state, engine, kind);
     if (view->second.home)
         this->onGrantBody(this->self, body);
     else
@@ -627,8 +668,13 @@
 void FleetPolicy::onAnswer(std::string_view from, const wire::GrantBody &body)
 {
     const auto found = this->asks.find(static_cast<std::uint64_t>(body.serial));
-    const bool current = found != this->asks.end() && found->second.engine == body.engine
-            && found->second.phase != AskPhase::Placed;
+    const auto expects = [&body](const AskState &state) {
+        const auto &queues = state.queuedAt;
+        return state.phase != AskPhase::Placed
+                && (state.engine == body.engine
+                    || std::find(queues.begin(), queues.end(), body.engine) != queues.end());
+    };
+    const bool current = found != this->asks.end() && expects(found->second);
     if (!current) {
         // Room given to a request that has gone elsewhere; it goes back, or it would be held for
         // nobody. A repeated word on a request that sits on this very engine is no such room.
@@ -647,8 +693,12 @@
         return;
     }
     AskState &state = found->second;
-    EngineView &view = this->engines.find(state.engine)->second;
+    const auto known = this->engines.find(body.engine);
+    if (known == this->engines.end())
+        return; // taken out of the configuration meanwhile
+    EngineView &view = known->second;
     if (body.kind == GrantGiven) {
+        this->withdrawElsewhere(state, body.engine);
         const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
                 this->clock.now() - state.submittedAt);
         this->place(state, view, "room granted by " + std::string(from) + " after "
@@ -656,21 +706,32 @@
         return;
     }
     if (body.kind == GrantQueued) {
+        const auto &queues = state.queuedAt;
+        if (std::find(queues.begin(), queues.end(), body.engine) == queues.end())
+            state.queuedAt.push_back(body.engine);
         state.phase = AskPhase::Queued;
         state.stepAt = this->clock.now();
+        // The first engine was a guess on what was said a while ago; others are tried at once.
+        if (state.attempts < static_cast<int>(this->options.queues))
+            this->queueElsewhere(state);
         return;
     }
     view.room = std::min(view.room, 0.0);
+    this->onRefused(state, body.engine);
+}
+
+void FleetPolicy::onRefused(AskState &state, const std::string &engine)
+{
+    std::erase(state.queuedAt, engine);
     const Duration waited = this->clock.now() - state.submittedAt;
     if (!state.ask.mayWait && state.attempts >= mostAttempts) {
         this->refuse(state.ask.id, ResultCode::Overloaded, "engines are full and this may not wait");
     } else if (state.ask.mayWait && waited >= state.ask.maxWait) {
         ++this->tally.expired;
         this->refuse(state.ask.id, ResultCode::WaitExpired, "no engine had room in time");
-    } else {
+    } else if (state.queuedAt.empty() || state.engine == engine) {
         state.phase = AskPhase::Queued;
-        state.engine.clear();
-        state.stepAt = TimePoint{};
+        state.stepAt = TimePoint{}; // looks for another at the next tick
     }
 }
 
