--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -128,8 +128,7 @@
                 of(&Figures::ttftP95), of(&Figures::notRun), of(&Figures::fairMin),
                 of(&Figures::lost), of(&Figures::urgentTtftP99), of(&Figures::backlogAtEnd),
                 of(&Figures::microsPerDecision), of(&Figures::policyBytesPerSecond),
-                spread(job, [](const Figures &o) { return o.stallP99; }),
-                spread(job, preemptions));
+                spread(job, [](const Figures &o) { return o.stallP99; }), spread(job, preemptions));
 }
 
 // The production policy against the best baseline whose goodput is within two in a hundred of the
@@ -145,14 +144,17 @@
         double bestGoodput = 0;
         const auto goodput = [](const Figures &o) { return o.goodput; };
         const auto stall = [](const Figures &o) { return o.stallP99; };
-        const auto preemptions = [](const Figures &o) { return static_cast<double>(o.preemptions); };
+        const auto preemptions = [](const Figures &o) {
+            return static_cast<double>(o.preemptions);
+        };
         std::vector<const Job *> baselines;
         for (const Job *job : list) {
             if (job->policy.name == "jaytrack")
                 ours = job;
             else if (job->policy.name == "oracle")
                 oracle = job;
-            else if (job->policy.name.rfind("without", 0) != 0 && job->policy.name.rfind("subset", 0) != 0)
+            else if (job->policy.name.rfind("without", 0) != 0 &&
+                     job->policy.name.rfind("subset", 0) != 0)
                 baselines.push_back(job);
         }
         if (ours == nullptr || baselines.empty())
@@ -171,7 +173,8 @@
                     mean(*ours, goodput) / bestGoodput, mean(*ours, stall) / bestStall,
                     mean(*ours, preemptions) / std::max(1.0, bestPreemptions));
         if (oracle != nullptr)
-            std::printf(" stall_to_oracle=%.3f", mean(*ours, stall) / std::max(1e-9, mean(*oracle, stall)));
+            std::printf(" stall_to_oracle=%.3f",
+                        mean(*ours, stall) / std::max(1e-9, mean(*oracle, stall)));
         std::printf("\n");
     }
 }
@@ -189,13 +192,13 @@
     std::string only;
     bool withVariants = false;
     po::options_description options("options");
-    options.add_options()("help,h", "print this help")(
-            "first", po::value(&first)->default_value(1), "the first seed")(
+    options.add_options()("help,h", "print this help")("first", po::value(&first)->default_value(1),
+                                                       "the first seed")(
             "seeds", po::value(&seeds)->default_value(3), "how many seeds")(
             "threads", po::value(&threads)->default_value(8), "runs at the same time")(
             "seconds", po::value(&seconds)->default_value(240), "virtual seconds measured")(
-            "bound", po::value(&bound)->default_value(Workload().overflowBound), "overflow bound")(
-            "case", po::value(&only), "only cases whose name contains this")(
+            "bound", po::value(&bound)->default_value(Workload().overflowBound),
+            "overflow bound")("case", po::value(&only), "only cases whose name contains this")(
             "variants", po::bool_switch(&withVariants), "also with single ideas taken out");
     po::variables_map values;
     int exitCode = ExitGood;
@@ -203,8 +206,8 @@
         return exitCode;
 
     std::vector<NamedPolicy> policies = {fleet("jaytrack", {})};
-    for (const Baseline kind : {Baseline::RoundRobin, Baseline::LeastOutstanding, Baseline::PowerOfTwo,
-                                Baseline::StaticThreshold, Baseline::Oracle})
+    for (const Baseline kind : {Baseline::RoundRobin, Baseline::LeastOutstanding,
+                                Baseline::PowerOfTwo, Baseline::StaticThreshold, Baseline::Oracle})
         policies.push_back(baseline(kind));
     if (withVariants) {
         for (const NamedPolicy &variant : variants())
--- a/bench/policy/stage.cpp
+++ b/bench/policy/stage.cpp
@@ -60,7 +60,11 @@
     // One instance: its policy and what it is told.
     struct Node final : PolicyTransport, PlacementListener
     {
-        Node(Stage &owner, std::size_t number) : stage(owner), index(number) { }
+        Node(Stage &owner, std::size_t number)
+            : stage(owner)
+            , index(number)
+        {
+        }
 
         void send(std::string_view to, std::string message) override
         {
@@ -153,7 +157,8 @@
     for (std::size_t i = 0; i < chosen.engines; ++i) {
         const std::string name = "engine-" + std::to_string(i);
         this->engines.push_back(std::make_unique<EngineState>(chosen.engine, name));
-        specs.push_back({name, "model", "dc", chosen.engine.slots, chosen.engine.memoryTokens, false});
+        specs.push_back(
+                {name, "model", "dc", chosen.engine.slots, chosen.engine.memoryTokens, false});
     }
     std::vector<std::string> names;
     for (std::size_t i = 0; i < chosen.instances; ++i)
@@ -350,7 +355,8 @@
 void Stage::finish(std::uint64_t id)
 {
     Request &request = this->requests.at(id);
-    this->nodes[request.instance]->policy->departed(request.ask.id, Departure::Finished, request.produced);
+    this->nodes[request.instance]->policy->departed(request.ask.id, Departure::Finished,
+                                                    request.produced);
     const double total = this->workload.warmUp + this->workload.seconds;
     if (request.measured && this->elapsed() <= total) {
         this->goodTokens += request.produced;
@@ -429,7 +435,8 @@
     }
     for (const std::uint64_t id : held) {
         Request &request = this->requests.at(id);
-        this->nodes[request.instance]->policy->departed(request.ask.id, Departure::Lost, request.produced);
+        this->nodes[request.instance]->policy->departed(request.ask.id, Departure::Lost,
+                                                        request.produced);
         if (request.produced > 0) {
             this->giveUp(id, false);
             continue;
@@ -499,7 +506,8 @@
     this->schedule.after(tickGap, [this] { this->tickAll(); });
     this->schedule.after(reportGap, [this] { this->reportAll(); });
     this->schedule.after(progressGap, [this] { this->tellProgress(); });
-    this->schedule.after(seconds(this->workload.warmUp + third), [this] { this->breakSomething(); });
+    this->schedule.after(seconds(this->workload.warmUp + third),
+                         [this] { this->breakSomething(); });
     const double total = this->workload.warmUp + this->workload.seconds;
     this->schedule.runUntil(this->startedAt + seconds(total));
 
@@ -534,8 +542,9 @@
         if (small && this->askedTokens[i] > 0)
             outcome.fairMin = std::min(outcome.fairMin, this->doneTokens[i] / this->askedTokens[i]);
     }
-    outcome.microsPerDecision =
-            this->decisionSeconds / static_cast<double>(std::max<std::uint64_t>(1, this->decisions)) * 1e6;
+    outcome.microsPerDecision = this->decisionSeconds /
+                                static_cast<double>(std::max<std::uint64_t>(1, this->decisions)) *
+                                1e6;
     std::uint64_t bytes = 0;
     for (const auto &node : this->nodes)
         bytes += node->bytes;
--- a/bench/policy/stage.h
+++ b/bench/policy/stage.h
@@ -19,16 +19,16 @@
 // What a run measured after its warm-up.
 struct Figures
 {
-    double goodput = 0; // tokens a second of requests that completed
+    double goodput = 0;  // tokens a second of requests that completed
     double stallP99 = 0; // seconds without anything arriving, the worst of each request
     double itlP99 = 0;
     double ttftP95 = 0;
     double urgentTtftP99 = 0; // of kinds with priority
     std::uint64_t preemptions = 0;
     std::uint64_t requests = 0;
-    double notRun = 0; // share of requests
-    double lost = 0; // share that ended without an answer
-    double fairMin = 0; // worst small customer: completed over asked
+    double notRun = 0;       // share of requests
+    double lost = 0;         // share that ended without an answer
+    double fairMin = 0;      // worst small customer: completed over asked
     double backlogAtEnd = 0; // requests waiting at the end, over requests a second
     double microsPerDecision = 0;
     double policyBytesPerSecond = 0; // of one instance
--- a/bench/policy/workload.cpp
+++ b/bench/policy/workload.cpp
@@ -56,7 +56,8 @@
 {
     std::normal_distribution<double> normal(std::log(kind.medianTokens), kind.sigma);
     const double length = std::exp(normal(random));
-    return static_cast<std::uint32_t>(std::clamp(length, 1.0, static_cast<double>(kind.mostTokens)));
+    return static_cast<std::uint32_t>(
+            std::clamp(length, 1.0, static_cast<double>(kind.mostTokens)));
 }
 
 std::string Workload::caseName() const
@@ -72,7 +73,7 @@
 {
     static constexpr int samples = 200'000;
     std::mt19937_64 random(12345);
-    double steps = 0; // decode steps of a request
+    double steps = 0;       // decode steps of a request
     double memorySteps = 0; // tokens of memory times steps
     double prefillTokens = 0;
     for (int i = 0; i < samples; ++i) {
--- a/bench/policy/workload.h
+++ b/bench/policy/workload.h
@@ -30,7 +30,7 @@
 {
     std::string name;
     std::uint32_t weight = 1;
-    double share = 1; // of all requests
+    double share = 1;       // of all requests
     double burstFactor = 1; // more during the burst
 };
 
@@ -38,7 +38,7 @@
 
 struct Workload
 {
-    std::string name; // of the deployment
+    std::string name;  // of the deployment
     double load = 0.9; // of capacity
     std::size_t instances = 7;
     std::size_t engines = 20;
@@ -50,7 +50,7 @@
     double seconds = 240;
     double warmUp = 60;
     double overflowBound = 0.02; // the operators' bound
-    double surgeLoad = 0; // load during the first minute after the warm-up; 0 is none
+    double surgeLoad = 0;        // load during the first minute after the warm-up; 0 is none
     std::uint64_t seed = 1;
 
     std::string caseName() const;
--- a/include/jaytrack/Cluster/configspread.h
+++ b/include/jaytrack/Cluster/configspread.h
@@ -37,7 +37,7 @@
 {
     Duration fetchTimeout = std::chrono::seconds(2);
     Duration readyDelay = std::chrono::milliseconds(1500); // to hear from peers at start
-    Duration cautiousAfter = std::chrono::seconds(10); // without confirmation
+    Duration cautiousAfter = std::chrono::seconds(10);     // without confirmation
 };
 
 // Not safe for several threads at once.
@@ -84,7 +84,7 @@
     TimePoint startedAt;
     TimePoint confirmedAt;
     bool everConfirmed = false;
-    bool peerCompared = false; // some peer answered and had nothing newer
+    bool peerCompared = false;                  // some peer answered and had nothing newer
     std::map<std::string, std::uint64_t> ahead; // peers that claim a newer revision
     std::string fetchingFrom;
     TimePoint fetchingSince;
--- a/include/jaytrack/Cluster/membership.h
+++ b/include/jaytrack/Cluster/membership.h
@@ -84,7 +84,7 @@
     Duration suspicionPerDoubling = std::chrono::milliseconds(500); // of the number of members
     Duration forgetGone = std::chrono::hours(2);
     Duration reconnectPeriod = std::chrono::seconds(5);
-    std::size_t helpers = 3; // asked to probe where no direct answer came
+    std::size_t helpers = 3;      // asked to probe where no direct answer came
     std::size_t rumourFanout = 3; // told at once of a new revision
     std::size_t recordsPerMessage = 6;
     int changeRepeats = 4; // times log2 of the members: how often a change is passed on
--- a/include/jaytrack/Config/documentstore.h
+++ b/include/jaytrack/Config/documentstore.h
@@ -47,7 +47,7 @@
     // What a document of this revision would be, well-formedness aside.
     OfferVerdict judge(std::uint64_t revision) const;
 
-    std::mutex offers; // one comes into force at a time
+    std::mutex offers;        // one comes into force at a time
     mutable std::mutex mutex; // guards the fields below
     Snapshot<Document> inForce;
     std::string currentBytes;
--- a/include/jaytrack/Config/settings.h
+++ b/include/jaytrack/Config/settings.h
@@ -32,6 +32,10 @@
     std::vector<std::string> peerKeys;  // the first signs, all verify, so that keys can rotate
     std::vector<std::string> peerSeeds; // peer addresses known before the instance list is read
 
+    Listener operators; // port 0 and no address: none
+
+    std::string placement = "jaytrack"; // or a baseline, for comparison
+
     std::string configUrl;
     std::string instancesUrl;
 
--- a/include/jaytrack/Http/client.h
+++ b/include/jaytrack/Http/client.h
@@ -65,6 +65,9 @@
     // Goes on reading for a call whose listener declined data.
     void resume(HttpCallId call);
 
+    // Ends all threads; no listener is called any more. For the end of a process.
+    void stop();
+
     // Ends a call; the listener hears nothing more once the client's thread has taken this up.
     void cancel(HttpCallId call);
 
--- a/include/jaytrack/Policy/enginehome.h
+++ b/include/jaytrack/Policy/enginehome.h
@@ -38,8 +38,8 @@
 // How the decision on room can be varied for measurements.
 struct EngineHomeOptions
 {
-    bool fairShares = true; // by dominant share; else first come, first served
-    bool forecast = true; // by survival; else by present memory and a fixed reserve
+    bool fairShares = true;     // by dominant share; else first come, first served
+    bool forecast = true;       // by survival; else by present memory and a fixed reserve
     double spareForSteps = 1.0; // of the slots that may be used
 };
 
@@ -124,7 +124,7 @@
     std::deque<RoomRequest> waiting;
     std::map<std::string, std::pair<double, double>, std::less<>> usage; // memory, slots
     Forecast sums;
-    double unexplained = 0; // memory in use that no commitment accounts for
+    double unexplained = 0;      // memory in use that no commitment accounts for
     double tokensPerSecond = 30; // of one sequence
     TimePoint sumsAt;
     bool sumsStale = true;
--- a/include/jaytrack/Policy/fleetpolicy.h
+++ b/include/jaytrack/Policy/fleetpolicy.h
@@ -27,12 +27,12 @@
 struct FleetPolicyOptions
 {
     EngineHomeOptions home;
-    bool askHomes = true; // else each instance decides by itself on what it has heard
-    bool affinity = true; // prefer the engine that likely caches the prompt's prefix
-    std::size_t subset = 24; // engines of a model that one instance uses at the most
+    bool askHomes = true;       // else each instance decides by itself on what it has heard
+    bool affinity = true;       // prefer the engine that likely caches the prompt's prefix
+    std::size_t subset = 24;    // engines of a model that one instance uses at the most
     std::size_t candidates = 4; // random engines compared for each request
-    std::size_t queues = 3; // engines that a waiting request queues at
-    Duration answerWait = std::chrono::milliseconds(60); // for a home's answer
+    std::size_t queues = 3;     // engines that a waiting request queues at
+    Duration answerWait = std::chrono::milliseconds(60);  // for a home's answer
     Duration reconsider = std::chrono::milliseconds(200); // while waiting for one engine
     Duration summaryGap = std::chrono::milliseconds(100);
     double summaryBytesPerSecond = 3000; // spent on summaries at the most
@@ -43,7 +43,7 @@
 {
     std::uint64_t asked = 0;
     std::uint64_t granted = 0;
-    std::uint64_t fallbacks = 0; // placed without a home's answer
+    std::uint64_t fallbacks = 0;   // placed without a home's answer
     std::uint64_t queuedTwice = 0; // further queues that waiting requests joined
     std::uint64_t expired = 0;
     std::uint64_t sentMessages = 0;
@@ -80,14 +80,14 @@
         EngineSpec spec;
         std::string homeName;
         std::unique_ptr<EngineHome> home; // if this instance is its home
-        std::uint64_t nameHash = 0; // for ranking prefixes
+        std::uint64_t nameHash = 0;       // for ranking prefixes
         bool alive = true;
         bool leaving = false;
         double room = 1; // share of memory free, as its home said last
         int queued = 0;
-        double askedSince = 0; // share of memory asked for since then
-        std::uint32_t own = 0; // generations of this instance on it
-        double stepSeconds = 0; // between tokens, seen by this instance
+        double askedSince = 0;     // share of memory asked for since then
+        std::uint32_t own = 0;     // generations of this instance on it
+        double stepSeconds = 0;    // between tokens, seen by this instance
         TimePoint distrustedUntil; // it lost a generation of ours
     };
 
@@ -97,7 +97,7 @@
     {
         GenerationAsk ask;
         AskPhase phase = AskPhase::Asking;
-        std::string engine; // asked last, or placed on
+        std::string engine;                // asked last, or placed on
         std::vector<std::string> queuedAt; // engines whose homes hold it in their queues
         TimePoint submittedAt;
         TimePoint stepAt; // when it entered its phase or last changed its engine
--- a/include/jaytrack/Serve/context.h
+++ b/include/jaytrack/Serve/context.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,6 +51,7 @@
     PlacementDesk &placement;
     Wakefulness &wakefulness;
     PeerDirectory &peers;
+    std::function<bool()> cautious; // the rules in force may have been replaced unnoticed
     std::string instanceName;
     std::int64_t incarnation = 0;
     std::atomic<std::uint64_t> nextRequest{1};
--- a/include/jaytrack/Serve/instance.h
+++ b/include/jaytrack/Serve/instance.h
@@ -35,6 +35,7 @@
     bool isReady() const;
     std::uint16_t callerPort() const;
     std::uint16_t peerPort() const;
+    std::uint16_t operatorPort() const; // 0 if there is no operators' listener
 
 private:
     struct Parts;
--- a/lib/Cluster/configspread.cpp
+++ b/lib/Cluster/configspread.cpp
@@ -59,8 +59,8 @@
 
 void ConfigSpread::tick()
 {
-    const bool late = !this->fetchingFrom.empty()
-            && this->clock.now() - this->fetchingSince > this->options.fetchTimeout;
+    const bool late = !this->fetchingFrom.empty() &&
+                      this->clock.now() - this->fetchingSince > this->options.fetchTimeout;
     if (!late)
         return;
     this->ahead.erase(this->fetchingFrom);
--- a/lib/Cluster/membership.cpp
+++ b/lib/Cluster/membership.cpp
@@ -34,8 +34,8 @@
 
 bool wellFormed(const wire::MemberRecord &record)
 {
-    return !record.name.empty() && !record.peerAddress.empty() && record.state >= 0
-            && record.state <= wire::MemberState::Gone;
+    return !record.name.empty() && !record.peerAddress.empty() && record.state >= 0 &&
+           record.state <= wire::MemberState::Gone;
 }
 
 // Whether a record says something newer than what is known. A later incarnation is another
@@ -221,8 +221,8 @@
     ++this->tally.received;
     this->tally.receivedBytes += datagram.size();
     const auto sealed = datagram.size() <= largestDatagram
-            ? decodeMessage<wire::SealedMessage>(datagram)
-            : std::nullopt;
+                                ? decodeMessage<wire::SealedMessage>(datagram)
+                                : std::nullopt;
     // Whoever does not hold a key of the fleet could otherwise declare any instance gone.
     if (!sealed || !this->keys.verify(peerPurpose, sealed->body, sealed->mac)) {
         ++this->tally.rejected;
@@ -233,8 +233,8 @@
         ++this->tally.rejected;
         return;
     }
-    if (message->sender.name == this->me.name
-        && message->sender.incarnation == this->me.incarnation)
+    if (message->sender.name == this->me.name &&
+        message->sender.incarnation == this->me.incarnation)
         return;
     this->learn(message->sender);
     for (const wire::MemberRecord &record : message->records) {
@@ -369,8 +369,9 @@
 {
     for (auto &[name, known] : this->others) {
         Member &other = known.member;
-        const bool replaced = other.isUp() && other.name != fresh.name
-                && other.peerAddress == fresh.peerAddress && other.incarnation < fresh.incarnation;
+        const bool replaced = other.isUp() && other.name != fresh.name &&
+                              other.peerAddress == fresh.peerAddress &&
+                              other.incarnation < fresh.incarnation;
         if (!replaced)
             continue;
         other.state = MemberState::Gone;
@@ -527,16 +528,15 @@
     }
     if (candidates.empty())
         return;
-    const bool alone = std::none_of(this->others.begin(), this->others.end(), [](const auto &entry) {
-        return entry.second.member.isUp();
-    });
+    const bool alone = std::none_of(this->others.begin(), this->others.end(),
+                                    [](const auto &entry) { return entry.second.member.isUp(); });
     const std::size_t tries = alone ? this->options.helpers : 1;
     for (std::size_t i = 0; i < tries; ++i) {
         const std::string &address = candidates[this->random() % candidates.size()];
         const std::int64_t sequence = this->nextSequence++;
         this->asked[sequence] = this->clock.now();
-        this->post(address, this->makeMessage(wire::PeerKind::Ping, sequence,
-                                              this->memberAt(address)));
+        this->post(address,
+                   this->makeMessage(wire::PeerKind::Ping, sequence, this->memberAt(address)));
     }
     if (alone)
         this->nextReconnectAt = this->clock.now() + this->options.probePeriod;
@@ -570,8 +570,8 @@
 Duration Membership::suspicionTime() const
 {
     const double doublings = std::log2(static_cast<double>(this->others.size() + 1));
-    return this->options.suspicionBase
-            + std::chrono::duration_cast<Duration>(this->options.suspicionPerDoubling * doublings);
+    return this->options.suspicionBase +
+           std::chrono::duration_cast<Duration>(this->options.suspicionPerDoubling * doublings);
 }
 
 int Membership::repeatCount() const
--- a/lib/Config/settings.cpp
+++ b/lib/Config/settings.cpp
@@ -80,6 +80,16 @@
     TomlTable peers = root.table("peers");
     readPeers(peers, settings);
 
+    if (root.has("operators")) {
+        TomlTable operators = root.table("operators");
+        settings.operators = readListener(operators);
+        operators.finish();
+    }
+    settings.placement = root.text("placement", settings.placement);
+    if (settings.placement != "jaytrack" && settings.placement != "least_outstanding")
+        root.report(ResultCode::SettingsOutOfRange, "placement",
+                    "must be \"jaytrack\" or \"least_outstanding\"");
+
     TomlTable platform = root.table("platform");
     settings.configUrl = platform.text("config_url");
     settings.instancesUrl = platform.text("instances_url", "");
--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -119,10 +119,16 @@
         this->thread = std::thread([this] { this->context.run(); });
     }
 
-    ~Worker()
+    void stop()
     {
         this->context.stop();
-        this->thread.join();
+        if (this->thread.joinable())
+            this->thread.join();
+    }
+
+    ~Worker()
+    {
+        this->stop();
         for (auto &[id, transfer] : this->transfers)
             curl_multi_remove_handle(this->multi, transfer->easy);
         this->transfers.clear();
@@ -355,6 +361,12 @@
     return id;
 }
 
+void HttpClient::stop()
+{
+    for (const auto &worker : this->workers)
+        worker->stop();
+}
+
 void HttpClient::resume(HttpCallId call)
 {
     Worker *worker = this->workers[call % this->workers.size()].get();
--- a/lib/Policy/enginehome.cpp
+++ b/lib/Policy/enginehome.cpp
@@ -16,16 +16,15 @@
 constexpr double staticReserve = 1000;
 constexpr double staticShare = 0.8;
 constexpr double harmlessShare = 0.002; // of memory
-constexpr double agedShare = 0.5; // of its time to wait, after which a request goes first
+constexpr double agedShare = 0.5;       // of its time to wait, after which a request goes first
 
 // The number of standard deviations that a normal variable exceeds with this chance (Abramowitz
 // and Stegun 26.2.23; absolute error below 4.5e-4).
 double deviationsFor(double chance)
 {
     const double t = std::sqrt(-2 * std::log(std::clamp(chance, 1e-6, 0.5)));
-    return t
-            - (2.515517 + 0.802853 * t + 0.010328 * t * t)
-            / (1 + 1.432788 * t + 0.189269 * t * t + 0.001308 * t * t * t);
+    return t - (2.515517 + 0.802853 * t + 0.010328 * t * t) /
+                       (1 + 1.432788 * t + 0.189269 * t * t + 0.001308 * t * t * t);
 }
 
 } // namespace
@@ -73,8 +72,7 @@
     const double limit = request.maxTokens == 0 ? 1e9 : request.maxTokens;
     for (std::size_t i = 0; i < horizons; ++i) {
         const double ahead = horizonTokens[i];
-        const double chance =
-                produced + ahead > limit ? 0.0 : kind.survives(produced, ahead);
+        const double chance = produced + ahead > limit ? 0.0 : kind.survives(produced, ahead);
         const double size = request.promptTokens + produced + ahead;
         forecast.mean[i] = chance * size;
         forecast.variance[i] = chance * (1 - chance) * size * size;
@@ -107,8 +105,8 @@
     double used = this->unexplained;
     for (const auto &[key, commitment] : this->commitments)
         used += commitment.request.promptTokens + this->producedNow(commitment);
-    return used + request.promptTokens + staticReserve
-            <= staticShare * static_cast<double>(this->spec.memoryTokens);
+    return used + request.promptTokens + staticReserve <=
+           staticShare * static_cast<double>(this->spec.memoryTokens);
 }
 
 // Whether the chance that memory overflows at any moment foreseen stays within the operators'
@@ -145,11 +143,11 @@
     const auto capacity = static_cast<double>(this->spec.memoryTokens);
     double worst = this->unexplained;
     for (std::size_t i = 0; i < horizons; ++i) {
-        worst = std::max(worst, this->unexplained + this->sums.mean[i]
-                                 + std::sqrt(this->sums.variance[i]));
+        worst = std::max(worst, this->unexplained + this->sums.mean[i] +
+                                        std::sqrt(this->sums.variance[i]));
     }
-    const double slotRoom =
-            1.0 - static_cast<double>(this->commitments.size()) / static_cast<double>(this->spec.slots);
+    const double slotRoom = 1.0 - static_cast<double>(this->commitments.size()) /
+                                          static_cast<double>(this->spec.slots);
     return static_cast<int>(1000 * std::min(slotRoom, 1.0 - worst / capacity));
 }
 
@@ -219,8 +217,8 @@
     if (how == Departure::Finished)
         this->lengths.learn(this->spec.model, commitment.request.customer, producedTokens);
     const auto used = this->usage.find(commitment.request.customer);
-    used->second.first -= commitment.request.promptTokens + commitment.produced
-            - commitment.request.producedTokens;
+    used->second.first -= commitment.request.promptTokens + commitment.produced -
+                          commitment.request.producedTokens;
     used->second.second -= 1;
     if (used->second.second < 0.5)
         this->usage.erase(used);
@@ -263,8 +261,8 @@
         const Duration patience = request.deadline - request.since;
         const bool aged = now - request.since > patience * agedShare;
         const double share = this->options.fairShares && !aged
-                ? this->dominantShare(request.customer, request.weight)
-                : 0.0;
+                                     ? this->dominantShare(request.customer, request.weight)
+                                     : 0.0;
         return std::make_tuple(-request.priority, !aged, share, request.since);
     };
     return std::min_element(
--- a/lib/Policy/fleetpolicy.cpp
+++ b/lib/Policy/fleetpolicy.cpp
@@ -31,10 +31,10 @@
 constexpr Duration distrust = std::chrono::seconds(5);
 constexpr Duration subscriptionLength = std::chrono::seconds(30);
 constexpr double stepSmoothing = 0.2;
-constexpr double slowFactor = 2.0; // times the median step, beyond which an engine is slow
+constexpr double slowFactor = 2.0;    // times the median step, beyond which an engine is slow
 constexpr double queuedPenalty = 0.2; // of a whole engine, for each request that waits there
-constexpr double affinityRoom = 0.1; // least room for the cached prefix to decide
-constexpr double summaryBytes = 90; // one summary with its share of a datagram
+constexpr double affinityRoom = 0.1;  // least room for the cached prefix to decide
+constexpr double summaryBytes = 90;   // one summary with its share of a datagram
 
 std::uint64_t rank(std::string_view left, std::string_view right)
 {
@@ -108,11 +108,11 @@
 void FleetPolicy::assignHomes()
 {
     for (auto &[name, view] : this->engines) {
-        const auto best = std::max_element(
-                this->instances.begin(), this->instances.end(),
-                [&name = name](const std::string &a, const std::string &b) {
-                    return rank(name, a) < rank(name, b);
-                });
+        const auto best =
+                std::max_element(this->instances.begin(), this->instances.end(),
+                                 [&name = name](const std::string &a, const std::string &b) {
+                                     return rank(name, a) < rank(name, b);
+                                 });
         const bool moved = view.homeName != *best;
         view.homeName = *best;
         if (view.homeName != this->self) {
@@ -169,11 +169,11 @@
     const auto &avoid = state.ask.avoid;
     const auto &silent = state.silent;
     const auto &queuedAt = state.queuedAt;
-    return view.alive && !view.leaving
-            && !view.spec.leaving && view.distrustedUntil <= this->clock.now()
-            && std::find(avoid.begin(), avoid.end(), view.spec.name) == avoid.end()
-            && std::find(silent.begin(), silent.end(), view.spec.name) == silent.end()
-            && std::find(queuedAt.begin(), queuedAt.end(), view.spec.name) == queuedAt.end();
+    return view.alive && !view.leaving && !view.spec.leaving &&
+           view.distrustedUntil <= this->clock.now() &&
+           std::find(avoid.begin(), avoid.end(), view.spec.name) == avoid.end() &&
+           std::find(silent.begin(), silent.end(), view.spec.name) == silent.end() &&
+           std::find(queuedAt.begin(), queuedAt.end(), view.spec.name) == queuedAt.end();
 }
 
 double FleetPolicy::medianStep(const ViewList &views) const
@@ -326,7 +326,8 @@
     state.stepAt = state.producedAt;
     ++view.own;
     ++this->tally.granted;
-    this->listener.onPlacement(state.ask.id, {ResultCode::Ok, view.spec.name, std::move(reason), {}});
+    this->listener.onPlacement(state.ask.id,
+                               {ResultCode::Ok, view.spec.name, std::move(reason), {}});
 }
 
 void FleetPolicy::refuse(std::uint64_t id, ResultCode code, std::string reason)
@@ -343,7 +344,8 @@
     EngineView *best = nullptr;
     state.silent.clear();
     for (EngineView *view : this->used[state.ask.model]) {
-        const std::size_t part = std::max<std::size_t>(1, view->spec.slots / this->instances.size());
+        const std::size_t part =
+                std::max<std::size_t>(1, view->spec.slots / this->instances.size());
         if (!this->usable(*view, state) || view->own >= part)
             continue;
         if (best == nullptr || view->own < best->own)
@@ -460,7 +462,8 @@
 {
     const TimePoint now = this->clock.now();
     const Duration waited = now - state.submittedAt;
-    const Duration patience = state.ask.mayWait ? state.ask.maxWait : this->options.answerWait * mostAttempts;
+    const Duration patience =
+            state.ask.mayWait ? state.ask.maxWait : this->options.answerWait * mostAttempts;
     if (waited > patience) {
         ++this->tally.expired;
         this->withdrawElsewhere(state, "");
@@ -587,7 +590,8 @@
         return; // not its home any more, or not yet; the asker will ask again
     EngineView &view = found->second;
     const GrantKey key{std::string(from), body.serial};
-    const auto produced = static_cast<std::uint32_t>(std::max<std::int64_t>(0, body.producedTokens));
+    const auto produced =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(0, body.producedTokens));
     const TimePoint now = this->clock.now();
     RoomRequest request;
     request.key = key;
@@ -670,16 +674,16 @@
     const auto found = this->asks.find(static_cast<std::uint64_t>(body.serial));
     const auto expects = [&body](const AskState &state) {
         const auto &queues = state.queuedAt;
-        return state.phase != AskPhase::Placed
-                && (state.engine == body.engine
-                    || std::find(queues.begin(), queues.end(), body.engine) != queues.end());
+        return state.phase != AskPhase::Placed &&
+               (state.engine == body.engine ||
+                std::find(queues.begin(), queues.end(), body.engine) != queues.end());
     };
     const bool current = found != this->asks.end() && expects(found->second);
     if (!current) {
         // Room given to a request that has gone elsewhere; it goes back, or it would be held for
         // nobody. A repeated word on a request that sits on this very engine is no such room.
-        const bool held = found != this->asks.end() && found->second.phase == AskPhase::Placed
-                && found->second.engine == body.engine;
+        const bool held = found != this->asks.end() && found->second.phase == AskPhase::Placed &&
+                          found->second.engine == body.engine;
         if (body.kind == GrantGiven && !held) {
             wire::GrantBody back;
             back.serial = body.serial;
@@ -701,8 +705,9 @@
         this->withdrawElsewhere(state, body.engine);
         const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
                 this->clock.now() - state.submittedAt);
-        this->place(state, view, "room granted by " + std::string(from) + " after "
-                            + std::to_string(waited.count()) + " ms");
+        this->place(state, view,
+                    "room granted by " + std::string(from) + " after " +
+                            std::to_string(waited.count()) + " ms");
         return;
     }
     if (body.kind == GrantQueued) {
@@ -725,7 +730,8 @@
     std::erase(state.queuedAt, engine);
     const Duration waited = this->clock.now() - state.submittedAt;
     if (!state.ask.mayWait && state.attempts >= mostAttempts) {
-        this->refuse(state.ask.id, ResultCode::Overloaded, "engines are full and this may not wait");
+        this->refuse(state.ask.id, ResultCode::Overloaded,
+                     "engines are full and this may not wait");
     } else if (state.ask.mayWait && waited >= state.ask.maxWait) {
         ++this->tally.expired;
         this->refuse(state.ask.id, ResultCode::WaitExpired, "no engine had room in time");
@@ -773,8 +779,8 @@
         if (view.home)
             message.summaries.push_back(this->summaryOf(view));
     }
-    const double bytes = summaryBytes * static_cast<double>(message.summaries.size())
-            * static_cast<double>(this->subscribers.size());
+    const double bytes = summaryBytes * static_cast<double>(message.summaries.size()) *
+                         static_cast<double>(this->subscribers.size());
     const auto paced = std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(bytes / this->options.summaryBytesPerSecond));
     this->nextSummaryAt = now + std::max(this->options.summaryGap, paced);
--- a/lib/Policy/lengthestimator.cpp
+++ b/lib/Policy/lengthestimator.cpp
@@ -9,7 +9,7 @@
 
 constexpr double bucketsPerOctave = 2;
 constexpr double fadeAbove = 4000; // total weight at which all weights are halved
-constexpr double priorWeight = 8; // observations that the prior counts for
+constexpr double priorWeight = 8;  // observations that the prior counts for
 constexpr double modelWeight = 40; // observations that the model counts for beside the customer's
 
 double position(double length)
--- a/lib/Serve/gateway.cpp
+++ b/lib/Serve/gateway.cpp
@@ -196,7 +196,10 @@
 
 bool Gateway::identify(const HttpRequest &request, Caller &caller, Ending &refusal)
 {
-    if (this->draining.load()) {
+    // A ticket of this incarnation can run nowhere else, so it is still good while others drain.
+    const bool ticketed = !request.header(ticketHeader).empty() ||
+                          request.query.find("jaytrack_ticket=") != std::string::npos;
+    if (this->draining.load() && !ticketed) {
         refusal = {ResultCode::Draining, "", comeBackSoon};
         return false;
     }
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -404,7 +404,9 @@
     attemptLost.maySentBytes = maySentBytes;
     attemptLost.engineResumes = this->engine != nullptr && this->engine->can.resume;
     attemptLost.generationKnown = this->generationKnown;
-    attemptLost.repeatable = this->model->repeatable && !this->order.resumed;
+    // The model may have been declared not repeatable since the last revision that reached us.
+    attemptLost.repeatable =
+            this->model->repeatable && !this->order.resumed && !this->context.cautious();
     attemptLost.recoveries = this->recoveries;
     RecoveryStep step = this->relay.recover(attemptLost);
     if (step == RecoveryStep::Elsewhere && this->order.resumed)
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -4,7 +4,11 @@
 #include "jaytrack/Config/documentstore.h"
 #include "jaytrack/Http/client.h"
 #include "jaytrack/Policy/baselines.h"
+#include "jaytrack/Policy/fleetpolicy.h"
+#include "jaytrack/Serve/enginewatcher.h"
 #include "jaytrack/Serve/gateway.h"
+#include "jaytrack/Serve/operatordesk.h"
+#include "jaytrack/Serve/peernode.h"
 #include "jaytrack/Serve/placementdesk.h"
 #include "jaytrack/Serve/platformreader.h"
 #include "jaytrack/Support/keyring.h"
@@ -29,12 +33,6 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
 }
 
-class NoPeers final : public PeerDirectory
-{
-public:
-    std::optional<PeerAddress> find(std::string_view, std::int64_t) override { return {}; }
-};
-
 std::vector<EngineSpec> engineSpecs(const Document &document)
 {
     std::vector<EngineSpec> specs;
@@ -47,7 +45,7 @@
 
 } // namespace
 
-struct Instance::Parts final : public PlatformListener
+struct Instance::Parts final : public PlatformListener, public PolicyTransport
 {
     Parts(const Settings &given, const Clock &time)
         : settings(given)
@@ -57,36 +55,110 @@
         , work(asio::make_work_guard(this->control))
         , timer(this->control)
         , targets(given.targetThreads)
-        , placement(
-                  [this](PlacementListener &listener) {
-                      return makeBaseline(Baseline::LeastOutstanding, this->clock,
-                                          std::random_device{}(), listener);
-                  },
-                  [this](std::function<void()> step) {
-                      asio::post(this->control, std::move(step));
-                  })
-        , context{settings,  clock,       metrics, keys,          targets,
-                  placement, wakefulness, peers,   settings.name, newIncarnation()}
+        , incarnation(newIncarnation())
+        , placement([this](PlacementListener &listener) { return this->makePolicy(listener); },
+                    [this](std::function<void()> step) {
+                        asio::post(this->control, std::move(step));
+                    })
+        , peers(this->control, settings, time, keys, documents, targets, incarnation,
+                this->peerEvents())
+        , context{settings,      clock,      metrics,
+                  keys,          targets,    placement,
+                  wakefulness,   peers,      [this] { return this->cautious.load(); },
+                  settings.name, incarnation}
         , gateway(this->context, this->documents)
+        , watcher(this->context, [this](std::string_view engine) { return this->isHome(engine); })
         , platform(makeHttpPlatform(this->targets, time, std::random_device{}(), settings.configUrl,
                                     settings.instancesUrl, *this))
     {
         this->documents.watch([this](const std::shared_ptr<const Document> &document) {
-            this->placement.with([&document](PlacementPolicy &policy) {
-                policy.setEngines(engineSpecs(*document));
-            });
-            this->gateway.setReady(true);
+            asio::post(this->control, [this, document] { this->onInForce(*document); });
+        });
+    }
+
+    std::unique_ptr<PlacementPolicy> makePolicy(PlacementListener &listener)
+    {
+        const std::uint64_t seed = std::random_device{}();
+        if (this->settings.placement == "least_outstanding")
+            return makeBaseline(Baseline::LeastOutstanding, this->clock, seed, listener);
+        auto policy = std::make_unique<FleetPolicy>(this->settings.name, this->clock, seed, *this,
+                                                    listener);
+        this->fleetPolicy = policy.get();
+        return policy;
+    }
+
+    PeerNodeEvents peerEvents()
+    {
+        PeerNodeEvents events;
+        events.membersChanged = [this](const std::vector<std::string> &names) {
+            this->placement.with([&names](PlacementPolicy &policy) { policy.setInstances(names); });
+        };
+        events.policyMessage = [this](const std::string &from, const std::string &message) {
+            this->placement.with([&](PlacementPolicy &policy) { policy.receive(from, message); });
+        };
+        events.refreshed = [this](TimePoint askedAt) { this->wakefulness.refreshed(askedAt); };
+        return events;
+    }
+
+    // Called under the policy's lock, so it leaves the sending to the control thread.
+    void send(std::string_view to, std::string message) override
+    {
+        asio::post(this->control,
+                   [this, to = std::string(to), message = std::move(message)]() mutable {
+                       this->peers.sendPolicy(to, std::move(message));
+                   });
+    }
+
+    // A baseline has no homes; every instance then asks every engine.
+    bool isHome(std::string_view engine)
+    {
+        bool home = true;
+        this->placement.with([&](PlacementPolicy &) {
+            home = this->fleetPolicy == nullptr || this->fleetPolicy->isHomeOf(engine);
         });
+        return home;
+    }
+
+    void onInForce(const Document &document)
+    {
+        this->placement.with(
+                [&document](PlacementPolicy &policy) { policy.setEngines(engineSpecs(document)); });
+        this->peers.onDocument(document.revision);
     }
 
     void onDocument(std::string bytes, std::uint64_t revision, TimePoint askedAt) override
     {
-        this->documents.offer(bytes, revision, "platform");
-        this->wakefulness.refreshed(askedAt);
+        asio::post(this->control, [this, bytes = std::move(bytes), revision, askedAt] {
+            this->documents.offer(bytes, revision, "platform");
+            this->onServiceAnswer(revision, askedAt);
+        });
+    }
+
+    void onUnchanged(TimePoint askedAt) override
+    {
+        asio::post(this->control,
+                   [this, askedAt] { this->onServiceAnswer(this->documents.revision(), askedAt); });
+    }
+
+    void onServiceAnswer(std::uint64_t revision, TimePoint askedAt)
+    {
+        this->peers.onServiceRevision(revision, askedAt);
+        // A replica that is behind what is in force here knows nothing fresh.
+        if (revision >= this->documents.revision())
+            this->wakefulness.refreshed(askedAt);
+    }
+
+    void onInstances(std::vector<ListedInstance> instances, TimePoint) override
+    {
+        std::vector<std::string> addresses;
+        for (const ListedInstance &instance : instances) {
+            if (!instance.leaving)
+                addresses.push_back(instance.peerAddress);
+        }
+        asio::post(this->control,
+                   [this, addresses = std::move(addresses)] { this->peers.suggest(addresses); });
     }
 
-    void onUnchanged(TimePoint askedAt) override { this->wakefulness.refreshed(askedAt); }
-    void onInstances(std::vector<ListedInstance>, TimePoint) override {}
     std::uint64_t revisionInForce() override { return this->documents.revision(); }
 
     void tick()
@@ -95,7 +167,7 @@
         this->platform->tick();
         this->placement.with([](PlacementPolicy &policy) { policy.tick(); });
         if (++this->ticks % ticksPerSweep == 0)
-            this->gateway.sweep();
+            this->sweep();
         this->timer.expires_after(controlTick);
         this->timer.async_wait([this](const asio::error_code &ec) {
             if (!ec)
@@ -103,22 +175,57 @@
         });
     }
 
+    void sweep()
+    {
+        this->peers.tick();
+        this->gateway.sweep();
+        if (const auto document = this->documents.current())
+            this->watcher.tick(*document);
+        this->cautious.store(this->peers.cautious());
+        if (this->gateway.isReady() || this->gateway.isDraining() || !this->peers.mayServe())
+            return;
+        this->gateway.setReady(true);
+        this->peers.goLive();
+        logEvent(Severity::Info, "instance_ready", {{"name", this->settings.name}});
+    }
+
+    void drain()
+    {
+        this->gateway.drain();
+        asio::post(this->control, [this] { this->peers.leave(); });
+        logEvent(Severity::Info, "drain_began",
+                 {{"in_service", static_cast<std::int64_t>(this->gateway.inService())}});
+    }
+
+    OperatorView operatorView()
+    {
+        return {this->settings.name,      this->gateway, this->peers,
+                this->documents,          this->metrics, this->wakefulness,
+                [this] { this->drain(); }};
+    }
+
     Settings settings;
     const Clock &clock;
     Metrics metrics;
     KeyRing keys;
     Wakefulness wakefulness;
     DocumentStore documents;
-    NoPeers peers;
+    std::atomic<bool> cautious{false};
+    FleetPolicy *fleetPolicy = nullptr; // owned by placement; null if a baseline is chosen
     asio::io_context control;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     asio::steady_timer timer;
     HttpClient targets;
+    std::int64_t incarnation;
     PlacementDesk placement;
+    PeerNode peers;
     ServeContext context;
     Gateway gateway;
+    EngineWatcher watcher;
     std::unique_ptr<Platform> platform;
+    std::unique_ptr<OperatorDesk> operatorDesk;
     std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> operators;
     std::uint64_t ticks = 0;
     std::thread controlThread;
 };
@@ -128,11 +235,19 @@
 {
 }
 
+// Servers first, so that nothing new comes in; then the control thread, so that nothing runs when
+// the parts go.
 Instance::~Instance()
 {
+    if (this->parts->operators)
+        this->parts->operators->stop();
     this->parts->callers->stop();
-    this->parts->control.stop();
-    this->parts->controlThread.join();
+    if (this->parts->controlThread.joinable()) {
+        this->parts->control.stop();
+        this->parts->controlThread.join();
+    }
+    this->parts->targets.stop();
+    this->parts->peers.depart();
 }
 
 Result<std::unique_ptr<Instance>> Instance::start(const Settings &settings, const Clock &clock)
@@ -148,6 +263,21 @@
     if (!callers)
         return callers.error();
     parts->callers = std::move(callers.value());
+    const Result<void> opened = parts->peers.open(settings.callers.address + ":" +
+                                                  std::to_string(parts->callers->port()));
+    if (!opened)
+        return opened.error();
+    if (!settings.operators.address.empty()) {
+        HttpServerOptions operators;
+        operators.address = settings.operators.address;
+        operators.port = settings.operators.port;
+        operators.threads = 1;
+        parts->operatorDesk = std::make_unique<OperatorDesk>(parts->operatorView());
+        auto started = startHttpServer(operators, *parts->operatorDesk);
+        if (!started)
+            return started.error();
+        parts->operators = std::move(started.value());
+    }
     Parts *running = parts.get();
     parts->controlThread = std::thread([running] {
         running->tick();
@@ -155,16 +285,15 @@
     });
     logEvent(Severity::Info, "instance_started",
              {{"name", settings.name},
-              {"incarnation", parts->context.incarnation},
-              {"callers_port", parts->callers->port()}});
+              {"incarnation", parts->incarnation},
+              {"callers_port", parts->callers->port()},
+              {"peers_port", parts->peers.port()}});
     return std::unique_ptr<Instance>(new Instance(std::move(parts)));
 }
 
 void Instance::drain()
 {
-    this->parts->gateway.drain();
-    logEvent(Severity::Info, "drain_began",
-             {{"in_service", static_cast<std::int64_t>(this->parts->gateway.inService())}});
+    this->parts->drain();
 }
 
 bool Instance::drained() const
@@ -189,7 +318,12 @@
 
 std::uint16_t Instance::peerPort() const
 {
-    return 0;
+    return this->parts->peers.port();
+}
+
+std::uint16_t Instance::operatorPort() const
+{
+    return this->parts->operators ? this->parts->operators->port() : 0;
 }
 
 } // namespace jaytrack
--- a/lib/Serve/platformreader.cpp
+++ b/lib/Serve/platformreader.cpp
@@ -13,7 +13,9 @@
 
 namespace {
 
-constexpr std::chrono::seconds watchWait{30}; // how long the service holds one watch open
+// How long the service holds one watch open. Its end confirms that nothing is newer, so it must
+// come well within the time after which an unconfirmed configuration makes this instance cautious.
+constexpr std::chrono::seconds watchWait{5};
 constexpr std::chrono::seconds answerMargin{5};
 constexpr std::chrono::milliseconds firstPause{250};
 constexpr std::chrono::seconds longestPause{4};
--- a/lib/Serve/servicecall.cpp
+++ b/lib/Serve/servicecall.cpp
@@ -354,7 +354,9 @@
 // can have reached the target.
 bool ServiceDesk::mayRepeat(const CallPointer &call, const FetchedAnswer &answer)
 {
-    const bool safe = call->mayRunAgain || !answer.end.maySentBytes;
+    // A route may have been declared not idempotent since the last revision that reached us.
+    const bool trusted = call->mayRunAgain && !this->context.cautious();
+    const bool safe = trusted || !answer.end.maySentBytes;
     if (!safe || call->attempts >= maxAttempts)
         return false;
     const bool elsewhere = call->tried.size() < call->service->targets.size();
--- a/tools/jaytrackctl/main.cpp
+++ b/tools/jaytrackctl/main.cpp
@@ -1,9 +1,14 @@
 // jaytrackctl: the operators' tool.
 #include "jaytrack/Config/inventory.h"
+#include "jaytrack/Http/client.h"
 #include "jaytrack/Support/commandline.h"
 
+#include <nlohmann/json.hpp>
+
 #include <fstream>
+#include <iomanip>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
 namespace {
@@ -113,6 +118,105 @@
     return jaytrack::ExitGood;
 }
 
+boost::program_options::options_description operatorOptions()
+{
+    namespace po = boost::program_options;
+    po::options_description options("options");
+    options.add_options()("help,h", "print this help")(
+            "operators", po::value<std::string>()->required(),
+            "address and port of an instance's operators' listener")(
+            "format", po::value<std::string>()->default_value("table"), "table or json");
+    return options;
+}
+
+// Asks one instance's operators' interface; says on standard error why it failed.
+std::optional<std::string> askInstance(const std::string &address, const std::string &method,
+                                       const std::string &path)
+{
+    jaytrack::HttpClient client(1);
+    jaytrack::HttpCall call;
+    call.method = method;
+    call.url = "http://" + address + path;
+    call.totalTimeout = std::chrono::seconds(5);
+    call.mayRepeat = method == "GET";
+    const jaytrack::FetchedAnswer answer = jaytrack::fetch(client, call);
+    if (answer.end.whole && answer.end.status == 200)
+        return answer.body;
+    std::cerr << "error: " << address << ": "
+              << (answer.end.whole
+                          ? "status " + std::to_string(answer.end.status) + ": " + answer.body
+                          : answer.end.error)
+              << "\n";
+    return std::nullopt;
+}
+
+// The value as it stands in a table.
+std::string cell(const nlohmann::json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+// One line for each plain value of an object, and a table of its members if it has any.
+void printTable(const nlohmann::json &object)
+{
+    for (const auto &[key, value] : object.items()) {
+        if (!value.is_array())
+            std::cout << std::left << std::setw(18) << key << cell(value) << "\n";
+    }
+    if (!object.contains("members"))
+        return;
+    std::cout << "\n"
+              << std::setw(24) << "instance" << std::setw(14) << "data centre" << std::setw(10)
+              << "state"
+              << "callers\n";
+    for (const nlohmann::json &member : object["members"])
+        std::cout << std::setw(24) << cell(member["name"]) << std::setw(14)
+                  << cell(member["data_centre"]) << std::setw(10) << cell(member["state"])
+                  << cell(member["callers"]) << (member["self"].get<bool>() ? "  (asked)" : "")
+                  << "\n";
+}
+
+int askAndPrint(int argc, const char *const *argv, const std::string &name,
+                const std::string &method, std::string path, bool takesRequest)
+{
+    namespace po = boost::program_options;
+    po::options_description options = operatorOptions();
+    if (takesRequest)
+        options.add_options()("request", po::value<std::string>()->required(),
+                              "the request's number, from its Jaytrack-Request header");
+    po::variables_map values;
+    int exitCode = jaytrack::ExitGood;
+    if (!jaytrack::parseCommandLine(argc, argv, options,
+                                    "jaytrackctl " + name + " --operators HOST:PORT [options]",
+                                    values, exitCode))
+        return exitCode;
+    if (takesRequest)
+        path += "?id=" + values["request"].as<std::string>();
+    const auto body = askInstance(values["operators"].as<std::string>(), method, path);
+    if (!body)
+        return jaytrack::ExitFailed;
+    if (values["format"].as<std::string>() == "json")
+        std::cout << *body << "\n";
+    else
+        printTable(nlohmann::json::parse(*body, nullptr, false));
+    return jaytrack::ExitGood;
+}
+
+int runStatus(int argc, const char *const *argv)
+{
+    return askAndPrint(argc, argv, "status", "GET", "/status", false);
+}
+
+int runExplain(int argc, const char *const *argv)
+{
+    return askAndPrint(argc, argv, "explain", "GET", "/explain", true);
+}
+
+int runDrain(int argc, const char *const *argv)
+{
+    return askAndPrint(argc, argv, "drain", "POST", "/drain", false);
+}
+
 int runCodes(int, const char *const *)
 {
     std::cout << "| code | name | outcome | HTTP | meaning |\n| --- | --- | --- | --- | --- |\n";
@@ -127,6 +231,9 @@
         {"check", "check an inventory and its rules", runCheck},
         {"compile", "compile both into the document that the platform publishes", runCompile},
         {"diff", "say what a new document would change", runDiff},
+        {"status", "show an instance and the fleet as it sees it", runStatus},
+        {"explain", "say why a request went as it did", runExplain},
+        {"drain", "begin a graceful shutdown of an instance", runDrain},
         {"codes", "print the table of result codes", runCodes},
 };
 
--- a/unittests/Cluster/membershiptest.cpp
+++ b/unittests/Cluster/membershiptest.cpp
@@ -43,12 +43,12 @@
                                       std::move(datagram)});
         }
 
-        void onMembersChanged() override { }
+        void onMembersChanged() override {}
         void onPeerHeard(const Member &, std::uint64_t revision, Duration, TimePoint) override
         {
             this->heardRevision = std::max(this->heardRevision, revision);
         }
-        void onPolicyMessage(std::string_view, std::string_view) override { }
+        void onPolicyMessage(std::string_view, std::string_view) override {}
 
         Lab &lab;
         std::uint64_t heardRevision = 0;
@@ -138,8 +138,8 @@
     lab.peers[3]->stopped = true;
     lab.run(std::chrono::seconds(12));
     for (int i = 0; i < 3; ++i)
-        cr_assert(lab.peers[static_cast<std::size_t>(i)]->membership.find("d")->state
-                  == MemberState::Gone);
+        cr_assert(lab.peers[static_cast<std::size_t>(i)]->membership.find("d")->state ==
+                  MemberState::Gone);
 }
 
 // Symptom: a healthy instance is called gone. Events: one link between two is cut, all others are
--- a/unittests/Config/documenttest.cpp
+++ b/unittests/Config/documenttest.cpp
@@ -13,16 +13,15 @@
 
 namespace {
 
-const std::string goodDocument =
-        R"({"models":[],"engines":[],"services":[],"customers":[]})";
+const std::string goodDocument = R"({"models":[],"engines":[],"services":[],"customers":[]})";
 
 // A file with the given text that goes when the test does.
 class TemporaryFile
 {
 public:
     explicit TemporaryFile(const std::string &text)
-        : path(std::filesystem::temp_directory_path()
-               / ("jaytrack-test-" + std::to_string(reinterpret_cast<std::uintptr_t>(this))))
+        : path(std::filesystem::temp_directory_path() /
+               ("jaytrack-test-" + std::to_string(reinterpret_cast<std::uintptr_t>(this))))
     {
         std::ofstream(this->path) << text;
     }
@@ -147,8 +146,8 @@
                                          "[callers]\naddress = \"127.0.0.1\"\nport = 1\n"
                                          "[peers]\naddress = \"127.0.0.1\"\nport = 2\n"
                                          "keys = [\"0123456789abcdef\"]\n"
-                                         "[platform]\nconfig_url = \"http://127.0.0.1:3/\"\n")
-                             + param->line);
+                                         "[platform]\nconfig_url = \"http://127.0.0.1:3/\"\n") +
+                             param->line);
     Problems problems;
     readSettings(file.name(), problems);
     cr_assert(problems.size() == 1, "%zu problems", problems.size());
--- a/unittests/Soak/callers.cpp
+++ b/unittests/Soak/callers.cpp
@@ -21,7 +21,11 @@
 class PaymentCaller : public std::enable_shared_from_this<PaymentCaller>
 {
 public:
-    explicit PaymentCaller(Fleet &world) : fleet(world), number(world.nextPayment++) { }
+    explicit PaymentCaller(Fleet &world)
+        : fleet(world)
+        , number(world.nextPayment++)
+    {
+    }
 
     void takeTicket()
     {
@@ -61,16 +65,15 @@
             return;
         }
         const Member *issuer = node->membership.find(this->ticket.issuer);
-        const bool alive = issuer != nullptr && issuer->isUp()
-                && issuer->incarnation == this->ticket.incarnation;
+        const bool alive = issuer != nullptr && issuer->isUp() &&
+                           issuer->incarnation == this->ticket.incarnation;
         if (!alive || forwarded) {
             this->reply(place, Outcome::Unknown);
             return;
         }
         const Self self = this->shared_from_this();
-        this->fleet.network.send(place, issuer->peerAddress, [self, at = issuer->peerAddress] {
-            self->atEntry(at, true);
-        });
+        this->fleet.network.send(place, issuer->peerAddress,
+                                 [self, at = issuer->peerAddress] { self->atEntry(at, true); });
     }
 
     void atIssuer(Node &node)
@@ -103,7 +106,8 @@
                 return;
             ++self->fleet.runs[self->number];
             self->fleet.schedule.after(serviceTime, [self, issuer, place] {
-                self->fleet.network.send(target, place, [self, issuer] { self->onTargetAnswer(*issuer); });
+                self->fleet.network.send(target, place,
+                                         [self, issuer] { self->onTargetAnswer(*issuer); });
             });
         });
         this->fleet.schedule.after(answerWait, [self, issuer] { self->onTargetTimeout(*issuer); });
@@ -142,15 +146,16 @@
         this->check(outcome);
         // A run that comes after the caller was told counts as well.
         const Self self = this->shared_from_this();
-        this->fleet.schedule.after(std::chrono::seconds(60), [self, outcome] { self->check(outcome); });
+        this->fleet.schedule.after(std::chrono::seconds(60),
+                                   [self, outcome] { self->check(outcome); });
     }
 
     void check(Outcome outcome)
     {
         const int runs = this->fleet.runs[this->number];
-        const std::string words = "payment " + std::to_string(this->number) + " ran "
-                + std::to_string(runs) + " times and was told "
-                + std::string(outcomeName(outcome));
+        const std::string words = "payment " + std::to_string(this->number) + " ran " +
+                                  std::to_string(runs) + " times and was told " +
+                                  std::string(outcomeName(outcome));
         if (runs > 1)
             this->fleet.violate(words);
         if (outcome == Outcome::Complete && runs != 1)
@@ -320,8 +325,8 @@
         if (this->seen != name)
             this->fleet.violate("a caller saw tokens of " + this->seen + " and " + name);
         if (index != this->next)
-            this->fleet.violate("a caller saw token " + std::to_string(index) + " instead of "
-                                + std::to_string(this->next));
+            this->fleet.violate("a caller saw token " + std::to_string(index) + " instead of " +
+                                std::to_string(this->next));
         ++this->next;
         this->finished = this->next == this->length;
     }
@@ -330,7 +335,7 @@
     std::uint64_t length;
     std::uint64_t next = 0;
     std::string generation; // the engine's
-    std::string seen; // whose tokens the caller has
+    std::string seen;       // whose tokens the caller has
     int connections = 0;
     bool finished = false;
     TimePoint lastHeard;
--- a/unittests/Soak/fleet.cpp
+++ b/unittests/Soak/fleet.cpp
@@ -16,8 +16,8 @@
 std::string documentFor(std::uint64_t revision)
 {
     return R"({"models":[{"name":"m","may_wait":true,"max_wait_ms":1,"priority":0,)"
-           R"("repeatable":true,"overflow_bound":0.01,"silence_ms":)"
-            + std::to_string(revision) + R"(}],"engines":[],"services":[],"customers":[]})";
+           R"("repeatable":true,"overflow_bound":0.01,"silence_ms":)" +
+           std::to_string(revision) + R"(}],"engines":[],"services":[],"customers":[]})";
 }
 
 Member memberAt(const std::string &name, const std::string &address, std::int64_t incarnation)
@@ -46,8 +46,8 @@
     , incarnation(start)
     , startedAt(owner.schedule.clock.now())
     , cutOffAt(startedAt)
-    , membership(memberAt(called, this->address, start), owner.schedule.clock, owner.random(), owner.keys,
-                 *this, *this)
+    , membership(memberAt(called, this->address, start), owner.schedule.clock, owner.random(),
+                 owner.keys, *this, *this)
     , spread(owner.schedule.clock, owner.random(), *this, *this)
     , wakefulness(owner.schedule.clock, pauseLimit)
     , ledger(called, start, forgetfulLedger())
@@ -99,9 +99,8 @@
     const TimePoint now = this->fleet.schedule.clock.now();
     if (now < this->pausedUntil) {
         // What arrives while a process is stopped waits in its socket.
-        this->fleet.schedule.after(this->pausedUntil - now, [this, from, datagram] {
-            this->receive(from, datagram);
-        });
+        this->fleet.schedule.after(this->pausedUntil - now,
+                                   [this, from, datagram] { this->receive(from, datagram); });
         return;
     }
     this->membership.receive(from, datagram);
@@ -156,9 +155,10 @@
         if (peer == nullptr || !peer->running())
             return;
         const auto [revision, bytes] = peer->documents.bytes();
-        this->fleet.network.send(peerAddress, this->address, [this, peerAddress, r = revision, b = bytes] {
-            this->acceptFromPeer(peerAddress, r, b);
-        });
+        this->fleet.network.send(peerAddress, this->address,
+                                 [this, peerAddress, r = revision, b = bytes] {
+                                     this->acceptFromPeer(peerAddress, r, b);
+                                 });
     });
 }
 
@@ -183,8 +183,9 @@
 
 Node *Fleet::nodeAt(const std::string &address)
 {
-    const auto found = std::find_if(this->nodes.begin(), this->nodes.end(),
-                                    [&address](const auto &node) { return node->address == address; });
+    const auto found =
+            std::find_if(this->nodes.begin(), this->nodes.end(),
+                         [&address](const auto &node) { return node->address == address; });
     return found == this->nodes.end() || (*found)->dead ? nullptr : found->get();
 }
 
@@ -193,8 +194,8 @@
     const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(
                             this->schedule.clock.now().time_since_epoch())
                             .count();
-    this->result.violations.push_back("seed=" + std::to_string(this->options.seed)
-                                      + " at_ms=" + std::to_string(at) + " " + what);
+    this->result.violations.push_back("seed=" + std::to_string(this->options.seed) +
+                                      " at_ms=" + std::to_string(at) + " " + what);
 }
 
 void Fleet::countFault(const std::string &kind)
@@ -242,8 +243,8 @@
     const TimePoint touchedUntil = old.cutOffAt;
     // Some platforms name a replacement anew, some keep the name.
     const std::string name = this->network.chance(0.5)
-            ? old.name()
-            : "node-" + std::to_string(this->nextIncarnation);
+                                     ? old.name()
+                                     : "node-" + std::to_string(this->nextIncarnation);
     this->graveyard.push_back(std::move(this->nodes[index]));
     this->nodes[index] = this->makeNode(name, address);
     this->nodes[index]->touch(touchedUntil); // the address is still cut off
@@ -302,7 +303,8 @@
     for (const auto &node : this->nodes) {
         const bool touched = node->cutOffAt >= acceptance.at || node->startedAt >= acceptance.at;
         if (!touched && node->running() && node->documents.revision() < revision)
-            this->violate("revision " + std::to_string(revision) + " not in force at " + node->name());
+            this->violate("revision " + std::to_string(revision) + " not in force at " +
+                          node->name());
     }
 }
 
@@ -373,9 +375,8 @@
     default:
         this->countFault("slow_links");
         this->network.longest = std::chrono::milliseconds(400);
-        this->schedule.after(std::chrono::seconds(10), [this] {
-            this->network.longest = std::chrono::milliseconds(6);
-        });
+        this->schedule.after(std::chrono::seconds(10),
+                             [this] { this->network.longest = std::chrono::milliseconds(6); });
         break;
     }
     // Short gaps let two faults overlap.
@@ -407,8 +408,8 @@
             this->violate(node->name() + " never received revision " + std::to_string(newest));
         const std::vector<Member> seen = node->membership.members();
         if (seen.size() != this->nodes.size())
-            this->violate(node->name() + " knows " + std::to_string(seen.size()) + " of "
-                          + std::to_string(this->nodes.size()));
+            this->violate(node->name() + " knows " + std::to_string(seen.size()) + " of " +
+                          std::to_string(this->nodes.size()));
         for (const auto &other : this->nodes) {
             const Member *member = node->membership.find(other->name());
             if (member == nullptr || !member->takesWork())
--- a/unittests/Soak/fleet.h
+++ b/unittests/Soak/fleet.h
@@ -26,7 +26,7 @@
     Duration length = std::chrono::minutes(10);
     bool faults = true;
     bool callers = true;
-    bool trace = false; // prints faults and acceptances as they come
+    bool trace = false;                            // prints faults and acceptances as they come
     Duration changeGap = std::chrono::seconds(20); // between configuration changes
 };
 
@@ -40,10 +40,10 @@
     std::uint64_t resumes = 0;
     std::map<std::string, std::uint64_t> faults;
     std::vector<std::string> violations;
-    std::vector<double> spreadSeconds; // from first acceptance to each connected instance
+    std::vector<double> spreadSeconds;    // from first acceptance to each connected instance
     std::vector<double> detectionSeconds; // from death to each instance's knowing
-    std::uint64_t falseSuspicions = 0; // that ended with a living instance called gone
-    double bytesPerSecond = 0; // sent by each instance, on average
+    std::uint64_t falseSuspicions = 0;    // that ended with a living instance called gone
+    double bytesPerSecond = 0;            // sent by each instance, on average
     double messagesPerSecond = 0;
 };
 
@@ -62,10 +62,10 @@
     const std::int64_t incarnation;
     bool dead = false;
     TimePoint pausedUntil;
-    TimePoint wokeLateAt; // the last time it woke from a pause beyond its limit
+    TimePoint wokeLateAt;   // the last time it woke from a pause beyond its limit
     TimePoint refreshedFor; // the newest question whose answer has refreshed it
     TimePoint startedAt;
-    TimePoint cutOffAt; // the last time a fault touched it
+    TimePoint cutOffAt;               // the last time a fault touched it
     std::uint64_t servedRevision = 0; // the newest it has ever shown
 
     Membership membership;
@@ -93,10 +93,10 @@
 
 private:
     void send(std::string_view to, std::string datagram) override;
-    void onMembersChanged() override { }
+    void onMembersChanged() override {}
     void onPeerHeard(const Member &peer, std::uint64_t revision, Duration age,
                      TimePoint askedAt) override;
-    void onPolicyMessage(std::string_view, std::string_view) override { }
+    void onPolicyMessage(std::string_view, std::string_view) override {}
     void offer(std::string_view bytes, std::uint64_t revision, std::string_view source) override;
     void fetchDocument(const std::string &peerAddress) override;
 
@@ -156,7 +156,10 @@
         TimePoint at;
         const Node *holder = nullptr;
 
-        bool holderTouched() const { return this->holder->dead || this->holder->cutOffAt >= this->at; }
+        bool holderTouched() const
+        {
+            return this->holder->dead || this->holder->cutOffAt >= this->at;
+        }
     };
 
     std::map<std::uint64_t, Acceptance> accepted;
--- a/unittests/Soak/main.cpp
+++ b/unittests/Soak/main.cpp
@@ -83,8 +83,8 @@
     bool calm = false;
     bool trace = false;
     po::options_description options("options");
-    options.add_options()("help,h", "print this help")(
-            "first", po::value(&first)->default_value(1), "the first seed")(
+    options.add_options()("help,h", "print this help")("first", po::value(&first)->default_value(1),
+                                                       "the first seed")(
             "last", po::value(&last)->default_value(20), "the last seed")(
             "instances", po::value(&instances)->default_value(7), "instances in each run")(
             "minutes", po::value(&minutes)->default_value(10), "virtual minutes of each run")(
--- a/unittests/Soak/simulation.h
+++ b/unittests/Soak/simulation.h
@@ -63,7 +63,11 @@
 class Network
 {
 public:
-    Network(Schedule &list, std::mt19937_64 &source) : schedule(list), random(source) { }
+    Network(Schedule &list, std::mt19937_64 &source)
+        : schedule(list)
+        , random(source)
+    {
+    }
 
     // Delivers after a delay, perhaps never, perhaps twice; reordering follows from the delays.
     void send(const std::string &from, const std::string &to, const std::function<void()> &deliver)
@@ -97,8 +101,8 @@
         if (this->isCut(from, to) || this->chance(this->loss))
             return;
         const auto spread = static_cast<std::uint64_t>(this->longest.count());
-        const Duration delay = std::chrono::microseconds(500)
-                + Duration(static_cast<Duration::rep>(this->random() % (spread + 1)));
+        const Duration delay = std::chrono::microseconds(500) +
+                               Duration(static_cast<Duration::rep>(this->random() % (spread + 1)));
         this->schedule.after(delay, deliver);
     }
 
--- a/unittests/Stream/ssetest.cpp
+++ b/unittests/Stream/ssetest.cpp
@@ -1,5 +1,5 @@
-#include "jaytrack/Stream/handle.h"
 #include "jaytrack/Stream/sse.h"
+#include "jaytrack/Stream/handle.h"
 #include "jaytrack/Support/keyring.h"
 
 #include <criterion/criterion.h>
@@ -20,8 +20,8 @@
         const std::string_view part = text.substr(0, piece);
         text.remove_prefix(part.size());
         splitter.feed(part, [&found](const SseEvent &event) {
-            found += std::string(event.id) + "|" + std::string(event.name) + "|"
-                    + std::string(event.data) + ";";
+            found += std::string(event.id) + "|" + std::string(event.name) + "|" +
+                     std::string(event.data) + ";";
             return true;
         });
     }
@@ -83,8 +83,10 @@
 ParameterizedTestParameters(cursor, parses)
 {
     static CursorCase cases[] = {
-            {"abc.0", true}, {"abc.41", true}, {"abc", false},   {".4", false},
-            {"abc.", false}, {"abc.x", false}, {"abc.-1", false}, {"abc.99999999999999999999", false},
+            {"abc.0", true},   {"abc.41", true},
+            {"abc", false},    {".4", false},
+            {"abc.", false},   {"abc.x", false},
+            {"abc.-1", false}, {"abc.99999999999999999999", false},
     };
     return cr_make_param_array(CursorCase, cases, std::size(cases));
 }
--- a/unittests/Support/resulttest.cpp
+++ b/unittests/Support/resulttest.cpp
@@ -1,5 +1,5 @@
-#include "jaytrack/Support/digest.h"
 #include "jaytrack/Support/result.h"
+#include "jaytrack/Support/digest.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -29,9 +29,10 @@
     std::ostringstream text;
     text << file.rdbuf();
     for (const ResultCodeInfo &row : allResultCodes()) {
-        const std::string line = "| " + std::to_string(static_cast<int>(row.code)) + " | "
-                + std::string(row.name) + " | " + std::string(outcomeName(row.outcome)) + " | "
-                + std::to_string(row.httpStatus) + " | " + std::string(row.meaning) + " |\n";
+        const std::string line =
+                "| " + std::to_string(static_cast<int>(row.code)) + " | " + std::string(row.name) +
+                " | " + std::string(outcomeName(row.outcome)) + " | " +
+                std::to_string(row.httpStatus) + " | " + std::string(row.meaning) + " |\n";
         cr_assert(text.str().find(line) != std::string::npos, "missing: %s", line.c_str());
     }
 }
@@ -44,7 +45,7 @@
 
 ParameterizedTestParameters(digest, base64)
 {
-    static Base64Case cases[] = {{"", ""},       {"f", "Zg"},     {"fo", "Zm8"},
+    static Base64Case cases[] = {{"", ""},        {"f", "Zg"},         {"fo", "Zm8"},
                                  {"foo", "Zm9v"}, {"\xff\xfe", "__4"}, {"\xfb", "-w"}};
     return cr_make_param_array(Base64Case, cases, std::size(cases));
 }
