--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -286,7 +286,8 @@
              {{"name", settings.name},
               {"incarnation", parts->incarnation},
               {"callers_port", parts->callers->port()},
-              {"peers_port", parts->peers.port()}});
+              {"peers_port", parts->peers.port()},
+              {"operators_port", parts->operators ? parts->operators->port() : 0}});
     return std::unique_ptr<Instance>(new Instance(std::move(parts)));
 }
 
