--- a/include/jaytrack/Serve/gateway.h
+++ b/include/jaytrack/Serve/gateway.h
@@ -75,7 +75,7 @@
     void handleHealth(const HttpRequest &request, ResponseWriter &writer) const;
     bool identify(const HttpRequest &request, Caller &caller, Ending &refusal);
     void handleModels(const Caller &caller, ResponseWriter &writer) const;
-    void handleCompletion(Caller caller, HttpRequest request,
+    void handleCompletion(Caller caller, const HttpRequest &request,
                           std::shared_ptr<ResponseWriter> writer);
     void handleResume(Caller caller, std::string_view cursorOrHandle, const HttpRequest &request,
                       std::shared_ptr<ResponseWriter> writer);
--- a/include/jaytrack/Serve/servicecall.h
+++ b/include/jaytrack/Serve/servicecall.h
@@ -49,7 +49,8 @@
     void forward(const CallPointer &call, const Ticket &ticket);
     void offerTicket(const CallPointer &call);
     void attempt(const CallPointer &call);
-    void onAnswer(const CallPointer &call, const ServiceTarget &target, FetchedAnswer answer);
+    void onAnswer(const CallPointer &call, const ServiceTarget &target,
+                  const FetchedAnswer &answer);
     void onForwarded(const CallPointer &call, FetchedAnswer answer);
     bool mayRepeat(const CallPointer &call, const FetchedAnswer &answer);
     const ServiceTarget *chooseTarget(const Call &call);
--- a/lib/Http/server.cpp
+++ b/lib/Http/server.cpp
@@ -178,9 +178,10 @@
         for (std::size_t i = 0; i < this->threadCount; ++i)
             this->threads.emplace_back([this] { this->context.run(); });
         std::promise<std::string> opened;
-        this->server.open_async(
-                [&opened] { opened.set_value({}); },
-                [&opened](std::exception_ptr failure) { opened.set_value(messageOf(failure)); });
+        this->server.open_async([&opened] { opened.set_value({}); },
+                                [&opened](const std::exception_ptr &failure) {
+                                    opened.set_value(messageOf(failure));
+                                });
         const std::string failure = opened.get_future().get();
         if (!failure.empty())
             return Error{ResultCode::SettingsContradiction, "cannot listen: " + failure};
--- a/lib/Load/generationcaller.cpp
+++ b/lib/Load/generationcaller.cpp
@@ -60,15 +60,15 @@
     class Connection final : public HttpCallListener
     {
     public:
-        Connection(std::shared_ptr<GenerationCaller> who, int turn)
+        Connection(std::shared_ptr<GenerationCaller> who, int which)
             : caller(std::move(who))
-            , connection(turn)
+            , connection(which)
         {
         }
 
-        void onHeaders(int status, std::span<const HttpHeader> headers) override
+        void onHeaders(int got, std::span<const HttpHeader> headers) override
         {
-            this->caller->onHeaders(this->connection, status, headers);
+            this->caller->onHeaders(this->connection, got, headers);
         }
 
         bool onData(std::string_view data) override
--- a/lib/Load/tally.cpp
+++ b/lib/Load/tally.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace jaytrack {
 
@@ -26,7 +27,8 @@
     if (this->values.empty())
         return 0;
     std::vector<double> sorted = this->values;
-    const auto rank = static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1) + 0.5);
+    const auto rank =
+            static_cast<std::size_t>(std::lround(q * static_cast<double>(sorted.size() - 1)));
     const auto at = sorted.begin() + static_cast<std::ptrdiff_t>(rank);
     std::nth_element(sorted.begin(), at, sorted.end());
     return *at;
--- a/lib/Policy/fleetpolicy.cpp
+++ b/lib/Policy/fleetpolicy.cpp
@@ -576,9 +576,8 @@
                         body.kind == GrantQueued || body.kind == GrantRefused;
     if (!urgent)
         return;
-    const wire::PolicyMessage due = std::move(message);
-    this->putOff->erase(instance);
-    this->sendMessage(instance, due);
+    const auto due = this->putOff->extract(instance);
+    this->sendMessage(instance, due.mapped());
 }
 
 // Sends what was put off. Its pace falls with the number of receivers, so that the cost stays
--- a/lib/Serve/gateway.cpp
+++ b/lib/Serve/gateway.cpp
@@ -178,7 +178,7 @@
     if (path == "/v1/models" && request.method == "GET")
         this->handleModels(caller, *writer);
     else if ((path == chatPath || path == textPath) && request.method == "POST")
-        this->handleCompletion(std::move(caller), std::move(request), std::move(writer));
+        this->handleCompletion(std::move(caller), request, std::move(writer));
     else if (path.substr(0, streamsPath.size()) == streamsPath && request.method == "GET")
         this->handleResume(std::move(caller), path.substr(streamsPath.size()), request,
                            std::move(writer));
@@ -237,7 +237,7 @@
     writer.respond(200, headers, json{{"object", "list"}, {"data", data}}.dump());
 }
 
-void Gateway::handleCompletion(Caller caller, HttpRequest request,
+void Gateway::handleCompletion(Caller caller, const HttpRequest &request,
                                std::shared_ptr<ResponseWriter> writer)
 {
     // A client that reconnects by repeating its POST says where it stands; starting another
--- a/lib/Serve/platformreader.cpp
+++ b/lib/Serve/platformreader.cpp
@@ -108,15 +108,15 @@
         Pacing instances;
     };
 
-    void ask(HttpCall call, std::function<void(HttpPlatform &, FetchedAnswer)> handler)
+    void ask(HttpCall call, std::function<void(HttpPlatform &, const FetchedAnswer &)> handler)
     {
         static constexpr std::size_t answerBound = 2 * maxDocumentBytes;
         call.mayRepeat = true;
         fetchLater(this->client, std::move(call), answerBound,
-                   [kept = this->state, handler = std::move(handler)](FetchedAnswer answer) {
+                   [kept = this->state, handler = std::move(handler)](const FetchedAnswer &answer) {
                        const std::lock_guard lock(kept->mutex);
                        if (kept->owner != nullptr)
-                           handler(*kept->owner, std::move(answer));
+                           handler(*kept->owner, answer);
                    });
     }
 
@@ -129,12 +129,12 @@
             call.url += "?after=" + std::to_string(known) +
                         "&wait_ms=" + std::to_string(std::chrono::milliseconds(watchWait).count());
         call.totalTimeout = watchWait + answerMargin;
-        this->ask(std::move(call), [askedAt](HttpPlatform &self, FetchedAnswer answer) {
-            self.onDocument(std::move(answer), askedAt);
+        this->ask(std::move(call), [askedAt](HttpPlatform &self, const FetchedAnswer &answer) {
+            self.onDocument(answer, askedAt);
         });
     }
 
-    void onDocument(FetchedAnswer answer, TimePoint askedAt)
+    void onDocument(const FetchedAnswer &answer, TimePoint askedAt)
     {
         const TimePoint now = this->clock.now();
         const auto revision = parseIndex(findHeader(answer.headers, "Config-Revision"));
@@ -160,7 +160,7 @@
             this->state->document.failed(now, this->state->random);
         else
             this->state->document.succeeded(now, Duration(0));
-        this->listener.onDocument(std::move(answer.body), *revision, askedAt);
+        this->listener.onDocument(answer.body, *revision, askedAt);
     }
 
     void askInstances(TimePoint askedAt)
@@ -168,7 +168,7 @@
         HttpCall call;
         call.url = this->instancesUrl;
         call.totalTimeout = answerMargin;
-        this->ask(std::move(call), [askedAt](HttpPlatform &self, FetchedAnswer answer) {
+        this->ask(std::move(call), [askedAt](HttpPlatform &self, const FetchedAnswer &answer) {
             self.onInstances(answer, askedAt);
         });
     }
--- a/lib/Serve/servicecall.cpp
+++ b/lib/Serve/servicecall.cpp
@@ -315,13 +315,13 @@
         out.headers.push_back(
                 {std::string(keyHeader), call->caller.customer->name + ":" + std::string(key)});
     fetchLater(this->context.targets, std::move(out), this->context.settings.maxAnswerBytes,
-               [this, call, target](FetchedAnswer answer) {
-                   this->onAnswer(call, *target, std::move(answer));
+               [this, call, target](const FetchedAnswer &answer) {
+                   this->onAnswer(call, *target, answer);
                });
 }
 
 void ServiceDesk::onAnswer(const CallPointer &call, const ServiceTarget &target,
-                           FetchedAnswer answer)
+                           const FetchedAnswer &answer)
 {
     const std::lock_guard lock(this->mutex);
     const TimePoint now = this->context.clock.now();
@@ -330,8 +330,7 @@
     call->everSent |= answer.end.maySentBytes;
     if (answer.end.whole) {
         KeptAnswer kept{ResultCode::Ok, answer.end.status,
-                        std::string(findHeader(answer.headers, "Content-Type")),
-                        std::move(answer.body)};
+                        std::string(findHeader(answer.headers, "Content-Type")), answer.body};
         this->settle(call, std::move(kept));
         return;
     }
--- a/lib/Support/digest.cpp
+++ b/lib/Support/digest.cpp
@@ -33,7 +33,7 @@
 {
     static constexpr std::string_view digits = "0123456789abcdef";
     std::string text;
-    text.reserve(2 * SHA256_DIGEST_LENGTH);
+    text.reserve(std::size_t{2} * SHA256_DIGEST_LENGTH);
     for (const unsigned char byte : sha256(data)) {
         text += digits[byte >> 4U];
         text += digits[byte & 15U];
