Report service-level burn over several instances

Cause: operators ask how fast their objectives are used up; nothing counted that. Callers who left or went on elsewhere have result codes of their own (310, 311): the first burn table counted them as our failures (a burn of 1.36 with nothing wrong). Conclusion: burn counts what is ours; gaps between tokens are not yet an objective of their own.

--- a/include/jaytrack/Config/document.h
+++ b/include/jaytrack/Config/document.h
@@ -65,7 +65,8 @@
     std::string name;
     std::vector<ServiceTarget> targets;
     std::vector<Route> routes;
-    bool deduplicates = false; // honours Idempotency-Key over all its targets
+    double objectiveShare = 0.99; // of requests that must be answered
+    bool deduplicates = false;    // honours Idempotency-Key over all its targets
     std::chrono::milliseconds timeout{10'000};
 
     bool isIdempotent(std::string_view method, std::string_view path) const;
@@ -81,6 +82,9 @@
     bool repeatable = true;      // a generation of which nothing was seen may start again elsewhere
     double overflowBound = 0.02; // accepted chance that an engine's memory overflows
     std::chrono::milliseconds silenceTimeout{20'000}; // longest gap between two tokens
+    std::chrono::milliseconds firstTokenObjective{390};
+    std::chrono::milliseconds stallObjective{2'000};
+    double objectiveShare = 0.95; // of requests that must keep each objective
 };
 
 // One customer.
--- a/include/jaytrack/Serve/operatordesk.h
+++ b/include/jaytrack/Serve/operatordesk.h
@@ -41,6 +41,7 @@
 private:
     std::string status() const;
     std::string metrics() const;
+    std::string burn() const;
     void explain(const HttpRequest &request, ResponseWriter &writer) const;
 
     OperatorView view;
--- a/include/jaytrack/Serve/requestlog.h
+++ b/include/jaytrack/Serve/requestlog.h
@@ -3,6 +3,7 @@
 #ifndef JAYTRACK_SERVE_REQUESTLOG_H
 #define JAYTRACK_SERVE_REQUESTLOG_H
 
+#include "jaytrack/Policy/burnmeter.h"
 #include "jaytrack/Support/clock.h"
 #include "jaytrack/Support/result.h"
 
@@ -14,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace jaytrack {
 
@@ -34,25 +36,30 @@
     Duration firstByte{0};
     Duration total{0};
     Duration longestStall{0};
+    std::string levelSubject; // the model's or service's name
+    ServiceLevel level;
 };
 
 // Writes the log line and metrics of each request that ends, and remembers the last of them.
 class RequestLog
 {
 public:
-    explicit RequestLog(Metrics &target)
+    RequestLog(Metrics &target, const Clock &clock)
         : metrics(target)
+        , meter(clock)
     {
     }
 
     void add(RequestRecord record);
     std::optional<RequestRecord> find(std::string_view id) const;
+    std::vector<BurnRow> burn() const;
 
 private:
     static constexpr std::size_t kept = 4096;
 
     Metrics &metrics;
     mutable std::mutex mutex;
+    BurnMeter meter;
     std::deque<std::string> order;
     std::unordered_map<std::string, RequestRecord> records;
 };
--- a/include/jaytrack/Serve/servicecall.h
+++ b/include/jaytrack/Serve/servicecall.h
@@ -54,7 +54,7 @@
     void onForwarded(const CallPointer &call, FetchedAnswer answer);
     bool mayRepeat(const CallPointer &call, const FetchedAnswer &answer);
     const ServiceTarget *chooseTarget(const Call &call);
-    void settle(const CallPointer &call, KeptAnswer answer);
+    void settle(const CallPointer &call, const KeptAnswer &answer);
     void refuse(const CallPointer &call, const Ending &ending);
     void tellWaiters(std::int64_t serial, const KeptAnswer &answer);
     void answer(const CallPointer &call, const KeptAnswer &answer);
--- a/include/jaytrack/Support/result.h
+++ b/include/jaytrack/Support/result.h
@@ -46,6 +46,8 @@
     GenerationGone = 307,
     InvariantBroken = 308,
     StillRunning = 309,
+    CallerLeft = 310,
+    ResumedElsewhere = 311,
     SettingsUnreadable = 401,
     SettingsUnknownKey = 402,
     SettingsWrongType = 403,
--- a/lib/Config/document.cpp
+++ b/lib/Config/document.cpp
@@ -65,6 +65,7 @@
             {"targets", targets},
             {"routes", routes},
             {"deduplicates", service.deduplicates},
+            {"objective", service.objectiveShare},
             {"timeout_ms", service.timeout.count()}};
 }
 
@@ -72,6 +73,7 @@
 {
     from.at("name").get_to(service.name);
     from.at("deduplicates").get_to(service.deduplicates);
+    service.objectiveShare = from.value("objective", service.objectiveShare);
     service.timeout = std::chrono::milliseconds(from.at("timeout_ms").get<std::int64_t>());
     for (const json &entry : from.at("targets")) {
         ServiceTarget &target = service.targets.emplace_back();
@@ -96,7 +98,10 @@
             {"priority", model.priority},
             {"repeatable", model.repeatable},
             {"overflow_bound", model.overflowBound},
-            {"silence_ms", model.silenceTimeout.count()}};
+            {"silence_ms", model.silenceTimeout.count()},
+            {"first_token_ms", model.firstTokenObjective.count()},
+            {"stall_ms", model.stallObjective.count()},
+            {"objective", model.objectiveShare}};
 }
 
 void fromJson(const json &from, Model &model)
@@ -108,6 +113,11 @@
     from.at("repeatable").get_to(model.repeatable);
     from.at("overflow_bound").get_to(model.overflowBound);
     model.silenceTimeout = std::chrono::milliseconds(from.at("silence_ms").get<std::int64_t>());
+    model.firstTokenObjective = std::chrono::milliseconds(
+            from.value("first_token_ms", model.firstTokenObjective.count()));
+    model.stallObjective =
+            std::chrono::milliseconds(from.value("stall_ms", model.stallObjective.count()));
+    model.objectiveShare = from.value("objective", model.objectiveShare);
 }
 
 json toJson(const Customer &customer)
--- a/lib/Config/inventory.cpp
+++ b/lib/Config/inventory.cpp
@@ -164,6 +164,11 @@
         model.overflowBound = entry.number("overflow_bound", 0.0001, 0.5, 0.02);
         model.silenceTimeout =
                 std::chrono::milliseconds(entry.integer("silence_ms", timeoutRange, 20'000));
+        model.firstTokenObjective =
+                std::chrono::milliseconds(entry.integer("first_token_ms", waitRange, 390));
+        model.stallObjective =
+                std::chrono::milliseconds(entry.integer("stall_ms", waitRange, 2'000));
+        model.objectiveShare = entry.number("objective", 0.5, 0.9999, 0.95);
         if (!model.mayWait && entry.has("max_wait_ms"))
             entry.report(ResultCode::SettingsContradiction, "max_wait_ms",
                          "given for a model that may not wait");
@@ -178,6 +183,7 @@
         Service &target = service == nullptr ? unused : *service;
         target.timeout =
                 std::chrono::milliseconds(entry.integer("timeout_ms", timeoutRange, 10'000));
+        target.objectiveShare = entry.number("objective", 0.5, 0.9999, 0.99);
         for (TomlTable &routeEntry : entry.tables("routes")) {
             Route route;
             route.method = routeEntry.text("method");
--- a/lib/Serve/gateway.cpp
+++ b/lib/Serve/gateway.cpp
@@ -154,7 +154,7 @@
     : context(ctx)
     , documents(store)
     , meter(std::make_shared<AdmissionMeter>(ctx.settings.maxRequests))
-    , log(ctx.metrics)
+    , log(ctx.metrics, ctx.clock)
     , serviceDesk(ctx, this->log)
 {
 }
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -78,6 +78,9 @@
     this->record.id = this->caller.requestId;
     this->record.customer = this->caller.customer->name;
     this->record.subject = this->order.ask.model;
+    this->record.levelSubject = this->order.ask.model;
+    this->record.level = {this->model->firstTokenObjective, this->model->stallObjective,
+                          this->model->objectiveShare};
     this->record.revision = this->caller.document->revision;
 }
 
@@ -261,7 +264,7 @@
         this->discarding = true;
         this->leaveEngine(Departure::Cancelled);
         this->dropAttempt();
-        this->finish({ResultCode::TargetLost, "resumed elsewhere", {}});
+        this->finish({ResultCode::ResumedElsewhere, "", {}});
         return;
     case Signal::Failed:
         this->generationKnown = false;
@@ -525,7 +528,7 @@
     this->dropAttempt();
     this->cancelAtEngine();
     this->leaveEngine(Departure::Cancelled);
-    this->finish({ResultCode::TargetLost, "the caller did not come back", {}});
+    this->finish({ResultCode::CallerLeft, "", {}});
 }
 
 void GenerationCall::sweepEngine(TimePoint now)
--- a/lib/Serve/operatordesk.cpp
+++ b/lib/Serve/operatordesk.cpp
@@ -61,6 +61,8 @@
         respondJson(*writer, this->status());
     } else if (request.path == "/explain") {
         this->explain(request, *writer);
+    } else if (request.path == "/burn") {
+        respondJson(*writer, this->burn());
     } else if (request.path == "/drain" && request.method == "POST") {
         this->view.drain();
         respondJson(*writer, "{}");
@@ -115,6 +117,20 @@
     return status.dump();
 }
 
+std::string OperatorDesk::burn() const
+{
+    json rows = json::array();
+    for (const BurnRow &row : this->view.gateway.requests().burn()) {
+        rows.push_back({{"customer", row.customer},
+                        {"subject", row.subject},
+                        {"objective", row.objective},
+                        {"share", row.share},
+                        {"total", row.total},
+                        {"bad", row.bad}});
+    }
+    return rows.dump();
+}
+
 void OperatorDesk::explain(const HttpRequest &request, ResponseWriter &writer) const
 {
     const auto record = this->view.gateway.requests().find(request.queryValue("id"));
--- a/lib/Serve/requestlog.cpp
+++ b/lib/Serve/requestlog.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr int serverFault = 500; // HTTP status from which the fault is not the caller's
+
 double inSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -46,6 +48,11 @@
               {"stall_ms", inMillis(record.longestStall)},
               {"reason", record.reason}});
     const std::lock_guard lock(this->mutex);
+    // What callers got wrong, and the offer of a ticket, use up nobody's allowance.
+    const bool ours = info.httpStatus >= serverFault || record.code == ResultCode::Ok;
+    if (ours && !record.levelSubject.empty())
+        this->meter.add({record.customer, record.levelSubject, record.level,
+                         record.code == ResultCode::Ok, record.firstByte, record.longestStall});
     this->order.push_back(record.id);
     this->records.insert_or_assign(record.id, std::move(record));
     if (this->order.size() > kept) {
@@ -54,6 +61,12 @@
     }
 }
 
+std::vector<BurnRow> RequestLog::burn() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->meter.rows();
+}
+
 std::optional<RequestRecord> RequestLog::find(std::string_view id) const
 {
     const std::lock_guard lock(this->mutex);
--- a/lib/Serve/servicecall.cpp
+++ b/lib/Serve/servicecall.cpp
@@ -124,6 +124,8 @@
     call->record.id = call->caller.requestId;
     call->record.customer = call->caller.customer->name;
     call->record.subject = call->scope();
+    call->record.levelSubject = service.name;
+    call->record.level.share = service.objectiveShare;
     call->record.revision = call->caller.document->revision;
 
     std::string sealed(call->request.header(ticketHeader));
@@ -329,9 +331,9 @@
     call->record.firstByte = now - call->startedAt;
     call->everSent |= answer.end.maySentBytes;
     if (answer.end.whole) {
-        KeptAnswer kept{ResultCode::Ok, answer.end.status,
-                        std::string(findHeader(answer.headers, "Content-Type")), answer.body};
-        this->settle(call, std::move(kept));
+        const KeptAnswer kept{ResultCode::Ok, answer.end.status,
+                              std::string(findHeader(answer.headers, "Content-Type")), answer.body};
+        this->settle(call, kept);
         return;
     }
     if (this->mayRepeat(call, answer)) {
@@ -363,7 +365,7 @@
 }
 
 // The final word on a request that ran, or may have run.
-void ServiceDesk::settle(const CallPointer &call, KeptAnswer answer)
+void ServiceDesk::settle(const CallPointer &call, const KeptAnswer &answer)
 {
     if (call->ticketSerial != 0) {
         this->ledger.complete(call->ticketSerial, answer, this->context.clock.now());
--- a/tools/jaytrackctl/main.cpp
+++ b/tools/jaytrackctl/main.cpp
@@ -1,6 +1,7 @@
 // jaytrackctl: the operators' tool.
 #include "jaytrack/Config/inventory.h"
 #include "jaytrack/Http/client.h"
+#include "jaytrack/Policy/burnmeter.h"
 #include "jaytrack/Support/commandline.h"
 
 #include <nlohmann/json.hpp>
@@ -217,6 +218,116 @@
     return askAndPrint(argc, argv, "drain", "POST", "/drain", false);
 }
 
+std::optional<std::vector<jaytrack::BurnRow>> readBurn(const std::string &address)
+{
+    const auto body = askInstance(address, "GET", "/burn");
+    if (!body)
+        return std::nullopt;
+    std::vector<jaytrack::BurnRow> rows;
+    for (const nlohmann::json &entry : nlohmann::json::parse(*body)) {
+        jaytrack::BurnRow row;
+        entry.at("customer").get_to(row.customer);
+        entry.at("subject").get_to(row.subject);
+        entry.at("objective").get_to(row.objective);
+        entry.at("share").get_to(row.share);
+        entry.at("total").get_to(row.total);
+        entry.at("bad").get_to(row.bad);
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+void printBurnTable(const std::vector<jaytrack::BurnRow> &rows)
+{
+    std::cout << std::left << std::setw(20) << "customer" << std::setw(14) << "subject"
+              << std::setw(13) << "objective" << std::setw(8) << "share" << std::setw(10) << "5 min"
+              << std::setw(10) << "1 h" << std::setw(10) << "6 h"
+              << "requests in 6 h\n";
+    for (const jaytrack::BurnRow &row : rows) {
+        std::cout << std::setw(20) << row.customer << std::setw(14) << row.subject << std::setw(13)
+                  << row.objective << std::setw(8) << row.share;
+        for (std::size_t i = 0; i < jaytrack::burnWindows.size(); ++i)
+            std::cout << std::setw(10) << std::setprecision(3) << row.burn(i);
+        std::cout << row.total.back() << "\n";
+    }
+}
+
+nlohmann::json burnJson(const std::vector<jaytrack::BurnRow> &rows)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const jaytrack::BurnRow &row : rows) {
+        list.push_back({{"customer", row.customer},
+                        {"subject", row.subject},
+                        {"objective", row.objective},
+                        {"share", row.share},
+                        {"burn", {row.burn(0), row.burn(1), row.burn(2)}},
+                        {"total", row.total},
+                        {"bad", row.bad}});
+    }
+    return list;
+}
+
+// A page that needs nothing else: the figures are embedded as JSON and drawn by the browser.
+void printBurnPage(const std::vector<jaytrack::BurnRow> &rows)
+{
+    std::string data = burnJson(rows).dump();
+    // A name with "</script>" in it would end the element that carries the data.
+    for (std::size_t at = data.find('<'); at != std::string::npos; at = data.find('<', at))
+        data.replace(at, 1, "\\u003c");
+    std::cout << R"(<!doctype html><meta charset="utf-8"><title>Service-level burn</title>
+<style>body{font:14px sans-serif}td,th{padding:2px 8px;text-align:left}
+.bar{display:inline-block;height:10px;background:#4a7}.bad{background:#c43}</style>
+<h1>Service-level burn</h1><p>1 uses the allowance up exactly.</p>
+<table id=t><tr><th>customer<th>subject<th>objective<th>5 min<th>1 h<th>6 h</tr></table>
+<script id=data type="application/json">)"
+              << data << R"(</script>
+<script>
+for (const r of JSON.parse(document.getElementById('data').textContent)) {
+  const row = document.getElementById('t').insertRow();
+  for (const k of ['customer', 'subject', 'objective']) row.insertCell().textContent = r[k];
+  for (const b of r.burn) {
+    const cell = row.insertCell(), bar = document.createElement('span');
+    bar.className = 'bar' + (b > 1 ? ' bad' : '');
+    bar.style.width = Math.min(200, b * 40) + 'px';
+    cell.append(bar, ' ' + b.toFixed(2));
+  }
+}
+</script>
+)";
+}
+
+int runBurn(int argc, const char *const *argv)
+{
+    namespace po = boost::program_options;
+    po::options_description options("options");
+    options.add_options()("help,h", "print this help")(
+            "operators", po::value<std::vector<std::string>>()->multitoken()->required(),
+            "operators' listeners of all instances to add up")(
+            "format", po::value<std::string>()->default_value("table"), "table, json or html");
+    po::variables_map values;
+    int exitCode = jaytrack::ExitGood;
+    if (!jaytrack::parseCommandLine(argc, argv, options,
+                                    "jaytrackctl burn --operators HOST:PORT ... [--format FORMAT]",
+                                    values, exitCode))
+        return exitCode;
+    std::vector<jaytrack::BurnRow> all;
+    bool whole = true;
+    for (const std::string &address : values["operators"].as<std::vector<std::string>>()) {
+        const auto rows = readBurn(address);
+        whole = whole && rows.has_value();
+        if (rows)
+            jaytrack::mergeBurn(all, *rows);
+    }
+    const std::string format = values["format"].as<std::string>();
+    if (format == "json")
+        std::cout << burnJson(all).dump() << "\n";
+    else if (format == "html")
+        printBurnPage(all);
+    else
+        printBurnTable(all);
+    return whole ? jaytrack::ExitGood : jaytrack::ExitFailed;
+}
+
 int runCodes(int, const char *const *)
 {
     std::cout << "| code | name | outcome | HTTP | meaning |\n| --- | --- | --- | --- | --- |\n";
@@ -232,6 +343,7 @@
         {"compile", "compile both into the document that the platform publishes", runCompile},
         {"diff", "say what a new document would change", runDiff},
         {"status", "show an instance and the fleet as it sees it", runStatus},
+        {"burn", "show how fast service levels are used up, over several instances", runBurn},
         {"explain", "say why a request went as it did", runExplain},
         {"drain", "begin a graceful shutdown of an instance", runDrain},
         {"codes", "print the table of result codes", runCodes},
--- a/unittests/Serve/servicetest.cpp
+++ b/unittests/Serve/servicetest.cpp
@@ -309,4 +309,6 @@
     const auto record = nlohmann::json::parse(ask("/explain?id=" + id).body);
     cr_assert(record["reason"] == "idempotent");
     cr_assert(ask("/explain?id=none").end.status == 404);
+    const auto burn = nlohmann::json::parse(ask("/burn").body);
+    cr_assert(burn[0]["subject"] == "account" && burn[0]["total"][0] == 1);
 }
