--- a/lib/Policy/enginehome.cpp
+++ b/lib/Policy/enginehome.cpp
@@ -16,6 +16,7 @@
 constexpr double staticReserve = 1000;
 constexpr double staticShare = 0.8;
 constexpr double harmlessShare = 0.002; // of memory
+constexpr double urgentShare = 0.02; // the same for requests of some priority, which may not wait
 constexpr double agedShare = 0.5;       // of its time to wait, after which a request goes first
 
 // The number of standard deviations that a normal variable exceeds with this chance (Abramowitz
@@ -130,7 +131,8 @@
         const double variance = std::max(0.0, this->sums.variance[i]) + own.variance[i];
         // A short request that is gone before the moment foreseen does not add to its risk, and
         // holding it back would not lessen that.
-        const bool harmless = i > 0 && own.mean[i] < harmlessShare * capacity;
+        const double share = request.priority > 0 ? urgentShare : harmlessShare;
+        const bool harmless = i > 0 && own.mean[i] < share * capacity;
         if (mean + deviations * std::sqrt(variance) > capacity && !harmless)
             return false;
     }
