--- a/include/jaytrack/Support/commandline.h
+++ b/include/jaytrack/Support/commandline.h
@@ -4,7 +4,9 @@
 
 #include <boost/program_options.hpp>
 
+#include <span>
 #include <string>
+#include <string_view>
 
 namespace jaytrack {
 
@@ -18,6 +20,18 @@
                       const std::string &synopsis, boost::program_options::variables_map &values,
                       int &exitCode);
 
+// One of the commands of a program that has several.
+struct Command
+{
+    std::string_view name;
+    std::string_view help;
+    int (*run)(int argc, const char *const *argv);
+};
+
+// Runs the command that the first argument names, with the rest; else prints help or a complaint.
+int runCommand(std::string_view program, std::span<const Command> commands, int argc,
+               const char *const *argv);
+
 } // namespace jaytrack
 
 #endif
--- a/lib/Policy/enginehome.cpp
+++ b/lib/Policy/enginehome.cpp
@@ -17,7 +17,7 @@
 constexpr double staticShare = 0.8;
 constexpr double harmlessShare = 0.002; // of memory
 constexpr double urgentShare = 0.02; // the same for requests of some priority, which may not wait
-constexpr double agedShare = 0.5;       // of its time to wait, after which a request goes first
+constexpr double agedShare = 0.5;    // of its time to wait, after which a request goes first
 
 // The number of standard deviations that a normal variable exceeds with this chance (Abramowitz
 // and Stegun 26.2.23; absolute error below 4.5e-4).
--- a/lib/Standin/configserver.cpp
+++ b/lib/Standin/configserver.cpp
@@ -1,7 +1,8 @@
 #include "jaytrack/Http/server.h"
 #include "jaytrack/Standin/servers.h"
 
-#include <asio.hpp>
+#include "timerthread.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -10,7 +11,6 @@
 #include <list>
 #include <mutex>
 #include <sstream>
-#include <thread>
 
 namespace jaytrack {
 
@@ -32,16 +32,13 @@
 public:
     explicit ConfigStandin(const ConfigStandinOptions &chosen)
         : options(chosen)
-        , work(asio::make_work_guard(this->context))
     {
     }
 
     ~ConfigStandin() override
     {
         this->server.reset();
-        this->context.stop();
-        if (this->timerThread.joinable())
-            this->timerThread.join();
+        this->timers.stop();
     }
 
     ConfigStandin(const ConfigStandin &) = delete;
@@ -66,7 +63,7 @@
         if (!started)
             return started.error();
         this->server = std::move(started.value());
-        this->timerThread = std::thread([this] { this->context.run(); });
+        this->timers.start();
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
 
@@ -157,7 +154,7 @@
         }
         const auto watch = std::make_shared<Watch>();
         watch->writer = std::move(writer);
-        watch->timer = std::make_shared<asio::steady_timer>(this->context, wait);
+        watch->timer = std::make_shared<asio::steady_timer>(this->timers.context, wait);
         this->watches.push_back(watch);
         watch->timer->async_wait([this, watch](const asio::error_code &) {
             const std::lock_guard lock(this->mutex);
@@ -170,15 +167,13 @@
     }
 
     ConfigStandinOptions options;
-    asio::io_context context;
-    asio::executor_work_guard<asio::io_context::executor_type> work;
+    TimerThread timers;
     std::mutex mutex;
     std::string document;
     std::uint64_t revision = 0;
     std::uint64_t reads = 0;
     Watches watches;
     std::deque<std::pair<std::chrono::steady_clock::time_point, std::string>> instances;
-    std::thread timerThread;
     std::unique_ptr<HttpServer> server;
 };
 
--- a/lib/Standin/serviceserver.cpp
+++ b/lib/Standin/serviceserver.cpp
@@ -1,12 +1,12 @@
 #include "jaytrack/Http/server.h"
 #include "jaytrack/Standin/servers.h"
 
-#include <asio.hpp>
+#include "timerthread.h"
+
 #include <nlohmann/json.hpp>
 
 #include <map>
 #include <mutex>
-#include <thread>
 
 namespace jaytrack {
 
@@ -20,16 +20,13 @@
 public:
     explicit ServiceStandin(const ServiceStandinOptions &chosen)
         : options(chosen)
-        , work(asio::make_work_guard(this->context))
     {
     }
 
     ~ServiceStandin() override
     {
         this->server.reset();
-        this->context.stop();
-        if (this->timerThread.joinable())
-            this->timerThread.join();
+        this->timers.stop();
     }
 
     ServiceStandin(const ServiceStandin &) = delete;
@@ -45,7 +42,7 @@
         if (!started)
             return started.error();
         this->server = std::move(started.value());
-        this->timerThread = std::thread([this] { this->context.run(); });
+        this->timers.start();
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
 
@@ -108,19 +105,17 @@
             const std::lock_guard lock(this->mutex);
             takes = this->options.takes;
         }
-        auto timer = std::make_shared<asio::steady_timer>(this->context, takes);
+        auto timer = std::make_shared<asio::steady_timer>(this->timers.context, takes);
         timer->async_wait([timer, writer = std::move(writer), answer = std::move(answer)](
                                   const asio::error_code &) { respond(*writer, answer); });
     }
 
     ServiceStandinOptions options;
-    asio::io_context context;
-    asio::executor_work_guard<asio::io_context::executor_type> work;
+    TimerThread timers;
     std::mutex mutex;
     std::uint64_t requests = 0;
     std::map<std::string, std::uint64_t> runs;
     std::map<std::string, std::uint64_t> keys;
-    std::thread timerThread;
     std::unique_ptr<HttpServer> server;
 };
 
--- a/lib/Support/commandline.cpp
+++ b/lib/Support/commandline.cpp
@@ -1,5 +1,6 @@
 #include "jaytrack/Support/commandline.h"
 
+#include <iomanip>
 #include <iostream>
 
 namespace jaytrack {
@@ -26,4 +27,29 @@
     return true;
 }
 
+namespace {
+
+void printCommands(std::ostream &out, std::string_view program, std::span<const Command> commands)
+{
+    out << "usage: " << program << " COMMAND [options]\n\ncommands:\n";
+    for (const Command &command : commands)
+        out << "  " << std::left << std::setw(12) << command.name << command.help << "\n";
+    out << "\n`" << program << " COMMAND --help` lists a command's options.\n";
+}
+
+} // namespace
+
+int runCommand(std::string_view program, std::span<const Command> commands, int argc,
+               const char *const *argv)
+{
+    const std::string_view wanted = argc > 1 ? argv[1] : "";
+    for (const Command &command : commands) {
+        if (command.name == wanted)
+            return command.run(argc - 1, argv + 1);
+    }
+    const bool asked = wanted == "--help" || wanted == "-h";
+    printCommands(asked ? std::cout : std::cerr, program, commands);
+    return asked ? ExitGood : ExitUsage;
+}
+
 } // namespace jaytrack
--- a/tools/jaytrack-standin/main.cpp
+++ b/tools/jaytrack-standin/main.cpp
@@ -110,28 +110,13 @@
     return serve(jaytrack::startConfigStandin(config));
 }
 
-struct Command
-{
-    std::string_view name;
-    std::string_view help;
-    int (*run)(int argc, const char *const *argv);
-};
-
-constexpr Command commands[] = {
+constexpr jaytrack::Command commands[] = {
         {"engine", "a model engine with continuous batches", runEngine},
         {"service", "a plain service that counts what it ran", runService},
         {"config", "the configuration service and the list of instances", runConfig},
         {"instances", "the same program; the list is at /v1/instances", runConfig},
 };
 
-void printHelp(std::ostream &out)
-{
-    out << "usage: jaytrack-standin COMMAND [options]\n\ncommands:\n";
-    for (const Command &command : commands)
-        out << "  " << command.name << "\t" << command.help << "\n";
-    out << "\n`jaytrack-standin COMMAND --help` lists a command's options.\n";
-}
-
 } // namespace
 
 int main(int argc, char **argv)
@@ -140,12 +125,5 @@
     std::signal(SIGINT, onStopSignal);
     std::signal(SIGPIPE, SIG_IGN);
     jaytrack::initialiseLog(argv[0]);
-    const std::string_view wanted = argc > 1 ? argv[1] : "";
-    for (const Command &command : commands) {
-        if (command.name == wanted)
-            return command.run(argc - 1, argv + 1);
-    }
-    const bool asked = wanted == "--help" || wanted == "-h";
-    printHelp(asked ? std::cout : std::cerr);
-    return asked ? jaytrack::ExitGood : jaytrack::ExitUsage;
+    return jaytrack::runCommand("jaytrack-standin", commands, argc, argv);
 }
--- a/tools/jaytrackctl/main.cpp
+++ b/tools/jaytrackctl/main.cpp
@@ -16,13 +16,6 @@
 
 using jaytrack::ExitCode;
 
-struct Command
-{
-    std::string_view name;
-    std::string_view help;
-    int (*run)(int argc, const char *const *argv);
-};
-
 std::string readFile(const std::string &path, bool &good)
 {
     std::ifstream file(path);
@@ -338,7 +331,7 @@
     return jaytrack::ExitGood;
 }
 
-constexpr Command commands[] = {
+constexpr jaytrack::Command commands[] = {
         {"check", "check an inventory and its rules", runCheck},
         {"compile", "compile both into the document that the platform publishes", runCompile},
         {"diff", "say what a new document would change", runDiff},
@@ -349,24 +342,9 @@
         {"codes", "print the table of result codes", runCodes},
 };
 
-void printHelp(std::ostream &out)
-{
-    out << "usage: jaytrackctl COMMAND [options]\n\ncommands:\n";
-    for (const Command &command : commands)
-        out << "  " << command.name << "\t" << command.help << "\n";
-    out << "\n`jaytrackctl COMMAND --help` lists a command's options.\n";
-}
-
 } // namespace
 
 int main(int argc, char **argv)
 {
-    const std::string_view wanted = argc > 1 ? argv[1] : "";
-    for (const Command &command : commands) {
-        if (command.name == wanted)
-            return command.run(argc - 1, argv + 1);
-    }
-    const bool asked = wanted == "--help" || wanted == "-h";
-    printHelp(asked ? std::cout : std::cerr);
-    return asked ? jaytrack::ExitGood : jaytrack::ExitUsage;
+    return jaytrack::runCommand("jaytrackctl", commands, argc, argv);
 }
