Test that a slow caller loses nothing and holds up nobody

Cause: flow control was built without a test. Change: a caller stops reading a draft of 20,000 tokens for longer than an engine may be silent, another is served meanwhile, and the first then receives every token in order. Conclusion: order and isolation hold; memory under a slow caller is still to be measured.

--- a/unittests/Serve/site.h
+++ b/unittests/Serve/site.h
@@ -265,6 +265,22 @@
         this->site.client.cancel(this->id);
     }
 
+    // Stops taking data, as a caller does that reads slowly; release() goes on.
+    void hold()
+    {
+        const std::lock_guard lock(this->state->mutex);
+        this->state->held = true;
+    }
+
+    void release()
+    {
+        {
+            const std::lock_guard lock(this->state->mutex);
+            this->state->held = false;
+        }
+        this->site.client.resume(this->id);
+    }
+
     std::string text() const
     {
         const std::lock_guard lock(this->state->mutex);
@@ -326,6 +342,8 @@
         bool onData(std::string_view data) override
         {
             const std::lock_guard lock(this->mutex);
+            if (this->held)
+                return false;
             if (!this->left)
                 this->text += data;
             return true;
@@ -342,6 +360,7 @@
         std::string text;
         bool ended = false;
         bool left = false;
+        bool held = false;
     };
 
     Site &site;
--- a/unittests/Serve/streamtest.cpp
+++ b/unittests/Serve/streamtest.cpp
@@ -151,6 +151,29 @@
     cr_assert_eq(reader.indexes(), upTo(50));
 }
 
+// Symptom: one caller that reads slowly holds up the others, or loses tokens. Events: it stops
+// reading in the middle of a long draft, for longer than an engine may be silent, and then goes on.
+// Cause: no flow control, or taking our own holding back for the engine's silence.
+Test(stream, slowCallerHoldsUpNobodyAndLosesNothing)
+{
+    SitePlan plan;
+    plan.engines = 1;
+    plan.stepMs = 0.05;
+    Site site(plan);
+    static constexpr int length = 20'000; // some eight megabytes, which the sockets do not take
+    StreamReader slow(site, site.base() + chat, "", Site::prompt(length, true));
+    cr_assert(eventually([&] { return slow.status() == 200; }));
+    slow.hold();
+    const FetchedAnswer other = site.request("POST", chat, Site::prompt(20, false));
+    cr_assert(other.end.status == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    cr_assert(!slow.ended());
+    slow.release();
+    cr_assert(eventually([&] { return slow.ended(); }));
+    cr_assert(slow.whole());
+    cr_assert_eq(slow.indexes(), upTo(length));
+}
+
 // Symptom: engines decode for nobody. Events: a caller leaves and does not come back. Cause: no
 // cancelling; but also no cancelling before its time to come back is over.
 Test(stream, cancelsWhatNobodyComesBackFor)
