Take out state that nothing uses

Cause: read again, the load tool kept a flag that nothing read, and engine homes an option for a share of the slots that was always one. Change: both are gone; the smallest number of slots stays one. No behaviour changes.

--- a/include/jaytrack/Policy/enginehome.h
+++ b/include/jaytrack/Policy/enginehome.h
@@ -36,9 +36,8 @@
 // How the decision on room can be varied for measurements.
 struct EngineHomeOptions
 {
-    bool fairShares = true;     // by dominant share; else first come, first served
-    bool forecast = true;       // by survival; else by present memory and a fixed reserve
-    double spareForSteps = 1.0; // of the slots that may be used
+    bool fairShares = true; // by dominant share; else first come, first served
+    bool forecast = true;   // by survival; else by present memory and a fixed reserve
 };
 
 // Decides about one engine. Not safe for several threads at once.
--- a/lib/Load/servicecaller.cpp
+++ b/lib/Load/servicecaller.cpp
@@ -64,7 +64,6 @@
         const bool repeatable = this->ticketed || !this->load.once || !answer.end.maySentBytes;
         const bool later = answer.end.status == comeBackLater || answer.end.status == stillRunning;
         if ((!answered || later) && repeatable && this->tries < maxTries) {
-            this->everUnanswered |= !answered;
             this->tally.later(tryPause, [self = this->shared_from_this()] { self->send(); });
             return;
         }
@@ -93,7 +92,6 @@
     std::string id;
     std::string url;
     bool ticketed = false;
-    bool everUnanswered = false;
     int tries = 0;
     std::chrono::steady_clock::time_point startedAt;
 };
--- a/lib/Policy/enginehome.cpp
+++ b/lib/Policy/enginehome.cpp
@@ -114,8 +114,7 @@
 // bound if this request is let in.
 bool EngineHome::fits(const RoomRequest &request)
 {
-    const auto slots = static_cast<std::size_t>(this->options.spareForSteps * this->spec.slots);
-    if (this->commitments.size() >= std::max<std::size_t>(1, slots))
+    if (this->commitments.size() >= std::max<std::size_t>(1, this->spec.slots))
         return false;
     // Alone it must be let in, however large; holding it back would not make it smaller.
     if (this->commitments.empty() && this->unexplained < 1)
