--- a/include/jaytrack/Http/client.h
+++ b/include/jaytrack/Http/client.h
@@ -2,7 +2,7 @@
 #ifndef JAYTRACK_HTTP_CLIENT_H
 #define JAYTRACK_HTTP_CLIENT_H
 
-#include "jaytrack/Http/message.h"
+#include "jaytrack/Net/message.h"
 
 #include <chrono>
 #include <cstddef>
--- a/include/jaytrack/Http/server.h
+++ b/include/jaytrack/Http/server.h
@@ -3,7 +3,7 @@
 #ifndef JAYTRACK_HTTP_SERVER_H
 #define JAYTRACK_HTTP_SERVER_H
 
-#include "jaytrack/Http/message.h"
+#include "jaytrack/Net/message.h"
 #include "jaytrack/Support/result.h"
 
 #include <cstddef>
--- a/include/jaytrack/Http/message.h
+++ b/include/jaytrack/Net/message.h
@@ -1,6 +1,6 @@
 // HTTP messages as plain values, shared by the server and the client side.
-#ifndef JAYTRACK_HTTP_MESSAGE_H
-#define JAYTRACK_HTTP_MESSAGE_H
+#ifndef JAYTRACK_NET_MESSAGE_H
+#define JAYTRACK_NET_MESSAGE_H
 
 #include <span>
 #include <string>
--- /dev/null
+++ b/include/jaytrack/Net/targetcall.h
@@ -0,0 +1,96 @@
+// One request to one target on a connection of its own, with an exact account of whether any byte of
+// the request may have reached it. Nothing is ever sent again from here.
+#ifndef JAYTRACK_NET_TARGETCALL_H
+#define JAYTRACK_NET_TARGETCALL_H
+
+#include "jaytrack/Net/httpparser.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace jaytrack {
+
+// The request as it goes onto the wire.
+struct TargetRequest
+{
+    asio::ip::tcp::endpoint endpoint;
+    std::string method = "GET";
+    std::string target;
+    std::vector<HttpHeader> headers;
+    std::string body;
+    std::chrono::milliseconds connectTimeout{1000};
+};
+
+// How a call ended.
+struct TargetCallEnd
+{
+    bool whole = false;     // the answer arrived complete
+    bool bytesSent = false; // some byte of the request may have reached the target
+    std::string_view reason;
+};
+
+// Receives one answer.
+class TargetCallListener
+{
+public:
+    virtual ~TargetCallListener() = default;
+    virtual void onAnswerHead(MessageHead head) = 0;
+    virtual void onAnswerBody(std::string_view bytes) = 0;
+    virtual void onCallEnd(const TargetCallEnd &end) = 0; // last; not called after cancel()
+};
+
+class TargetCall final : public std::enable_shared_from_this<TargetCall>, private MessageReceiver
+{
+public:
+    // Starts the call. The listener hears nothing before this returns.
+    static std::shared_ptr<TargetCall> start(asio::io_context &context, TargetRequest request,
+                                             std::weak_ptr<TargetCallListener> listener);
+
+    TargetCall(asio::io_context &context, TargetRequest request,
+               std::weak_ptr<TargetCallListener> listener);
+
+    // Closes the connection, by which the target learns that nobody waits any more.
+    void cancel();
+
+    // Stops or resumes taking bytes from the target, so that a slow caller costs no memory.
+    void setPaused(bool paused);
+
+    bool bytesSent() const { return this->sent; }
+
+private:
+    void connect();
+    void send();
+    void read();
+    void onRead(const asio::error_code &failure, std::size_t bytes);
+    void end(bool whole, std::string_view reason);
+    void onHead(MessageHead head) override;
+    void onBody(std::string_view bytes) override;
+    void onMessageEnd() override;
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    TargetRequest request;
+    std::weak_ptr<TargetCallListener> listener;
+    HttpMessageParser parser;
+    std::string outgoing;
+    std::array<char, 4096> incoming{};
+    bool sent = false;
+    bool over = false;
+    bool paused = false;
+    bool reading = false;
+    bool interim = false; // the answer being read is a 1xx, which another one follows
+    bool answered = false;
+};
+
+// The bytes of a request with a body of known length.
+std::string formatRequest(const TargetRequest &request);
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Proxy/entrysettings.h
@@ -0,0 +1,43 @@
+// The settings of one entry instance on a platform, read from its TOML file.
+#ifndef JAYTRACK_PROXY_ENTRYSETTINGS_H
+#define JAYTRACK_PROXY_ENTRYSETTINGS_H
+
+#include "jaytrack/Support/tomlreader.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace jaytrack {
+
+struct EntrySettings
+{
+    std::string name;
+    std::string dataCentre;
+
+    std::string callers;   // IP:PORT
+    std::string readiness; // IP:PORT
+    std::string metrics;   // IP:PORT; empty for none
+
+    std::string store; // IP:PORT
+
+    // A key that was taken away must stop working within this time, everywhere.
+    std::chrono::milliseconds keyFreshness{5000};
+    // A change of configuration is in force within this time where the store is reached.
+    std::chrono::milliseconds configurationDelay{2000};
+    // Between SIGTERM and the forced end.
+    std::chrono::seconds drainGrace{8};
+    // Repeats to a service, over all instances, as a share of its requests in a window.
+    double retryRatio = 0.1;
+    std::chrono::seconds retryWindow{10};
+
+    std::size_t memoryBytes = 110U << 20U;
+    std::size_t descriptors = 4096;
+};
+
+// Reads and checks a settings file, adding every fault to problems.
+EntrySettings readEntrySettings(const std::string &file, Problems &problems);
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Proxy/exchange.h
@@ -0,0 +1,134 @@
+// One request of a caller from its admission to its final answer.
+#ifndef JAYTRACK_PROXY_EXCHANGE_H
+#define JAYTRACK_PROXY_EXCHANGE_H
+
+#include "jaytrack/Net/callerconnection.h"
+#include "jaytrack/Net/targetcall.h"
+#include "jaytrack/Policy/targethealth.h"
+#include "jaytrack/Routing/admission.h"
+#include "jaytrack/Routing/enginechoice.h"
+#include "jaytrack/Routing/retrybudget.h"
+#include "jaytrack/Routing/targetdirectory.h"
+#include "jaytrack/Support/log.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace jaytrack {
+
+class Metrics;
+class Exchange;
+
+// What all requests of an instance share.
+struct ExchangeContext
+{
+    asio::io_context &loop;
+    const Clock &clock;
+    const Dialect &dialect;
+    Metrics &metrics;
+    TargetDirectory &directory;
+    TargetHealth &health;
+    EngineChoice &engines;
+    RetryBudget &retries;
+    std::mt19937_64 &random;
+    std::set<std::shared_ptr<Exchange>> &open; // keeps each exchange alive until its answer is given
+};
+
+// A request that was admitted.
+struct AdmittedRequest
+{
+    CallerRequest request;
+    RequestFacts facts;
+    Admission admission;
+    std::shared_ptr<const RoutingTable> table; // the version that the request is decided under
+};
+
+class Exchange : public CallerListener, public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(ExchangeContext &shared, std::shared_ptr<CallerConnection> from,
+             AdmittedRequest admitted);
+    ~Exchange() override;
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    void start();
+
+    // A target may no longer be given work and will end.
+    virtual void onTargetLeaving(const TargetEntry &entry, std::string_view reason) = 0;
+
+protected:
+    virtual void attempt() = 0;
+    virtual void cancelCalls() = 0;
+
+    // Whether some target may have begun to work on the request.
+    virtual bool mayHaveRun() const = 0;
+
+    const RouteRule &route() const { return *this->admitted.admission.route; }
+    const CallerRequest &request() const { return this->admitted.request; }
+    const RequestFacts &facts() const { return this->admitted.facts; }
+    const ServiceRule *service() const;
+
+    // Usable targets of the request's service that were not tried yet.
+    std::vector<const TargetEntry *> untried() const;
+
+    std::chrono::milliseconds timeLeft() const;
+
+    // The request as it goes to a target. Orders about deadline, identity and customer are filled in.
+    TargetRequest makeRequest(const TargetEntry &target, ForwardOrders orders,
+                              const asio::ip::tcp::endpoint &endpoint) const;
+
+    // Final answers of the instance's own. A code whose outcome is "not run" carries the delay after
+    // which the caller had better come back.
+    void answerOwn(ResultCode code, std::string_view detail);
+
+    // Passes on a target's whole answer.
+    void answerWhole(const MessageHead &head, std::string_view body, std::string_view target);
+
+    // Ends the request after the answer was given by other means, or cannot be given.
+    void finish(ResultCode code, int status, std::string_view detail);
+
+    bool isFinished() const { return this->finished; }
+    void logDecision(std::string_view event, std::initializer_list<LogField> fields) const;
+
+    ExchangeContext &context;
+    std::shared_ptr<CallerConnection> caller;
+    AdmittedRequest admitted;
+    std::string serviceName;
+    std::set<std::string> tried; // ids of targets
+    int sends = 0;               // attempts of which bytes may have left
+    TimePoint limit;             // the final answer is due by then
+
+private:
+    void onCallerGone() override;
+    void onLimit();
+
+    asio::steady_timer limitTimer;
+    bool finished = false;
+};
+
+// The headers of a target's answer that concern the caller; those of the connection stay behind.
+std::vector<HttpHeader> answerHeaders(std::span<const HttpHeader> headers);
+
+// Headers that concern only one connection, among them those that Connection names.
+std::vector<HttpHeader> withoutHopByHop(std::span<const HttpHeader> headers);
+
+// How long a caller who was refused had better wait before it comes back.
+std::chrono::milliseconds comeBackDelay(ResultCode code, const RouteRule *route,
+                                        std::mt19937_64 &random);
+
+std::shared_ptr<Exchange> makePlainExchange(ExchangeContext &context,
+                                            std::shared_ptr<CallerConnection> caller,
+                                            AdmittedRequest admitted);
+std::shared_ptr<Exchange> makeStreamExchange(ExchangeContext &context,
+                                             std::shared_ptr<CallerConnection> caller,
+                                             AdmittedRequest admitted);
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -0,0 +1,70 @@
+// What an instance believes of configuration and targets, fed from the store.
+#ifndef JAYTRACK_PROXY_STOREFEEDS_H
+#define JAYTRACK_PROXY_STOREFEEDS_H
+
+#include "jaytrack/Proxy/storefollower.h"
+#include "jaytrack/Routing/targetdirectory.h"
+
+#include <memory>
+
+namespace jaytrack {
+
+// The configuration in force and how lately it was confirmed.
+class ConfigurationFeed final : public StoreFollowerListener
+{
+public:
+    ConfigurationFeed(const Clock &time, const Dialect &words)
+        : clock(time)
+        , dialect(words)
+    {
+    }
+
+    void onListing(const std::vector<StoreItem> &items, TimePoint asOf) override;
+    void onChanges(const std::vector<StoreItem> &items, TimePoint asOf) override;
+    void onStoreLost(std::string_view reason) override;
+    void onStoreRegained(Duration away) override;
+
+    // Null while none is known.
+    std::shared_ptr<const RoutingTable> table() const { return this->inForce; }
+
+    // Since the moment for which the table is known to have been the newest.
+    Duration age() const { return this->clock.now() - this->confirmedAt; }
+
+private:
+    void take(const StoreItem &item);
+
+    const Clock &clock;
+    const Dialect &dialect;
+    std::shared_ptr<const RoutingTable> inForce;
+    TimePoint confirmedAt;
+};
+
+// The platform's list of targets.
+class TargetFeed final : public StoreFollowerListener
+{
+public:
+    TargetFeed(asio::io_context &loop, const Dialect &words, TargetDirectory &filled);
+
+    void onListing(const std::vector<StoreItem> &items, TimePoint asOf) override;
+    void onChanges(const std::vector<StoreItem> &items, TimePoint asOf) override;
+    void onStoreLost(std::string_view reason) override;
+    void onStoreRegained(Duration away) override;
+
+    bool isLoaded() const { return this->loaded; }
+
+private:
+    // While targets whose entries lapsed during an outage are still coming back.
+    bool inGrace() const { return this->away || this->graceRunning; }
+    std::string idOf(std::string_view key) const;
+
+    const Dialect &dialect;
+    TargetDirectory &directory;
+    asio::steady_timer graceTimer;
+    bool loaded = false;
+    bool away = false;
+    bool graceRunning = false;
+};
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -0,0 +1,101 @@
+// Keeps up with one part of the platform's store: reads it whole, then follows its changes, and reads
+// it whole again whenever a change may have been missed.
+#ifndef JAYTRACK_PROXY_STOREFOLLOWER_H
+#define JAYTRACK_PROXY_STOREFOLLOWER_H
+
+#include "jaytrack/Net/targetcall.h"
+#include "jaytrack/Routing/dialect.h"
+#include "jaytrack/Support/clock.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace jaytrack {
+
+// What a follower tells. The moment that goes with it is when the question was sent, so the state that
+// it describes is at least as new as that.
+class StoreFollowerListener
+{
+public:
+    virtual ~StoreFollowerListener() = default;
+
+    // Everything under the prefix, all pages together.
+    virtual void onListing(const std::vector<StoreItem> &items, TimePoint asOf) = 0;
+
+    // What changed since; nothing, if the wait ended without a change.
+    virtual void onChanges(const std::vector<StoreItem> &items, TimePoint asOf) = 0;
+
+    virtual void onStoreLost(std::string_view reason) = 0;
+    virtual void onStoreRegained(Duration away) = 0;
+};
+
+struct StoreFollowerOptions
+{
+    std::string name;   // for logs
+    std::string prefix; // what is followed
+    asio::ip::tcp::endpoint store;
+
+    // How long the store may hold a question that nothing answers. A silent connection is noticed
+    // after it, and a confirmation is at most this old in calm times.
+    std::chrono::milliseconds wait{1000};
+
+    // Pause after an answer with changes. Calls are priced and counted against the store's rate,
+    // while several changes fit into one answer.
+    std::chrono::milliseconds gap{0};
+};
+
+class StoreFollower final : public TargetCallListener,
+                            public std::enable_shared_from_this<StoreFollower>
+{
+public:
+    StoreFollower(asio::io_context &loop, const Clock &time, const Dialect &words,
+                  StoreFollowerOptions given, std::uint64_t seed, StoreFollowerListener &to);
+
+    void start();
+    void stop();
+
+    std::uint64_t callsMade() const { return this->calls; }
+
+private:
+    void ask();
+    void askLater(std::chrono::milliseconds delay);
+    void onAnswerHead(MessageHead head) override;
+    void onAnswerBody(std::string_view bytes) override;
+    void onCallEnd(const TargetCallEnd &end) override;
+    void onTimeout();
+    void failed(std::string_view reason);
+    void succeeded();
+    void takePage();
+    void takeChanges();
+
+    asio::io_context &context;
+    asio::steady_timer timer;
+    const Clock &clock;
+    const Dialect &dialect;
+    StoreFollowerOptions options;
+    std::mt19937_64 random;
+    StoreFollowerListener &listener;
+    std::shared_ptr<TargetCall> call;
+    TimePoint askedAt;
+    TimePoint listingAskedAt;
+    TimePoint lastAnswer;
+    int status = 0;
+    std::string body;
+    bool listing = true;
+    std::string pageAfter;
+    std::vector<StoreItem> listed;
+    std::uint64_t revision = 0;
+    int failures = 0;
+    bool lost = false;
+    bool stopped = false;
+    std::uint64_t calls = 0;
+};
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -0,0 +1,121 @@
+// Which engine gets a generation, and which one keeps a copy of its memory.
+//
+// Load that it answers: some instances choose at the same time among the same engines on reports that
+// lag by half a second and more. Whoever takes the emptiest engine takes the one that all others take
+// too, and an engine that has just started fills its queue of prompts within one report. So the better
+// of a few random engines is taken, judged by the last report and by what this instance sent since.
+#ifndef JAYTRACK_ROUTING_ENGINECHOICE_H
+#define JAYTRACK_ROUTING_ENGINECHOICE_H
+
+#include "jaytrack/Routing/dialect.h"
+#include "jaytrack/Support/clock.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace jaytrack {
+
+// What a generation will need, as far as is known.
+struct GenerationNeed
+{
+    std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0; // expected
+};
+
+struct EngineChoiceOptions
+{
+    // Engines compared for each generation. Two keep the share of a freshly started engine at two in
+    // fifteen of the arrivals; more would herd on it.
+    std::size_t candidates = 2;
+
+    // Part of an engine's memory up to which copies of other engines' runs are placed there. Copies
+    // beyond it would take the room of runs that are served now.
+    double backupShare = 0.7;
+
+    // Handicap, in parts of the memory, for an engine in another data centre: bytes between them are
+    // priced and a copy takes twice as long.
+    double distantHandicap = 0.05;
+
+    // After this many calls in a row that never reached an engine it is left alone for a while.
+    int failuresToAvoid = 2;
+    Duration avoidFor = std::chrono::seconds(2);
+};
+
+class EngineChoice
+{
+public:
+    EngineChoice(const Clock &time, std::uint64_t seed, std::string homeDataCentre,
+                 EngineChoiceOptions given = {});
+
+    void listed(const TargetEntry &entry);
+    void gone(std::string_view id);
+    void reported(std::string_view id, const EngineLoad &load);
+    void unreachable(std::string_view id);
+    void reached(std::string_view id);
+
+    // A generation of this instance took its place at an engine, grew, or ended there.
+    void began(std::string_view id, std::string_view run, const GenerationNeed &need);
+    void firstToken(std::string_view id, std::string_view run);
+    void ended(std::string_view id, std::string_view run);
+
+    // A copy of a run is kept at an engine until dropped.
+    void backupPlaced(std::string_view id, std::string_view run, const GenerationNeed &need);
+    void backupDropped(std::string_view id, std::string_view run);
+
+    // The engine for a generation among those given; null if none can hold it. avoid names engines
+    // that have been tried.
+    const TargetEntry *choose(std::span<const TargetEntry *const> engines, const EngineTraits &traits,
+                              const GenerationNeed &need, const std::set<std::string> &avoid);
+
+    // The engine for a copy; null if none has room to spare.
+    const TargetEntry *chooseBackup(std::span<const TargetEntry *const> engines,
+                                    const EngineTraits &traits, const GenerationNeed &need,
+                                    std::string_view running);
+
+    // Tokens of memory that the engine is expected to hold, with the age of the report behind it.
+    struct Forecast
+    {
+        double memoryTokens = 0;
+        Duration reportAge{0};
+        int waiting = 0;
+    };
+    Forecast forecast(std::string_view id) const;
+
+private:
+    struct Placed
+    {
+        GenerationNeed need;
+        TimePoint since;
+        bool decoding = false; // the prompt has been read
+        bool copy = false;
+    };
+
+    struct Board
+    {
+        EngineLoad load;
+        TimePoint reportedAt;
+        bool everReported = false;
+        std::map<std::string, Placed, std::less<>> placed;
+        int failures = 0;
+        TimePoint avoidedUntil;
+        bool leaving = false;
+    };
+
+    double loadOf(const Board &board) const;
+    double costOf(const TargetEntry &entry, const EngineTraits &traits, const GenerationNeed &need);
+    bool avoided(const TargetEntry &entry);
+
+    const Clock &clock;
+    std::mt19937_64 random;
+    std::string home;
+    EngineChoiceOptions options;
+    std::map<std::string, Board, std::less<>> boards;
+};
+
+} // namespace jaytrack
+
+#endif
--- a/include/jaytrack/Support/log.h
+++ b/include/jaytrack/Support/log.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -34,11 +35,14 @@
     std::string value;
 };
 
-// Sends log lines to standard error without glog's own prefix. Call once, from main.
+// Sends log lines to standard output, from a thread of its own and without glog's prefix. Call once,
+// from main; before it, lines go where glog sends them. Lines beyond half a megabyte that wait to be
+// written are dropped and counted, so that no request ever waits for its log.
 void initialiseLog(const char *program);
 
 // Writes one event. Values with blanks, quotes or control characters are quoted, so that a line
 // stays a line whatever a caller sent. Secrets must never be passed.
+void logEvent(Severity severity, std::string_view event, std::span<const LogField> fields);
 void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields);
 
 } // namespace jaytrack
--- /dev/null
+++ b/lib/Net/callerconnection.cpp
@@ -0,0 +1,439 @@
+#include "jaytrack/Net/callerconnection.h"
+
+#include "jaytrack/Net/socket.h"
+
+#include <asio/write.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace jaytrack {
+
+namespace {
+
+// Bytes of a following request that are kept while one is served. Reading on is what shows that the
+// caller left; past this bound its leaving shows only when the answer is written.
+constexpr std::size_t mostUnread = 64U << 10U;
+
+// How long a body may take after its head; as long as a caller's own patience on the sheets.
+constexpr std::chrono::seconds bodyTimeout{10};
+
+// How long the peer may take to read a last answer before the connection is closed under it.
+constexpr std::chrono::seconds lingerTime{1};
+
+// The pause after a failed accept, which means that descriptors have run out.
+constexpr std::chrono::milliseconds acceptPause{20};
+
+constexpr int listenBacklog = 1024;
+constexpr int requestTimeoutStatus = 408;
+constexpr int badRequestStatus = 400;
+constexpr int tooLargeStatus = 413;
+constexpr int headTooLargeStatus = 431;
+constexpr int unavailableStatus = 503;
+
+std::string_view reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+bool hasNoBody(int status)
+{
+    return status == 204 || status == 304;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket accepted, const Clock &time,
+                                   CallerHandler &to)
+    : socket(std::move(accepted))
+    , timer(this->socket.get_executor())
+    , clock(time)
+    , handler(to)
+    , parser(HttpMessageParser::Reads::Requests, *this, to.connectionLimits().headerBytes)
+{
+}
+
+CallerConnection::~CallerConnection()
+{
+    this->dropBody();
+}
+
+void CallerConnection::start()
+{
+    prepareSocket(this->socket);
+    this->expectWithin(this->handler.connectionLimits().idleTimeout);
+    this->read();
+}
+
+void CallerConnection::read()
+{
+    if (this->closed || this->reading || this->unread.size() >= mostUnread)
+        return;
+    this->reading = true;
+    this->socket.async_read_some(
+            asio::buffer(this->incoming),
+            [self = this->shared_from_this()](const asio::error_code &failure, std::size_t bytes) {
+                self->reading = false;
+                self->onRead(failure, bytes);
+            });
+}
+
+void CallerConnection::onRead(const asio::error_code &failure, std::size_t bytes)
+{
+    if (this->closed)
+        return;
+    if (failure) {
+        const auto serving = this->listener.lock();
+        const bool inService = this->stage == Stage::Serving;
+        this->close();
+        if (serving && inService)
+            serving->onCallerGone();
+        return;
+    }
+    if (this->stage != Stage::Closing)
+        this->unread.append(this->incoming.data(), bytes);
+    if (this->stage == Stage::Idle || this->stage == Stage::Receiving)
+        this->consume();
+    this->read();
+}
+
+void CallerConnection::consume()
+{
+    while (!this->unread.empty() && !this->closed &&
+           (this->stage == Stage::Idle || this->stage == Stage::Receiving)) {
+        if (this->stage == Stage::Idle) {
+            this->stage = Stage::Receiving;
+            this->expectWithin(this->handler.connectionLimits().headerTimeout);
+        }
+        const std::string bytes = std::move(this->unread);
+        this->unread.clear();
+        const HttpMessageParser::Fed fed = this->parser.feed(bytes);
+        if (fed.taken < bytes.size())
+            this->unread.insert(0, bytes, fed.taken, std::string::npos);
+        if (this->closed || this->stage == Stage::Closing)
+            return;
+        if (this->tooLarge)
+            return this->refuse(tooLargeStatus, "body_too_large");
+        if (fed.state == ParseState::HeadTooLarge)
+            return this->refuse(headTooLargeStatus, "head_too_large");
+        if (fed.state == ParseState::Malformed)
+            return this->refuse(badRequestStatus, "malformed");
+    }
+}
+
+void CallerConnection::onHead(MessageHead head)
+{
+    this->keepAlive = head.keepAlive;
+    this->headOnly = head.method == "HEAD";
+    if (sameHeaderName(head.header("Expect"), "100-continue"))
+        this->send("HTTP/1.1 100 Continue\r\n\r\n");
+    this->request.head = std::move(head);
+    this->request.body.clear();
+    this->expectWithin(bodyTimeout);
+}
+
+void CallerConnection::onBody(std::string_view bytes)
+{
+    if (this->tooLarge || this->stage == Stage::Closing)
+        return;
+    if (this->request.body.size() + bytes.size() > this->handler.connectionLimits().bodyBytes) {
+        this->tooLarge = true;
+        return;
+    }
+    if (!this->handler.reserveMemory(bytes.size()))
+        return this->refuse(unavailableStatus, "memory");
+    this->reserved += bytes.size();
+    this->request.body += bytes;
+}
+
+void CallerConnection::onMessageEnd()
+{
+    if (this->tooLarge || this->stage == Stage::Closing)
+        return;
+    this->timer.cancel();
+    this->stage = Stage::Serving;
+    this->request.arrived = this->clock.now();
+    this->handler.onRequest(this->shared_from_this(), std::move(this->request));
+    this->request = {};
+}
+
+void CallerConnection::refuse(int status, std::string_view reason)
+{
+    this->handler.onUnreadable(status, reason);
+    this->keepAlive = false;
+    this->headOnly = false;
+    this->stage = Stage::Serving;
+    this->respond(status, {}, {});
+}
+
+void CallerConnection::expectWithin(std::chrono::milliseconds bound)
+{
+    this->timer.expires_after(bound);
+    this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
+        const auto self = weak.lock();
+        if (!failure && self)
+            self->onTimeout();
+    });
+}
+
+void CallerConnection::onTimeout()
+{
+    if (this->stage == Stage::Receiving)
+        return this->refuse(requestTimeoutStatus, "slow_request");
+    if (this->stage != Stage::Serving)
+        this->close();
+}
+
+std::string CallerConnection::formatHead(int status, std::span<const HttpHeader> headers,
+                                         std::string_view framing)
+{
+    this->keepAlive = this->keepAlive && !this->handler.stopping();
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text += reasonPhrase(status);
+    text += "\r\n";
+    for (const HttpHeader &header : headers)
+        text += header.name + ": " + header.value + "\r\n";
+    text += framing;
+    if (!this->keepAlive)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    return text;
+}
+
+void CallerConnection::respond(int status, std::span<const HttpHeader> headers,
+                               std::string_view body)
+{
+    if (this->closed)
+        return;
+    assert(this->stage == Stage::Serving && "only a request in service is answered");
+    std::string framing;
+    if (!hasNoBody(status) && !(this->headOnly && body.empty()))
+        framing = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    this->send(this->formatHead(status, headers, framing));
+    if (!this->headOnly)
+        this->send(body);
+    this->completeAnswer();
+}
+
+void CallerConnection::begin(int status, std::span<const HttpHeader> headers)
+{
+    if (this->closed)
+        return;
+    assert(this->stage == Stage::Serving && "only a request in service is answered");
+    this->send(this->formatHead(status, headers, "Transfer-Encoding: chunked\r\n"));
+}
+
+void CallerConnection::write(std::string_view bytes)
+{
+    if (this->closed || bytes.empty())
+        return;
+    static constexpr std::size_t sizeDigits = 16;
+    std::array<char, sizeDigits + 1> size{};
+    const int length = std::snprintf(size.data(), size.size(), "%zx", bytes.size());
+    this->queued.append(size.data(), static_cast<std::size_t>(length));
+    this->queued += "\r\n";
+    this->queued += bytes;
+    this->queued += "\r\n";
+    this->flush();
+}
+
+void CallerConnection::finish()
+{
+    if (this->closed)
+        return;
+    this->send("0\r\n\r\n");
+    this->completeAnswer();
+}
+
+void CallerConnection::abort()
+{
+    this->close();
+}
+
+void CallerConnection::completeAnswer()
+{
+    this->listener.reset();
+    this->dropBody();
+    if (!this->keepAlive) {
+        this->stage = Stage::Closing;
+        this->closeWhenSent = true;
+        if (this->pendingBytes() == 0)
+            this->lingerThenClose();
+        return;
+    }
+    this->stage = Stage::Idle;
+    this->expectWithin(this->handler.connectionLimits().idleTimeout);
+    // The next request may be here already; it is taken up from the event loop, so that a caller
+    // who sends many at once cannot make the stack grow.
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+        self->consume();
+        self->read();
+    });
+}
+
+void CallerConnection::dropBody()
+{
+    this->handler.releaseMemory(this->reserved);
+    this->reserved = 0;
+}
+
+void CallerConnection::send(std::string_view text)
+{
+    if (this->closed)
+        return;
+    this->queued += text;
+    this->flush();
+}
+
+void CallerConnection::flush()
+{
+    if (this->closed || !this->inFlight.empty() || this->queued.empty())
+        return;
+    this->inFlight.swap(this->queued);
+    asio::async_write(this->socket, asio::buffer(this->inFlight),
+                      [self = this->shared_from_this()](const asio::error_code &failure,
+                                                        std::size_t) { self->onSent(failure); });
+}
+
+void CallerConnection::onSent(const asio::error_code &failure)
+{
+    this->inFlight.clear();
+    if (this->closed)
+        return;
+    if (failure) {
+        const auto serving = this->listener.lock();
+        this->close();
+        if (serving)
+            serving->onCallerGone();
+        return;
+    }
+    this->flush();
+    if (const auto serving = this->listener.lock())
+        serving->onCallerWritable();
+    if (this->closeWhenSent && this->pendingBytes() == 0)
+        this->lingerThenClose();
+}
+
+// Closing with unread bytes resets the connection and may take the answer away from the caller, so
+// the own side is ended first and the rest read away.
+void CallerConnection::lingerThenClose()
+{
+    if (this->closed)
+        return;
+    asio::error_code ignored; // a connection that cannot be ended in order is closed a second later
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    this->unread.clear();
+    this->expectWithin(lingerTime);
+    this->read();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (this->stage == Stage::Idle && this->pendingBytes() == 0)
+        this->close();
+}
+
+void CallerConnection::close()
+{
+    if (this->closed)
+        return;
+    this->closed = true;
+    this->stage = Stage::Closing;
+    this->listener.reset();
+    this->timer.cancel();
+    asio::error_code ignored; // closing cannot fail in a way that matters to anybody
+    this->socket.close(ignored);
+    this->dropBody();
+}
+
+CallerServer::CallerServer(asio::io_context &loop, const Clock &time, CallerHandler &to)
+    : context(loop)
+    , acceptor(loop)
+    , pause(loop)
+    , clock(time)
+    , handler(to)
+{
+}
+
+Result<void> CallerServer::listen(const asio::ip::tcp::endpoint &endpoint)
+{
+    asio::error_code failure;
+    this->acceptor.open(endpoint.protocol(), failure);
+    if (!failure)
+        this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        this->acceptor.bind(endpoint, failure);
+    if (!failure)
+        this->acceptor.listen(listenBacklog, failure);
+    if (failure)
+        return Error{ResultCode::SettingsContradiction, "cannot listen: " + failure.message()};
+    this->accept();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void CallerServer::accept()
+{
+    this->acceptor.async_accept([this](const asio::error_code &failure,
+                                       asio::ip::tcp::socket accepted) {
+        if (failure == asio::error::operation_aborted)
+            return;
+        if (failure) {
+            // Without a pause a process out of descriptors would spin here and starve its requests.
+            this->pause.expires_after(acceptPause);
+            this->pause.async_wait([this](const asio::error_code &stopped) {
+                if (!stopped)
+                    this->accept();
+            });
+            return;
+        }
+        const auto connection = std::make_shared<CallerConnection>(std::move(accepted), this->clock,
+                                                                   this->handler);
+        if (this->connections.size() >= this->sweepAt) {
+            std::erase_if(this->connections, [](const auto &weak) { return weak.expired(); });
+            this->sweepAt = std::max<std::size_t>(64, this->connections.size() * 2);
+        }
+        this->connections.push_back(connection);
+        connection->start();
+        this->accept();
+    });
+}
+
+void CallerServer::stopListening()
+{
+    asio::error_code ignored; // nobody connects any more either way
+    this->acceptor.close(ignored);
+    this->pause.cancel();
+}
+
+void CallerServer::closeIdle()
+{
+    for (const auto &weak : this->connections) {
+        if (const auto connection = weak.lock())
+            connection->closeIfIdle();
+    }
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Net/httpparser.cpp
@@ -0,0 +1,194 @@
+#include "jaytrack/Net/httpparser.h"
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <limits>
+
+namespace jaytrack {
+
+namespace {
+
+// How http_parser says that neither a length nor chunks mark the end of a body.
+constexpr auto unknownLength = std::numeric_limits<std::uint64_t>::max();
+
+} // namespace
+
+struct HttpMessageParser::State
+{
+    http_parser parser{};
+    MessageReceiver &receiver;
+    std::size_t maxHeadBytes;
+    bool requests;
+    MessageHead head;
+    std::size_t headBytes = 0;
+    bool valueOpen = false;
+    bool begun = false;
+    bool ended = false;
+    bool tooLarge = false;
+    bool malformed = false;
+    bool noBody = false;
+
+    State(Reads reads, MessageReceiver &to, std::size_t most)
+        : receiver(to)
+        , maxHeadBytes(most)
+        , requests(reads == Reads::Requests)
+    {
+        http_parser_init(&this->parser, this->requests ? HTTP_REQUEST : HTTP_RESPONSE);
+        this->parser.data = this;
+    }
+
+    static State &of(http_parser *parser) { return *static_cast<State *>(parser->data); }
+
+    int addHeadBytes(std::size_t bytes)
+    {
+        this->headBytes += bytes;
+        this->tooLarge = this->headBytes > this->maxHeadBytes;
+        return this->tooLarge ? 1 : 0;
+    }
+
+    int onField(std::string_view text)
+    {
+        if (this->valueOpen || this->head.headers.empty()) {
+            this->head.headers.emplace_back();
+            this->valueOpen = false;
+        }
+        this->head.headers.back().name += text;
+        return this->addHeadBytes(text.size());
+    }
+
+    int onValue(std::string_view text)
+    {
+        this->valueOpen = true;
+        this->head.headers.back().value += text;
+        return this->addHeadBytes(text.size());
+    }
+
+    // A relay must agree with its peer on where a message ends, so only the one plain spelling of
+    // chunked framing is taken, and only once.
+    bool framingIsPlain() const
+    {
+        int encodings = 0;
+        for (const HttpHeader &header : this->head.headers) {
+            if (!sameHeaderName(header.name, "Transfer-Encoding"))
+                continue;
+            ++encodings;
+            if (!sameHeaderName(header.value, "chunked"))
+                return false;
+        }
+        return encodings <= 1;
+    }
+
+    int onHeadersEnd()
+    {
+        if (!this->framingIsPlain()) {
+            this->malformed = true;
+            return -1;
+        }
+        this->parser.upgrade = 0; // another protocol on the connection is never agreed to
+        this->head.method = this->requests ? http_method_str(static_cast<http_method>(this->parser.method)) : "";
+        this->head.status = static_cast<int>(this->parser.status_code);
+        this->head.keepAlive = http_should_keep_alive(&this->parser) != 0;
+        this->head.framed = this->requests || (this->parser.flags & F_CHUNKED) != 0 ||
+                            this->parser.content_length != unknownLength;
+        const bool skipBody = this->noBody;
+        this->receiver.onHead(std::move(this->head));
+        this->head = {};
+        return skipBody ? 1 : 0;
+    }
+
+    int onEnd()
+    {
+        this->begun = false;
+        this->ended = true;
+        this->noBody = false;
+        this->receiver.onMessageEnd();
+        http_parser_pause(&this->parser, 1);
+        return 0;
+    }
+
+    static const http_parser_settings &settings();
+};
+
+const http_parser_settings &HttpMessageParser::State::settings()
+{
+    static const http_parser_settings made = [] {
+        http_parser_settings callbacks;
+        http_parser_settings_init(&callbacks);
+        callbacks.on_message_begin = [](http_parser *parser) {
+            State &state = of(parser);
+            state.begun = true;
+            state.head = {};
+            state.headBytes = 0;
+            state.valueOpen = false;
+            return 0;
+        };
+        callbacks.on_url = [](http_parser *parser, const char *at, std::size_t length) {
+            of(parser).head.target.append(at, length);
+            return of(parser).addHeadBytes(length);
+        };
+        callbacks.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
+            return of(parser).onField({at, length});
+        };
+        callbacks.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
+            return of(parser).onValue({at, length});
+        };
+        callbacks.on_headers_complete = [](http_parser *parser) {
+            return of(parser).onHeadersEnd();
+        };
+        callbacks.on_body = [](http_parser *parser, const char *at, std::size_t length) {
+            of(parser).receiver.onBody({at, length});
+            return 0;
+        };
+        callbacks.on_message_complete = [](http_parser *parser) { return of(parser).onEnd(); };
+        return callbacks;
+    }();
+    return made;
+}
+
+HttpMessageParser::HttpMessageParser(Reads reads, MessageReceiver &receiver, std::size_t maxHeadBytes)
+    : state(std::make_unique<State>(reads, receiver, maxHeadBytes))
+{
+}
+
+HttpMessageParser::~HttpMessageParser() = default;
+
+HttpMessageParser::Fed HttpMessageParser::feed(std::string_view bytes)
+{
+    State &now = *this->state;
+    now.ended = false;
+    // An empty feed means the connection's end to http_parser; that is what finish() is for.
+    if (bytes.empty())
+        return {};
+    const std::size_t taken =
+            http_parser_execute(&now.parser, &State::settings(), bytes.data(), bytes.size());
+    if (now.ended) {
+        http_parser_pause(&now.parser, 0);
+        return {taken, ParseState::MessageEnded};
+    }
+    if (now.tooLarge)
+        return {taken, ParseState::HeadTooLarge};
+    if (now.malformed || HTTP_PARSER_ERRNO(&now.parser) != HPE_OK || taken != bytes.size())
+        return {taken, ParseState::Malformed};
+    return {taken, ParseState::NeedsMore};
+}
+
+bool HttpMessageParser::finish()
+{
+    State &now = *this->state;
+    now.ended = false;
+    http_parser_execute(&now.parser, &State::settings(), nullptr, 0);
+    return now.ended;
+}
+
+bool HttpMessageParser::inMessage() const
+{
+    return this->state->begun;
+}
+
+void HttpMessageParser::expectNoBody()
+{
+    this->state->noBody = true;
+}
+
+} // namespace jaytrack
--- a/lib/Http/message.cpp
+++ b/lib/Net/message.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Http/message.h"
+#include "jaytrack/Net/message.h"
 
 #include <restinio/uri_helpers.hpp>
 
--- /dev/null
+++ b/lib/Net/socket.cpp
@@ -0,0 +1,58 @@
+#include "jaytrack/Net/socket.h"
+
+#include <asio/ip/address.hpp>
+
+#include <netinet/tcp.h>
+
+#include <charconv>
+
+namespace jaytrack {
+
+namespace {
+
+// A peer that leaves three probes a second apart unanswered, or sent bytes unconfirmed for as long,
+// is taken for lost: shorter than callers wait for the next event of a stream (7 s on the sheets),
+// longer than any stall of a lossy link between data centres.
+constexpr int probeAfterSeconds = 1;
+constexpr int probeGapSeconds = 1;
+constexpr int probesUnanswered = 3;
+constexpr int unconfirmedMilliseconds = 4000;
+
+void setOption(int descriptor, int level, int name, int value)
+{
+    // A socket that refuses an option still works, only slower to notice a loss.
+    (void)::setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+} // namespace
+
+void prepareSocket(asio::ip::tcp::socket &socket)
+{
+    const int descriptor = socket.native_handle();
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probeGapSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, probesUnanswered);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unconfirmedMilliseconds);
+}
+
+Result<asio::ip::tcp::endpoint> parseEndpoint(std::string_view address)
+{
+    const std::size_t colon = address.rfind(':');
+    const Error bad{ResultCode::SettingsOutOfRange, std::string(address) + " is not IP:PORT"};
+    if (colon == std::string_view::npos)
+        return bad;
+    std::uint16_t port = 0;
+    const std::string_view digits = address.substr(colon + 1);
+    const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (failure != std::errc() || end != digits.data() + digits.size())
+        return bad;
+    asio::error_code code;
+    const auto ip = asio::ip::make_address(std::string(address.substr(0, colon)), code);
+    if (code)
+        return bad;
+    return asio::ip::tcp::endpoint(ip, port);
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Net/targetcall.cpp
@@ -0,0 +1,172 @@
+#include "jaytrack/Net/targetcall.h"
+
+#include "jaytrack/Net/socket.h"
+
+#include <asio/write.hpp>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr std::size_t maxAnswerHeadBytes = 32U << 10U;
+constexpr int firstFinalStatus = 200;
+
+} // namespace
+
+std::string formatRequest(const TargetRequest &request)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const HttpHeader &header : request.headers)
+        text += header.name + ": " + header.value + "\r\n";
+    if (!request.body.empty() || request.method != "GET")
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    text += "Connection: close\r\n\r\n";
+    text += request.body;
+    return text;
+}
+
+std::shared_ptr<TargetCall> TargetCall::start(asio::io_context &context, TargetRequest request,
+                                              std::weak_ptr<TargetCallListener> listener)
+{
+    auto call = std::make_shared<TargetCall>(context, std::move(request), std::move(listener));
+    call->connect();
+    return call;
+}
+
+TargetCall::TargetCall(asio::io_context &context, TargetRequest given,
+                       std::weak_ptr<TargetCallListener> to)
+    : socket(context)
+    , timer(context)
+    , request(std::move(given))
+    , listener(std::move(to))
+    , parser(HttpMessageParser::Reads::Answers, *this, maxAnswerHeadBytes)
+{
+    if (this->request.method == "HEAD")
+        this->parser.expectNoBody();
+}
+
+void TargetCall::connect()
+{
+    this->timer.expires_after(this->request.connectTimeout);
+    this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &failure) {
+        if (!failure && !self->sent)
+            self->end(false, "connect_timeout");
+    });
+    this->socket.async_connect(this->request.endpoint,
+                               [self = this->shared_from_this()](const asio::error_code &failure) {
+                                   if (self->over)
+                                       return;
+                                   if (failure)
+                                       self->end(false, "connect_failed");
+                                   else
+                                       self->send();
+                               });
+}
+
+void TargetCall::send()
+{
+    this->timer.cancel();
+    prepareSocket(this->socket);
+    this->outgoing = formatRequest(this->request);
+    this->request.body.clear();
+    this->request.headers.clear();
+    this->sent = true;
+    asio::async_write(this->socket, asio::buffer(this->outgoing),
+                      [self = this->shared_from_this()](const asio::error_code &failure, std::size_t) {
+                          self->outgoing.clear();
+                          self->outgoing.shrink_to_fit();
+                          // A target may answer without reading the whole body; the answer is
+                          // read all the same, so a failed write alone ends nothing.
+                          (void)failure;
+                      });
+    this->read();
+}
+
+void TargetCall::read()
+{
+    if (this->over || this->paused || this->reading)
+        return;
+    this->reading = true;
+    this->socket.async_read_some(
+            asio::buffer(this->incoming),
+            [self = this->shared_from_this()](const asio::error_code &failure, std::size_t bytes) {
+                self->reading = false;
+                self->onRead(failure, bytes);
+            });
+}
+
+void TargetCall::onRead(const asio::error_code &failure, std::size_t bytes)
+{
+    if (this->over)
+        return;
+    if (failure) {
+        // Only an orderly end completes an answer without a length; after a reset bytes are missing.
+        const bool orderly = failure == asio::error::eof;
+        if (orderly && this->parser.inMessage() && this->parser.finish())
+            return this->end(true, "complete");
+        return this->end(false, orderly ? "closed_early" : "reset");
+    }
+    std::string_view rest(this->incoming.data(), bytes);
+    while (!rest.empty() && !this->over) {
+        const HttpMessageParser::Fed fed = this->parser.feed(rest);
+        rest.remove_prefix(std::min(fed.taken, rest.size()));
+        if (this->over)
+            return;
+        if (fed.state == ParseState::MessageEnded) {
+            if (this->answered)
+                return this->end(true, "complete");
+            continue; // an interim answer
+        }
+        if (fed.state != ParseState::NeedsMore)
+            return this->end(false, "garbled");
+    }
+    this->read();
+}
+
+void TargetCall::onHead(MessageHead head)
+{
+    this->interim = head.status < firstFinalStatus;
+    if (this->interim)
+        return;
+    if (const auto to = this->listener.lock())
+        to->onAnswerHead(std::move(head));
+}
+
+void TargetCall::onBody(std::string_view bytes)
+{
+    if (this->over || this->interim)
+        return;
+    if (const auto to = this->listener.lock())
+        to->onAnswerBody(bytes);
+}
+
+void TargetCall::onMessageEnd()
+{
+    this->answered = !this->interim;
+}
+
+void TargetCall::end(bool whole, std::string_view reason)
+{
+    if (this->over)
+        return;
+    this->cancel();
+    if (const auto to = this->listener.lock())
+        to->onCallEnd({whole, this->sent, reason});
+}
+
+void TargetCall::cancel()
+{
+    this->over = true;
+    asio::error_code ignored; // closing cannot fail in a way that matters to anybody
+    this->timer.cancel();
+    this->socket.close(ignored);
+}
+
+void TargetCall::setPaused(bool pause)
+{
+    this->paused = pause;
+    if (!pause)
+        this->read();
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Proxy/entrysettings.cpp
@@ -0,0 +1,84 @@
+#include "jaytrack/Proxy/entrysettings.h"
+
+#include "jaytrack/Net/socket.h"
+
+namespace jaytrack {
+
+namespace {
+
+constexpr IntegerRange milliRange{100, 3'600'000};
+constexpr IntegerRange secondRange{1, 3600};
+constexpr IntegerRange megabyteRange{16, 1'048'576};
+constexpr IntegerRange descriptorRange{64, 10'000'000};
+
+std::string readAddress(TomlTable &table, std::string_view key, bool required)
+{
+    const std::string text = required ? table.text(key) : table.text(key, "");
+    if (text.empty())
+        return text;
+    const auto endpoint = parseEndpoint(text);
+    if (!endpoint)
+        table.report(endpoint.error().code, key, endpoint.error().detail);
+    return text;
+}
+
+std::chrono::milliseconds readMillis(TomlTable &table, std::string_view key,
+                                     std::chrono::milliseconds fallback)
+{
+    return std::chrono::milliseconds(table.integer(key, milliRange, fallback.count()));
+}
+
+std::chrono::seconds readSeconds(TomlTable &table, std::string_view key,
+                                 std::chrono::seconds fallback)
+{
+    return std::chrono::seconds(table.integer(key, secondRange, fallback.count()));
+}
+
+} // namespace
+
+EntrySettings readEntrySettings(const std::string &file, Problems &problems)
+{
+    EntrySettings settings;
+    std::optional<TomlTable> opened = TomlTable::open(file, problems);
+    if (!opened)
+        return settings;
+    TomlTable &root = *opened;
+    settings.name = root.text("name");
+    settings.dataCentre = root.text("data_centre");
+
+    TomlTable listen = root.table("listen");
+    settings.callers = readAddress(listen, "callers", true);
+    settings.readiness = readAddress(listen, "readiness", true);
+    settings.metrics = readAddress(listen, "metrics", false);
+    if (!settings.callers.empty() && settings.callers == settings.readiness)
+        listen.report(ResultCode::SettingsContradiction, "readiness",
+                      "callers and readiness cannot share one listener");
+    listen.finish();
+
+    TomlTable store = root.table("store");
+    settings.store = readAddress(store, "address", true);
+    store.finish();
+
+    TomlTable bounds = root.table("bounds");
+    settings.keyFreshness = readMillis(bounds, "key_freshness_ms", settings.keyFreshness);
+    settings.configurationDelay = readMillis(bounds, "configuration_ms", settings.configurationDelay);
+    settings.drainGrace = readSeconds(bounds, "drain_grace_s", settings.drainGrace);
+    settings.retryRatio = bounds.number("retry_ratio", 0, 1, settings.retryRatio);
+    settings.retryWindow = readSeconds(bounds, "retry_window_s", settings.retryWindow);
+    bounds.finish();
+
+    TomlTable limits = root.table("limits");
+    static constexpr std::size_t megabyte = 1U << 20U;
+    settings.memoryBytes =
+            static_cast<std::size_t>(limits.integer(
+                    "memory_mb", megabyteRange,
+                    static_cast<std::int64_t>(settings.memoryBytes / megabyte))) *
+            megabyte;
+    settings.descriptors = static_cast<std::size_t>(limits.integer(
+            "descriptors", descriptorRange, static_cast<std::int64_t>(settings.descriptors)));
+    limits.finish();
+    root.finish();
+    return settings;
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Proxy/exchange.cpp
@@ -0,0 +1,212 @@
+#include "jaytrack/Proxy/exchange.h"
+
+#include "jaytrack/Net/socket.h"
+#include "jaytrack/Support/metrics.h"
+
+#include <algorithm>
+#include <array>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr std::array<std::string_view, 8> connectionHeaders = {
+        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+        "TE",         "Trailer",    "Upgrade",          "Content-Length"};
+
+constexpr std::chrono::milliseconds unboundedWait = std::chrono::hours(1);
+
+bool concernsConnection(std::string_view name, std::string_view connectionOptions)
+{
+    for (const std::string_view known : connectionHeaders) {
+        if (sameHeaderName(known, name))
+            return true;
+    }
+    while (!connectionOptions.empty()) {
+        const std::size_t comma = connectionOptions.find(',');
+        std::string_view option = connectionOptions.substr(0, comma);
+        while (option.starts_with(' '))
+            option.remove_prefix(1);
+        while (option.ends_with(' '))
+            option.remove_suffix(1);
+        if (sameHeaderName(option, name))
+            return true;
+        connectionOptions.remove_prefix(comma == std::string_view::npos ? connectionOptions.size()
+                                                                        : comma + 1);
+    }
+    return false;
+}
+
+} // namespace
+
+std::vector<HttpHeader> withoutHopByHop(std::span<const HttpHeader> headers)
+{
+    const std::string_view options = findHeader(headers, "Connection");
+    std::vector<HttpHeader> kept;
+    kept.reserve(headers.size());
+    for (const HttpHeader &header : headers) {
+        if (!concernsConnection(header.name, options) && !sameHeaderName(header.name, "Expect"))
+            kept.push_back(header);
+    }
+    return kept;
+}
+
+std::vector<HttpHeader> answerHeaders(std::span<const HttpHeader> headers)
+{
+    return withoutHopByHop(headers);
+}
+
+// Load that it answers: a herd of callers refused at the same moment. Whoever only met an instance
+// that cannot serve now goes to another one and may do so at once; whoever met full targets waits a
+// part of the objective, drawn at random, so that the herd spreads and its answer is still worth having.
+std::chrono::milliseconds comeBackDelay(ResultCode code, const RouteRule *route,
+                                        std::mt19937_64 &random)
+{
+    static constexpr std::chrono::milliseconds soon{20};
+    static constexpr std::chrono::milliseconds unknownRoute{200};
+    const std::chrono::milliseconds objective =
+            route == nullptr || route->objective.count() == 0 ? unknownRoute : route->objective;
+    const bool instanceOnly = code == ResultCode::Draining || code == ResultCode::NotReady ||
+                              code == ResultCode::ConfigurationStale;
+    const std::chrono::milliseconds most = instanceOnly ? soon * 2 : std::max(soon * 2, objective / 4);
+    std::uniform_int_distribution<std::int64_t> delay(soon.count(), most.count());
+    return std::chrono::milliseconds(delay(random));
+}
+
+Exchange::Exchange(ExchangeContext &shared, std::shared_ptr<CallerConnection> from,
+                   AdmittedRequest given)
+    : context(shared)
+    , caller(std::move(from))
+    , admitted(std::move(given))
+    , limitTimer(shared.loop)
+{
+    std::uniform_real_distribution<double> draw(0, 1);
+    this->serviceName = RoutingTable::pickService(this->route(), draw(shared.random));
+    std::chrono::milliseconds wait = this->facts().timeLeft.value_or(unboundedWait);
+    if (this->route().timeout.count() > 0)
+        wait = std::min(wait, this->route().timeout);
+    this->limit = this->request().arrived + wait;
+}
+
+Exchange::~Exchange() = default;
+
+void Exchange::start()
+{
+    this->context.open.insert(this->shared_from_this());
+    this->caller->attach(this->shared_from_this());
+    this->context.retries.earn(this->serviceName);
+    this->limitTimer.expires_after(std::max(this->timeLeft(), std::chrono::milliseconds(0)));
+    this->limitTimer.async_wait([self = this->shared_from_this()](const asio::error_code &failure) {
+        if (!failure && !self->finished)
+            self->onLimit();
+    });
+    this->attempt();
+}
+
+const ServiceRule *Exchange::service() const
+{
+    return this->admitted.table->serviceNamed(this->serviceName);
+}
+
+std::vector<const TargetEntry *> Exchange::untried() const
+{
+    std::vector<const TargetEntry *> targets = this->context.directory.usable(this->serviceName);
+    std::erase_if(targets,
+                  [this](const TargetEntry *entry) { return this->tried.count(entry->id) > 0; });
+    return targets;
+}
+
+std::chrono::milliseconds Exchange::timeLeft() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->limit -
+                                                                 this->context.clock.now());
+}
+
+TargetRequest Exchange::makeRequest(const TargetEntry &target, ForwardOrders orders,
+                                    const asio::ip::tcp::endpoint &endpoint) const
+{
+    const MessageHead &head = this->request().head;
+    orders.timeLeft = std::max(this->timeLeft(), std::chrono::milliseconds(1));
+    orders.targetId = target.id;
+    if (this->admitted.admission.holder != nullptr)
+        orders.customer = this->admitted.admission.holder->customer;
+    TargetRequest made;
+    made.endpoint = endpoint;
+    made.method = head.method;
+    made.target = head.target;
+    made.headers = this->context.dialect.forwardHeaders(withoutHopByHop(head.headers), orders);
+    made.body = this->request().body;
+    return made;
+}
+
+void Exchange::answerOwn(ResultCode code, std::string_view detail)
+{
+    if (this->finished)
+        return;
+    const ResultCodeInfo &info = describe(code);
+    std::vector<HttpHeader> headers;
+    headers.push_back({"Jaytrack-Outcome", std::string(outcomeName(info.outcome))});
+    if (info.outcome == Outcome::NotRun) {
+        headers.push_back(this->context.dialect.comeBackIn(
+                comeBackDelay(code, this->admitted.admission.route, this->context.random)));
+    }
+    this->caller->respond(info.httpStatus, headers, {});
+    this->finish(code, info.httpStatus, detail);
+}
+
+void Exchange::answerWhole(const MessageHead &head, std::string_view body, std::string_view target)
+{
+    if (this->finished)
+        return;
+    this->caller->respond(head.status, answerHeaders(head.headers), body);
+    this->finish(ResultCode::Ok, head.status, target);
+}
+
+void Exchange::finish(ResultCode code, int status, std::string_view detail)
+{
+    if (this->finished)
+        return;
+    this->finished = true;
+    this->limitTimer.cancel();
+    this->cancelCalls();
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+            this->context.clock.now() - this->request().arrived);
+    const ResultCodeInfo &info = describe(code);
+    this->logDecision("request_ended",
+                      {{"code", static_cast<std::int64_t>(info.code)},
+                       {"result", info.name},
+                       {"status", status},
+                       {"detail", detail},
+                       {"sends", this->sends},
+                       {"took_ms", static_cast<std::int64_t>(took.count())}});
+    const std::string kind(kindName(this->route().kind));
+    this->context.metrics.count("jaytrack_requests_total{kind=\"" + kind + "\",result=\"" +
+                                std::string(info.name) + "\"}");
+    this->context.metrics.observe("jaytrack_request_seconds{kind=\"" + kind + "\"}",
+                                  static_cast<double>(took.count()) / 1000.0);
+    this->context.open.erase(this->shared_from_this());
+}
+
+void Exchange::logDecision(std::string_view event, std::initializer_list<LogField> fields) const
+{
+    std::vector<LogField> all;
+    all.reserve(fields.size() + 3);
+    all.emplace_back("id", std::string_view(this->facts().attemptId));
+    all.emplace_back("route", std::string_view(this->route().name));
+    all.emplace_back("config", static_cast<std::int64_t>(this->admitted.table->version));
+    all.insert(all.end(), fields.begin(), fields.end());
+    logEvent(Severity::Info, event, all);
+}
+
+void Exchange::onCallerGone()
+{
+    this->finish(ResultCode::CallerLeft, 0, "caller_closed");
+}
+
+void Exchange::onLimit()
+{
+    this->answerOwn(this->mayHaveRun() ? ResultCode::TargetTimeout : ResultCode::WaitExpired,
+                    "time_limit");
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Proxy/loadprober.cpp
@@ -0,0 +1,130 @@
+#include "jaytrack/Proxy/loadprober.h"
+
+#include "jaytrack/Net/socket.h"
+
+namespace jaytrack {
+
+namespace {
+
+constexpr std::chrono::milliseconds answerBound{400};
+constexpr int okStatus = 200;
+
+} // namespace
+
+class LoadProber::Probe final : public TargetCallListener, public std::enable_shared_from_this<Probe>
+{
+public:
+    Probe(LoadProber &owner, TargetEntry at)
+        : prober(owner)
+        , target(std::move(at))
+        , timer(owner.context)
+    {
+    }
+
+    void start()
+    {
+        // Instances that start together would otherwise ask every engine in the same instant.
+        std::uniform_int_distribution<std::int64_t> first(0, gap.count());
+        this->askAfter(std::chrono::milliseconds(first(this->prober.random)));
+    }
+
+    void stop()
+    {
+        this->timer.cancel();
+        if (this->call)
+            this->call->cancel();
+        this->stopped = true;
+    }
+
+private:
+    void askAfter(std::chrono::milliseconds delay)
+    {
+        this->timer.expires_after(delay);
+        this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
+            const auto self = weak.lock();
+            if (!failure && self && !self->stopped)
+                self->ask();
+        });
+    }
+
+    void ask()
+    {
+        const auto endpoint = parseEndpoint(this->target.address);
+        if (!endpoint)
+            return;
+        TargetRequest request;
+        request.endpoint = endpoint.value();
+        request.target = this->prober.dialect.loadPath();
+        request.headers.push_back({"Host", this->target.address});
+        request.connectTimeout = answerBound;
+        this->status = 0;
+        this->body.clear();
+        this->call = TargetCall::start(this->prober.context, std::move(request),
+                                       this->weak_from_this());
+        this->timer.expires_after(answerBound);
+        this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
+            const auto self = weak.lock();
+            if (failure || !self || self->stopped)
+                return;
+            self->call->cancel();
+            self->onCallEnd({false, true, "no_answer"});
+        });
+    }
+
+    void onAnswerHead(MessageHead head) override { this->status = head.status; }
+    void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
+
+    void onCallEnd(const TargetCallEnd &end) override
+    {
+        if (this->stopped)
+            return;
+        this->askAfter(gap);
+        const Result<EngineLoad> load = this->prober.dialect.decodeLoad(this->body);
+        if (!end.whole || this->status != okStatus || !load) {
+            this->prober.engines.unreachable(this->target.id);
+            return;
+        }
+        this->prober.engines.reached(this->target.id);
+        this->prober.engines.reported(this->target.id, load.value());
+        if (load.value().leaving)
+            this->prober.directory.markLeaving(this->target.id, "reported");
+    }
+
+    LoadProber &prober;
+    TargetEntry target;
+    asio::steady_timer timer;
+    std::shared_ptr<TargetCall> call;
+    int status = 0;
+    std::string body;
+    bool stopped = false;
+};
+
+LoadProber::LoadProber(asio::io_context &loop, const Dialect &words, TargetDirectory &listed,
+                       EngineChoice &told, std::mt19937_64 &source)
+    : context(loop)
+    , dialect(words)
+    , directory(listed)
+    , engines(told)
+    , random(source)
+{
+}
+
+void LoadProber::add(const TargetEntry &entry)
+{
+    if (this->probes.count(entry.id) > 0)
+        return;
+    const auto probe = std::make_shared<Probe>(*this, entry);
+    this->probes.emplace(entry.id, probe);
+    probe->start();
+}
+
+void LoadProber::remove(std::string_view id)
+{
+    const auto found = this->probes.find(id);
+    if (found == this->probes.end())
+        return;
+    found->second->stop();
+    this->probes.erase(found);
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Proxy/storefeeds.cpp
@@ -0,0 +1,139 @@
+#include "jaytrack/Proxy/storefeeds.h"
+
+#include "jaytrack/Support/log.h"
+
+namespace jaytrack {
+
+namespace {
+
+// The platform restores lapsed entries within about two seconds of its return; one that is missing
+// after that is gone.
+constexpr std::chrono::milliseconds returnGrace{2200};
+
+std::int64_t toMillis(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+void ConfigurationFeed::onListing(const std::vector<StoreItem> &items, TimePoint asOf)
+{
+    this->onChanges(items, asOf);
+}
+
+void ConfigurationFeed::onChanges(const std::vector<StoreItem> &items, TimePoint asOf)
+{
+    for (const StoreItem &item : items) {
+        if (item.key == this->dialect.configurationKey() && !item.deleted)
+            this->take(item);
+    }
+    this->confirmedAt = std::max(this->confirmedAt, asOf);
+}
+
+void ConfigurationFeed::take(const StoreItem &item)
+{
+    Result<RoutingTable> decoded = this->dialect.decodeConfiguration(item.value);
+    if (!decoded) {
+        logEvent(Severity::Error, "config_rejected",
+                 {{"code", static_cast<std::int64_t>(decoded.error().code)},
+                  {"revision", static_cast<std::int64_t>(item.revision)},
+                  {"detail", decoded.error().detail}});
+        return;
+    }
+    const std::uint64_t version = decoded.value().version;
+    const std::uint64_t before = this->inForce ? this->inForce->version : 0;
+    // An answer that was read late must not take an instance back behind what it served under.
+    if (version < before) {
+        logEvent(Severity::Warning, "config_older_ignored",
+                 {{"version", static_cast<std::int64_t>(version)},
+                  {"in_force", static_cast<std::int64_t>(before)}});
+        return;
+    }
+    if (version == before)
+        return;
+    this->inForce = std::make_shared<const RoutingTable>(std::move(decoded.value()));
+    logEvent(Severity::Info, "config_in_force",
+             {{"version", static_cast<std::int64_t>(version)},
+              {"before", static_cast<std::int64_t>(before)},
+              {"revision", static_cast<std::int64_t>(item.revision)},
+              {"routes", static_cast<std::int64_t>(this->inForce->routes.size())},
+              {"keys", static_cast<std::int64_t>(this->inForce->holders.size())}});
+}
+
+void ConfigurationFeed::onStoreLost(std::string_view reason)
+{
+    logEvent(Severity::Warning, "store_lost",
+             {{"follows", "config"}, {"reason", reason}, {"age_ms", toMillis(this->age())}});
+}
+
+void ConfigurationFeed::onStoreRegained(Duration away)
+{
+    logEvent(Severity::Info, "store_regained", {{"follows", "config"}, {"away_ms", toMillis(away)}});
+}
+
+TargetFeed::TargetFeed(asio::io_context &loop, const Dialect &words, TargetDirectory &filled)
+    : dialect(words)
+    , directory(filled)
+    , graceTimer(loop)
+{
+}
+
+std::string TargetFeed::idOf(std::string_view key) const
+{
+    return std::string(key.substr(this->dialect.targetsPrefix().size()));
+}
+
+void TargetFeed::onListing(const std::vector<StoreItem> &items, TimePoint)
+{
+    std::vector<TargetEntry> entries;
+    for (const StoreItem &item : items) {
+        Result<TargetEntry> entry = this->dialect.decodeTarget(item.key, item.value);
+        if (entry)
+            entries.push_back(std::move(entry.value()));
+        else
+            logEvent(Severity::Error, "target_rejected",
+                     {{"key", item.key}, {"detail", entry.error().detail}});
+    }
+    this->directory.replaceAll(std::move(entries), this->inGrace());
+    this->loaded = true;
+}
+
+void TargetFeed::onChanges(const std::vector<StoreItem> &items, TimePoint)
+{
+    for (const StoreItem &item : items) {
+        if (item.deleted) {
+            this->directory.remove(this->idOf(item.key), this->inGrace());
+            continue;
+        }
+        Result<TargetEntry> entry = this->dialect.decodeTarget(item.key, item.value);
+        if (entry)
+            this->directory.put(std::move(entry.value()));
+        else
+            logEvent(Severity::Error, "target_rejected",
+                     {{"key", item.key}, {"detail", entry.error().detail}});
+    }
+}
+
+void TargetFeed::onStoreLost(std::string_view reason)
+{
+    this->away = true;
+    logEvent(Severity::Warning, "store_lost", {{"follows", "targets"}, {"reason", reason}});
+}
+
+void TargetFeed::onStoreRegained(Duration awayFor)
+{
+    this->away = false;
+    this->graceRunning = true;
+    logEvent(Severity::Info, "store_regained",
+             {{"follows", "targets"}, {"away_ms", toMillis(awayFor)}});
+    this->graceTimer.expires_after(returnGrace);
+    this->graceTimer.async_wait([this](const asio::error_code &failure) {
+        if (failure)
+            return;
+        this->graceRunning = false;
+        this->directory.dropMissing();
+    });
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Proxy/storefollower.cpp
@@ -0,0 +1,201 @@
+#include "jaytrack/Proxy/storefollower.h"
+
+#include "jaytrack/Support/log.h"
+
+#include <algorithm>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr int okStatus = 200;
+constexpr int historyGoneStatus = 410;
+
+// Beyond the wait that was asked for; the store answers in milliseconds and up to 60 times slower
+// in its bad hours.
+constexpr std::chrono::milliseconds answerSlack{700};
+constexpr std::chrono::milliseconds connectBound{500};
+
+// Pauses between failed calls: short at first, since most failures are one lost connection, and at
+// most a quarter of a second, so that keys confirmed every second stay well within their bound.
+constexpr std::chrono::milliseconds firstBackoff{30};
+constexpr std::chrono::milliseconds mostBackoff{250};
+
+// Failures in a row after which the store counts as lost.
+constexpr int failuresUntilLost = 2;
+
+} // namespace
+
+StoreFollower::StoreFollower(asio::io_context &loop, const Clock &time, const Dialect &words,
+                             StoreFollowerOptions given, std::uint64_t seed,
+                             StoreFollowerListener &to)
+    : context(loop)
+    , timer(loop)
+    , clock(time)
+    , dialect(words)
+    , options(std::move(given))
+    , random(seed)
+    , listener(to)
+    , lastAnswer(time.now())
+{
+}
+
+void StoreFollower::start()
+{
+    this->ask();
+}
+
+void StoreFollower::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+    if (this->call)
+        this->call->cancel();
+}
+
+void StoreFollower::ask()
+{
+    TargetRequest request;
+    request.endpoint = this->options.store;
+    request.connectTimeout = connectBound;
+    std::chrono::milliseconds bound = answerSlack;
+    if (this->listing) {
+        request.target = this->dialect.rangeTarget(this->options.prefix, this->pageAfter);
+    } else {
+        request.target = this->dialect.watchTarget(this->options.prefix, this->revision,
+                                                   this->options.wait);
+        bound += this->options.wait;
+    }
+    request.headers.push_back({"Host", this->options.store.address().to_string()});
+    this->status = 0;
+    this->body.clear();
+    this->askedAt = this->clock.now();
+    if (this->listing && this->pageAfter.empty())
+        this->listingAskedAt = this->askedAt;
+    ++this->calls;
+    this->call = TargetCall::start(this->context, std::move(request), this->weak_from_this());
+    this->timer.expires_after(bound);
+    this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
+        const auto self = weak.lock();
+        if (!failure && self)
+            self->onTimeout();
+    });
+}
+
+void StoreFollower::askLater(std::chrono::milliseconds delay)
+{
+    if (this->stopped)
+        return;
+    if (delay.count() == 0)
+        return this->ask();
+    this->timer.expires_after(delay);
+    this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
+        const auto self = weak.lock();
+        if (!failure && self)
+            self->ask();
+    });
+}
+
+void StoreFollower::onAnswerHead(MessageHead head)
+{
+    this->status = head.status;
+}
+
+void StoreFollower::onAnswerBody(std::string_view bytes)
+{
+    this->body += bytes;
+}
+
+void StoreFollower::onCallEnd(const TargetCallEnd &end)
+{
+    this->timer.cancel();
+    if (this->stopped)
+        return;
+    if (!end.whole)
+        return this->failed(end.reason);
+    if (!this->listing && this->status == historyGoneStatus) {
+        logEvent(Severity::Warning, "store_history_gone",
+                 {{"follows", this->options.name},
+                  {"revision", static_cast<std::int64_t>(this->revision)}});
+        this->listing = true;
+        this->pageAfter.clear();
+        this->listed.clear();
+        return this->askLater(std::chrono::milliseconds(0));
+    }
+    if (this->status != okStatus)
+        return this->failed("status_" + std::to_string(this->status));
+    if (this->listing)
+        this->takePage();
+    else
+        this->takeChanges();
+}
+
+void StoreFollower::onTimeout()
+{
+    if (this->call)
+        this->call->cancel();
+    this->failed("no_answer");
+}
+
+void StoreFollower::failed(std::string_view reason)
+{
+    ++this->failures;
+    if (this->failures >= failuresUntilLost && !this->lost) {
+        this->lost = true;
+        this->listener.onStoreLost(reason);
+    }
+    auto backoff = firstBackoff * (1 << std::min(this->failures - 1, 4));
+    backoff = std::min(backoff, mostBackoff);
+    std::uniform_int_distribution<std::int64_t> jitter(backoff.count() / 2, backoff.count());
+    this->askLater(std::chrono::milliseconds(jitter(this->random)));
+}
+
+void StoreFollower::succeeded()
+{
+    const TimePoint now = this->clock.now();
+    if (this->lost) {
+        this->lost = false;
+        this->listener.onStoreRegained(now - this->lastAnswer);
+    }
+    this->failures = 0;
+    this->lastAnswer = now;
+}
+
+void StoreFollower::takePage()
+{
+    Result<StorePage> decoded = this->dialect.decodePage(this->body);
+    if (!decoded)
+        return this->failed("malformed_answer");
+    this->succeeded();
+    StorePage &page = decoded.value();
+    // Pages are read one after another, so changes between them are caught by following from the
+    // revision of the first.
+    if (this->pageAfter.empty())
+        this->revision = page.revision;
+    for (StoreItem &item : page.items)
+        this->listed.push_back(std::move(item));
+    if (page.more && !this->listed.empty()) {
+        this->pageAfter = this->listed.back().key;
+        return this->askLater(std::chrono::milliseconds(0));
+    }
+    this->listing = false;
+    this->pageAfter.clear();
+    const std::vector<StoreItem> whole = std::move(this->listed);
+    this->listed.clear();
+    this->listener.onListing(whole, this->listingAskedAt);
+    this->askLater(std::chrono::milliseconds(0));
+}
+
+void StoreFollower::takeChanges()
+{
+    Result<StorePage> decoded = this->dialect.decodeChanges(this->body);
+    if (!decoded)
+        return this->failed("malformed_answer");
+    this->succeeded();
+    const StorePage &page = decoded.value();
+    this->revision = std::max(this->revision, page.revision);
+    this->listener.onChanges(page.items, this->askedAt);
+    this->askLater(page.items.empty() ? std::chrono::milliseconds(0) : this->options.gap);
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Proxy/streamexchange.cpp
@@ -0,0 +1,582 @@
+#include "jaytrack/Proxy/exchange.h"
+
+#include "jaytrack/Net/socket.h"
+#include "jaytrack/Stream/sse.h"
+#include "jaytrack/Support/metrics.h"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+
+namespace jaytrack {
+
+namespace {
+
+// Bytes that may wait for a slow caller before reading from the engine pauses.
+constexpr std::size_t mostPendingBytes = 128U << 10U;
+
+// Longest answer that is no stream, such as an engine's own failure.
+constexpr std::size_t mostPlainBytes = 256U << 10U;
+
+// A run that goes on at another engine must not be worked on at both for long; the old connection is
+// closed this long after the new one was opened, or as soon as the new engine has taken the run.
+constexpr std::chrono::milliseconds mostOverlap{250};
+
+// Engines tried for one hand-over; each failure takes a round trip of the time that is left.
+constexpr int mostMoveTries = 3;
+
+// A copy of a whole run takes half a second between data centres when it is first in the queue.
+constexpr std::chrono::milliseconds moveBound{2500};
+
+constexpr int okStatus = 200;
+
+std::optional<std::uint64_t> parseEventId(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (failure != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+class StreamExchange;
+
+// One connection to an engine that carries the stream or a part of it.
+class StreamLeg final : public TargetCallListener
+{
+public:
+    StreamLeg(std::weak_ptr<StreamExchange> to, TargetEntry at, bool resumes)
+        : owner(std::move(to))
+        , target(std::move(at))
+        , resumed(resumes)
+    {
+    }
+
+    void onAnswerHead(MessageHead answer) override;
+    void onAnswerBody(std::string_view bytes) override;
+    void onCallEnd(const TargetCallEnd &end) override;
+
+    std::weak_ptr<StreamExchange> owner;
+    TargetEntry target;
+    bool resumed;
+    std::shared_ptr<TargetCall> call;
+    MessageHead head;
+    std::string plainBody;
+    SseSplitter events;
+    bool streaming = false; // the engine answers with events
+};
+
+// A call by which an engine is told to copy a run to another one.
+class MoveCall final : public TargetCallListener
+{
+public:
+    explicit MoveCall(std::weak_ptr<StreamExchange> to)
+        : owner(std::move(to))
+    {
+    }
+
+    void onAnswerHead(MessageHead head) override { this->status = head.status; }
+    void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
+    void onCallEnd(const TargetCallEnd &end) override;
+
+    std::weak_ptr<StreamExchange> owner;
+    std::shared_ptr<TargetCall> call;
+    TargetEntry destination;
+    bool last = false;
+    int status = 0;
+    std::string body;
+};
+
+// A request whose answer is a stream of events. The run that makes them may go on at other engines;
+// towards the caller it stays one stream, with each event once and in order.
+class StreamExchange final : public Exchange
+{
+public:
+    StreamExchange(ExchangeContext &shared, std::shared_ptr<CallerConnection> from,
+                   AdmittedRequest given)
+        : Exchange(shared, std::move(from), std::move(given))
+        , overlapTimer(shared.loop)
+        , moveTimer(shared.loop)
+    {
+        const ServiceRule *rule = this->service();
+        if (rule != nullptr && rule->engine)
+            this->traits = *rule->engine;
+        if (this->facts().generation) {
+            this->need.promptTokens = this->facts().generation->promptTokens;
+            this->need.outputTokens = this->expectedOutput();
+        }
+        this->lastEvent = this->facts().lastEventId.value_or(0);
+    }
+
+    void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override
+    {
+        if (this->backup && this->backup->id == entry.id)
+            this->dropBackup();
+        if (!this->current || this->current->target.id != entry.id)
+            return;
+        this->logDecision("engine_leaving", {{"target", entry.id},
+                                             {"reason", reason},
+                                             {"events", static_cast<std::int64_t>(this->lastEvent)}});
+        this->leaving = true;
+        this->handOver();
+    }
+
+    void onCallerWritable() override
+    {
+        if (this->current && this->current->call &&
+            this->caller->pendingBytes() < mostPendingBytes / 2)
+            this->current->call->setPaused(false);
+    }
+
+    void legHead(StreamLeg &leg);
+    void legEvent(StreamLeg &leg, const SseEvent &event);
+    void legEnded(StreamLeg &leg, const TargetCallEnd &end);
+    void moveEnded(MoveCall &move, const TargetCallEnd &end);
+
+protected:
+    void attempt() override;
+    void cancelCalls() override;
+    bool mayHaveRun() const override
+    {
+        return this->uncertain || (this->current && this->current->call->bytesSent());
+    }
+
+private:
+    std::uint32_t expectedOutput() const
+    {
+        const GenerationFacts &generation = *this->facts().generation;
+        return std::min(generation.expectedOutputTokens.value_or(generation.maxOutputTokens),
+                        generation.maxOutputTokens);
+    }
+
+    std::shared_ptr<StreamExchange> self()
+    {
+        return std::static_pointer_cast<StreamExchange>(this->shared_from_this());
+    }
+
+    std::shared_ptr<StreamLeg> open(const TargetEntry &target, std::optional<ResumePoint> resume);
+    void chooseBackup(std::string_view running);
+    void dropBackup();
+    void handOver();
+    void resumeAtBackup();
+    void startMove();
+    void sendMove(const TargetEntry &destination, bool last);
+    void takeOver();
+    void dropLeg(std::shared_ptr<StreamLeg> &leg);
+    void currentLost(std::string_view reason);
+    void nextLost(std::string_view reason);
+    void endBroken(ResultCode code, std::string_view reason);
+    void passOnAnswer(StreamLeg &leg);
+    void beginAnswer(const MessageHead &head);
+
+    EngineTraits traits;
+    GenerationNeed need;
+    std::shared_ptr<StreamLeg> current;
+    std::shared_ptr<StreamLeg> next; // takes over from current
+    std::shared_ptr<MoveCall> move;
+    std::optional<TargetEntry> backup; // where the current engine keeps a copy of the run
+    asio::steady_timer overlapTimer;
+    asio::steady_timer moveTimer;
+    std::uint64_t lastEvent = 0; // the last one that was passed on
+    bool answerBegun = false;
+    bool leaving = false;   // the current engine will end soon
+    bool uncertain = false; // some engine may have worked on the request before the current leg
+    int moveTries = 0;
+    int handOvers = 0;
+};
+
+void StreamLeg::onAnswerHead(MessageHead answer)
+{
+    this->head = std::move(answer);
+    this->streaming = this->head.status == okStatus;
+    if (const auto to = this->owner.lock())
+        to->legHead(*this);
+}
+
+void StreamLeg::onAnswerBody(std::string_view bytes)
+{
+    const auto to = this->owner.lock();
+    if (!to)
+        return;
+    if (!this->streaming) {
+        if (this->plainBody.size() + bytes.size() <= mostPlainBytes)
+            this->plainBody += bytes;
+        return;
+    }
+    const bool good = this->events.feed(bytes, [this, &to](const SseEvent &event) {
+        to->legEvent(*this, event);
+        return true;
+    });
+    if (!good) {
+        this->call->cancel();
+        to->legEnded(*this, {false, true, "garbled"});
+    }
+}
+
+void StreamLeg::onCallEnd(const TargetCallEnd &end)
+{
+    if (const auto to = this->owner.lock())
+        to->legEnded(*this, end);
+}
+
+void MoveCall::onCallEnd(const TargetCallEnd &end)
+{
+    if (const auto to = this->owner.lock())
+        to->moveEnded(*this, end);
+}
+
+std::shared_ptr<StreamLeg> StreamExchange::open(const TargetEntry &target,
+                                                std::optional<ResumePoint> resume)
+{
+    const auto endpoint = parseEndpoint(target.address);
+    if (!endpoint)
+        return nullptr;
+    ForwardOrders orders;
+    orders.resume = std::move(resume);
+    if (this->lastEvent > 0 || orders.resume)
+        orders.lastEventId = this->lastEvent;
+    const KeyHolder *holder = this->admitted.admission.holder;
+    orders.priority = holder != nullptr && holder->priority ? *holder->priority
+                                                            : this->route().priority;
+    this->chooseBackup(target.id);
+    if (this->backup)
+        orders.backupAddress = this->backup->address;
+    auto leg = std::make_shared<StreamLeg>(this->self(), target, orders.resume.has_value());
+    this->logDecision(
+            orders.resume ? "run_resumed" : "run_placed",
+            {{"target", target.id},
+             {"address", target.address},
+             {"backup", this->backup ? std::string_view(this->backup->id) : std::string_view("none")},
+             {"after_event", static_cast<std::int64_t>(this->lastEvent)},
+             {"prompt_tokens", this->need.promptTokens},
+             {"expected_tokens", this->need.outputTokens},
+             {"forecast_tokens", static_cast<std::int64_t>(
+                                         this->context.engines.forecast(target.id).memoryTokens)},
+             {"report_age_ms",
+              static_cast<std::int64_t>(
+                      this->context.engines.forecast(target.id).reportAge /
+                      std::chrono::milliseconds(1))},
+             {"left_ms", static_cast<std::int64_t>(this->timeLeft().count())}});
+    this->context.engines.began(target.id, this->facts().attemptId, this->need);
+    leg->call = TargetCall::start(this->context.loop,
+                                  this->makeRequest(target, orders, endpoint.value()), leg);
+    return leg;
+}
+
+void StreamExchange::attempt()
+{
+    const std::vector<const TargetEntry *> engines = this->untried();
+    const TargetEntry *chosen =
+            this->context.engines.choose(engines, this->traits, this->need, this->tried);
+    if (chosen == nullptr)
+        return this->answerOwn(this->uncertain ? ResultCode::TargetLost : ResultCode::NoTarget,
+                               "no_usable_engine");
+    this->tried.insert(chosen->id);
+    this->current = this->open(*chosen, std::nullopt);
+    if (!this->current)
+        this->attempt();
+}
+
+void StreamExchange::chooseBackup(std::string_view running)
+{
+    this->dropBackup();
+    // A run that may start anew elsewhere needs no copy: it is short, and a copy costs the memory of
+    // a whole prompt at another engine.
+    if (!this->traits.keepsBackups || mayRunAgain(this->route().kind))
+        return;
+    const std::vector<const TargetEntry *> engines =
+            this->context.directory.usable(this->serviceName);
+    const TargetEntry *chosen =
+            this->context.engines.chooseBackup(engines, this->traits, this->need, running);
+    if (chosen == nullptr)
+        return;
+    this->backup = *chosen;
+    this->context.engines.backupPlaced(chosen->id, this->facts().attemptId, this->need);
+}
+
+void StreamExchange::dropBackup()
+{
+    if (!this->backup)
+        return;
+    this->context.engines.backupDropped(this->backup->id, this->facts().attemptId);
+    this->backup.reset();
+}
+
+void StreamExchange::dropLeg(std::shared_ptr<StreamLeg> &leg)
+{
+    if (!leg)
+        return;
+    leg->call->cancel();
+    this->context.engines.ended(leg->target.id, this->facts().attemptId);
+    leg.reset();
+}
+
+void StreamExchange::cancelCalls()
+{
+    this->overlapTimer.cancel();
+    this->moveTimer.cancel();
+    this->dropLeg(this->current);
+    this->dropLeg(this->next);
+    if (this->move) {
+        this->move->call->cancel();
+        this->move.reset();
+    }
+    this->dropBackup();
+}
+
+void StreamExchange::legHead(StreamLeg &leg)
+{
+    this->context.engines.reached(leg.target.id);
+    const AnswerFacts said =
+            this->context.dialect.describeAnswer(leg.head.status, leg.head.headers);
+    if (!said.attemptId.empty() && said.attemptId != this->facts().attemptId) {
+        leg.call->cancel();
+        return this->legEnded(leg, {false, true, "answer_to_another_request"});
+    }
+    if (leg.streaming && this->next.get() == &leg)
+        this->takeOver();
+}
+
+void StreamExchange::beginAnswer(const MessageHead &head)
+{
+    if (this->answerBegun)
+        return;
+    this->answerBegun = true;
+    const auto waited = this->context.clock.now() - this->request().arrived;
+    this->context.metrics.observe("jaytrack_first_event_seconds",
+                                  std::chrono::duration<double>(waited).count());
+    this->caller->begin(head.status, answerHeaders(head.headers));
+}
+
+void StreamExchange::legEvent(StreamLeg &leg, const SseEvent &event)
+{
+    if (this->isFinished() || (this->current.get() != &leg && this->next.get() != &leg))
+        return;
+    const std::optional<std::uint64_t> id = parseEventId(event.id);
+    if (id && *id <= this->lastEvent)
+        return; // passed on already, from the engine that ran it before
+    if (id && this->lastEvent > 0 && *id != this->lastEvent + 1) {
+        leg.call->cancel();
+        return this->legEnded(leg, {false, true, "event_missing"});
+    }
+    if (this->next.get() == &leg)
+        this->takeOver();
+    if (id)
+        this->lastEvent = *id;
+    this->beginAnswer(leg.head);
+    this->caller->write(event.text);
+    this->context.engines.firstToken(leg.target.id, this->facts().attemptId);
+    if (this->caller->pendingBytes() > mostPendingBytes)
+        leg.call->setPaused(true);
+    if (this->leaving && !this->next && !this->move)
+        this->handOver();
+}
+
+// The new engine has the run, so the old one is told to stop.
+void StreamExchange::takeOver()
+{
+    this->overlapTimer.cancel();
+    this->dropLeg(this->current);
+    this->current = std::move(this->next);
+    this->next.reset();
+    this->leaving = false;
+    this->moveTries = 0;
+    ++this->handOvers;
+    this->context.metrics.count("jaytrack_runs_taken_over_total");
+}
+
+void StreamExchange::legEnded(StreamLeg &leg, const TargetCallEnd &end)
+{
+    if (this->isFinished())
+        return;
+    if (end.bytesSent)
+        ++this->sends;
+    else
+        this->context.engines.unreachable(leg.target.id);
+    if (this->next.get() == &leg)
+        return this->nextLost(end.whole ? "refused_by_engine" : end.reason);
+    if (this->current.get() != &leg)
+        return;
+    if (!end.whole || leg.events.inEvent())
+        return this->currentLost(end.whole ? "event_cut" : end.reason);
+    if (!leg.streaming)
+        return this->passOnAnswer(leg);
+    this->beginAnswer(leg.head);
+    this->caller->finish();
+    this->finish(ResultCode::Ok, okStatus, leg.target.id);
+}
+
+// The engine answered with something else than a stream.
+void StreamExchange::passOnAnswer(StreamLeg &leg)
+{
+    const AnswerFacts said =
+            this->context.dialect.describeAnswer(leg.head.status, leg.head.headers);
+    if (this->answerBegun || leg.resumed)
+        return this->endBroken(ResultCode::TargetLost, "resume_refused");
+    if (!said.notExecuted) {
+        const MessageHead head = leg.head;
+        const std::string body = leg.plainBody;
+        const std::string target = leg.target.id;
+        return this->answerWhole(head, body, target);
+    }
+    this->dropLeg(this->current);
+    if (this->sends < this->route().maxAttempts && this->context.retries.take(this->serviceName))
+        return this->attempt();
+    this->answerOwn(this->uncertain ? ResultCode::TargetLost : ResultCode::TargetFull,
+                    "refused_by_engine");
+}
+
+void StreamExchange::currentLost(std::string_view reason)
+{
+    this->logDecision("engine_lost", {{"target", this->current->target.id},
+                                      {"reason", reason},
+                                      {"events", static_cast<std::int64_t>(this->lastEvent)}});
+    const bool sent = this->current->call->bytesSent();
+    if (this->move && this->move->last)
+        return; // the engine closed the stream because it was told to move the run
+    if (this->next) {
+        this->takeOver();
+        return;
+    }
+    if (!sent) {
+        this->dropLeg(this->current);
+        return this->attempt();
+    }
+    this->uncertain = true;
+    if (this->backup)
+        return this->resumeAtBackup();
+    this->dropLeg(this->current);
+    if (mayRunAgain(this->route().kind) && this->sends < this->route().maxAttempts &&
+        this->context.retries.take(this->serviceName))
+        return this->attempt();
+    this->endBroken(ResultCode::TargetLost, reason);
+}
+
+void StreamExchange::nextLost(std::string_view reason)
+{
+    this->logDecision("resume_failed", {{"target", this->next->target.id}, {"reason", reason}});
+    this->overlapTimer.cancel();
+    this->dropLeg(this->next);
+    const bool currentLives = this->current != nullptr;
+    if (!currentLives)
+        return this->endBroken(ResultCode::TargetLost, reason);
+    if (this->leaving)
+        this->startMove();
+}
+
+void StreamExchange::endBroken(ResultCode code, std::string_view reason)
+{
+    if (!this->answerBegun)
+        return this->answerOwn(code, reason);
+    this->caller->abort();
+    this->finish(code, 0, reason);
+}
+
+// The engine will end. The run goes on where its copy is, or is moved; one that has made nothing yet
+// is left until its first event, since nobody can say whether it runs.
+void StreamExchange::handOver()
+{
+    if (this->next || this->move || this->lastEvent == 0)
+        return;
+    if (this->backup)
+        return this->resumeAtBackup();
+    this->startMove();
+}
+
+void StreamExchange::resumeAtBackup()
+{
+    const TargetEntry at = *this->backup;
+    const ResumePoint point{at.address, this->facts().attemptId};
+    const bool currentLost = !this->leaving;
+    if (currentLost)
+        this->dropLeg(this->current);
+    this->next = this->open(at, point);
+    if (!this->next)
+        return this->nextLost("bad_address");
+    this->overlapTimer.expires_after(mostOverlap);
+    this->overlapTimer.async_wait([self = this->self()](const asio::error_code &failure) {
+        if (!failure && self->next && !self->isFinished())
+            self->takeOver();
+    });
+}
+
+void StreamExchange::startMove()
+{
+    if (!this->traits.movesRuns || ++this->moveTries > mostMoveTries || !this->current)
+        return;
+    const std::vector<const TargetEntry *> engines =
+            this->context.directory.usable(this->serviceName);
+    const TargetEntry *chosen = this->context.engines.choose(engines, this->traits, this->need,
+                                                             {this->current->target.id});
+    if (chosen != nullptr)
+        this->sendMove(*chosen, false);
+}
+
+void StreamExchange::sendMove(const TargetEntry &destination, bool last)
+{
+    const auto endpoint = parseEndpoint(this->current->target.address);
+    assert(endpoint && "the run's own connection was opened at this address");
+    this->logDecision(last ? "run_move_last" : "run_move",
+                      {{"from", this->current->target.id},
+                       {"to", destination.id},
+                       {"events", static_cast<std::int64_t>(this->lastEvent)}});
+    this->move = std::make_shared<MoveCall>(this->self());
+    this->move->destination = destination;
+    this->move->last = last;
+    TargetRequest request;
+    request.endpoint = endpoint.value();
+    request.method = "POST";
+    request.target = this->context.dialect.movePath();
+    request.headers.push_back({"Host", this->current->target.address});
+    request.headers.push_back({"Content-Type", "application/json"});
+    request.body = this->context.dialect.encodeMove(this->facts().attemptId, destination.address,
+                                                    last);
+    this->move->call = TargetCall::start(this->context.loop, std::move(request), this->move);
+    this->moveTimer.expires_after(moveBound);
+    this->moveTimer.async_wait([self = this->self()](const asio::error_code &failure) {
+        if (failure || !self->move || self->isFinished())
+            return;
+        self->move->call->cancel();
+        self->moveEnded(*self->move, {false, true, "timeout"});
+    });
+}
+
+void StreamExchange::moveEnded(MoveCall &ended, const TargetCallEnd &end)
+{
+    if (this->isFinished() || this->move.get() != &ended)
+        return;
+    const std::shared_ptr<MoveCall> done = std::move(this->move);
+    this->move.reset();
+    this->moveTimer.cancel();
+    const Result<MoveAnswer> answer = this->context.dialect.decodeMove(done->body);
+    const bool good = end.whole && done->status == okStatus && answer;
+    this->logDecision("run_move_answer", {{"to", done->destination.id},
+                                          {"status", done->status},
+                                          {"last", done->last ? 1 : 0},
+                                          {"reason", end.reason}});
+    if (good && !done->last)
+        return this->sendMove(done->destination, true);
+    if (good) {
+        const ResumePoint point{this->current->target.address, answer.value().handle};
+        this->dropLeg(this->current);
+        this->leaving = false;
+        this->next = this->open(done->destination, point);
+        if (!this->next)
+            this->nextLost("bad_address");
+        return;
+    }
+    if (done->last && this->current)
+        return this->endBroken(ResultCode::TargetLost, "move_failed");
+    this->startMove();
+}
+
+} // namespace
+
+std::shared_ptr<Exchange> makeStreamExchange(ExchangeContext &context,
+                                             std::shared_ptr<CallerConnection> caller,
+                                             AdmittedRequest admitted)
+{
+    return std::make_shared<StreamExchange>(context, std::move(caller), std::move(admitted));
+}
+
+} // namespace jaytrack
--- /dev/null
+++ b/lib/Routing/admission.cpp
@@ -0,0 +1,44 @@
+#include "jaytrack/Routing/admission.h"
+
+namespace jaytrack {
+
+namespace {
+
+Admission deny(ResultCode code, const AdmissionInputs &inputs, const AdmissionBounds &bounds)
+{
+    const bool current = inputs.age <= bounds.denialFreshness;
+    return {current ? code : ResultCode::ConfigurationStale, nullptr, nullptr};
+}
+
+} // namespace
+
+std::string_view hostWithoutPort(std::string_view host)
+{
+    return host.substr(0, host.rfind(':'));
+}
+
+Admission admit(const AdmissionInputs &inputs, const AdmissionBounds &bounds)
+{
+    if (inputs.host.empty() || inputs.facts->attemptId.empty())
+        return {ResultCode::BadRequest, nullptr, nullptr};
+    if (inputs.table == nullptr)
+        return {ResultCode::NotReady, nullptr, nullptr};
+    const RouteRule *route = inputs.table->match(hostWithoutPort(inputs.host), inputs.path);
+    if (route == nullptr)
+        return deny(ResultCode::NotFound, inputs, bounds);
+    const KeyHolder *holder = nullptr;
+    if (inputs.table->hasCustomers && route->needsKey) {
+        if (inputs.age > bounds.keyFreshness)
+            return {ResultCode::ConfigurationStale, route, nullptr};
+        holder = inputs.table->holderOf(inputs.facts->key);
+        if (holder == nullptr)
+            return deny(ResultCode::UnknownKey, inputs, bounds);
+    }
+    // A stream may outlive the grace of a graceful shutdown, which would cut it; its caller is better
+    // served by coming back at once to an instance that stays.
+    if (inputs.stopping && isStream(route->kind))
+        return {ResultCode::Draining, route, holder};
+    return {ResultCode::Ok, route, holder};
+}
+
+} // namespace jaytrack
--- a/lib/Stream/sse.cpp
+++ b/lib/Stream/sse.cpp
@@ -80,7 +80,8 @@
         const std::size_t length = wholeEventLength(text);
         if (length == 0)
             break;
-        const SseEvent event = parseEvent(text.substr(0, length), joined);
+        SseEvent event = parseEvent(text.substr(0, length), joined);
+        event.text = text.substr(0, length);
         text.remove_prefix(length);
         if (!event.data.empty() || !event.id.empty() || !event.name.empty())
             goOn = onEvent(event);
--- /dev/null
+++ b/tools/jaytrack-entry/main.cpp
@@ -0,0 +1,68 @@
+// jaytrack-entry: one entry instance on the users' platform.
+#include "platformdialect.h"
+
+#include "jaytrack/Proxy/entryinstance.h"
+#include "jaytrack/Support/boottimeclock.h"
+#include "jaytrack/Support/commandline.h"
+#include "jaytrack/Support/log.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+// The platform names the settings file in the environment.
+constexpr const char *settingsVariable = "JAYTRACK_BOOT";
+
+std::string settingsFile(const boost::program_options::variables_map &values)
+{
+    if (values.count("settings") != 0)
+        return values["settings"].as<std::string>();
+    const char *named = std::getenv(settingsVariable);
+    return named == nullptr ? std::string() : std::string(named);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    po::options_description options("options");
+    options.add_options()("help,h", "print this help")(
+            "settings,s", po::value<std::string>(),
+            "the settings file, TOML; else the one that JAYTRACK_BOOT names")(
+            "check", "check the settings and exit");
+    po::variables_map values;
+    int exitCode = jaytrack::ExitGood;
+    if (!jaytrack::parseCommandLine(argc, argv, options,
+                                    "jaytrack-entry [--settings FILE] [--check]", values, exitCode))
+        return exitCode;
+    const std::string file = settingsFile(values);
+    if (file.empty()) {
+        std::cerr << "error: no settings file; give --settings or set " << settingsVariable << "\n";
+        return jaytrack::ExitUsage;
+    }
+    jaytrack::Problems problems;
+    const jaytrack::EntrySettings settings = jaytrack::readEntrySettings(file, problems);
+    for (const jaytrack::Problem &problem : problems)
+        std::cerr << problem.text() << "\n";
+    if (!problems.empty())
+        return jaytrack::ExitFailed;
+    if (values.count("check") != 0) {
+        std::cout << "settings are good\n";
+        return jaytrack::ExitGood;
+    }
+    jaytrack::initialiseLog(argv[0]);
+    std::signal(SIGPIPE, SIG_IGN);
+    const jaytrack::BoottimeClock clock;
+    const auto dialect = jaytrack::makePlatformDialect();
+    jaytrack::EntryInstance instance(settings, clock, *dialect);
+    const auto opened = instance.open();
+    if (!opened) {
+        std::cerr << "error: " << opened.error().detail << "\n";
+        return jaytrack::ExitFailed;
+    }
+    instance.run(file);
+    return jaytrack::ExitGood;
+}
