Trial: copies of runs ordered while engines are calm, and a plan of a run's life without I/O

Ruled out: backups alone; the backup's engine leaves in about a third of the runs. Change: RunPlan decides; every run gets a copy and resumes from its handle without a last copy.

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -66,6 +66,9 @@
     virtual void attempt() = 0;
     virtual void cancelCalls() = 0;
 
+    // Adds what the line at the end of the request shall say beyond code and time.
+    virtual void describeEnd(std::vector<LogField> &fields) const;
+
     // Whether some target may have begun to work on the request.
     virtual bool mayHaveRun() const = 0;
 
@@ -95,6 +98,7 @@
 
     bool isFinished() const { return this->finished; }
     void logDecision(std::string_view event, std::initializer_list<LogField> fields) const;
+    void logDecision(std::string_view event, std::span<const LogField> fields) const;
 
     ExchangeContext &context;
     std::shared_ptr<CallerConnection> caller;
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -172,13 +172,14 @@
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
             this->context.clock.now() - this->request().arrived);
     const ResultCodeInfo &info = describe(code);
-    this->logDecision("request_ended",
-                      {{"code", static_cast<std::int64_t>(info.code)},
-                       {"result", info.name},
-                       {"status", status},
-                       {"detail", detail},
-                       {"sends", this->sends},
-                       {"took_ms", static_cast<std::int64_t>(took.count())}});
+    std::vector<LogField> fields = {{"code", static_cast<std::int64_t>(info.code)},
+                                    {"result", info.name},
+                                    {"status", status},
+                                    {"detail", detail},
+                                    {"sends", this->sends},
+                                    {"took_ms", static_cast<std::int64_t>(took.count())}};
+    this->describeEnd(fields);
+    this->logDecision("request_ended", fields);
     const std::string kind(kindName(this->route().kind));
     this->context.metrics.count("jaytrack_requests_total{kind=\"" + kind + "\",result=\"" +
                                 std::string(info.name) + "\"}");
@@ -187,7 +188,14 @@
     this->context.open.erase(this->shared_from_this());
 }
 
+void Exchange::describeEnd(std::vector<LogField> &) const {}
+
 void Exchange::logDecision(std::string_view event, std::initializer_list<LogField> fields) const
+{
+    this->logDecision(event, std::span<const LogField>(fields.begin(), fields.size()));
+}
+
+void Exchange::logDecision(std::string_view event, std::span<const LogField> fields) const
 {
     std::vector<LogField> all;
     all.reserve(fields.size() + 3);
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Proxy/exchange.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Routing/runplan.h"
 #include "jaytrack/Stream/sse.h"
 #include "jaytrack/Support/metrics.h"
 
@@ -22,8 +23,8 @@
 // closed this long after the new one was opened, or as soon as the new engine has taken the run.
 constexpr std::chrono::milliseconds mostOverlap{250};
 
-// Engines tried for one hand-over; each failure takes a round trip of the time that is left.
-constexpr int mostMoveTries = 3;
+// How often a run looks whether its copy needs renewing; copies live for seconds.
+constexpr std::chrono::milliseconds planGap{500};
 
 // A copy of a whole run takes half a second between data centres when it is first in the queue.
 constexpr std::chrono::milliseconds moveBound{2500};
@@ -39,6 +40,21 @@
     return number;
 }
 
+EngineTraits engineTraits(const ServiceRule *service)
+{
+    return service != nullptr && service->engine ? *service->engine : EngineTraits();
+}
+
+RunPlanOptions planOptions(const EngineTraits &traits, RequestKind kind)
+{
+    RunPlanOptions options;
+    options.movesRuns = traits.movesRuns;
+    options.mayRunAgain = mayRunAgain(kind);
+    if (traits.handleLife.count() > 0)
+        options.copyLife = traits.handleLife;
+    return options;
+}
+
 class StreamExchange;
 
 // One connection to an engine that carries the stream or a part of it.
@@ -59,6 +75,7 @@
     std::weak_ptr<StreamExchange> owner;
     TargetEntry target;
     bool resumed;
+    std::optional<TargetEntry> backup; // where the engine was told to keep a copy
     std::shared_ptr<TargetCall> call;
     MessageHead head;
     std::string plainBody;
@@ -82,7 +99,6 @@
     std::weak_ptr<StreamExchange> owner;
     std::shared_ptr<TargetCall> call;
     TargetEntry destination;
-    bool last = false;
     int status = 0;
     std::string body;
 };
@@ -95,12 +111,12 @@
     StreamExchange(ExchangeContext &shared, std::shared_ptr<CallerConnection> from,
                    AdmittedRequest given)
         : Exchange(shared, std::move(from), std::move(given))
+        , traits(engineTraits(this->service()))
+        , plan(shared.clock, planOptions(this->traits, this->route().kind))
         , overlapTimer(shared.loop)
         , moveTimer(shared.loop)
+        , planTimer(shared.loop)
     {
-        const ServiceRule *rule = this->service();
-        if (rule != nullptr && rule->engine)
-            this->traits = *rule->engine;
         if (this->facts().generation) {
             this->need.promptTokens = this->facts().generation->promptTokens;
             this->need.outputTokens = this->expectedOutput();
@@ -110,15 +126,16 @@
 
     void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override
     {
-        if (this->backup && this->backup->id == entry.id)
-            this->dropBackup();
-        if (!this->current || this->current->target.id != entry.id)
-            return;
-        this->logDecision("engine_leaving", {{"target", entry.id},
-                                             {"reason", reason},
-                                             {"events", static_cast<std::int64_t>(this->lastEvent)}});
-        this->leaving = true;
-        this->handOver();
+        this->plan.engineLeaving(entry.id);
+        if (this->current && this->current->target.id == entry.id) {
+            this->logDecision("engine_leaving",
+                              {{"target", entry.id},
+                               {"reason", reason},
+                               {"events", static_cast<std::int64_t>(this->lastEvent)},
+                               {"copy_at", this->plan.copyHolder()}});
+        }
+        this->syncCopy();
+        this->act();
     }
 
     void onCallerWritable() override
@@ -136,6 +153,7 @@
 protected:
     void attempt() override;
     void cancelCalls() override;
+    void describeEnd(std::vector<LogField> &fields) const override;
     bool mayHaveRun() const override
     {
         return this->uncertain || (this->current && this->current->call->bytesSent());
@@ -155,36 +173,59 @@
     }
 
     std::shared_ptr<StreamLeg> open(const TargetEntry &target, std::optional<ResumePoint> resume);
-    void chooseBackup(std::string_view running);
-    void dropBackup();
-    void handOver();
-    void resumeAtBackup();
-    void startMove();
-    void sendMove(const TargetEntry &destination, bool last);
+    const TargetEntry *chooseBackup(std::string_view running);
+    void syncCopy();
+    void act();
+    void resume(const RunStep &step);
+    void makeCopy(const RunStep &step);
+    void orderCopy(const TargetEntry &destination);
+    void watchPlan();
     void takeOver();
     void dropLeg(std::shared_ptr<StreamLeg> &leg);
     void currentLost(std::string_view reason);
     void nextLost(std::string_view reason);
     void endBroken(ResultCode code, std::string_view reason);
     void passOnAnswer(StreamLeg &leg);
+    void notePause();
     void beginAnswer(const MessageHead &head);
+    void beginLeg(const StreamLeg &leg);
 
     EngineTraits traits;
     GenerationNeed need;
     std::shared_ptr<StreamLeg> current;
     std::shared_ptr<StreamLeg> next; // takes over from current
     std::shared_ptr<MoveCall> move;
-    std::optional<TargetEntry> backup; // where the current engine keeps a copy of the run
+    RunPlan plan;
+    std::string copyHolder; // the engine whose room for the copy is accounted for
     asio::steady_timer overlapTimer;
     asio::steady_timer moveTimer;
+    asio::steady_timer planTimer;
     std::uint64_t lastEvent = 0; // the last one that was passed on
     bool answerBegun = false;
-    bool leaving = false;   // the current engine will end soon
+    std::string lossReason;
     bool uncertain = false; // some engine may have worked on the request before the current leg
-    int moveTries = 0;
     int handOvers = 0;
+    TimePoint lastEventAt;
+    Duration firstEventAfter{-1}; // from the request's arrival
+    Duration longestPause{0};     // between two events
+    std::uint64_t pausedBefore = 0; // the event that ended the longest pause
 };
 
+std::int64_t toMillis(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+void StreamExchange::describeEnd(std::vector<LogField> &fields) const
+{
+    fields.emplace_back("events", static_cast<std::int64_t>(this->lastEvent));
+    fields.emplace_back("first_event_ms", toMillis(this->firstEventAfter));
+    fields.emplace_back("longest_pause_ms", toMillis(this->longestPause));
+    fields.emplace_back("paused_before", static_cast<std::int64_t>(this->pausedBefore));
+    fields.emplace_back("hand_overs", this->handOvers);
+}
+
+
 void StreamLeg::onAnswerHead(MessageHead answer)
 {
     this->head = std::move(answer);
@@ -238,15 +279,15 @@
     const KeyHolder *holder = this->admitted.admission.holder;
     orders.priority = holder != nullptr && holder->priority ? *holder->priority
                                                             : this->route().priority;
-    this->chooseBackup(target.id);
-    if (this->backup)
-        orders.backupAddress = this->backup->address;
+    const TargetEntry *backup = this->chooseBackup(target.id);
+    if (backup != nullptr)
+        orders.backupAddress = backup->address;
     auto leg = std::make_shared<StreamLeg>(this->self(), target, orders.resume.has_value());
     this->logDecision(
             orders.resume ? "run_resumed" : "run_placed",
             {{"target", target.id},
              {"address", target.address},
-             {"backup", this->backup ? std::string_view(this->backup->id) : std::string_view("none")},
+             {"backup", backup != nullptr ? std::string_view(backup->id) : std::string_view("none")},
              {"after_event", static_cast<std::int64_t>(this->lastEvent)},
              {"prompt_tokens", this->need.promptTokens},
              {"expected_tokens", this->need.outputTokens},
@@ -260,6 +301,7 @@
     this->context.engines.began(target.id, this->facts().attemptId, this->need);
     leg->call = TargetCall::start(this->context.loop,
                                   this->makeRequest(target, orders, endpoint.value()), leg);
+    leg->backup = backup == nullptr ? std::nullopt : std::optional<TargetEntry>(*backup);
     return leg;
 }
 
@@ -274,32 +316,43 @@
     this->tried.insert(chosen->id);
     this->current = this->open(*chosen, std::nullopt);
     if (!this->current)
-        this->attempt();
+        return this->attempt();
+    this->beginLeg(*this->current);
+}
+
+void StreamExchange::beginLeg(const StreamLeg &leg)
+{
+    this->plan.placed(leg.target, leg.backup ? &*leg.backup : nullptr, this->facts().attemptId);
+    // The engine may have announced its leaving while the run was on its way there.
+    const TargetEntry *listed = this->context.directory.find(leg.target.id);
+    if (listed == nullptr || listed->leaving)
+        this->plan.engineLeaving(leg.target.id);
+    this->syncCopy();
+    this->watchPlan();
 }
 
-void StreamExchange::chooseBackup(std::string_view running)
+const TargetEntry *StreamExchange::chooseBackup(std::string_view running)
 {
-    this->dropBackup();
     // A run that may start anew elsewhere needs no copy: it is short, and a copy costs the memory of
     // a whole prompt at another engine.
     if (!this->traits.keepsBackups || mayRunAgain(this->route().kind))
-        return;
+        return nullptr;
     const std::vector<const TargetEntry *> engines =
             this->context.directory.usable(this->serviceName);
-    const TargetEntry *chosen =
-            this->context.engines.chooseBackup(engines, this->traits, this->need, running);
-    if (chosen == nullptr)
-        return;
-    this->backup = *chosen;
-    this->context.engines.backupPlaced(chosen->id, this->facts().attemptId, this->need);
+    return this->context.engines.chooseBackup(engines, this->traits, this->need, running);
 }
 
-void StreamExchange::dropBackup()
+// Keeps the account of the room that the run's copy takes.
+void StreamExchange::syncCopy()
 {
-    if (!this->backup)
+    const std::string_view holder = this->plan.copyHolder();
+    if (holder == this->copyHolder)
         return;
-    this->context.engines.backupDropped(this->backup->id, this->facts().attemptId);
-    this->backup.reset();
+    if (!this->copyHolder.empty())
+        this->context.engines.backupDropped(this->copyHolder, this->facts().attemptId);
+    this->copyHolder = holder;
+    if (!this->copyHolder.empty())
+        this->context.engines.backupPlaced(this->copyHolder, this->facts().attemptId, this->need);
 }
 
 void StreamExchange::dropLeg(std::shared_ptr<StreamLeg> &leg)
@@ -321,7 +374,10 @@
         this->move->call->cancel();
         this->move.reset();
     }
-    this->dropBackup();
+    this->planTimer.cancel();
+    if (!this->copyHolder.empty())
+        this->context.engines.backupDropped(this->copyHolder, this->facts().attemptId);
+    this->copyHolder.clear();
 }
 
 void StreamExchange::legHead(StreamLeg &leg)
@@ -363,13 +419,27 @@
         this->takeOver();
     if (id)
         this->lastEvent = *id;
+    this->notePause();
     this->beginAnswer(leg.head);
     this->caller->write(event.text);
     this->context.engines.firstToken(leg.target.id, this->facts().attemptId);
     if (this->caller->pendingBytes() > mostPendingBytes)
         leg.call->setPaused(true);
-    if (this->leaving && !this->next && !this->move)
-        this->handOver();
+    this->plan.eventMade();
+    if (this->plan.isLeaving())
+        this->act();
+}
+
+void StreamExchange::notePause()
+{
+    const TimePoint now = this->context.clock.now();
+    if (!this->answerBegun) {
+        this->firstEventAfter = now - this->request().arrived;
+    } else if (now - this->lastEventAt > this->longestPause) {
+        this->longestPause = now - this->lastEventAt;
+        this->pausedBefore = this->lastEvent;
+    }
+    this->lastEventAt = now;
 }
 
 // The new engine has the run, so the old one is told to stop.
@@ -379,8 +449,7 @@
     this->dropLeg(this->current);
     this->current = std::move(this->next);
     this->next.reset();
-    this->leaving = false;
-    this->moveTries = 0;
+    this->beginLeg(*this->current);
     ++this->handOvers;
     this->context.metrics.count("jaytrack_runs_taken_over_total");
 }
@@ -432,24 +501,19 @@
                                       {"reason", reason},
                                       {"events", static_cast<std::int64_t>(this->lastEvent)}});
     const bool sent = this->current->call->bytesSent();
-    if (this->move && this->move->last)
-        return; // the engine closed the stream because it was told to move the run
-    if (this->next) {
-        this->takeOver();
-        return;
-    }
-    if (!sent) {
-        this->dropLeg(this->current);
-        return this->attempt();
-    }
-    this->uncertain = true;
-    if (this->backup)
-        return this->resumeAtBackup();
+    if (this->next)
+        return this->takeOver();
     this->dropLeg(this->current);
-    if (mayRunAgain(this->route().kind) && this->sends < this->route().maxAttempts &&
-        this->context.retries.take(this->serviceName))
+    if (!sent)
         return this->attempt();
-    this->endBroken(ResultCode::TargetLost, reason);
+    this->uncertain = true;
+    if (this->move) {
+        this->move->call->cancel();
+        this->move.reset();
+    }
+    this->plan.runningLost();
+    this->lossReason = reason;
+    this->act();
 }
 
 void StreamExchange::nextLost(std::string_view reason)
@@ -457,11 +521,9 @@
     this->logDecision("resume_failed", {{"target", this->next->target.id}, {"reason", reason}});
     this->overlapTimer.cancel();
     this->dropLeg(this->next);
-    const bool currentLives = this->current != nullptr;
-    if (!currentLives)
-        return this->endBroken(ResultCode::TargetLost, reason);
-    if (this->leaving)
-        this->startMove();
+    this->plan.copyRefused();
+    this->syncCopy();
+    this->act();
 }
 
 void StreamExchange::endBroken(ResultCode code, std::string_view reason)
@@ -472,27 +534,61 @@
     this->finish(code, 0, reason);
 }
 
-// The engine will end. The run goes on where its copy is, or is moved; one that has made nothing yet
-// is left until its first event, since nobody can say whether it runs.
-void StreamExchange::handOver()
+// Does what the plan asks for now.
+void StreamExchange::act()
 {
-    if (this->next || this->move || this->lastEvent == 0)
+    if (this->isFinished() || this->next)
         return;
-    if (this->backup)
-        return this->resumeAtBackup();
-    this->startMove();
+    const RunStep step = this->plan.next();
+    switch (step.kind) {
+    case RunStepKind::Wait:
+        return;
+    case RunStepKind::Resume:
+        return this->resume(step);
+    case RunStepKind::MakeCopy:
+        return this->makeCopy(step);
+    case RunStepKind::StartAnew:
+        if (this->sends < this->route().maxAttempts &&
+            this->context.retries.take(this->serviceName))
+            return this->attempt();
+        return this->endBroken(ResultCode::TargetLost, this->lossReason);
+    case RunStepKind::Lost:
+        return this->endBroken(ResultCode::TargetLost, this->lossReason);
+    }
 }
 
-void StreamExchange::resumeAtBackup()
+// The plan is looked at from time to time as well: copies grow old.
+void StreamExchange::watchPlan()
 {
-    const TargetEntry at = *this->backup;
-    const ResumePoint point{at.address, this->facts().attemptId};
-    const bool currentLost = !this->leaving;
-    if (currentLost)
-        this->dropLeg(this->current);
-    this->next = this->open(at, point);
-    if (!this->next)
-        return this->nextLost("bad_address");
+    this->planTimer.expires_after(planGap);
+    this->planTimer.async_wait([weak = this->weak_from_this(), this](const asio::error_code &failure) {
+        const auto alive = weak.lock();
+        if (failure || !alive || this->isFinished())
+            return;
+        this->act();
+        if (!this->isFinished())
+            this->watchPlan();
+    });
+}
+
+void StreamExchange::resume(const RunStep &step)
+{
+    const TargetEntry *listed = this->context.directory.find(step.target);
+    if (listed == nullptr) {
+        this->plan.copyRefused();
+        this->syncCopy();
+        return this->act();
+    }
+    const TargetEntry at = *listed;
+    if (this->move) {
+        this->move->call->cancel();
+        this->move.reset();
+    }
+    this->next = this->open(at, step.from);
+    if (!this->next) {
+        this->plan.copyRefused();
+        return this->act();
+    }
     this->overlapTimer.expires_after(mostOverlap);
     this->overlapTimer.async_wait([self = this->self()](const asio::error_code &failure) {
         if (!failure && self->next && !self->isFinished())
@@ -500,29 +596,36 @@
     });
 }
 
-void StreamExchange::startMove()
+void StreamExchange::makeCopy(const RunStep &step)
 {
-    if (!this->traits.movesRuns || ++this->moveTries > mostMoveTries || !this->current)
+    if (!this->current || this->move)
         return;
-    const std::vector<const TargetEntry *> engines =
-            this->context.directory.usable(this->serviceName);
-    const TargetEntry *chosen = this->context.engines.choose(engines, this->traits, this->need,
-                                                             {this->current->target.id});
+    const TargetEntry *chosen = this->context.directory.find(step.target);
+    if (chosen == nullptr) {
+        const std::vector<const TargetEntry *> engines =
+                this->context.directory.usable(this->serviceName);
+        std::set<std::string> avoid = this->plan.unfit();
+        avoid.insert(this->current->target.id);
+        chosen = this->plan.isLeaving()
+                         ? this->context.engines.choose(engines, this->traits, this->need, avoid)
+                         : this->context.engines.chooseBackup(engines, this->traits, this->need,
+                                                              this->current->target.id);
+    }
     if (chosen != nullptr)
-        this->sendMove(*chosen, false);
+        this->orderCopy(*chosen);
 }
 
-void StreamExchange::sendMove(const TargetEntry &destination, bool last)
+void StreamExchange::orderCopy(const TargetEntry &destination)
 {
     const auto endpoint = parseEndpoint(this->current->target.address);
     assert(endpoint && "the run's own connection was opened at this address");
-    this->logDecision(last ? "run_move_last" : "run_move",
-                      {{"from", this->current->target.id},
-                       {"to", destination.id},
-                       {"events", static_cast<std::int64_t>(this->lastEvent)}});
+    this->plan.copyBegan();
+    this->logDecision("run_copy", {{"from", this->current->target.id},
+                                   {"to", destination.id},
+                                   {"leaving", this->plan.isLeaving() ? 1 : 0},
+                                   {"events", static_cast<std::int64_t>(this->lastEvent)}});
     this->move = std::make_shared<MoveCall>(this->self());
     this->move->destination = destination;
-    this->move->last = last;
     TargetRequest request;
     request.endpoint = endpoint.value();
     request.method = "POST";
@@ -530,7 +633,7 @@
     request.headers.push_back({"Host", this->current->target.address});
     request.headers.push_back({"Content-Type", "application/json"});
     request.body = this->context.dialect.encodeMove(this->facts().attemptId, destination.address,
-                                                    last);
+                                                    false);
     this->move->call = TargetCall::start(this->context.loop, std::move(request), this->move);
     this->moveTimer.expires_after(moveBound);
     this->moveTimer.async_wait([self = this->self()](const asio::error_code &failure) {
@@ -549,25 +652,18 @@
     this->move.reset();
     this->moveTimer.cancel();
     const Result<MoveAnswer> answer = this->context.dialect.decodeMove(done->body);
-    const bool good = end.whole && done->status == okStatus && answer;
-    this->logDecision("run_move_answer", {{"to", done->destination.id},
-                                          {"status", done->status},
-                                          {"last", done->last ? 1 : 0},
-                                          {"reason", end.reason}});
-    if (good && !done->last)
-        return this->sendMove(done->destination, true);
-    if (good) {
-        const ResumePoint point{this->current->target.address, answer.value().handle};
-        this->dropLeg(this->current);
-        this->leaving = false;
-        this->next = this->open(done->destination, point);
-        if (!this->next)
-            this->nextLost("bad_address");
-        return;
-    }
-    if (done->last && this->current)
-        return this->endBroken(ResultCode::TargetLost, "move_failed");
-    this->startMove();
+    const bool good = end.whole && done->status == okStatus && answer && this->current;
+    this->logDecision("run_copied", {{"to", done->destination.id},
+                                     {"status", done->status},
+                                     {"reason", end.reason},
+                                     {"leaving", this->plan.isLeaving() ? 1 : 0}});
+    if (good)
+        this->plan.copyMade(done->destination,
+                            {this->current->target.address, answer.value().handle});
+    else
+        this->plan.copyFailed(done->destination.id);
+    this->syncCopy();
+    this->act();
 }
 
 } // namespace
