Copy runs only when their engine leaves

Cause: copies of all runs overfill engines whose memory is half full (about five drafts of 3,460 tokens in 34,232).

--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -34,7 +34,7 @@
 
     // Part of an engine's memory up to which copies of other engines' runs are placed there. Copies
     // beyond it would take the room of runs that are served now.
-    double backupShare = 0.7;
+    double backupShare = 0.0;
 
     // Handicap, in parts of the memory, for an engine in another data centre: bytes between them are
     // priced and a copy takes twice as long.
