Never answer twice in one stream; stand-ins of the platform for tests

Ruled out: the parser or the splitter; the bytes were the instance's own final answer. Change: an answer that has begun is ended by closing the connection without its last chunk.

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -69,6 +69,9 @@
     // Adds what the line at the end of the request shall say beyond code and time.
     virtual void describeEnd(std::vector<LogField> &fields) const;
 
+    // Whether the head of the answer has gone to the caller, after which only its end can be told.
+    virtual bool hasBegunAnswer() const { return false; }
+
     // Whether some target may have begun to work on the request.
     virtual bool mayHaveRun() const = 0;
 
@@ -87,7 +90,8 @@
                               const asio::ip::tcp::endpoint &endpoint) const;
 
     // Final answers of the instance's own. A code whose outcome is "not run" carries the delay after
-    // which the caller had better come back.
+    // which the caller had better come back. If the answer has begun, the connection is closed without
+    // its end instead: a second status line would be read as a part of the body.
     void answerOwn(ResultCode code, std::string_view detail);
 
     // Passes on a target's whole answer.
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -143,6 +143,10 @@
 {
     if (this->finished)
         return;
+    if (this->hasBegunAnswer()) {
+        this->caller->abort();
+        return this->finish(code, 0, detail);
+    }
     const ResultCodeInfo &info = describe(code);
     std::vector<HttpHeader> headers;
     headers.push_back({"Jaytrack-Outcome", std::string(outcomeName(info.outcome))});
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -154,6 +154,7 @@
     void attempt() override;
     void cancelCalls() override;
     void describeEnd(std::vector<LogField> &fields) const override;
+    bool hasBegunAnswer() const override { return this->answerBegun; }
     bool mayHaveRun() const override
     {
         return this->uncertain || (this->current && this->current->call->bytesSent());
@@ -184,7 +185,6 @@
     void dropLeg(std::shared_ptr<StreamLeg> &leg);
     void currentLost(std::string_view reason);
     void nextLost(std::string_view reason);
-    void endBroken(ResultCode code, std::string_view reason);
     void passOnAnswer(StreamLeg &leg);
     void notePause();
     void beginAnswer(const MessageHead &head);
@@ -481,7 +481,7 @@
     const AnswerFacts said =
             this->context.dialect.describeAnswer(leg.head.status, leg.head.headers);
     if (this->answerBegun || leg.resumed)
-        return this->endBroken(ResultCode::TargetLost, "resume_refused");
+        return this->answerOwn(ResultCode::TargetLost, "resume_refused");
     if (!said.notExecuted) {
         const MessageHead head = leg.head;
         const std::string body = leg.plainBody;
@@ -526,14 +526,6 @@
     this->act();
 }
 
-void StreamExchange::endBroken(ResultCode code, std::string_view reason)
-{
-    if (!this->answerBegun)
-        return this->answerOwn(code, reason);
-    this->caller->abort();
-    this->finish(code, 0, reason);
-}
-
 // Does what the plan asks for now.
 void StreamExchange::act()
 {
@@ -551,9 +543,9 @@
         if (this->sends < this->route().maxAttempts &&
             this->context.retries.take(this->serviceName))
             return this->attempt();
-        return this->endBroken(ResultCode::TargetLost, this->lossReason);
+        return this->answerOwn(ResultCode::TargetLost, this->lossReason);
     case RunStepKind::Lost:
-        return this->endBroken(ResultCode::TargetLost, this->lossReason);
+        return this->answerOwn(ResultCode::TargetLost, this->lossReason);
     }
 }
 
--- /dev/null
+++ b/unittests/Platform/platformstandin.cpp
@@ -0,0 +1,316 @@
+#include "platformstandin.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace jaytrack::testing {
+
+using nlohmann::json;
+
+namespace {
+
+std::string encodeBase64(const std::string &bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                       reinterpret_cast<const unsigned char *>(bytes.data()),
+                                       static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+std::string queryValue(const std::string &target, const std::string &name)
+{
+    HttpRequest request;
+    const std::size_t mark = target.find('?');
+    request.query = mark == std::string::npos ? "" : target.substr(mark + 1);
+    return request.queryValue(name);
+}
+
+} // namespace
+
+Answer wholeAnswer(int status, const std::string &headers, const std::string &body)
+{
+    return {{AnswerStep::Kind::Send,
+             "HTTP/1.1 " + std::to_string(status) + " S\r\n" + headers +
+                     "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+             {}}};
+}
+
+AnswerStep chunkStep(const std::string &data, std::chrono::milliseconds after)
+{
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+    return {AnswerStep::Kind::Send, size + data + "\r\n", after};
+}
+
+std::string streamHead(const std::string &headers)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + headers +
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string eventText(int id, const std::string &data)
+{
+    return "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+}
+
+class ScriptedServer::Connection : public std::enable_shared_from_this<Connection>,
+                                   private MessageReceiver
+{
+public:
+    Connection(asio::ip::tcp::socket accepted, ScriptedServer &of)
+        : socket(std::move(accepted))
+        , timer(this->socket.get_executor())
+        , owner(of)
+        , parser(HttpMessageParser::Reads::Requests, *this, 65536)
+    {
+    }
+
+    void read()
+    {
+        this->socket.async_read_some(
+                asio::buffer(this->buffer),
+                [self = this->shared_from_this()](const asio::error_code &failure, std::size_t n) {
+                    if (failure) {
+                        if (self->answering) {
+                            const std::lock_guard lock(self->owner.mutex);
+                            ++self->owner.closed;
+                        }
+                        self->answering = false;
+                        self->timer.cancel();
+                        return;
+                    }
+                    self->parser.feed({self->buffer.data(), n});
+                    self->read();
+                });
+    }
+
+private:
+    void onHead(MessageHead head) override { this->request.head = std::move(head); }
+    void onBody(std::string_view bytes) override { this->request.body += bytes; }
+
+    void onMessageEnd() override
+    {
+        {
+            const std::lock_guard lock(this->owner.mutex);
+            this->owner.requests.push_back(this->request);
+        }
+        this->steps = this->owner.script(this->request);
+        this->request = {};
+        this->answering = true;
+        this->next(0);
+    }
+
+    void next(std::size_t index)
+    {
+        if (index == this->steps.size()) {
+            this->answering = false;
+            return;
+        }
+        this->timer.expires_after(this->steps[index].after);
+        this->timer.async_wait([self = this->shared_from_this(), index](const asio::error_code &stop) {
+            if (!stop)
+                self->perform(index);
+        });
+    }
+
+    void perform(std::size_t index)
+    {
+        const AnswerStep &step = this->steps[index];
+        asio::error_code ignored;
+        switch (step.kind) {
+        case AnswerStep::Kind::Hang:
+            return;
+        case AnswerStep::Kind::Reset:
+            this->answering = false;
+            this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            this->socket.close(ignored);
+            return;
+        case AnswerStep::Kind::Close:
+            this->answering = false;
+            this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+            this->socket.close(ignored);
+            return;
+        case AnswerStep::Kind::Send:
+            asio::async_write(this->socket, asio::buffer(step.bytes),
+                              [self = this->shared_from_this(), index](const asio::error_code &failure,
+                                                                       std::size_t) {
+                                  if (!failure)
+                                      self->next(index + 1);
+                              });
+        }
+    }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    ScriptedServer &owner;
+    HttpMessageParser parser;
+    SeenRequest request;
+    Answer steps;
+    std::array<char, 8192> buffer{};
+    bool answering = false;
+};
+
+ScriptedServer::ScriptedServer(Script answers)
+    : work(asio::make_work_guard(this->context))
+    , acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
+    , script(std::move(answers))
+{
+    this->accept();
+    this->thread = std::thread([this] { this->context.run(); });
+}
+
+ScriptedServer::~ScriptedServer()
+{
+    this->context.stop();
+    this->thread.join();
+}
+
+void ScriptedServer::accept()
+{
+    this->acceptor.async_accept(
+            [this](const asio::error_code &failure, asio::ip::tcp::socket accepted) {
+                if (failure)
+                    return;
+                std::make_shared<Connection>(std::move(accepted), *this)->read();
+                this->accept();
+            });
+}
+
+std::string ScriptedServer::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+}
+
+std::vector<SeenRequest> ScriptedServer::seen() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->requests;
+}
+
+std::size_t ScriptedServer::closedByPeer() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->closed;
+}
+
+StoreStandin::StoreStandin()
+    : server(std::make_unique<ScriptedServer>(
+              [this](const SeenRequest &request) { return this->answer(request); }))
+{
+}
+
+void StoreStandin::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->revision;
+    this->items[key] = {value, this->revision};
+    this->history.push_back({this->revision, key, value, false});
+}
+
+void StoreStandin::remove(const std::string &key)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->revision;
+    this->items.erase(key);
+    this->history.push_back({this->revision, key, "", true});
+}
+
+void StoreStandin::failWith(int status)
+{
+    const std::lock_guard lock(this->mutex);
+    this->failure = status;
+}
+
+void StoreStandin::compact()
+{
+    const std::lock_guard lock(this->mutex);
+    this->history.clear();
+    this->oldest = this->revision;
+}
+
+std::size_t StoreStandin::calls() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->callCount;
+}
+
+Answer StoreStandin::answer(const SeenRequest &request)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->callCount;
+    if (this->failure != 0)
+        return wholeAnswer(this->failure, "", "");
+    if (request.head.path() == "/jaytrack/kv-range")
+        return this->range(request.head.target);
+    return this->watch(request.head.target);
+}
+
+Answer StoreStandin::range(const std::string &target)
+{
+    const std::string prefix = queryValue(target, "Prefix");
+    json entries = json::array();
+    for (const auto &[key, item] : this->items) {
+        if (key.starts_with(prefix))
+            entries.push_back({{"Key", key},
+                               {"Value", encodeBase64(item.first)},
+                               {"Revision", item.second},
+                               {"Created", item.second},
+                               {"Lease", 0}});
+    }
+    return wholeAnswer(200, "Content-Type: application/json\r\n",
+                       json{{"Entries", entries}, {"HasMore", false}, {"At", this->revision}}.dump());
+}
+
+// Changes are answered at once; without any the answer comes after a short wait, so that tests need
+// no long ones.
+Answer StoreStandin::watch(const std::string &target)
+{
+    static constexpr std::chrono::milliseconds emptyAfter{20};
+    const std::string prefix = queryValue(target, "Prefix");
+    const std::uint64_t after = std::stoull(queryValue(target, "After"));
+    if (after < this->oldest)
+        return wholeAnswer(410, "", "");
+    json events = json::array();
+    for (const Change &change : this->history) {
+        if (change.revision <= after || !change.key.starts_with(prefix))
+            continue;
+        if (change.deleted)
+            events.push_back({{"Key", change.key}, {"Revision", change.revision}, {"Deleted", true}});
+        else
+            events.push_back({{"Key", change.key},
+                              {"Value", encodeBase64(change.value)},
+                              {"Revision", change.revision}});
+    }
+    Answer made = wholeAnswer(200, "Content-Type: application/json\r\n",
+                              json{{"events", events}, {"At", this->revision}}.dump());
+    if (events.empty())
+        made.front().after = emptyAfter;
+    return made;
+}
+
+CallerView callOnce(std::uint16_t port, const std::string &request,
+                    std::chrono::milliseconds patience)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    CallerView view;
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(socket, asio::buffer(request));
+    std::array<char, 8192> buffer{};
+    std::function<void()> readOn = [&] {
+        socket.async_read_some(asio::buffer(buffer),
+                               [&](const asio::error_code &failure, std::size_t bytes) {
+                                   view.bytes.append(buffer.data(), bytes);
+                                   view.reset = failure && failure != asio::error::eof;
+                                   if (!failure)
+                                       readOn();
+                               });
+    };
+    readOn();
+    context.run_for(patience);
+    return view;
+}
+
+} // namespace jaytrack::testing
--- /dev/null
+++ b/unittests/Platform/platformstandin.h
@@ -0,0 +1,129 @@
+// Stand-ins of the platform for tests: a store that is scripted by the test, and targets that answer
+// as the test says. They listen on loopback and run on a thread of their own.
+#ifndef JAYTRACK_TESTS_PLATFORMSTANDIN_H
+#define JAYTRACK_TESTS_PLATFORMSTANDIN_H
+
+#include "jaytrack/Net/httpparser.h"
+
+#include <asio.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jaytrack::testing {
+
+// A request as a stand-in received it.
+struct SeenRequest
+{
+    MessageHead head;
+    std::string body;
+};
+
+// One step of an answer: bytes after a pause, or the end of the connection.
+struct AnswerStep
+{
+    enum class Kind { Send, Close, Reset, Hang };
+
+    Kind kind = Kind::Send;
+    std::string bytes;
+    std::chrono::milliseconds after{0};
+};
+
+using Answer = std::vector<AnswerStep>;
+
+// Builds the steps of common answers.
+Answer wholeAnswer(int status, const std::string &headers, const std::string &body);
+AnswerStep chunkStep(const std::string &data, std::chrono::milliseconds after = {});
+std::string streamHead(const std::string &headers);
+std::string eventText(int id, const std::string &data);
+
+// A server whose answers a function decides.
+class ScriptedServer
+{
+public:
+    using Script = std::function<Answer(const SeenRequest &request)>;
+
+    explicit ScriptedServer(Script answers);
+    ~ScriptedServer();
+    ScriptedServer(const ScriptedServer &) = delete;
+    ScriptedServer &operator=(const ScriptedServer &) = delete;
+
+    std::string address() const;
+    std::vector<SeenRequest> seen() const;
+    std::size_t closedByPeer() const; // connections that the other side ended while being answered
+
+private:
+    class Connection;
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    asio::ip::tcp::acceptor acceptor;
+    Script script;
+    mutable std::mutex mutex;
+    std::vector<SeenRequest> requests;
+    std::size_t closed = 0;
+    std::thread thread;
+
+    void accept();
+};
+
+// The platform's store: items that the test sets, and its bad hours.
+class StoreStandin
+{
+public:
+    StoreStandin();
+
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+
+    // Refuses every call with this status until set to 0.
+    void failWith(int status);
+
+    // Forgets the history, so that watches from before get 410.
+    void compact();
+
+    std::string address() const { return this->server->address(); }
+    std::size_t calls() const;
+
+private:
+    struct Change
+    {
+        std::uint64_t revision;
+        std::string key;
+        std::string value;
+        bool deleted;
+    };
+
+    Answer answer(const SeenRequest &request);
+    Answer range(const std::string &target);
+    Answer watch(const std::string &target);
+
+    mutable std::mutex mutex;
+    std::map<std::string, std::pair<std::string, std::uint64_t>> items;
+    std::vector<Change> history;
+    std::uint64_t revision = 1;
+    std::uint64_t oldest = 0;
+    int failure = 0;
+    std::size_t callCount = 0;
+    std::unique_ptr<ScriptedServer> server;
+};
+
+// Sends one request on a connection of its own and reads all that comes back until the end.
+struct CallerView
+{
+    std::string bytes;
+    bool reset = false;
+};
+CallerView callOnce(std::uint16_t port, const std::string &request,
+                    std::chrono::milliseconds patience = std::chrono::milliseconds(3000));
+
+} // namespace jaytrack::testing
+
+#endif
