Entry instances tell each other their placements over the fleet's membership

Ruled out: a last copy before the resume (queues on the link); more probes (the lag is the engine's own). Change: a notice for each placement, an account of when each engine will have read its prompts, six candidates.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -48,6 +48,20 @@
   2: list<EngineSummary> summaries
 }
 
+// A generation that an entry instance has just given to an engine.
+struct PlacementNotice {
+  1: string engine
+  2: i64 promptTokens
+  3: i64 expectedTokens
+  // Its memory comes as a copy from another engine, so its prompt need not be read.
+  4: bool copied
+}
+
+// What entry instances tell each other of their placements.
+struct PlacementNotices {
+  1: list<PlacementNotice> notices
+}
+
 // One datagram between two instances.
 struct PeerMessage {
   1: PeerKind kind
--- a/include/jaytrack/Proxy/entrysettings.h
+++ b/include/jaytrack/Proxy/entrysettings.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <vector>
 
 namespace jaytrack {
 
@@ -21,6 +22,10 @@
 
     std::string store; // IP:PORT
 
+    std::string peers;                  // IP:PORT for datagrams between instances; empty for none
+    std::vector<std::string> peerSeeds; // IP:PORT of instances to ask first, with the peers' port
+    std::vector<std::string> peerKeys;  // the first signs, all verify, so that keys can rotate
+
     // A key that was taken away must stop working within this time, everywhere.
     std::chrono::milliseconds keyFreshness{5000};
     // A change of configuration is in force within this time where the store is reached.
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -36,6 +36,8 @@
     EngineChoice &engines;
     RetryBudget &retries;
     std::mt19937_64 &random;
+    // Tells the other instances that a generation goes to an engine, as a copy or to be read there.
+    std::function<void(std::string_view engine, const GenerationNeed &need, bool copied)> announce;
     std::set<std::shared_ptr<Exchange>> &open; // keeps each exchange alive until its answer is given
 };
 
--- /dev/null
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -0,0 +1,74 @@
+// What entry instances tell each other: who is there, and which engine each generation went to.
+//
+// Load that it answers: an engine's own report is half a second old when it comes and is asked for once
+// a second. Meanwhile every other instance sends prompts to the engine that looked idle, and each prompt
+// of three thousand tokens delays the first token of the next by half a second. A notice takes two
+// milliseconds. Nothing depends on it: one that is lost leaves an instance with the reports alone.
+#ifndef JAYTRACK_PROXY_PEERLINK_H
+#define JAYTRACK_PROXY_PEERLINK_H
+
+#include "jaytrack/Cluster/membership.h"
+#include "jaytrack/Routing/enginechoice.h"
+#include "jaytrack/Support/keyring.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jaytrack {
+
+struct PeerLinkSettings
+{
+    std::string name;
+    std::string dataCentre;
+    std::string listen;             // IP:PORT for datagrams
+    std::vector<std::string> seeds; // IP:PORT of other instances to ask first
+    std::vector<std::string> keys;  // the first signs, all verify
+};
+
+class PeerLink final : public PeerTransport, public MembershipListener
+{
+public:
+    PeerLink(asio::io_context &loop, const Clock &time, PeerLinkSettings given, std::uint64_t seed,
+             EngineChoice &told);
+
+    // Fails if the address cannot be bound.
+    Result<void> open();
+
+    // Tells the other instances of a generation that this one gave to an engine.
+    void announce(std::string_view engine, const GenerationNeed &need, bool copied);
+
+    // Tells the others that this instance is about to end.
+    void depart();
+
+    std::size_t peerCount() const { return this->peers.size(); }
+
+private:
+    void send(std::string_view address, std::string datagram) override;
+    void onMembersChanged() override;
+    void onPeerHeard(const Member &, std::uint64_t, Duration, TimePoint) override {}
+    void onPolicyMessage(std::string_view from, std::string_view message) override;
+    void receiveNext();
+    void tick();
+
+    const Clock &clock;
+    PeerLinkSettings settings;
+    KeyRing keys;
+    EngineChoice &engines;
+    asio::ip::udp::socket socket;
+    asio::ip::udp::endpoint sender;
+    asio::steady_timer timer;
+    std::array<char, 8192> buffer{};
+    Membership membership;
+    std::vector<std::string> peers; // names of the others that are up
+};
+
+} // namespace jaytrack
+
+#endif
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -28,9 +28,16 @@
 
 struct EngineChoiceOptions
 {
-    // Engines compared for each generation. Two keep the share of a freshly started engine at two in
-    // fifteen of the arrivals; more would herd on it.
-    std::size_t candidates = 2;
+    // Engines compared for each generation. Notices between instances take milliseconds, so two
+    // rarely choose the same engine in the same moment; a few candidates still spread those that do.
+    std::size_t candidates = 6;
+
+    // What a second until the first token weighs against a whole memory.
+    double weightOfDelay = 1.0;
+
+    // Prompt tokens that an engine reads in a millisecond between the tokens of its other requests,
+    // until it is learnt: half of the 14 that the sheets give for an engine that does nothing else.
+    double promptTokensPerMilli = 7;
 
     // Part of an engine's memory up to which copies of other engines' runs are placed there. Copies
     // beyond it would take the room of runs that are served now.
@@ -61,8 +68,13 @@
     void unreachable(std::string_view id);
     void reached(std::string_view id);
 
-    // A generation of this instance took its place at an engine, grew, or ended there.
-    void began(std::string_view id, std::string_view run, const GenerationNeed &need);
+    // A generation of this instance took its place at an engine, grew, or ended there. One that was
+    // copied there has nothing left to read.
+    void began(std::string_view id, std::string_view run, const GenerationNeed &need, bool copied);
+
+    // Another instance gave a generation to an engine.
+    void placedByOthers(std::string_view id, const GenerationNeed &need, bool copied);
+
     void firstToken(std::string_view id, std::string_view run);
     void ended(std::string_view id, std::string_view run);
 
@@ -90,7 +102,7 @@
     {
         double memoryTokens = 0;
         Duration reportAge{0};
-        int waiting = 0;
+        Duration delay{0}; // until the prompts that wait there will have been read
     };
     Forecast forecast(std::string_view id) const;
 
@@ -101,6 +113,14 @@
         TimePoint since;
         bool decoding = false; // the prompt has been read
         bool copy = false;
+        bool alone = false; // no other prompt was waiting when this one came
+    };
+
+    // Memory that another instance's generation takes, until a report contains it.
+    struct Foreign
+    {
+        std::uint32_t tokens;
+        TimePoint since;
     };
 
     struct Board
@@ -109,12 +129,16 @@
         TimePoint reportedAt;
         bool everReported = false;
         std::map<std::string, Placed, std::less<>> placed;
+        std::vector<Foreign> foreign;
+        TimePoint promptsReadBy; // when the prompts that were placed so far will have been read
         int failures = 0;
         TimePoint avoidedUntil;
         bool leaving = false;
     };
 
-    double loadOf(const Board &board) const;
+    double memoryOf(const Board &board) const;
+    Duration delayOf(const Board &board) const;
+    void addPrompt(Board &board, std::uint32_t tokens);
     // What a choice goes by besides the engines' load.
     struct Preference
     {
@@ -136,6 +160,7 @@
     std::mt19937_64 random;
     std::string home;
     EngineChoiceOptions options;
+    double readingSpeed; // prompt tokens in a millisecond, as learnt
     std::map<std::string, Board, std::less<>> boards;
 };
 
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -3,6 +3,7 @@
 #include "jaytrack/Net/socket.h"
 #include "jaytrack/Proxy/exchange.h"
 #include "jaytrack/Proxy/loadprober.h"
+#include "jaytrack/Proxy/peerlink.h"
 #include "jaytrack/Proxy/storefeeds.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Support/metrics.h"
@@ -108,7 +109,12 @@
         , targets(this->loop, words, this->directory)
         , prober(this->loop, words, this->directory, this->engines, this->random)
         , context{this->loop,   time,           words,         this->metrics, this->directory,
-                  this->health, this->engines,  this->retries, this->random,  this->open}
+                  this->health, this->engines,  this->retries, this->random,
+                  [this](std::string_view engine, const GenerationNeed &need, bool copied) {
+                      if (this->peers)
+                          this->peers->announce(engine, need, copied);
+                  },
+                  this->open}
         , desk(*this)
         , callers(this->loop, time, *this)
         , readiness(this->loop, time, this->desk)
@@ -143,6 +149,21 @@
         return opened;
     }
 
+    Result<void> joinPeers()
+    {
+        if (this->settings.peers.empty())
+            return BOOST_OUTCOME_V2_NAMESPACE::success();
+        PeerLinkSettings link;
+        link.name = this->settings.name;
+        link.dataCentre = this->settings.dataCentre;
+        link.listen = this->settings.peers;
+        link.seeds = this->settings.peerSeeds;
+        link.keys = this->settings.peerKeys;
+        this->peers = std::make_unique<PeerLink>(this->loop, this->clock, std::move(link),
+                                                 this->random(), this->engines);
+        return this->peers->open();
+    }
+
     Result<void> followStore()
     {
         const auto store = parseEndpoint(this->settings.store);
@@ -314,6 +335,8 @@
         logEvent(Severity::Info, "instance_stopped",
                  {{"name", this->settings.name},
                   {"in_service", static_cast<std::int64_t>(this->open.size())}});
+        if (this->peers)
+            this->peers->depart();
         this->loop.stop();
     }
 
@@ -408,6 +431,7 @@
     CallerServer metricsServer;
     asio::signal_set signals;
     asio::steady_timer timer;
+    std::unique_ptr<PeerLink> peers; // null if the settings name no address for it
     std::shared_ptr<StoreFollower> configFollower;
     std::shared_ptr<StoreFollower> targetFollower;
     std::string settingsFile;
@@ -435,6 +459,8 @@
 Result<void> EntryInstance::open()
 {
     Result<void> opened = this->parts->openListeners();
+    if (opened)
+        opened = this->parts->joinPeers();
     if (opened)
         opened = this->parts->followStore();
     return opened;
--- a/lib/Proxy/entrysettings.cpp
+++ b/lib/Proxy/entrysettings.cpp
@@ -34,6 +34,32 @@
     return std::chrono::seconds(table.integer(key, secondRange, fallback.count()));
 }
 
+// Seeds name hosts of the fleet by whatever port the platform lists; peers use one port on all hosts.
+std::string withPortOf(std::string_view seed, std::string_view own)
+{
+    return std::string(seed.substr(0, seed.rfind(':'))) + std::string(own.substr(own.rfind(':')));
+}
+
+void readPeers(TomlTable &peers, EntrySettings &settings)
+{
+    static constexpr std::size_t leastKeyLength = 16;
+    settings.peers = readAddress(peers, "listen", true);
+    for (const std::string &seed : peers.texts("seed_hosts")) {
+        if (parseEndpoint(seed))
+            settings.peerSeeds.push_back(withPortOf(seed, settings.peers));
+        else
+            peers.report(ResultCode::SettingsOutOfRange, "seed_hosts", seed + " is not IP:PORT");
+    }
+    settings.peerKeys = peers.texts("keys");
+    if (settings.peerKeys.empty())
+        peers.report(ResultCode::SettingsMissing, "keys", "at least one key must be given");
+    for (const std::string &key : settings.peerKeys) {
+        if (key.size() < leastKeyLength)
+            peers.report(ResultCode::SettingsOutOfRange, "keys", "a key has at least 16 characters");
+    }
+    peers.finish();
+}
+
 } // namespace
 
 EntrySettings readEntrySettings(const std::string &file, Problems &problems)
@@ -59,6 +85,11 @@
     settings.store = readAddress(store, "address", true);
     store.finish();
 
+    if (root.has("peers")) {
+        TomlTable peers = root.table("peers");
+        readPeers(peers, settings);
+    }
+
     TomlTable bounds = root.table("bounds");
     settings.keyFreshness = readMillis(bounds, "key_freshness_ms", settings.keyFreshness);
     settings.configurationDelay = readMillis(bounds, "configuration_ms", settings.configurationDelay);
--- /dev/null
+++ b/lib/Proxy/peerlink.cpp
@@ -0,0 +1,159 @@
+#include "jaytrack/Proxy/peerlink.h"
+
+#include "jaytrack/Net/socket.h"
+#include "jaytrack/Support/log.h"
+#include "jaytrack/Wire/codec.h"
+
+#include "peer_types.h"
+
+#include <algorithm>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickGap{100};
+
+std::int64_t newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+Member describeSelf(const PeerLinkSettings &settings)
+{
+    Member self;
+    self.name = settings.name;
+    self.dataCentre = settings.dataCentre;
+    self.peerAddress = settings.listen;
+    self.callerAddress = settings.listen;
+    self.incarnation = newIncarnation();
+    self.state = MemberState::Live;
+    return self;
+}
+
+Result<asio::ip::udp::endpoint> parseDatagramEndpoint(std::string_view address)
+{
+    const auto parsed = parseEndpoint(address);
+    if (!parsed)
+        return parsed.error();
+    return asio::ip::udp::endpoint(parsed.value().address(), parsed.value().port());
+}
+
+std::string textOf(const asio::ip::udp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+} // namespace
+
+PeerLink::PeerLink(asio::io_context &loop, const Clock &time, PeerLinkSettings given,
+                   std::uint64_t seed, EngineChoice &told)
+    : clock(time)
+    , settings(std::move(given))
+    , keys(this->settings.keys)
+    , engines(told)
+    , socket(loop)
+    , timer(loop)
+    , membership(describeSelf(this->settings), time, seed, this->keys, *this, *this)
+{
+}
+
+Result<void> PeerLink::open()
+{
+    const auto endpoint = parseDatagramEndpoint(this->settings.listen);
+    if (!endpoint)
+        return endpoint.error();
+    asio::error_code failure;
+    this->socket.open(endpoint.value().protocol(), failure);
+    if (!failure)
+        this->socket.bind(endpoint.value(), failure);
+    if (failure)
+        return Error{ResultCode::SettingsContradiction, "cannot bind peers: " + failure.message()};
+    this->membership.suggest(this->settings.seeds);
+    this->receiveNext();
+    this->tick();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void PeerLink::tick()
+{
+    this->membership.tick();
+    this->timer.expires_after(tickGap);
+    this->timer.async_wait([this](const asio::error_code &failure) {
+        if (!failure)
+            this->tick();
+    });
+}
+
+void PeerLink::receiveNext()
+{
+    this->socket.async_receive_from(
+            asio::buffer(this->buffer), this->sender,
+            [this](const asio::error_code &failure, std::size_t bytes) {
+                if (failure == asio::error::operation_aborted)
+                    return;
+                // A datagram that found no listener comes back as an error of the socket.
+                if (!failure)
+                    this->membership.receive(textOf(this->sender), {this->buffer.data(), bytes});
+                this->receiveNext();
+            });
+}
+
+void PeerLink::send(std::string_view address, std::string datagram)
+{
+    const auto endpoint = parseDatagramEndpoint(address);
+    if (!endpoint)
+        return;
+    asio::error_code ignored; // datagrams may be lost anyway, and the protocol allows for it
+    this->socket.send_to(asio::buffer(datagram), endpoint.value(), 0, ignored);
+}
+
+void PeerLink::onMembersChanged()
+{
+    std::vector<std::string> names;
+    for (const Member &member : this->membership.members()) {
+        if (member.name != this->settings.name && member.isUp())
+            names.push_back(member.name);
+    }
+    if (names == this->peers)
+        return;
+    logEvent(Severity::Info, "peers_changed",
+             {{"peers", static_cast<std::int64_t>(names.size())},
+              {"before", static_cast<std::int64_t>(this->peers.size())}});
+    this->peers = std::move(names);
+}
+
+void PeerLink::announce(std::string_view engine, const GenerationNeed &need, bool copied)
+{
+    wire::PlacementNotice notice;
+    notice.engine = engine;
+    notice.promptTokens = need.promptTokens;
+    notice.expectedTokens = need.outputTokens;
+    notice.copied = copied;
+    wire::PlacementNotices message;
+    message.notices.push_back(std::move(notice));
+    const std::string bytes = encodeMessage(message);
+    for (const std::string &peer : this->peers)
+        this->membership.sendPolicy(peer, bytes);
+}
+
+void PeerLink::onPolicyMessage(std::string_view, std::string_view bytes)
+{
+    const auto message = decodeMessage<wire::PlacementNotices>(bytes);
+    if (!message)
+        return;
+    for (const wire::PlacementNotice &notice : message->notices) {
+        const GenerationNeed need{
+                static_cast<std::uint32_t>(std::max<std::int64_t>(0, notice.promptTokens)),
+                static_cast<std::uint32_t>(std::max<std::int64_t>(0, notice.expectedTokens))};
+        this->engines.placedByOthers(notice.engine, need, notice.copied);
+    }
+}
+
+void PeerLink::depart()
+{
+    this->membership.depart();
+}
+
+} // namespace jaytrack
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -40,6 +40,11 @@
     return number;
 }
 
+std::int64_t toMillis(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 EngineTraits engineTraits(const ServiceRule *service)
 {
     return service != nullptr && service->engine ? *service->engine : EngineTraits();
@@ -211,11 +216,6 @@
     std::uint64_t pausedBefore = 0; // the event that ended the longest pause
 };
 
-std::int64_t toMillis(Duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 void StreamExchange::describeEnd(std::vector<LogField> &fields) const
 {
     fields.emplace_back("events", static_cast<std::int64_t>(this->lastEvent));
@@ -294,11 +294,14 @@
              {"forecast_tokens", static_cast<std::int64_t>(
                                          this->context.engines.forecast(target.id).memoryTokens)},
              {"report_age_ms",
-              static_cast<std::int64_t>(
-                      this->context.engines.forecast(target.id).reportAge /
-                      std::chrono::milliseconds(1))},
+              toMillis(this->context.engines.forecast(target.id).reportAge)},
+             {"forecast_delay_ms", toMillis(this->context.engines.forecast(target.id).delay)},
              {"left_ms", static_cast<std::int64_t>(this->timeLeft().count())}});
-    this->context.engines.began(target.id, this->facts().attemptId, this->need);
+    this->context.engines.began(target.id, this->facts().attemptId, this->need,
+                                orders.resume.has_value());
+    // A copy was announced when it was ordered.
+    if (!orders.resume)
+        this->context.announce(target.id, this->need, false);
     leg->call = TargetCall::start(this->context.loop,
                                   this->makeRequest(target, orders, endpoint.value()), leg);
     leg->backup = backup == nullptr ? std::nullopt : std::optional<TargetEntry>(*backup);
@@ -608,6 +611,7 @@
     const auto endpoint = parseEndpoint(this->current->target.address);
     assert(endpoint && "the run's own connection was opened at this address");
     this->plan.copyBegan();
+    this->context.announce(destination.id, this->need, true);
     this->logDecision("run_copy", {{"from", this->current->target.id},
                                    {"to", destination.id},
                                    {"leaving", this->plan.isLeaving() ? 1 : 0},
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -10,12 +10,12 @@
 // A report tells the past: it is as old as the engine's own lag when it arrives.
 constexpr std::chrono::milliseconds reportLag{500};
 
-// Prompts that an engine still has to read delay the first token of whoever comes next, by about as
-// much as ten times their memory delays the tokens of those that run.
-constexpr double unreadPromptWeight = 3.0;
+// Part by which one observation moves the learnt speed of reading.
+constexpr double learningRate = 0.05;
 
-// A request that waits at an engine stands for a mean prompt that is still unread.
-constexpr double waitingTokens = 3000;
+// The learnt speed stays within these, whatever a stalled link or a freshly cached prompt suggests.
+constexpr double slowestReading = 1;
+constexpr double fastestReading = 100;
 
 constexpr double anyCost = std::numeric_limits<double>::infinity();
 
@@ -27,6 +27,7 @@
     , random(seed)
     , home(std::move(homeDataCentre))
     , options(given)
+    , readingSpeed(given.promptTokensPerMilli)
 {
 }
 
@@ -51,6 +52,9 @@
     found->second.reportedAt = this->clock.now();
     found->second.everReported = true;
     found->second.leaving = found->second.leaving || load.leaving;
+    // What was placed before the moment that the report tells of is contained in it.
+    const TimePoint told = found->second.reportedAt - reportLag;
+    std::erase_if(found->second.foreign, [told](const Foreign &one) { return one.since < told; });
 }
 
 void EngineChoice::unreachable(std::string_view id)
@@ -69,10 +73,32 @@
         found->second.failures = 0;
 }
 
-void EngineChoice::began(std::string_view id, std::string_view run, const GenerationNeed &need)
+void EngineChoice::addPrompt(Board &board, std::uint32_t tokens)
 {
-    this->boards[std::string(id)].placed.insert_or_assign(
-            std::string(run), Placed{need, this->clock.now(), false, false});
+    const auto reading = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(tokens / this->readingSpeed));
+    board.promptsReadBy = std::max(board.promptsReadBy, this->clock.now()) + reading;
+}
+
+void EngineChoice::began(std::string_view id, std::string_view run, const GenerationNeed &need,
+                         bool copied)
+{
+    Board &board = this->boards[std::string(id)];
+    Placed placed{need, this->clock.now(), false, false, false};
+    placed.alone = !copied && board.promptsReadBy <= placed.since;
+    board.placed.insert_or_assign(std::string(run), placed);
+    if (!copied)
+        this->addPrompt(board, need.promptTokens);
+}
+
+void EngineChoice::placedByOthers(std::string_view id, const GenerationNeed &need, bool copied)
+{
+    const auto found = this->boards.find(id);
+    if (found == this->boards.end())
+        return;
+    found->second.foreign.push_back({need.promptTokens, this->clock.now()});
+    if (!copied)
+        this->addPrompt(found->second, need.promptTokens);
 }
 
 void EngineChoice::firstToken(std::string_view id, std::string_view run)
@@ -81,8 +107,17 @@
     if (board == this->boards.end())
         return;
     const auto placed = board->second.placed.find(run);
-    if (placed != board->second.placed.end())
-        placed->second.decoding = true;
+    if (placed == board->second.placed.end() || placed->second.decoding)
+        return;
+    placed->second.decoding = true;
+    if (!placed->second.alone)
+        return;
+    const double took = std::chrono::duration<double, std::milli>(this->clock.now() -
+                                                                  placed->second.since)
+                                .count();
+    const double speed = std::clamp(placed->second.need.promptTokens / std::max(took, 1.0),
+                                    slowestReading, fastestReading);
+    this->readingSpeed += learningRate * (speed - this->readingSpeed);
 }
 
 void EngineChoice::ended(std::string_view id, std::string_view run)
@@ -99,7 +134,7 @@
                                 const GenerationNeed &need)
 {
     this->boards[std::string(id)].placed.insert_or_assign(
-            std::string(run), Placed{need, this->clock.now(), true, true});
+            std::string(run), Placed{need, this->clock.now(), true, true, false});
 }
 
 void EngineChoice::backupDropped(std::string_view id, std::string_view run)
@@ -107,34 +142,35 @@
     this->ended(id, run);
 }
 
-// The report holds what everybody had there when it was made; what this instance placed since is
-// added. What it placed before and has ended since is still in the report, which errs on the side of
-// caution.
-double EngineChoice::loadOf(const Board &board) const
+// The report holds what everybody had there when it was made; what was placed since is added. What was
+// placed before and has ended since is still in the report, which errs on the side of caution.
+double EngineChoice::memoryOf(const Board &board) const
 {
     double tokens = board.everReported ? board.load.memoryInUse : 0;
-    tokens += unreadPromptWeight * waitingTokens * board.load.waiting;
     for (const auto &[run, placed] : board.placed) {
-        const bool reported = board.everReported &&
-                              placed.since + reportLag < board.reportedAt - reportLag;
+        const bool reported = board.everReported && placed.since < board.reportedAt - reportLag;
         if (!reported)
             tokens += placed.need.promptTokens;
-        tokens += placed.copy ? 0 : placed.need.outputTokens / 2.0;
-        if (!placed.decoding)
-            tokens += unreadPromptWeight * placed.need.promptTokens;
     }
+    for (const Foreign &one : board.foreign)
+        tokens += one.tokens;
     return tokens;
 }
 
+Duration EngineChoice::delayOf(const Board &board) const
+{
+    return std::max(Duration(0), board.promptsReadBy - this->clock.now());
+}
+
 EngineChoice::Forecast EngineChoice::forecast(std::string_view id) const
 {
     const auto found = this->boards.find(id);
     if (found == this->boards.end())
         return {};
     const Board &board = found->second;
-    return {this->loadOf(board),
+    return {this->memoryOf(board),
             board.everReported ? this->clock.now() - board.reportedAt : Duration(-1),
-            board.load.waiting};
+            this->delayOf(board)};
 }
 
 bool EngineChoice::avoided(const TargetEntry &entry)
@@ -147,7 +183,10 @@
                             const GenerationNeed &need, const Preference &preference)
 {
     const double capacity = std::max<double>(1, traits.memoryTokens);
-    const double cost = (this->loadOf(this->boards[entry.id]) + need.promptTokens) / capacity;
+    const Board &board = this->boards[entry.id];
+    const double memory = (this->memoryOf(board) + need.promptTokens + need.outputTokens / 2.0) / capacity;
+    const double delay = std::chrono::duration<double>(this->delayOf(board)).count();
+    const double cost = memory + this->options.weightOfDelay * delay;
     const bool distant = entry.dataCentre != preference.dataCentre;
     return distant ? cost + preference.distantHandicap : cost;
 }
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -934,6 +934,270 @@
 }
 
 
+PlacementNotice::~PlacementNotice() noexcept {
+}
+
+
+void PlacementNotice::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void PlacementNotice::__set_promptTokens(const int64_t val) {
+  this->promptTokens = val;
+}
+
+void PlacementNotice::__set_expectedTokens(const int64_t val) {
+  this->expectedTokens = val;
+}
+
+void PlacementNotice::__set_copied(const bool val) {
+  this->copied = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlacementNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlacementNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->promptTokens);
+          this->__isset.promptTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expectedTokens);
+          this->__isset.expectedTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->copied);
+          this->__isset.copied = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlacementNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlacementNotice");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("promptTokens", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->promptTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expectedTokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->expectedTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("copied", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->copied);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlacementNotice &a, PlacementNotice &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.promptTokens, b.promptTokens);
+  swap(a.expectedTokens, b.expectedTokens);
+  swap(a.copied, b.copied);
+  swap(a.__isset, b.__isset);
+}
+
+PlacementNotice::PlacementNotice(const PlacementNotice& other21) {
+  engine = other21.engine;
+  promptTokens = other21.promptTokens;
+  expectedTokens = other21.expectedTokens;
+  copied = other21.copied;
+  __isset = other21.__isset;
+}
+PlacementNotice& PlacementNotice::operator=(const PlacementNotice& other22) {
+  engine = other22.engine;
+  promptTokens = other22.promptTokens;
+  expectedTokens = other22.expectedTokens;
+  copied = other22.copied;
+  __isset = other22.__isset;
+  return *this;
+}
+void PlacementNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlacementNotice(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "promptTokens=" << to_string(promptTokens);
+  out << ", " << "expectedTokens=" << to_string(expectedTokens);
+  out << ", " << "copied=" << to_string(copied);
+  out << ")";
+}
+
+
+PlacementNotices::~PlacementNotices() noexcept {
+}
+
+
+void PlacementNotices::__set_notices(const std::vector<PlacementNotice> & val) {
+  this->notices = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlacementNotices& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlacementNotices::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->notices.clear();
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->notices.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
+            {
+              xfer += this->notices[_i27].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.notices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlacementNotices::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlacementNotices");
+
+  xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
+    std::vector<PlacementNotice> ::const_iterator _iter28;
+    for (_iter28 = this->notices.begin(); _iter28 != this->notices.end(); ++_iter28)
+    {
+      xfer += (*_iter28).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlacementNotices &a, PlacementNotices &b) {
+  using ::std::swap;
+  swap(a.notices, b.notices);
+  swap(a.__isset, b.__isset);
+}
+
+PlacementNotices::PlacementNotices(const PlacementNotices& other29) {
+  notices = other29.notices;
+  __isset = other29.__isset;
+}
+PlacementNotices& PlacementNotices::operator=(const PlacementNotices& other30) {
+  notices = other30.notices;
+  __isset = other30.__isset;
+  return *this;
+}
+void PlacementNotices::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlacementNotices(";
+  out << "notices=" << to_string(notices);
+  out << ")";
+}
+
+
 PeerMessage::~PeerMessage() noexcept {
 }
 
@@ -999,9 +1263,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast21;
-          xfer += iprot->readI32(ecast21);
-          this->kind = static_cast<PeerKind::type>(ecast21);
+          int32_t ecast31;
+          xfer += iprot->readI32(ecast31);
+          this->kind = static_cast<PeerKind::type>(ecast31);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1043,14 +1307,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->records.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->records.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->records[_i26].read(iprot);
+              xfer += this->records[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1115,10 +1379,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter27;
-    for (_iter27 = this->records.begin(); _iter27 != this->records.end(); ++_iter27)
+    std::vector<MemberRecord> ::const_iterator _iter37;
+    for (_iter37 = this->records.begin(); _iter37 != this->records.end(); ++_iter37)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1150,27 +1414,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other28) {
-  kind = other28.kind;
-  sequence = other28.sequence;
-  sender = other28.sender;
-  revision = other28.revision;
-  configAgeMs = other28.configAgeMs;
-  records = other28.records;
-  probeTarget = other28.probeTarget;
-  policy = other28.policy;
-  __isset = other28.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other29) {
-  kind = other29.kind;
-  sequence = other29.sequence;
-  sender = other29.sender;
-  revision = other29.revision;
-  configAgeMs = other29.configAgeMs;
-  records = other29.records;
-  probeTarget = other29.probeTarget;
-  policy = other29.policy;
-  __isset = other29.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other38) {
+  kind = other38.kind;
+  sequence = other38.sequence;
+  sender = other38.sender;
+  revision = other38.revision;
+  configAgeMs = other38.configAgeMs;
+  records = other38.records;
+  probeTarget = other38.probeTarget;
+  policy = other38.policy;
+  __isset = other38.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other39) {
+  kind = other39.kind;
+  sequence = other39.sequence;
+  sender = other39.sender;
+  revision = other39.revision;
+  configAgeMs = other39.configAgeMs;
+  records = other39.records;
+  probeTarget = other39.probeTarget;
+  policy = other39.policy;
+  __isset = other39.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -1280,15 +1544,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other30) {
-  body = other30.body;
-  mac = other30.mac;
-  __isset = other30.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other40) {
+  body = other40.body;
+  mac = other40.mac;
+  __isset = other40.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other31) {
-  body = other31.body;
-  mac = other31.mac;
-  __isset = other31.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other41) {
+  body = other41.body;
+  mac = other41.mac;
+  __isset = other41.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -1426,19 +1690,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other32) {
-  engine = other32.engine;
-  generation = other32.generation;
-  customer = other32.customer;
-  model = other32.model;
-  __isset = other32.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other42) {
+  engine = other42.engine;
+  generation = other42.generation;
+  customer = other42.customer;
+  model = other42.model;
+  __isset = other42.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other33) {
-  engine = other33.engine;
-  generation = other33.generation;
-  customer = other33.customer;
-  model = other33.model;
-  __isset = other33.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other43) {
+  engine = other43.engine;
+  generation = other43.generation;
+  customer = other43.customer;
+  model = other43.model;
+  __isset = other43.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -1595,21 +1859,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other34) {
-  issuer = other34.issuer;
-  incarnation = other34.incarnation;
-  serial = other34.serial;
-  customer = other34.customer;
-  scope = other34.scope;
-  __isset = other34.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other35) {
-  issuer = other35.issuer;
-  incarnation = other35.incarnation;
-  serial = other35.serial;
-  customer = other35.customer;
-  scope = other35.scope;
-  __isset = other35.__isset;
+TicketBody::TicketBody(const TicketBody& other44) {
+  issuer = other44.issuer;
+  incarnation = other44.incarnation;
+  serial = other44.serial;
+  customer = other44.customer;
+  scope = other44.scope;
+  __isset = other44.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other45) {
+  issuer = other45.issuer;
+  incarnation = other45.incarnation;
+  serial = other45.serial;
+  customer = other45.customer;
+  scope = other45.scope;
+  __isset = other45.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -61,6 +61,10 @@
 
 class PolicyMessage;
 
+class PlacementNotice;
+
+class PlacementNotices;
+
 class PeerMessage;
 
 class SealedMessage;
@@ -397,6 +401,112 @@
 
 std::ostream& operator<<(std::ostream& out, const PolicyMessage& obj);
 
+typedef struct _PlacementNotice__isset {
+  _PlacementNotice__isset() : engine(false), promptTokens(false), expectedTokens(false), copied(false) {}
+  bool engine :1;
+  bool promptTokens :1;
+  bool expectedTokens :1;
+  bool copied :1;
+} _PlacementNotice__isset;
+
+class PlacementNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlacementNotice(const PlacementNotice&);
+  PlacementNotice& operator=(const PlacementNotice&);
+  PlacementNotice() noexcept
+                  : engine(),
+                    promptTokens(0),
+                    expectedTokens(0),
+                    copied(0) {
+  }
+
+  virtual ~PlacementNotice() noexcept;
+  std::string engine;
+  int64_t promptTokens;
+  int64_t expectedTokens;
+  bool copied;
+
+  _PlacementNotice__isset __isset;
+
+  void __set_engine(const std::string& val);
+
+  void __set_promptTokens(const int64_t val);
+
+  void __set_expectedTokens(const int64_t val);
+
+  void __set_copied(const bool val);
+
+  bool operator == (const PlacementNotice & rhs) const
+  {
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(promptTokens == rhs.promptTokens))
+      return false;
+    if (!(expectedTokens == rhs.expectedTokens))
+      return false;
+    if (!(copied == rhs.copied))
+      return false;
+    return true;
+  }
+  bool operator != (const PlacementNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlacementNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlacementNotice &a, PlacementNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const PlacementNotice& obj);
+
+typedef struct _PlacementNotices__isset {
+  _PlacementNotices__isset() : notices(false) {}
+  bool notices :1;
+} _PlacementNotices__isset;
+
+class PlacementNotices : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlacementNotices(const PlacementNotices&);
+  PlacementNotices& operator=(const PlacementNotices&);
+  PlacementNotices() noexcept {
+  }
+
+  virtual ~PlacementNotices() noexcept;
+  std::vector<PlacementNotice>  notices;
+
+  _PlacementNotices__isset __isset;
+
+  void __set_notices(const std::vector<PlacementNotice> & val);
+
+  bool operator == (const PlacementNotices & rhs) const
+  {
+    if (!(notices == rhs.notices))
+      return false;
+    return true;
+  }
+  bool operator != (const PlacementNotices &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlacementNotices & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlacementNotices &a, PlacementNotices &b);
+
+std::ostream& operator<<(std::ostream& out, const PlacementNotices& obj);
+
 typedef struct _PeerMessage__isset {
   _PeerMessage__isset() : kind(false), sequence(false), sender(false), revision(false), configAgeMs(false), records(false), probeTarget(false), policy(false) {}
   bool kind :1;
