One instance asks each engine for its load and tells the others

Change: the instance whose hash with the engine is highest asks; configuration confirmed every 2 s instead of 1 s.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -57,9 +57,20 @@
   4: bool copied
 }
 
-// What entry instances tell each other of their placements.
-struct PlacementNotices {
-  1: list<PlacementNotice> notices
+// An engine's own report of its load, as one entry instance read it for all.
+struct LoadNotice {
+  1: string engine
+  2: i32 waiting
+  3: i32 running
+  4: i64 memoryInUse
+  5: i64 memoryTokens
+  6: bool leaving
+}
+
+// What entry instances tell each other of the engines.
+struct EngineNotices {
+  1: list<PlacementNotice> placements
+  2: list<LoadNotice> loads
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -1,4 +1,5 @@
-// Asks model engines for their load, so that placement has something to go by.
+// Asks model engines for their load, so that placement has something to go by. Each engine is asked by
+// one of the instances, which tells the others.
 #ifndef JAYTRACK_PROXY_LOADPROBER_H
 #define JAYTRACK_PROXY_LOADPROBER_H
 
@@ -16,15 +17,29 @@
 
 namespace jaytrack {
 
+// Shares the asking with other instances.
+class LoadSharing
+{
+public:
+    virtual ~LoadSharing() = default;
+    virtual bool isMineToAsk(std::string_view engine) const = 0;
+
+    // An engine reported its load to this instance.
+    virtual void onLoad(std::string_view engine, const EngineLoad &load) = 0;
+};
+
 class LoadProber final
 {
 public:
     // How often each engine is asked. A question has a price at the engine; its answer is half a
     // second old when it comes, so asking much more often tells little more.
-    static constexpr std::chrono::milliseconds gap{1000};
+    static constexpr std::chrono::milliseconds gap{700};
+
+    // Without any report for this long an instance asks for itself: whoever should has gone.
+    static constexpr std::chrono::milliseconds askAnyway{2500};
 
-    LoadProber(asio::io_context &loop, const Dialect &words, TargetDirectory &listed,
-               EngineChoice &told, std::mt19937_64 &source);
+    LoadProber(asio::io_context &loop, const Dialect &words, EngineChoice &told,
+               LoadSharing &shared, std::mt19937_64 &source);
 
     void add(const TargetEntry &entry);
     void remove(std::string_view id);
@@ -34,8 +49,8 @@
 
     asio::io_context &context;
     const Dialect &dialect;
-    TargetDirectory &directory;
     EngineChoice &engines;
+    LoadSharing &sharing;
     std::mt19937_64 &random;
     std::map<std::string, std::shared_ptr<Probe>, std::less<>> probes;
 };
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -32,11 +32,21 @@
     std::vector<std::string> keys;  // the first signs, all verify
 };
 
+// Told what other instances say of the engines.
+class PeerLinkListener
+{
+public:
+    virtual ~PeerLinkListener() = default;
+    virtual void onPlacedByPeer(std::string_view engine, const GenerationNeed &need,
+                                bool copied) = 0;
+    virtual void onLoadFromPeer(std::string_view engine, const EngineLoad &load) = 0;
+};
+
 class PeerLink final : public PeerTransport, public MembershipListener
 {
 public:
     PeerLink(asio::io_context &loop, const Clock &time, PeerLinkSettings given, std::uint64_t seed,
-             EngineChoice &told);
+             PeerLinkListener &told);
 
     // Fails if the address cannot be bound.
     Result<void> open();
@@ -44,6 +54,13 @@
     // Tells the other instances of a generation that this one gave to an engine.
     void announce(std::string_view engine, const GenerationNeed &need, bool copied);
 
+    // Tells them what an engine reported.
+    void announce(std::string_view engine, const EngineLoad &load);
+
+    // Whether it falls to this instance to ask the engine for its load. Asking has a price at the
+    // engine, so one instance asks for all.
+    bool isMineToAsk(std::string_view engine) const;
+
     // Tells the others that this instance is about to end.
     void depart();
 
@@ -54,13 +71,13 @@
     void onMembersChanged() override;
     void onPeerHeard(const Member &, std::uint64_t, Duration, TimePoint) override {}
     void onPolicyMessage(std::string_view from, std::string_view message) override;
+    void tellPeers(const std::string &message);
     void receiveNext();
     void tick();
 
-    const Clock &clock;
     PeerLinkSettings settings;
     KeyRing keys;
-    EngineChoice &engines;
+    PeerLinkListener &listener;
     asio::ip::udp::socket socket;
     asio::ip::udp::endpoint sender;
     asio::steady_timer timer;
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -64,7 +64,10 @@
 
 } // namespace
 
-struct EntryInstance::Parts final : public CallerHandler, public TargetDirectoryListener
+struct EntryInstance::Parts final : public CallerHandler,
+                                    public TargetDirectoryListener,
+                                    public PeerLinkListener,
+                                    public LoadSharing
 {
     // Answers the balancer's question and the request for metrics; what callers may not reach.
     struct Desk final : public CallerHandler
@@ -107,7 +110,7 @@
         , retries(time, {given.retryRatio, given.retryWindow})
         , configuration(time, words)
         , targets(this->loop, words, this->directory)
-        , prober(this->loop, words, this->directory, this->engines, this->random)
+        , prober(this->loop, words, this->engines, *this, this->random)
         , context{this->loop,   time,           words,         this->metrics, this->directory,
                   this->health, this->engines,  this->retries, this->random,
                   [this](std::string_view engine, const GenerationNeed &need, bool copied) {
@@ -160,7 +163,7 @@
         link.seeds = this->settings.peerSeeds;
         link.keys = this->settings.peerKeys;
         this->peers = std::make_unique<PeerLink>(this->loop, this->clock, std::move(link),
-                                                 this->random(), this->engines);
+                                                 this->random(), *this);
         return this->peers->open();
     }
 
@@ -173,6 +176,7 @@
         config.name = "config";
         config.prefix = std::string(this->dialect.configurationKey());
         config.store = store.value();
+        config.wait = std::chrono::milliseconds(2000);
         this->configFollower = std::make_shared<StoreFollower>(
                 this->loop, this->clock, this->dialect, config, this->random(), this->configuration);
         StoreFollowerOptions listed = config;
@@ -304,6 +308,36 @@
             exchange->onTargetLeaving(entry, reason);
     }
 
+    // PeerLinkListener
+
+    void onPlacedByPeer(std::string_view engine, const GenerationNeed &need, bool copied) override
+    {
+        this->engines.placedByOthers(engine, need, copied);
+    }
+
+    void onLoadFromPeer(std::string_view engine, const EngineLoad &load) override
+    {
+        this->engines.reported(engine, load);
+        if (load.leaving)
+            this->directory.markLeaving(engine, "reported_to_peer");
+    }
+
+    // LoadSharing
+
+    bool isMineToAsk(std::string_view engine) const override
+    {
+        return !this->peers || this->peers->isMineToAsk(engine);
+    }
+
+    void onLoad(std::string_view engine, const EngineLoad &load) override
+    {
+        this->engines.reported(engine, load);
+        if (this->peers)
+            this->peers->announce(engine, load);
+        if (load.leaving)
+            this->directory.markLeaving(engine, "reported");
+    }
+
     // Life of the process
 
     void waitForSignal()
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -43,10 +43,19 @@
         this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
             const auto self = weak.lock();
             if (!failure && self && !self->stopped)
-                self->ask();
+                self->askIfDue();
         });
     }
 
+    void askIfDue()
+    {
+        const Duration age = this->prober.engines.forecast(this->target.id).reportAge;
+        const bool unheard = age < Duration(0) || age > askAnyway;
+        if (unheard || this->prober.sharing.isMineToAsk(this->target.id))
+            return this->ask();
+        this->askAfter(gap);
+    }
+
     void ask()
     {
         const auto endpoint = parseEndpoint(this->target.address);
@@ -85,9 +94,7 @@
             return;
         }
         this->prober.engines.reached(this->target.id);
-        this->prober.engines.reported(this->target.id, load.value());
-        if (load.value().leaving)
-            this->prober.directory.markLeaving(this->target.id, "reported");
+        this->prober.sharing.onLoad(this->target.id, load.value());
     }
 
     LoadProber &prober;
@@ -99,12 +106,12 @@
     bool stopped = false;
 };
 
-LoadProber::LoadProber(asio::io_context &loop, const Dialect &words, TargetDirectory &listed,
-                       EngineChoice &told, std::mt19937_64 &source)
+LoadProber::LoadProber(asio::io_context &loop, const Dialect &words, EngineChoice &told,
+                       LoadSharing &shared, std::mt19937_64 &source)
     : context(loop)
     , dialect(words)
-    , directory(listed)
     , engines(told)
+    , sharing(shared)
     , random(source)
 {
 }
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Proxy/peerlink.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Support/digest.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Wire/codec.h"
 
@@ -40,6 +41,11 @@
     return asio::ip::udp::endpoint(parsed.value().address(), parsed.value().port());
 }
 
+std::uint32_t toTokens(std::int64_t number)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, number));
+}
+
 std::string textOf(const asio::ip::udp::endpoint &endpoint)
 {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
@@ -48,11 +54,10 @@
 } // namespace
 
 PeerLink::PeerLink(asio::io_context &loop, const Clock &time, PeerLinkSettings given,
-                   std::uint64_t seed, EngineChoice &told)
-    : clock(time)
-    , settings(std::move(given))
+                   std::uint64_t seed, PeerLinkListener &told)
+    : settings(std::move(given))
     , keys(this->settings.keys)
-    , engines(told)
+    , listener(told)
     , socket(loop)
     , timer(loop)
     , membership(describeSelf(this->settings), time, seed, this->keys, *this, *this)
@@ -131,26 +136,63 @@
     notice.promptTokens = need.promptTokens;
     notice.expectedTokens = need.outputTokens;
     notice.copied = copied;
-    wire::PlacementNotices message;
-    message.notices.push_back(std::move(notice));
-    const std::string bytes = encodeMessage(message);
+    wire::EngineNotices message;
+    message.placements.push_back(std::move(notice));
+    this->tellPeers(encodeMessage(message));
+}
+
+void PeerLink::announce(std::string_view engine, const EngineLoad &load)
+{
+    wire::LoadNotice notice;
+    notice.engine = engine;
+    notice.waiting = load.waiting;
+    notice.running = load.running;
+    notice.memoryInUse = load.memoryInUse;
+    notice.memoryTokens = load.memoryTokens;
+    notice.leaving = load.leaving;
+    wire::EngineNotices message;
+    message.loads.push_back(std::move(notice));
+    this->tellPeers(encodeMessage(message));
+}
+
+void PeerLink::tellPeers(const std::string &message)
+{
     for (const std::string &peer : this->peers)
-        this->membership.sendPolicy(peer, bytes);
+        this->membership.sendPolicy(peer, message);
 }
 
 void PeerLink::onPolicyMessage(std::string_view, std::string_view bytes)
 {
-    const auto message = decodeMessage<wire::PlacementNotices>(bytes);
+    const auto message = decodeMessage<wire::EngineNotices>(bytes);
     if (!message)
         return;
-    for (const wire::PlacementNotice &notice : message->notices) {
-        const GenerationNeed need{
-                static_cast<std::uint32_t>(std::max<std::int64_t>(0, notice.promptTokens)),
-                static_cast<std::uint32_t>(std::max<std::int64_t>(0, notice.expectedTokens))};
-        this->engines.placedByOthers(notice.engine, need, notice.copied);
+    for (const wire::PlacementNotice &notice : message->placements) {
+        const GenerationNeed need{toTokens(notice.promptTokens), toTokens(notice.expectedTokens)};
+        this->listener.onPlacedByPeer(notice.engine, need, notice.copied);
+    }
+    for (const wire::LoadNotice &notice : message->loads) {
+        EngineLoad load;
+        load.waiting = notice.waiting;
+        load.running = notice.running;
+        load.memoryInUse = toTokens(notice.memoryInUse);
+        load.memoryTokens = toTokens(notice.memoryTokens);
+        load.leaving = notice.leaving;
+        this->listener.onLoadFromPeer(notice.engine, load);
     }
 }
 
+// Of all instances, the one whose hash with the engine is highest asks it; when one goes, only its
+// engines get another.
+bool PeerLink::isMineToAsk(std::string_view engine) const
+{
+    const auto rank = [engine](std::string_view name) {
+        return placementHash(std::string(engine) + "/" + std::string(name));
+    };
+    const std::uint64_t own = rank(this->settings.name);
+    return std::none_of(this->peers.begin(), this->peers.end(),
+                        [&](const std::string &peer) { return rank(peer) > own; });
+}
+
 void PeerLink::depart()
 {
     this->membership.depart();
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -1086,21 +1086,41 @@
 }
 
 
-PlacementNotices::~PlacementNotices() noexcept {
+LoadNotice::~LoadNotice() noexcept {
 }
 
 
-void PlacementNotices::__set_notices(const std::vector<PlacementNotice> & val) {
-  this->notices = val;
+void LoadNotice::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void LoadNotice::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void LoadNotice::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void LoadNotice::__set_memoryInUse(const int64_t val) {
+  this->memoryInUse = val;
+}
+
+void LoadNotice::__set_memoryTokens(const int64_t val) {
+  this->memoryTokens = val;
+}
+
+void LoadNotice::__set_leaving(const bool val) {
+  this->leaving = val;
 }
-std::ostream& operator<<(std::ostream& out, const PlacementNotices& obj)
+std::ostream& operator<<(std::ostream& out, const LoadNotice& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PlacementNotices::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LoadNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1122,21 +1142,217 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->memoryInUse);
+          this->__isset.memoryInUse = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->memoryTokens);
+          this->__isset.memoryTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadNotice");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memoryInUse", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->memoryInUse);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->memoryTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadNotice &a, LoadNotice &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.waiting, b.waiting);
+  swap(a.running, b.running);
+  swap(a.memoryInUse, b.memoryInUse);
+  swap(a.memoryTokens, b.memoryTokens);
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
+}
+
+LoadNotice::LoadNotice(const LoadNotice& other23) {
+  engine = other23.engine;
+  waiting = other23.waiting;
+  running = other23.running;
+  memoryInUse = other23.memoryInUse;
+  memoryTokens = other23.memoryTokens;
+  leaving = other23.leaving;
+  __isset = other23.__isset;
+}
+LoadNotice& LoadNotice::operator=(const LoadNotice& other24) {
+  engine = other24.engine;
+  waiting = other24.waiting;
+  running = other24.running;
+  memoryInUse = other24.memoryInUse;
+  memoryTokens = other24.memoryTokens;
+  leaving = other24.leaving;
+  __isset = other24.__isset;
+  return *this;
+}
+void LoadNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadNotice(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "memoryInUse=" << to_string(memoryInUse);
+  out << ", " << "memoryTokens=" << to_string(memoryTokens);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
+EngineNotices::~EngineNotices() noexcept {
+}
+
+
+void EngineNotices::__set_placements(const std::vector<PlacementNotice> & val) {
+  this->placements = val;
+}
+
+void EngineNotices::__set_loads(const std::vector<LoadNotice> & val) {
+  this->loads = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineNotices& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineNotices::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->placements.clear();
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->placements.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
+            {
+              xfer += this->placements[_i29].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.placements = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->notices.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->notices.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            this->loads.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->loads.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->notices[_i27].read(iprot);
+              xfer += this->loads[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.notices = true;
+          this->__isset.loads = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1153,18 +1369,30 @@
   return xfer;
 }
 
-uint32_t PlacementNotices::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EngineNotices::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PlacementNotices");
+  xfer += oprot->writeStructBegin("EngineNotices");
 
-  xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 1);
+  xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter28;
-    for (_iter28 = this->notices.begin(); _iter28 != this->notices.end(); ++_iter28)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
+    std::vector<PlacementNotice> ::const_iterator _iter35;
+    for (_iter35 = this->placements.begin(); _iter35 != this->placements.end(); ++_iter35)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter35).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<LoadNotice> ::const_iterator _iter36;
+    for (_iter36 = this->loads.begin(); _iter36 != this->loads.end(); ++_iter36)
+    {
+      xfer += (*_iter36).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1175,25 +1403,29 @@
   return xfer;
 }
 
-void swap(PlacementNotices &a, PlacementNotices &b) {
+void swap(EngineNotices &a, EngineNotices &b) {
   using ::std::swap;
-  swap(a.notices, b.notices);
+  swap(a.placements, b.placements);
+  swap(a.loads, b.loads);
   swap(a.__isset, b.__isset);
 }
 
-PlacementNotices::PlacementNotices(const PlacementNotices& other29) {
-  notices = other29.notices;
-  __isset = other29.__isset;
+EngineNotices::EngineNotices(const EngineNotices& other37) {
+  placements = other37.placements;
+  loads = other37.loads;
+  __isset = other37.__isset;
 }
-PlacementNotices& PlacementNotices::operator=(const PlacementNotices& other30) {
-  notices = other30.notices;
-  __isset = other30.__isset;
+EngineNotices& EngineNotices::operator=(const EngineNotices& other38) {
+  placements = other38.placements;
+  loads = other38.loads;
+  __isset = other38.__isset;
   return *this;
 }
-void PlacementNotices::printTo(std::ostream& out) const {
+void EngineNotices::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PlacementNotices(";
-  out << "notices=" << to_string(notices);
+  out << "EngineNotices(";
+  out << "placements=" << to_string(placements);
+  out << ", " << "loads=" << to_string(loads);
   out << ")";
 }
 
@@ -1263,9 +1495,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast31;
-          xfer += iprot->readI32(ecast31);
-          this->kind = static_cast<PeerKind::type>(ecast31);
+          int32_t ecast39;
+          xfer += iprot->readI32(ecast39);
+          this->kind = static_cast<PeerKind::type>(ecast39);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1307,14 +1539,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->records.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->records.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += this->records[_i36].read(iprot);
+              xfer += this->records[_i44].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1379,10 +1611,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter37;
-    for (_iter37 = this->records.begin(); _iter37 != this->records.end(); ++_iter37)
+    std::vector<MemberRecord> ::const_iterator _iter45;
+    for (_iter45 = this->records.begin(); _iter45 != this->records.end(); ++_iter45)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1414,27 +1646,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other38) {
-  kind = other38.kind;
-  sequence = other38.sequence;
-  sender = other38.sender;
-  revision = other38.revision;
-  configAgeMs = other38.configAgeMs;
-  records = other38.records;
-  probeTarget = other38.probeTarget;
-  policy = other38.policy;
-  __isset = other38.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other39) {
-  kind = other39.kind;
-  sequence = other39.sequence;
-  sender = other39.sender;
-  revision = other39.revision;
-  configAgeMs = other39.configAgeMs;
-  records = other39.records;
-  probeTarget = other39.probeTarget;
-  policy = other39.policy;
-  __isset = other39.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other46) {
+  kind = other46.kind;
+  sequence = other46.sequence;
+  sender = other46.sender;
+  revision = other46.revision;
+  configAgeMs = other46.configAgeMs;
+  records = other46.records;
+  probeTarget = other46.probeTarget;
+  policy = other46.policy;
+  __isset = other46.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other47) {
+  kind = other47.kind;
+  sequence = other47.sequence;
+  sender = other47.sender;
+  revision = other47.revision;
+  configAgeMs = other47.configAgeMs;
+  records = other47.records;
+  probeTarget = other47.probeTarget;
+  policy = other47.policy;
+  __isset = other47.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -1544,15 +1776,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other40) {
-  body = other40.body;
-  mac = other40.mac;
-  __isset = other40.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other48) {
+  body = other48.body;
+  mac = other48.mac;
+  __isset = other48.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other41) {
-  body = other41.body;
-  mac = other41.mac;
-  __isset = other41.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other49) {
+  body = other49.body;
+  mac = other49.mac;
+  __isset = other49.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -1690,19 +1922,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other42) {
-  engine = other42.engine;
-  generation = other42.generation;
-  customer = other42.customer;
-  model = other42.model;
-  __isset = other42.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other50) {
+  engine = other50.engine;
+  generation = other50.generation;
+  customer = other50.customer;
+  model = other50.model;
+  __isset = other50.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other43) {
-  engine = other43.engine;
-  generation = other43.generation;
-  customer = other43.customer;
-  model = other43.model;
-  __isset = other43.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other51) {
+  engine = other51.engine;
+  generation = other51.generation;
+  customer = other51.customer;
+  model = other51.model;
+  __isset = other51.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -1859,21 +2091,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other44) {
-  issuer = other44.issuer;
-  incarnation = other44.incarnation;
-  serial = other44.serial;
-  customer = other44.customer;
-  scope = other44.scope;
-  __isset = other44.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other45) {
-  issuer = other45.issuer;
-  incarnation = other45.incarnation;
-  serial = other45.serial;
-  customer = other45.customer;
-  scope = other45.scope;
-  __isset = other45.__isset;
+TicketBody::TicketBody(const TicketBody& other52) {
+  issuer = other52.issuer;
+  incarnation = other52.incarnation;
+  serial = other52.serial;
+  customer = other52.customer;
+  scope = other52.scope;
+  __isset = other52.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other53) {
+  issuer = other53.issuer;
+  incarnation = other53.incarnation;
+  serial = other53.serial;
+  customer = other53.customer;
+  scope = other53.scope;
+  __isset = other53.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -63,7 +63,9 @@
 
 class PlacementNotice;
 
-class PlacementNotices;
+class LoadNotice;
+
+class EngineNotices;
 
 class PeerMessage;
 
@@ -465,37 +467,121 @@
 
 std::ostream& operator<<(std::ostream& out, const PlacementNotice& obj);
 
-typedef struct _PlacementNotices__isset {
-  _PlacementNotices__isset() : notices(false) {}
-  bool notices :1;
-} _PlacementNotices__isset;
+typedef struct _LoadNotice__isset {
+  _LoadNotice__isset() : engine(false), waiting(false), running(false), memoryInUse(false), memoryTokens(false), leaving(false) {}
+  bool engine :1;
+  bool waiting :1;
+  bool running :1;
+  bool memoryInUse :1;
+  bool memoryTokens :1;
+  bool leaving :1;
+} _LoadNotice__isset;
 
-class PlacementNotices : public virtual ::apache::thrift::TBase {
+class LoadNotice : public virtual ::apache::thrift::TBase {
  public:
 
-  PlacementNotices(const PlacementNotices&);
-  PlacementNotices& operator=(const PlacementNotices&);
-  PlacementNotices() noexcept {
+  LoadNotice(const LoadNotice&);
+  LoadNotice& operator=(const LoadNotice&);
+  LoadNotice() noexcept
+             : engine(),
+               waiting(0),
+               running(0),
+               memoryInUse(0),
+               memoryTokens(0),
+               leaving(0) {
   }
 
-  virtual ~PlacementNotices() noexcept;
-  std::vector<PlacementNotice>  notices;
+  virtual ~LoadNotice() noexcept;
+  std::string engine;
+  int32_t waiting;
+  int32_t running;
+  int64_t memoryInUse;
+  int64_t memoryTokens;
+  bool leaving;
+
+  _LoadNotice__isset __isset;
 
-  _PlacementNotices__isset __isset;
+  void __set_engine(const std::string& val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_running(const int32_t val);
 
-  void __set_notices(const std::vector<PlacementNotice> & val);
+  void __set_memoryInUse(const int64_t val);
+
+  void __set_memoryTokens(const int64_t val);
+
+  void __set_leaving(const bool val);
 
-  bool operator == (const PlacementNotices & rhs) const
+  bool operator == (const LoadNotice & rhs) const
   {
-    if (!(notices == rhs.notices))
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(memoryInUse == rhs.memoryInUse))
+      return false;
+    if (!(memoryTokens == rhs.memoryTokens))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadNotice &a, LoadNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadNotice& obj);
+
+typedef struct _EngineNotices__isset {
+  _EngineNotices__isset() : placements(false), loads(false) {}
+  bool placements :1;
+  bool loads :1;
+} _EngineNotices__isset;
+
+class EngineNotices : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineNotices(const EngineNotices&);
+  EngineNotices& operator=(const EngineNotices&);
+  EngineNotices() noexcept {
+  }
+
+  virtual ~EngineNotices() noexcept;
+  std::vector<PlacementNotice>  placements;
+  std::vector<LoadNotice>  loads;
+
+  _EngineNotices__isset __isset;
+
+  void __set_placements(const std::vector<PlacementNotice> & val);
+
+  void __set_loads(const std::vector<LoadNotice> & val);
+
+  bool operator == (const EngineNotices & rhs) const
+  {
+    if (!(placements == rhs.placements))
+      return false;
+    if (!(loads == rhs.loads))
       return false;
     return true;
   }
-  bool operator != (const PlacementNotices &rhs) const {
+  bool operator != (const EngineNotices &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const PlacementNotices & ) const;
+  bool operator < (const EngineNotices & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -503,9 +589,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(PlacementNotices &a, PlacementNotices &b);
+void swap(EngineNotices &a, EngineNotices &b);
 
-std::ostream& operator<<(std::ostream& out, const PlacementNotices& obj);
+std::ostream& operator<<(std::ostream& out, const EngineNotices& obj);
 
 typedef struct _PeerMessage__isset {
   _PeerMessage__isset() : kind(false), sequence(false), sender(false), revision(false), configAgeMs(false), records(false), probeTarget(false), policy(false) {}
