--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -39,6 +39,11 @@
     // until it is learnt: half of the 14 that the sheets give for an engine that does nothing else.
     double promptTokensPerMilli = 7;
 
+    // Costs are blurred by up to this much, in parts of the memory, where a run seeks refuge: all
+    // instances learn of a leaving in the same millisecond, know the same, and would all choose the
+    // same engine before their notices reach each other.
+    double refugeBlur = 0.25;
+
     // Part of an engine's memory up to which copies of other engines' runs are placed there. Copies
     // beyond it would take the room of runs that are served now.
     double backupShare = 0.0;
@@ -146,6 +151,7 @@
         double distantHandicap = 0;
         std::size_t candidates = 0;
         double mostCost = 0; // an engine that would cost more is not taken
+        double blur = 0;
     };
 
     const TargetEntry *cheapest(std::vector<const TargetEntry *> open, const EngineTraits &traits,
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -196,11 +196,12 @@
                                           const Preference &preference)
 {
     std::shuffle(open.begin(), open.end(), this->random);
+    std::uniform_real_distribution<double> blur(0, preference.blur);
     const std::size_t compared = std::min(open.size(), preference.candidates);
     const TargetEntry *best = nullptr;
     double bestCost = preference.mostCost;
     for (std::size_t i = 0; i < compared; ++i) {
-        const double cost = this->costOf(*open[i], traits, need, preference);
+        const double cost = this->costOf(*open[i], traits, need, preference) + blur(this->random);
         if (cost < bestCost) {
             best = open[i];
             bestCost = cost;
@@ -228,7 +229,7 @@
                                         const std::set<std::string> &avoid)
 {
     const Preference preference{this->home, this->options.distantHandicap,
-                                this->options.candidates, anyCost};
+                                this->options.candidates, anyCost, 0};
     return this->cheapest(this->openAmong(engines, avoid), traits, need, preference);
 }
 
@@ -242,7 +243,7 @@
     others.insert(running.id);
     // Every engine is compared: those of the run's own data centre are few.
     const Preference preference{running.dataCentre, this->options.distantCopyHandicap,
-                                engines.size(), anyCost};
+                                engines.size(), anyCost, this->options.refugeBlur};
     return this->cheapest(this->openAmong(engines, others), traits, need, preference);
 }
 
@@ -252,7 +253,7 @@
                                               const TargetEntry &running)
 {
     const Preference preference{running.dataCentre, this->options.distantHandicap,
-                                this->options.candidates + 1, this->options.backupShare};
+                                this->options.candidates + 1, this->options.backupShare, 0};
     return this->cheapest(this->openAmong(engines, {running.id}), traits, need, preference);
 }
 
