Follow the whole store with one watch

Cause: at the start of an outage the last confirmation was up to 3.3 s old (twice the wait), so keyed requests were refused 1.2 s into it; two followers cost two calls for one change. Change: one watch over everything; changes of targets confirm the configuration too. Empty answers that came early confirm nothing, since a store that drops its history first leaves watches deaf for a second.

--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -55,6 +55,7 @@
 private:
     // While targets whose entries lapsed during an outage are still coming back.
     bool inGrace() const { return this->away || this->graceRunning; }
+    bool isTarget(const StoreItem &item) const;
     std::string idOf(std::string_view key) const;
 
     const Dialect &dialect;
@@ -65,6 +66,27 @@
     bool graceRunning = false;
 };
 
+// Hands what one follower of the whole store reads to both feeds. One question that waits for either
+// kind of change costs half the calls, and each change of a target confirms the configuration too.
+class StoreFeeds final : public StoreFollowerListener
+{
+public:
+    StoreFeeds(ConfigurationFeed &first, TargetFeed &second)
+        : configuration(first)
+        , targets(second)
+    {
+    }
+
+    void onListing(const std::vector<StoreItem> &items, TimePoint asOf) override;
+    void onChanges(const std::vector<StoreItem> &items, TimePoint asOf) override;
+    void onStoreLost(std::string_view reason) override;
+    void onStoreRegained(Duration away) override;
+
+private:
+    ConfigurationFeed &configuration;
+    TargetFeed &targets;
+};
+
 } // namespace jaytrack
 
 #endif
--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -27,7 +27,8 @@
     // Everything under the prefix, all pages together.
     virtual void onListing(const std::vector<StoreItem> &items, TimePoint asOf) = 0;
 
-    // What changed since; nothing, if the wait ended without a change.
+    // What changed since; nothing, if the wait ended without a change. An empty answer that came before
+    // the wait was over confirms nothing and is not told.
     virtual void onChanges(const std::vector<StoreItem> &items, TimePoint asOf) = 0;
 
     virtual void onStoreLost(std::string_view reason) = 0;
@@ -36,13 +37,14 @@
 
 struct StoreFollowerOptions
 {
-    std::string name;   // for logs
-    std::string prefix; // what is followed
+    std::string prefix; // what is followed; empty for everything
     asio::ip::tcp::endpoint store;
 
     // How long the store may hold a question that nothing answers. A silent connection is noticed
-    // after it, and a confirmation is at most this old in calm times.
-    std::chrono::milliseconds wait{1000};
+    // after it, and a confirmation is at most twice this old in calm times. Longer than a second,
+    // since a store that loses its history first leaves watches deaf for as long: an empty answer
+    // to a shorter question could hide a change.
+    std::chrono::milliseconds wait{1200};
 
     // Pause after an answer with changes. Calls are priced and counted against the store's rate,
     // while several changes fit into one answer.
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -30,6 +30,10 @@
 // Before the forced end, so that the process ends by itself.
 constexpr std::chrono::milliseconds endMargin{300};
 
+// Changes of the store come in bunches, such as the engines of one departure; a short pause lets one
+// call bring them all.
+constexpr std::chrono::milliseconds changesGap{50};
+
 constexpr std::chrono::milliseconds tickGap{250};
 constexpr int ticksPerFileCheck = 4;
 
@@ -110,6 +114,7 @@
         , retries(time, {given.retryRatio, given.retryWindow})
         , configuration(time, words)
         , targets(this->loop, words, this->directory)
+        , feeds(this->configuration, this->targets)
         , prober(this->loop, words, this->engines, *this, this->random)
         , context{this->loop,   time,           words,         this->metrics, this->directory,
                   this->health, this->engines,  this->retries, this->random,
@@ -172,22 +177,12 @@
         const auto store = parseEndpoint(this->settings.store);
         if (!store)
             return store.error();
-        StoreFollowerOptions config;
-        config.name = "config";
-        config.prefix = std::string(this->dialect.configurationKey());
-        config.store = store.value();
-        config.wait = std::chrono::milliseconds(2000);
-        this->configFollower = std::make_shared<StoreFollower>(
-                this->loop, this->clock, this->dialect, config, this->random(), this->configuration);
-        StoreFollowerOptions listed = config;
-        listed.name = "targets";
-        listed.prefix = std::string(this->dialect.targetsPrefix());
-        listed.wait = std::chrono::milliseconds(2000);
-        listed.gap = std::chrono::milliseconds(50);
-        this->targetFollower = std::make_shared<StoreFollower>(
-                this->loop, this->clock, this->dialect, listed, this->random(), this->targets);
-        this->configFollower->start();
-        this->targetFollower->start();
+        StoreFollowerOptions everything;
+        everything.store = store.value();
+        everything.gap = changesGap;
+        this->follower = std::make_shared<StoreFollower>(this->loop, this->clock, this->dialect,
+                                                         everything, this->random(), this->feeds);
+        this->follower->start();
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
 
@@ -455,6 +450,7 @@
     RetryBudget retries;
     ConfigurationFeed configuration;
     TargetFeed targets;
+    StoreFeeds feeds;
     LoadProber prober;
     std::set<std::shared_ptr<Exchange>> open;
     ExchangeContext context;
@@ -466,8 +462,7 @@
     asio::signal_set signals;
     asio::steady_timer timer;
     std::unique_ptr<PeerLink> peers; // null if the settings name no address for it
-    std::shared_ptr<StoreFollower> configFollower;
-    std::shared_ptr<StoreFollower> targetFollower;
+    std::shared_ptr<StoreFollower> follower;
     std::string settingsFile;
     std::string settingsText;
     std::size_t reserved = 0;
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -64,12 +64,12 @@
 void ConfigurationFeed::onStoreLost(std::string_view reason)
 {
     logEvent(Severity::Warning, "store_lost",
-             {{"follows", "config"}, {"reason", reason}, {"age_ms", toMillis(this->age())}});
+             {{"reason", reason}, {"config_age_ms", toMillis(this->age())}});
 }
 
 void ConfigurationFeed::onStoreRegained(Duration away)
 {
-    logEvent(Severity::Info, "store_regained", {{"follows", "config"}, {"away_ms", toMillis(away)}});
+    logEvent(Severity::Info, "store_regained", {{"away_ms", toMillis(away)}});
 }
 
 TargetFeed::TargetFeed(asio::io_context &loop, const Dialect &words, TargetDirectory &filled)
@@ -84,10 +84,17 @@
     return std::string(key.substr(this->dialect.targetsPrefix().size()));
 }
 
+bool TargetFeed::isTarget(const StoreItem &item) const
+{
+    return item.key.starts_with(this->dialect.targetsPrefix());
+}
+
 void TargetFeed::onListing(const std::vector<StoreItem> &items, TimePoint)
 {
     std::vector<TargetEntry> entries;
     for (const StoreItem &item : items) {
+        if (!this->isTarget(item))
+            continue;
         Result<TargetEntry> entry = this->dialect.decodeTarget(item.key, item.value);
         if (entry)
             entries.push_back(std::move(entry.value()));
@@ -102,6 +109,8 @@
 void TargetFeed::onChanges(const std::vector<StoreItem> &items, TimePoint)
 {
     for (const StoreItem &item : items) {
+        if (!this->isTarget(item))
+            continue;
         if (item.deleted) {
             this->directory.remove(this->idOf(item.key), this->inGrace());
             continue;
@@ -115,18 +124,15 @@
     }
 }
 
-void TargetFeed::onStoreLost(std::string_view reason)
+void TargetFeed::onStoreLost(std::string_view)
 {
     this->away = true;
-    logEvent(Severity::Warning, "store_lost", {{"follows", "targets"}, {"reason", reason}});
 }
 
-void TargetFeed::onStoreRegained(Duration awayFor)
+void TargetFeed::onStoreRegained(Duration)
 {
     this->away = false;
     this->graceRunning = true;
-    logEvent(Severity::Info, "store_regained",
-             {{"follows", "targets"}, {"away_ms", toMillis(awayFor)}});
     this->graceTimer.expires_after(returnGrace);
     this->graceTimer.async_wait([this](const asio::error_code &failure) {
         if (failure)
@@ -136,4 +142,28 @@
     });
 }
 
+void StoreFeeds::onListing(const std::vector<StoreItem> &items, TimePoint asOf)
+{
+    this->configuration.onListing(items, asOf);
+    this->targets.onListing(items, asOf);
+}
+
+void StoreFeeds::onChanges(const std::vector<StoreItem> &items, TimePoint asOf)
+{
+    this->configuration.onChanges(items, asOf);
+    this->targets.onChanges(items, asOf);
+}
+
+void StoreFeeds::onStoreLost(std::string_view reason)
+{
+    this->configuration.onStoreLost(reason);
+    this->targets.onStoreLost(reason);
+}
+
+void StoreFeeds::onStoreRegained(Duration away)
+{
+    this->configuration.onStoreRegained(away);
+    this->targets.onStoreRegained(away);
+}
+
 } // namespace jaytrack
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -115,8 +115,7 @@
         return this->failed(end.reason);
     if (!this->listing && this->status == historyGoneStatus) {
         logEvent(Severity::Warning, "store_history_gone",
-                 {{"follows", this->options.name},
-                  {"revision", static_cast<std::int64_t>(this->revision)}});
+                 {{"revision", static_cast<std::int64_t>(this->revision)}});
         this->listing = true;
         this->pageAfter.clear();
         this->listed.clear();
@@ -194,7 +193,9 @@
     this->succeeded();
     const StorePage &page = decoded.value();
     this->revision = std::max(this->revision, page.revision);
-    this->listener.onChanges(page.items, this->askedAt);
+    const bool heldToTheEnd = this->clock.now() - this->askedAt >= this->options.wait;
+    if (heldToTheEnd || !page.items.empty())
+        this->listener.onChanges(page.items, this->askedAt);
     this->askLater(page.items.empty() ? std::chrono::milliseconds(0) : this->options.gap);
 }
 
