--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -67,10 +67,42 @@
   6: bool leaving
 }
 
-// What entry instances tell each other of the engines.
-struct EngineNotices {
+// One item of the platform's store as it was read, or its removal.
+struct StoreItemNotice {
+  1: string key
+  2: binary value
+  3: i64 revision
+  4: bool deleted
+}
+
+// What an instance has just read of the store: everything that changed after one revision up to another.
+struct StoreNotice {
+  1: i64 fromRevision
+  2: i64 toRevision
+  3: list<StoreItemNotice> items
+  // Some item was too large to be passed on; whoever hears of it reads for itself.
+  4: bool incomplete
+}
+
+// Asks how old an instance's knowledge of the store is. The moment is the asker's and comes back with
+// the answer, so that an answer that was held up on its way never counts as fresh.
+struct FreshnessAsk {
+  1: i64 askedAt
+}
+
+struct FreshnessAnswer {
+  1: i64 askedAt
+  2: i64 ageMicros
+  3: i64 revision
+}
+
+// What entry instances tell each other, beside who they are.
+struct EntryNotices {
   1: list<PlacementNotice> placements
   2: list<LoadNotice> loads
+  3: list<StoreNotice> stores
+  4: list<FreshnessAsk> asks
+  5: list<FreshnessAnswer> answers
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -17,6 +17,7 @@
 
 #include <array>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,7 +33,16 @@
     std::vector<std::string> keys;  // the first signs, all verify
 };
 
-// Told what other instances say of the engines.
+// What an instance read of the store, for others.
+struct SharedChanges
+{
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+    std::vector<StoreItem> items;
+    bool incomplete = false; // some item was too large to be passed on
+};
+
+// Told what other instances say.
 class PeerLinkListener
 {
 public:
@@ -40,6 +50,10 @@
     virtual void onPlacedByPeer(std::string_view engine, const GenerationNeed &need,
                                 bool copied) = 0;
     virtual void onLoadFromPeer(std::string_view engine, const EngineLoad &load) = 0;
+    virtual void onStoreFromPeer(const SharedChanges &changes) = 0;
+    virtual void onFreshnessAsked(std::string_view peer, std::int64_t askedAt) = 0;
+    virtual void onFreshness(std::int64_t askedAt, Duration age, std::uint64_t revision) = 0;
+    virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
 };
 
 class PeerLink final : public PeerTransport, public MembershipListener
@@ -57,6 +71,11 @@
     // Tells them what an engine reported.
     void announce(std::string_view engine, const EngineLoad &load);
 
+    void shareStore(const SharedChanges &changes, const std::set<std::string> &except);
+    void askFreshness(std::string_view peer, std::int64_t askedAt);
+    void answerFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
+                         std::uint64_t revision);
+
     // Whether it falls to this instance to ask the engine for its load. Asking has a price at the
     // engine, so one instance asks for all.
     bool isMineToAsk(std::string_view engine) const;
--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -5,6 +5,7 @@
 #include "jaytrack/Proxy/storefollower.h"
 #include "jaytrack/Routing/targetdirectory.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace jaytrack {
@@ -24,6 +25,9 @@
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
 
+    // The table in force was the newest at this moment.
+    void confirm(TimePoint asOf) { this->confirmedAt = std::max(this->confirmedAt, asOf); }
+
     // Null while none is known.
     std::shared_ptr<const RoutingTable> table() const { return this->inForce; }
 
--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -35,6 +35,18 @@
     virtual void onStoreRegained(Duration away) = 0;
 };
 
+// Told what this instance itself read, so that it can be passed on.
+class StoreReadListener
+{
+public:
+    virtual ~StoreReadListener() = default;
+
+    // Everything that changed after one revision up to another. From a listing nothing is passed on;
+    // then both revisions are the same.
+    virtual void onStoreRead(std::uint64_t from, std::uint64_t to,
+                             const std::vector<StoreItem> &items) = 0;
+};
+
 struct StoreFollowerOptions
 {
     std::string prefix; // what is followed; empty for everything
@@ -44,7 +56,11 @@
     // after it, and a confirmation is at most twice this old in calm times. Longer than a second,
     // since a store that loses its history first leaves watches deaf for as long: an empty answer
     // to a shorter question could hide a change.
-    std::chrono::milliseconds wait{1200};
+    std::chrono::milliseconds wait{1050};
+
+    // Drawn anew for each question and added to it: one change wakes the questions of all instances,
+    // and without this all would be confirmed, and grow old, in step.
+    std::chrono::milliseconds waitJitter{150};
 
     // Pause after an answer with changes. Calls are priced and counted against the store's rate,
     // while several changes fit into one answer.
@@ -56,11 +72,25 @@
 {
 public:
     StoreFollower(asio::io_context &loop, const Clock &time, const Dialect &words,
-                  StoreFollowerOptions given, std::uint64_t seed, StoreFollowerListener &to);
+                  StoreFollowerOptions given, std::uint64_t seed, StoreFollowerListener &to, StoreReadListener &readBy);
 
     void start();
     void stop();
 
+    // An inactive follower asks nothing by itself and lives on what applyShared() brings.
+    void setActive(bool wanted);
+
+    // Takes what another instance read. If a change in between is missing or was left out, the store
+    // is asked once.
+    void applyShared(std::uint64_t from, std::uint64_t to, const std::vector<StoreItem> &items,
+                     bool incomplete);
+
+    // Asks the store once for what is newer than the revision given, if that is not known yet.
+    void catchUp(std::uint64_t to);
+
+    // The newest revision of which everything is known; 0 before the first listing.
+    std::uint64_t knownRevision() const { return this->listing ? 0 : this->revision; }
+
     std::uint64_t callsMade() const { return this->calls; }
 
 private:
@@ -82,8 +112,10 @@
     StoreFollowerOptions options;
     std::mt19937_64 random;
     StoreFollowerListener &listener;
+    StoreReadListener &reads;
     std::shared_ptr<TargetCall> call;
     TimePoint askedAt;
+    std::chrono::milliseconds askedWait{0};
     TimePoint listingAskedAt;
     TimePoint lastAnswer;
     int status = 0;
@@ -95,6 +127,8 @@
     int failures = 0;
     bool lost = false;
     bool stopped = false;
+    bool active = true;
+    bool waiting = false; // a call is under way or planned
     std::uint64_t calls = 0;
 };
 
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -5,6 +5,7 @@
 #include "jaytrack/Proxy/loadprober.h"
 #include "jaytrack/Proxy/peerlink.h"
 #include "jaytrack/Proxy/storefeeds.h"
+#include "jaytrack/Proxy/storesharing.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Support/metrics.h"
 
@@ -115,6 +116,7 @@
         , configuration(time, words)
         , targets(this->loop, words, this->directory)
         , feeds(this->configuration, this->targets)
+        , sharing(time, given.name, StoreSharingOptions(), this->random, this->configuration)
         , prober(this->loop, words, this->engines, *this, this->random)
         , context{this->loop,   time,           words,         this->metrics, this->directory,
                   this->health, this->engines,  this->retries, this->random,
@@ -181,7 +183,10 @@
         everything.store = store.value();
         everything.gap = changesGap;
         this->follower = std::make_shared<StoreFollower>(this->loop, this->clock, this->dialect,
-                                                         everything, this->random(), this->feeds);
+                                                         everything, this->random(), this->feeds,
+                                                         this->sharing);
+        if (this->peers)
+            this->sharing.attach(*this->peers, this->follower);
         this->follower->start();
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
@@ -317,6 +322,26 @@
             this->directory.markLeaving(engine, "reported_to_peer");
     }
 
+    void onStoreFromPeer(const SharedChanges &changes) override
+    {
+        this->sharing.onStoreFromPeer(changes);
+    }
+
+    void onFreshnessAsked(std::string_view peer, std::int64_t askedAt) override
+    {
+        this->sharing.onFreshnessAsked(peer, askedAt);
+    }
+
+    void onFreshness(std::int64_t askedAt, Duration age, std::uint64_t revision) override
+    {
+        this->sharing.onFreshness(askedAt, age, revision);
+    }
+
+    void onPeersChanged(const std::vector<std::string> &names) override
+    {
+        this->sharing.onPeersChanged(names);
+    }
+
     // LoadSharing
 
     bool isMineToAsk(std::string_view engine) const override
@@ -407,6 +432,7 @@
         });
         if (!this->settingsFile.empty() && ++this->ticks % ticksPerFileCheck == 0)
             this->checkFile();
+        this->sharing.tick();
         this->logReadiness();
         if (this->isStopping)
             this->goOnStopping();
@@ -451,6 +477,7 @@
     ConfigurationFeed configuration;
     TargetFeed targets;
     StoreFeeds feeds;
+    StoreSharing sharing;
     LoadProber prober;
     std::set<std::shared_ptr<Exchange>> open;
     ExchangeContext context;
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -46,6 +46,19 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, number));
 }
 
+SharedChanges toChanges(const wire::StoreNotice &notice)
+{
+    SharedChanges changes;
+    changes.from = static_cast<std::uint64_t>(notice.fromRevision);
+    changes.to = static_cast<std::uint64_t>(notice.toRevision);
+    changes.incomplete = notice.incomplete;
+    for (const wire::StoreItemNotice &item : notice.items) {
+        changes.items.push_back({item.key, item.value, static_cast<std::uint64_t>(item.revision),
+                                 item.deleted});
+    }
+    return changes;
+}
+
 std::string textOf(const asio::ip::udp::endpoint &endpoint)
 {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
@@ -127,6 +140,7 @@
              {{"peers", static_cast<std::int64_t>(names.size())},
               {"before", static_cast<std::int64_t>(this->peers.size())}});
     this->peers = std::move(names);
+    this->listener.onPeersChanged(this->peers);
 }
 
 void PeerLink::announce(std::string_view engine, const GenerationNeed &need, bool copied)
@@ -136,7 +150,7 @@
     notice.promptTokens = need.promptTokens;
     notice.expectedTokens = need.outputTokens;
     notice.copied = copied;
-    wire::EngineNotices message;
+    wire::EntryNotices message;
     message.placements.push_back(std::move(notice));
     this->tellPeers(encodeMessage(message));
 }
@@ -150,20 +164,72 @@
     notice.memoryInUse = load.memoryInUse;
     notice.memoryTokens = load.memoryTokens;
     notice.leaving = load.leaving;
-    wire::EngineNotices message;
+    wire::EntryNotices message;
     message.loads.push_back(std::move(notice));
     this->tellPeers(encodeMessage(message));
 }
 
+// Values beyond this go to their readers straight from the store: a datagram has its limits, and a
+// configuration of hundreds of routes would be sent to every instance by each that read it.
+constexpr std::size_t mostSharedBytes = 2048;
+
+void PeerLink::shareStore(const SharedChanges &changes, const std::set<std::string> &except)
+{
+    wire::StoreNotice notice;
+    notice.fromRevision = static_cast<std::int64_t>(changes.from);
+    notice.toRevision = static_cast<std::int64_t>(changes.to);
+    std::size_t bytes = 0;
+    for (const StoreItem &item : changes.items) {
+        bytes += item.key.size() + item.value.size();
+        wire::StoreItemNotice shared;
+        shared.key = item.key;
+        shared.value = item.value;
+        shared.revision = static_cast<std::int64_t>(item.revision);
+        shared.deleted = item.deleted;
+        notice.items.push_back(std::move(shared));
+    }
+    notice.incomplete = bytes > mostSharedBytes;
+    if (notice.incomplete)
+        notice.items.clear();
+    wire::EntryNotices message;
+    message.stores.push_back(std::move(notice));
+    const std::string encoded = encodeMessage(message);
+    for (const std::string &peer : this->peers) {
+        if (except.count(peer) == 0)
+            this->membership.sendPolicy(peer, encoded);
+    }
+}
+
+void PeerLink::askFreshness(std::string_view peer, std::int64_t askedAt)
+{
+    wire::FreshnessAsk ask;
+    ask.askedAt = askedAt;
+    wire::EntryNotices message;
+    message.asks.push_back(ask);
+    this->membership.sendPolicy(peer, encodeMessage(message));
+}
+
+void PeerLink::answerFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
+                               std::uint64_t revision)
+{
+    wire::FreshnessAnswer answer;
+    answer.askedAt = askedAt;
+    answer.ageMicros = std::chrono::duration_cast<std::chrono::microseconds>(age).count();
+    answer.revision = static_cast<std::int64_t>(revision);
+    wire::EntryNotices message;
+    message.answers.push_back(answer);
+    this->membership.sendPolicy(peer, encodeMessage(message));
+}
+
 void PeerLink::tellPeers(const std::string &message)
 {
     for (const std::string &peer : this->peers)
         this->membership.sendPolicy(peer, message);
 }
 
-void PeerLink::onPolicyMessage(std::string_view, std::string_view bytes)
+void PeerLink::onPolicyMessage(std::string_view from, std::string_view bytes)
 {
-    const auto message = decodeMessage<wire::EngineNotices>(bytes);
+    const auto message = decodeMessage<wire::EntryNotices>(bytes);
     if (!message)
         return;
     for (const wire::PlacementNotice &notice : message->placements) {
@@ -179,6 +245,14 @@
         load.leaving = notice.leaving;
         this->listener.onLoadFromPeer(notice.engine, load);
     }
+    for (const wire::StoreNotice &notice : message->stores)
+        this->listener.onStoreFromPeer(toChanges(notice));
+    for (const wire::FreshnessAsk &ask : message->asks)
+        this->listener.onFreshnessAsked(from, ask.askedAt);
+    for (const wire::FreshnessAnswer &answer : message->answers) {
+        this->listener.onFreshness(answer.askedAt, std::chrono::microseconds(answer.ageMicros),
+                                   static_cast<std::uint64_t>(answer.revision));
+    }
 }
 
 // Of all instances, the one whose hash with the engine is highest asks it; when one goes, only its
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -28,7 +28,7 @@
         if (item.key == this->dialect.configurationKey() && !item.deleted)
             this->take(item);
     }
-    this->confirmedAt = std::max(this->confirmedAt, asOf);
+    this->confirm(asOf);
 }
 
 void ConfigurationFeed::take(const StoreItem &item)
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -28,7 +28,7 @@
 
 StoreFollower::StoreFollower(asio::io_context &loop, const Clock &time, const Dialect &words,
                              StoreFollowerOptions given, std::uint64_t seed,
-                             StoreFollowerListener &to)
+                             StoreFollowerListener &to, StoreReadListener &readBy)
     : context(loop)
     , timer(loop)
     , clock(time)
@@ -36,6 +36,7 @@
     , options(std::move(given))
     , random(seed)
     , listener(to)
+    , reads(readBy)
     , lastAnswer(time.now())
 {
 }
@@ -53,8 +54,38 @@
         this->call->cancel();
 }
 
+void StoreFollower::setActive(bool wanted)
+{
+    this->active = wanted;
+    if (wanted && !this->waiting && !this->stopped)
+        this->ask();
+}
+
+void StoreFollower::catchUp(std::uint64_t to)
+{
+    if (to > this->revision && !this->waiting && !this->stopped)
+        this->ask();
+}
+
+void StoreFollower::applyShared(std::uint64_t from, std::uint64_t to,
+                                const std::vector<StoreItem> &items, bool incomplete)
+{
+    if (this->listing || to <= this->revision)
+        return;
+    if (incomplete || from > this->revision)
+        return this->catchUp(to);
+    std::vector<StoreItem> fresh;
+    for (const StoreItem &item : items) {
+        if (item.revision > this->revision)
+            fresh.push_back(item);
+    }
+    this->revision = to;
+    this->listener.onChanges(fresh, TimePoint());
+}
+
 void StoreFollower::ask()
 {
+    this->waiting = true;
     TargetRequest request;
     request.endpoint = this->options.store;
     request.connectTimeout = connectBound;
@@ -62,9 +93,11 @@
     if (this->listing) {
         request.target = this->dialect.rangeTarget(this->options.prefix, this->pageAfter);
     } else {
+        std::uniform_int_distribution<std::int64_t> jitter(0, this->options.waitJitter.count());
+        this->askedWait = this->options.wait + std::chrono::milliseconds(jitter(this->random));
         request.target = this->dialect.watchTarget(this->options.prefix, this->revision,
-                                                   this->options.wait);
-        bound += this->options.wait;
+                                                   this->askedWait);
+        bound += this->askedWait;
     }
     request.headers.push_back({"Host", this->options.store.address().to_string()});
     this->status = 0;
@@ -84,8 +117,11 @@
 
 void StoreFollower::askLater(std::chrono::milliseconds delay)
 {
-    if (this->stopped)
+    this->waiting = false;
+    // An inactive follower stops once it knows the whole; a failed call is tried again all the same.
+    if (this->stopped || (!this->active && !this->listing && this->failures == 0))
         return;
+    this->waiting = true;
     if (delay.count() == 0)
         return this->ask();
     this->timer.expires_after(delay);
@@ -182,6 +218,7 @@
     const std::vector<StoreItem> whole = std::move(this->listed);
     this->listed.clear();
     this->listener.onListing(whole, this->listingAskedAt);
+    this->reads.onStoreRead(this->revision, this->revision, {});
     this->askLater(std::chrono::milliseconds(0));
 }
 
@@ -191,11 +228,16 @@
     if (!decoded)
         return this->failed("malformed_answer");
     this->succeeded();
-    const StorePage &page = decoded.value();
-    this->revision = std::max(this->revision, page.revision);
-    const bool heldToTheEnd = this->clock.now() - this->askedAt >= this->options.wait;
+    StorePage &page = decoded.value();
+    const std::uint64_t before = this->revision;
+    // What other instances passed on meanwhile is known already, and may be newer.
+    std::erase_if(page.items, [before](const StoreItem &item) { return item.revision <= before; });
+    this->revision = std::max(before, page.revision);
+    const bool heldToTheEnd = this->clock.now() - this->askedAt >= this->askedWait;
     if (heldToTheEnd || !page.items.empty())
         this->listener.onChanges(page.items, this->askedAt);
+    if (!page.items.empty())
+        this->reads.onStoreRead(before, this->revision, page.items);
     this->askLater(page.items.empty() ? std::chrono::milliseconds(0) : this->options.gap);
 }
 
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -1278,25 +1278,585 @@
 }
 
 
-EngineNotices::~EngineNotices() noexcept {
+StoreItemNotice::~StoreItemNotice() noexcept {
 }
 
 
-void EngineNotices::__set_placements(const std::vector<PlacementNotice> & val) {
+void StoreItemNotice::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void StoreItemNotice::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void StoreItemNotice::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void StoreItemNotice::__set_deleted(const bool val) {
+  this->deleted = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreItemNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreItemNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->deleted);
+          this->__isset.deleted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreItemNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreItemNotice");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->deleted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreItemNotice &a, StoreItemNotice &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.revision, b.revision);
+  swap(a.deleted, b.deleted);
+  swap(a.__isset, b.__isset);
+}
+
+StoreItemNotice::StoreItemNotice(const StoreItemNotice& other25) {
+  key = other25.key;
+  value = other25.value;
+  revision = other25.revision;
+  deleted = other25.deleted;
+  __isset = other25.__isset;
+}
+StoreItemNotice& StoreItemNotice::operator=(const StoreItemNotice& other26) {
+  key = other26.key;
+  value = other26.value;
+  revision = other26.revision;
+  deleted = other26.deleted;
+  __isset = other26.__isset;
+  return *this;
+}
+void StoreItemNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreItemNotice(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "deleted=" << to_string(deleted);
+  out << ")";
+}
+
+
+StoreNotice::~StoreNotice() noexcept {
+}
+
+
+void StoreNotice::__set_fromRevision(const int64_t val) {
+  this->fromRevision = val;
+}
+
+void StoreNotice::__set_toRevision(const int64_t val) {
+  this->toRevision = val;
+}
+
+void StoreNotice::__set_items(const std::vector<StoreItemNotice> & val) {
+  this->items = val;
+}
+
+void StoreNotice::__set_incomplete(const bool val) {
+  this->incomplete = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fromRevision);
+          this->__isset.fromRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->toRevision);
+          this->__isset.toRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->items.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
+            {
+              xfer += this->items[_i31].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->incomplete);
+          this->__isset.incomplete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreNotice");
+
+  xfer += oprot->writeFieldBegin("fromRevision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fromRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("toRevision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->toRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<StoreItemNotice> ::const_iterator _iter32;
+    for (_iter32 = this->items.begin(); _iter32 != this->items.end(); ++_iter32)
+    {
+      xfer += (*_iter32).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incomplete", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->incomplete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreNotice &a, StoreNotice &b) {
+  using ::std::swap;
+  swap(a.fromRevision, b.fromRevision);
+  swap(a.toRevision, b.toRevision);
+  swap(a.items, b.items);
+  swap(a.incomplete, b.incomplete);
+  swap(a.__isset, b.__isset);
+}
+
+StoreNotice::StoreNotice(const StoreNotice& other33) {
+  fromRevision = other33.fromRevision;
+  toRevision = other33.toRevision;
+  items = other33.items;
+  incomplete = other33.incomplete;
+  __isset = other33.__isset;
+}
+StoreNotice& StoreNotice::operator=(const StoreNotice& other34) {
+  fromRevision = other34.fromRevision;
+  toRevision = other34.toRevision;
+  items = other34.items;
+  incomplete = other34.incomplete;
+  __isset = other34.__isset;
+  return *this;
+}
+void StoreNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreNotice(";
+  out << "fromRevision=" << to_string(fromRevision);
+  out << ", " << "toRevision=" << to_string(toRevision);
+  out << ", " << "items=" << to_string(items);
+  out << ", " << "incomplete=" << to_string(incomplete);
+  out << ")";
+}
+
+
+FreshnessAsk::~FreshnessAsk() noexcept {
+}
+
+
+void FreshnessAsk::__set_askedAt(const int64_t val) {
+  this->askedAt = val;
+}
+std::ostream& operator<<(std::ostream& out, const FreshnessAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FreshnessAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->askedAt);
+          this->__isset.askedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FreshnessAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FreshnessAsk");
+
+  xfer += oprot->writeFieldBegin("askedAt", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->askedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FreshnessAsk &a, FreshnessAsk &b) {
+  using ::std::swap;
+  swap(a.askedAt, b.askedAt);
+  swap(a.__isset, b.__isset);
+}
+
+FreshnessAsk::FreshnessAsk(const FreshnessAsk& other35) noexcept {
+  askedAt = other35.askedAt;
+  __isset = other35.__isset;
+}
+FreshnessAsk& FreshnessAsk::operator=(const FreshnessAsk& other36) noexcept {
+  askedAt = other36.askedAt;
+  __isset = other36.__isset;
+  return *this;
+}
+void FreshnessAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FreshnessAsk(";
+  out << "askedAt=" << to_string(askedAt);
+  out << ")";
+}
+
+
+FreshnessAnswer::~FreshnessAnswer() noexcept {
+}
+
+
+void FreshnessAnswer::__set_askedAt(const int64_t val) {
+  this->askedAt = val;
+}
+
+void FreshnessAnswer::__set_ageMicros(const int64_t val) {
+  this->ageMicros = val;
+}
+
+void FreshnessAnswer::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FreshnessAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->askedAt);
+          this->__isset.askedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicros);
+          this->__isset.ageMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FreshnessAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FreshnessAnswer");
+
+  xfer += oprot->writeFieldBegin("askedAt", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->askedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ageMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FreshnessAnswer &a, FreshnessAnswer &b) {
+  using ::std::swap;
+  swap(a.askedAt, b.askedAt);
+  swap(a.ageMicros, b.ageMicros);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other37) noexcept {
+  askedAt = other37.askedAt;
+  ageMicros = other37.ageMicros;
+  revision = other37.revision;
+  __isset = other37.__isset;
+}
+FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other38) noexcept {
+  askedAt = other38.askedAt;
+  ageMicros = other38.ageMicros;
+  revision = other38.revision;
+  __isset = other38.__isset;
+  return *this;
+}
+void FreshnessAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FreshnessAnswer(";
+  out << "askedAt=" << to_string(askedAt);
+  out << ", " << "ageMicros=" << to_string(ageMicros);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+EntryNotices::~EntryNotices() noexcept {
+}
+
+
+void EntryNotices::__set_placements(const std::vector<PlacementNotice> & val) {
   this->placements = val;
 }
 
-void EngineNotices::__set_loads(const std::vector<LoadNotice> & val) {
+void EntryNotices::__set_loads(const std::vector<LoadNotice> & val) {
   this->loads = val;
 }
-std::ostream& operator<<(std::ostream& out, const EngineNotices& obj)
+
+void EntryNotices::__set_stores(const std::vector<StoreNotice> & val) {
+  this->stores = val;
+}
+
+void EntryNotices::__set_asks(const std::vector<FreshnessAsk> & val) {
+  this->asks = val;
+}
+
+void EntryNotices::__set_answers(const std::vector<FreshnessAnswer> & val) {
+  this->answers = val;
+}
+std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t EngineNotices::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t EntryNotices::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1321,14 +1881,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _etype28;
-            xfer += iprot->readListBegin(_etype28, _size25);
-            this->placements.resize(_size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->placements.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->placements[_i29].read(iprot);
+              xfer += this->placements[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1341,14 +1901,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->loads.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->loads.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->loads[_i34].read(iprot);
+              xfer += this->loads[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1357,6 +1917,66 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->stores.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->stores.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += this->stores[_i53].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.stores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->asks.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
+            {
+              xfer += this->asks[_i58].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->answers.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
+            {
+              xfer += this->answers[_i63].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1369,18 +1989,18 @@
   return xfer;
 }
 
-uint32_t EngineNotices::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EntryNotices::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("EngineNotices");
+  xfer += oprot->writeStructBegin("EntryNotices");
 
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter35;
-    for (_iter35 = this->placements.begin(); _iter35 != this->placements.end(); ++_iter35)
+    std::vector<PlacementNotice> ::const_iterator _iter64;
+    for (_iter64 = this->placements.begin(); _iter64 != this->placements.end(); ++_iter64)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1389,10 +2009,46 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter36;
-    for (_iter36 = this->loads.begin(); _iter36 != this->loads.end(); ++_iter36)
+    std::vector<LoadNotice> ::const_iterator _iter65;
+    for (_iter65 = this->loads.begin(); _iter65 != this->loads.end(); ++_iter65)
+    {
+      xfer += (*_iter65).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
+    std::vector<StoreNotice> ::const_iterator _iter66;
+    for (_iter66 = this->stores.begin(); _iter66 != this->stores.end(); ++_iter66)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter66).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<FreshnessAsk> ::const_iterator _iter67;
+    for (_iter67 = this->asks.begin(); _iter67 != this->asks.end(); ++_iter67)
+    {
+      xfer += (*_iter67).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<FreshnessAnswer> ::const_iterator _iter68;
+    for (_iter68 = this->answers.begin(); _iter68 != this->answers.end(); ++_iter68)
+    {
+      xfer += (*_iter68).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1403,29 +2059,41 @@
   return xfer;
 }
 
-void swap(EngineNotices &a, EngineNotices &b) {
+void swap(EntryNotices &a, EntryNotices &b) {
   using ::std::swap;
   swap(a.placements, b.placements);
   swap(a.loads, b.loads);
+  swap(a.stores, b.stores);
+  swap(a.asks, b.asks);
+  swap(a.answers, b.answers);
   swap(a.__isset, b.__isset);
 }
 
-EngineNotices::EngineNotices(const EngineNotices& other37) {
-  placements = other37.placements;
-  loads = other37.loads;
-  __isset = other37.__isset;
-}
-EngineNotices& EngineNotices::operator=(const EngineNotices& other38) {
-  placements = other38.placements;
-  loads = other38.loads;
-  __isset = other38.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other69) {
+  placements = other69.placements;
+  loads = other69.loads;
+  stores = other69.stores;
+  asks = other69.asks;
+  answers = other69.answers;
+  __isset = other69.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other70) {
+  placements = other70.placements;
+  loads = other70.loads;
+  stores = other70.stores;
+  asks = other70.asks;
+  answers = other70.answers;
+  __isset = other70.__isset;
   return *this;
 }
-void EngineNotices::printTo(std::ostream& out) const {
+void EntryNotices::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "EngineNotices(";
+  out << "EntryNotices(";
   out << "placements=" << to_string(placements);
   out << ", " << "loads=" << to_string(loads);
+  out << ", " << "stores=" << to_string(stores);
+  out << ", " << "asks=" << to_string(asks);
+  out << ", " << "answers=" << to_string(answers);
   out << ")";
 }
 
@@ -1495,9 +2163,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast39;
-          xfer += iprot->readI32(ecast39);
-          this->kind = static_cast<PeerKind::type>(ecast39);
+          int32_t ecast71;
+          xfer += iprot->readI32(ecast71);
+          this->kind = static_cast<PeerKind::type>(ecast71);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1539,14 +2207,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->records.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->records.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->records[_i44].read(iprot);
+              xfer += this->records[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1611,10 +2279,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter45;
-    for (_iter45 = this->records.begin(); _iter45 != this->records.end(); ++_iter45)
+    std::vector<MemberRecord> ::const_iterator _iter77;
+    for (_iter77 = this->records.begin(); _iter77 != this->records.end(); ++_iter77)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1646,27 +2314,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other46) {
-  kind = other46.kind;
-  sequence = other46.sequence;
-  sender = other46.sender;
-  revision = other46.revision;
-  configAgeMs = other46.configAgeMs;
-  records = other46.records;
-  probeTarget = other46.probeTarget;
-  policy = other46.policy;
-  __isset = other46.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other47) {
-  kind = other47.kind;
-  sequence = other47.sequence;
-  sender = other47.sender;
-  revision = other47.revision;
-  configAgeMs = other47.configAgeMs;
-  records = other47.records;
-  probeTarget = other47.probeTarget;
-  policy = other47.policy;
-  __isset = other47.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other78) {
+  kind = other78.kind;
+  sequence = other78.sequence;
+  sender = other78.sender;
+  revision = other78.revision;
+  configAgeMs = other78.configAgeMs;
+  records = other78.records;
+  probeTarget = other78.probeTarget;
+  policy = other78.policy;
+  __isset = other78.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other79) {
+  kind = other79.kind;
+  sequence = other79.sequence;
+  sender = other79.sender;
+  revision = other79.revision;
+  configAgeMs = other79.configAgeMs;
+  records = other79.records;
+  probeTarget = other79.probeTarget;
+  policy = other79.policy;
+  __isset = other79.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -1776,15 +2444,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other48) {
-  body = other48.body;
-  mac = other48.mac;
-  __isset = other48.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other80) {
+  body = other80.body;
+  mac = other80.mac;
+  __isset = other80.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other49) {
-  body = other49.body;
-  mac = other49.mac;
-  __isset = other49.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other81) {
+  body = other81.body;
+  mac = other81.mac;
+  __isset = other81.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -1922,19 +2590,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other50) {
-  engine = other50.engine;
-  generation = other50.generation;
-  customer = other50.customer;
-  model = other50.model;
-  __isset = other50.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other82) {
+  engine = other82.engine;
+  generation = other82.generation;
+  customer = other82.customer;
+  model = other82.model;
+  __isset = other82.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other51) {
-  engine = other51.engine;
-  generation = other51.generation;
-  customer = other51.customer;
-  model = other51.model;
-  __isset = other51.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other83) {
+  engine = other83.engine;
+  generation = other83.generation;
+  customer = other83.customer;
+  model = other83.model;
+  __isset = other83.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -2091,21 +2759,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other52) {
-  issuer = other52.issuer;
-  incarnation = other52.incarnation;
-  serial = other52.serial;
-  customer = other52.customer;
-  scope = other52.scope;
-  __isset = other52.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other53) {
-  issuer = other53.issuer;
-  incarnation = other53.incarnation;
-  serial = other53.serial;
-  customer = other53.customer;
-  scope = other53.scope;
-  __isset = other53.__isset;
+TicketBody::TicketBody(const TicketBody& other84) {
+  issuer = other84.issuer;
+  incarnation = other84.incarnation;
+  serial = other84.serial;
+  customer = other84.customer;
+  scope = other84.scope;
+  __isset = other84.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other85) {
+  issuer = other85.issuer;
+  incarnation = other85.incarnation;
+  serial = other85.serial;
+  customer = other85.customer;
+  scope = other85.scope;
+  __isset = other85.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -65,7 +65,15 @@
 
 class LoadNotice;
 
-class EngineNotices;
+class StoreItemNotice;
+
+class StoreNotice;
+
+class FreshnessAsk;
+
+class FreshnessAnswer;
+
+class EntryNotices;
 
 class PeerMessage;
 
@@ -545,43 +553,288 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadNotice& obj);
 
-typedef struct _EngineNotices__isset {
-  _EngineNotices__isset() : placements(false), loads(false) {}
+typedef struct _StoreItemNotice__isset {
+  _StoreItemNotice__isset() : key(false), value(false), revision(false), deleted(false) {}
+  bool key :1;
+  bool value :1;
+  bool revision :1;
+  bool deleted :1;
+} _StoreItemNotice__isset;
+
+class StoreItemNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreItemNotice(const StoreItemNotice&);
+  StoreItemNotice& operator=(const StoreItemNotice&);
+  StoreItemNotice() noexcept
+                  : key(),
+                    value(),
+                    revision(0),
+                    deleted(0) {
+  }
+
+  virtual ~StoreItemNotice() noexcept;
+  std::string key;
+  std::string value;
+  int64_t revision;
+  bool deleted;
+
+  _StoreItemNotice__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_deleted(const bool val);
+
+  bool operator == (const StoreItemNotice & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(deleted == rhs.deleted))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreItemNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreItemNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreItemNotice &a, StoreItemNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreItemNotice& obj);
+
+typedef struct _StoreNotice__isset {
+  _StoreNotice__isset() : fromRevision(false), toRevision(false), items(false), incomplete(false) {}
+  bool fromRevision :1;
+  bool toRevision :1;
+  bool items :1;
+  bool incomplete :1;
+} _StoreNotice__isset;
+
+class StoreNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreNotice(const StoreNotice&);
+  StoreNotice& operator=(const StoreNotice&);
+  StoreNotice() noexcept
+              : fromRevision(0),
+                toRevision(0),
+                incomplete(0) {
+  }
+
+  virtual ~StoreNotice() noexcept;
+  int64_t fromRevision;
+  int64_t toRevision;
+  std::vector<StoreItemNotice>  items;
+  bool incomplete;
+
+  _StoreNotice__isset __isset;
+
+  void __set_fromRevision(const int64_t val);
+
+  void __set_toRevision(const int64_t val);
+
+  void __set_items(const std::vector<StoreItemNotice> & val);
+
+  void __set_incomplete(const bool val);
+
+  bool operator == (const StoreNotice & rhs) const
+  {
+    if (!(fromRevision == rhs.fromRevision))
+      return false;
+    if (!(toRevision == rhs.toRevision))
+      return false;
+    if (!(items == rhs.items))
+      return false;
+    if (!(incomplete == rhs.incomplete))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreNotice &a, StoreNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreNotice& obj);
+
+typedef struct _FreshnessAsk__isset {
+  _FreshnessAsk__isset() : askedAt(false) {}
+  bool askedAt :1;
+} _FreshnessAsk__isset;
+
+class FreshnessAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessAsk(const FreshnessAsk&) noexcept;
+  FreshnessAsk& operator=(const FreshnessAsk&) noexcept;
+  FreshnessAsk() noexcept
+               : askedAt(0) {
+  }
+
+  virtual ~FreshnessAsk() noexcept;
+  int64_t askedAt;
+
+  _FreshnessAsk__isset __isset;
+
+  void __set_askedAt(const int64_t val);
+
+  bool operator == (const FreshnessAsk & rhs) const
+  {
+    if (!(askedAt == rhs.askedAt))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FreshnessAsk &a, FreshnessAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessAsk& obj);
+
+typedef struct _FreshnessAnswer__isset {
+  _FreshnessAnswer__isset() : askedAt(false), ageMicros(false), revision(false) {}
+  bool askedAt :1;
+  bool ageMicros :1;
+  bool revision :1;
+} _FreshnessAnswer__isset;
+
+class FreshnessAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessAnswer(const FreshnessAnswer&) noexcept;
+  FreshnessAnswer& operator=(const FreshnessAnswer&) noexcept;
+  FreshnessAnswer() noexcept
+                  : askedAt(0),
+                    ageMicros(0),
+                    revision(0) {
+  }
+
+  virtual ~FreshnessAnswer() noexcept;
+  int64_t askedAt;
+  int64_t ageMicros;
+  int64_t revision;
+
+  _FreshnessAnswer__isset __isset;
+
+  void __set_askedAt(const int64_t val);
+
+  void __set_ageMicros(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const FreshnessAnswer & rhs) const
+  {
+    if (!(askedAt == rhs.askedAt))
+      return false;
+    if (!(ageMicros == rhs.ageMicros))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FreshnessAnswer &a, FreshnessAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj);
+
+typedef struct _EntryNotices__isset {
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false) {}
   bool placements :1;
   bool loads :1;
-} _EngineNotices__isset;
+  bool stores :1;
+  bool asks :1;
+  bool answers :1;
+} _EntryNotices__isset;
 
-class EngineNotices : public virtual ::apache::thrift::TBase {
+class EntryNotices : public virtual ::apache::thrift::TBase {
  public:
 
-  EngineNotices(const EngineNotices&);
-  EngineNotices& operator=(const EngineNotices&);
-  EngineNotices() noexcept {
+  EntryNotices(const EntryNotices&);
+  EntryNotices& operator=(const EntryNotices&);
+  EntryNotices() noexcept {
   }
 
-  virtual ~EngineNotices() noexcept;
+  virtual ~EntryNotices() noexcept;
   std::vector<PlacementNotice>  placements;
   std::vector<LoadNotice>  loads;
+  std::vector<StoreNotice>  stores;
+  std::vector<FreshnessAsk>  asks;
+  std::vector<FreshnessAnswer>  answers;
 
-  _EngineNotices__isset __isset;
+  _EntryNotices__isset __isset;
 
   void __set_placements(const std::vector<PlacementNotice> & val);
 
   void __set_loads(const std::vector<LoadNotice> & val);
 
-  bool operator == (const EngineNotices & rhs) const
+  void __set_stores(const std::vector<StoreNotice> & val);
+
+  void __set_asks(const std::vector<FreshnessAsk> & val);
+
+  void __set_answers(const std::vector<FreshnessAnswer> & val);
+
+  bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
       return false;
     if (!(loads == rhs.loads))
       return false;
+    if (!(stores == rhs.stores))
+      return false;
+    if (!(asks == rhs.asks))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
     return true;
   }
-  bool operator != (const EngineNotices &rhs) const {
+  bool operator != (const EntryNotices &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const EngineNotices & ) const;
+  bool operator < (const EntryNotices & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -589,9 +842,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(EngineNotices &a, EngineNotices &b);
+void swap(EntryNotices &a, EntryNotices &b);
 
-std::ostream& operator<<(std::ostream& out, const EngineNotices& obj);
+std::ostream& operator<<(std::ostream& out, const EntryNotices& obj);
 
 typedef struct _PeerMessage__isset {
   _PeerMessage__isset() : kind(false), sequence(false), sender(false), revision(false), configAgeMs(false), records(false), probeTarget(false), policy(false) {}
