Keep a part of the engines' memory for growth and for runs of leaving engines

Change: new generations up to 0.8 of an engine's memory (0.95 for short ones), a short wait for room, then a refusal.

--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -32,6 +32,15 @@
     // rarely choose the same engine in the same moment; a few candidates still spread those that do.
     std::size_t candidates = 6;
 
+    // Part of an engine's memory up to which new generations are let in; short urgent ones, which
+    // leave again within half a second, to a higher part. The rest is for the growth of those that
+    // run, and for the runs of engines that leave: a sixth of all engines at a time.
+    double newRunShare = 0.8;
+    double urgentShare = 0.95;
+
+    // Generations of fewer expected tokens than this count as short.
+    std::uint32_t shortTokens = 64;
+
     // What a second until the first token weighs against a whole memory.
     double weightOfDelay = 1.0;
 
@@ -87,8 +96,8 @@
     void backupPlaced(std::string_view id, std::string_view run, const GenerationNeed &need);
     void backupDropped(std::string_view id, std::string_view run);
 
-    // The engine for a generation among those given; null if none can hold it. avoid names engines
-    // that have been tried.
+    // The engine for a generation among those given; null if none that was compared has room for it.
+    // avoid names engines that have been tried.
     const TargetEntry *choose(std::span<const TargetEntry *const> engines, const EngineTraits &traits,
                               const GenerationNeed &need, const std::set<std::string> &avoid);
 
@@ -150,12 +159,15 @@
         std::string_view dataCentre; // where the request or the run comes from
         double distantHandicap = 0;
         std::size_t candidates = 0;
-        double mostCost = 0; // an engine that would cost more is not taken
+        double mostCost = 0;   // an engine that would cost more is not taken
+        double mostMemory = 0; // nor one whose memory would be taken beyond this part
         double blur = 0;
     };
 
     const TargetEntry *cheapest(std::vector<const TargetEntry *> open, const EngineTraits &traits,
                                 const GenerationNeed &need, const Preference &preference);
+    double memoryWith(const Board &board, const EngineTraits &traits,
+                      const GenerationNeed &need) const;
     double costOf(const TargetEntry &entry, const EngineTraits &traits, const GenerationNeed &need,
                   const Preference &preference);
     bool avoided(const TargetEntry &entry);
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -23,6 +23,12 @@
 // closed this long after the new one was opened, or as soon as the new engine has taken the run.
 constexpr std::chrono::milliseconds mostOverlap{250};
 
+// A generation waits for room for this part of its objective before its caller is refused, and looks
+// for it so often. A refusal is the better the earlier it comes; in a third of the objective as many
+// generations of a full site end as arrive.
+constexpr int objectivePartsToWait = 3;
+constexpr std::chrono::milliseconds roomGap{30};
+
 // How often a run looks whether its copy needs renewing; copies live for seconds.
 constexpr std::chrono::milliseconds planGap{500};
 
@@ -121,6 +127,7 @@
         , overlapTimer(shared.loop)
         , moveTimer(shared.loop)
         , planTimer(shared.loop)
+        , roomTimer(shared.loop)
     {
         if (this->facts().generation) {
             this->need.promptTokens = this->facts().generation->promptTokens;
@@ -194,6 +201,7 @@
     void notePause();
     void beginAnswer(const MessageHead &head);
     void beginLeg(const StreamLeg &leg);
+    void waitForRoom();
 
     EngineTraits traits;
     GenerationNeed need;
@@ -205,6 +213,7 @@
     asio::steady_timer overlapTimer;
     asio::steady_timer moveTimer;
     asio::steady_timer planTimer;
+    asio::steady_timer roomTimer;
     std::uint64_t lastEvent = 0; // the last one that was passed on
     bool answerBegun = false;
     std::string lossReason;
@@ -314,8 +323,10 @@
     const TargetEntry *chosen =
             this->context.engines.choose(engines, this->traits, this->need, this->tried);
     if (chosen == nullptr)
-        return this->answerOwn(this->uncertain ? ResultCode::TargetLost : ResultCode::NoTarget,
-                               "no_usable_engine");
+        return engines.empty() ? this->answerOwn(this->uncertain ? ResultCode::TargetLost
+                                                                 : ResultCode::NoTarget,
+                                                 "no_usable_engine")
+                               : this->waitForRoom();
     this->tried.insert(chosen->id);
     this->current = this->open(*chosen, std::nullopt);
     if (!this->current)
@@ -323,6 +334,23 @@
     this->beginLeg(*this->current);
 }
 
+// Every engine that was compared is full. Room comes free within tenths of a second as others end, so
+// a short wait is worth it; after it the caller is told, early enough to come back in time.
+void StreamExchange::waitForRoom()
+{
+    const Duration waited = this->context.clock.now() - this->request().arrived;
+    if (waited > this->route().objective / objectivePartsToWait) {
+        const bool mayHaveRun = this->uncertain;
+        return this->answerOwn(mayHaveRun ? ResultCode::TargetLost : ResultCode::WaitExpired,
+                               "engines_full");
+    }
+    this->roomTimer.expires_after(roomGap);
+    this->roomTimer.async_wait([self = this->self()](const asio::error_code &failure) {
+        if (!failure && !self->isFinished())
+            self->attempt();
+    });
+}
+
 void StreamExchange::beginLeg(const StreamLeg &leg)
 {
     this->plan.placed(leg.target, leg.backup ? &*leg.backup : nullptr, this->facts().attemptId);
@@ -378,6 +406,7 @@
         this->move.reset();
     }
     this->planTimer.cancel();
+    this->roomTimer.cancel();
     if (!this->copyHolder.empty())
         this->context.engines.backupDropped(this->copyHolder, this->facts().attemptId);
     this->copyHolder.clear();
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -179,6 +179,12 @@
     return board.leaving || this->clock.now() < board.avoidedUntil;
 }
 
+double EngineChoice::memoryWith(const Board &board, const EngineTraits &traits,
+                                const GenerationNeed &need) const
+{
+    return (this->memoryOf(board) + need.promptTokens) / std::max<double>(1, traits.memoryTokens);
+}
+
 double EngineChoice::costOf(const TargetEntry &entry, const EngineTraits &traits,
                             const GenerationNeed &need, const Preference &preference)
 {
@@ -201,6 +207,8 @@
     const TargetEntry *best = nullptr;
     double bestCost = preference.mostCost;
     for (std::size_t i = 0; i < compared; ++i) {
+        if (this->memoryWith(this->boards[open[i]->id], traits, need) > preference.mostMemory)
+            continue;
         const double cost = this->costOf(*open[i], traits, need, preference) + blur(this->random);
         if (cost < bestCost) {
             best = open[i];
@@ -228,8 +236,10 @@
                                         const EngineTraits &traits, const GenerationNeed &need,
                                         const std::set<std::string> &avoid)
 {
+    const bool isShort = need.outputTokens < this->options.shortTokens;
+    const double share = isShort ? this->options.urgentShare : this->options.newRunShare;
     const Preference preference{this->home, this->options.distantHandicap,
-                                this->options.candidates, anyCost, 0};
+                                this->options.candidates, anyCost, share, 0};
     return this->cheapest(this->openAmong(engines, avoid), traits, need, preference);
 }
 
@@ -243,7 +253,7 @@
     others.insert(running.id);
     // Every engine is compared: those of the run's own data centre are few.
     const Preference preference{running.dataCentre, this->options.distantCopyHandicap,
-                                engines.size(), anyCost, this->options.refugeBlur};
+                                engines.size(), anyCost, anyCost, this->options.refugeBlur};
     return this->cheapest(this->openAmong(engines, others), traits, need, preference);
 }
 
@@ -253,7 +263,7 @@
                                               const TargetEntry &running)
 {
     const Preference preference{running.dataCentre, this->options.distantHandicap,
-                                this->options.candidates + 1, this->options.backupShare, 0};
+                                this->options.candidates + 1, this->options.backupShare, 1.0, 0};
     return this->cheapest(this->openAmong(engines, {running.id}), traits, need, preference);
 }
 
