Let a generation in only where its prompt will be read in time

Cause: engines with room are the ones that have just started; everybody sent there, and 312 of 1288 drafts started late. Change: engines whose forecast delay exceeds 0.8 of what is left of the objective are not taken.

--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -24,6 +24,7 @@
 {
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; // expected
+    Duration mostDelay = Duration::max(); // until its prompt is read, or its first token is late
 };
 
 struct EngineChoiceOptions
@@ -152,6 +153,7 @@
 
     double memoryOf(const Board &board) const;
     Duration delayOf(const Board &board) const;
+    Duration readingTime(std::uint32_t tokens) const;
     void addPrompt(Board &board, std::uint32_t tokens);
     // What a choice goes by besides the engines' load.
     struct Preference
@@ -161,6 +163,7 @@
         std::size_t candidates = 0;
         double mostCost = 0;   // an engine that would cost more is not taken
         double mostMemory = 0; // nor one whose memory would be taken beyond this part
+        Duration mostDelay = Duration::max(); // nor one that would have read the prompt later
         double blur = 0;
     };
 
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -27,6 +27,11 @@
 // for it so often. A refusal is the better the earlier it comes; in a third of the objective as many
 // generations of a full site end as arrive.
 constexpr int objectivePartsToWait = 3;
+
+// Of the time until the first token is late, this part may be planned for; the rest is for what the
+// forecast does not know.
+constexpr int usableTenths = 8;
+
 constexpr std::chrono::milliseconds roomGap{30};
 
 // How often a run looks whether its copy needs renewing; copies live for seconds.
@@ -320,6 +325,10 @@
 void StreamExchange::attempt()
 {
     const std::vector<const TargetEntry *> engines = this->untried();
+    const Duration waited = this->context.clock.now() - this->request().arrived;
+    this->need.mostDelay = this->route().objective.count() > 0
+                                   ? (this->route().objective - waited) * usableTenths / 10
+                                   : Duration::max();
     const TargetEntry *chosen =
             this->context.engines.choose(engines, this->traits, this->need, this->tried);
     if (chosen == nullptr)
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -73,11 +73,16 @@
         found->second.failures = 0;
 }
 
-void EngineChoice::addPrompt(Board &board, std::uint32_t tokens)
+Duration EngineChoice::readingTime(std::uint32_t tokens) const
 {
-    const auto reading = std::chrono::duration_cast<Duration>(
+    return std::chrono::duration_cast<Duration>(
             std::chrono::duration<double, std::milli>(tokens / this->readingSpeed));
-    board.promptsReadBy = std::max(board.promptsReadBy, this->clock.now()) + reading;
+}
+
+void EngineChoice::addPrompt(Board &board, std::uint32_t tokens)
+{
+    board.promptsReadBy = std::max(board.promptsReadBy, this->clock.now()) +
+                          this->readingTime(tokens);
 }
 
 void EngineChoice::began(std::string_view id, std::string_view run, const GenerationNeed &need,
@@ -207,7 +212,9 @@
     const TargetEntry *best = nullptr;
     double bestCost = preference.mostCost;
     for (std::size_t i = 0; i < compared; ++i) {
-        if (this->memoryWith(this->boards[open[i]->id], traits, need) > preference.mostMemory)
+        const Board &board = this->boards[open[i]->id];
+        if (this->memoryWith(board, traits, need) > preference.mostMemory ||
+            this->delayOf(board) + this->readingTime(need.promptTokens) > preference.mostDelay)
             continue;
         const double cost = this->costOf(*open[i], traits, need, preference) + blur(this->random);
         if (cost < bestCost) {
@@ -239,7 +246,8 @@
     const bool isShort = need.outputTokens < this->options.shortTokens;
     const double share = isShort ? this->options.urgentShare : this->options.newRunShare;
     const Preference preference{this->home, this->options.distantHandicap,
-                                this->options.candidates, anyCost, share, 0};
+                                this->options.candidates, anyCost, share,
+                                need.mostDelay, 0};
     return this->cheapest(this->openAmong(engines, avoid), traits, need, preference);
 }
 
@@ -253,7 +261,8 @@
     others.insert(running.id);
     // Every engine is compared: those of the run's own data centre are few.
     const Preference preference{running.dataCentre, this->options.distantCopyHandicap,
-                                engines.size(), anyCost, anyCost, this->options.refugeBlur};
+                                engines.size(), anyCost, anyCost, Duration::max(),
+                                this->options.refugeBlur};
     return this->cheapest(this->openAmong(engines, others), traits, need, preference);
 }
 
@@ -263,7 +272,8 @@
                                               const TargetEntry &running)
 {
     const Preference preference{running.dataCentre, this->options.distantHandicap,
-                                this->options.candidates + 1, this->options.backupShare, 1.0, 0};
+                                this->options.candidates + 1, this->options.backupShare, 1.0, Duration::max(),
+                                0};
     return this->cheapest(this->openAmong(engines, {running.id}), traits, need, preference);
 }
 
