--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -30,7 +30,7 @@
 
 // Of the time until the first token is late, this part may be planned for; the rest is for what the
 // forecast does not know.
-constexpr int usableTenths = 8;
+constexpr int usableTenths = 6;
 
 constexpr std::chrono::milliseconds roomGap{30};
 
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -213,8 +213,12 @@
     double bestCost = preference.mostCost;
     for (std::size_t i = 0; i < compared; ++i) {
         const Board &board = this->boards[open[i]->id];
-        if (this->memoryWith(board, traits, need) > preference.mostMemory ||
-            this->delayOf(board) + this->readingTime(need.promptTokens) > preference.mostDelay)
+        if (this->memoryWith(board, traits, need) > preference.mostMemory)
+            continue;
+        // A prompt that alone takes most of the time there is must find an engine that reads nothing
+        // else, but it must not be shut out everywhere for its length.
+        const Duration own = std::min(this->readingTime(need.promptTokens), preference.mostDelay / 2);
+        if (this->delayOf(board) > preference.mostDelay - own)
             continue;
         const double cost = this->costOf(*open[i], traits, need, preference) + blur(this->random);
         if (cost < bestCost) {
