--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -65,6 +65,7 @@
   4: i64 memoryInUse
   5: i64 memoryTokens
   6: bool leaving
+  7: i64 firstWaitingTokens
 }
 
 // One item of the platform's store as it was read, or its removal.
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -82,6 +82,7 @@
 struct EngineLoad
 {
     int waiting = 0;
+    std::uint32_t firstWaitingTokens = 0; // memory that the first of them needs
     int running = 0;
     std::uint32_t memoryInUse = 0; // tokens that cannot be evicted
     std::uint32_t memoryTokens = 0;
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -164,6 +164,7 @@
     notice.memoryInUse = load.memoryInUse;
     notice.memoryTokens = load.memoryTokens;
     notice.leaving = load.leaving;
+    notice.firstWaitingTokens = load.firstWaitingTokens;
     wire::EntryNotices message;
     message.loads.push_back(std::move(notice));
     this->tellPeers(encodeMessage(message));
@@ -239,6 +240,7 @@
         load.memoryInUse = toTokens(notice.memoryInUse);
         load.memoryTokens = toTokens(notice.memoryTokens);
         load.leaving = notice.leaving;
+        load.firstWaitingTokens = toTokens(notice.firstWaitingTokens);
         this->listener.onLoadFromPeer(notice.engine, load);
     }
     for (const wire::StoreNotice &notice : message->stores)
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -649,7 +649,10 @@
     const auto endpoint = parseEndpoint(this->current->target.address);
     assert(endpoint && "the run's own connection was opened at this address");
     this->plan.copyBegan();
-    this->context.announce(destination.id, this->need, true);
+    // The copy is as large as the run has grown by now.
+    GenerationNeed copied = this->need;
+    copied.promptTokens += static_cast<std::uint32_t>(this->lastEvent) * this->traits.tokensPerEvent;
+    this->context.announce(destination.id, copied, true);
     this->logDecision("run_copy", {{"from", this->current->target.id},
                                    {"to", destination.id},
                                    {"leaving", this->plan.isLeaving() ? 1 : 0},
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -152,6 +152,8 @@
 double EngineChoice::memoryOf(const Board &board) const
 {
     double tokens = board.everReported ? board.load.memoryInUse : 0;
+    // Requests wait at an engine because its memory is spoken for; whoever comes after them waits too.
+    tokens += static_cast<double>(board.load.waiting) * board.load.firstWaitingTokens;
     for (const auto &[run, placed] : board.placed) {
         const bool reported = board.everReported && placed.since < board.reportedAt - reportLag;
         if (!reported)
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -1113,6 +1113,10 @@
 void LoadNotice::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void LoadNotice::__set_firstWaitingTokens(const int64_t val) {
+  this->firstWaitingTokens = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadNotice& obj)
 {
   obj.printTo(out);
@@ -1189,6 +1193,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->firstWaitingTokens);
+          this->__isset.firstWaitingTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1230,6 +1242,10 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("firstWaitingTokens", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->firstWaitingTokens);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1243,6 +1259,7 @@
   swap(a.memoryInUse, b.memoryInUse);
   swap(a.memoryTokens, b.memoryTokens);
   swap(a.leaving, b.leaving);
+  swap(a.firstWaitingTokens, b.firstWaitingTokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -1253,6 +1270,7 @@
   memoryInUse = other23.memoryInUse;
   memoryTokens = other23.memoryTokens;
   leaving = other23.leaving;
+  firstWaitingTokens = other23.firstWaitingTokens;
   __isset = other23.__isset;
 }
 LoadNotice& LoadNotice::operator=(const LoadNotice& other24) {
@@ -1262,6 +1280,7 @@
   memoryInUse = other24.memoryInUse;
   memoryTokens = other24.memoryTokens;
   leaving = other24.leaving;
+  firstWaitingTokens = other24.firstWaitingTokens;
   __isset = other24.__isset;
   return *this;
 }
@@ -1274,6 +1293,7 @@
   out << ", " << "memoryInUse=" << to_string(memoryInUse);
   out << ", " << "memoryTokens=" << to_string(memoryTokens);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "firstWaitingTokens=" << to_string(firstWaitingTokens);
   out << ")";
 }
 
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -476,13 +476,14 @@
 std::ostream& operator<<(std::ostream& out, const PlacementNotice& obj);
 
 typedef struct _LoadNotice__isset {
-  _LoadNotice__isset() : engine(false), waiting(false), running(false), memoryInUse(false), memoryTokens(false), leaving(false) {}
+  _LoadNotice__isset() : engine(false), waiting(false), running(false), memoryInUse(false), memoryTokens(false), leaving(false), firstWaitingTokens(false) {}
   bool engine :1;
   bool waiting :1;
   bool running :1;
   bool memoryInUse :1;
   bool memoryTokens :1;
   bool leaving :1;
+  bool firstWaitingTokens :1;
 } _LoadNotice__isset;
 
 class LoadNotice : public virtual ::apache::thrift::TBase {
@@ -496,7 +497,8 @@
                running(0),
                memoryInUse(0),
                memoryTokens(0),
-               leaving(0) {
+               leaving(0),
+               firstWaitingTokens(0) {
   }
 
   virtual ~LoadNotice() noexcept;
@@ -506,6 +508,7 @@
   int64_t memoryInUse;
   int64_t memoryTokens;
   bool leaving;
+  int64_t firstWaitingTokens;
 
   _LoadNotice__isset __isset;
 
@@ -521,6 +524,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_firstWaitingTokens(const int64_t val);
+
   bool operator == (const LoadNotice & rhs) const
   {
     if (!(engine == rhs.engine))
@@ -535,6 +540,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(firstWaitingTokens == rhs.firstWaitingTokens))
+      return false;
     return true;
   }
   bool operator != (const LoadNotice &rhs) const {
