Trace the soak's finding; readers that the store turns away ask their peers; lint

A pause that began within another one replaced its end, so the process woke earlier than the check believed.

--- a/include/jaytrack/Net/callerconnection.h
+++ b/include/jaytrack/Net/callerconnection.h
@@ -167,7 +167,6 @@
 private:
     void accept();
 
-    asio::io_context &context;
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer pause;
     const Clock &clock;
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -370,8 +370,7 @@
 }
 
 CallerServer::CallerServer(asio::io_context &loop, const Clock &time, CallerHandler &to)
-    : context(loop)
-    , acceptor(loop)
+    : acceptor(loop)
     , pause(loop)
     , clock(time)
     , handler(to)
--- a/lib/Net/httpparser.cpp
+++ b/lib/Net/httpparser.cpp
@@ -129,32 +129,30 @@
     static const http_parser_settings made = [] {
         http_parser_settings callbacks;
         http_parser_settings_init(&callbacks);
-        callbacks.on_message_begin = [](http_parser *parser) {
-            State &state = of(parser);
-            state.begun = true;
-            state.head = {};
-            state.headBytes = 0;
-            state.valueOpen = false;
+        callbacks.on_message_begin = [](http_parser *raw) {
+            State &own = of(raw);
+            own.begun = true;
+            own.head = {};
+            own.headBytes = 0;
+            own.valueOpen = false;
             return 0;
         };
-        callbacks.on_url = [](http_parser *parser, const char *at, std::size_t length) {
-            of(parser).head.target.append(at, length);
-            return of(parser).addHeadBytes(length);
+        callbacks.on_url = [](http_parser *raw, const char *at, std::size_t length) {
+            of(raw).head.target.append(at, length);
+            return of(raw).addHeadBytes(length);
         };
-        callbacks.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
-            return of(parser).onField({at, length});
+        callbacks.on_header_field = [](http_parser *raw, const char *at, std::size_t length) {
+            return of(raw).onField({at, length});
         };
-        callbacks.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
-            return of(parser).onValue({at, length});
+        callbacks.on_header_value = [](http_parser *raw, const char *at, std::size_t length) {
+            return of(raw).onValue({at, length});
         };
-        callbacks.on_headers_complete = [](http_parser *parser) {
-            return of(parser).onHeadersEnd();
-        };
-        callbacks.on_body = [](http_parser *parser, const char *at, std::size_t length) {
-            of(parser).receiver.onBody({at, length});
+        callbacks.on_headers_complete = [](http_parser *raw) { return of(raw).onHeadersEnd(); };
+        callbacks.on_body = [](http_parser *raw, const char *at, std::size_t length) {
+            of(raw).receiver.onBody({at, length});
             return 0;
         };
-        callbacks.on_message_complete = [](http_parser *parser) { return of(parser).onEnd(); };
+        callbacks.on_message_complete = [](http_parser *raw) { return of(raw).onEnd(); };
         return callbacks;
     }();
     return made;
--- a/lib/Proxy/entrysettings.cpp
+++ b/lib/Proxy/entrysettings.cpp
@@ -13,7 +13,7 @@
 
 std::string readAddress(TomlTable &table, std::string_view key, bool required)
 {
-    const std::string text = required ? table.text(key) : table.text(key, "");
+    std::string text = required ? table.text(key) : table.text(key, "");
     if (text.empty())
         return text;
     const auto endpoint = parseEndpoint(text);
--- a/lib/Proxy/storesharing.cpp
+++ b/lib/Proxy/storesharing.cpp
@@ -56,7 +56,9 @@
                   {"revision", static_cast<std::int64_t>(this->follower->knownRevision())}});
         this->follower->setActive(read);
     }
-    if (this->reader || this->readers.empty() || now < this->nextAsk)
+    // A reader that the store turns away is still told by the others what they read.
+    const bool confirmedByItself = this->reader && age < this->options.mostAge / 2;
+    if (confirmedByItself || this->readers.empty() || now < this->nextAsk)
         return;
     this->nextAsk = now + askGap;
     const std::string &asked = this->readers[this->random() % this->readers.size()];
--- a/unittests/Soak/fleet.cpp
+++ b/unittests/Soak/fleet.cpp
@@ -312,8 +312,12 @@
 {
     Node &node = *this->nodes[index];
     this->trace("pause " + node.name());
-    node.pausedUntil = this->schedule.clock.now() + length;
-    if (length > pauseLimit)
+    // A pause may begin within another one; then the process stands still until the later end.
+    const TimePoint now = this->schedule.clock.now();
+    if (now >= node.pausedUntil)
+        node.pausedSince = now;
+    node.pausedUntil = std::max(node.pausedUntil, now + length);
+    if (node.pausedUntil - node.pausedSince > pauseLimit)
         node.wokeLateAt = node.pausedUntil;
     node.touch(node.pausedUntil + std::chrono::seconds(2));
 }
--- a/unittests/Soak/fleet.h
+++ b/unittests/Soak/fleet.h
@@ -61,6 +61,7 @@
     const std::string address; // where it can be reached; a replacement may take it over
     const std::int64_t incarnation;
     bool dead = false;
+    TimePoint pausedSince;
     TimePoint pausedUntil;
     TimePoint wokeLateAt;   // the last time it woke from a pause beyond its limit
     TimePoint refreshedFor; // the newest question whose answer has refreshed it
