--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -83,17 +83,21 @@
 {
     if (this->listing || to <= this->revision)
         return;
-    if (incomplete && !this->waiting && !this->stopped)
-        return this->ask();
-    if (incomplete || from > this->revision)
-        return this->catchUp(to);
     std::vector<StoreItem> fresh;
     for (const StoreItem &item : items) {
         if (item.revision > this->revision)
             fresh.push_back(item);
     }
-    this->revision = to;
+    // What comes after a gap is true all the same, and an instance that the store turns away learns
+    // of leaving engines in no other way; only the revision, which would claim more, stays behind.
     this->listener.onChanges(fresh, TimePoint());
+    if (!incomplete && from <= this->revision) {
+        this->revision = to;
+        return;
+    }
+    if (incomplete && !this->waiting && !this->stopped)
+        return this->ask();
+    this->catchUp(to);
 }
 
 void StoreFollower::ask()
