Take out what nothing uses

Cause: reading the diff as a newcomer: a reported run, an answer's attempt header, counters and getters that no code asked for. No behaviour changes; all 118 cases of Net, Routing and Platform pass.

--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -84,8 +84,6 @@
     // Tells the others that this instance is about to end.
     void depart();
 
-    std::size_t peerCount() const { return this->peers.size(); }
-
 private:
     void send(std::string_view address, std::string datagram) override;
     void onMembersChanged() override;
--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -100,8 +100,6 @@
     // The newest revision of which everything is known; 0 before the first listing.
     std::uint64_t knownRevision() const { return this->listing ? 0 : this->revision; }
 
-    std::uint64_t callsMade() const { return this->calls; }
-
 private:
     void ask();
     void askLater(std::chrono::milliseconds delay);
@@ -140,7 +138,6 @@
     std::uint64_t heardOf = 0; // the newest revision that another instance said it knows
     TimePoint behindSince;
     bool waiting = false; // a call is under way or planned
-    std::uint64_t calls = 0;
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Proxy/storesharing.h
+++ b/include/jaytrack/Proxy/storesharing.h
@@ -56,8 +56,6 @@
     void onFreshnessAsked(std::string_view peer, std::int64_t askedAt);
     void onFreshness(std::int64_t askedAt, Duration age, std::uint64_t revision);
 
-    bool isReader() const { return this->reader; }
-
 private:
     const Clock &clock;
     std::string name;
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -70,13 +70,6 @@
     std::uint64_t revision = 0; // of the whole store, when the page was read
 };
 
-// One generation that an engine runs, as it reports it.
-struct ReportedRun
-{
-    std::string attemptId;
-    std::uint32_t memoryTokens = 0;
-};
-
 // An engine's own view of its load, some hundred milliseconds old.
 struct EngineLoad
 {
@@ -91,8 +84,7 @@
 // The outcome of asking an engine to copy a run.
 struct MoveAnswer
 {
-    std::string handle;
-    std::uint64_t events = 0; // generated when the copy was made
+    std::string handle; // names the copy
 };
 
 class Dialect
@@ -114,9 +106,6 @@
     // The header by which a caller is told when to come back.
     virtual HttpHeader comeBackIn(std::chrono::milliseconds delay) const = 0;
 
-    // The header by which an answer names the attempt that it belongs to.
-    virtual HttpHeader attemptHeader(std::string_view attemptId) const = 0;
-
     virtual std::string rangeTarget(std::string_view prefix, std::string_view after) const = 0;
     virtual std::string watchTarget(std::string_view prefix, std::uint64_t after,
                                     std::chrono::milliseconds wait) const = 0;
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -122,7 +122,6 @@
     this->askedAt = this->clock.now();
     if (this->listing && this->pageAfter.empty())
         this->listingAskedAt = this->askedAt;
-    ++this->calls;
     this->call = TargetCall::start(this->context, std::move(request), this->weak_from_this());
     this->timer.expires_after(bound);
     this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
