--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -36,8 +36,8 @@
     // Part of an engine's memory up to which new generations are let in; short urgent ones, which
     // leave again within half a second, to a higher part. The rest is for the growth of those that
     // run, and for the runs of engines that leave: a sixth of all engines at a time.
-    double newRunShare = 0.85;
-    double urgentShare = 0.95;
+    double newRunShare = 0.95;
+    double urgentShare = 1.0;
 
     // Generations of fewer expected tokens than this count as short.
     std::uint32_t shortTokens = 64;
--- a/lib/Net/httpparser.cpp
+++ b/lib/Net/httpparser.cpp
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 
@@ -79,9 +80,20 @@
         return encodings <= 1;
     }
 
+    // Debian's http_parser is built lenient: it takes "Content-Length :" for another header's name,
+    // which a peer may read as the length, and answers to requests that name no protocol.
+    bool headIsStrict() const
+    {
+        const bool known = this->parser.http_major == 1;
+        return known && std::none_of(this->head.headers.begin(), this->head.headers.end(),
+                                     [](const HttpHeader &header) {
+                                         return header.name.find(' ') != std::string::npos;
+                                     });
+    }
+
     int onHeadersEnd()
     {
-        if (!this->framingIsPlain()) {
+        if (!this->headIsStrict() || !this->framingIsPlain()) {
             this->malformed = true;
             return -1;
         }
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -26,18 +26,20 @@
     std::string body;
 };
 
-// One step of an answer: bytes after a pause, or the end of the connection.
+struct AnswerStep;
+using Answer = std::vector<AnswerStep>;
+
+// One step of an answer after a pause: bytes, the end of the connection, or a look at what to do then.
 struct AnswerStep
 {
-    enum class Kind { Send, Close, Reset, Hang };
+    enum class Kind { Send, Close, Reset, Hang, LookAgain };
 
     Kind kind = Kind::Send;
     std::string bytes;
     std::chrono::milliseconds after{0};
+    std::function<Answer()> again = {};
 };
 
-using Answer = std::vector<AnswerStep>;
-
 // Builds the steps of common answers.
 Answer wholeAnswer(int status, const std::string &headers, const std::string &body);
 AnswerStep chunkStep(const std::string &data, std::chrono::milliseconds after = {});
@@ -103,7 +105,7 @@
 
     Answer answer(const SeenRequest &request);
     Answer range(const std::string &target);
-    Answer watch(const std::string &target);
+    Answer watch(const std::string &target, std::chrono::milliseconds held);
 
     mutable std::mutex mutex;
     std::map<std::string, std::pair<std::string, std::uint64_t>> items;
--- /dev/null
+++ b/unittests/Platform/requesttest.cpp
@@ -0,0 +1,225 @@
+// Requests from a caller's first byte to its last, with targets that answer, refuse, break and lie.
+#include "entryfixture.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <atomic>
+
+using namespace jaytrack;
+using namespace jaytrack::testing;
+
+namespace {
+
+bool isProbe(const SeenRequest &request)
+{
+    return request.head.path() == "/jaytrack/report";
+}
+
+std::size_t worked(const ScriptedServer &server)
+{
+    std::size_t count = 0;
+    for (const SeenRequest &request : server.seen())
+        count += isProbe(request) ? 0 : 1;
+    return count;
+}
+
+// What a target does with a request.
+enum Deed { Good, Refuses, Fails, Resets, CutsBody, Garbles, OtherId, Unframed, UnframedReset };
+
+Answer perform(Deed deed)
+{
+    const std::string own = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
+    switch (deed) {
+    case Good:
+        return wholeAnswer(200, own, "good");
+    case Refuses:
+        return wholeAnswer(503, own + "X-Not-Executed: 1\r\n", "");
+    case Fails:
+        return wholeAnswer(500, own, "bad");
+    case Resets:
+        return {{AnswerStep::Kind::Reset, "", {}}};
+    case CutsBody:
+        return {{AnswerStep::Kind::Send, "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 9\r\n\r\ngo", {}},
+                {AnswerStep::Kind::Close, "", std::chrono::milliseconds(10)}};
+    case Garbles:
+        return {{AnswerStep::Kind::Send, "what is this\r\n\r\n", {}}};
+    case OtherId:
+        return wholeAnswer(200, "X-Attempt-Id: other\r\nX-Server-Stamp: s\r\n", "not yours");
+    case Unframed:
+        return {{AnswerStep::Kind::Send, "HTTP/1.1 200 OK\r\n" + own + "\r\ngood", {}},
+                {AnswerStep::Kind::Close, "", std::chrono::milliseconds(10)}};
+    case UnframedReset:
+        return {{AnswerStep::Kind::Send, "HTTP/1.1 200 OK\r\n" + own + "\r\ngo", {}},
+                {AnswerStep::Kind::Reset, "", std::chrono::milliseconds(10)}};
+    }
+    return {};
+}
+
+struct DeedCase
+{
+    char name[24];
+    char type[8];
+    int attempts;
+    Deed first; // what the first target that is asked does; the other one is good
+    int status;
+    std::size_t sends;
+};
+
+} // namespace
+
+// Symptom: a payment runs twice, or its caller is told "not run" though it may have run.
+// Events: the target refuses, fails, breaks off or answers nonsense, for each kind of request.
+// Cause: each case states what may be concluded from what the target did.
+ParameterizedTestParameters(request, concludesFromWhatTheTargetDid)
+{
+    static DeedCase cases[] = {
+            {"once good", "unsafe", 1, Good, 200, 1},
+            {"once refused", "unsafe", 1, Refuses, 503, 1},
+            {"once refused, two", "unsafe", 2, Refuses, 200, 2},
+            {"once failed", "unsafe", 2, Fails, 500, 1},
+            {"once reset", "unsafe", 2, Resets, 502, 1},
+            {"once cut", "unsafe", 2, CutsBody, 502, 1},
+            {"once garbled", "unsafe", 2, Garbles, 502, 1},
+            {"once foreign", "unsafe", 2, OtherId, 502, 1},
+            {"once unframed", "unsafe", 1, Unframed, 200, 1},
+            {"once unframed reset", "unsafe", 2, UnframedReset, 502, 1},
+            {"safe failed", "safe", 2, Fails, 200, 2},
+            {"safe reset", "safe", 2, Resets, 200, 2},
+            {"safe cut", "safe", 2, CutsBody, 200, 2},
+            {"safe foreign", "safe", 2, OtherId, 200, 2},
+            {"safe reset, one", "safe", 1, Resets, 502, 1},
+            {"safe failed, one", "safe", 1, Fails, 500, 1},
+    };
+    return cr_make_param_array(DeedCase, cases, std::size(cases));
+}
+
+ParameterizedTest(DeedCase *param, request, concludesFromWhatTheTargetDid)
+{
+    std::atomic<int> asked{0};
+    const auto script = [&asked, param](const SeenRequest &request) -> Answer {
+        if (isProbe(request))
+            return wholeAnswer(200, "", "{}");
+        return perform(asked++ == 0 ? param->first : Good);
+    };
+    ScriptedServer one(script);
+    ScriptedServer two(script);
+    RouteSpec route;
+    route.type = param->type;
+    route.attempts = param->attempts;
+    EntryFixture entry({route});
+    entry.list("t1", one);
+    entry.list("t2", two);
+    const CallerView view = callOnce(entry.port(), requestText({}));
+    cr_assert(view.bytes.starts_with("HTTP/1.1 " + std::to_string(param->status)), "%s: %s",
+              param->name, view.bytes.c_str());
+    cr_assert_eq(worked(one) + worked(two), param->sends, "%s", param->name);
+    if (param->status == 503)
+        cr_assert(view.bytes.find("Retry-After: ") != std::string::npos, "%s", param->name);
+}
+
+// The engine sees the caller's request, with the instance's own headers instead of the caller's.
+Test(request, reachesTheTargetUnchanged)
+{
+    ScriptedServer target([](const SeenRequest &request) {
+        return isProbe(request) ? wholeAnswer(200, "", "{}") : perform(Good);
+    });
+    RouteSpec route;
+    route.type = "unsafe";
+    EntryFixture entry({route});
+    entry.list("t1", target);
+    RequestSpec spec;
+    spec.path = "/work/x?q=1";
+    spec.extraHeaders = "X-Tenant: forged\r\nConnection: X-Hop\r\nX-Hop: 1\r\n";
+    const CallerView view = callOnce(entry.port(), requestText(spec));
+    cr_assert(view.bytes.find("X-Server-Stamp: s") != std::string::npos);
+    for (const SeenRequest &seen : target.seen()) {
+        if (isProbe(seen))
+            continue;
+        cr_assert_eq(seen.head.target, std::string("/work/x?q=1"));
+        cr_assert_eq(seen.body, std::string("hello"));
+        cr_assert_eq(seen.head.header("X-Tenant"), std::string_view("cust"));
+        cr_assert_eq(seen.head.header("X-Expect-Instance"), std::string_view("t1"));
+        cr_assert(seen.head.header("Authorization").empty());
+        cr_assert(seen.head.header("X-Hop").empty());
+        cr_assert(std::stoi(std::string(seen.head.header("X-Deadline-Ms"))) <= 3000);
+    }
+}
+
+// Symptom: an engine works on for a caller who has left.
+// Events: the caller closes its connection while the engine works.
+Test(request, callersLeavingReachesTheEngine)
+{
+    ScriptedServer target([](const SeenRequest &request) -> Answer {
+        if (isProbe(request))
+            return wholeAnswer(200, "", "{}");
+        return {{AnswerStep::Kind::Hang, "", {}}};
+    });
+    EntryFixture entry({RouteSpec()});
+    entry.list("t1", target);
+    callOnce(entry.port(), requestText({}), std::chrono::milliseconds(150));
+    for (int i = 0; i < 50 && target.closedByPeer() == 0; ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    cr_assert_eq(target.closedByPeer(), 1);
+}
+
+// Symptom: callers hang past the time that the operators allow.
+Test(request, routeTimeoutIsKept)
+{
+    ScriptedServer target([](const SeenRequest &request) -> Answer {
+        if (isProbe(request))
+            return wholeAnswer(200, "", "{}");
+        return {{AnswerStep::Kind::Hang, "", {}}};
+    });
+    RouteSpec route;
+    route.type = "unsafe";
+    route.timeoutMs = 300;
+    EntryFixture entry({route});
+    entry.list("t1", target);
+    const auto start = std::chrono::steady_clock::now();
+    const CallerView view = callOnce(entry.port(), requestText({}));
+    cr_assert(view.bytes.starts_with("HTTP/1.1 504"), "%s", view.bytes.c_str());
+    cr_assert(std::chrono::steady_clock::now() - start < std::chrono::milliseconds(1500));
+}
+
+namespace {
+
+struct RefusedCase
+{
+    char name[24];
+    char text[220];
+    int status;
+};
+
+} // namespace
+
+ParameterizedTestParameters(request, unreadableOnesAreRefusedByNumber)
+{
+    static RefusedCase cases[] = {
+            {"no route", "GET /none HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n", 404},
+            {"other host", "GET /work/ HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n", 404},
+            {"no key", "GET /work/ HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\n", 401},
+            {"unknown key", "GET /work/ HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\nAuthorization: Token zz\r\n", 401},
+            {"no id", "GET /work/ HTTP/1.1\r\nHost: site.example\r\nAuthorization: Token k1\r\n", 400},
+            {"no host", "GET /work/ HTTP/1.1\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n", 400},
+            {"two framings", "POST /work/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n", 400},
+            {"large body", "POST /work/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 30000\r\n", 413},
+            {"slow head", "GET /work/ HTTP/1.1\r\nHost: si", 408},
+    };
+    return cr_make_param_array(RefusedCase, cases, std::size(cases));
+}
+
+ParameterizedTest(RefusedCase *param, request, unreadableOnesAreRefusedByNumber)
+{
+    ScriptedServer target([](const SeenRequest &) { return perform(Good); });
+    EntryFixture entry({RouteSpec()});
+    entry.list("t1", target);
+    std::string text = param->text;
+    if (param->status != 408)
+        text += "\r\n";
+    if (param->status == 413)
+        text += std::string(30000, 'x');
+    const CallerView view = callOnce(entry.port(), text, std::chrono::milliseconds(1200));
+    cr_assert(view.bytes.starts_with("HTTP/1.1 " + std::to_string(param->status)), "%s: %s",
+              param->name, view.bytes.c_str());
+}
--- /dev/null
+++ b/unittests/Routing/admissiontest.cpp
@@ -0,0 +1,106 @@
+// Who is served, refused or denied, by route, key and the age of the last confirmation.
+#include "jaytrack/Routing/admission.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace jaytrack;
+
+namespace {
+
+RoutingTable makeTable()
+{
+    RoutingTable table;
+    table.version = 3;
+    table.hasCustomers = true;
+    table.holders.emplace("good", KeyHolder{"weavers", std::nullopt});
+    RouteRule wide;
+    wide.host = "site.example";
+    wide.prefix = "/a/";
+    wide.kind = RequestKind::Idempotent;
+    wide.services = {{"svc", 1}};
+    RouteRule narrow = wide;
+    narrow.prefix = "/a/b/";
+    narrow.kind = RequestKind::OnceStream;
+    RouteRule open = wide;
+    open.prefix = "/open/";
+    open.needsKey = false;
+    table.routes = {wide, narrow, open};
+    return table;
+}
+
+struct AdmissionCase
+{
+    char host[24];
+    char path[24];
+    char key[8];
+    char id[4];
+    int ageMs;
+    bool known;
+    bool stopping;
+    int code;
+};
+
+} // namespace
+
+ParameterizedTestParameters(admission, decides)
+{
+    static AdmissionCase cases[] = {
+            {"site.example", "/a/x", "good", "i", 0, true, false, 0},
+            {"site.example:80", "/a/x", "good", "i", 0, true, false, 0},
+            {"site.example", "/a/x", "good", "i", 4400, true, false, 0},
+            // A key may have been taken away since the last confirmation.
+            {"site.example", "/a/x", "good", "i", 4600, true, false, 209},
+            {"site.example", "/open/x", "", "i", 60000, true, false, 0},
+            // A denial needs knowledge that is as new as changes must be in force.
+            {"site.example", "/a/x", "bad", "i", 100, true, false, 105},
+            {"site.example", "/a/x", "", "i", 100, true, false, 105},
+            {"site.example", "/a/x", "bad", "i", 2500, true, false, 209},
+            {"site.example", "/none/", "good", "i", 100, true, false, 111},
+            {"other.example", "/a/x", "good", "i", 100, true, false, 111},
+            {"site.example", "/none/", "good", "i", 2500, true, false, 209},
+            {"site.example", "/a/x", "good", "i", 0, false, false, 205},
+            {"site.example", "/a/x", "good", "", 0, true, false, 101},
+            {"", "/a/x", "good", "i", 0, true, false, 101},
+            // A stopping instance still answers short requests, but begins no stream.
+            {"site.example", "/a/x", "good", "i", 0, true, true, 0},
+            {"site.example", "/a/b/x", "good", "i", 0, true, true, 204},
+    };
+    return cr_make_param_array(AdmissionCase, cases, std::size(cases));
+}
+
+ParameterizedTest(AdmissionCase *param, admission, decides)
+{
+    const RoutingTable table = makeTable();
+    RequestFacts facts;
+    facts.attemptId = param->id;
+    facts.key = param->key;
+    AdmissionInputs inputs;
+    inputs.table = param->known ? &table : nullptr;
+    inputs.age = std::chrono::milliseconds(param->ageMs);
+    inputs.stopping = param->stopping;
+    inputs.host = param->host;
+    inputs.path = param->path;
+    inputs.facts = &facts;
+    const Admission admission = admit(inputs, {});
+    cr_assert_eq(static_cast<int>(admission.code), param->code, "%s%s age %d: got %d", param->host,
+                 param->path, param->ageMs, static_cast<int>(admission.code));
+}
+
+Test(routingTable, longestPrefixWins)
+{
+    const RoutingTable table = makeTable();
+    cr_assert_eq(table.match("site.example", "/a/b/c")->prefix, std::string("/a/b/"));
+    cr_assert_eq(table.match("site.example", "/a/c")->prefix, std::string("/a/"));
+    cr_assert_null(table.match("site.example", "/a"));
+}
+
+Test(routingTable, sharesAreKept)
+{
+    RouteRule route;
+    route.services = {{"large", 90}, {"small", 10}};
+    cr_assert_eq(RoutingTable::pickService(route, 0.0), std::string("large"));
+    cr_assert_eq(RoutingTable::pickService(route, 0.89), std::string("large"));
+    cr_assert_eq(RoutingTable::pickService(route, 0.91), std::string("small"));
+    cr_assert_eq(RoutingTable::pickService(route, 0.999), std::string("small"));
+}
--- /dev/null
+++ b/unittests/Routing/enginechoicetest.cpp
@@ -0,0 +1,196 @@
+// Placement under the loads that it answers.
+#include "jaytrack/Routing/enginechoice.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <memory>
+
+using namespace jaytrack;
+
+namespace {
+
+constexpr std::uint32_t memoryTokens = 30'000;
+
+std::vector<TargetEntry> makeEngines(int count, int perDataCentre)
+{
+    std::vector<TargetEntry> engines;
+    for (int i = 0; i < count; ++i) {
+        TargetEntry entry;
+        entry.id = "e" + std::to_string(i);
+        entry.dataCentre = "dc" + std::to_string(i / perDataCentre);
+        engines.push_back(entry);
+    }
+    return engines;
+}
+
+std::vector<const TargetEntry *> pointers(const std::vector<TargetEntry> &engines)
+{
+    std::vector<const TargetEntry *> list;
+    for (const TargetEntry &entry : engines)
+        list.push_back(&entry);
+    return list;
+}
+
+EngineTraits makeTraits()
+{
+    EngineTraits traits;
+    traits.memoryTokens = memoryTokens;
+    return traits;
+}
+
+EngineLoad loadOf(std::uint32_t tokens)
+{
+    EngineLoad load;
+    load.memoryInUse = tokens;
+    return load;
+}
+
+// Some instances before the same engines; notices pass between them or not.
+class Instances
+{
+public:
+    Instances(int instances, const std::vector<TargetEntry> &engines, bool notices)
+        : passNotices(notices)
+    {
+        for (int i = 0; i < instances; ++i) {
+            this->choices.push_back(std::make_unique<EngineChoice>(
+                    this->clock, static_cast<std::uint64_t>(1000 + i), "dc0"));
+            for (const TargetEntry &entry : engines) {
+                this->choices.back()->listed(entry);
+                this->choices.back()->reported(entry.id, loadOf(0));
+            }
+        }
+    }
+
+    // One instance places a prompt; returns when its reading begins after it came.
+    Duration place(std::size_t instance, std::span<const TargetEntry *const> engines, int serial)
+    {
+        const GenerationNeed need{3000, 400};
+        const TargetEntry *chosen = this->choices[instance]->choose(engines, makeTraits(), need, {});
+        cr_assert_not_null(chosen);
+        this->choices[instance]->began(chosen->id, std::to_string(serial), need, false);
+        for (std::size_t i = 0; this->passNotices && i < this->choices.size(); ++i) {
+            if (i != instance)
+                this->choices[i]->placedByOthers(chosen->id, need, false);
+        }
+        TimePoint &busyUntil = this->busy[chosen->id];
+        const TimePoint now = this->clock.now();
+        const Duration delay = std::max(Duration(0), busyUntil - now);
+        busyUntil = std::max(busyUntil, now) + std::chrono::milliseconds(3000 / 7);
+        return delay;
+    }
+
+    ManualClock clock;
+
+private:
+    bool passNotices;
+    std::vector<std::unique_ptr<EngineChoice>> choices;
+    std::map<std::string, TimePoint> busy;
+};
+
+// The mean wait of a burst of prompts until their reading begins, in milliseconds.
+double meanDelay(bool notices)
+{
+    const std::vector<TargetEntry> engines = makeEngines(16, 16);
+    const auto list = pointers(engines);
+    Instances instances(7, engines, notices);
+    double total = 0;
+    constexpr int requests = 40;
+    for (int i = 0; i < requests; ++i) {
+        total += std::chrono::duration<double, std::milli>(
+                         instances.place(static_cast<std::size_t>(i) % 7, list, i))
+                         .count();
+        instances.clock.advance(std::chrono::milliseconds(30));
+    }
+    return total / requests;
+}
+
+} // namespace
+
+// Symptom: first tokens come seconds late while other engines read nothing.
+// Events: prompts arrive at several instances within one report of the engines' load.
+// Cause: each instance knew only what it had sent itself.
+Test(engineChoice, noticesKeepPromptsFromQueueing)
+{
+    const double without = meanDelay(false);
+    const double with = meanDelay(true);
+    cr_log_info("mean delay %.0f ms without notices, %.0f ms with\n", without, with);
+    cr_assert(with < without / 3, "with %.1f, without %.1f", with, without);
+}
+
+// Symptom: generations are preempted midway at engines that were full when they came.
+// Events: reports show all engines but one beyond the part for new generations.
+Test(engineChoice, fullEnginesGetNoNewGeneration)
+{
+    const std::vector<TargetEntry> engines = makeEngines(4, 4);
+    const auto list = pointers(engines);
+    ManualClock clock;
+    EngineChoice choice(clock, 1, "dc0");
+    for (const TargetEntry &entry : engines) {
+        choice.listed(entry);
+        choice.reported(entry.id, loadOf(entry.id == "e2" ? 1000 : memoryTokens - 500));
+    }
+    const GenerationNeed need{3000, 400};
+    for (int i = 0; i < 3; ++i)
+        cr_assert_eq(choice.choose(list, makeTraits(), need, {})->id, std::string("e2"));
+    cr_assert_null(choice.choose(list, makeTraits(), need, {"e2"}));
+}
+
+// Symptom: callers wait for a first token that cannot come in time, and delay those after them.
+// Events: every engine has seconds of prompts to read.
+Test(engineChoice, enginesThatWouldBeLateAreNotTaken)
+{
+    const std::vector<TargetEntry> engines = makeEngines(2, 2);
+    const auto list = pointers(engines);
+    ManualClock clock;
+    EngineChoice choice(clock, 1, "dc0");
+    GenerationNeed need{3000, 40};
+    need.mostDelay = std::chrono::milliseconds(900);
+    for (const TargetEntry &entry : engines) {
+        choice.listed(entry);
+        for (int i = 0; i < 3; ++i)
+            choice.placedByOthers(entry.id, {3000, 40}, false);
+    }
+    cr_assert_null(choice.choose(list, makeTraits(), need, {}));
+    clock.advance(std::chrono::milliseconds(1000));
+    cr_assert_not_null(choice.choose(list, makeTraits(), need, {}));
+}
+
+// Symptom: the longest prompts are served far less often than the others.
+// Cause: their own reading takes longer than the delay that is planned for.
+Test(engineChoice, longPromptsFindAnIdleEngine)
+{
+    const std::vector<TargetEntry> engines = makeEngines(1, 1);
+    ManualClock clock;
+    EngineChoice choice(clock, 1, "dc0");
+    choice.listed(engines[0]);
+    GenerationNeed need{6000, 4};
+    need.mostDelay = std::chrono::milliseconds(800);
+    cr_assert_not_null(choice.choose(pointers(engines), makeTraits(), need, {}));
+}
+
+// Symptom: copies are refused for want of room at one engine while others are empty.
+// Events: all instances learn of a leaving in the same millisecond and know the same.
+// Cause: all choose the same refuge before their notices reach each other.
+Test(engineChoice, refugesAreSpreadWithinTheDataCentre)
+{
+    const std::vector<TargetEntry> engines = makeEngines(8, 4);
+    const auto list = pointers(engines);
+    ManualClock clock;
+    std::map<std::string, int> taken;
+    for (std::uint64_t seed = 0; seed < 40; ++seed) {
+        EngineChoice choice(clock, seed, "dc1");
+        for (const TargetEntry &entry : engines) {
+            choice.listed(entry);
+            choice.reported(entry.id, loadOf(entry.id == "e1" ? 5000 : 6000));
+        }
+        const TargetEntry *refuge =
+                choice.chooseRefuge(list, makeTraits(), {3000, 400}, engines[0], {});
+        cr_assert_eq(refuge->dataCentre, std::string("dc0"));
+        ++taken[refuge->id];
+    }
+    cr_assert_eq(taken.size(), 3, "all three others of the data centre are used");
+    for (const auto &[id, count] : taken)
+        cr_assert(count < 30, "%s took %d of 40", id.c_str(), count);
+}
