--- a/include/jaytrack/Net/callerconnection.h
+++ b/include/jaytrack/Net/callerconnection.h
@@ -1,5 +1,5 @@
-// The callers' side of an instance: connections that carry requests one after another, each answered
-// before the next one is read, and watched for the caller's leaving all the while.
+// The callers' side of an instance: connections that carry requests one after another, each
+// answered before the next one is read, and watched for the caller's leaving all the while.
 #ifndef JAYTRACK_NET_CALLERCONNECTION_H
 #define JAYTRACK_NET_CALLERCONNECTION_H
 
@@ -60,7 +60,8 @@
     virtual ~CallerHandler() = default;
     virtual void onRequest(std::shared_ptr<CallerConnection> connection, CallerRequest request) = 0;
 
-    // A request that cannot be read; the status says why. The connection answers and closes by itself.
+    // A request that cannot be read; the status says why. The connection answers and closes by
+    // itself.
     virtual void onUnreadable(int status, std::string_view reason) = 0;
 
     virtual ConnectionLimits connectionLimits() const = 0;
--- a/include/jaytrack/Net/httpparser.h
+++ b/include/jaytrack/Net/httpparser.h
@@ -1,5 +1,6 @@
-// HTTP/1.1 messages out of a byte stream, by http_parser, with the strictness that a relay needs: two
-// parties that read one message's end differently would let a request be smuggled in another's body.
+// HTTP/1.1 messages out of a byte stream, by http_parser, with the strictness that a relay needs:
+// two parties that read one message's end differently would let a request be smuggled in another's
+// body.
 #ifndef JAYTRACK_NET_HTTPPARSER_H
 #define JAYTRACK_NET_HTTPPARSER_H
 
@@ -20,10 +21,13 @@
     int status = 0;     // of an answer
     std::vector<HttpHeader> headers;
     bool keepAlive = false; // the sender will go on using the connection
-    bool framed = false;    // the end is marked by a length or by chunks, not by the connection's end
+    bool framed = false; // the end is marked by a length or by chunks, not by the connection's end
 
     std::string_view header(std::string_view name) const { return findHeader(this->headers, name); }
-    std::string_view path() const { return std::string_view(this->target).substr(0, this->target.find('?')); }
+    std::string_view path() const
+    {
+        return std::string_view(this->target).substr(0, this->target.find('?'));
+    }
 };
 
 // Receives the parts of messages in order.
--- a/include/jaytrack/Net/socket.h
+++ b/include/jaytrack/Net/socket.h
@@ -11,8 +11,8 @@
 namespace jaytrack {
 
 // Sets the options of an open connection: no delay, and limits after which a silent peer counts as
-// lost. A connection may fall silent without a reset; without these limits whoever waits on it waits
-// until its own deadline.
+// lost. A connection may fall silent without a reset; without these limits whoever waits on it
+// waits until its own deadline.
 void prepareSocket(asio::ip::tcp::socket &socket);
 
 // Reads IP:PORT.
--- a/include/jaytrack/Net/targetcall.h
+++ b/include/jaytrack/Net/targetcall.h
@@ -1,5 +1,5 @@
-// One request to one target on a connection of its own, with an exact account of whether any byte of
-// the request may have reached it. Nothing is ever sent again from here.
+// One request to one target on a connection of its own, with an exact account of whether any byte
+// of the request may have reached it. Nothing is ever sent again from here.
 #ifndef JAYTRACK_NET_TARGETCALL_H
 #define JAYTRACK_NET_TARGETCALL_H
 
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -38,7 +38,8 @@
     std::mt19937_64 &random;
     // Tells the other instances that a generation goes to an engine, as a copy or to be read there.
     std::function<void(std::string_view engine, const GenerationNeed &need, bool copied)> announce;
-    std::set<std::shared_ptr<Exchange>> &open; // keeps each exchange alive until its answer is given
+    std::set<std::shared_ptr<Exchange>>
+            &open; // keeps each exchange alive until its answer is given
 };
 
 // A request that was admitted.
@@ -87,13 +88,14 @@
 
     std::chrono::milliseconds timeLeft() const;
 
-    // The request as it goes to a target. Orders about deadline, identity and customer are filled in.
+    // The request as it goes to a target. Orders about deadline, identity and customer are filled
+    // in.
     TargetRequest makeRequest(const TargetEntry &target, ForwardOrders orders,
                               const asio::ip::tcp::endpoint &endpoint) const;
 
-    // Final answers of the instance's own. A code whose outcome is "not run" carries the delay after
-    // which the caller had better come back. If the answer has begun, the connection is closed without
-    // its end instead: a second status line would be read as a part of the body.
+    // Final answers of the instance's own. A code whose outcome is "not run" carries the delay
+    // after which the caller had better come back. If the answer has begun, the connection is
+    // closed without its end instead: a second status line would be read as a part of the body.
     void answerOwn(ResultCode code, std::string_view detail);
 
     // Passes on a target's whole answer.
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -1,5 +1,5 @@
-// Asks model engines for their load, so that placement has something to go by. Each engine is asked by
-// one of the instances, which tells the others.
+// Asks model engines for their load, so that placement has something to go by. Each engine is asked
+// by one of the instances, which tells the others.
 #ifndef JAYTRACK_PROXY_LOADPROBER_H
 #define JAYTRACK_PROXY_LOADPROBER_H
 
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -1,9 +1,10 @@
 // What entry instances tell each other: who is there, and which engine each generation went to.
 //
-// Load that it answers: an engine's own report is half a second old when it comes and is asked for once
-// a second. Meanwhile every other instance sends prompts to the engine that looked idle, and each prompt
-// of three thousand tokens delays the first token of the next by half a second. A notice takes two
-// milliseconds. Nothing depends on it: one that is lost leaves an instance with the reports alone.
+// Load that it answers: an engine's own report is half a second old when it comes and is asked for
+// once a second. Meanwhile every other instance sends prompts to the engine that looked idle, and
+// each prompt of three thousand tokens delays the first token of the next by half a second. A
+// notice takes two milliseconds. Nothing depends on it: one that is lost leaves an instance with
+// the reports alone.
 #ifndef JAYTRACK_PROXY_PEERLINK_H
 #define JAYTRACK_PROXY_PEERLINK_H
 
--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -70,8 +70,9 @@
     bool graceRunning = false;
 };
 
-// Hands what one follower of the whole store reads to both feeds. One question that waits for either
-// kind of change costs half the calls, and each change of a target confirms the configuration too.
+// Hands what one follower of the whole store reads to both feeds. One question that waits for
+// either kind of change costs half the calls, and each change of a target confirms the
+// configuration too.
 class StoreFeeds final : public StoreFollowerListener
 {
 public:
--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -1,5 +1,5 @@
-// Keeps up with one part of the platform's store: reads it whole, then follows its changes, and reads
-// it whole again whenever a change may have been missed.
+// Keeps up with one part of the platform's store: reads it whole, then follows its changes, and
+// reads it whole again whenever a change may have been missed.
 #ifndef JAYTRACK_PROXY_STOREFOLLOWER_H
 #define JAYTRACK_PROXY_STOREFOLLOWER_H
 
@@ -17,8 +17,8 @@
 
 namespace jaytrack {
 
-// What a follower tells. The moment that goes with it is when the question was sent, so the state that
-// it describes is at least as new as that.
+// What a follower tells. The moment that goes with it is when the question was sent, so the state
+// that it describes is at least as new as that.
 class StoreFollowerListener
 {
 public:
@@ -27,8 +27,8 @@
     // Everything under the prefix, all pages together.
     virtual void onListing(const std::vector<StoreItem> &items, TimePoint asOf) = 0;
 
-    // What changed since; nothing, if the wait ended without a change. An empty answer that came before
-    // the wait was over confirms nothing and is not told.
+    // What changed since; nothing, if the wait ended without a change. An empty answer that came
+    // before the wait was over confirms nothing and is not told.
     virtual void onChanges(const std::vector<StoreItem> &items, TimePoint asOf) = 0;
 
     virtual void onStoreLost(std::string_view reason) = 0;
@@ -41,8 +41,8 @@
 public:
     virtual ~StoreReadListener() = default;
 
-    // Everything that changed after one revision up to another. From a listing nothing is passed on;
-    // then both revisions are the same.
+    // Everything that changed after one revision up to another. From a listing nothing is passed
+    // on; then both revisions are the same.
     virtual void onStoreRead(std::uint64_t from, std::uint64_t to,
                              const std::vector<StoreItem> &items) = 0;
 };
@@ -58,12 +58,12 @@
     // to a shorter question could hide a change.
     std::chrono::milliseconds wait{1050};
 
-    // Drawn anew for each question and added to it: one change wakes the questions of all instances,
-    // and without this all would be confirmed, and grow old, in step.
+    // Drawn anew for each question and added to it: one change wakes the questions of all
+    // instances, and without this all would be confirmed, and grow old, in step.
     std::chrono::milliseconds waitJitter{150};
 
-    // How long a change that another instance knows may be on its way here. Notices of several readers
-    // overtake each other by milliseconds, and each makes up for the other's losses.
+    // How long a change that another instance knows may be on its way here. Notices of several
+    // readers overtake each other by milliseconds, and each makes up for the other's losses.
     std::chrono::milliseconds patience{150};
 
     // Pause after an answer with changes. Calls are priced and counted against the store's rate,
@@ -76,7 +76,8 @@
 {
 public:
     StoreFollower(asio::io_context &loop, const Clock &time, const Dialect &words,
-                  StoreFollowerOptions given, std::uint64_t seed, StoreFollowerListener &to, StoreReadListener &readBy);
+                  StoreFollowerOptions given, std::uint64_t seed, StoreFollowerListener &to,
+                  StoreReadListener &readBy);
 
     void start();
     void stop();
@@ -84,12 +85,13 @@
     // An inactive follower asks nothing by itself and lives on what applyShared() brings.
     void setActive(bool wanted);
 
-    // Takes what another instance read. If a change in between is missing or was left out, the store
-    // is asked once.
+    // Takes what another instance read. If a change in between is missing or was left out, the
+    // store is asked once.
     void applyShared(std::uint64_t from, std::uint64_t to, const std::vector<StoreItem> &items,
                      bool incomplete);
 
-    // Another instance knows this revision. If nobody passes it on within a moment, the store is asked.
+    // Another instance knows this revision. If nobody passes it on within a moment, the store is
+    // asked.
     void catchUp(std::uint64_t to);
 
     // To be called some times a second.
--- a/include/jaytrack/Proxy/storesharing.h
+++ b/include/jaytrack/Proxy/storesharing.h
@@ -1,9 +1,10 @@
-// Which instances read the store, and how the others know that what they were told is still the newest.
+// Which instances read the store, and how the others know that what they were told is still the
+// newest.
 //
-// Load that it answers: calls to the store are priced and limited for all instances together, and each
-// instance that follows it makes three a second. A few readers do it for all. They pass on what changes;
-// every other instance asks one of them, some times a second, how old its knowledge is, and reads for
-// itself as soon as the answers show it to be too old or stop coming.
+// Load that it answers: calls to the store are priced and limited for all instances together, and
+// each instance that follows it makes three a second. A few readers do it for all. They pass on
+// what changes; every other instance asks one of them, some times a second, how old its knowledge
+// is, and reads for itself as soon as the answers show it to be too old or stop coming.
 #ifndef JAYTRACK_PROXY_STORESHARING_H
 #define JAYTRACK_PROXY_STORESHARING_H
 
@@ -20,13 +21,13 @@
 
 struct StoreSharingOptions
 {
-    // Readers in the whole fleet. After a change each pauses before it asks again; five rarely pause
-    // all at once, and any four may be cut off.
+    // Readers in the whole fleet. After a change each pauses before it asks again; five rarely
+    // pause all at once, and any four may be cut off.
     std::size_t readers = 5;
 
     // An instance whose knowledge was not confirmed for this long reads for itself. A reader whose
-    // questions nothing answers is confirmed every 1.2 s at most, as of the question's start, and asked every
-    // 0.3 s, so ages up to 2.7 s are no sign of trouble.
+    // questions nothing answers is confirmed every 1.2 s at most, as of the question's start, and
+    // asked every 0.3 s, so ages up to 2.7 s are no sign of trouble.
     Duration mostAge = std::chrono::milliseconds(2800);
 
     // And goes on doing so for this long at least, so that it does not change its mind at each loss
--- a/include/jaytrack/Routing/admission.h
+++ b/include/jaytrack/Routing/admission.h
@@ -1,9 +1,9 @@
 // Whether a request may be served at all: decided once, on arrival, under one configuration and the
 // age of its last confirmation.
 //
-// Load that it answers: instances cut off from the store go on serving for minutes. What they may do
-// meanwhile differs: serving a route that everybody knew is right, serving a key that may have been
-// taken away is not, and neither is denying what a newer configuration may allow.
+// Load that it answers: instances cut off from the store go on serving for minutes. What they may
+// do meanwhile differs: serving a route that everybody knew is right, serving a key that may have
+// been taken away is not, and neither is denying what a newer configuration may allow.
 #ifndef JAYTRACK_ROUTING_ADMISSION_H
 #define JAYTRACK_ROUTING_ADMISSION_H
 
@@ -19,8 +19,8 @@
     // is held up between this decision and the request's leaving.
     Duration keyFreshness = std::chrono::milliseconds(4500);
 
-    // Within this time a change is in force everywhere; a denial on an older view might deny what is
-    // allowed by now.
+    // Within this time a change is in force everywhere; a denial on an older view might deny what
+    // is allowed by now.
     Duration denialFreshness = std::chrono::milliseconds(2000);
 };
 
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -48,10 +48,9 @@
 struct ForwardOrders
 {
     std::chrono::milliseconds timeLeft{0};
-    std::string_view targetId; // the target refuses the request if it is another one
-    std::string_view customer; // empty if the route needs no key
+    std::string_view targetId;   // the target refuses the request if it is another one
+    std::string_view customer;   // empty if the route needs no key
     std::optional<int> priority; // 0 is the most urgent
-    std::string_view backupAddress; // where the engine keeps a copy of the run; empty for none
     std::optional<ResumePoint> resume;
     std::optional<std::uint64_t> lastEventId;
 };
@@ -125,7 +124,8 @@
     virtual Result<StorePage> decodeChanges(std::string_view body) const = 0;
 
     virtual Result<RoutingTable> decodeConfiguration(std::string_view value) const = 0;
-    virtual Result<TargetEntry> decodeTarget(std::string_view key, std::string_view value) const = 0;
+    virtual Result<TargetEntry> decodeTarget(std::string_view key,
+                                             std::string_view value) const = 0;
 
     virtual std::string_view loadPath() const = 0;
     virtual Result<EngineLoad> decodeLoad(std::string_view body) const = 0;
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -1,9 +1,10 @@
-// Which engine gets a generation, and which one keeps a copy of its memory.
+// Which engine gets a generation, and which one takes it in when its own is leaving.
 //
-// Load that it answers: some instances choose at the same time among the same engines on reports that
-// lag by half a second and more. Whoever takes the emptiest engine takes the one that all others take
-// too, and an engine that has just started fills its queue of prompts within one report. So the better
-// of a few random engines is taken, judged by the last report and by what this instance sent since.
+// Load that it answers: some instances choose at the same time among the same engines on reports
+// that lag by half a second and more. Whoever takes the emptiest engine takes the one that all
+// others take too, and an engine that has just started fills its queue of prompts within one
+// report. So the better of a few random engines is taken, judged by the last report and by what
+// this instance sent since.
 #ifndef JAYTRACK_ROUTING_ENGINECHOICE_H
 #define JAYTRACK_ROUTING_ENGINECHOICE_H
 
@@ -23,14 +24,15 @@
 struct GenerationNeed
 {
     std::uint32_t promptTokens = 0;
-    std::uint32_t outputTokens = 0; // expected
+    std::uint32_t outputTokens = 0;       // expected
     Duration mostDelay = Duration::max(); // until its prompt is read, or its first token is late
 };
 
 struct EngineChoiceOptions
 {
     // Engines compared for each generation. Notices between instances take milliseconds, so two
-    // rarely choose the same engine in the same moment; a few candidates still spread those that do.
+    // rarely choose the same engine in the same moment; a few candidates still spread those that
+    // do.
     std::size_t candidates = 6;
 
     // Part of an engine's memory up to which new generations are let in; short urgent ones, which
@@ -54,16 +56,12 @@
     // same engine before their notices reach each other.
     double refugeBlur = 0.25;
 
-    // Part of an engine's memory up to which copies of other engines' runs are placed there. Copies
-    // beyond it would take the room of runs that are served now.
-    double backupShare = 0.0;
-
     // Handicap, in parts of the memory, for a new run at an engine in another data centre: bytes
     // between them are priced.
     double distantHandicap = 0.05;
 
-    // The same for a copy whose engine is leaving: between data centres it takes twice as long (0.4 s
-    // for a mean run), and all copies that leave one engine wait for each other on its link.
+    // The same for a copy whose engine is leaving: between data centres it takes twice as long (0.4
+    // s for a mean run), and all copies that leave one engine wait for each other on its link.
     double distantCopyHandicap = 0.4;
 
     // After this many calls in a row that never reached an engine it is left alone for a while.
@@ -93,21 +91,18 @@
     void firstToken(std::string_view id, std::string_view run);
     void ended(std::string_view id, std::string_view run);
 
-    // A copy of a run is kept at an engine until dropped.
-    void backupPlaced(std::string_view id, std::string_view run, const GenerationNeed &need);
-    void backupDropped(std::string_view id, std::string_view run);
-
-    // The engine for a generation among those given; null if none that was compared has room for it.
-    // avoid names engines that have been tried.
-    const TargetEntry *choose(std::span<const TargetEntry *const> engines, const EngineTraits &traits,
-                              const GenerationNeed &need, const std::set<std::string> &avoid);
+    // A copy of a run lies at an engine until dropped.
+    void copyPlaced(std::string_view id, std::string_view run, const GenerationNeed &need);
+    void copyDropped(std::string_view id, std::string_view run);
 
-    // The engine for a copy that another engine keeps as a precaution; null if none has room to spare.
-    const TargetEntry *chooseBackup(std::span<const TargetEntry *const> engines,
-                                    const EngineTraits &traits, const GenerationNeed &need,
-                                    const TargetEntry &running);
+    // The engine for a generation among those given; null if none that was compared has room for
+    // it. avoid names engines that have been tried.
+    const TargetEntry *choose(std::span<const TargetEntry *const> engines,
+                              const EngineTraits &traits, const GenerationNeed &need,
+                              const std::set<std::string> &avoid);
 
-    // The engine to which a run moves whose own is leaving; null if there is none but those to avoid.
+    // The engine to which a run moves whose own is leaving; null if there is none but those to
+    // avoid.
     const TargetEntry *chooseRefuge(std::span<const TargetEntry *const> engines,
                                     const EngineTraits &traits, const GenerationNeed &need,
                                     const TargetEntry &running, const std::set<std::string> &avoid);
@@ -161,8 +156,8 @@
         std::string_view dataCentre; // where the request or the run comes from
         double distantHandicap = 0;
         std::size_t candidates = 0;
-        double mostCost = 0;   // an engine that would cost more is not taken
-        double mostMemory = 0; // nor one whose memory would be taken beyond this part
+        double mostMemory =
+                0; // an engine whose memory would be taken beyond this part is not taken
         Duration mostDelay = Duration::max(); // nor one that would have read the prompt later
         double blur = 0;
     };
--- a/include/jaytrack/Routing/retrybudget.h
+++ b/include/jaytrack/Routing/retrybudget.h
@@ -26,7 +26,8 @@
     static constexpr double usedPart = 0.75;
 
     // Repeats that an idle instance may send out of nothing. The slack is shared with an unknown
-    // number of instances, so this stays small: 2 x 7 instances is a quarter of the least slack seen.
+    // number of instances, so this stays small: 2 x 7 instances is a quarter of the least slack
+    // seen.
     static constexpr double burst = 2;
 
     RetryBudget(const Clock &time, RetryBound given)
--- a/include/jaytrack/Routing/routingtable.h
+++ b/include/jaytrack/Routing/routingtable.h
@@ -1,6 +1,6 @@
-// The operators' rules as an entry instance applies them: which requests exist, whom they belong to,
-// where they may run and what may be repeated. Immutable once built, so that a request is decided
-// under one version from its arrival to its end.
+// The operators' rules as an entry instance applies them: which requests exist, whom they belong
+// to, where they may run and what may be repeated. Immutable once built, so that a request is
+// decided under one version from its arrival to its end.
 #ifndef JAYTRACK_ROUTING_ROUTINGTABLE_H
 #define JAYTRACK_ROUTING_ROUTINGTABLE_H
 
@@ -37,7 +37,7 @@
     std::string host;
     std::string prefix;
     RequestKind kind = RequestKind::Once;
-    std::chrono::milliseconds timeout{0}; // longest time to keep a caller waiting; 0 is unbounded
+    std::chrono::milliseconds timeout{0};   // longest time to keep a caller waiting; 0 is unbounded
     std::chrono::milliseconds objective{0}; // an answer within it earns its full worth
     std::chrono::milliseconds longestPause{0}; // between two events of a stream
     int priority = 0;                          // 0 is the most urgent
--- a/include/jaytrack/Routing/runplan.h
+++ b/include/jaytrack/Routing/runplan.h
@@ -1,10 +1,11 @@
-// The life of one generation across engines: where it runs, where a copy of its memory lies, and what
-// is to be done when an engine leaves or is lost.
+// The life of one generation across engines: where it runs, where a copy of its memory lies, and
+// what is to be done when an engine leaves or is lost.
 //
 // Load that it answers: engines that live for some twenty seconds and leave on two seconds' notice
-// under generations that take ten. A generation that may run once is lost with its engine unless its
-// memory lies elsewhere by then. Copying starts while the engine is calm, because on notice all its
-// runs queue on one link: eight of them take it two seconds.
+// under generations that take ten. A generation that may run once is lost with its engine unless
+// its memory lies elsewhere by then. It is copied on notice, once, while the engine works on; what
+// it makes meanwhile is a few tokens that the next engine reads anew. Copies ahead of time would
+// take the memory of as many other runs.
 #ifndef JAYTRACK_ROUTING_RUNPLAN_H
 #define JAYTRACK_ROUTING_RUNPLAN_H
 
@@ -21,20 +22,18 @@
 {
     bool movesRuns = false; // engines copy a run when told to
     bool mayRunAgain = false;
-    // Whether copies are ordered before an engine leaves. Off: with copies of all runs, engines whose
-    // memory is half full preempt (27 runs instead of 3 in half a minute of a quiet emulated site).
-    bool copiesWhileCalm = false;
-    // A copy that was made on order is dropped by its engine when it is not renewed within this time.
+    // A copy is dropped by its engine when it is not used within this time.
     Duration copyLife = std::chrono::seconds(5);
-    // Copies that one departure may try; each failure costs a round trip or a queue on the link.
-    int mostCopyTries = 4;
-    // Pause after a failed copy in calm times, while engines are short of room.
-    Duration calmRetry = std::chrono::milliseconds(1000);
+    // Copies that one departure may try. A refusal costs a round trip and comes from a full engine.
+    int mostCopyTries = 12;
+    // Pause after a refusal. Engines that are full now have room some tenths of a second later, and
+    // a departure leaves a second and a half.
+    Duration retryPause = std::chrono::milliseconds(80);
 };
 
 enum class RunStepKind {
     Wait,     // nothing to do now
-    MakeCopy, // have the engine copy the run to another one, or renew its copy
+    MakeCopy, // have the engine copy the run to another one
     Resume,   // go on at the engine that holds the copy
     StartAnew,
     Lost
@@ -43,9 +42,8 @@
 struct RunStep
 {
     RunStepKind kind = RunStepKind::Wait;
-    std::string target;        // id of the engine to copy to or resume at; empty: to be chosen
-    std::string targetAddress; // with target
-    ResumePoint from;          // for Resume
+    std::string target; // for Resume, the id of the engine that holds the copy
+    ResumePoint from;   // for Resume
 };
 
 class RunPlan
@@ -57,14 +55,14 @@
     {
     }
 
-    // The run takes place at an engine, which keeps a copy at another one by itself if given.
-    void placed(const TargetEntry &engine, const TargetEntry *backup, std::string_view attemptId);
+    // The run takes place at an engine.
+    void placed(std::string_view engine);
 
     void eventMade() { this->anyEvent = true; }
 
     // An ordered copy is under way, was made, or failed.
     void copyBegan();
-    void copyMade(const TargetEntry &at, ResumePoint point);
+    void copyMade(std::string_view at, ResumePoint point);
     void copyFailed(std::string_view at);
 
     // The engine that holds the copy does not have it, or refuses.
@@ -88,9 +86,7 @@
     struct Copy
     {
         std::string target;
-        std::string address;
         ResumePoint point;
-        bool keptByEngine = false; // the running engine renews it by itself
         TimePoint madeAt;
     };
 
@@ -106,7 +102,7 @@
     bool lost = false;
     bool copying = false;
     int copyTries = 0;
-    TimePoint calmTryAt;
+    TimePoint copyTryAt;
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Stream/sse.h
+++ b/include/jaytrack/Stream/sse.h
@@ -16,7 +16,7 @@
     std::string_view id;
     std::string_view name;
     std::string_view data;
-    std::string_view text; // all bytes of the event as they came, blank line included
+    std::string_view text = {}; // all bytes of the event as they came, blank line included
 };
 
 // Cuts a byte stream, arriving in any pieces, into events.
--- a/include/jaytrack/Support/boottimeclock.h
+++ b/include/jaytrack/Support/boottimeclock.h
@@ -6,8 +6,9 @@
 
 namespace jaytrack {
 
-// The steady clock stands still while a machine is suspended, so an instance that woke up would take
-// what it knew before for fresh and serve keys that were taken away meanwhile. This one counts on.
+// The steady clock stands still while a machine is suspended, so an instance that woke up would
+// take what it knew before for fresh and serve keys that were taken away meanwhile. This one counts
+// on.
 class BoottimeClock final : public Clock
 {
 public:
--- a/include/jaytrack/Support/log.h
+++ b/include/jaytrack/Support/log.h
@@ -35,9 +35,9 @@
     std::string value;
 };
 
-// Sends log lines to standard output, from a thread of its own and without glog's prefix. Call once,
-// from main; before it, lines go where glog sends them. Lines beyond half a megabyte that wait to be
-// written are dropped and counted, so that no request ever waits for its log.
+// Sends log lines to standard output, from a thread of its own and without glog's prefix. Call
+// once, from main; before it, lines go where glog sends them. Lines beyond half a megabyte that
+// wait to be written are dropped and counted, so that no request ever waits for its log.
 void initialiseLog(const char *program);
 
 // Writes one event. Values with blanks, quotes or control characters are quoted, so that a line
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -409,8 +409,8 @@
             });
             return;
         }
-        const auto connection = std::make_shared<CallerConnection>(std::move(accepted), this->clock,
-                                                                   this->handler);
+        const auto connection =
+                std::make_shared<CallerConnection>(std::move(accepted), this->clock, this->handler);
         if (this->connections.size() >= this->sweepAt) {
             std::erase_if(this->connections, [](const auto &weak) { return weak.expired(); });
             this->sweepAt = std::max<std::size_t>(64, this->connections.size() * 2);
--- a/lib/Net/httpparser.cpp
+++ b/lib/Net/httpparser.cpp
@@ -98,7 +98,9 @@
             return -1;
         }
         this->parser.upgrade = 0; // another protocol on the connection is never agreed to
-        this->head.method = this->requests ? http_method_str(static_cast<http_method>(this->parser.method)) : "";
+        this->head.method = this->requests
+                                    ? http_method_str(static_cast<http_method>(this->parser.method))
+                                    : "";
         this->head.status = static_cast<int>(this->parser.status_code);
         this->head.keepAlive = http_should_keep_alive(&this->parser) != 0;
         this->head.framed = this->requests || (this->parser.flags & F_CHUNKED) != 0 ||
@@ -158,7 +160,8 @@
     return made;
 }
 
-HttpMessageParser::HttpMessageParser(Reads reads, MessageReceiver &receiver, std::size_t maxHeadBytes)
+HttpMessageParser::HttpMessageParser(Reads reads, MessageReceiver &receiver,
+                                     std::size_t maxHeadBytes)
     : state(std::make_unique<State>(reads, receiver, maxHeadBytes))
 {
 }
--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -71,14 +71,15 @@
     this->request.body.clear();
     this->request.headers.clear();
     this->sent = true;
-    asio::async_write(this->socket, asio::buffer(this->outgoing),
-                      [self = this->shared_from_this()](const asio::error_code &failure, std::size_t) {
-                          self->outgoing.clear();
-                          self->outgoing.shrink_to_fit();
-                          // A target may answer without reading the whole body; the answer is
-                          // read all the same, so a failed write alone ends nothing.
-                          (void)failure;
-                      });
+    asio::async_write(
+            this->socket, asio::buffer(this->outgoing),
+            [self = this->shared_from_this()](const asio::error_code &failure, std::size_t) {
+                self->outgoing.clear();
+                self->outgoing.shrink_to_fit();
+                // A target may answer without reading the whole body; the answer is
+                // read all the same, so a failed write alone ends nothing.
+                (void)failure;
+            });
     this->read();
 }
 
@@ -100,7 +101,8 @@
     if (this->over)
         return;
     if (failure) {
-        // Only an orderly end completes an answer without a length; after a reset bytes are missing.
+        // Only an orderly end completes an answer without a length; after a reset bytes are
+        // missing.
         const bool orderly = failure == asio::error::eof;
         if (orderly && this->parser.inMessage() && this->parser.finish())
             return this->end(true, "complete");
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -24,16 +24,16 @@
 // decision and the request's leaving.
 constexpr std::chrono::milliseconds keyMargin{500};
 
-// How long a stopping instance goes on taking connections: the balancer asks once a second and takes
-// an instance out after two refusals.
+// How long a stopping instance goes on taking connections: the balancer asks once a second and
+// takes an instance out after two refusals.
 constexpr std::chrono::milliseconds takeConnectionsFor{3000};
 
 // Before the forced end, so that the process ends by itself.
 constexpr std::chrono::milliseconds endMargin{300};
 
 // After an answer with changes a reader of the store pauses. Changes come some times a second, and
-// readers that have not just been answered bring the next one without delay; with a pause of 50 ms the
-// readers of 73 instances made 10 calls a second each.
+// readers that have not just been answered bring the next one without delay; with a pause of 50 ms
+// the readers of 73 instances made 10 calls a second each.
 constexpr std::chrono::milliseconds changesGap{400};
 
 constexpr std::chrono::milliseconds tickGap{100};
@@ -119,8 +119,15 @@
         , feeds(this->configuration, this->targets)
         , sharing(time, given.name, StoreSharingOptions(), this->random, this->configuration)
         , prober(this->loop, words, this->engines, *this, this->random)
-        , context{this->loop,   time,           words,         this->metrics, this->directory,
-                  this->health, this->engines,  this->retries, this->random,
+        , context{this->loop,
+                  time,
+                  words,
+                  this->metrics,
+                  this->directory,
+                  this->health,
+                  this->engines,
+                  this->retries,
+                  this->random,
                   [this](std::string_view engine, const GenerationNeed &need, bool copied) {
                       if (this->peers)
                           this->peers->announce(engine, need, copied);
@@ -138,9 +145,8 @@
 
     void applyBounds()
     {
-        this->bounds.keyFreshness =
-                std::max<Duration>(this->settings.keyFreshness - keyMargin,
-                                   this->settings.keyFreshness / 2);
+        this->bounds.keyFreshness = std::max<Duration>(this->settings.keyFreshness - keyMargin,
+                                                       this->settings.keyFreshness / 2);
         this->bounds.denialFreshness = this->settings.configurationDelay;
     }
 
@@ -183,9 +189,9 @@
         StoreFollowerOptions everything;
         everything.store = store.value();
         everything.gap = changesGap;
-        this->follower = std::make_shared<StoreFollower>(this->loop, this->clock, this->dialect,
-                                                         everything, this->random(), this->feeds,
-                                                         this->sharing);
+        this->follower =
+                std::make_shared<StoreFollower>(this->loop, this->clock, this->dialect, everything,
+                                                this->random(), this->feeds, this->sharing);
         if (this->peers)
             this->sharing.attach(*this->peers, this->follower);
         this->follower->start();
@@ -218,9 +224,10 @@
         if (admitted.admission.code != ResultCode::Ok)
             return this->refuse(*connection, admitted, inputs);
         const bool stream = isStream(admitted.admission.route->kind);
-        const auto exchange =
-                stream ? makeStreamExchange(this->context, std::move(connection), std::move(admitted))
-                       : makePlainExchange(this->context, std::move(connection), std::move(admitted));
+        const auto exchange = stream ? makeStreamExchange(this->context, std::move(connection),
+                                                          std::move(admitted))
+                                     : makePlainExchange(this->context, std::move(connection),
+                                                         std::move(admitted));
         exchange->start();
     }
 
@@ -243,7 +250,8 @@
                   {"status", info.httpStatus},
                   {"host", inputs.host},
                   {"path", inputs.path},
-                  {"config", admitted.table ? static_cast<std::int64_t>(admitted.table->version) : 0},
+                  {"config",
+                   admitted.table ? static_cast<std::int64_t>(admitted.table->version) : 0},
                   {"config_age_ms", static_cast<std::int64_t>(admitted.table ? age.count() : -1)}});
         this->metrics.count("jaytrack_refused_total{result=\"" + std::string(info.name) + "\"}");
         connection.respond(info.httpStatus, headers, {});
@@ -401,7 +409,8 @@
         const EntrySettings fresh = readEntrySettings(this->settingsFile, problems);
         for (const Problem &problem : problems)
             logEvent(Severity::Error, "settings_rejected",
-                     {{"code", static_cast<std::int64_t>(problem.code)}, {"detail", problem.text()}});
+                     {{"code", static_cast<std::int64_t>(problem.code)},
+                      {"detail", problem.text()}});
         if (!problems.empty())
             return;
         const bool moved = fresh.callers != this->settings.callers ||
@@ -457,8 +466,8 @@
         if (ready == this->wasReady)
             return;
         this->wasReady = ready;
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-                this->configuration.age());
+        const auto age =
+                std::chrono::duration_cast<std::chrono::milliseconds>(this->configuration.age());
         logEvent(Severity::Info, ready ? "instance_ready" : "instance_not_ready",
                  {{"name", this->settings.name},
                   {"config_age_ms", static_cast<std::int64_t>(age.count())},
--- a/lib/Proxy/entrysettings.cpp
+++ b/lib/Proxy/entrysettings.cpp
@@ -34,7 +34,8 @@
     return std::chrono::seconds(table.integer(key, secondRange, fallback.count()));
 }
 
-// Seeds name hosts of the fleet by whatever port the platform lists; peers use one port on all hosts.
+// Seeds name hosts of the fleet by whatever port the platform lists; peers use one port on all
+// hosts.
 std::string withPortOf(std::string_view seed, std::string_view own)
 {
     return std::string(seed.substr(0, seed.rfind(':'))) + std::string(own.substr(own.rfind(':')));
@@ -55,7 +56,8 @@
         peers.report(ResultCode::SettingsMissing, "keys", "at least one key must be given");
     for (const std::string &key : settings.peerKeys) {
         if (key.size() < leastKeyLength)
-            peers.report(ResultCode::SettingsOutOfRange, "keys", "a key has at least 16 characters");
+            peers.report(ResultCode::SettingsOutOfRange, "keys",
+                         "a key has at least 16 characters");
     }
     peers.finish();
 }
@@ -92,7 +94,8 @@
 
     TomlTable bounds = root.table("bounds");
     settings.keyFreshness = readMillis(bounds, "key_freshness_ms", settings.keyFreshness);
-    settings.configurationDelay = readMillis(bounds, "configuration_ms", settings.configurationDelay);
+    settings.configurationDelay =
+            readMillis(bounds, "configuration_ms", settings.configurationDelay);
     settings.drainGrace = readSeconds(bounds, "drain_grace_s", settings.drainGrace);
     settings.retryRatio = bounds.number("retry_ratio", 0, 1, settings.retryRatio);
     settings.retryWindow = readSeconds(bounds, "retry_window_s", settings.retryWindow);
@@ -100,11 +103,10 @@
 
     TomlTable limits = root.table("limits");
     static constexpr std::size_t megabyte = 1U << 20U;
-    settings.memoryBytes =
-            static_cast<std::size_t>(limits.integer(
-                    "memory_mb", megabyteRange,
-                    static_cast<std::int64_t>(settings.memoryBytes / megabyte))) *
-            megabyte;
+    settings.memoryBytes = static_cast<std::size_t>(limits.integer(
+                                   "memory_mb", megabyteRange,
+                                   static_cast<std::int64_t>(settings.memoryBytes / megabyte))) *
+                           megabyte;
     settings.descriptors = static_cast<std::size_t>(limits.integer(
             "descriptors", descriptorRange, static_cast<std::int64_t>(settings.descriptors)));
     limits.finish();
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -58,7 +58,8 @@
 
 // Load that it answers: a herd of callers refused at the same moment. Whoever only met an instance
 // that cannot serve now goes to another one and may do so at once; whoever met full targets waits a
-// part of the objective, drawn at random, so that the herd spreads and its answer is still worth having.
+// part of the objective, drawn at random, so that the herd spreads and its answer is still worth
+// having.
 std::chrono::milliseconds comeBackDelay(ResultCode code, const RouteRule *route,
                                         std::mt19937_64 &random)
 {
@@ -68,7 +69,8 @@
             route == nullptr || route->objective.count() == 0 ? unknownRoute : route->objective;
     const bool instanceOnly = code == ResultCode::Draining || code == ResultCode::NotReady ||
                               code == ResultCode::ConfigurationStale;
-    const std::chrono::milliseconds most = instanceOnly ? soon * 2 : std::max(soon * 2, objective / 4);
+    const std::chrono::milliseconds most =
+            instanceOnly ? soon * 2 : std::max(soon * 2, objective / 4);
     std::uniform_int_distribution<std::int64_t> delay(soon.count(), most.count());
     return std::chrono::milliseconds(delay(random));
 }
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -11,7 +11,8 @@
 
 } // namespace
 
-class LoadProber::Probe final : public TargetCallListener, public std::enable_shared_from_this<Probe>
+class LoadProber::Probe final : public TargetCallListener,
+                                public std::enable_shared_from_this<Probe>
 {
 public:
     Probe(LoadProber &owner, TargetEntry at)
@@ -68,8 +69,8 @@
         request.connectTimeout = answerBound;
         this->status = 0;
         this->body.clear();
-        this->call = TargetCall::start(this->prober.context, std::move(request),
-                                       this->weak_from_this());
+        this->call =
+                TargetCall::start(this->prober.context, std::move(request), this->weak_from_this());
         this->timer.expires_after(answerBound);
         this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
             const auto self = weak.lock();
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -53,8 +53,8 @@
     changes.to = static_cast<std::uint64_t>(notice.toRevision);
     changes.incomplete = notice.incomplete;
     for (const wire::StoreItemNotice &item : notice.items) {
-        changes.items.push_back({item.key, item.value, static_cast<std::uint64_t>(item.revision),
-                                 item.deleted});
+        changes.items.push_back(
+                {item.key, item.value, static_cast<std::uint64_t>(item.revision), item.deleted});
     }
     return changes;
 }
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// An idempotent request is given to a second target once the first has taken twice the objective: an
-// engine that hangs would otherwise cost the caller its whole deadline. The least keeps the tail of
-// ordinary work (five times its mean) from being repeated.
+// An idempotent request is given to a second target once the first has taken twice the objective:
+// an engine that hangs would otherwise cost the caller its whole deadline. The least keeps the tail
+// of ordinary work (five times its mean) from being repeated.
 constexpr int objectivesPerTry = 2;
 constexpr std::chrono::milliseconds leastTry{250};
 
@@ -93,8 +93,8 @@
             return;
         this->tryTimer.expires_after(
                 std::max(this->route().objective * objectivesPerTry, leastTry));
-        this->tryTimer.async_wait([self = this->shared_from_this(), this](
-                                          const asio::error_code &failure) {
+        this->tryTimer.async_wait([self = this->shared_from_this(),
+                                   this](const asio::error_code &failure) {
             if (failure || this->isFinished() || this->untried().empty() ||
                 !this->context.retries.take(this->serviceName))
                 return;
@@ -153,9 +153,8 @@
     void retryOr(ResultCode code, std::string_view reason)
     {
         // A connection that was never made is no repeat for the service and costs no budget.
-        if (this->mayRetry() &&
-            (code == ResultCode::TargetUnreachable ||
-             this->context.retries.take(this->serviceName))) {
+        if (this->mayRetry() && (code == ResultCode::TargetUnreachable ||
+                                 this->context.retries.take(this->serviceName))) {
             this->logDecision("request_retried", {{"reason", reason}, {"target", this->target.id}});
             return this->attempt();
         }
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -108,8 +108,8 @@
     } else {
         std::uniform_int_distribution<std::int64_t> jitter(0, this->options.waitJitter.count());
         this->askedWait = this->options.wait + std::chrono::milliseconds(jitter(this->random));
-        request.target = this->dialect.watchTarget(this->options.prefix, this->revision,
-                                                   this->askedWait);
+        request.target =
+                this->dialect.watchTarget(this->options.prefix, this->revision, this->askedWait);
         bound += this->askedWait;
     }
     request.headers.push_back({"Host", this->options.store.address().to_string()});
@@ -131,7 +131,8 @@
 void StoreFollower::askLater(std::chrono::milliseconds delay)
 {
     this->waiting = false;
-    // An inactive follower stops once it knows the whole; a failed call is tried again all the same.
+    // An inactive follower stops once it knows the whole; a failed call is tried again all the
+    // same.
     if (this->stopped || (!this->active && !this->listing && this->failures == 0))
         return;
     this->waiting = true;
--- a/lib/Proxy/storesharing.cpp
+++ b/lib/Proxy/storesharing.cpp
@@ -23,7 +23,8 @@
     this->follower = std::move(follows);
 }
 
-// Every instance ranks all by the same hash, so those that agree on who is there agree on who reads.
+// Every instance ranks all by the same hash, so those that agree on who is there agree on who
+// reads.
 void StoreSharing::onPeersChanged(const std::vector<std::string> &names)
 {
     std::vector<std::string> ranked = names;
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -19,14 +19,14 @@
 // Longest answer that is no stream, such as an engine's own failure.
 constexpr std::size_t mostPlainBytes = 256U << 10U;
 
-// A run that goes on at another engine must not be worked on at both for long; the old connection is
-// closed this long after the new one was opened, or as soon as the new engine has taken the run.
+// A run that goes on at another engine must not be worked on at both for long; the old connection
+// is closed this long after the new one was opened, or as soon as the new engine has taken the run.
 constexpr std::chrono::milliseconds mostOverlap{250};
 
-// A generation waits for room for this part of its objective before its caller is refused, and looks
-// for it so often. A refusal is the better the earlier it comes; in a third of the objective as many
-// generations of a full site end as arrive.
-constexpr int objectivePartsToWait = 3;
+// A generation waits for room for this part of its objective before its caller is refused, and
+// looks for it so often. Told that early, the caller can still come back in time for the whole
+// objective.
+constexpr int objectivePartsToWait = 8;
 
 // Of the time until the first token is late, this part may be planned for; the rest is for what the
 // forecast does not know.
@@ -34,8 +34,9 @@
 
 constexpr std::chrono::milliseconds roomGap{30};
 
-// How often a run looks whether its copy needs renewing; copies live for seconds.
-constexpr std::chrono::milliseconds planGap{500};
+// How often a run whose engine is leaving looks what can be done, a few times in the pause after a
+// refused copy.
+constexpr std::chrono::milliseconds planGap{40};
 
 // A copy of a whole run takes half a second between data centres when it is first in the queue.
 constexpr std::chrono::milliseconds moveBound{2500};
@@ -91,7 +92,6 @@
     std::weak_ptr<StreamExchange> owner;
     TargetEntry target;
     bool resumed;
-    std::optional<TargetEntry> backup; // where the engine was told to keep a copy
     std::shared_ptr<TargetCall> call;
     MessageHead head;
     std::string plainBody;
@@ -144,7 +144,8 @@
     void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override
     {
         this->plan.engineLeaving(entry.id);
-        if (this->current && this->current->target.id == entry.id) {
+        const bool concerned = this->current && this->current->target.id == entry.id;
+        if (concerned) {
             this->logDecision("engine_leaving",
                               {{"target", entry.id},
                                {"reason", reason},
@@ -153,6 +154,8 @@
         }
         this->syncCopy();
         this->act();
+        if (concerned)
+            this->watchPlan();
     }
 
     void onCallerWritable() override
@@ -191,11 +194,10 @@
     }
 
     std::shared_ptr<StreamLeg> open(const TargetEntry &target, std::optional<ResumePoint> resume);
-    const TargetEntry *chooseBackup(const TargetEntry &running);
     void syncCopy();
     void act();
     void resume(const RunStep &step);
-    void makeCopy(const RunStep &step);
+    void makeCopy();
     void orderCopy(const TargetEntry &destination);
     void watchPlan();
     void takeOver();
@@ -207,6 +209,7 @@
     void beginAnswer(const MessageHead &head);
     void beginLeg(const StreamLeg &leg);
     void waitForRoom();
+    Duration usableDelay() const;
 
     EngineTraits traits;
     GenerationNeed need;
@@ -222,11 +225,12 @@
     std::uint64_t lastEvent = 0; // the last one that was passed on
     bool answerBegun = false;
     std::string lossReason;
+    TimePoint lostAt;       // when the engine of a run that had begun was lost
     bool uncertain = false; // some engine may have worked on the request before the current leg
     int handOvers = 0;
     TimePoint lastEventAt;
-    Duration firstEventAfter{-1}; // from the request's arrival
-    Duration longestPause{0};     // between two events
+    Duration firstEventAfter{-1};   // from the request's arrival
+    Duration longestPause{0};       // between two events
     std::uint64_t pausedBefore = 0; // the event that ended the longest pause
 };
 
@@ -239,7 +243,6 @@
     fields.emplace_back("hand_overs", this->handOvers);
 }
 
-
 void StreamLeg::onAnswerHead(MessageHead answer)
 {
     this->head = std::move(answer);
@@ -291,24 +294,19 @@
     if (this->lastEvent > 0 || orders.resume)
         orders.lastEventId = this->lastEvent;
     const KeyHolder *holder = this->admitted.admission.holder;
-    orders.priority = holder != nullptr && holder->priority ? *holder->priority
-                                                            : this->route().priority;
-    const TargetEntry *backup = this->chooseBackup(target);
-    if (backup != nullptr)
-        orders.backupAddress = backup->address;
+    orders.priority =
+            holder != nullptr && holder->priority ? *holder->priority : this->route().priority;
     auto leg = std::make_shared<StreamLeg>(this->self(), target, orders.resume.has_value());
     this->logDecision(
             orders.resume ? "run_resumed" : "run_placed",
             {{"target", target.id},
              {"address", target.address},
-             {"backup", backup != nullptr ? std::string_view(backup->id) : std::string_view("none")},
              {"after_event", static_cast<std::int64_t>(this->lastEvent)},
              {"prompt_tokens", this->need.promptTokens},
              {"expected_tokens", this->need.outputTokens},
-             {"forecast_tokens", static_cast<std::int64_t>(
-                                         this->context.engines.forecast(target.id).memoryTokens)},
-             {"report_age_ms",
-              toMillis(this->context.engines.forecast(target.id).reportAge)},
+             {"forecast_tokens",
+              static_cast<std::int64_t>(this->context.engines.forecast(target.id).memoryTokens)},
+             {"report_age_ms", toMillis(this->context.engines.forecast(target.id).reportAge)},
              {"forecast_delay_ms", toMillis(this->context.engines.forecast(target.id).delay)},
              {"left_ms", static_cast<std::int64_t>(this->timeLeft().count())}});
     this->context.engines.began(target.id, this->facts().attemptId, this->need,
@@ -318,17 +316,13 @@
         this->context.announce(target.id, this->need, false);
     leg->call = TargetCall::start(this->context.loop,
                                   this->makeRequest(target, orders, endpoint.value()), leg);
-    leg->backup = backup == nullptr ? std::nullopt : std::optional<TargetEntry>(*backup);
     return leg;
 }
 
 void StreamExchange::attempt()
 {
     const std::vector<const TargetEntry *> engines = this->untried();
-    const Duration waited = this->context.clock.now() - this->request().arrived;
-    this->need.mostDelay = this->route().objective.count() > 0
-                                   ? (this->route().objective - waited) * usableTenths / 10
-                                   : Duration::max();
+    this->need.mostDelay = this->usableDelay();
     const TargetEntry *chosen =
             this->context.engines.choose(engines, this->traits, this->need, this->tried);
     if (chosen == nullptr)
@@ -343,16 +337,26 @@
     this->beginLeg(*this->current);
 }
 
-// Every engine that was compared is full. Room comes free within tenths of a second as others end, so
-// a short wait is worth it; after it the caller is told, early enough to come back in time.
-void StreamExchange::waitForRoom()
+// How long a prompt may wait at an engine so that its first token is still in time. A run that was
+// lost elsewhere and starts anew is late already; it is served late rather than not at all.
+Duration StreamExchange::usableDelay() const
 {
     const Duration waited = this->context.clock.now() - this->request().arrived;
-    if (waited > this->route().objective / objectivePartsToWait) {
-        const bool mayHaveRun = this->uncertain;
-        return this->answerOwn(mayHaveRun ? ResultCode::TargetLost : ResultCode::WaitExpired,
+    if (this->uncertain || this->route().objective.count() == 0)
+        return Duration::max();
+    return std::max(Duration(0), (this->route().objective - waited) * usableTenths / 10);
+}
+
+// Every engine that was compared is full. Room comes free within tenths of a second as others end,
+// so a short wait is worth it; after it the caller is told, early enough to come back in time.
+void StreamExchange::waitForRoom()
+{
+    const TimePoint since = this->uncertain ? this->lostAt : this->request().arrived;
+    const Duration patience = this->uncertain ? Duration(this->route().objective)
+                                              : this->route().objective / objectivePartsToWait;
+    if (this->context.clock.now() - since > patience)
+        return this->answerOwn(this->uncertain ? ResultCode::TargetLost : ResultCode::WaitExpired,
                                "engines_full");
-    }
     this->roomTimer.expires_after(roomGap);
     this->roomTimer.async_wait([self = this->self()](const asio::error_code &failure) {
         if (!failure && !self->isFinished())
@@ -362,26 +366,16 @@
 
 void StreamExchange::beginLeg(const StreamLeg &leg)
 {
-    this->plan.placed(leg.target, leg.backup ? &*leg.backup : nullptr, this->facts().attemptId);
+    this->plan.placed(leg.target.id);
+    this->syncCopy();
     // The engine may have announced its leaving while the run was on its way there.
     const TargetEntry *listed = this->context.directory.find(leg.target.id);
-    if (listed == nullptr || listed->leaving)
-        this->plan.engineLeaving(leg.target.id);
-    this->syncCopy();
+    if (listed != nullptr && !listed->leaving)
+        return;
+    this->plan.engineLeaving(leg.target.id);
     this->watchPlan();
 }
 
-const TargetEntry *StreamExchange::chooseBackup(const TargetEntry &running)
-{
-    // A run that may start anew elsewhere needs no copy: it is short, and a copy costs the memory of
-    // a whole prompt at another engine.
-    if (!this->traits.keepsBackups || mayRunAgain(this->route().kind))
-        return nullptr;
-    const std::vector<const TargetEntry *> engines =
-            this->context.directory.usable(this->serviceName);
-    return this->context.engines.chooseBackup(engines, this->traits, this->need, running);
-}
-
 // Keeps the account of the room that the run's copy takes.
 void StreamExchange::syncCopy()
 {
@@ -389,10 +383,10 @@
     if (holder == this->copyHolder)
         return;
     if (!this->copyHolder.empty())
-        this->context.engines.backupDropped(this->copyHolder, this->facts().attemptId);
+        this->context.engines.copyDropped(this->copyHolder, this->facts().attemptId);
     this->copyHolder = holder;
     if (!this->copyHolder.empty())
-        this->context.engines.backupPlaced(this->copyHolder, this->facts().attemptId, this->need);
+        this->context.engines.copyPlaced(this->copyHolder, this->facts().attemptId, this->need);
 }
 
 void StreamExchange::dropLeg(std::shared_ptr<StreamLeg> &leg)
@@ -417,7 +411,7 @@
     this->planTimer.cancel();
     this->roomTimer.cancel();
     if (!this->copyHolder.empty())
-        this->context.engines.backupDropped(this->copyHolder, this->facts().attemptId);
+        this->context.engines.copyDropped(this->copyHolder, this->facts().attemptId);
     this->copyHolder.clear();
 }
 
@@ -548,6 +542,7 @@
     if (!sent)
         return this->attempt();
     this->uncertain = true;
+    this->lostAt = this->context.clock.now();
     if (this->move) {
         this->move->call->cancel();
         this->move.reset();
@@ -579,7 +574,7 @@
     case RunStepKind::Resume:
         return this->resume(step);
     case RunStepKind::MakeCopy:
-        return this->makeCopy(step);
+        return this->makeCopy();
     case RunStepKind::StartAnew:
         if (this->sends < this->route().maxAttempts &&
             this->context.retries.take(this->serviceName))
@@ -590,18 +585,20 @@
     }
 }
 
-// The plan is looked at from time to time as well: copies grow old.
+// While the engine is leaving the plan is looked at from time to time: refused copies are tried
+// again.
 void StreamExchange::watchPlan()
 {
     this->planTimer.expires_after(planGap);
-    this->planTimer.async_wait([weak = this->weak_from_this(), this](const asio::error_code &failure) {
-        const auto alive = weak.lock();
-        if (failure || !alive || this->isFinished())
-            return;
-        this->act();
-        if (!this->isFinished())
-            this->watchPlan();
-    });
+    this->planTimer.async_wait(
+            [weak = this->weak_from_this(), this](const asio::error_code &failure) {
+                const auto alive = weak.lock();
+                if (failure || !alive || this->isFinished())
+                    return;
+                this->act();
+                if (!this->isFinished() && this->plan.isLeaving())
+                    this->watchPlan();
+            });
 }
 
 void StreamExchange::resume(const RunStep &step)
@@ -629,17 +626,14 @@
     });
 }
 
-void StreamExchange::makeCopy(const RunStep &step)
+void StreamExchange::makeCopy()
 {
     if (!this->current || this->move)
         return;
-    const TargetEntry *chosen = this->context.directory.find(step.target);
-    if (chosen == nullptr) {
-        const std::vector<const TargetEntry *> engines =
-                this->context.directory.usable(this->serviceName);
-        chosen = this->context.engines.chooseRefuge(engines, this->traits, this->need,
-                                                    this->current->target, this->plan.unfit());
-    }
+    const std::vector<const TargetEntry *> engines =
+            this->context.directory.usable(this->serviceName);
+    const TargetEntry *chosen = this->context.engines.chooseRefuge(
+            engines, this->traits, this->need, this->current->target, this->plan.unfit());
     if (chosen != nullptr)
         this->orderCopy(*chosen);
 }
@@ -651,7 +645,8 @@
     this->plan.copyBegan();
     // The copy is as large as the run has grown by now.
     GenerationNeed copied = this->need;
-    copied.promptTokens += static_cast<std::uint32_t>(this->lastEvent) * this->traits.tokensPerEvent;
+    copied.promptTokens +=
+            static_cast<std::uint32_t>(this->lastEvent) * this->traits.tokensPerEvent;
     this->context.announce(destination.id, copied, true);
     this->logDecision("run_copy", {{"from", this->current->target.id},
                                    {"to", destination.id},
@@ -665,8 +660,8 @@
     request.target = this->context.dialect.movePath();
     request.headers.push_back({"Host", this->current->target.address});
     request.headers.push_back({"Content-Type", "application/json"});
-    request.body = this->context.dialect.encodeMove(this->facts().attemptId, destination.address,
-                                                    false);
+    request.body =
+            this->context.dialect.encodeMove(this->facts().attemptId, destination.address, false);
     this->move->call = TargetCall::start(this->context.loop, std::move(request), this->move);
     this->moveTimer.expires_after(moveBound);
     this->moveTimer.async_wait([self = this->self()](const asio::error_code &failure) {
@@ -691,7 +686,7 @@
                                      {"reason", end.reason},
                                      {"leaving", this->plan.isLeaving() ? 1 : 0}});
     if (good)
-        this->plan.copyMade(done->destination,
+        this->plan.copyMade(done->destination.id,
                             {this->current->target.address, answer.value().handle});
     else
         this->plan.copyFailed(done->destination.id);
--- a/lib/Routing/admission.cpp
+++ b/lib/Routing/admission.cpp
@@ -34,8 +34,8 @@
         if (holder == nullptr)
             return deny(ResultCode::UnknownKey, inputs, bounds);
     }
-    // A stream may outlive the grace of a graceful shutdown, which would cut it; its caller is better
-    // served by coming back at once to an instance that stays.
+    // A stream may outlive the grace of a graceful shutdown, which would cut it; its caller is
+    // better served by coming back at once to an instance that stays.
     if (inputs.stopping && isStream(route->kind))
         return {ResultCode::Draining, route, holder};
     return {ResultCode::Ok, route, holder};
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -17,7 +17,7 @@
 constexpr double slowestReading = 1;
 constexpr double fastestReading = 100;
 
-constexpr double anyCost = std::numeric_limits<double>::infinity();
+constexpr double anyMemory = std::numeric_limits<double>::infinity();
 
 } // namespace
 
@@ -81,8 +81,8 @@
 
 void EngineChoice::addPrompt(Board &board, std::uint32_t tokens)
 {
-    board.promptsReadBy = std::max(board.promptsReadBy, this->clock.now()) +
-                          this->readingTime(tokens);
+    board.promptsReadBy =
+            std::max(board.promptsReadBy, this->clock.now()) + this->readingTime(tokens);
 }
 
 void EngineChoice::began(std::string_view id, std::string_view run, const GenerationNeed &need,
@@ -117,9 +117,9 @@
     placed->second.decoding = true;
     if (!placed->second.alone)
         return;
-    const double took = std::chrono::duration<double, std::milli>(this->clock.now() -
-                                                                  placed->second.since)
-                                .count();
+    const double took =
+            std::chrono::duration<double, std::milli>(this->clock.now() - placed->second.since)
+                    .count();
     const double speed = std::clamp(placed->second.need.promptTokens / std::max(took, 1.0),
                                     slowestReading, fastestReading);
     this->readingSpeed += learningRate * (speed - this->readingSpeed);
@@ -135,24 +135,24 @@
         board->second.placed.erase(placed);
 }
 
-void EngineChoice::backupPlaced(std::string_view id, std::string_view run,
-                                const GenerationNeed &need)
+void EngineChoice::copyPlaced(std::string_view id, std::string_view run, const GenerationNeed &need)
 {
     this->boards[std::string(id)].placed.insert_or_assign(
             std::string(run), Placed{need, this->clock.now(), true, true, false});
 }
 
-void EngineChoice::backupDropped(std::string_view id, std::string_view run)
+void EngineChoice::copyDropped(std::string_view id, std::string_view run)
 {
     this->ended(id, run);
 }
 
-// The report holds what everybody had there when it was made; what was placed since is added. What was
-// placed before and has ended since is still in the report, which errs on the side of caution.
+// The report holds what everybody had there when it was made; what was placed since is added. What
+// was placed before and has ended since is still in the report, which errs on the side of caution.
 double EngineChoice::memoryOf(const Board &board) const
 {
     double tokens = board.everReported ? board.load.memoryInUse : 0;
-    // Requests wait at an engine because its memory is spoken for; whoever comes after them waits too.
+    // Requests wait at an engine because its memory is spoken for; whoever comes after them waits
+    // too.
     tokens += static_cast<double>(board.load.waiting) * board.load.firstWaitingTokens;
     for (const auto &[run, placed] : board.placed) {
         const bool reported = board.everReported && placed.since < board.reportedAt - reportLag;
@@ -197,7 +197,8 @@
 {
     const double capacity = std::max<double>(1, traits.memoryTokens);
     const Board &board = this->boards[entry.id];
-    const double memory = (this->memoryOf(board) + need.promptTokens + need.outputTokens / 2.0) / capacity;
+    const double memory =
+            (this->memoryOf(board) + need.promptTokens + need.outputTokens / 2.0) / capacity;
     const double delay = std::chrono::duration<double>(this->delayOf(board)).count();
     const double cost = memory + this->options.weightOfDelay * delay;
     const bool distant = entry.dataCentre != preference.dataCentre;
@@ -212,14 +213,15 @@
     std::uniform_real_distribution<double> blur(0, preference.blur);
     const std::size_t compared = std::min(open.size(), preference.candidates);
     const TargetEntry *best = nullptr;
-    double bestCost = preference.mostCost;
+    double bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t i = 0; i < compared; ++i) {
         const Board &board = this->boards[open[i]->id];
         if (this->memoryWith(board, traits, need) > preference.mostMemory)
             continue;
-        // A prompt that alone takes most of the time there is must find an engine that reads nothing
-        // else, but it must not be shut out everywhere for its length.
-        const Duration own = std::min(this->readingTime(need.promptTokens), preference.mostDelay / 2);
+        // A prompt that alone takes most of the time there is must find an engine that reads
+        // nothing else, but it must not be shut out everywhere for its length.
+        const Duration own =
+                std::min(this->readingTime(need.promptTokens), preference.mostDelay / 2);
         if (this->delayOf(board) > preference.mostDelay - own)
             continue;
         const double cost = this->costOf(*open[i], traits, need, preference) + blur(this->random);
@@ -231,8 +233,9 @@
     return best;
 }
 
-std::vector<const TargetEntry *> EngineChoice::openAmong(std::span<const TargetEntry *const> engines,
-                                                         const std::set<std::string> &avoid)
+std::vector<const TargetEntry *>
+EngineChoice::openAmong(std::span<const TargetEntry *const> engines,
+                        const std::set<std::string> &avoid)
 {
     std::vector<const TargetEntry *> reachable;
     std::vector<const TargetEntry *> others;
@@ -251,9 +254,12 @@
 {
     const bool isShort = need.outputTokens < this->options.shortTokens;
     const double share = isShort ? this->options.urgentShare : this->options.newRunShare;
-    const Preference preference{this->home, this->options.distantHandicap,
-                                this->options.candidates, anyCost, share,
-                                need.mostDelay, 0};
+    const Preference preference{this->home,
+                                this->options.distantHandicap,
+                                this->options.candidates,
+                                share,
+                                need.mostDelay,
+                                0};
     return this->cheapest(this->openAmong(engines, avoid), traits, need, preference);
 }
 
@@ -267,20 +273,9 @@
     others.insert(running.id);
     // Every engine is compared: those of the run's own data centre are few.
     const Preference preference{running.dataCentre, this->options.distantCopyHandicap,
-                                engines.size(), anyCost, anyCost, Duration::max(),
-                                this->options.refugeBlur};
+                                engines.size(),     anyMemory,
+                                Duration::max(),    this->options.refugeBlur};
     return this->cheapest(this->openAmong(engines, others), traits, need, preference);
 }
 
-const TargetEntry *EngineChoice::chooseBackup(std::span<const TargetEntry *const> engines,
-                                              const EngineTraits &traits,
-                                              const GenerationNeed &need,
-                                              const TargetEntry &running)
-{
-    const Preference preference{running.dataCentre, this->options.distantHandicap,
-                                this->options.candidates + 1, this->options.backupShare, 1.0, Duration::max(),
-                                0};
-    return this->cheapest(this->openAmong(engines, {running.id}), traits, need, preference);
-}
-
 } // namespace jaytrack
--- a/lib/Routing/runplan.cpp
+++ b/lib/Routing/runplan.cpp
@@ -2,21 +2,15 @@
 
 namespace jaytrack {
 
-void RunPlan::placed(const TargetEntry &engine, const TargetEntry *backup,
-                     std::string_view attemptId)
+void RunPlan::placed(std::string_view engine)
 {
-    this->running = engine.id;
+    this->running = engine;
     this->leaving = false;
     this->lost = false;
     this->copying = false;
     this->copyTries = 0;
     this->refused.clear();
     this->copy.reset();
-    if (backup == nullptr)
-        return;
-    this->copy = Copy{backup->id, backup->address,
-                      ResumePoint{backup->address, std::string(attemptId)}, true,
-                      this->clock.now()};
 }
 
 void RunPlan::copyBegan()
@@ -25,20 +19,17 @@
     ++this->copyTries;
 }
 
-void RunPlan::copyMade(const TargetEntry &at, ResumePoint point)
+void RunPlan::copyMade(std::string_view at, ResumePoint point)
 {
     this->copying = false;
-    this->copyTries = 0;
-    this->copy = Copy{at.id, at.address, std::move(point), false, this->clock.now()};
+    this->copy = Copy{std::string(at), std::move(point), this->clock.now()};
 }
 
 void RunPlan::copyFailed(std::string_view at)
 {
     this->copying = false;
     this->refused.insert(std::string(at));
-    if (this->copy && this->copy->target == at)
-        this->copy.reset();
-    this->calmTryAt = this->clock.now() + this->options.calmRetry;
+    this->copyTryAt = this->clock.now() + this->options.retryPause;
 }
 
 void RunPlan::copyRefused()
@@ -53,10 +44,8 @@
 {
     if (this->copy && this->copy->target == id)
         this->copy.reset();
-    if (this->running == id && !this->leaving) {
+    if (this->running == id)
         this->leaving = true;
-        this->copyTries = 0;
-    }
 }
 
 void RunPlan::runningLost()
@@ -67,8 +56,7 @@
 
 bool RunPlan::copyUsable() const
 {
-    return this->copy && (this->copy->keptByEngine ||
-                          this->clock.now() - this->copy->madeAt < this->options.copyLife);
+    return this->copy && this->clock.now() - this->copy->madeAt < this->options.copyLife;
 }
 
 std::string_view RunPlan::copyHolder() const
@@ -78,38 +66,17 @@
 
 RunStep RunPlan::next() const
 {
-    const auto resume = [this] {
-        return RunStep{RunStepKind::Resume, this->copy->target, this->copy->address,
-                       this->copy->point};
-    };
-    if (this->lost) {
-        if (this->copyUsable())
-            return resume();
-        return {this->options.mayRunAgain ? RunStepKind::StartAnew : RunStepKind::Lost, {}, {}, {}};
-    }
+    if (this->lost && !this->copyUsable())
+        return {this->options.mayRunAgain ? RunStepKind::StartAnew : RunStepKind::Lost, {}, {}};
     // Before its first event nobody can say whether a run has begun, so it is left where it is.
-    if (!this->anyEvent || this->copying)
-        return {};
-    if (this->leaving && this->copyUsable())
-        return resume();
-    if (!this->options.movesRuns || this->options.mayRunAgain)
+    const bool mayMove = this->lost || (this->leaving && this->anyEvent && !this->copying);
+    if (!mayMove)
         return {};
-    if (this->leaving) {
-        if (this->copyTries >= this->options.mostCopyTries)
-            return {};
-        return {RunStepKind::MakeCopy, {}, {}, {}};
-    }
-    if (!this->copy || !this->copyUsable()) {
-        if (!this->options.copiesWhileCalm || this->clock.now() < this->calmTryAt)
-            return {};
-        return {RunStepKind::MakeCopy, {}, {}, {}};
-    }
-    // Renewed at half of its life, so that one failed renewal does not lose it.
-    const bool due = !this->copy->keptByEngine &&
-                     this->clock.now() - this->copy->madeAt > this->options.copyLife / 2;
-    if (due)
-        return {RunStepKind::MakeCopy, this->copy->target, this->copy->address, {}};
-    return {};
+    if (this->copyUsable())
+        return {RunStepKind::Resume, this->copy->target, this->copy->point};
+    const bool mayCopy = this->options.movesRuns && this->copyTries < this->options.mostCopyTries &&
+                         this->clock.now() >= this->copyTryAt;
+    return mayCopy ? RunStep{RunStepKind::MakeCopy, {}, {}} : RunStep{};
 }
 
 } // namespace jaytrack
--- a/lib/Support/log.cpp
+++ b/lib/Support/log.cpp
@@ -43,8 +43,9 @@
     line += '"';
 }
 
-// Writes lines to standard output from a thread of its own. A pipe that nobody reads would otherwise
-// block the request whose line is being written; here its lines are dropped and counted instead.
+// Writes lines to standard output from a thread of its own. A pipe that nobody reads would
+// otherwise block the request whose line is being written; here its lines are dropped and counted
+// instead.
 class LineWriter final : public google::LogSink
 {
 public:
@@ -69,8 +70,8 @@
     LineWriter(const LineWriter &) = delete;
     LineWriter &operator=(const LineWriter &) = delete;
 
-    void send(google::LogSeverity, const char *, const char *, int,
-              const google::LogMessageTime &, const char *message, std::size_t length) override
+    void send(google::LogSeverity, const char *, const char *, int, const google::LogMessageTime &,
+              const char *message, std::size_t length) override
     {
         {
             const std::lock_guard lock(this->mutex);
--- a/unittests/Net/httpparsertest.cpp
+++ b/unittests/Net/httpparsertest.cpp
@@ -45,25 +45,36 @@
     static ReadCase cases[] = {
             {"plain", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", ended, ""},
             {"length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", ended, "abc"},
-            {"chunks", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+            {"chunks",
+             "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
              ended, "abc"},
             {"short body", "POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", needsMore, "abc"},
             {"length and chunks",
-             "POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", malformed, ""},
-            {"two lengths", "POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", malformed, ""},
-            {"odd encoding", "POST /a HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", malformed, ""},
+             "POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             malformed, ""},
+            {"two lengths",
+             "POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", malformed,
+             ""},
+            {"odd encoding", "POST /a HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+             malformed, ""},
             {"two encodings",
-             "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n0\r\n\r\n",
              malformed, ""},
-            {"encoding list", "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", malformed, ""},
-            {"space before colon", "POST /a HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", malformed, ""},
+            {"encoding list",
+             "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", malformed,
+             ""},
+            {"space before colon", "POST /a HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", malformed,
+             ""},
             {"no protocol", "GET /a\r\n\r\n\r\n", malformed, ""},
             {"bare text", "hello\r\n\r\n", malformed, ""},
             {"negative length", "POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n", malformed, ""},
-            {"upgrade is ignored",
-             "GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n", ended, ""},
+            {"upgrade is ignored", "GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n",
+             ended, ""},
             {"large head",
-             "GET /aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+             "GET "
+             "/aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+             "aaaaaaaaaaaaaaa"
              "aaaaaaaaaaaaaaaaaaaa HTTP/1.1\r\n\r\n",
              tooLarge, ""},
     };
@@ -83,11 +94,13 @@
 // What follows a message is left for the next one, however the bytes are cut.
 Test(httpParser, pipelinedRequestsStayApart)
 {
-    const std::string text = "POST /1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nabGET /2 HTTP/1.1\r\n\r\n";
+    const std::string text =
+            "POST /1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nabGET /2 HTTP/1.1\r\n\r\n";
     for (std::size_t cut = 1; cut < text.size(); ++cut) {
         Collector collector;
         HttpMessageParser parser(HttpMessageParser::Reads::Requests, collector, 1000);
-        for (std::string_view rest : {std::string_view(text).substr(0, cut), std::string_view(text).substr(cut)}) {
+        for (std::string_view rest :
+             {std::string_view(text).substr(0, cut), std::string_view(text).substr(cut)}) {
             while (!rest.empty()) {
                 const HttpMessageParser::Fed fed = parser.feed(rest);
                 cr_assert(fed.state != ParseState::Malformed, "cut at %zu", cut);
@@ -111,7 +124,8 @@
 
     Collector framed;
     HttpMessageParser second(HttpMessageParser::Reads::Answers, framed, 1000);
-    cr_assert(second.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc").state == ParseState::NeedsMore);
+    cr_assert(second.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc").state ==
+              ParseState::NeedsMore);
     cr_assert(framed.head.framed);
     cr_assert_not(second.finish());
 }
--- a/unittests/Platform/brokenstreamtest.cpp
+++ b/unittests/Platform/brokenstreamtest.cpp
@@ -1,4 +1,5 @@
-// Streams that break: what the caller sees must never look like a whole answer, nor like none at all.
+// Streams that break: what the caller sees must never look like a whole answer, nor like none at
+// all.
 #include "entryfixture.h"
 
 #include <criterion/criterion.h>
@@ -60,5 +61,6 @@
     const CallerView view = callOnce(entry.port(), requestText(request));
     cr_assert(view.bytes.find("data: first") != std::string::npos, "%s", view.bytes.c_str());
     cr_assert_eq(occurrences(view.bytes, "HTTP/1.1"), 1, "%s: %s", param->name, view.bytes.c_str());
-    cr_assert_eq(occurrences(view.bytes, "0\r\n\r\n"), 0, "%s: %s", param->name, view.bytes.c_str());
+    cr_assert_eq(occurrences(view.bytes, "0\r\n\r\n"), 0, "%s: %s", param->name,
+                 view.bytes.c_str());
 }
--- a/unittests/Platform/dialecttest.cpp
+++ b/unittests/Platform/dialecttest.cpp
@@ -25,9 +25,9 @@
 {
     const auto dialect = makePlatformDialect();
     const std::vector<HttpHeader> headers = {
-            {"X-Attempt-Id", "9c41"},          {"X-Model", "m"},
-            {"X-Token-Count", "1460,80"},      {"X-Deadline-Ms", "39000"},
-            {"Authorization", "Token k-1"},    {"X-Length-Hint", "55"},
+            {"X-Attempt-Id", "9c41"},       {"X-Model", "m"},
+            {"X-Token-Count", "1460,80"},   {"X-Deadline-Ms", "39000"},
+            {"Authorization", "Token k-1"}, {"X-Length-Hint", "55"},
             {"Last-Event-Id", "7"}};
     const RequestFacts facts = dialect->describe(headers);
     cr_assert_eq(facts.attemptId, std::string("9c41"));
@@ -43,11 +43,17 @@
 Test(platformDialect, callersOwnOrdersAreDropped)
 {
     const auto dialect = makePlatformDialect();
-    const std::vector<HttpHeader> headers = {
-            {"X-Attempt-Id", "a"},   {"X-Tenant", "forged"}, {"X-Retention", "h"},
-            {"X-Pin-Ms", "9"},       {"X-Kv-Backup", "x"},   {"Kv-From", "1.2.3.4:5/h"},
-            {"Kv-Fetch", "y"},       {"Authorization", "Token secret"},
-            {"x-request-priority", "0"}, {"X-Expect-Instance", "other"}, {"X-Own", "kept"}};
+    const std::vector<HttpHeader> headers = {{"X-Attempt-Id", "a"},
+                                             {"X-Tenant", "forged"},
+                                             {"X-Retention", "h"},
+                                             {"X-Pin-Ms", "9"},
+                                             {"X-Kv-Backup", "x"},
+                                             {"Kv-From", "1.2.3.4:5/h"},
+                                             {"Kv-Fetch", "y"},
+                                             {"Authorization", "Token secret"},
+                                             {"x-request-priority", "0"},
+                                             {"X-Expect-Instance", "other"},
+                                             {"X-Own", "kept"}};
     ForwardOrders orders;
     orders.timeLeft = std::chrono::milliseconds(1234);
     orders.targetId = "i-1";
@@ -105,13 +111,15 @@
 
 ParameterizedTestParameters(platformDialect, badConfigurationIsRefusedByNumber)
 {
-    static BadInput cases[] = {{"no json", "nonsense"},
-                               {"no version", R"({"Routes":[]})"},
-                               {"no routes", R"({"Version":1})"},
-                               {"version is text", R"({"Version":"1","Routes":[]})"},
-                               {"unknown type", R"({"Version":1,"Routes":[{"Host":"h","Prefix":"/","Type":"odd","Service":"s"}]})"},
-                               {"no service", R"({"Version":1,"Routes":[{"Host":"h","Prefix":"/","Type":"safe"}]})"},
-                               {"empty", ""}};
+    static BadInput cases[] = {
+            {"no json", "nonsense"},
+            {"no version", R"({"Routes":[]})"},
+            {"no routes", R"({"Version":1})"},
+            {"version is text", R"({"Version":"1","Routes":[]})"},
+            {"unknown type",
+             R"({"Version":1,"Routes":[{"Host":"h","Prefix":"/","Type":"odd","Service":"s"}]})"},
+            {"no service", R"({"Version":1,"Routes":[{"Host":"h","Prefix":"/","Type":"safe"}]})"},
+            {"empty", ""}};
     return cr_make_param_array(BadInput, cases, std::size(cases));
 }
 
@@ -124,12 +132,13 @@
 
 ParameterizedTestParameters(platformDialect, badStoreAnswersAreRefused)
 {
-    static BadInput cases[] = {{"no json", "<html>"},
-                               {"no revision", R"({"events":[]})"},
-                               {"no list", R"({"At":5})"},
-                               {"no base64", R"({"At":5,"events":[{"Key":"a","Value":"!!!!","Revision":5}]})"},
-                               {"cut base64", R"({"At":5,"events":[{"Key":"a","Value":"abc","Revision":5}]})"},
-                               {"no key", R"({"At":5,"events":[{"Value":"","Revision":5}]})"}};
+    static BadInput cases[] = {
+            {"no json", "<html>"},
+            {"no revision", R"({"events":[]})"},
+            {"no list", R"({"At":5})"},
+            {"no base64", R"({"At":5,"events":[{"Key":"a","Value":"!!!!","Revision":5}]})"},
+            {"cut base64", R"({"At":5,"events":[{"Key":"a","Value":"abc","Revision":5}]})"},
+            {"no key", R"({"At":5,"events":[{"Value":"","Revision":5}]})"}};
     return cr_make_param_array(BadInput, cases, std::size(cases));
 }
 
@@ -151,5 +160,6 @@
             R"({"Waiting":2,"Running":12,"KvInUse":41000,"KvSize":90000,"Next":3100,"State":"draining"})");
     cr_assert_eq(load.value().firstWaitingTokens, 3100);
     cr_assert(load.value().leaving);
-    cr_assert_eq(dialect->decodeMove(R"({"KvHandle":17,"Created":40})").value().handle, std::string("17"));
+    cr_assert_eq(dialect->decodeMove(R"({"KvHandle":17,"Created":40})").value().handle,
+                 std::string("17"));
 }
--- /dev/null
+++ b/unittests/Platform/handovertest.cpp
@@ -0,0 +1,198 @@
+// Generations whose engines leave: the stream goes on elsewhere, each event once and in order.
+#include "entryfixture.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+
+using namespace jaytrack;
+using namespace jaytrack::testing;
+
+namespace {
+
+const std::string ownHeaders = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
+
+bool isRun(const SeenRequest &request)
+{
+    return request.head.path().starts_with("/work/");
+}
+
+// Events one after another, each after a pause; with an end or without.
+Answer events(int first, int last, std::chrono::milliseconds pause, bool whole)
+{
+    Answer answer = {{AnswerStep::Kind::Send, streamHead(ownHeaders), {}}};
+    for (int id = first; id <= last; ++id)
+        answer.push_back(chunkStep(eventText(id, "token" + std::to_string(id)), pause));
+    if (whole)
+        answer.push_back({AnswerStep::Kind::Send, "0\r\n\r\n", {}});
+    else
+        answer.push_back({AnswerStep::Kind::Hang, "", {}});
+    return answer;
+}
+
+Answer moveAnswer(int status)
+{
+    return wholeAnswer(status, "Content-Type: application/json\r\n",
+                       R"({"KvHandle":"h7","Created":2})");
+}
+
+// An engine that makes events slowly and copies its run when told to.
+ScriptedServer::Script leavingEngine(int moveStatus)
+{
+    return [moveStatus](const SeenRequest &request) -> Answer {
+        if (isRun(request))
+            return events(1, 40, std::chrono::milliseconds(20), true);
+        if (request.head.path() == "/jaytrack/kv-move")
+            return moveAnswer(moveStatus);
+        return wholeAnswer(200, "", "{}");
+    };
+}
+
+// Whether the caller saw events 1 to last, each once, in order, and the end of the stream.
+void assertWhole(const std::string &bytes, int last)
+{
+    std::size_t at = 0;
+    for (int id = 1; id <= last; ++id) {
+        const std::string text = eventText(id, "token" + std::to_string(id));
+        const std::size_t found = bytes.find(text, at);
+        cr_assert(found != std::string::npos, "event %d is missing: %s", id, bytes.c_str());
+        cr_assert(bytes.find(text, found + 1) == std::string::npos, "event %d came twice", id);
+        at = found;
+    }
+    cr_assert(bytes.ends_with("0\r\n\r\n"));
+}
+
+std::vector<SeenRequest> runsOf(const ScriptedServer &engine)
+{
+    std::vector<SeenRequest> runs;
+    for (const SeenRequest &request : engine.seen()) {
+        if (isRun(request))
+            runs.push_back(request);
+    }
+    return runs;
+}
+
+} // namespace
+
+// Symptom: a draft breaks off in the middle.
+// Events: its engine announces that it leaves; the run is copied to another engine and goes on
+// there after the last event that the caller has.
+Test(handOver, streamGoesOnAtTheRefuge)
+{
+    ScriptedServer first(leavingEngine(200));
+    ScriptedServer refuge([](const SeenRequest &request) -> Answer {
+        if (!isRun(request))
+            return wholeAnswer(200, "", "{}");
+        const int after = std::stoi(std::string(request.head.header("Last-Event-Id")));
+        return events(after + 1, 40, std::chrono::milliseconds(5), true);
+    });
+    EntryFixture entry({RouteSpec()});
+    entry.list("e1", first);
+    std::thread announcer([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        entry.store.put("servers/e2", targetJson(refuge.address()));
+        entry.store.put("servers/e1", targetJson(first.address(), "draining"));
+    });
+    const CallerView view = callOnce(entry.port(), requestText({}));
+    announcer.join();
+    assertWhole(view.bytes, 40);
+    const auto resumed = runsOf(refuge);
+    cr_assert_eq(resumed.size(), 1);
+    cr_assert_eq(resumed[0].head.header("Kv-From"), std::string_view(first.address() + "/h7"));
+    cr_assert_eq(resumed[0].head.header("X-Expect-Instance"), std::string_view("e2"));
+    cr_assert_eq(first.closedByPeer(), 1, "the old engine is told to stop");
+}
+
+// Symptom: a run breaks off although its engine would have finished it.
+// Events: the engine announces that it leaves; no other engine has room; the engine works on.
+Test(handOver, refusedCopiesLeaveTheRunWhereItIs)
+{
+    ScriptedServer first(leavingEngine(503));
+    ScriptedServer full([](const SeenRequest &) { return wholeAnswer(200, "", "{}"); });
+    EntryFixture entry({RouteSpec()});
+    entry.list("e1", first);
+    std::thread announcer([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        entry.store.put("servers/e2", targetJson(full.address()));
+        entry.store.put("servers/e1", targetJson(first.address(), "draining"));
+    });
+    const CallerView view = callOnce(entry.port(), requestText({}));
+    announcer.join();
+    assertWhole(view.bytes, 40);
+    cr_assert(runsOf(full).empty());
+}
+
+// Symptom: a stream that may run once is begun a second time.
+// Events: the copy is refused at the refuge ("no such copy"), and the old engine is lost right
+// after. The caller must see a stream that broke off, and no engine may get the request without the
+// copy.
+Test(handOver, refusedResumeIsNeverBegunAnew)
+{
+    ScriptedServer first([](const SeenRequest &request) -> Answer {
+        if (isRun(request)) {
+            Answer answer = events(1, 20, std::chrono::milliseconds(20), false);
+            answer.back() = {AnswerStep::Kind::Reset, "", {}};
+            return answer;
+        }
+        return request.head.path() == "/jaytrack/kv-move" ? moveAnswer(200)
+                                                          : wholeAnswer(200, "", "{}");
+    });
+    ScriptedServer refuge([](const SeenRequest &request) -> Answer {
+        return isRun(request) ? wholeAnswer(503, ownHeaders + "X-Not-Executed: 1\r\n", "")
+                              : wholeAnswer(200, "", "{}");
+    });
+    EntryFixture entry({RouteSpec()});
+    entry.list("e1", first);
+    std::thread announcer([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        entry.store.put("servers/e2", targetJson(refuge.address()));
+        entry.store.put("servers/e1", targetJson(first.address(), "draining"));
+    });
+    const CallerView view = callOnce(entry.port(), requestText({}));
+    announcer.join();
+    cr_assert(view.bytes.find("token20") != std::string::npos);
+    cr_assert(view.bytes.find("0\r\n\r\n") == std::string::npos,
+              "a broken stream must not look whole");
+    for (const SeenRequest &request : runsOf(refuge))
+        cr_assert_not(request.head.header("Kv-From").empty());
+    cr_assert_eq(runsOf(first).size(), 1);
+}
+
+// Symptom: events are missing, or come twice, where two runs meet.
+// Events: a stream that may be resumed loses its engine; the next one begins at, before or past the
+// event that is due.
+Test(handOver, onlyTheNextEventIsTaken)
+{
+    for (const int begins : {3, 2, 5}) {
+        ScriptedServer first([](const SeenRequest &request) -> Answer {
+            if (!isRun(request))
+                return wholeAnswer(200, "", "{}");
+            if (!request.head.header("Last-Event-Id").empty())
+                return wholeAnswer(503, ownHeaders + "X-Not-Executed: 1\r\n", "");
+            Answer answer = events(1, 2, std::chrono::milliseconds(5), false);
+            answer.back() = {AnswerStep::Kind::Reset, "", std::chrono::milliseconds(700)};
+            return answer;
+        });
+        ScriptedServer second([begins](const SeenRequest &request) -> Answer {
+            if (!isRun(request))
+                return wholeAnswer(200, "", "{}");
+            return events(begins, 6, std::chrono::milliseconds(5), true);
+        });
+        RouteSpec route;
+        route.resumable = true;
+        route.attempts = 2;
+        EntryFixture entry({route});
+        entry.list("e1", first);
+        std::thread announcer([&] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            entry.store.put("servers/e2", targetJson(second.address()));
+        });
+        const CallerView view = callOnce(entry.port(), requestText({}));
+        announcer.join();
+        cr_assert_eq(runsOf(second).size(), 1, "begins %d", begins);
+        if (begins <= 3)
+            assertWhole(view.bytes, 6);
+        else
+            cr_assert(view.bytes.find("0\r\n\r\n") == std::string::npos, "%s", view.bytes.c_str());
+    }
+}
--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -109,10 +109,11 @@
             return;
         }
         this->timer.expires_after(this->steps[index].after);
-        this->timer.async_wait([self = this->shared_from_this(), index](const asio::error_code &stop) {
-            if (!stop)
-                self->perform(index);
-        });
+        this->timer.async_wait(
+                [self = this->shared_from_this(), index](const asio::error_code &stop) {
+                    if (!stop)
+                        self->perform(index);
+                });
     }
 
     void perform(std::size_t index)
@@ -139,8 +140,8 @@
             return;
         case AnswerStep::Kind::Send:
             asio::async_write(this->socket, asio::buffer(step.bytes),
-                              [self = this->shared_from_this(), index](const asio::error_code &failure,
-                                                                       std::size_t) {
+                              [self = this->shared_from_this(),
+                               index](const asio::error_code &failure, std::size_t) {
                                   if (!failure)
                                       self->next(index + 1);
                               });
@@ -264,8 +265,9 @@
                                {"Created", item.second},
                                {"Lease", 0}});
     }
-    return wholeAnswer(200, "Content-Type: application/json\r\n",
-                       json{{"Entries", entries}, {"HasMore", false}, {"At", this->revision}}.dump());
+    return wholeAnswer(
+            200, "Content-Type: application/json\r\n",
+            json{{"Entries", entries}, {"HasMore", false}, {"At", this->revision}}.dump());
 }
 
 // Changes are answered at once; without any the question is held as long as it asks for.
@@ -282,7 +284,8 @@
         if (change.revision <= after || !change.key.starts_with(prefix))
             continue;
         if (change.deleted)
-            events.push_back({{"Key", change.key}, {"Revision", change.revision}, {"Deleted", true}});
+            events.push_back(
+                    {{"Key", change.key}, {"Revision", change.revision}, {"Deleted", true}});
         else
             events.push_back({{"Key", change.key},
                               {"Value", encodeBase64(change.value)},
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -1,5 +1,5 @@
-// Stand-ins of the platform for tests: a store that is scripted by the test, and targets that answer
-// as the test says. They listen on loopback and run on a thread of their own.
+// Stand-ins of the platform for tests: a store that is scripted by the test, and targets that
+// answer as the test says. They listen on loopback and run on a thread of their own.
 #ifndef JAYTRACK_TESTS_PLATFORMSTANDIN_H
 #define JAYTRACK_TESTS_PLATFORMSTANDIN_H
 
@@ -29,7 +29,8 @@
 struct AnswerStep;
 using Answer = std::vector<AnswerStep>;
 
-// One step of an answer after a pause: bytes, the end of the connection, or a look at what to do then.
+// One step of an answer after a pause: bytes, the end of the connection, or a look at what to do
+// then.
 struct AnswerStep
 {
     enum class Kind { Send, Close, Reset, Hang, LookAgain };
--- a/unittests/Platform/requesttest.cpp
+++ b/unittests/Platform/requesttest.cpp
@@ -40,7 +40,9 @@
     case Resets:
         return {{AnswerStep::Kind::Reset, "", {}}};
     case CutsBody:
-        return {{AnswerStep::Kind::Send, "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 9\r\n\r\ngo", {}},
+        return {{AnswerStep::Kind::Send,
+                 "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 9\r\n\r\ngo",
+                 {}},
                 {AnswerStep::Kind::Close, "", std::chrono::milliseconds(10)}};
     case Garbles:
         return {{AnswerStep::Kind::Send, "what is this\r\n\r\n", {}}};
@@ -196,14 +198,28 @@
 ParameterizedTestParameters(request, unreadableOnesAreRefusedByNumber)
 {
     static RefusedCase cases[] = {
-            {"no route", "GET /none HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n", 404},
-            {"other host", "GET /work/ HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n", 404},
+            {"no route",
+             "GET /none HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\nAuthorization: Token "
+             "k1\r\n",
+             404},
+            {"other host",
+             "GET /work/ HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n",
+             404},
             {"no key", "GET /work/ HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\n", 401},
-            {"unknown key", "GET /work/ HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\nAuthorization: Token zz\r\n", 401},
-            {"no id", "GET /work/ HTTP/1.1\r\nHost: site.example\r\nAuthorization: Token k1\r\n", 400},
-            {"no host", "GET /work/ HTTP/1.1\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n", 400},
-            {"two framings", "POST /work/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n", 400},
-            {"large body", "POST /work/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 30000\r\n", 413},
+            {"unknown key",
+             "GET /work/ HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\nAuthorization: Token "
+             "zz\r\n",
+             401},
+            {"no id", "GET /work/ HTTP/1.1\r\nHost: site.example\r\nAuthorization: Token k1\r\n",
+             400},
+            {"no host", "GET /work/ HTTP/1.1\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n",
+             400},
+            {"two framings",
+             "POST /work/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: "
+             "1\r\nTransfer-Encoding: chunked\r\n",
+             400},
+            {"large body",
+             "POST /work/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 30000\r\n", 413},
             {"slow head", "GET /work/ HTTP/1.1\r\nHost: si", 408},
     };
     return cr_make_param_array(RefusedCase, cases, std::size(cases));
--- a/unittests/Routing/directorytest.cpp
+++ b/unittests/Routing/directorytest.cpp
@@ -15,7 +15,10 @@
     {
         this->events.push_back(entry.id + " " + std::string(reason));
     }
-    void onTargetListed(const TargetEntry &entry) override { this->events.push_back(entry.id + " listed"); }
+    void onTargetListed(const TargetEntry &entry) override
+    {
+        this->events.push_back(entry.id + " listed");
+    }
 
     std::vector<std::string> events;
 };
@@ -57,9 +60,8 @@
 }
 
 // Symptom: all requests are refused for seconds after an outage of the store.
-// Events: entries lapse while the store is away; it returns with an empty list; targets that live are
-// back on it within two seconds.
-// Cause: what the list lacked was taken for gone at once.
+// Events: entries lapse while the store is away; it returns with an empty list; targets that live
+// are back on it within two seconds. Cause: what the list lacked was taken for gone at once.
 Test(targetDirectory, lapsedEntriesAreKeptUntilTheGraceEnds)
 {
     Recorder recorder;
--- a/unittests/Routing/enginechoicetest.cpp
+++ b/unittests/Routing/enginechoicetest.cpp
@@ -67,7 +67,8 @@
     Duration place(std::size_t instance, std::span<const TargetEntry *const> engines, int serial)
     {
         const GenerationNeed need{3000, 400};
-        const TargetEntry *chosen = this->choices[instance]->choose(engines, makeTraits(), need, {});
+        const TargetEntry *chosen =
+                this->choices[instance]->choose(engines, makeTraits(), need, {});
         cr_assert_not_null(chosen);
         this->choices[instance]->began(chosen->id, std::to_string(serial), need, false);
         for (std::size_t i = 0; this->passNotices && i < this->choices.size(); ++i) {
