--- a/unittests/Platform/beliefstest.cpp
+++ b/unittests/Platform/beliefstest.cpp
@@ -15,7 +15,7 @@
     return wholeAnswer(200, "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n", "good");
 }
 
-RouteSpec plainRoute(const std::string &prefix = "/work/")
+RouteSpec plainRoute(const std::string &prefix = "/jobs/")
 {
     RouteSpec route;
     route.type = "unsafe";
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -15,7 +15,7 @@
 // A route for the published configuration.
 struct RouteSpec
 {
-    std::string prefix = "/work/";
+    std::string prefix = "/jobs/";
     std::string type = "stream";
     std::string service = "svc";
     int timeoutMs = 3000;
@@ -65,7 +65,7 @@
 struct RequestSpec
 {
     std::string method = "POST";
-    std::string path = "/work/1";
+    std::string path = "/jobs/1";
     std::string id = "a1";
     std::string key = "k1";
     int deadlineMs = 3000;
--- a/unittests/Platform/handovertest.cpp
+++ b/unittests/Platform/handovertest.cpp
@@ -14,7 +14,7 @@
 
 bool isRun(const SeenRequest &request)
 {
-    return request.head.path().starts_with("/work/");
+    return request.head.path().starts_with("/jobs/");
 }
 
 // Events one after another, each after a pause; with an end or without.
--- a/unittests/Platform/requesttest.cpp
+++ b/unittests/Platform/requesttest.cpp
@@ -131,14 +131,14 @@
     EntryFixture entry({route});
     entry.list("t1", target);
     RequestSpec spec;
-    spec.path = "/work/x?q=1";
+    spec.path = "/jobs/x?q=1";
     spec.extraHeaders = "X-Tenant: forged\r\nConnection: X-Hop\r\nX-Hop: 1\r\n";
     const CallerView view = callOnce(entry.port(), requestText(spec));
     cr_assert(view.bytes.find("X-Server-Stamp: s") != std::string::npos);
     for (const SeenRequest &seen : target.seen()) {
         if (isProbe(seen))
             continue;
-        cr_assert_eq(seen.head.target, std::string("/work/x?q=1"));
+        cr_assert_eq(seen.head.target, std::string("/jobs/x?q=1"));
         cr_assert_eq(seen.body, std::string("hello"));
         cr_assert_eq(seen.head.header("X-Tenant"), std::string_view("cust"));
         cr_assert_eq(seen.head.header("X-Expect-Instance"), std::string_view("t1"));
@@ -203,24 +203,24 @@
              "k1\r\n",
              404},
             {"other host",
-             "GET /work/ HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n",
+             "GET /jobs/ HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n",
              404},
-            {"no key", "GET /work/ HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\n", 401},
+            {"no key", "GET /jobs/ HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\n", 401},
             {"unknown key",
-             "GET /work/ HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\nAuthorization: Token "
+             "GET /jobs/ HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a\r\nAuthorization: Token "
              "zz\r\n",
              401},
-            {"no id", "GET /work/ HTTP/1.1\r\nHost: site.example\r\nAuthorization: Token k1\r\n",
+            {"no id", "GET /jobs/ HTTP/1.1\r\nHost: site.example\r\nAuthorization: Token k1\r\n",
              400},
-            {"no host", "GET /work/ HTTP/1.1\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n",
+            {"no host", "GET /jobs/ HTTP/1.1\r\nX-Attempt-Id: a\r\nAuthorization: Token k1\r\n",
              400},
             {"two framings",
-             "POST /work/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: "
+             "POST /jobs/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: "
              "1\r\nTransfer-Encoding: chunked\r\n",
              400},
             {"large body",
-             "POST /work/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 30000\r\n", 413},
-            {"slow head", "GET /work/ HTTP/1.1\r\nHost: si", 408},
+             "POST /jobs/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 30000\r\n", 413},
+            {"slow head", "GET /jobs/ HTTP/1.1\r\nHost: si", 408},
     };
     return cr_make_param_array(RefusedCase, cases, std::size(cases));
 }
