--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -57,6 +57,12 @@
   4: bool copied
 }
 
+// A generation gave back the memory that it held at an engine.
+struct ReleaseNotice {
+  1: string engine
+  2: i64 tokens
+}
+
 // An engine's own report of its load, as one entry instance read it for all.
 struct LoadNotice {
   1: string engine
@@ -104,6 +110,7 @@
   3: list<StoreNotice> stores
   4: list<FreshnessAsk> asks
   5: list<FreshnessAnswer> answers
+  6: list<ReleaseNotice> releases
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -13,7 +13,6 @@
 
 #include <asio/steady_timer.hpp>
 
-#include <functional>
 #include <memory>
 #include <random>
 #include <set>
@@ -24,6 +23,16 @@
 class Metrics;
 class Exchange;
 
+// Tells the other instances what the generations of this one take and give back at engines.
+class PlacementNotices
+{
+public:
+    virtual ~PlacementNotices() = default;
+    virtual void announcePlaced(std::string_view engine, const GenerationNeed &need,
+                                bool copied) = 0;
+    virtual void announceReleased(std::string_view engine, std::uint32_t tokens) = 0;
+};
+
 // What all requests of an instance share.
 struct ExchangeContext
 {
@@ -36,8 +45,7 @@
     EngineChoice &engines;
     RetryBudget &retries;
     std::mt19937_64 &random;
-    // Tells the other instances that a generation goes to an engine, as a copy or to be read there.
-    std::function<void(std::string_view engine, const GenerationNeed &need, bool copied)> announce;
+    PlacementNotices &notices;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until its answer is given
 };
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -17,6 +17,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <array>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -49,6 +50,7 @@
     virtual ~PeerLinkListener() = default;
     virtual void onPlacedByPeer(std::string_view engine, const GenerationNeed &need,
                                 bool copied) = 0;
+    virtual void onReleasedByPeer(std::string_view engine, std::uint32_t tokens) = 0;
     virtual void onLoadFromPeer(std::string_view engine, const EngineLoad &load) = 0;
     virtual void onStoreFromPeer(const SharedChanges &changes) = 0;
     virtual void onFreshnessAsked(std::string_view peer, std::int64_t askedAt) = 0;
@@ -68,6 +70,10 @@
     // Tells the other instances of a generation that this one gave to an engine.
     void announce(std::string_view engine, const GenerationNeed &need, bool copied);
 
+    // Tells them that a generation of this instance gave back memory. Such notices are sent
+    // together, some times a second.
+    void announceReleased(std::string_view engine, std::uint32_t tokens);
+
     // Tells them what an engine reported.
     void announce(std::string_view engine, const EngineLoad &load);
 
@@ -92,6 +98,7 @@
     void tellPeers(const std::string &message);
     void receiveNext();
     void tick();
+    void sendReleases();
 
     PeerLinkSettings settings;
     KeyRing keys;
@@ -101,7 +108,8 @@
     asio::steady_timer timer;
     std::array<char, 8192> buffer{};
     Membership membership;
-    std::vector<std::string> peers; // names of the others that are up
+    std::vector<std::string> peers;                             // names of the others that are up
+    std::map<std::string, std::uint32_t, std::less<>> releases; // tokens, not told yet
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -64,6 +64,14 @@
     // s for a mean run), and all copies that leave one engine wait for each other on its link.
     double distantCopyHandicap = 0.4;
 
+    // Tokens that each run adds to an engine's memory in a second, between two reports: a token a
+    // step, and steps of 11 ms in a batch of six that shares the engine with prompts.
+    double growthPerRun = 90;
+
+    // What others say of an engine that is not listed is kept for this long. Listings reach the
+    // instances within a second of each other.
+    Duration keepUnlisted = std::chrono::seconds(5);
+
     // After this many calls in a row that never reached an engine it is left alone for a while.
     int failuresToAvoid = 2;
     Duration avoidFor = std::chrono::seconds(2);
@@ -81,19 +89,22 @@
     void unreachable(std::string_view id);
     void reached(std::string_view id);
 
-    // A generation of this instance took its place at an engine, grew, or ended there. One that was
-    // copied there has nothing left to read.
-    void began(std::string_view id, std::string_view run, const GenerationNeed &need, bool copied);
-
-    // Another instance gave a generation to an engine.
-    void placedByOthers(std::string_view id, const GenerationNeed &need, bool copied);
+    // A prompt of this instance goes to an engine, which has to read it.
+    void began(std::string_view id, std::string_view run, const GenerationNeed &need);
 
+    // The run's first token came, so its prompt has been read.
     void firstToken(std::string_view id, std::string_view run);
-    void ended(std::string_view id, std::string_view run);
 
-    // A copy of a run lies at an engine until dropped.
-    void copyPlaced(std::string_view id, std::string_view run, const GenerationNeed &need);
-    void copyDropped(std::string_view id, std::string_view run);
+    // A copy of a run of this instance goes to an engine; nothing of it need be read.
+    void copied(std::string_view id, const GenerationNeed &need);
+
+    // A run or a copy of this instance is gone from an engine and held that many tokens there.
+    void released(std::string_view id, std::string_view run, std::uint32_t tokens);
+
+    // The same of another instance. Its notice may come before the engine's listing does, so what
+    // it says of an unknown engine is kept for a while.
+    void placedByOthers(std::string_view id, const GenerationNeed &need, bool copied);
+    void releasedByOthers(std::string_view id, std::uint32_t tokens);
 
     // The engine for a generation among those given; null if none that was compared has room for
     // it. avoid names engines that have been tried.
@@ -117,19 +128,18 @@
     Forecast forecast(std::string_view id) const;
 
 private:
-    struct Placed
+    // A prompt of this instance from which the speed of reading is learnt.
+    struct Reading
     {
-        GenerationNeed need;
+        std::uint32_t promptTokens;
         TimePoint since;
-        bool decoding = false; // the prompt has been read
-        bool copy = false;
-        bool alone = false; // no other prompt was waiting when this one came
+        bool alone; // no other prompt was waiting when this one came
     };
 
-    // Memory that another instance's generation takes, until a report contains it.
-    struct Foreign
+    // Memory that was taken (positive) or given back, until a report contains it.
+    struct Change
     {
-        std::uint32_t tokens;
+        double tokens;
         TimePoint since;
     };
 
@@ -138,14 +148,19 @@
         EngineLoad load;
         TimePoint reportedAt;
         bool everReported = false;
-        std::map<std::string, Placed, std::less<>> placed;
-        std::vector<Foreign> foreign;
+        std::map<std::string, Reading, std::less<>> reading;
+        std::vector<Change> changes;
         TimePoint promptsReadBy; // when the prompts that were placed so far will have been read
         int failures = 0;
         TimePoint avoidedUntil;
         bool leaving = false;
+        bool listed = false;
+        TimePoint noticedAt; // of a board that is not listed: when others last spoke of the engine
     };
 
+    Board &noticedBoard(std::string_view id);
+    void dropStaleBoards();
+    void change(Board &board, double tokens);
     double memoryOf(const Board &board) const;
     Duration delayOf(const Board &board) const;
     Duration readingTime(std::uint32_t tokens) const;
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -73,7 +73,8 @@
 struct EntryInstance::Parts final : public CallerHandler,
                                     public TargetDirectoryListener,
                                     public PeerLinkListener,
-                                    public LoadSharing
+                                    public LoadSharing,
+                                    public PlacementNotices
 {
     // Answers the balancer's question and the request for metrics; what callers may not reach.
     struct Desk final : public CallerHandler
@@ -119,20 +120,9 @@
         , feeds(this->configuration, this->targets)
         , sharing(time, given.name, StoreSharingOptions(), this->random, this->configuration)
         , prober(this->loop, words, this->engines, *this, this->random)
-        , context{this->loop,
-                  time,
-                  words,
-                  this->metrics,
-                  this->directory,
-                  this->health,
-                  this->engines,
-                  this->retries,
-                  this->random,
-                  [this](std::string_view engine, const GenerationNeed &need, bool copied) {
-                      if (this->peers)
-                          this->peers->announce(engine, need, copied);
-                  },
-                  this->open}
+        , context{this->loop,      time,         words,         this->metrics,
+                  this->directory, this->health, this->engines, this->retries,
+                  this->random,    *this,        this->open}
         , desk(*this)
         , callers(this->loop, time, *this)
         , readiness(this->loop, time, this->desk)
@@ -324,6 +314,11 @@
         this->engines.placedByOthers(engine, need, copied);
     }
 
+    void onReleasedByPeer(std::string_view engine, std::uint32_t tokens) override
+    {
+        this->engines.releasedByOthers(engine, tokens);
+    }
+
     void onLoadFromPeer(std::string_view engine, const EngineLoad &load) override
     {
         this->engines.reported(engine, load);
@@ -351,6 +346,20 @@
         this->sharing.onPeersChanged(names);
     }
 
+    // PlacementNotices
+
+    void announcePlaced(std::string_view engine, const GenerationNeed &need, bool copied) override
+    {
+        if (this->peers)
+            this->peers->announce(engine, need, copied);
+    }
+
+    void announceReleased(std::string_view engine, std::uint32_t tokens) override
+    {
+        if (this->peers)
+            this->peers->announceReleased(engine, tokens);
+    }
+
     // LoadSharing
 
     bool isMineToAsk(std::string_view engine) const override
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -97,6 +97,7 @@
 void PeerLink::tick()
 {
     this->membership.tick();
+    this->sendReleases();
     this->timer.expires_after(tickGap);
     this->timer.async_wait([this](const asio::error_code &failure) {
         if (!failure)
@@ -155,6 +156,26 @@
     this->tellPeers(encodeMessage(message));
 }
 
+void PeerLink::announceReleased(std::string_view engine, std::uint32_t tokens)
+{
+    this->releases[std::string(engine)] += tokens;
+}
+
+void PeerLink::sendReleases()
+{
+    if (this->releases.empty())
+        return;
+    wire::EntryNotices message;
+    for (const auto &[engine, tokens] : this->releases) {
+        wire::ReleaseNotice notice;
+        notice.engine = engine;
+        notice.tokens = tokens;
+        message.releases.push_back(std::move(notice));
+    }
+    this->releases.clear();
+    this->tellPeers(encodeMessage(message));
+}
+
 void PeerLink::announce(std::string_view engine, const EngineLoad &load)
 {
     wire::LoadNotice notice;
@@ -233,6 +254,8 @@
         const GenerationNeed need{toTokens(notice.promptTokens), toTokens(notice.expectedTokens)};
         this->listener.onPlacedByPeer(notice.engine, need, notice.copied);
     }
+    for (const wire::ReleaseNotice &notice : message->releases)
+        this->listener.onReleasedByPeer(notice.engine, toTokens(notice.tokens));
     for (const wire::LoadNotice &notice : message->loads) {
         EngineLoad load;
         load.waiting = notice.waiting;
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Proxy/exchange.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Proxy/engineroom.h"
 #include "jaytrack/Routing/runplan.h"
 #include "jaytrack/Stream/sse.h"
 #include "jaytrack/Support/metrics.h"
@@ -128,6 +129,7 @@
                    AdmittedRequest given)
         : Exchange(shared, std::move(from), std::move(given))
         , traits(engineTraits(this->service()))
+        , room(shared, this->facts().attemptId)
         , plan(shared.clock, planOptions(this->traits, this->route().kind))
         , overlapTimer(shared.loop)
         , moveTimer(shared.loop)
@@ -199,9 +201,12 @@
     void resume(const RunStep &step);
     void makeCopy();
     void orderCopy(const TargetEntry &destination);
+    void copyFailed(std::string_view destination);
     void watchPlan();
     void takeOver();
     void dropLeg(std::shared_ptr<StreamLeg> &leg);
+    void dropMove();
+    std::uint32_t grownSince(std::uint64_t event) const;
     void currentLost(std::string_view reason);
     void nextLost(std::string_view reason);
     void passOnAnswer(StreamLeg &leg);
@@ -216,8 +221,10 @@
     std::shared_ptr<StreamLeg> current;
     std::shared_ptr<StreamLeg> next; // takes over from current
     std::shared_ptr<MoveCall> move;
+    EngineRoom room;
     RunPlan plan;
-    std::string copyHolder; // the engine whose room for the copy is accounted for
+    std::string copyHolder;            // the engine whose room for the copy is accounted for
+    std::uint64_t eventsBeforeLeg = 0; // passed on before the current engine took the run
     asio::steady_timer overlapTimer;
     asio::steady_timer moveTimer;
     asio::steady_timer planTimer;
@@ -309,11 +316,9 @@
              {"report_age_ms", toMillis(this->context.engines.forecast(target.id).reportAge)},
              {"forecast_delay_ms", toMillis(this->context.engines.forecast(target.id).delay)},
              {"left_ms", static_cast<std::int64_t>(this->timeLeft().count())}});
-    this->context.engines.began(target.id, this->facts().attemptId, this->need,
-                                orders.resume.has_value());
-    // A copy was announced when it was ordered.
+    // A copy was accounted for when it was ordered.
     if (!orders.resume)
-        this->context.announce(target.id, this->need, false);
+        this->room.takeForPrompt(target.id, this->need);
     leg->call = TargetCall::start(this->context.loop,
                                   this->makeRequest(target, orders, endpoint.value()), leg);
     return leg;
@@ -366,6 +371,7 @@
 
 void StreamExchange::beginLeg(const StreamLeg &leg)
 {
+    this->eventsBeforeLeg = this->lastEvent;
     this->plan.placed(leg.target.id);
     this->syncCopy();
     // The engine may have announced its leaving while the run was on its way there.
@@ -382,11 +388,17 @@
     const std::string_view holder = this->plan.copyHolder();
     if (holder == this->copyHolder)
         return;
-    if (!this->copyHolder.empty())
-        this->context.engines.copyDropped(this->copyHolder, this->facts().attemptId);
+    const bool runsThere = this->current && this->current->target.id == this->copyHolder;
+    if (!runsThere)
+        this->room.giveBack(this->copyHolder, 0);
     this->copyHolder = holder;
-    if (!this->copyHolder.empty())
-        this->context.engines.copyPlaced(this->copyHolder, this->facts().attemptId, this->need);
+}
+
+// Tokens that the run has made since that event.
+std::uint32_t StreamExchange::grownSince(std::uint64_t event) const
+{
+    const auto events = static_cast<std::uint32_t>(this->lastEvent - event);
+    return events * std::max<std::uint32_t>(1, this->traits.tokensPerEvent);
 }
 
 void StreamExchange::dropLeg(std::shared_ptr<StreamLeg> &leg)
@@ -394,25 +406,31 @@
     if (!leg)
         return;
     leg->call->cancel();
-    this->context.engines.ended(leg->target.id, this->facts().attemptId);
+    const bool running = leg == this->current;
+    this->room.giveBack(leg->target.id, running ? this->grownSince(this->eventsBeforeLeg) : 0);
     leg.reset();
 }
 
+// Gives up a copy that is under way.
+void StreamExchange::dropMove()
+{
+    if (!this->move)
+        return;
+    this->move->call->cancel();
+    this->room.giveBack(this->move->destination.id, 0);
+    this->move.reset();
+}
+
 void StreamExchange::cancelCalls()
 {
     this->overlapTimer.cancel();
     this->moveTimer.cancel();
     this->dropLeg(this->current);
     this->dropLeg(this->next);
-    if (this->move) {
-        this->move->call->cancel();
-        this->move.reset();
-    }
+    this->dropMove();
     this->planTimer.cancel();
     this->roomTimer.cancel();
-    if (!this->copyHolder.empty())
-        this->context.engines.copyDropped(this->copyHolder, this->facts().attemptId);
-    this->copyHolder.clear();
+    this->room.giveBackAll();
 }
 
 void StreamExchange::legHead(StreamLeg &leg)
@@ -543,10 +561,7 @@
         return this->attempt();
     this->uncertain = true;
     this->lostAt = this->context.clock.now();
-    if (this->move) {
-        this->move->call->cancel();
-        this->move.reset();
-    }
+    this->dropMove();
     this->plan.runningLost();
     this->lossReason = reason;
     this->act();
@@ -610,10 +625,7 @@
         return this->act();
     }
     const TargetEntry at = *listed;
-    if (this->move) {
-        this->move->call->cancel();
-        this->move.reset();
-    }
+    this->dropMove();
     this->next = this->open(at, step.from);
     if (!this->next) {
         this->plan.copyRefused();
@@ -647,7 +659,7 @@
     GenerationNeed copied = this->need;
     copied.promptTokens +=
             static_cast<std::uint32_t>(this->lastEvent) * this->traits.tokensPerEvent;
-    this->context.announce(destination.id, copied, true);
+    this->room.takeForCopy(destination.id, copied);
     this->logDecision("run_copy", {{"from", this->current->target.id},
                                    {"to", destination.id},
                                    {"leaving", this->plan.isLeaving() ? 1 : 0},
@@ -672,6 +684,12 @@
     });
 }
 
+void StreamExchange::copyFailed(std::string_view destination)
+{
+    this->room.giveBack(destination, 0);
+    this->plan.copyFailed(destination);
+}
+
 void StreamExchange::moveEnded(MoveCall &ended, const TargetCallEnd &end)
 {
     if (this->isFinished() || this->move.get() != &ended)
@@ -689,7 +707,7 @@
         this->plan.copyMade(done->destination.id,
                             {this->current->target.address, answer.value().handle});
     else
-        this->plan.copyFailed(done->destination.id);
+        this->copyFailed(done->destination.id);
     this->syncCopy();
     this->act();
 }
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -33,7 +33,9 @@
 
 void EngineChoice::listed(const TargetEntry &entry)
 {
-    this->boards[entry.id].leaving = entry.leaving;
+    Board &board = this->boards[entry.id];
+    board.leaving = entry.leaving;
+    board.listed = true;
 }
 
 void EngineChoice::gone(std::string_view id)
@@ -54,7 +56,7 @@
     found->second.leaving = found->second.leaving || load.leaving;
     // What was placed before the moment that the report tells of is contained in it.
     const TimePoint told = found->second.reportedAt - reportLag;
-    std::erase_if(found->second.foreign, [told](const Foreign &one) { return one.since < told; });
+    std::erase_if(found->second.changes, [told](const Change &one) { return one.since < told; });
 }
 
 void EngineChoice::unreachable(std::string_view id)
@@ -85,83 +87,105 @@
             std::max(board.promptsReadBy, this->clock.now()) + this->readingTime(tokens);
 }
 
-void EngineChoice::began(std::string_view id, std::string_view run, const GenerationNeed &need,
-                         bool copied)
+void EngineChoice::change(Board &board, double tokens)
+{
+    board.changes.push_back({tokens, this->clock.now()});
+}
+
+void EngineChoice::began(std::string_view id, std::string_view run, const GenerationNeed &need)
 {
     Board &board = this->boards[std::string(id)];
-    Placed placed{need, this->clock.now(), false, false, false};
-    placed.alone = !copied && board.promptsReadBy <= placed.since;
-    board.placed.insert_or_assign(std::string(run), placed);
-    if (!copied)
-        this->addPrompt(board, need.promptTokens);
+    const TimePoint now = this->clock.now();
+    const bool alone = board.promptsReadBy <= now;
+    board.reading.insert_or_assign(std::string(run), Reading{need.promptTokens, now, alone});
+    this->change(board, need.promptTokens);
+    this->addPrompt(board, need.promptTokens);
 }
 
-void EngineChoice::placedByOthers(std::string_view id, const GenerationNeed &need, bool copied)
+void EngineChoice::copied(std::string_view id, const GenerationNeed &need)
 {
-    const auto found = this->boards.find(id);
-    if (found == this->boards.end())
-        return;
-    found->second.foreign.push_back({need.promptTokens, this->clock.now()});
-    if (!copied)
-        this->addPrompt(found->second, need.promptTokens);
+    this->change(this->boards[std::string(id)], need.promptTokens);
 }
 
-void EngineChoice::firstToken(std::string_view id, std::string_view run)
+void EngineChoice::released(std::string_view id, std::string_view run, std::uint32_t tokens)
 {
     const auto board = this->boards.find(id);
     if (board == this->boards.end())
         return;
-    const auto placed = board->second.placed.find(run);
-    if (placed == board->second.placed.end() || placed->second.decoding)
-        return;
-    placed->second.decoding = true;
-    if (!placed->second.alone)
-        return;
-    const double took =
-            std::chrono::duration<double, std::milli>(this->clock.now() - placed->second.since)
-                    .count();
-    const double speed = std::clamp(placed->second.need.promptTokens / std::max(took, 1.0),
-                                    slowestReading, fastestReading);
-    this->readingSpeed += learningRate * (speed - this->readingSpeed);
+    this->change(board->second, -static_cast<double>(tokens));
+    const auto reading = board->second.reading.find(run);
+    if (reading != board->second.reading.end())
+        board->second.reading.erase(reading);
 }
 
-void EngineChoice::ended(std::string_view id, std::string_view run)
+void EngineChoice::dropStaleBoards()
 {
-    const auto board = this->boards.find(id);
-    if (board == this->boards.end())
-        return;
-    const auto placed = board->second.placed.find(run);
-    if (placed != board->second.placed.end())
-        board->second.placed.erase(placed);
+    const TimePoint oldest = this->clock.now() - this->options.keepUnlisted;
+    std::erase_if(this->boards, [oldest](const auto &entry) {
+        return !entry.second.listed && entry.second.noticedAt < oldest;
+    });
 }
 
-void EngineChoice::copyPlaced(std::string_view id, std::string_view run, const GenerationNeed &need)
+EngineChoice::Board &EngineChoice::noticedBoard(std::string_view id)
 {
-    this->boards[std::string(id)].placed.insert_or_assign(
-            std::string(run), Placed{need, this->clock.now(), true, true, false});
+    auto found = this->boards.find(id);
+    if (found == this->boards.end()) {
+        this->dropStaleBoards();
+        found = this->boards.emplace(std::string(id), Board()).first;
+    }
+    found->second.noticedAt = this->clock.now();
+    return found->second;
+}
+
+void EngineChoice::placedByOthers(std::string_view id, const GenerationNeed &need, bool copied)
+{
+    Board &board = this->noticedBoard(id);
+    this->change(board, need.promptTokens);
+    if (!copied)
+        this->addPrompt(board, need.promptTokens);
+}
+
+void EngineChoice::releasedByOthers(std::string_view id, std::uint32_t tokens)
+{
+    this->change(this->noticedBoard(id), -static_cast<double>(tokens));
 }
 
-void EngineChoice::copyDropped(std::string_view id, std::string_view run)
+void EngineChoice::firstToken(std::string_view id, std::string_view run)
 {
-    this->ended(id, run);
+    const auto board = this->boards.find(id);
+    if (board == this->boards.end())
+        return;
+    const auto found = board->second.reading.find(run);
+    if (found == board->second.reading.end())
+        return;
+    const Reading read = found->second;
+    board->second.reading.erase(found);
+    if (!read.alone)
+        return;
+    const double took =
+            std::chrono::duration<double, std::milli>(this->clock.now() - read.since).count();
+    const double speed =
+            std::clamp(read.promptTokens / std::max(took, 1.0), slowestReading, fastestReading);
+    this->readingSpeed += learningRate * (speed - this->readingSpeed);
 }
 
-// The report holds what everybody had there when it was made; what was placed since is added. What
-// was placed before and has ended since is still in the report, which errs on the side of caution.
+// The report holds what everybody had there when it was made; what was taken and given back since
+// is added, and what the runs there have grown by.
 double EngineChoice::memoryOf(const Board &board) const
 {
-    double tokens = board.everReported ? board.load.memoryInUse : 0;
-    // Requests wait at an engine because its memory is spoken for; whoever comes after them waits
-    // too.
-    tokens += static_cast<double>(board.load.waiting) * board.load.firstWaitingTokens;
-    for (const auto &[run, placed] : board.placed) {
-        const bool reported = board.everReported && placed.since < board.reportedAt - reportLag;
-        if (!reported)
-            tokens += placed.need.promptTokens;
+    double tokens = 0;
+    if (board.everReported) {
+        const Duration since = this->clock.now() - board.reportedAt + reportLag;
+        const double grown = board.load.running * this->options.growthPerRun *
+                             std::chrono::duration<double>(since).count();
+        // Requests wait at an engine because its memory is spoken for; whoever comes after them
+        // waits too.
+        tokens = board.load.memoryInUse + grown +
+                 static_cast<double>(board.load.waiting) * board.load.firstWaitingTokens;
     }
-    for (const Foreign &one : board.foreign)
+    for (const Change &one : board.changes)
         tokens += one.tokens;
-    return tokens;
+    return std::max(0.0, tokens);
 }
 
 Duration EngineChoice::delayOf(const Board &board) const
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -1086,6 +1086,118 @@
 }
 
 
+ReleaseNotice::~ReleaseNotice() noexcept {
+}
+
+
+void ReleaseNotice::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void ReleaseNotice::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReleaseNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReleaseNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReleaseNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReleaseNotice");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReleaseNotice &a, ReleaseNotice &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+ReleaseNotice::ReleaseNotice(const ReleaseNotice& other23) {
+  engine = other23.engine;
+  tokens = other23.tokens;
+  __isset = other23.__isset;
+}
+ReleaseNotice& ReleaseNotice::operator=(const ReleaseNotice& other24) {
+  engine = other24.engine;
+  tokens = other24.tokens;
+  __isset = other24.__isset;
+  return *this;
+}
+void ReleaseNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReleaseNotice(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
+
 LoadNotice::~LoadNotice() noexcept {
 }
 
@@ -1263,25 +1375,25 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadNotice::LoadNotice(const LoadNotice& other23) {
-  engine = other23.engine;
-  waiting = other23.waiting;
-  running = other23.running;
-  memoryInUse = other23.memoryInUse;
-  memoryTokens = other23.memoryTokens;
-  leaving = other23.leaving;
-  firstWaitingTokens = other23.firstWaitingTokens;
-  __isset = other23.__isset;
+LoadNotice::LoadNotice(const LoadNotice& other25) {
+  engine = other25.engine;
+  waiting = other25.waiting;
+  running = other25.running;
+  memoryInUse = other25.memoryInUse;
+  memoryTokens = other25.memoryTokens;
+  leaving = other25.leaving;
+  firstWaitingTokens = other25.firstWaitingTokens;
+  __isset = other25.__isset;
 }
-LoadNotice& LoadNotice::operator=(const LoadNotice& other24) {
-  engine = other24.engine;
-  waiting = other24.waiting;
-  running = other24.running;
-  memoryInUse = other24.memoryInUse;
-  memoryTokens = other24.memoryTokens;
-  leaving = other24.leaving;
-  firstWaitingTokens = other24.firstWaitingTokens;
-  __isset = other24.__isset;
+LoadNotice& LoadNotice::operator=(const LoadNotice& other26) {
+  engine = other26.engine;
+  waiting = other26.waiting;
+  running = other26.running;
+  memoryInUse = other26.memoryInUse;
+  memoryTokens = other26.memoryTokens;
+  leaving = other26.leaving;
+  firstWaitingTokens = other26.firstWaitingTokens;
+  __isset = other26.__isset;
   return *this;
 }
 void LoadNotice::printTo(std::ostream& out) const {
@@ -1424,19 +1536,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreItemNotice::StoreItemNotice(const StoreItemNotice& other25) {
-  key = other25.key;
-  value = other25.value;
-  revision = other25.revision;
-  deleted = other25.deleted;
-  __isset = other25.__isset;
+StoreItemNotice::StoreItemNotice(const StoreItemNotice& other27) {
+  key = other27.key;
+  value = other27.value;
+  revision = other27.revision;
+  deleted = other27.deleted;
+  __isset = other27.__isset;
 }
-StoreItemNotice& StoreItemNotice::operator=(const StoreItemNotice& other26) {
-  key = other26.key;
-  value = other26.value;
-  revision = other26.revision;
-  deleted = other26.deleted;
-  __isset = other26.__isset;
+StoreItemNotice& StoreItemNotice::operator=(const StoreItemNotice& other28) {
+  key = other28.key;
+  value = other28.value;
+  revision = other28.revision;
+  deleted = other28.deleted;
+  __isset = other28.__isset;
   return *this;
 }
 void StoreItemNotice::printTo(std::ostream& out) const {
@@ -1517,14 +1629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->items.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->items.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->items[_i31].read(iprot);
+              xfer += this->items[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1569,10 +1681,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItemNotice> ::const_iterator _iter32;
-    for (_iter32 = this->items.begin(); _iter32 != this->items.end(); ++_iter32)
+    std::vector<StoreItemNotice> ::const_iterator _iter34;
+    for (_iter34 = this->items.begin(); _iter34 != this->items.end(); ++_iter34)
     {
-      xfer += (*_iter32).write(oprot);
+      xfer += (*_iter34).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1596,19 +1708,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreNotice::StoreNotice(const StoreNotice& other33) {
-  fromRevision = other33.fromRevision;
-  toRevision = other33.toRevision;
-  items = other33.items;
-  incomplete = other33.incomplete;
-  __isset = other33.__isset;
+StoreNotice::StoreNotice(const StoreNotice& other35) {
+  fromRevision = other35.fromRevision;
+  toRevision = other35.toRevision;
+  items = other35.items;
+  incomplete = other35.incomplete;
+  __isset = other35.__isset;
 }
-StoreNotice& StoreNotice::operator=(const StoreNotice& other34) {
-  fromRevision = other34.fromRevision;
-  toRevision = other34.toRevision;
-  items = other34.items;
-  incomplete = other34.incomplete;
-  __isset = other34.__isset;
+StoreNotice& StoreNotice::operator=(const StoreNotice& other36) {
+  fromRevision = other36.fromRevision;
+  toRevision = other36.toRevision;
+  items = other36.items;
+  incomplete = other36.incomplete;
+  __isset = other36.__isset;
   return *this;
 }
 void StoreNotice::printTo(std::ostream& out) const {
@@ -1697,13 +1809,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAsk::FreshnessAsk(const FreshnessAsk& other35) noexcept {
-  askedAt = other35.askedAt;
-  __isset = other35.__isset;
+FreshnessAsk::FreshnessAsk(const FreshnessAsk& other37) noexcept {
+  askedAt = other37.askedAt;
+  __isset = other37.__isset;
 }
-FreshnessAsk& FreshnessAsk::operator=(const FreshnessAsk& other36) noexcept {
-  askedAt = other36.askedAt;
-  __isset = other36.__isset;
+FreshnessAsk& FreshnessAsk::operator=(const FreshnessAsk& other38) noexcept {
+  askedAt = other38.askedAt;
+  __isset = other38.__isset;
   return *this;
 }
 void FreshnessAsk::printTo(std::ostream& out) const {
@@ -1823,17 +1935,17 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other37) noexcept {
-  askedAt = other37.askedAt;
-  ageMicros = other37.ageMicros;
-  revision = other37.revision;
-  __isset = other37.__isset;
+FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other39) noexcept {
+  askedAt = other39.askedAt;
+  ageMicros = other39.ageMicros;
+  revision = other39.revision;
+  __isset = other39.__isset;
 }
-FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other38) noexcept {
-  askedAt = other38.askedAt;
-  ageMicros = other38.ageMicros;
-  revision = other38.revision;
-  __isset = other38.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other40) noexcept {
+  askedAt = other40.askedAt;
+  ageMicros = other40.ageMicros;
+  revision = other40.revision;
+  __isset = other40.__isset;
   return *this;
 }
 void FreshnessAnswer::printTo(std::ostream& out) const {
@@ -1869,6 +1981,10 @@
 void EntryNotices::__set_answers(const std::vector<FreshnessAnswer> & val) {
   this->answers = val;
 }
+
+void EntryNotices::__set_releases(const std::vector<ReleaseNotice> & val) {
+  this->releases = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
@@ -1901,14 +2017,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->placements.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->placements.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->placements[_i43].read(iprot);
+              xfer += this->placements[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1921,14 +2037,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->loads.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->loads.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->loads[_i48].read(iprot);
+              xfer += this->loads[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1941,14 +2057,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->stores.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->stores.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->stores[_i53].read(iprot);
+              xfer += this->stores[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1961,14 +2077,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->asks.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->asks.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->asks[_i58].read(iprot);
+              xfer += this->asks[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1981,14 +2097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->answers.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->answers.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->answers[_i63].read(iprot);
+              xfer += this->answers[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1997,6 +2113,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->releases.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->releases.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->releases[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.releases = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2017,10 +2153,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter64;
-    for (_iter64 = this->placements.begin(); _iter64 != this->placements.end(); ++_iter64)
+    std::vector<PlacementNotice> ::const_iterator _iter71;
+    for (_iter71 = this->placements.begin(); _iter71 != this->placements.end(); ++_iter71)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2029,10 +2165,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter65;
-    for (_iter65 = this->loads.begin(); _iter65 != this->loads.end(); ++_iter65)
+    std::vector<LoadNotice> ::const_iterator _iter72;
+    for (_iter72 = this->loads.begin(); _iter72 != this->loads.end(); ++_iter72)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2041,10 +2177,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreNotice> ::const_iterator _iter66;
-    for (_iter66 = this->stores.begin(); _iter66 != this->stores.end(); ++_iter66)
+    std::vector<StoreNotice> ::const_iterator _iter73;
+    for (_iter73 = this->stores.begin(); _iter73 != this->stores.end(); ++_iter73)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2053,10 +2189,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<FreshnessAsk> ::const_iterator _iter67;
-    for (_iter67 = this->asks.begin(); _iter67 != this->asks.end(); ++_iter67)
+    std::vector<FreshnessAsk> ::const_iterator _iter74;
+    for (_iter74 = this->asks.begin(); _iter74 != this->asks.end(); ++_iter74)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2065,10 +2201,22 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<FreshnessAnswer> ::const_iterator _iter68;
-    for (_iter68 = this->answers.begin(); _iter68 != this->answers.end(); ++_iter68)
+    std::vector<FreshnessAnswer> ::const_iterator _iter75;
+    for (_iter75 = this->answers.begin(); _iter75 != this->answers.end(); ++_iter75)
+    {
+      xfer += (*_iter75).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("releases", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releases.size()));
+    std::vector<ReleaseNotice> ::const_iterator _iter76;
+    for (_iter76 = this->releases.begin(); _iter76 != this->releases.end(); ++_iter76)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2086,24 +2234,27 @@
   swap(a.stores, b.stores);
   swap(a.asks, b.asks);
   swap(a.answers, b.answers);
+  swap(a.releases, b.releases);
   swap(a.__isset, b.__isset);
 }
 
-EntryNotices::EntryNotices(const EntryNotices& other69) {
-  placements = other69.placements;
-  loads = other69.loads;
-  stores = other69.stores;
-  asks = other69.asks;
-  answers = other69.answers;
-  __isset = other69.__isset;
-}
-EntryNotices& EntryNotices::operator=(const EntryNotices& other70) {
-  placements = other70.placements;
-  loads = other70.loads;
-  stores = other70.stores;
-  asks = other70.asks;
-  answers = other70.answers;
-  __isset = other70.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other77) {
+  placements = other77.placements;
+  loads = other77.loads;
+  stores = other77.stores;
+  asks = other77.asks;
+  answers = other77.answers;
+  releases = other77.releases;
+  __isset = other77.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other78) {
+  placements = other78.placements;
+  loads = other78.loads;
+  stores = other78.stores;
+  asks = other78.asks;
+  answers = other78.answers;
+  releases = other78.releases;
+  __isset = other78.__isset;
   return *this;
 }
 void EntryNotices::printTo(std::ostream& out) const {
@@ -2114,6 +2265,7 @@
   out << ", " << "stores=" << to_string(stores);
   out << ", " << "asks=" << to_string(asks);
   out << ", " << "answers=" << to_string(answers);
+  out << ", " << "releases=" << to_string(releases);
   out << ")";
 }
 
@@ -2183,9 +2335,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast71;
-          xfer += iprot->readI32(ecast71);
-          this->kind = static_cast<PeerKind::type>(ecast71);
+          int32_t ecast79;
+          xfer += iprot->readI32(ecast79);
+          this->kind = static_cast<PeerKind::type>(ecast79);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2227,14 +2379,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->records.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->records.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->records[_i76].read(iprot);
+              xfer += this->records[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2299,10 +2451,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter77;
-    for (_iter77 = this->records.begin(); _iter77 != this->records.end(); ++_iter77)
+    std::vector<MemberRecord> ::const_iterator _iter85;
+    for (_iter85 = this->records.begin(); _iter85 != this->records.end(); ++_iter85)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2334,27 +2486,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other78) {
-  kind = other78.kind;
-  sequence = other78.sequence;
-  sender = other78.sender;
-  revision = other78.revision;
-  configAgeMs = other78.configAgeMs;
-  records = other78.records;
-  probeTarget = other78.probeTarget;
-  policy = other78.policy;
-  __isset = other78.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other79) {
-  kind = other79.kind;
-  sequence = other79.sequence;
-  sender = other79.sender;
-  revision = other79.revision;
-  configAgeMs = other79.configAgeMs;
-  records = other79.records;
-  probeTarget = other79.probeTarget;
-  policy = other79.policy;
-  __isset = other79.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other86) {
+  kind = other86.kind;
+  sequence = other86.sequence;
+  sender = other86.sender;
+  revision = other86.revision;
+  configAgeMs = other86.configAgeMs;
+  records = other86.records;
+  probeTarget = other86.probeTarget;
+  policy = other86.policy;
+  __isset = other86.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other87) {
+  kind = other87.kind;
+  sequence = other87.sequence;
+  sender = other87.sender;
+  revision = other87.revision;
+  configAgeMs = other87.configAgeMs;
+  records = other87.records;
+  probeTarget = other87.probeTarget;
+  policy = other87.policy;
+  __isset = other87.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -2464,15 +2616,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other80) {
-  body = other80.body;
-  mac = other80.mac;
-  __isset = other80.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other88) {
+  body = other88.body;
+  mac = other88.mac;
+  __isset = other88.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other81) {
-  body = other81.body;
-  mac = other81.mac;
-  __isset = other81.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other89) {
+  body = other89.body;
+  mac = other89.mac;
+  __isset = other89.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -2610,19 +2762,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other82) {
-  engine = other82.engine;
-  generation = other82.generation;
-  customer = other82.customer;
-  model = other82.model;
-  __isset = other82.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other90) {
+  engine = other90.engine;
+  generation = other90.generation;
+  customer = other90.customer;
+  model = other90.model;
+  __isset = other90.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other83) {
-  engine = other83.engine;
-  generation = other83.generation;
-  customer = other83.customer;
-  model = other83.model;
-  __isset = other83.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other91) {
+  engine = other91.engine;
+  generation = other91.generation;
+  customer = other91.customer;
+  model = other91.model;
+  __isset = other91.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -2779,21 +2931,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other84) {
-  issuer = other84.issuer;
-  incarnation = other84.incarnation;
-  serial = other84.serial;
-  customer = other84.customer;
-  scope = other84.scope;
-  __isset = other84.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other85) {
-  issuer = other85.issuer;
-  incarnation = other85.incarnation;
-  serial = other85.serial;
-  customer = other85.customer;
-  scope = other85.scope;
-  __isset = other85.__isset;
+TicketBody::TicketBody(const TicketBody& other92) {
+  issuer = other92.issuer;
+  incarnation = other92.incarnation;
+  serial = other92.serial;
+  customer = other92.customer;
+  scope = other92.scope;
+  __isset = other92.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other93) {
+  issuer = other93.issuer;
+  incarnation = other93.incarnation;
+  serial = other93.serial;
+  customer = other93.customer;
+  scope = other93.scope;
+  __isset = other93.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -63,6 +63,8 @@
 
 class PlacementNotice;
 
+class ReleaseNotice;
+
 class LoadNotice;
 
 class StoreItemNotice;
@@ -475,6 +477,56 @@
 
 std::ostream& operator<<(std::ostream& out, const PlacementNotice& obj);
 
+typedef struct _ReleaseNotice__isset {
+  _ReleaseNotice__isset() : engine(false), tokens(false) {}
+  bool engine :1;
+  bool tokens :1;
+} _ReleaseNotice__isset;
+
+class ReleaseNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReleaseNotice(const ReleaseNotice&);
+  ReleaseNotice& operator=(const ReleaseNotice&);
+  ReleaseNotice() noexcept
+                : engine(),
+                  tokens(0) {
+  }
+
+  virtual ~ReleaseNotice() noexcept;
+  std::string engine;
+  int64_t tokens;
+
+  _ReleaseNotice__isset __isset;
+
+  void __set_engine(const std::string& val);
+
+  void __set_tokens(const int64_t val);
+
+  bool operator == (const ReleaseNotice & rhs) const
+  {
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const ReleaseNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReleaseNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReleaseNotice &a, ReleaseNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const ReleaseNotice& obj);
+
 typedef struct _LoadNotice__isset {
   _LoadNotice__isset() : engine(false), waiting(false), running(false), memoryInUse(false), memoryTokens(false), leaving(false), firstWaitingTokens(false) {}
   bool engine :1;
@@ -788,12 +840,13 @@
 std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj);
 
 typedef struct _EntryNotices__isset {
-  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false) {}
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false) {}
   bool placements :1;
   bool loads :1;
   bool stores :1;
   bool asks :1;
   bool answers :1;
+  bool releases :1;
 } _EntryNotices__isset;
 
 class EntryNotices : public virtual ::apache::thrift::TBase {
@@ -810,6 +863,7 @@
   std::vector<StoreNotice>  stores;
   std::vector<FreshnessAsk>  asks;
   std::vector<FreshnessAnswer>  answers;
+  std::vector<ReleaseNotice>  releases;
 
   _EntryNotices__isset __isset;
 
@@ -823,6 +877,8 @@
 
   void __set_answers(const std::vector<FreshnessAnswer> & val);
 
+  void __set_releases(const std::vector<ReleaseNotice> & val);
+
   bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
@@ -835,6 +891,8 @@
       return false;
     if (!(answers == rhs.answers))
       return false;
+    if (!(releases == rhs.releases))
+      return false;
     return true;
   }
   bool operator != (const EntryNotices &rhs) const {
--- a/unittests/Routing/enginechoicetest.cpp
+++ b/unittests/Routing/enginechoicetest.cpp
@@ -70,7 +70,7 @@
         const TargetEntry *chosen =
                 this->choices[instance]->choose(engines, makeTraits(), need, {});
         cr_assert_not_null(chosen);
-        this->choices[instance]->began(chosen->id, std::to_string(serial), need, false);
+        this->choices[instance]->began(chosen->id, std::to_string(serial), need);
         for (std::size_t i = 0; this->passNotices && i < this->choices.size(); ++i) {
             if (i != instance)
                 this->choices[i]->placedByOthers(chosen->id, need, false);
@@ -195,3 +195,62 @@
     for (const auto &[id, count] : taken)
         cr_assert(count < 30, "%s took %d of 40", id.c_str(), count);
 }
+
+// Symptom: callers are refused because engines are full, while the engines are two thirds empty.
+// Events: an engine reports much memory in use; runs of this and of other instances end; the next
+// report is a second away.
+// Cause: what ended since a report was not taken off what it says.
+Test(engineChoice, whatEndedSinceTheReportIsRoomAgain)
+{
+    const std::vector<TargetEntry> engines = makeEngines(1, 1);
+    const auto list = pointers(engines);
+    const GenerationNeed need{3000, 400};
+    ManualClock clock;
+    EngineChoice choice(clock, 1, "dc0");
+    choice.listed(engines[0]);
+    choice.began("e0", "own", need);
+    clock.advance(std::chrono::seconds(1));
+    choice.reported("e0", loadOf(memoryTokens - 1000));
+    cr_assert_null(choice.choose(list, makeTraits(), need, {}));
+    choice.released("e0", "own", 3100);
+    choice.releasedByOthers("e0", 3100);
+    cr_assert_not_null(choice.choose(list, makeTraits(), need, {}));
+    cr_assert_float_eq(choice.forecast("e0").memoryTokens, memoryTokens - 7200, 1);
+    clock.advance(std::chrono::seconds(1));
+    choice.reported("e0", loadOf(memoryTokens - 7200));
+    cr_assert_float_eq(choice.forecast("e0").memoryTokens, memoryTokens - 7200, 1,
+                       "the report contains it, so it counts no longer");
+}
+
+// Symptom: an engine that has just started is given twice the prompts that it can read in time.
+// Events: other instances learn of the engine first and send it prompts; their notices come here
+// before its listing does.
+// Cause: notices about an engine that was not listed yet were dropped.
+Test(engineChoice, noticesBeforeTheListingCount)
+{
+    const std::vector<TargetEntry> engines = makeEngines(1, 1);
+    ManualClock clock;
+    EngineChoice choice(clock, 1, "dc0");
+    for (int i = 0; i < 3; ++i)
+        choice.placedByOthers("e0", {3000, 400}, false);
+    clock.advance(std::chrono::milliseconds(200));
+    choice.listed(engines[0]);
+    cr_assert_float_eq(choice.forecast("e0").memoryTokens, 9000, 1);
+    cr_assert(choice.forecast("e0").delay > std::chrono::milliseconds(500));
+}
+
+// Symptom: generations are preempted midway although each was let in with room to spare.
+// Events: seven runs grow for a second after the engine's report.
+Test(engineChoice, runsGrowBetweenReports)
+{
+    const std::vector<TargetEntry> engines = makeEngines(1, 1);
+    ManualClock clock;
+    EngineChoice choice(clock, 1, "dc0");
+    choice.listed(engines[0]);
+    EngineLoad load = loadOf(20'000);
+    load.running = 7;
+    choice.reported("e0", load);
+    const double before = choice.forecast("e0").memoryTokens;
+    clock.advance(std::chrono::seconds(1));
+    cr_assert_float_eq(choice.forecast("e0").memoryTokens - before, 7 * 90, 1);
+}
