--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -38,8 +38,8 @@
     // Part of an engine's memory up to which new generations are let in; short urgent ones, which
     // leave again within half a second, to a higher part. The rest is for the growth of those that
     // run, and for the runs of engines that leave: a sixth of all engines at a time.
-    double newRunShare = 0.95;
-    double urgentShare = 1.0;
+    double newRunShare = 0.92;
+    double urgentShare = 0.95;
 
     // Generations of fewer expected tokens than this count as short.
     std::uint32_t shortTokens = 64;
@@ -54,7 +54,7 @@
     // Costs are blurred by up to this much, in parts of the memory, where a run seeks refuge: all
     // instances learn of a leaving in the same millisecond, know the same, and would all choose the
     // same engine before their notices reach each other.
-    double refugeBlur = 0.25;
+    double refugeBlur = 0.1;
 
     // Handicap, in parts of the memory, for a new run at an engine in another data centre: bytes
     // between them are priced.
@@ -68,6 +68,14 @@
     // step, and steps of 11 ms in a batch of six that shares the engine with prompts.
     double growthPerRun = 90;
 
+    // Runs of a leaving engine seek room at the others for about this long. Until then new
+    // generations leave that room to them: whoever is refused at the door can come back, a run that
+    // finds no room is lost with all that was made.
+    Duration refugeTime = std::chrono::milliseconds(1500);
+
+    // The most, in parts of an engine's memory, that new generations leave to such runs.
+    double mostRefugeShare = 0.3;
+
     // What others say of an engine that is not listed is kept for this long. Listings reach the
     // instances within a second of each other.
     Duration keepUnlisted = std::chrono::seconds(5);
@@ -155,9 +163,19 @@
         TimePoint avoidedUntil;
         bool leaving = false;
         bool listed = false;
+        std::string service;
         TimePoint noticedAt; // of a board that is not listed: when others last spoke of the engine
     };
 
+    // Memory of an engine that has left, whose runs seek room elsewhere.
+    struct Departure
+    {
+        std::string service;
+        double tokens;
+        TimePoint at;
+    };
+
+    double refugeShare(std::span<const TargetEntry *const> engines, const EngineTraits &traits);
     Board &noticedBoard(std::string_view id);
     void dropStaleBoards();
     void change(Board &board, double tokens);
@@ -193,6 +211,7 @@
     EngineChoiceOptions options;
     double readingSpeed; // prompt tokens in a millisecond, as learnt
     std::map<std::string, Board, std::less<>> boards;
+    std::vector<Departure> departures;
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Routing/runplan.h
+++ b/include/jaytrack/Routing/runplan.h
@@ -24,6 +24,10 @@
     bool mayRunAgain = false;
     // A copy is dropped by its engine when it is not used within this time.
     Duration copyLife = std::chrono::seconds(5);
+    // Pause before the first copy of a departure, drawn by the caller. All instances learn of a
+    // leaving in the same millisecond; spread out, each knows by the others' notices which room is
+    // taken.
+    Duration firstPause{0};
     // Copies that one departure may try. A refusal costs a round trip and comes from a full engine.
     int mostCopyTries = 12;
     // Pause after a refusal. Engines that are full now have room some tenths of a second later, and
@@ -68,6 +72,7 @@
     // The engine that holds the copy does not have it, or refuses.
     void copyRefused();
 
+    // An engine is leaving; said again for the same engine it changes nothing.
     void engineLeaving(std::string_view id);
     void runningLost();
 
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -39,6 +39,10 @@
 // refused copy.
 constexpr std::chrono::milliseconds planGap{40};
 
+// Copies on notice begin within this time: long enough for notices between instances (2 ms each) to
+// keep sixty of them apart, short against the second and a half that a departure leaves.
+constexpr std::chrono::milliseconds mostFirstPause{100};
+
 // A copy of a whole run takes half a second between data centres when it is first in the queue.
 constexpr std::chrono::milliseconds moveBound{2500};
 
@@ -63,9 +67,11 @@
     return service != nullptr && service->engine ? *service->engine : EngineTraits();
 }
 
-RunPlanOptions planOptions(const EngineTraits &traits, RequestKind kind)
+RunPlanOptions planOptions(const EngineTraits &traits, RequestKind kind, std::mt19937_64 &random)
 {
     RunPlanOptions options;
+    std::uniform_int_distribution<std::int64_t> pause(0, mostFirstPause.count());
+    options.firstPause = std::chrono::milliseconds(pause(random));
     options.movesRuns = traits.movesRuns;
     options.mayRunAgain = mayRunAgain(kind);
     if (traits.handleLife.count() > 0)
@@ -130,7 +136,7 @@
         : Exchange(shared, std::move(from), std::move(given))
         , traits(engineTraits(this->service()))
         , room(shared, this->facts().attemptId)
-        , plan(shared.clock, planOptions(this->traits, this->route().kind))
+        , plan(shared.clock, planOptions(this->traits, this->route().kind, shared.random))
         , overlapTimer(shared.loop)
         , moveTimer(shared.loop)
         , planTimer(shared.loop)
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -36,13 +36,39 @@
     Board &board = this->boards[entry.id];
     board.leaving = entry.leaving;
     board.listed = true;
+    board.service = entry.service;
 }
 
 void EngineChoice::gone(std::string_view id)
 {
     const auto found = this->boards.find(id);
-    if (found != this->boards.end())
-        this->boards.erase(found);
+    if (found == this->boards.end())
+        return;
+    const Board &board = found->second;
+    if (board.listed)
+        this->departures.push_back({board.service, this->memoryOf(board), this->clock.now()});
+    this->boards.erase(found);
+}
+
+// The part of each engine's memory that the runs of engines which have just left will take, less
+// those that have moved by now.
+double EngineChoice::refugeShare(std::span<const TargetEntry *const> engines,
+                                 const EngineTraits &traits)
+{
+    const TimePoint now = this->clock.now();
+    const Duration time = this->options.refugeTime;
+    std::erase_if(this->departures,
+                  [now, time](const Departure &one) { return now - one.at >= time; });
+    if (this->departures.empty() || engines.empty())
+        return 0;
+    double tokens = 0;
+    for (const Departure &one : this->departures) {
+        const double passed = std::chrono::duration<double>(now - one.at) / time;
+        if (one.service == engines.front()->service)
+            tokens += one.tokens * (1 - passed);
+    }
+    const double room = static_cast<double>(engines.size()) * std::max(1U, traits.memoryTokens);
+    return std::min(this->options.mostRefugeShare, tokens / room);
 }
 
 void EngineChoice::reported(std::string_view id, const EngineLoad &load)
@@ -277,7 +303,8 @@
                                         const std::set<std::string> &avoid)
 {
     const bool isShort = need.outputTokens < this->options.shortTokens;
-    const double share = isShort ? this->options.urgentShare : this->options.newRunShare;
+    const double most = isShort ? this->options.urgentShare : this->options.newRunShare;
+    const double share = most - this->refugeShare(engines, traits);
     const Preference preference{this->home,
                                 this->options.distantHandicap,
                                 this->options.candidates,
--- a/lib/Routing/runplan.cpp
+++ b/lib/Routing/runplan.cpp
@@ -44,8 +44,10 @@
 {
     if (this->copy && this->copy->target == id)
         this->copy.reset();
-    if (this->running == id)
-        this->leaving = true;
+    if (this->running != id || this->leaving)
+        return;
+    this->leaving = true;
+    this->copyTryAt = this->clock.now() + this->options.firstPause;
 }
 
 void RunPlan::runningLost()
--- a/unittests/Routing/enginechoicetest.cpp
+++ b/unittests/Routing/enginechoicetest.cpp
@@ -254,3 +254,26 @@
     clock.advance(std::chrono::seconds(1));
     cr_assert_float_eq(choice.forecast("e0").memoryTokens - before, 7 * 90, 1);
 }
+
+// Symptom: runs of leaving engines find no room anywhere and break off.
+// Events: some engines leave at once; new generations take the last room of the others before the
+// runs have moved. Cause: both were let in up to the same part of the memory.
+Test(engineChoice, newGenerationsLeaveRoomToRunsOfLeavingEngines)
+{
+    const std::vector<TargetEntry> engines = makeEngines(5, 5);
+    const std::vector<const TargetEntry *> staying = {&engines[0], &engines[1], &engines[2],
+                                                      &engines[3]};
+    const GenerationNeed need{3000, 400};
+    ManualClock clock;
+    EngineChoice choice(clock, 1, "dc0");
+    for (const TargetEntry &entry : engines) {
+        choice.listed(entry);
+        choice.reported(entry.id, loadOf(22'000));
+    }
+    cr_assert_not_null(choice.choose(staying, makeTraits(), need, {}));
+    choice.gone("e4");
+    cr_assert_null(choice.choose(staying, makeTraits(), need, {}));
+    cr_assert_not_null(choice.chooseRefuge(staying, makeTraits(), need, engines[4], {}));
+    clock.advance(std::chrono::milliseconds(1500));
+    cr_assert_not_null(choice.choose(staying, makeTraits(), need, {}));
+}
--- a/unittests/Routing/runplantest.cpp
+++ b/unittests/Routing/runplantest.cpp
@@ -134,3 +134,20 @@
     resumable.plan.runningLost();
     cr_assert(resumable.step() == RunStepKind::StartAnew);
 }
+
+// Symptom: copies are refused for want of room at one engine while others are empty.
+// Events: all instances learn of a leaving in the same millisecond and order their copies at once,
+// before any notice of them has passed. Cause: nothing kept them apart.
+Test(runPlan, firstCopyWaitsForItsPause)
+{
+    RunPlanOptions options = moving();
+    options.firstPause = std::chrono::milliseconds(60);
+    Plan run(options);
+    run.plan.eventMade();
+    run.plan.engineLeaving("e1");
+    cr_assert(run.step() == RunStepKind::Wait);
+    run.clock.advance(std::chrono::milliseconds(40));
+    run.plan.engineLeaving("e1");
+    run.clock.advance(std::chrono::milliseconds(20));
+    cr_assert(run.step() == RunStepKind::MakeCopy, "said twice, it begins no later");
+}
