--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -66,6 +66,12 @@
     // readers overtake each other by milliseconds, and each makes up for the other's losses.
     std::chrono::milliseconds patience{150};
 
+    // The longest pause between failed calls. Short, so that keys are confirmed well within their
+    // bound; longer for an instance that others can tell, since the calls of a whole fleet to a
+    // store in trouble are priced and help nobody.
+    std::chrono::milliseconds mostBackoff{250};
+    std::chrono::milliseconds mostBackoffIfTold{1500};
+
     // Pause after an answer with changes. Calls are priced and counted against the store's rate,
     // while several changes fit into one answer.
     std::chrono::milliseconds gap{0};
@@ -85,6 +91,9 @@
     // An inactive follower asks nothing by itself and lives on what applyShared() brings.
     void setActive(bool wanted);
 
+    // Whether other instances read the store and tell this one.
+    void setTold(bool byOthers) { this->told = byOthers; }
+
     // Takes what another instance read. If a change in between is missing or was left out, the
     // store is asked once.
     void applyShared(std::uint64_t from, std::uint64_t to, const std::vector<StoreItem> &items,
@@ -135,6 +144,7 @@
     bool lost = false;
     bool stopped = false;
     bool active = true;
+    bool told = false;
     std::uint64_t heardOf = 0; // the newest revision that another instance said it knows
     TimePoint behindSince;
     bool waiting = false; // a call is under way or planned
--- a/include/jaytrack/Proxy/storesharing.h
+++ b/include/jaytrack/Proxy/storesharing.h
@@ -33,6 +33,10 @@
     // And goes on doing so for this long at least, so that it does not change its mind at each loss
     // of a datagram.
     Duration readAtLeast = std::chrono::milliseconds(3000);
+
+    // An instance that finds that others are readers reads on for this long: two questions of 0.3 s
+    // to one of them.
+    Duration handOverTime = std::chrono::milliseconds(600);
 };
 
 class StoreSharing final : public StoreReadListener
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -59,6 +59,25 @@
     return changes;
 }
 
+wire::EntryNotices toNotices(const SharedChanges &changes)
+{
+    wire::StoreNotice notice;
+    notice.fromRevision = static_cast<std::int64_t>(changes.from);
+    notice.toRevision = static_cast<std::int64_t>(changes.to);
+    notice.incomplete = changes.incomplete;
+    for (const StoreItem &item : changes.items) {
+        wire::StoreItemNotice shared;
+        shared.key = item.key;
+        shared.value = item.value;
+        shared.revision = static_cast<std::int64_t>(item.revision);
+        shared.deleted = item.deleted;
+        notice.items.push_back(std::move(shared));
+    }
+    wire::EntryNotices message;
+    message.stores.push_back(std::move(notice));
+    return message;
+}
+
 std::string textOf(const asio::ip::udp::endpoint &endpoint)
 {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
@@ -66,6 +85,36 @@
 
 } // namespace
 
+std::vector<SharedChanges> splitChanges(const SharedChanges &changes, std::size_t mostBytes)
+{
+    std::vector<StoreItem> items = changes.items;
+    std::sort(items.begin(), items.end(), [](const StoreItem &left, const StoreItem &right) {
+        return left.revision < right.revision;
+    });
+    std::vector<SharedChanges> parts;
+    SharedChanges part{changes.from, changes.from, {}, false};
+    std::size_t bytes = 0;
+    for (StoreItem &item : items) {
+        const std::size_t whole = item.key.size() + item.value.size();
+        const bool tooLarge = whole > mostBytes;
+        const std::size_t size = tooLarge ? 0 : whole;
+        if (bytes + size > mostBytes && !part.items.empty()) {
+            parts.push_back(part);
+            part = {part.to, part.to, {}, false};
+            bytes = 0;
+        }
+        part.to = item.revision;
+        part.incomplete = part.incomplete || tooLarge;
+        if (tooLarge)
+            continue;
+        bytes += size;
+        part.items.push_back(std::move(item));
+    }
+    part.to = changes.to;
+    parts.push_back(std::move(part));
+    return parts;
+}
+
 PeerLink::PeerLink(asio::io_context &loop, const Clock &time, PeerLinkSettings given,
                    std::uint64_t seed, PeerLinkListener &told)
     : settings(std::move(given))
@@ -191,31 +240,14 @@
     this->tellPeers(encodeMessage(message));
 }
 
-// Values beyond this go to their readers straight from the store: a datagram has its limits, and a
+// A value beyond this goes to its readers straight from the store: a datagram has its limits, and a
 // configuration of hundreds of routes would be sent to every instance by each that read it.
 constexpr std::size_t mostSharedBytes = 2048;
 
 void PeerLink::shareStore(const SharedChanges &changes)
 {
-    wire::StoreNotice notice;
-    notice.fromRevision = static_cast<std::int64_t>(changes.from);
-    notice.toRevision = static_cast<std::int64_t>(changes.to);
-    std::size_t bytes = 0;
-    for (const StoreItem &item : changes.items) {
-        bytes += item.key.size() + item.value.size();
-        wire::StoreItemNotice shared;
-        shared.key = item.key;
-        shared.value = item.value;
-        shared.revision = static_cast<std::int64_t>(item.revision);
-        shared.deleted = item.deleted;
-        notice.items.push_back(std::move(shared));
-    }
-    notice.incomplete = bytes > mostSharedBytes;
-    if (notice.incomplete)
-        notice.items.clear();
-    wire::EntryNotices message;
-    message.stores.push_back(std::move(notice));
-    this->tellPeers(encodeMessage(message));
+    for (const SharedChanges &part : splitChanges(changes, mostSharedBytes))
+        this->tellPeers(encodeMessage(toNotices(part)));
 }
 
 void PeerLink::askFreshness(std::string_view peer, std::int64_t askedAt)
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -16,10 +16,9 @@
 constexpr std::chrono::milliseconds answerSlack{700};
 constexpr std::chrono::milliseconds connectBound{500};
 
-// Pauses between failed calls: short at first, since most failures are one lost connection, and at
-// most a quarter of a second, so that keys confirmed every second stay well within their bound.
+// The first pause between failed calls: most failures are one lost connection. It doubles.
 constexpr std::chrono::milliseconds firstBackoff{30};
-constexpr std::chrono::milliseconds mostBackoff{250};
+constexpr int mostDoublings = 6;
 
 // Failures in a row after which the store counts as lost.
 constexpr int failuresUntilLost = 2;
@@ -196,8 +195,12 @@
         this->lost = true;
         this->listener.onStoreLost(reason);
     }
-    auto backoff = firstBackoff * (1 << std::min(this->failures - 1, 4));
-    backoff = std::min(backoff, mostBackoff);
+    // What was never listed here nobody else can tell.
+    const bool canWait = this->told && !this->listing;
+    const std::chrono::milliseconds most =
+            canWait ? this->options.mostBackoffIfTold : this->options.mostBackoff;
+    auto backoff = firstBackoff * (1 << std::min(this->failures - 1, mostDoublings));
+    backoff = std::min(backoff, most);
     std::uniform_int_distribution<std::int64_t> jitter(backoff.count() / 2, backoff.count());
     this->askLater(std::chrono::milliseconds(jitter(this->random)));
 }
--- a/lib/Proxy/storesharing.cpp
+++ b/lib/Proxy/storesharing.cpp
@@ -33,7 +33,13 @@
         return placementHash("reader/" + left) > placementHash("reader/" + right);
     });
     ranked.resize(std::min(ranked.size(), this->options.readers));
+    const bool wasReader = this->reader;
     this->reader = std::find(ranked.begin(), ranked.end(), this->name) != ranked.end();
+    // Before it knows its peers an instance reads for itself; then others do.
+    if (wasReader && !this->reader)
+        this->readUntil = this->clock.now() + this->options.handOverTime;
+    if (this->follower != nullptr)
+        this->follower->setTold(!this->reader);
     std::erase(ranked, this->name);
     this->readers = std::move(ranked);
 }
--- a/unittests/Platform/followertest.cpp
+++ b/unittests/Platform/followertest.cpp
@@ -3,6 +3,7 @@
 #include "platformstandin.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Proxy/peerlink.h"
 #include "jaytrack/Proxy/storefollower.h"
 
 #include <criterion/criterion.h>
@@ -124,3 +125,65 @@
     own.loop.run_for(std::chrono::milliseconds(1800));
     cr_assert_eq(own.recorder.regained, 1);
 }
+
+// Symptom: a store in trouble is asked four times a second by each of sixty instances.
+// Events: the store refuses for seconds; others read it for this instance and will tell it.
+Test(storeFollower, asksSeldomInTroubleIfOthersTellIt)
+{
+    std::size_t calls[2] = {};
+    for (const bool told : {false, true}) {
+        Follower own;
+        own.follower->setTold(told);
+        own.store.failWith(503);
+        const std::size_t before = own.store.calls();
+        own.follower->setActive(true);
+        own.loop.restart();
+        own.loop.run_for(std::chrono::milliseconds(2500));
+        calls[told ? 1 : 0] = own.store.calls() - before;
+    }
+    cr_assert(calls[0] >= 8, "%zu calls if nobody tells it", calls[0]);
+    cr_assert(calls[1] <= 8 && calls[1] >= 2, "%zu calls if others tell it", calls[1]);
+}
+
+// Symptom: whenever several engines leave at once, every instance asks the store what changed.
+// Events: ten entries of 250 bytes change together. Cause: the changes were passed on as one
+// notice, which was too large, so their items were left out.
+Test(storeFollower, changesArePassedOnInPartsThatJoin)
+{
+    struct Case
+    {
+        std::vector<std::size_t> sizes;
+        std::size_t parts;
+        std::size_t incomplete;
+    };
+    const std::vector<Case> cases = {{{}, 1, 0},
+                                     {{100}, 1, 0},
+                                     {{400, 400, 400}, 2, 0},
+                                     {{100, 5000, 100}, 1, 1},
+                                     {{5000}, 1, 1},
+                                     {{900, 5000, 900}, 2, 1}};
+    for (const Case &one : cases) {
+        SharedChanges changes{10, 10 + one.sizes.size() + 3, {}, false};
+        for (std::size_t i = 0; i < one.sizes.size(); ++i)
+            changes.items.push_back({"k", std::string(one.sizes[i], 'v'), 11 + i, false});
+        std::reverse(changes.items.begin(), changes.items.end());
+        const std::vector<SharedChanges> parts = splitChanges(changes, 1000);
+        cr_assert_eq(parts.size(), one.parts, "%zu items", one.sizes.size());
+        std::uint64_t at = changes.from;
+        std::size_t incomplete = 0;
+        std::size_t items = 0;
+        for (const SharedChanges &part : parts) {
+            cr_assert_eq(part.from, at, "each part goes on where the one before ends");
+            at = part.to;
+            incomplete += part.incomplete ? 1 : 0;
+            items += part.items.size();
+            for (const StoreItem &item : part.items)
+                cr_assert(item.revision > part.from && item.revision <= part.to);
+        }
+        cr_assert_eq(at, changes.to);
+        cr_assert_eq(incomplete, one.incomplete);
+        const auto large = static_cast<std::size_t>(
+                std::count(one.sizes.begin(), one.sizes.end(), std::size_t{5000}));
+        cr_assert_eq(items + large, one.sizes.size());
+    }
+}
