--- /dev/null
+++ b/unittests/ProcessSoak/record.cpp
@@ -0,0 +1,210 @@
+#include "record.h"
+
+#include "jaytrack/Stream/sse.h"
+
+#include <algorithm>
+
+namespace jaytrack::soak {
+
+namespace {
+
+bool isNotRunStatus(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool isStreamKind(WorkKind kind)
+{
+    return kind == WorkKind::OnceStream || kind == WorkKind::RepeatableStream;
+}
+
+bool mayRunOnce(WorkKind kind)
+{
+    return kind == WorkKind::Once || kind == WorkKind::OnceStream;
+}
+
+} // namespace
+
+std::string eventData(const std::string &id, int generation, int number)
+{
+    return id + "/" + std::to_string(generation) + "/" + std::to_string(number);
+}
+
+std::string plainBody(const std::string &id)
+{
+    return "answer to " + id;
+}
+
+void Record::broken(const std::string &promise, const std::string &id, const std::string &detail)
+{
+    this->found.push_back(promise + " id=" + id + " " + detail);
+}
+
+bool Record::calm(const std::string &who, SteadyTime since) const
+{
+    const auto known = this->disturbedUntil.find(who);
+    return known == this->disturbedUntil.end() || known->second < since;
+}
+
+void Record::disturbed(const std::string &who, SteadyTime until)
+{
+    const std::lock_guard lock(this->mutex);
+    SteadyTime &known = this->disturbedUntil[who];
+    known = std::max(known, until);
+}
+
+void Record::keyTaken(const std::string &key)
+{
+    const std::lock_guard lock(this->mutex);
+    this->keysTaken[key] = std::chrono::steady_clock::now();
+}
+
+void Record::targetLeaves(const std::string &target)
+{
+    const std::lock_guard lock(this->mutex);
+    this->leaving[target] = std::chrono::steady_clock::now();
+}
+
+void Record::stopOrdered(const std::string &instance)
+{
+    const std::lock_guard lock(this->mutex);
+    this->stops[instance] = std::chrono::steady_clock::now();
+}
+
+void Record::sent(const std::string &id, WorkKind kind, const std::string &key,
+                  const std::string &instance)
+{
+    const std::lock_guard lock(this->mutex);
+    Request request{kind, key, instance, std::chrono::steady_clock::now()};
+    this->byId.insert_or_assign(id, std::move(request));
+}
+
+void Record::spoiled(const std::string &id)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto request = this->byId.find(id);
+    if (request != this->byId.end())
+        request->second.spoiled = true;
+}
+
+int Record::ran(const std::string &id, const std::string &target)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto request = this->byId.find(id);
+    if (request == this->byId.end()) {
+        this->broken("ran_unasked", id, "target=" + target);
+        return 0;
+    }
+    const auto taken = this->keysTaken.find(request->second.key);
+    if (taken != this->keysTaken.end() && request->second.sentAt > taken->second + keyBound + slack)
+        this->broken("ran_with_taken_key", id, "key=" + request->second.key);
+    const auto left = this->leaving.find(target);
+    if (left != this->leaving.end() && request->second.sentAt > left->second + leaveBound + slack &&
+        this->calm("store", left->second - slack) &&
+        this->calm(request->second.instance, left->second - slack))
+        this->broken("sent_to_leaving_target", id, "target=" + target);
+    return ++request->second.runs;
+}
+
+int Record::generationOf(const std::string &id)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto request = this->byId.find(id);
+    return request == this->byId.end() ? 0 : request->second.runs;
+}
+
+void Record::checkEvents(const std::string &id, const Request &request, const CallerSaw &answer)
+{
+    SseSplitter splitter;
+    int number = 0;
+    std::string generation;
+    const bool good = splitter.feed(answer.body, [&](const SseEvent &event) {
+        ++number;
+        const std::string data(event.data);
+        const std::size_t first = data.find('/');
+        const std::size_t second = data.rfind('/');
+        const std::string from = data.substr(first + 1, second - first - 1);
+        const bool joined = !generation.empty() && from != generation && mayRunOnce(request.kind);
+        generation = from;
+        const bool right = event.id == std::to_string(number) && data.substr(0, first) == id &&
+                           data.substr(second + 1) == event.id;
+        if (joined || !right)
+            this->broken("event_order", id, "at=" + std::to_string(number) + " got=" + data);
+        return true;
+    });
+    if (!good)
+        this->broken("event_order", id, "garbled");
+    if (answer.whole && number != eventsOfStream)
+        this->broken("cut_stream_looks_whole", id, "events=" + std::to_string(number));
+}
+
+void Record::checkSuccess(const std::string &id, const Request &request, const CallerSaw &answer)
+{
+    if (answer.answeredId != id)
+        this->broken("answer_of_another", id, "got=" + answer.answeredId);
+    if (!answer.stamped)
+        this->broken("success_without_target", id, "");
+    if (request.runs == 0)
+        this->broken("success_without_run", id, "");
+    if (isStreamKind(request.kind))
+        return this->checkEvents(id, request, answer);
+    if (answer.whole && answer.body != plainBody(id))
+        this->broken("body_not_whole", id, "got=" + answer.body);
+}
+
+// A planned stop cuts nothing at an instance that nothing else disturbs. What was sent after the
+// order may meet the end of the process; its caller sees no answer begin.
+void Record::checkStop(const std::string &id, const Request &request, const CallerSaw &answer)
+{
+    const auto stop = this->stops.find(request.instance);
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const std::chrono::seconds before(1);
+    const bool stopped = stop != this->stops.end() && request.sentAt < stop->second &&
+                         stop->second < now &&
+                         this->calm(request.instance, request.sentAt - before) &&
+                         this->calm("targets", request.sentAt - before);
+    if (stopped && !answer.whole && !request.spoiled)
+        this->broken("stop_cut_request", id, "instance=" + request.instance);
+}
+
+void Record::saw(const std::string &id, const CallerSaw &answer)
+{
+    const std::lock_guard lock(this->mutex);
+    Request &request = this->byId.at(id);
+    ++this->counts[answer.whole ? std::to_string(answer.status) : "cut"];
+    if (answer.extraBytes)
+        this->broken("bytes_after_answer", id, "");
+    if (answer.status == 200)
+        this->checkSuccess(id, request, answer);
+    request.refused = answer.whole && isNotRunStatus(answer.status);
+    this->checkStop(id, request, answer);
+}
+
+std::vector<std::string> Record::violations(bool atEnd)
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::string> all = this->found;
+    for (const auto &[id, request] : this->byId) {
+        if (!atEnd)
+            break;
+        if (mayRunOnce(request.kind) && request.runs > 1)
+            all.push_back("ran_twice id=" + id);
+        if (mayRunOnce(request.kind) && request.refused && request.runs > 0)
+            all.push_back("not_run_was_false id=" + id);
+    }
+    return all;
+}
+
+std::size_t Record::requests() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->byId.size();
+}
+
+std::map<std::string, std::size_t> Record::outcomes() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->counts;
+}
+
+} // namespace jaytrack::soak
--- /dev/null
+++ b/unittests/ProcessSoak/record.h
@@ -0,0 +1,99 @@
+// What callers sent and saw, and what targets ran, by the id of the request; and whether the two
+// keep the promises. Nothing here comes from the instances' own word.
+#ifndef JAYTRACK_TESTS_PROCESSSOAK_RECORD_H
+#define JAYTRACK_TESTS_PROCESSSOAK_RECORD_H
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace jaytrack::soak {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+enum class WorkKind { Once, Repeatable, OnceStream, RepeatableStream };
+
+// How an answer ended for its caller.
+struct CallerSaw
+{
+    int status = 0;     // 0 if no answer began
+    bool whole = false; // it came to its end in the protocol
+    bool stamped = false;
+    bool extraBytes = false; // more came after it than was asked for
+    std::string answeredId;
+    std::string body;
+};
+
+class Record
+{
+public:
+    // The bound of the operators within which a key that was taken away stops working, the one for
+    // leaving targets, and what this machine may add to either when it is busy.
+    static constexpr std::chrono::milliseconds keyBound{5000};
+    static constexpr std::chrono::milliseconds leaveBound{2000};
+    static constexpr std::chrono::milliseconds slack{700};
+
+    // Something or somebody was disturbed, and is until the moment given.
+    void disturbed(const std::string &who, SteadyTime until);
+
+    void keyTaken(const std::string &key);
+    void targetLeaves(const std::string &target);
+    void stopOrdered(const std::string &instance);
+
+    void sent(const std::string &id, WorkKind kind, const std::string &key,
+              const std::string &instance);
+    void saw(const std::string &id, const CallerSaw &answer);
+
+    // A target loses or spoils the answer to a request, which it may have run.
+    void spoiled(const std::string &id);
+
+    // A target begins to work on a request. Returns the number of this generation of it.
+    int ran(const std::string &id, const std::string &target);
+
+    // The generation that goes on when a run is resumed from a copy.
+    int generationOf(const std::string &id);
+
+    // What was broken so far; with the runs over, the promises that only the end can judge too.
+    std::vector<std::string> violations(bool atEnd);
+
+    std::size_t requests() const;
+    std::map<std::string, std::size_t> outcomes() const;
+
+private:
+    struct Request
+    {
+        WorkKind kind;
+        std::string key;
+        std::string instance;
+        SteadyTime sentAt;
+        int runs = 0;
+        bool refused = false; // told "not run"
+        bool spoiled = false;
+    };
+
+    void broken(const std::string &promise, const std::string &id, const std::string &detail);
+    void checkSuccess(const std::string &id, const Request &request, const CallerSaw &answer);
+    void checkEvents(const std::string &id, const Request &request, const CallerSaw &answer);
+    void checkStop(const std::string &id, const Request &request, const CallerSaw &answer);
+    bool calm(const std::string &who, SteadyTime since) const;
+
+    mutable std::mutex mutex;
+    std::map<std::string, Request> byId;
+    std::map<std::string, SteadyTime> disturbedUntil;
+    std::map<std::string, SteadyTime> keysTaken;
+    std::map<std::string, SteadyTime> leaving;
+    std::map<std::string, SteadyTime> stops;
+    std::map<std::string, std::size_t> counts;
+    std::vector<std::string> found;
+};
+
+// The events of every stream, and the text of each.
+constexpr int eventsOfStream = 24;
+std::string eventData(const std::string &id, int generation, int number);
+std::string plainBody(const std::string &id);
+
+} // namespace jaytrack::soak
+
+#endif
--- /dev/null
+++ b/unittests/ProcessSoak/scenario.cpp
@@ -0,0 +1,356 @@
+#include "scenario.h"
+
+#include "caller.h"
+
+#include <array>
+#include <csignal>
+
+namespace jaytrack::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+// Longest time limit of a route, with what a paused instance adds for its caller.
+constexpr milliseconds callerPatience{4500};
+
+// After the faults are over an instance serves again within this time: the longest pause between
+// questions to the store, what peers need to find each other again, and a busy machine.
+constexpr milliseconds healBound{12000};
+
+constexpr milliseconds stopBound{9000};
+
+// After a fault ends an instance needs this long until time bounds hold for it again.
+constexpr milliseconds calmAfter{3000};
+
+} // namespace
+
+Scenario::Scenario(ScenarioOptions given)
+    : options(std::move(given))
+    , random(this->options.seed)
+    , site(this->record, this->random(), this->options.engines, this->options.desks)
+    , targetLeaving(this->site.targets.size(), false)
+{
+}
+
+Scenario::~Scenario()
+{
+    this->calling = false;
+    for (std::thread &caller : this->callers)
+        caller.join();
+    this->site.stopProxies();
+}
+
+void Scenario::startInstances()
+{
+    std::vector<InstancePlan> plans(static_cast<std::size_t>(this->options.instances));
+    std::vector<std::string> seeds;
+    for (InstancePlan &plan : plans) {
+        plan.peers = freePort();
+        seeds.push_back("127.0.0.1:" + std::to_string(plan.peers));
+    }
+    for (std::size_t i = 0; i < plans.size(); ++i) {
+        InstancePlan &plan = plans[i];
+        plan.program = this->options.program;
+        plan.directory = this->options.directory;
+        plan.name = "i" + std::to_string(i);
+        plan.seeds = seeds;
+        plan.callers = freePort();
+        plan.readiness = freePort();
+        Member member;
+        member.storeProxy = this->site.makeProxy(this->site.storePort());
+        plan.storeAddress = member.storeProxy->address();
+        member.callerProxy = this->site.makeProxy(plan.callers);
+        member.process = std::make_unique<InstanceProcess>(plan);
+        member.process->start();
+        this->members.push_back(std::move(member));
+    }
+}
+
+bool Scenario::serves(const Member &member, const std::string &id)
+{
+    CallerLine line(member.process->port());
+    if (!line.isOpen())
+        return false;
+    const std::string key = this->site.newestKey();
+    this->record.sent(id, WorkKind::Repeatable, key, member.process->name());
+    const CallerSaw answer =
+            line.exchange(workRequest(id, WorkKind::Repeatable, key), callerPatience);
+    this->record.saw(id, answer);
+    return answer.whole && answer.status == 200;
+}
+
+void Scenario::awaitService(const std::string &promise)
+{
+    int serial = 0;
+    for (const Member &member : this->members) {
+        const SteadyTime end = Clock::now() + healBound;
+        const std::string base = promise + "-" + member.process->name() + "-";
+        bool good = false;
+        while (!good && Clock::now() < end) {
+            good = this->serves(member, base + std::to_string(serial++));
+            if (!good)
+                std::this_thread::sleep_for(milliseconds(50));
+        }
+        if (!good)
+            this->ownViolations.push_back(promise + " instance=" + member.process->name());
+    }
+}
+
+void Scenario::callFrom(int caller)
+{
+    std::mt19937_64 draws(this->options.seed * 1000 + static_cast<std::uint64_t>(caller));
+    std::unique_ptr<CallerLine> line;
+    std::size_t at = 0;
+    for (int serial = 0; this->calling; ++serial) {
+        if (!line || !line->isOpen() || draws() % 5 == 0) {
+            at = draws() % this->members.size();
+            line = std::make_unique<CallerLine>(this->members[at].callerProxy->port());
+        }
+        if (!line->isOpen()) {
+            std::this_thread::sleep_for(milliseconds(30));
+            continue;
+        }
+        const std::string id = "c" + std::to_string(caller) + "-" + std::to_string(serial);
+        const auto kind = static_cast<WorkKind>(draws() % 4);
+        const std::string key = this->site.someKey(draws);
+        this->record.sent(id, kind, key, this->members[at].process->name());
+        const CallerSaw answer = line->exchange(workRequest(id, kind, key), callerPatience);
+        this->record.saw(id, answer);
+        std::this_thread::sleep_for(milliseconds(draws() % 30));
+    }
+}
+
+milliseconds Scenario::drawTime(int fromMs, int toMs)
+{
+    std::uniform_int_distribution<int> draw(fromMs, toMs);
+    return milliseconds(draw(this->random));
+}
+
+LinkFault Scenario::drawLinkFault()
+{
+    static constexpr std::array<LinkFault, 4> kinds = {LinkFault::Delay, LinkFault::Silence,
+                                                       LinkFault::SilenceBack, LinkFault::Reset};
+    return kinds[this->random() % kinds.size()];
+}
+
+Scenario::Member &Scenario::someMember()
+{
+    return this->members[this->random() % this->members.size()];
+}
+
+void Scenario::disturb(const std::string &who, milliseconds time)
+{
+    this->record.disturbed(who, Clock::now() + time + calmAfter);
+}
+
+void Scenario::later(milliseconds after, std::function<void()> action)
+{
+    this->planned.emplace(Clock::now() + after, std::move(action));
+}
+
+void Scenario::killInstance()
+{
+    Member &member = this->someMember();
+    const milliseconds down = this->drawTime(50, 1500);
+    this->disturb(member.process->name(), down);
+    member.process->signal(SIGKILL);
+    this->later(down, [&member] { member.restartDue = true; });
+}
+
+void Scenario::pauseInstance()
+{
+    Member &member = this->someMember();
+    const milliseconds time = this->drawTime(100, 6000);
+    this->disturb(member.process->name(), time);
+    member.process->signal(SIGSTOP);
+    this->later(time, [&member] { member.process->signal(SIGCONT); });
+}
+
+void Scenario::stopInstance()
+{
+    Member &member = this->someMember();
+    this->record.stopOrdered(member.process->name());
+    member.process->signal(SIGTERM);
+    this->later(this->drawTime(4000, 7000), [&member] { member.restartDue = true; });
+}
+
+void Scenario::reloadInstance()
+{
+    this->someMember().process->signal(SIGHUP);
+}
+
+void Scenario::cutStoreOfInstance()
+{
+    Member &member = this->someMember();
+    const milliseconds time = this->drawTime(200, 6000);
+    this->disturb(member.process->name(), time);
+    member.storeProxy->setFault(this->drawLinkFault());
+    this->later(time, [&member] { member.storeProxy->setFault(LinkFault::None); });
+}
+
+void Scenario::cutCallersOfInstance()
+{
+    Member &member = this->someMember();
+    const milliseconds time = this->drawTime(100, 1500);
+    this->disturb(member.process->name(), time);
+    member.callerProxy->setFault(this->drawLinkFault());
+    this->later(time, [&member] { member.callerProxy->setFault(LinkFault::None); });
+}
+
+void Scenario::cutTarget()
+{
+    SoakTarget &target = *this->site.targets[this->random() % this->site.targets.size()];
+    const milliseconds time = this->drawTime(100, 2500);
+    this->disturb("targets", time);
+    target.setFault(this->drawLinkFault());
+    this->later(time, [&target] { target.setFault(LinkFault::None); });
+}
+
+void Scenario::refuseAtStore()
+{
+    const milliseconds time = this->drawTime(200, 7000);
+    this->disturb("store", time);
+    this->site.store.failWith(this->random() % 2 == 0 ? 503 : 429);
+    this->later(time, [this] { this->site.store.failWith(0); });
+}
+
+void Scenario::forgetAtStore()
+{
+    this->disturb("store", milliseconds(1000));
+    this->site.store.compact();
+}
+
+void Scenario::changeConfiguration()
+{
+    this->site.changeConfiguration();
+}
+
+void Scenario::changeKey()
+{
+    this->site.changeKey();
+}
+
+void Scenario::leaveTarget()
+{
+    const std::size_t target = this->random() % this->site.targets.size();
+    if (this->targetLeaving[target])
+        return;
+    this->targetLeaving[target] = true;
+    this->disturb("targets", milliseconds(4000));
+    this->site.announceLeaving(target);
+    this->later(this->drawTime(2800, 4000), [this, target] {
+        this->site.replaceTarget(target);
+        this->targetLeaving[target] = false;
+    });
+}
+
+void Scenario::injectFault()
+{
+    struct Kind
+    {
+        const char *name;
+        void (Scenario::*inject)();
+    };
+    static constexpr std::array<Kind, 12> kinds = {
+            {{"kill", &Scenario::killInstance},
+             {"pause", &Scenario::pauseInstance},
+             {"stop", &Scenario::stopInstance},
+             {"reload", &Scenario::reloadInstance},
+             {"store_cut", &Scenario::cutStoreOfInstance},
+             {"callers_cut", &Scenario::cutCallersOfInstance},
+             {"target_cut", &Scenario::cutTarget},
+             {"store_refuses", &Scenario::refuseAtStore},
+             {"store_forgets", &Scenario::forgetAtStore},
+             {"configuration", &Scenario::changeConfiguration},
+             {"key_taken", &Scenario::changeKey},
+             {"target_leaves", &Scenario::leaveTarget}}};
+    const Kind &kind = kinds[this->random() % kinds.size()];
+    ++this->faults[kind.name];
+    (this->*kind.inject)();
+}
+
+void Scenario::restartEnded()
+{
+    for (Member &member : this->members) {
+        if (!member.process->hasEnded() || !member.restartDue)
+            continue;
+        member.restartDue = false;
+        member.process->start();
+    }
+}
+
+void Scenario::advance(SteadyTime until)
+{
+    while (Clock::now() < until) {
+        while (!this->planned.empty() && this->planned.begin()->first <= Clock::now()) {
+            const std::function<void()> action = std::move(this->planned.begin()->second);
+            this->planned.erase(this->planned.begin());
+            action();
+        }
+        this->restartEnded();
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+}
+
+// Ends what is still planned at once, and starts again whatever is down.
+void Scenario::heal()
+{
+    for (const auto &[time, action] : this->planned)
+        action();
+    this->planned.clear();
+    const SteadyTime end = Clock::now() + stopBound;
+    const auto allUp = [this] {
+        for (const Member &member : this->members) {
+            if (member.restartDue)
+                return false;
+        }
+        return true;
+    };
+    while (!allUp() && Clock::now() < end)
+        this->advance(Clock::now() + milliseconds(50));
+}
+
+void Scenario::stopInstances()
+{
+    for (const Member &member : this->members)
+        member.process->signal(SIGTERM);
+    const SteadyTime end = Clock::now() + stopBound;
+    for (Member &member : this->members) {
+        while (!member.process->hasEnded() && Clock::now() < end)
+            std::this_thread::sleep_for(milliseconds(20));
+        if (!member.process->hasEnded())
+            this->ownViolations.push_back("does_not_stop instance=" + member.process->name());
+        if (!member.process->fault().empty())
+            this->ownViolations.push_back("ended_by_itself " + member.process->fault());
+    }
+}
+
+ScenarioResult Scenario::run()
+{
+    this->startInstances();
+    this->awaitService("serves_at_start");
+    this->calling = true;
+    for (int i = 0; i < this->options.callers; ++i)
+        this->callers.emplace_back([this, i] { this->callFrom(i); });
+    const SteadyTime end = Clock::now() + this->options.length;
+    while (Clock::now() < end) {
+        this->injectFault();
+        this->advance(Clock::now() + this->drawTime(100, 900));
+    }
+    this->heal();
+    this->awaitService("serves_after_faults");
+    this->calling = false;
+    for (std::thread &caller : this->callers)
+        caller.join();
+    this->callers.clear();
+    this->stopInstances();
+    ScenarioResult result{this->record.violations(true), this->record.requests(),
+                          this->record.outcomes(), this->faults};
+    result.violations.insert(result.violations.end(), this->ownViolations.begin(),
+                             this->ownViolations.end());
+    return result;
+}
+
+} // namespace jaytrack::soak
--- /dev/null
+++ b/unittests/ProcessSoak/scenario.h
@@ -0,0 +1,102 @@
+// One seeded run: real processes under load, with faults in series that overlap.
+#ifndef JAYTRACK_TESTS_PROCESSSOAK_SCENARIO_H
+#define JAYTRACK_TESTS_PROCESSSOAK_SCENARIO_H
+
+#include "instanceprocess.h"
+#include "record.h"
+#include "site.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jaytrack::soak {
+
+struct ScenarioOptions
+{
+    std::uint64_t seed = 1;
+    std::chrono::seconds length{12}; // of the part with faults
+    int instances = 4;
+    int engines = 4;
+    int desks = 2;
+    int callers = 8;
+    std::string program;
+    std::string directory; // for settings and logs, existing
+};
+
+struct ScenarioResult
+{
+    std::vector<std::string> violations;
+    std::size_t requests = 0;
+    std::map<std::string, std::size_t> outcomes;
+    std::map<std::string, std::size_t> faults;
+};
+
+class Scenario
+{
+public:
+    explicit Scenario(ScenarioOptions given);
+    ~Scenario();
+
+    ScenarioResult run();
+
+private:
+    struct Member
+    {
+        std::unique_ptr<FaultProxy> storeProxy;
+        std::unique_ptr<InstanceProcess> process;
+        std::unique_ptr<FaultProxy> callerProxy;
+        bool restartDue = false;
+    };
+
+    void startInstances();
+    void awaitService(const std::string &promise);
+    bool serves(const Member &member, const std::string &id);
+    void callFrom(int caller);
+    void injectFault();
+    void advance(SteadyTime until);
+    void restartEnded();
+    void heal();
+    void stopInstances();
+
+    // Faults. Each notes what it disturbs and plans its own end.
+    void killInstance();
+    void pauseInstance();
+    void stopInstance();
+    void reloadInstance();
+    void cutStoreOfInstance();
+    void cutCallersOfInstance();
+    void cutTarget();
+    void refuseAtStore();
+    void forgetAtStore();
+    void changeConfiguration();
+    void changeKey();
+    void leaveTarget();
+
+    Member &someMember();
+    void disturb(const std::string &who, std::chrono::milliseconds time);
+    std::chrono::milliseconds drawTime(int fromMs, int toMs);
+    LinkFault drawLinkFault();
+    void later(std::chrono::milliseconds after, std::function<void()> action);
+
+    ScenarioOptions options;
+    std::mt19937_64 random;
+    Record record;
+    Site site;
+    std::vector<Member> members;
+    std::multimap<SteadyTime, std::function<void()>> planned;
+    std::map<std::string, std::size_t> faults;
+    std::vector<std::string> ownViolations;
+    std::atomic<bool> calling{false};
+    std::vector<std::thread> callers;
+    std::vector<bool> targetLeaving;
+};
+
+} // namespace jaytrack::soak
+
+#endif
--- /dev/null
+++ b/unittests/ProcessSoak/site.cpp
@@ -0,0 +1,230 @@
+#include "site.h"
+
+#include "jaytrack/Net/socket.h"
+
+namespace jaytrack::soak {
+
+using nlohmann::json;
+using testing::Answer;
+using testing::AnswerStep;
+using testing::SeenRequest;
+using testing::wholeAnswer;
+
+namespace {
+
+constexpr std::chrono::milliseconds eventGap{25};
+
+// Of a hundred requests that reach a target: refused as full, run with the answer lost, run with
+// half of the answer.
+constexpr int percentRefused = 4;
+constexpr int percentLost = 2;
+constexpr int percentHalved = 2;
+constexpr int percentMovesRefused = 30;
+
+std::string stampHeaders(const std::string &attempt)
+{
+    return "X-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: s\r\n";
+}
+
+testing::RouteSpec routeOf(const std::string &prefix, const std::string &type, int timeoutMs)
+{
+    testing::RouteSpec route;
+    route.prefix = prefix;
+    route.type = type;
+    route.service = type == "stream" ? "svc" : "desk";
+    route.timeoutMs = timeoutMs;
+    return route;
+}
+
+} // namespace
+
+SoakTarget::SoakTarget(asio::io_context &context, Record &seen, std::string serviceName,
+                       std::string firstId, std::uint64_t seed)
+    : record(seen)
+    , serviceOf(std::move(serviceName))
+    , ownId(std::move(firstId))
+    , random(seed)
+    , server([this](const SeenRequest &request) { return this->answer(request); })
+    , proxy(std::make_unique<FaultProxy>(context,
+                                         parseEndpoint(this->server.address()).value().port()))
+{
+}
+
+std::string SoakTarget::id() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->ownId;
+}
+
+void SoakTarget::becomes(const std::string &newId)
+{
+    const std::lock_guard lock(this->mutex);
+    this->ownId = newId;
+}
+
+Answer SoakTarget::answer(const SeenRequest &request)
+{
+    if (request.head.path() == "/jaytrack/report")
+        return wholeAnswer(200, "Content-Type: application/json\r\n", "{}");
+    std::uniform_int_distribution<int> percent(0, 99);
+    if (request.head.path() == "/jaytrack/kv-move") {
+        const bool refused = percent(this->random) < percentMovesRefused;
+        return wholeAnswer(refused ? 503 : 200, "Content-Type: application/json\r\n",
+                           R"({"KvHandle":"h","Created":1})");
+    }
+    if (request.head.header("X-Expect-Instance") != this->id())
+        return wholeAnswer(421, "", "");
+    const std::string attempt(request.head.header("X-Attempt-Id"));
+    if (percent(this->random) < percentRefused)
+        return wholeAnswer(503, stampHeaders(attempt) + "X-Not-Executed: 1\r\n", "");
+    return this->run(request, attempt);
+}
+
+Answer SoakTarget::run(const SeenRequest &request, const std::string &attempt)
+{
+    if (this->serviceOf == "svc")
+        return this->stream(request, attempt);
+    this->record.ran(attempt, this->id());
+    std::uniform_int_distribution<int> percent(0, 99);
+    std::uniform_int_distribution<int> work(5, 60);
+    Answer answer = wholeAnswer(200, stampHeaders(attempt), plainBody(attempt));
+    answer.front().after = std::chrono::milliseconds(work(this->random));
+    const int luck = percent(this->random);
+    if (luck < percentLost + percentHalved) {
+        this->record.spoiled(attempt);
+        std::string &bytes = answer.front().bytes;
+        bytes.resize(luck < percentLost ? 0 : bytes.size() - 4);
+        answer.push_back({AnswerStep::Kind::Close, "", {}});
+    }
+    return answer;
+}
+
+Answer SoakTarget::stream(const SeenRequest &request, const std::string &attempt)
+{
+    const bool resumed = !request.head.header("Kv-From").empty();
+    const int generation =
+            resumed ? this->record.generationOf(attempt) : this->record.ran(attempt, this->id());
+    const std::string_view after = request.head.header("Last-Event-Id");
+    const int first = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
+    std::uniform_int_distribution<int> percent(0, 99);
+    const bool lost = percent(this->random) < percentLost;
+    if (lost)
+        this->record.spoiled(attempt);
+    const int last = lost ? (first + eventsOfStream) / 2 : eventsOfStream;
+    Answer answer = {{AnswerStep::Kind::Send, testing::streamHead(stampHeaders(attempt)), {}}};
+    for (int number = first; number <= last; ++number) {
+        const std::string text = testing::eventText(number, eventData(attempt, generation, number));
+        answer.push_back(testing::chunkStep(text, eventGap));
+    }
+    if (lost)
+        answer.push_back({AnswerStep::Kind::Reset, "", {}});
+    else
+        answer.push_back({AnswerStep::Kind::Send, "0\r\n\r\n", {}});
+    return answer;
+}
+
+Site::Site(Record &seen, std::uint64_t seed, int engines, int desks)
+    : record(seen)
+    , work(asio::make_work_guard(this->context))
+    , random(seed)
+    , keys({"key-0"})
+{
+    for (int i = 0; i < engines + desks; ++i) {
+        this->targets.push_back(
+                std::make_unique<SoakTarget>(this->context, seen, i < engines ? "svc" : "desk",
+                                             "t" + std::to_string(i), this->random()));
+        this->list(*this->targets.back(), "ready");
+    }
+    this->serial = engines + desks;
+    this->changeConfiguration();
+    this->thread = std::thread([this] { this->context.run(); });
+}
+
+Site::~Site()
+{
+    this->stopProxies();
+}
+
+void Site::stopProxies()
+{
+    this->context.stop();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+std::unique_ptr<FaultProxy> Site::makeProxy(std::uint16_t toPort)
+{
+    return std::make_unique<FaultProxy>(this->context, toPort);
+}
+
+std::uint16_t Site::storePort() const
+{
+    return parseEndpoint(this->store.address()).value().port();
+}
+
+void Site::list(const SoakTarget &target, const std::string &state)
+{
+    this->store.put("servers/" + target.id(),
+                    testing::targetJson(target.address(), state, target.service()));
+}
+
+void Site::publish()
+{
+    std::uniform_int_distribution<int> timeout(2500, 3500);
+    const int limit = timeout(this->random);
+    std::vector<testing::RouteSpec> routes = {
+            routeOf("/once/", "unsafe", limit), routeOf("/read/", "safe", limit),
+            routeOf("/draft/", "stream", limit), routeOf("/check/", "stream", limit)};
+    routes[1].attempts = 2;
+    routes[3].attempts = 2;
+    routes[3].resumable = true;
+    json document = testing::configurationJson(++this->version, routes);
+    document["Services"].push_back({{"Name", "desk"}, {"HealthPath", "/healthz"}});
+    document["Tenants"][0]["ApiKeys"] = json::array({this->keys.back()});
+    this->store.put("op/config", document.dump());
+}
+
+void Site::changeConfiguration()
+{
+    const std::lock_guard lock(this->mutex);
+    this->publish();
+}
+
+void Site::changeKey()
+{
+    const std::lock_guard lock(this->mutex);
+    const std::string old = this->keys.back();
+    this->keys.push_back("key-" + std::to_string(this->keys.size()));
+    this->publish();
+    this->record.keyTaken(old);
+}
+
+std::string Site::newestKey() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->keys.back();
+}
+
+std::string Site::someKey(std::mt19937_64 &draws) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::uniform_int_distribution<std::size_t> any(0, this->keys.size() - 1);
+    const bool old = draws() % 4 == 0;
+    return old ? this->keys[any(draws)] : this->keys.back();
+}
+
+void Site::announceLeaving(std::size_t target)
+{
+    this->list(*this->targets[target], "draining");
+    this->record.targetLeaves(this->targets[target]->id());
+}
+
+void Site::replaceTarget(std::size_t target)
+{
+    SoakTarget &leaving = *this->targets[target];
+    this->store.remove("servers/" + leaving.id());
+    leaving.becomes("t" + std::to_string(this->serial++));
+    this->list(leaving, "ready");
+}
+
+} // namespace jaytrack::soak
--- /dev/null
+++ b/unittests/ProcessSoak/site.h
@@ -0,0 +1,99 @@
+// The platform around the instances: its store, its targets, and the proxies between them and the
+// instances, with their bad hours.
+#ifndef JAYTRACK_TESTS_PROCESSSOAK_SITE_H
+#define JAYTRACK_TESTS_PROCESSSOAK_SITE_H
+
+#include "faultproxy.h"
+#include "record.h"
+
+#include "platformdocuments.h"
+#include "platformstandin.h"
+
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jaytrack::soak {
+
+// A target behind a proxy. It may leave, and another one come up at its address.
+class SoakTarget
+{
+public:
+    SoakTarget(asio::io_context &context, Record &seen, std::string serviceName,
+               std::string firstId, std::uint64_t seed);
+
+    std::string id() const;
+    std::string address() const { return this->proxy->address(); }
+    const std::string &service() const { return this->serviceOf; }
+    void becomes(const std::string &newId);
+    void setFault(LinkFault fault) { this->proxy->setFault(fault); }
+
+private:
+    testing::Answer answer(const testing::SeenRequest &request);
+    testing::Answer run(const testing::SeenRequest &request, const std::string &attempt);
+    testing::Answer stream(const testing::SeenRequest &request, const std::string &attempt);
+
+    Record &record;
+    std::string serviceOf;
+    mutable std::mutex mutex;
+    std::string ownId;
+    std::mt19937_64 random; // used by the server's thread alone
+    testing::ScriptedServer server;
+    std::unique_ptr<FaultProxy> proxy;
+};
+
+class Site
+{
+public:
+    Site(Record &seen, std::uint64_t seed, int engines, int desks);
+    ~Site();
+    Site(const Site &) = delete;
+    Site &operator=(const Site &) = delete;
+
+    // Publishes the next version of the configuration, with a timeout drawn anew.
+    void changeConfiguration();
+
+    // Takes the newest key away and gives the customer another one.
+    void changeKey();
+
+    // A target that announces its leaving; after a while it is gone and another one comes up.
+    void announceLeaving(std::size_t target);
+    void replaceTarget(std::size_t target);
+
+    // A key that a caller uses: mostly the newest, at times one that was taken away.
+    std::string someKey(std::mt19937_64 &draws) const;
+    std::string newestKey() const;
+
+    std::unique_ptr<FaultProxy> makeProxy(std::uint16_t toPort);
+    std::uint16_t storePort() const;
+
+    // Ends the thread on which all proxies run; they may be destroyed from then on.
+    void stopProxies();
+
+private:
+    asio::io_context context; // outlives the proxies of the targets
+
+public:
+    testing::StoreStandin store;
+    std::vector<std::unique_ptr<SoakTarget>> targets;
+
+private:
+    void publish();
+    void list(const SoakTarget &target, const std::string &state);
+
+    Record &record;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    mutable std::mutex mutex;
+    std::mt19937_64 random;
+    int version = 0;
+    int serial = 0;
+    std::vector<std::string> keys;
+    std::thread thread;
+};
+
+} // namespace jaytrack::soak
+
+#endif
