--- a/unittests/ProcessSoak/instanceprocess.cpp
+++ b/unittests/ProcessSoak/instanceprocess.cpp
@@ -84,6 +84,9 @@
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    // An inherited socket stays open when this program closes it: ports stay taken, and peers never
+    // see that a connection ended.
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     std::vector<std::string> words = {this->plan.program, "--settings", settings};
     std::vector<char *> arguments;
     for (std::string &word : words)
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -175,8 +175,8 @@
     std::vector<testing::RouteSpec> routes = {
             routeOf("/once/", "unsafe", limit), routeOf("/read/", "safe", limit),
             routeOf("/draft/", "stream", limit), routeOf("/check/", "stream", limit)};
-    routes[1].attempts = 2;
-    routes[3].attempts = 2;
+    for (testing::RouteSpec &route : routes)
+        route.attempts = 2;
     routes[3].resumable = true;
     json document = testing::configurationJson(++this->version, routes);
     document["Services"].push_back({{"Name", "desk"}, {"HealthPath", "/healthz"}});
