--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -111,6 +111,8 @@
   4: list<FreshnessAsk> asks
   5: list<FreshnessAnswer> answers
   6: list<ReleaseNotice> releases
+  // Engines that failed a generation or a question of the sender.
+  7: list<string> failedEngines
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -31,6 +31,7 @@
     virtual void announcePlaced(std::string_view engine, const GenerationNeed &need,
                                 bool copied) = 0;
     virtual void announceReleased(std::string_view engine, std::uint32_t tokens) = 0;
+    virtual void announceFailed(std::string_view engine) = 0;
 };
 
 // What all requests of an instance share.
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -26,6 +26,9 @@
 
     // An engine reported its load to this instance.
     virtual void onLoad(std::string_view engine, const EngineLoad &load) = 0;
+
+    // An engine did not answer when it was asked.
+    virtual void onNoLoad(std::string_view engine) = 0;
 };
 
 class LoadProber final
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -55,6 +55,7 @@
     virtual void onPlacedByPeer(std::string_view engine, const GenerationNeed &need,
                                 bool copied) = 0;
     virtual void onReleasedByPeer(std::string_view engine, std::uint32_t tokens) = 0;
+    virtual void onFailedForPeer(std::string_view engine, std::string_view peer) = 0;
     virtual void onLoadFromPeer(std::string_view engine, const EngineLoad &load) = 0;
     virtual void onStoreFromPeer(const SharedChanges &changes) = 0;
     virtual void onFreshnessAsked(std::string_view peer, std::int64_t askedAt) = 0;
@@ -78,6 +79,9 @@
     // together, some times a second.
     void announceReleased(std::string_view engine, std::uint32_t tokens);
 
+    // Tells them that an engine failed a generation or a question of this instance.
+    void announceFailed(std::string_view engine);
+
     // Tells them what an engine reported.
     void announce(std::string_view engine, const EngineLoad &load);
 
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -80,9 +80,15 @@
     // instances within a second of each other.
     Duration keepUnlisted = std::chrono::seconds(5);
 
-    // After this many calls in a row that never reached an engine it is left alone for a while.
-    int failuresToAvoid = 2;
+    // An engine is left alone for a while after so many failures of this instance, or failures of
+    // so many instances: one whose own way is bad shuts no engine out for the others. If it fails
+    // once more after that, it is left alone for twice as long, and so on.
+    std::size_t failuresToAvoid = 2;
     Duration avoidFor = std::chrono::seconds(2);
+    int mostDoublings = 2;
+
+    // Failures further apart than this have nothing to do with each other.
+    Duration failureWindow = std::chrono::seconds(3);
 };
 
 class EngineChoice
@@ -94,8 +100,15 @@
     void listed(const TargetEntry &entry);
     void gone(std::string_view id);
     void reported(std::string_view id, const EngineLoad &load);
-    void unreachable(std::string_view id);
-    void reached(std::string_view id);
+
+    // An engine failed a generation or a question of this instance, or of another one: not reached,
+    // reset, broken off or refused. One that says that it is well and fails all that comes looks
+    // empty, and would be given everything.
+    void failed(std::string_view id);
+    void failedForOther(std::string_view id, std::string_view instance);
+
+    // A generation of this instance got its first event there.
+    void answered(std::string_view id);
 
     // A prompt of this instance goes to an engine, which has to read it.
     void began(std::string_view id, std::string_view run, const GenerationNeed &need);
@@ -159,8 +172,11 @@
         std::map<std::string, Reading, std::less<>> reading;
         std::vector<Change> changes;
         TimePoint promptsReadBy; // when the prompts that were placed so far will have been read
-        int failures = 0;
+        std::size_t ownFailures = 0;
+        std::set<std::string, std::less<>> failedBy; // instances
+        TimePoint failedAt;
         TimePoint avoidedUntil;
+        int timesAvoided = 0; // in a row
         bool leaving = false;
         bool listed = false;
         std::string service;
@@ -175,6 +191,7 @@
         TimePoint at;
     };
 
+    void noteFailure(Board &board, std::string_view instance);
     double refugeShare(std::span<const TargetEntry *const> engines, const EngineTraits &traits);
     Board &noticedBoard(std::string_view id);
     void dropStaleBoards();
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -319,6 +319,11 @@
         this->engines.releasedByOthers(engine, tokens);
     }
 
+    void onFailedForPeer(std::string_view engine, std::string_view peer) override
+    {
+        this->engines.failedForOther(engine, peer);
+    }
+
     void onLoadFromPeer(std::string_view engine, const EngineLoad &load) override
     {
         this->engines.reported(engine, load);
@@ -360,6 +365,12 @@
             this->peers->announceReleased(engine, tokens);
     }
 
+    void announceFailed(std::string_view engine) override
+    {
+        if (this->peers)
+            this->peers->announceFailed(engine);
+    }
+
     // LoadSharing
 
     bool isMineToAsk(std::string_view engine) const override
@@ -367,6 +378,12 @@
         return !this->peers || this->peers->isMineToAsk(engine);
     }
 
+    void onNoLoad(std::string_view engine) override
+    {
+        this->engines.failed(engine);
+        this->announceFailed(engine);
+    }
+
     void onLoad(std::string_view engine, const EngineLoad &load) override
     {
         this->engines.reported(engine, load);
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -91,10 +91,9 @@
         this->askAfter(gap);
         const Result<EngineLoad> load = this->prober.dialect.decodeLoad(this->body);
         if (!end.whole || this->status != okStatus || !load) {
-            this->prober.engines.unreachable(this->target.id);
+            this->prober.sharing.onNoLoad(this->target.id);
             return;
         }
-        this->prober.engines.reached(this->target.id);
         this->prober.sharing.onLoad(this->target.id, load.value());
     }
 
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -210,6 +210,13 @@
     this->releases[std::string(engine)] += tokens;
 }
 
+void PeerLink::announceFailed(std::string_view engine)
+{
+    wire::EntryNotices message;
+    message.failedEngines.emplace_back(engine);
+    this->tellPeers(encodeMessage(message));
+}
+
 void PeerLink::sendReleases()
 {
     if (this->releases.empty())
@@ -288,6 +295,8 @@
     }
     for (const wire::ReleaseNotice &notice : message->releases)
         this->listener.onReleasedByPeer(notice.engine, toTokens(notice.tokens));
+    for (const std::string &engine : message->failedEngines)
+        this->listener.onFailedForPeer(engine, from);
     for (const wire::LoadNotice &notice : message->loads) {
         EngineLoad load;
         load.waiting = notice.waiting;
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -176,6 +176,7 @@
     void legHead(StreamLeg &leg);
     void legEvent(StreamLeg &leg, const SseEvent &event);
     void legEnded(StreamLeg &leg, const TargetCallEnd &end);
+    void noteOutcome(const StreamLeg &leg, const TargetCallEnd &end);
     void moveEnded(MoveCall &move, const TargetCallEnd &end);
 
 protected:
@@ -441,7 +442,6 @@
 
 void StreamExchange::legHead(StreamLeg &leg)
 {
-    this->context.engines.reached(leg.target.id);
     const AnswerFacts said =
             this->context.dialect.describeAnswer(leg.head.status, leg.head.headers);
     if (!said.attemptId.empty() && said.attemptId != this->facts().attemptId) {
@@ -482,6 +482,7 @@
     this->beginAnswer(leg.head);
     this->caller->write(event.text);
     this->context.engines.firstToken(leg.target.id, this->facts().attemptId);
+    this->context.engines.answered(leg.target.id);
     if (this->caller->pendingBytes() > mostPendingBytes)
         leg.call->setPaused(true);
     this->plan.eventMade();
@@ -513,14 +514,25 @@
     this->context.metrics.count("jaytrack_runs_taken_over_total");
 }
 
+// Remembers engines that fail what they are given, and tells the other instances. That the runs of
+// an engine which has said that it leaves end early says nothing of it.
+void StreamExchange::noteOutcome(const StreamLeg &leg, const TargetCallEnd &end)
+{
+    const bool refused = end.whole && !leg.streaming;
+    const TargetEntry *listed = this->context.directory.find(leg.target.id);
+    if ((end.whole && !refused) || listed == nullptr || listed->leaving)
+        return;
+    this->context.engines.failed(leg.target.id);
+    this->context.notices.announceFailed(leg.target.id);
+}
+
 void StreamExchange::legEnded(StreamLeg &leg, const TargetCallEnd &end)
 {
     if (this->isFinished())
         return;
     if (end.bytesSent)
         ++this->sends;
-    else
-        this->context.engines.unreachable(leg.target.id);
+    this->noteOutcome(leg, end);
     if (this->next.get() == &leg)
         return this->nextLost(end.whole ? "refused_by_engine" : end.reason);
     if (this->current.get() != &leg)
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -85,20 +85,52 @@
     std::erase_if(found->second.changes, [told](const Change &one) { return one.since < told; });
 }
 
-void EngineChoice::unreachable(std::string_view id)
+void EngineChoice::noteFailure(Board &board, std::string_view instance)
 {
-    const auto found = this->boards.find(id);
-    if (found == this->boards.end())
+    const TimePoint now = this->clock.now();
+    // What was sent before the engine was left alone still comes back.
+    if (now < board.avoidedUntil)
+        return;
+    if (now - std::max(board.failedAt, board.avoidedUntil) > this->options.failureWindow) {
+        board.ownFailures = 0;
+        board.failedBy.clear();
+        board.timesAvoided = 0;
+    }
+    board.failedAt = now;
+    board.failedBy.emplace(instance);
+    board.ownFailures += instance.empty() ? 1 : 0;
+    const std::size_t most = std::max(board.ownFailures, board.failedBy.size());
+    if (most < this->options.failuresToAvoid && board.timesAvoided == 0)
         return;
-    if (++found->second.failures >= this->options.failuresToAvoid)
-        found->second.avoidedUntil = this->clock.now() + this->options.avoidFor;
+    const int doublings = std::min(board.timesAvoided, this->options.mostDoublings);
+    board.avoidedUntil = now + this->options.avoidFor * (1 << doublings);
+    ++board.timesAvoided;
+    board.ownFailures = 0;
+    board.failedBy.clear();
+}
+
+void EngineChoice::failed(std::string_view id)
+{
+    const auto found = this->boards.find(id);
+    if (found != this->boards.end())
+        this->noteFailure(found->second, {});
 }
 
-void EngineChoice::reached(std::string_view id)
+void EngineChoice::failedForOther(std::string_view id, std::string_view instance)
 {
     const auto found = this->boards.find(id);
     if (found != this->boards.end())
-        found->second.failures = 0;
+        this->noteFailure(found->second, instance);
+}
+
+void EngineChoice::answered(std::string_view id)
+{
+    const auto found = this->boards.find(id);
+    if (found == this->boards.end())
+        return;
+    found->second.ownFailures = 0;
+    found->second.failedBy.clear();
+    found->second.timesAvoided = 0;
 }
 
 Duration EngineChoice::readingTime(std::uint32_t tokens) const
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -1985,6 +1985,10 @@
 void EntryNotices::__set_releases(const std::vector<ReleaseNotice> & val) {
   this->releases = val;
 }
+
+void EntryNotices::__set_failedEngines(const std::vector<std::string> & val) {
+  this->failedEngines = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
@@ -2133,6 +2137,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failedEngines.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->failedEngines.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += iprot->readString(this->failedEngines[_i75]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failedEngines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2153,10 +2177,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter71;
-    for (_iter71 = this->placements.begin(); _iter71 != this->placements.end(); ++_iter71)
+    std::vector<PlacementNotice> ::const_iterator _iter76;
+    for (_iter76 = this->placements.begin(); _iter76 != this->placements.end(); ++_iter76)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2165,10 +2189,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter72;
-    for (_iter72 = this->loads.begin(); _iter72 != this->loads.end(); ++_iter72)
+    std::vector<LoadNotice> ::const_iterator _iter77;
+    for (_iter77 = this->loads.begin(); _iter77 != this->loads.end(); ++_iter77)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2177,10 +2201,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreNotice> ::const_iterator _iter73;
-    for (_iter73 = this->stores.begin(); _iter73 != this->stores.end(); ++_iter73)
+    std::vector<StoreNotice> ::const_iterator _iter78;
+    for (_iter78 = this->stores.begin(); _iter78 != this->stores.end(); ++_iter78)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2189,10 +2213,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<FreshnessAsk> ::const_iterator _iter74;
-    for (_iter74 = this->asks.begin(); _iter74 != this->asks.end(); ++_iter74)
+    std::vector<FreshnessAsk> ::const_iterator _iter79;
+    for (_iter79 = this->asks.begin(); _iter79 != this->asks.end(); ++_iter79)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2201,10 +2225,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<FreshnessAnswer> ::const_iterator _iter75;
-    for (_iter75 = this->answers.begin(); _iter75 != this->answers.end(); ++_iter75)
+    std::vector<FreshnessAnswer> ::const_iterator _iter80;
+    for (_iter80 = this->answers.begin(); _iter80 != this->answers.end(); ++_iter80)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2213,10 +2237,22 @@
   xfer += oprot->writeFieldBegin("releases", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releases.size()));
-    std::vector<ReleaseNotice> ::const_iterator _iter76;
-    for (_iter76 = this->releases.begin(); _iter76 != this->releases.end(); ++_iter76)
+    std::vector<ReleaseNotice> ::const_iterator _iter81;
+    for (_iter81 = this->releases.begin(); _iter81 != this->releases.end(); ++_iter81)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter81).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failedEngines", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedEngines.size()));
+    std::vector<std::string> ::const_iterator _iter82;
+    for (_iter82 = this->failedEngines.begin(); _iter82 != this->failedEngines.end(); ++_iter82)
+    {
+      xfer += oprot->writeString((*_iter82));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2235,26 +2271,29 @@
   swap(a.asks, b.asks);
   swap(a.answers, b.answers);
   swap(a.releases, b.releases);
+  swap(a.failedEngines, b.failedEngines);
   swap(a.__isset, b.__isset);
 }
 
-EntryNotices::EntryNotices(const EntryNotices& other77) {
-  placements = other77.placements;
-  loads = other77.loads;
-  stores = other77.stores;
-  asks = other77.asks;
-  answers = other77.answers;
-  releases = other77.releases;
-  __isset = other77.__isset;
-}
-EntryNotices& EntryNotices::operator=(const EntryNotices& other78) {
-  placements = other78.placements;
-  loads = other78.loads;
-  stores = other78.stores;
-  asks = other78.asks;
-  answers = other78.answers;
-  releases = other78.releases;
-  __isset = other78.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other83) {
+  placements = other83.placements;
+  loads = other83.loads;
+  stores = other83.stores;
+  asks = other83.asks;
+  answers = other83.answers;
+  releases = other83.releases;
+  failedEngines = other83.failedEngines;
+  __isset = other83.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other84) {
+  placements = other84.placements;
+  loads = other84.loads;
+  stores = other84.stores;
+  asks = other84.asks;
+  answers = other84.answers;
+  releases = other84.releases;
+  failedEngines = other84.failedEngines;
+  __isset = other84.__isset;
   return *this;
 }
 void EntryNotices::printTo(std::ostream& out) const {
@@ -2266,6 +2305,7 @@
   out << ", " << "asks=" << to_string(asks);
   out << ", " << "answers=" << to_string(answers);
   out << ", " << "releases=" << to_string(releases);
+  out << ", " << "failedEngines=" << to_string(failedEngines);
   out << ")";
 }
 
@@ -2335,9 +2375,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast79;
-          xfer += iprot->readI32(ecast79);
-          this->kind = static_cast<PeerKind::type>(ecast79);
+          int32_t ecast85;
+          xfer += iprot->readI32(ecast85);
+          this->kind = static_cast<PeerKind::type>(ecast85);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2379,14 +2419,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->records.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->records.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->records[_i84].read(iprot);
+              xfer += this->records[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2451,10 +2491,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter85;
-    for (_iter85 = this->records.begin(); _iter85 != this->records.end(); ++_iter85)
+    std::vector<MemberRecord> ::const_iterator _iter91;
+    for (_iter91 = this->records.begin(); _iter91 != this->records.end(); ++_iter91)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2486,27 +2526,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other86) {
-  kind = other86.kind;
-  sequence = other86.sequence;
-  sender = other86.sender;
-  revision = other86.revision;
-  configAgeMs = other86.configAgeMs;
-  records = other86.records;
-  probeTarget = other86.probeTarget;
-  policy = other86.policy;
-  __isset = other86.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other87) {
-  kind = other87.kind;
-  sequence = other87.sequence;
-  sender = other87.sender;
-  revision = other87.revision;
-  configAgeMs = other87.configAgeMs;
-  records = other87.records;
-  probeTarget = other87.probeTarget;
-  policy = other87.policy;
-  __isset = other87.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other92) {
+  kind = other92.kind;
+  sequence = other92.sequence;
+  sender = other92.sender;
+  revision = other92.revision;
+  configAgeMs = other92.configAgeMs;
+  records = other92.records;
+  probeTarget = other92.probeTarget;
+  policy = other92.policy;
+  __isset = other92.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other93) {
+  kind = other93.kind;
+  sequence = other93.sequence;
+  sender = other93.sender;
+  revision = other93.revision;
+  configAgeMs = other93.configAgeMs;
+  records = other93.records;
+  probeTarget = other93.probeTarget;
+  policy = other93.policy;
+  __isset = other93.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -2616,15 +2656,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other88) {
-  body = other88.body;
-  mac = other88.mac;
-  __isset = other88.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other94) {
+  body = other94.body;
+  mac = other94.mac;
+  __isset = other94.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other89) {
-  body = other89.body;
-  mac = other89.mac;
-  __isset = other89.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other95) {
+  body = other95.body;
+  mac = other95.mac;
+  __isset = other95.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -2762,19 +2802,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other90) {
-  engine = other90.engine;
-  generation = other90.generation;
-  customer = other90.customer;
-  model = other90.model;
-  __isset = other90.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other96) {
+  engine = other96.engine;
+  generation = other96.generation;
+  customer = other96.customer;
+  model = other96.model;
+  __isset = other96.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other91) {
-  engine = other91.engine;
-  generation = other91.generation;
-  customer = other91.customer;
-  model = other91.model;
-  __isset = other91.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other97) {
+  engine = other97.engine;
+  generation = other97.generation;
+  customer = other97.customer;
+  model = other97.model;
+  __isset = other97.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -2931,21 +2971,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other92) {
-  issuer = other92.issuer;
-  incarnation = other92.incarnation;
-  serial = other92.serial;
-  customer = other92.customer;
-  scope = other92.scope;
-  __isset = other92.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other93) {
-  issuer = other93.issuer;
-  incarnation = other93.incarnation;
-  serial = other93.serial;
-  customer = other93.customer;
-  scope = other93.scope;
-  __isset = other93.__isset;
+TicketBody::TicketBody(const TicketBody& other98) {
+  issuer = other98.issuer;
+  incarnation = other98.incarnation;
+  serial = other98.serial;
+  customer = other98.customer;
+  scope = other98.scope;
+  __isset = other98.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other99) {
+  issuer = other99.issuer;
+  incarnation = other99.incarnation;
+  serial = other99.serial;
+  customer = other99.customer;
+  scope = other99.scope;
+  __isset = other99.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -840,13 +840,14 @@
 std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj);
 
 typedef struct _EntryNotices__isset {
-  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false) {}
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false) {}
   bool placements :1;
   bool loads :1;
   bool stores :1;
   bool asks :1;
   bool answers :1;
   bool releases :1;
+  bool failedEngines :1;
 } _EntryNotices__isset;
 
 class EntryNotices : public virtual ::apache::thrift::TBase {
@@ -864,6 +865,7 @@
   std::vector<FreshnessAsk>  asks;
   std::vector<FreshnessAnswer>  answers;
   std::vector<ReleaseNotice>  releases;
+  std::vector<std::string>  failedEngines;
 
   _EntryNotices__isset __isset;
 
@@ -879,6 +881,8 @@
 
   void __set_releases(const std::vector<ReleaseNotice> & val);
 
+  void __set_failedEngines(const std::vector<std::string> & val);
+
   bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
@@ -893,6 +897,8 @@
       return false;
     if (!(releases == rhs.releases))
       return false;
+    if (!(failedEngines == rhs.failedEngines))
+      return false;
     return true;
   }
   bool operator != (const EntryNotices &rhs) const {
--- a/unittests/Routing/enginechoicetest.cpp
+++ b/unittests/Routing/enginechoicetest.cpp
@@ -277,3 +277,51 @@
     clock.advance(std::chrono::milliseconds(1500));
     cr_assert_not_null(choice.choose(staying, makeTraits(), need, {}));
 }
+
+// Symptom: dozens of requests are reset within seconds while other engines have room.
+// Events: an engine says that it is well and resets all that comes; it looks empty, so each of many
+// instances gives it the next request. Cause: each instance knew only its own one failure.
+Test(engineChoice, engineThatFailsSeveralInstancesIsLeftAlone)
+{
+    const std::vector<TargetEntry> engines = makeEngines(2, 2);
+    const auto list = pointers(engines);
+    const GenerationNeed need{3000, 400};
+    ManualClock clock;
+    EngineChoice choice(clock, 1, "dc0");
+    for (const TargetEntry &entry : engines) {
+        choice.listed(entry);
+        choice.reported(entry.id, loadOf(entry.id == "e0" ? 0 : 9000));
+    }
+    choice.failedForOther("e0", "i1");
+    cr_assert_eq(choice.choose(list, makeTraits(), need, {})->id, std::string("e0"));
+    choice.failedForOther("e0", "i2");
+    cr_assert_eq(choice.choose(list, makeTraits(), need, {})->id, std::string("e1"));
+    clock.advance(std::chrono::milliseconds(2100));
+    cr_assert_eq(choice.choose(list, makeTraits(), need, {})->id, std::string("e0"));
+    choice.failedForOther("e0", "i3");
+    clock.advance(std::chrono::milliseconds(3900));
+    cr_assert_eq(choice.choose(list, makeTraits(), need, {})->id, std::string("e1"),
+                 "one failure more, and twice as long");
+    clock.advance(std::chrono::milliseconds(200));
+    choice.answered("e0");
+    choice.failedForOther("e0", "i1");
+    cr_assert_eq(choice.choose(list, makeTraits(), need, {})->id, std::string("e0"),
+                 "it has served since, so one failure is one again");
+}
+
+// Symptom: all instances leave good engines alone. Events: the way of one instance to the engines
+// is bad; it tells the others of each failure.
+Test(engineChoice, oneInstanceWithABadWayShutsNoEngineOut)
+{
+    const std::vector<TargetEntry> engines = makeEngines(2, 2);
+    ManualClock clock;
+    EngineChoice choice(clock, 1, "dc0");
+    for (const TargetEntry &entry : engines) {
+        choice.listed(entry);
+        choice.reported(entry.id, loadOf(entry.id == "e0" ? 0 : 9000));
+    }
+    for (int i = 0; i < 10; ++i)
+        choice.failedForOther("e0", "i1");
+    cr_assert_eq(choice.choose(pointers(engines), makeTraits(), {3000, 400}, {})->id,
+                 std::string("e0"));
+}
