--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED_RANGE = $(subst -, ,$(SEEDS))
 THREADS ?= $(shell nproc)
 
-.PHONY: all packages build test check demo verify soak mutants bench-policy bench-path slopes \
+.PHONY: all packages build test check demo verify soak process-soak mutants bench-policy bench-path slopes \
         capacity-check generate
 
 all: build
@@ -38,6 +38,11 @@
 soak: build
 	$(BUILD)/bin/jaytrack-soak --first $(firstword $(SEED_RANGE)) --last $(lastword $(SEED_RANGE)) --threads $(THREADS)
 
+# Real processes with faults from outside: make process-soak SEEDS=2000-2049
+process-soak: build
+	$(BUILD)/bin/jaytrack-process-soak --program $(BUILD)/bin/jaytrack-entry --threads 6 \
+		--first $(firstword $(SEED_RANGE)) --last $(lastword $(SEED_RANGE))
+
 mutants:
 	scripts/mutants
 
--- a/include/jaytrack/Support/clock.h
+++ b/include/jaytrack/Support/clock.h
@@ -4,12 +4,19 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 
 namespace jaytrack {
 
 using Duration = std::chrono::nanoseconds;
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+// A duration as log lines give it.
+inline std::int64_t toMillis(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 // A monotonic clock that counts on while the process is stopped.
 class Clock
 {
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Proxy/loadprober.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Support/log.h"
 
 namespace jaytrack {
 
@@ -60,8 +61,13 @@
     void ask()
     {
         const auto endpoint = parseEndpoint(this->target.address);
-        if (!endpoint)
+        if (!endpoint) {
+            logEvent(Severity::Warning, "target_address_unreadable",
+                     {{"target", this->target.id},
+                      {"address", this->target.address},
+                      {"code", static_cast<std::int64_t>(endpoint.error().code)}});
             return;
+        }
         TargetRequest request;
         request.endpoint = endpoint.value();
         request.target = this->prober.dialect.loadPath();
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -10,11 +10,6 @@
 // after that is gone.
 constexpr std::chrono::milliseconds returnGrace{2200};
 
-std::int64_t toMillis(Duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 } // namespace
 
 void ConfigurationFeed::onListing(const std::vector<StoreItem> &items, TimePoint asOf)
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -1,29 +1,18 @@
-#include "jaytrack/Proxy/exchange.h"
+#include "streamexchange.h"
 
 #include "jaytrack/Net/socket.h"
-#include "jaytrack/Proxy/engineroom.h"
-#include "jaytrack/Routing/runplan.h"
-#include "jaytrack/Stream/sse.h"
 #include "jaytrack/Support/metrics.h"
 
 #include <algorithm>
-#include <cassert>
 #include <charconv>
 
 namespace jaytrack {
 
 namespace {
 
-// Bytes that may wait for a slow caller before reading from the engine pauses.
-constexpr std::size_t mostPendingBytes = 128U << 10U;
-
 // Longest answer that is no stream, such as an engine's own failure.
 constexpr std::size_t mostPlainBytes = 256U << 10U;
 
-// A run that goes on at another engine must not be worked on at both for long; the old connection
-// is closed this long after the new one was opened, or as soon as the new engine has taken the run.
-constexpr std::chrono::milliseconds mostOverlap{250};
-
 // A generation waits for room for this part of its objective before its caller is refused, and
 // looks for it so often. Told that early, the caller can still come back in time for the whole
 // objective.
@@ -35,17 +24,10 @@
 
 constexpr std::chrono::milliseconds roomGap{30};
 
-// How often a run whose engine is leaving looks what can be done, a few times in the pause after a
-// refused copy.
-constexpr std::chrono::milliseconds planGap{40};
-
 // Copies on notice begin within this time: long enough for notices between instances (2 ms each) to
 // keep sixty of them apart, short against the second and a half that a departure leaves.
 constexpr std::chrono::milliseconds mostFirstPause{100};
 
-// A copy of a whole run takes half a second between data centres when it is first in the queue.
-constexpr std::chrono::milliseconds moveBound{2500};
-
 constexpr int okStatus = 200;
 
 std::optional<std::uint64_t> parseEventId(std::string_view text)
@@ -57,11 +39,6 @@
     return number;
 }
 
-std::int64_t toMillis(Duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 EngineTraits engineTraits(const ServiceRule *service)
 {
     return service != nullptr && service->engine ? *service->engine : EngineTraits();
@@ -79,174 +56,32 @@
     return options;
 }
 
-class StreamExchange;
-
-// One connection to an engine that carries the stream or a part of it.
-class StreamLeg final : public TargetCallListener
-{
-public:
-    StreamLeg(std::weak_ptr<StreamExchange> to, TargetEntry at, bool resumes)
-        : owner(std::move(to))
-        , target(std::move(at))
-        , resumed(resumes)
-    {
-    }
+} // namespace
 
-    void onAnswerHead(MessageHead answer) override;
-    void onAnswerBody(std::string_view bytes) override;
-    void onCallEnd(const TargetCallEnd &end) override;
-
-    std::weak_ptr<StreamExchange> owner;
-    TargetEntry target;
-    bool resumed;
-    std::shared_ptr<TargetCall> call;
-    MessageHead head;
-    std::string plainBody;
-    SseSplitter events;
-    bool streaming = false; // the engine answers with events
-};
-
-// A call by which an engine is told to copy a run to another one.
-class MoveCall final : public TargetCallListener
-{
-public:
-    explicit MoveCall(std::weak_ptr<StreamExchange> to)
-        : owner(std::move(to))
-    {
+StreamExchange::StreamExchange(ExchangeContext &shared, std::shared_ptr<CallerConnection> from,
+                               AdmittedRequest given)
+    : Exchange(shared, std::move(from), std::move(given))
+    , traits(engineTraits(this->service()))
+    , room(shared, this->facts().attemptId)
+    , plan(shared.clock, planOptions(this->traits, this->route().kind, shared.random))
+    , overlapTimer(shared.loop)
+    , moveTimer(shared.loop)
+    , planTimer(shared.loop)
+    , roomTimer(shared.loop)
+{
+    if (this->facts().generation) {
+        this->need.promptTokens = this->facts().generation->promptTokens;
+        this->need.outputTokens = this->expectedOutput();
     }
+    this->lastEvent = this->facts().lastEventId.value_or(0);
+}
 
-    void onAnswerHead(MessageHead head) override { this->status = head.status; }
-    void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
-    void onCallEnd(const TargetCallEnd &end) override;
-
-    std::weak_ptr<StreamExchange> owner;
-    std::shared_ptr<TargetCall> call;
-    TargetEntry destination;
-    int status = 0;
-    std::string body;
-};
-
-// A request whose answer is a stream of events. The run that makes them may go on at other engines;
-// towards the caller it stays one stream, with each event once and in order.
-class StreamExchange final : public Exchange
+std::uint32_t StreamExchange::expectedOutput() const
 {
-public:
-    StreamExchange(ExchangeContext &shared, std::shared_ptr<CallerConnection> from,
-                   AdmittedRequest given)
-        : Exchange(shared, std::move(from), std::move(given))
-        , traits(engineTraits(this->service()))
-        , room(shared, this->facts().attemptId)
-        , plan(shared.clock, planOptions(this->traits, this->route().kind, shared.random))
-        , overlapTimer(shared.loop)
-        , moveTimer(shared.loop)
-        , planTimer(shared.loop)
-        , roomTimer(shared.loop)
-    {
-        if (this->facts().generation) {
-            this->need.promptTokens = this->facts().generation->promptTokens;
-            this->need.outputTokens = this->expectedOutput();
-        }
-        this->lastEvent = this->facts().lastEventId.value_or(0);
-    }
-
-    void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override
-    {
-        this->plan.engineLeaving(entry.id);
-        const bool concerned = this->current && this->current->target.id == entry.id;
-        if (concerned) {
-            this->logDecision("engine_leaving",
-                              {{"target", entry.id},
-                               {"reason", reason},
-                               {"events", static_cast<std::int64_t>(this->lastEvent)},
-                               {"copy_at", this->plan.copyHolder()}});
-        }
-        this->syncCopy();
-        this->act();
-        if (concerned)
-            this->watchPlan();
-    }
-
-    void onCallerWritable() override
-    {
-        if (this->current && this->current->call &&
-            this->caller->pendingBytes() < mostPendingBytes / 2)
-            this->current->call->setPaused(false);
-    }
-
-    void legHead(StreamLeg &leg);
-    void legEvent(StreamLeg &leg, const SseEvent &event);
-    void legEnded(StreamLeg &leg, const TargetCallEnd &end);
-    void noteOutcome(const StreamLeg &leg, const TargetCallEnd &end);
-    void moveEnded(MoveCall &move, const TargetCallEnd &end);
-
-protected:
-    void attempt() override;
-    void cancelCalls() override;
-    void describeEnd(std::vector<LogField> &fields) const override;
-    bool hasBegunAnswer() const override { return this->answerBegun; }
-    bool mayHaveRun() const override
-    {
-        return this->uncertain || (this->current && this->current->call->bytesSent());
-    }
-
-private:
-    std::uint32_t expectedOutput() const
-    {
-        const GenerationFacts &generation = *this->facts().generation;
-        return std::min(generation.expectedOutputTokens.value_or(generation.maxOutputTokens),
-                        generation.maxOutputTokens);
-    }
-
-    std::shared_ptr<StreamExchange> self()
-    {
-        return std::static_pointer_cast<StreamExchange>(this->shared_from_this());
-    }
-
-    std::shared_ptr<StreamLeg> open(const TargetEntry &target, std::optional<ResumePoint> resume);
-    void syncCopy();
-    void act();
-    void resume(const RunStep &step);
-    void makeCopy();
-    void orderCopy(const TargetEntry &destination);
-    void copyFailed(std::string_view destination);
-    void watchPlan();
-    void takeOver();
-    void dropLeg(std::shared_ptr<StreamLeg> &leg);
-    void dropMove();
-    std::uint32_t grownSince(std::uint64_t event) const;
-    void currentLost(std::string_view reason);
-    void nextLost(std::string_view reason);
-    void passOnAnswer(StreamLeg &leg);
-    void notePause();
-    void beginAnswer(const MessageHead &head);
-    void beginLeg(const StreamLeg &leg);
-    void waitForRoom();
-    Duration usableDelay() const;
-
-    EngineTraits traits;
-    GenerationNeed need;
-    std::shared_ptr<StreamLeg> current;
-    std::shared_ptr<StreamLeg> next; // takes over from current
-    std::shared_ptr<MoveCall> move;
-    EngineRoom room;
-    RunPlan plan;
-    std::string copyHolder;            // the engine whose room for the copy is accounted for
-    std::uint64_t eventsBeforeLeg = 0; // passed on before the current engine took the run
-    asio::steady_timer overlapTimer;
-    asio::steady_timer moveTimer;
-    asio::steady_timer planTimer;
-    asio::steady_timer roomTimer;
-    std::uint64_t lastEvent = 0; // the last one that was passed on
-    bool answerBegun = false;
-    std::string lossReason;
-    TimePoint lostAt;       // when the engine of a run that had begun was lost
-    bool uncertain = false; // some engine may have worked on the request before the current leg
-    int handOvers = 0;
-    TimePoint lastEventAt;
-    Duration firstEventAfter{-1};   // from the request's arrival
-    Duration longestPause{0};       // between two events
-    std::uint64_t pausedBefore = 0; // the event that ended the longest pause
-};
+    const GenerationFacts &generation = *this->facts().generation;
+    return std::min(generation.expectedOutputTokens.value_or(generation.maxOutputTokens),
+                    generation.maxOutputTokens);
+}
 
 void StreamExchange::describeEnd(std::vector<LogField> &fields) const
 {
@@ -291,12 +126,6 @@
         to->legEnded(*this, end);
 }
 
-void MoveCall::onCallEnd(const TargetCallEnd &end)
-{
-    if (const auto to = this->owner.lock())
-        to->moveEnded(*this, end);
-}
-
 std::shared_ptr<StreamLeg> StreamExchange::open(const TargetEntry &target,
                                                 std::optional<ResumePoint> resume)
 {
@@ -389,18 +218,6 @@
     this->watchPlan();
 }
 
-// Keeps the account of the room that the run's copy takes.
-void StreamExchange::syncCopy()
-{
-    const std::string_view holder = this->plan.copyHolder();
-    if (holder == this->copyHolder)
-        return;
-    const bool runsThere = this->current && this->current->target.id == this->copyHolder;
-    if (!runsThere)
-        this->room.giveBack(this->copyHolder, 0);
-    this->copyHolder = holder;
-}
-
 // Tokens that the run has made since that event.
 std::uint32_t StreamExchange::grownSince(std::uint64_t event) const
 {
@@ -418,16 +235,6 @@
     leg.reset();
 }
 
-// Gives up a copy that is under way.
-void StreamExchange::dropMove()
-{
-    if (!this->move)
-        return;
-    this->move->call->cancel();
-    this->room.giveBack(this->move->destination.id, 0);
-    this->move.reset();
-}
-
 void StreamExchange::cancelCalls()
 {
     this->overlapTimer.cancel();
@@ -502,18 +309,6 @@
     this->lastEventAt = now;
 }
 
-// The new engine has the run, so the old one is told to stop.
-void StreamExchange::takeOver()
-{
-    this->overlapTimer.cancel();
-    this->dropLeg(this->current);
-    this->current = std::move(this->next);
-    this->next.reset();
-    this->beginLeg(*this->current);
-    ++this->handOvers;
-    this->context.metrics.count("jaytrack_runs_taken_over_total");
-}
-
 // Remembers engines that fail what they are given, and tells the other instances. That the runs of
 // an engine which has said that it leaves end early says nothing of it.
 void StreamExchange::noteOutcome(const StreamLeg &leg, const TargetCallEnd &end)
@@ -566,172 +361,6 @@
                     "refused_by_engine");
 }
 
-void StreamExchange::currentLost(std::string_view reason)
-{
-    this->logDecision("engine_lost", {{"target", this->current->target.id},
-                                      {"reason", reason},
-                                      {"events", static_cast<std::int64_t>(this->lastEvent)}});
-    const bool sent = this->current->call->bytesSent();
-    if (this->next)
-        return this->takeOver();
-    this->dropLeg(this->current);
-    if (!sent)
-        return this->attempt();
-    this->uncertain = true;
-    this->lostAt = this->context.clock.now();
-    this->dropMove();
-    this->plan.runningLost();
-    this->lossReason = reason;
-    this->act();
-}
-
-void StreamExchange::nextLost(std::string_view reason)
-{
-    this->logDecision("resume_failed", {{"target", this->next->target.id}, {"reason", reason}});
-    this->overlapTimer.cancel();
-    this->dropLeg(this->next);
-    this->plan.copyRefused();
-    this->syncCopy();
-    this->act();
-}
-
-// Does what the plan asks for now.
-void StreamExchange::act()
-{
-    if (this->isFinished() || this->next)
-        return;
-    const RunStep step = this->plan.next();
-    switch (step.kind) {
-    case RunStepKind::Wait:
-        return;
-    case RunStepKind::Resume:
-        return this->resume(step);
-    case RunStepKind::MakeCopy:
-        return this->makeCopy();
-    case RunStepKind::StartAnew:
-        if (this->sends < this->route().maxAttempts &&
-            this->context.retries.take(this->serviceName))
-            return this->attempt();
-        return this->answerOwn(ResultCode::TargetLost, this->lossReason);
-    case RunStepKind::Lost:
-        return this->answerOwn(ResultCode::TargetLost, this->lossReason);
-    }
-}
-
-// While the engine is leaving the plan is looked at from time to time: refused copies are tried
-// again.
-void StreamExchange::watchPlan()
-{
-    this->planTimer.expires_after(planGap);
-    this->planTimer.async_wait(
-            [weak = this->weak_from_this(), this](const asio::error_code &failure) {
-                const auto alive = weak.lock();
-                if (failure || !alive || this->isFinished())
-                    return;
-                this->act();
-                if (!this->isFinished() && this->plan.isLeaving())
-                    this->watchPlan();
-            });
-}
-
-void StreamExchange::resume(const RunStep &step)
-{
-    const TargetEntry *listed = this->context.directory.find(step.target);
-    if (listed == nullptr) {
-        this->plan.copyRefused();
-        this->syncCopy();
-        return this->act();
-    }
-    const TargetEntry at = *listed;
-    this->dropMove();
-    this->next = this->open(at, step.from);
-    if (!this->next) {
-        this->plan.copyRefused();
-        return this->act();
-    }
-    this->overlapTimer.expires_after(mostOverlap);
-    this->overlapTimer.async_wait([self = this->self()](const asio::error_code &failure) {
-        if (!failure && self->next && !self->isFinished())
-            self->takeOver();
-    });
-}
-
-void StreamExchange::makeCopy()
-{
-    if (!this->current || this->move)
-        return;
-    const std::vector<const TargetEntry *> engines =
-            this->context.directory.usable(this->serviceName);
-    const TargetEntry *chosen = this->context.engines.chooseRefuge(
-            engines, this->traits, this->need, this->current->target, this->plan.unfit());
-    if (chosen != nullptr)
-        this->orderCopy(*chosen);
-}
-
-void StreamExchange::orderCopy(const TargetEntry &destination)
-{
-    const auto endpoint = parseEndpoint(this->current->target.address);
-    assert(endpoint && "the run's own connection was opened at this address");
-    this->plan.copyBegan();
-    // The copy is as large as the run has grown by now.
-    GenerationNeed copied = this->need;
-    copied.promptTokens +=
-            static_cast<std::uint32_t>(this->lastEvent) * this->traits.tokensPerEvent;
-    this->room.takeForCopy(destination.id, copied);
-    this->logDecision("run_copy", {{"from", this->current->target.id},
-                                   {"to", destination.id},
-                                   {"leaving", this->plan.isLeaving() ? 1 : 0},
-                                   {"events", static_cast<std::int64_t>(this->lastEvent)}});
-    this->move = std::make_shared<MoveCall>(this->self());
-    this->move->destination = destination;
-    TargetRequest request;
-    request.endpoint = endpoint.value();
-    request.method = "POST";
-    request.target = this->context.dialect.movePath();
-    request.headers.push_back({"Host", this->current->target.address});
-    request.headers.push_back({"Content-Type", "application/json"});
-    request.body =
-            this->context.dialect.encodeMove(this->facts().attemptId, destination.address, false);
-    this->move->call = TargetCall::start(this->context.loop, std::move(request), this->move);
-    this->moveTimer.expires_after(moveBound);
-    this->moveTimer.async_wait([self = this->self()](const asio::error_code &failure) {
-        if (failure || !self->move || self->isFinished())
-            return;
-        self->move->call->cancel();
-        self->moveEnded(*self->move, {false, true, "timeout"});
-    });
-}
-
-void StreamExchange::copyFailed(std::string_view destination)
-{
-    this->room.giveBack(destination, 0);
-    this->plan.copyFailed(destination);
-}
-
-void StreamExchange::moveEnded(MoveCall &ended, const TargetCallEnd &end)
-{
-    if (this->isFinished() || this->move.get() != &ended)
-        return;
-    const std::shared_ptr<MoveCall> done = std::move(this->move);
-    this->move.reset();
-    this->moveTimer.cancel();
-    const Result<MoveAnswer> answer = this->context.dialect.decodeMove(done->body);
-    const bool good = end.whole && done->status == okStatus && answer && this->current;
-    this->logDecision("run_copied", {{"to", done->destination.id},
-                                     {"status", done->status},
-                                     {"reason", end.reason},
-                                     {"leaving", this->plan.isLeaving() ? 1 : 0}});
-    if (good)
-        this->plan.copyMade(done->destination.id,
-                            {this->current->target.address, answer.value().handle});
-    else
-        this->copyFailed(done->destination.id);
-    this->syncCopy();
-    this->act();
-}
-
-} // namespace
-
 std::shared_ptr<Exchange> makeStreamExchange(ExchangeContext &context,
                                              std::shared_ptr<CallerConnection> caller,
                                              AdmittedRequest admitted)
--- /dev/null
+++ b/lib/Proxy/streamhandover.cpp
@@ -0,0 +1,248 @@
+// How a run goes on at another engine when its own leaves or is lost.
+#include "streamexchange.h"
+
+#include "jaytrack/Net/socket.h"
+#include "jaytrack/Support/metrics.h"
+
+#include <cassert>
+
+namespace jaytrack {
+
+namespace {
+
+// A run that goes on at another engine must not be worked on at both for long; the old connection
+// is closed this long after the new one was opened, or as soon as the new engine has taken the run.
+constexpr std::chrono::milliseconds mostOverlap{250};
+
+// How often a run whose engine is leaving looks what can be done, a few times in the pause after a
+// refused copy.
+constexpr std::chrono::milliseconds planGap{40};
+
+// A copy of a whole run takes half a second between data centres when it is first in the queue.
+constexpr std::chrono::milliseconds moveBound{2500};
+
+constexpr int okStatus = 200;
+
+} // namespace
+
+void StreamExchange::onTargetLeaving(const TargetEntry &entry, std::string_view reason)
+{
+    this->plan.engineLeaving(entry.id);
+    const bool concerned = this->current && this->current->target.id == entry.id;
+    if (concerned) {
+        this->logDecision("engine_leaving", {{"target", entry.id},
+                                             {"reason", reason},
+                                             {"events", static_cast<std::int64_t>(this->lastEvent)},
+                                             {"copy_at", this->plan.copyHolder()}});
+    }
+    this->syncCopy();
+    this->act();
+    if (concerned)
+        this->watchPlan();
+}
+
+void MoveCall::onCallEnd(const TargetCallEnd &end)
+{
+    if (const auto to = this->owner.lock())
+        to->moveEnded(*this, end);
+}
+
+// Keeps the account of the room that the run's copy takes.
+void StreamExchange::syncCopy()
+{
+    const std::string_view holder = this->plan.copyHolder();
+    if (holder == this->copyHolder)
+        return;
+    const bool runsThere = this->current && this->current->target.id == this->copyHolder;
+    if (!runsThere)
+        this->room.giveBack(this->copyHolder, 0);
+    this->copyHolder = holder;
+}
+
+// Gives up a copy that is under way.
+void StreamExchange::dropMove()
+{
+    if (!this->move)
+        return;
+    this->move->call->cancel();
+    this->room.giveBack(this->move->destination.id, 0);
+    this->move.reset();
+}
+
+// The new engine has the run, so the old one is told to stop.
+void StreamExchange::takeOver()
+{
+    this->overlapTimer.cancel();
+    this->dropLeg(this->current);
+    this->current = std::move(this->next);
+    this->next.reset();
+    this->beginLeg(*this->current);
+    ++this->handOvers;
+    this->context.metrics.count("jaytrack_runs_taken_over_total");
+}
+
+void StreamExchange::currentLost(std::string_view reason)
+{
+    this->logDecision("engine_lost", {{"target", this->current->target.id},
+                                      {"reason", reason},
+                                      {"events", static_cast<std::int64_t>(this->lastEvent)}});
+    const bool sent = this->current->call->bytesSent();
+    if (this->next)
+        return this->takeOver();
+    this->dropLeg(this->current);
+    if (!sent)
+        return this->attempt();
+    this->uncertain = true;
+    this->lostAt = this->context.clock.now();
+    this->dropMove();
+    this->plan.runningLost();
+    this->lossReason = reason;
+    this->act();
+}
+
+void StreamExchange::nextLost(std::string_view reason)
+{
+    this->logDecision("resume_failed", {{"target", this->next->target.id}, {"reason", reason}});
+    this->overlapTimer.cancel();
+    this->dropLeg(this->next);
+    this->plan.copyRefused();
+    this->syncCopy();
+    this->act();
+}
+
+// Does what the plan asks for now.
+void StreamExchange::act()
+{
+    if (this->isFinished() || this->next)
+        return;
+    const RunStep step = this->plan.next();
+    switch (step.kind) {
+    case RunStepKind::Wait:
+        return;
+    case RunStepKind::Resume:
+        return this->resume(step);
+    case RunStepKind::MakeCopy:
+        return this->makeCopy();
+    case RunStepKind::StartAnew:
+        if (this->sends < this->route().maxAttempts &&
+            this->context.retries.take(this->serviceName))
+            return this->attempt();
+        return this->answerOwn(ResultCode::TargetLost, this->lossReason);
+    case RunStepKind::Lost:
+        return this->answerOwn(ResultCode::TargetLost, this->lossReason);
+    }
+}
+
+// While the engine is leaving the plan is looked at from time to time: refused copies are tried
+// again.
+void StreamExchange::watchPlan()
+{
+    this->planTimer.expires_after(planGap);
+    this->planTimer.async_wait(
+            [weak = this->weak_from_this(), this](const asio::error_code &failure) {
+                const auto alive = weak.lock();
+                if (failure || !alive || this->isFinished())
+                    return;
+                this->act();
+                if (!this->isFinished() && this->plan.isLeaving())
+                    this->watchPlan();
+            });
+}
+
+void StreamExchange::resume(const RunStep &step)
+{
+    const TargetEntry *listed = this->context.directory.find(step.target);
+    if (listed == nullptr) {
+        this->plan.copyRefused();
+        this->syncCopy();
+        return this->act();
+    }
+    const TargetEntry at = *listed;
+    this->dropMove();
+    this->next = this->open(at, step.from);
+    if (!this->next) {
+        this->plan.copyRefused();
+        return this->act();
+    }
+    this->overlapTimer.expires_after(mostOverlap);
+    this->overlapTimer.async_wait([self = this->self()](const asio::error_code &failure) {
+        if (!failure && self->next && !self->isFinished())
+            self->takeOver();
+    });
+}
+
+void StreamExchange::makeCopy()
+{
+    if (!this->current || this->move)
+        return;
+    const std::vector<const TargetEntry *> engines =
+            this->context.directory.usable(this->serviceName);
+    const TargetEntry *chosen = this->context.engines.chooseRefuge(
+            engines, this->traits, this->need, this->current->target, this->plan.unfit());
+    if (chosen != nullptr)
+        this->orderCopy(*chosen);
+}
+
+void StreamExchange::orderCopy(const TargetEntry &destination)
+{
+    const auto endpoint = parseEndpoint(this->current->target.address);
+    assert(endpoint && "the run's own connection was opened at this address");
+    this->plan.copyBegan();
+    // The copy is as large as the run has grown by now.
+    GenerationNeed copied = this->need;
+    copied.promptTokens +=
+            static_cast<std::uint32_t>(this->lastEvent) * this->traits.tokensPerEvent;
+    this->room.takeForCopy(destination.id, copied);
+    this->logDecision("run_copy", {{"from", this->current->target.id},
+                                   {"to", destination.id},
+                                   {"leaving", this->plan.isLeaving() ? 1 : 0},
+                                   {"events", static_cast<std::int64_t>(this->lastEvent)}});
+    this->move = std::make_shared<MoveCall>(this->self());
+    this->move->destination = destination;
+    TargetRequest request;
+    request.endpoint = endpoint.value();
+    request.method = "POST";
+    request.target = this->context.dialect.movePath();
+    request.headers.push_back({"Host", this->current->target.address});
+    request.headers.push_back({"Content-Type", "application/json"});
+    request.body =
+            this->context.dialect.encodeMove(this->facts().attemptId, destination.address, false);
+    this->move->call = TargetCall::start(this->context.loop, std::move(request), this->move);
+    this->moveTimer.expires_after(moveBound);
+    this->moveTimer.async_wait([self = this->self()](const asio::error_code &failure) {
+        if (failure || !self->move || self->isFinished())
+            return;
+        self->move->call->cancel();
+        self->moveEnded(*self->move, {false, true, "timeout"});
+    });
+}
+
+void StreamExchange::copyFailed(std::string_view destination)
+{
+    this->room.giveBack(destination, 0);
+    this->plan.copyFailed(destination);
+}
+
+void StreamExchange::moveEnded(MoveCall &ended, const TargetCallEnd &end)
+{
+    if (this->isFinished() || this->move.get() != &ended)
+        return;
+    const std::shared_ptr<MoveCall> done = std::move(this->move);
+    this->move.reset();
+    this->moveTimer.cancel();
+    const Result<MoveAnswer> answer = this->context.dialect.decodeMove(done->body);
+    const bool good = end.whole && done->status == okStatus && answer && this->current;
+    this->logDecision("run_copied", {{"to", done->destination.id},
+                                     {"status", done->status},
+                                     {"reason", end.reason},
+                                     {"leaving", this->plan.isLeaving() ? 1 : 0}});
+    if (good)
+        this->plan.copyMade(done->destination.id,
+                            {this->current->target.address, answer.value().handle});
+    else
+        this->copyFailed(done->destination.id);
+    this->syncCopy();
+    this->act();
+}
+
+} // namespace jaytrack
