--- a/unittests/ProcessSoak/faultproxy.cpp
+++ b/unittests/ProcessSoak/faultproxy.cpp
@@ -64,15 +64,16 @@
         void pump(const std::shared_ptr<Link> &link, asio::ip::tcp::socket &from,
                   asio::ip::tcp::socket &to, bool forth)
         {
-            from.async_read_some(
-                    asio::buffer(this->buffer),
-                    [this, link, &from, &to, forth](const asio::error_code &failure,
-                                                    std::size_t bytes) {
-                        if (failure)
-                            return link->end(failure != asio::error::eof);
-                        this->pass(link, from, to, forth, bytes,
-                                   link->proxy.fault == LinkFault::Delay ? passDelay : lookGap * 0);
-                    });
+            from.async_read_some(asio::buffer(this->buffer),
+                                 [this, link, &from, &to, forth](const asio::error_code &failure,
+                                                                 std::size_t bytes) {
+                                     if (failure)
+                                         return link->end(failure != asio::error::eof);
+                                     this->pass(link, from, to, forth, bytes,
+                                                link->proxy.fault == LinkFault::Delay
+                                                        ? passDelay
+                                                        : std::chrono::milliseconds(0));
+                                 });
         }
 
         void pass(const std::shared_ptr<Link> &link, asio::ip::tcp::socket &from,
