A target that starts again under its name is a new life; a bad entry costs only itself

Cause: the platform now lets an engine restart under its id, told by its start time, and other writers may leave entries that name no engine. Read in the code: one value that is no base64 failed the whole page or watch and was asked for again for ever; an engine that drained and came back under its id was never used again; what was believed of a life outlived it; a refusal that the engine vouches for used up the route's only attempt.

Ruled out: comparing starts with the instance's clock (clocks jump); putting the start beside the id in every notice and account (each user would have to compare); taking an overwritten entry for a leaving engine (its runs would be moved for a stray write).

Change: a target's identity is made of its name and its start, so accounts, notices, probes, health and copies belong to one life; the directory orders lives under a name, from the store and from the engine's own report. Items and entries are decoded strictly, each by itself; one that cannot be used suspends its name until a good one is listed. What counts against a route's attempts is where the request may have run; the budget of repeats counts what was sent, as before. Targets that are gone no longer stand in the median of their peers' speeds.

Tests: the table of lives (targetDirectory/livesUnderOneName), bad items and entries (platformDialect/badItemCostsOnlyItself, entriesOfOtherWritersNameNoTarget, ...), whole requests (request/refusalsUseUpNoAttempt, request/restartedTargetServesAgain: both fail on the code before). platformDialect/badStoreAnswersAreRefused asked that one bad item refuse the whole answer; that was the fault, and its cases stand in badItemCostsOnlyItself, which demands that the items around it hold. request/concludesFromWhatTheTargetDid 'once refused' asked for 503 after one refusal with a second target free; it now asks for that target's answer, and the new series prove that nothing runs at more targets than its route allows.

--- a/include/jaytrack/Policy/targethealth.h
+++ b/include/jaytrack/Policy/targethealth.h
@@ -46,6 +46,10 @@
     // A request to the target ended. Failure means that it did not answer, whatever it answered.
     void ended(std::string_view target, bool failed, Duration took);
 
+    // The target is gone. What was learnt of it is dropped with the last request to it, or targets
+    // that are long gone would stand in the median of their peers.
+    void forget(std::string_view target);
+
     // Takes one repeat from the budget, if there is one left.
     bool takeRetry();
 
@@ -64,6 +68,7 @@
         double latency = 0;     // smoothed, seconds; 0 before the first answer
         double bestLatency = 0; // slowly forgotten minimum
         double limit = 0;
+        bool gone = false;
     };
 
     State &stateOf(std::string_view target);
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -74,6 +74,9 @@
     // A target may no longer be given work and will end.
     virtual void onTargetLeaving(const TargetEntry &entry, std::string_view reason) = 0;
 
+    // A target started again; what it worked on is lost.
+    virtual void onTargetRestarted(const TargetEntry &ended) = 0;
+
 protected:
     virtual void attempt() = 0;
     virtual void cancelCalls() = 0;
@@ -123,6 +126,7 @@
     std::string serviceName;
     std::set<std::string> tried; // ids of targets
     int sends = 0;               // attempts of which bytes may have left
+    int runs = 0;                // those of them that the target did not vouch for as not run
     TimePoint limit;             // the final answer is due by then
 
 private:
--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -7,9 +7,12 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 
 namespace jaytrack {
 
+class Metrics;
+
 // The configuration in force and how lately it was confirmed.
 class ConfigurationFeed final : public StoreFollowerListener
 {
@@ -47,7 +50,8 @@
 class TargetFeed final : public StoreFollowerListener
 {
 public:
-    TargetFeed(asio::io_context &loop, const Dialect &words, TargetDirectory &filled);
+    TargetFeed(asio::io_context &loop, const Clock &time, const Dialect &words, Metrics &counted,
+               TargetDirectory &filled);
 
     void onListing(const std::vector<StoreItem> &items, TimePoint asOf) override;
     void onChanges(const std::vector<StoreItem> &items, TimePoint asOf) override;
@@ -60,10 +64,18 @@
     // While targets whose entries lapsed during an outage are still coming back.
     bool inGrace() const { return this->away || this->graceRunning; }
     bool isTarget(const StoreItem &item) const;
-    std::string idOf(std::string_view key) const;
+    std::string nameOf(std::string_view key) const;
+
+    // The target that an item names; nothing, after a line in the log, if it names none.
+    std::optional<TargetEntry> decode(const StoreItem &item);
+    void reportUnusable(std::string_view key, std::string_view detail);
 
+    const Clock &clock;
     const Dialect &dialect;
+    Metrics &metrics;
     TargetDirectory &directory;
+    TimePoint reportsSince; // start of the span in which unusable entries were last reported
+    int reportsInSpan = 0;
     asio::steady_timer graceTimer;
     bool loaded = false;
     bool away = false;
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -48,7 +48,7 @@
 struct ForwardOrders
 {
     std::chrono::milliseconds timeLeft{0};
-    std::string_view targetId;   // the target refuses the request if it is another one
+    std::string_view targetName; // the target refuses the request if it is another one
     std::string_view customer;   // empty if the route needs no key
     std::optional<int> priority; // 0 is the most urgent
     std::optional<ResumePoint> resume;
@@ -60,12 +60,14 @@
 {
     std::string attemptId;
     bool notExecuted = false; // the target vouches that it did not run the request
+    bool misdirected = false; // the address belongs to another target by now
 };
 
 // A page of the store.
 struct StorePage
 {
     std::vector<StoreItem> items;
+    std::size_t nameless = 0; // items without a readable key, which are left out
     bool more = false;
     std::uint64_t revision = 0; // of the whole store, when the page was read
 };
@@ -79,6 +81,7 @@
     std::uint32_t memoryInUse = 0; // tokens that cannot be evicted
     std::uint32_t memoryTokens = 0;
     bool leaving = false;
+    StartTime startedAt = untoldStart; // of the life that reports
 };
 
 // The outcome of asking an engine to copy a run.
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -99,6 +99,10 @@
 
     void listed(const TargetEntry &entry);
     void gone(std::string_view id);
+
+    // The engine's life ended with all that ran there, so no run seeks room elsewhere.
+    void forget(std::string_view id);
+
     void reported(std::string_view id, const EngineLoad &load);
 
     // An engine failed a generation or a question of this instance, or of another one: not reached,
--- a/lib/Policy/targethealth.cpp
+++ b/lib/Policy/targethealth.cpp
@@ -90,6 +90,10 @@
     State &state = this->stateOf(target);
     assert(state.outstanding > 0 && "a request ends after it began");
     --state.outstanding;
+    if (state.gone) {
+        this->forget(target);
+        return;
+    }
     const double seconds = std::chrono::duration<double>(took).count();
     this->adapt(state, seconds, failed);
     if (failed) {
@@ -103,6 +107,16 @@
     this->ejectIfSlow(state);
 }
 
+void TargetHealth::forget(std::string_view target)
+{
+    const auto found = this->states.find(std::string(target));
+    if (found == this->states.end())
+        return;
+    found->second.gone = true;
+    if (found->second.outstanding == 0)
+        this->states.erase(found);
+}
+
 // Additive increase while answers come about as fast as they ever did, multiplicative decrease
 // when they queue: the target's own limit is found without being configured.
 void TargetHealth::adapt(State &state, double seconds, bool failed)
@@ -135,7 +149,7 @@
 {
     std::vector<double> latencies;
     for (const auto &[name, other] : this->states) {
-        if (other.latency > 0 && other.group == state.group)
+        if (other.latency > 0 && other.group == state.group && !other.gone)
             latencies.push_back(other.latency);
     }
     if (latencies.size() < peersForMedian) {
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -116,7 +116,7 @@
         , engines(time, this->random(), given.dataCentre)
         , retries(time, {given.retryRatio, given.retryWindow})
         , configuration(time, words)
-        , targets(this->loop, words, this->directory)
+        , targets(this->loop, time, words, this->metrics, this->directory)
         , feeds(this->configuration, this->targets)
         , sharing(time, given.name, StoreSharingOptions(), this->random, this->configuration)
         , prober(this->loop, words, this->engines, *this, this->random)
@@ -301,12 +301,29 @@
         logEvent(Severity::Info, "target_leaving",
                  {{"target", entry.id}, {"service", entry.service}, {"reason", reason}});
         this->engines.gone(entry.id);
+        this->health.forget(entry.id);
         this->prober.remove(entry.id);
         const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
         for (const auto &exchange : served)
             exchange->onTargetLeaving(entry, reason);
     }
 
+    void onTargetRestarted(const TargetEntry &ended) override
+    {
+        logEvent(Severity::Warning, "target_restarted",
+                 {{"target", ended.id},
+                  {"service", ended.service},
+                  {"address", ended.address},
+                  {"leaving", ended.leaving ? 1 : 0}});
+        this->metrics.count("jaytrack_targets_restarted_total");
+        this->engines.forget(ended.id);
+        this->health.forget(ended.id);
+        this->prober.remove(ended.id);
+        const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
+        for (const auto &exchange : served)
+            exchange->onTargetRestarted(ended);
+    }
+
     // PeerLinkListener
 
     void onPlacedByPeer(std::string_view engine, const GenerationNeed &need, bool copied) override
@@ -386,6 +403,15 @@
 
     void onLoad(std::string_view engine, const EngineLoad &load) override
     {
+        if (load.startedAt != untoldStart)
+            this->directory.hearStart(engine, load.startedAt);
+        // A report of another life says nothing of the one that was asked.
+        const TargetEntry *listed = this->directory.find(engine);
+        const bool other = listed == nullptr ||
+                           (load.startedAt != untoldStart && listed->startedAt != untoldStart &&
+                            load.startedAt != listed->startedAt);
+        if (other)
+            return;
         this->engines.reported(engine, load);
         if (this->peers)
             this->peers->announce(engine, load);
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -129,7 +129,7 @@
 {
     const MessageHead &head = this->request().head;
     orders.timeLeft = std::max(this->timeLeft(), std::chrono::milliseconds(1));
-    orders.targetId = target.id;
+    orders.targetName = target.name;
     if (this->admitted.admission.holder != nullptr)
         orders.customer = this->admitted.admission.holder->customer;
     TargetRequest made;
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -33,6 +33,9 @@
     }
 
     void onTargetLeaving(const TargetEntry &, std::string_view) override {}
+
+    // Its connection tells by itself: an answer may still come from the new life.
+    void onTargetRestarted(const TargetEntry &) override {}
     void onCallerWritable() override {}
 
 protected:
@@ -89,7 +92,7 @@
 
     void watchTry()
     {
-        if (!mayRunAgain(this->route().kind) || this->sends + 1 >= this->route().maxAttempts)
+        if (!mayRunAgain(this->route().kind) || this->runs + 1 >= this->route().maxAttempts)
             return;
         this->tryTimer.expires_after(
                 std::max(this->route().objective * objectivesPerTry, leastTry));
@@ -99,6 +102,7 @@
                 !this->context.retries.take(this->serviceName))
                 return;
             ++this->sends;
+            ++this->runs;
             this->uncertain = this->uncertain || this->call->bytesSent();
             this->endCall(true);
             this->logDecision("request_retried", {{"reason", "slow"}, {"target", this->target.id}});
@@ -122,15 +126,16 @@
     {
         this->tryTimer.cancel();
         const bool sent = end.bytesSent;
-        if (sent)
-            ++this->sends;
         const AnswerFacts said =
                 this->context.dialect.describeAnswer(this->answer.status, this->answer.headers);
         const bool ours = said.attemptId.empty() || said.attemptId == this->facts().attemptId;
         const bool good = end.whole && ours;
+        const bool refused = good && said.notExecuted;
+        this->sends += sent ? 1 : 0;
+        this->runs += sent && !refused ? 1 : 0;
         const bool failedHere = !good || this->answer.status >= serverErrorStatus;
-        this->endCall(failedHere && !(good && said.notExecuted));
-        if (good && said.notExecuted)
+        this->endCall(refused ? said.misdirected : failedHere);
+        if (refused)
             return this->retryOr(ResultCode::TargetFull, "refused_by_target");
         if (!sent)
             return this->retryOr(ResultCode::TargetUnreachable, end.reason);
@@ -147,7 +152,7 @@
     {
         if (this->uncertain && !mayRunAgain(this->route().kind))
             return false;
-        return this->sends < this->route().maxAttempts && !this->untried().empty();
+        return this->runs < this->route().maxAttempts && !this->untried().empty();
     }
 
     void retryOr(ResultCode code, std::string_view reason)
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Proxy/storefeeds.h"
 
 #include "jaytrack/Support/log.h"
+#include "jaytrack/Support/metrics.h"
 
 namespace jaytrack {
 
@@ -10,6 +11,11 @@
 // after that is gone.
 constexpr std::chrono::milliseconds returnGrace{2200};
 
+// Lines about unusable entries in a span of time. A writer gone wrong may leave thousands; the
+// first lines show what is the matter, the counter how much of it there is.
+constexpr int mostReportsInSpan = 20;
+constexpr std::chrono::seconds reportSpan{10};
+
 } // namespace
 
 void ConfigurationFeed::onListing(const std::vector<StoreItem> &items, TimePoint asOf)
@@ -20,7 +26,7 @@
 void ConfigurationFeed::onChanges(const std::vector<StoreItem> &items, TimePoint asOf)
 {
     for (const StoreItem &item : items) {
-        if (item.key == this->dialect.configurationKey() && !item.deleted)
+        if (item.key == this->dialect.configurationKey() && !item.deleted && !item.unreadable)
             this->take(item);
     }
     this->confirm(asOf);
@@ -67,14 +73,17 @@
     logEvent(Severity::Info, "store_regained", {{"away_ms", toMillis(away)}});
 }
 
-TargetFeed::TargetFeed(asio::io_context &loop, const Dialect &words, TargetDirectory &filled)
-    : dialect(words)
+TargetFeed::TargetFeed(asio::io_context &loop, const Clock &time, const Dialect &words,
+                       Metrics &counted, TargetDirectory &filled)
+    : clock(time)
+    , dialect(words)
+    , metrics(counted)
     , directory(filled)
     , graceTimer(loop)
 {
 }
 
-std::string TargetFeed::idOf(std::string_view key) const
+std::string TargetFeed::nameOf(std::string_view key) const
 {
     return std::string(key.substr(this->dialect.targetsPrefix().size()));
 }
@@ -84,20 +93,50 @@
     return item.key.starts_with(this->dialect.targetsPrefix());
 }
 
+void TargetFeed::reportUnusable(std::string_view key, std::string_view detail)
+{
+    this->metrics.count("jaytrack_unusable_entries_total");
+    const TimePoint now = this->clock.now();
+    if (now - this->reportsSince >= reportSpan) {
+        this->reportsSince = now;
+        this->reportsInSpan = 0;
+    }
+    if (++this->reportsInSpan > mostReportsInSpan)
+        return;
+    logEvent(Severity::Warning, "target_rejected",
+             {{"code", static_cast<std::int64_t>(ResultCode::DocumentMalformed)},
+              {"key", key},
+              {"detail", detail},
+              {"more", this->reportsInSpan == mostReportsInSpan ? "counted_only" : "told"}});
+}
+
+std::optional<TargetEntry> TargetFeed::decode(const StoreItem &item)
+{
+    if (item.unreadable) {
+        this->reportUnusable(item.key, "the value cannot be read");
+        return std::nullopt;
+    }
+    Result<TargetEntry> entry = this->dialect.decodeTarget(item.key, item.value);
+    if (!entry) {
+        this->reportUnusable(item.key, entry.error().detail);
+        return std::nullopt;
+    }
+    return std::move(entry.value());
+}
+
 void TargetFeed::onListing(const std::vector<StoreItem> &items, TimePoint)
 {
-    std::vector<TargetEntry> entries;
+    TargetListing listing;
     for (const StoreItem &item : items) {
         if (!this->isTarget(item))
             continue;
-        Result<TargetEntry> entry = this->dialect.decodeTarget(item.key, item.value);
+        std::optional<TargetEntry> entry = this->decode(item);
         if (entry)
-            entries.push_back(std::move(entry.value()));
+            listing.entries.push_back(std::move(*entry));
         else
-            logEvent(Severity::Error, "target_rejected",
-                     {{"key", item.key}, {"detail", entry.error().detail}});
+            listing.unusable.push_back(this->nameOf(item.key));
     }
-    this->directory.replaceAll(std::move(entries), this->inGrace());
+    this->directory.replaceAll(std::move(listing), this->inGrace());
     this->loaded = true;
 }
 
@@ -107,15 +146,14 @@
         if (!this->isTarget(item))
             continue;
         if (item.deleted) {
-            this->directory.remove(this->idOf(item.key), this->inGrace());
+            this->directory.remove(this->nameOf(item.key), this->inGrace());
             continue;
         }
-        Result<TargetEntry> entry = this->dialect.decodeTarget(item.key, item.value);
+        std::optional<TargetEntry> entry = this->decode(item);
         if (entry)
-            this->directory.put(std::move(entry.value()));
+            this->directory.put(std::move(*entry));
         else
-            logEvent(Severity::Error, "target_rejected",
-                     {{"key", item.key}, {"detail", entry.error().detail}});
+            this->directory.suspend(this->nameOf(item.key));
     }
 }
 
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -68,6 +68,7 @@
     , moveTimer(shared.loop)
     , planTimer(shared.loop)
     , roomTimer(shared.loop)
+    , silenceTimer(shared.loop)
 {
     if (this->facts().generation) {
         this->need.promptTokens = this->facts().generation->promptTokens;
@@ -244,6 +245,7 @@
     this->dropMove();
     this->planTimer.cancel();
     this->roomTimer.cancel();
+    this->silenceTimer.cancel();
     this->room.giveBackAll();
 }
 
@@ -321,12 +323,18 @@
     this->context.notices.announceFailed(leg.target.id);
 }
 
+bool StreamExchange::vouchedNotRun(const StreamLeg &leg, const TargetCallEnd &end) const
+{
+    return end.whole && !leg.streaming &&
+           this->context.dialect.describeAnswer(leg.head.status, leg.head.headers).notExecuted;
+}
+
 void StreamExchange::legEnded(StreamLeg &leg, const TargetCallEnd &end)
 {
     if (this->isFinished())
         return;
-    if (end.bytesSent)
-        ++this->sends;
+    this->sends += end.bytesSent ? 1 : 0;
+    this->runs += end.bytesSent && !this->vouchedNotRun(leg, end) ? 1 : 0;
     this->noteOutcome(leg, end);
     if (this->next.get() == &leg)
         return this->nextLost(end.whole ? "refused_by_engine" : end.reason);
@@ -355,8 +363,11 @@
         return this->answerWhole(head, body, target);
     }
     this->dropLeg(this->current);
-    if (this->sends < this->route().maxAttempts && this->context.retries.take(this->serviceName))
+    const bool mayTry = this->runs < this->route().maxAttempts && !this->untried().empty();
+    if (mayTry && this->context.retries.take(this->serviceName)) {
+        this->logDecision("request_retried", {{"reason", "refused_by_engine"}});
         return this->attempt();
+    }
     this->answerOwn(this->uncertain ? ResultCode::TargetLost : ResultCode::TargetFull,
                     "refused_by_engine");
 }
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -69,6 +69,7 @@
                    AdmittedRequest given);
 
     void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override;
+    void onTargetRestarted(const TargetEntry &ended) override;
     void onCallerWritable() override
     {
         if (this->current && this->current->call &&
@@ -107,6 +108,7 @@
     void makeCopy();
     void orderCopy(const TargetEntry &destination);
     void copyFailed(std::string_view destination);
+    void watchSilence();
     void watchPlan();
     void takeOver();
     void dropLeg(std::shared_ptr<StreamLeg> &leg);
@@ -115,6 +117,7 @@
     void currentLost(std::string_view reason);
     void nextLost(std::string_view reason);
     void passOnAnswer(StreamLeg &leg);
+    bool vouchedNotRun(const StreamLeg &leg, const TargetCallEnd &end) const;
     void notePause();
     void beginAnswer(const MessageHead &head);
     void beginLeg(const StreamLeg &leg);
@@ -134,6 +137,7 @@
     asio::steady_timer moveTimer;
     asio::steady_timer planTimer;
     asio::steady_timer roomTimer;
+    asio::steady_timer silenceTimer;
     std::uint64_t lastEvent = 0; // the last one that was passed on
     bool answerBegun = false;
     std::string lossReason;
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -21,6 +21,11 @@
 // A copy of a whole run takes half a second between data centres when it is first in the queue.
 constexpr std::chrono::milliseconds moveBound{2500};
 
+// A run whose engine started again is given up once its connection has been silent for this long.
+// Engines make an event every 30 ms; one that died behind a cut sends nothing ever, while a run
+// that went to the new life before its listing came here goes on.
+constexpr std::chrono::seconds mostSilence{1};
+
 constexpr int okStatus = 200;
 
 } // namespace
@@ -41,6 +46,36 @@
         this->watchPlan();
 }
 
+void StreamExchange::onTargetRestarted(const TargetEntry &ended)
+{
+    if (this->plan.copyHolder() == ended.id) {
+        this->plan.copyRefused();
+        this->syncCopy();
+    }
+    if (this->move && this->move->destination.id == ended.id) {
+        this->dropMove();
+        this->plan.copyFailed(ended.id);
+    }
+    if (this->next && this->next->target.id == ended.id)
+        return this->nextLost("engine_restarted");
+    if (this->current && this->current->target.id == ended.id)
+        this->watchSilence();
+}
+
+void StreamExchange::watchSilence()
+{
+    this->silenceTimer.expires_after(mostSilence);
+    this->silenceTimer.async_wait([self = this->self(), leg = this->current,
+                                   event = this->lastEvent](const asio::error_code &failure) {
+        const bool moved = self->current != leg;
+        if (failure || moved || self->isFinished())
+            return;
+        if (self->lastEvent != event)
+            return self->watchSilence();
+        self->currentLost("engine_restarted");
+    });
+}
+
 void MoveCall::onCallEnd(const TargetCallEnd &end)
 {
     if (const auto to = this->owner.lock())
@@ -126,8 +161,7 @@
     case RunStepKind::MakeCopy:
         return this->makeCopy();
     case RunStepKind::StartAnew:
-        if (this->sends < this->route().maxAttempts &&
-            this->context.retries.take(this->serviceName))
+        if (this->runs < this->route().maxAttempts && this->context.retries.take(this->serviceName))
             return this->attempt();
         return this->answerOwn(ResultCode::TargetLost, this->lossReason);
     case RunStepKind::Lost:
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -50,6 +50,13 @@
     this->boards.erase(found);
 }
 
+void EngineChoice::forget(std::string_view id)
+{
+    const auto found = this->boards.find(id);
+    if (found != this->boards.end())
+        this->boards.erase(found);
+}
+
 // The part of each engine's memory that the runs of engines which have just left will take, less
 // those that have moved by now.
 double EngineChoice::refugeShare(std::span<const TargetEntry *const> engines,
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -4,45 +4,98 @@
 
 namespace jaytrack {
 
-void TargetDirectory::replaceAll(std::vector<TargetEntry> listed, bool keepMissing)
+namespace {
+
+// Names whose starts are remembered. At 130 restarts a day this is a month of them, and each takes
+// some hundred bytes.
+constexpr std::size_t mostStartsKept = 4096;
+
+} // namespace
+
+std::string lifeId(std::string_view name, StartTime startedAt)
+{
+    std::string id(name);
+    if (startedAt != untoldStart)
+        id += "@" + std::to_string(startedAt.count());
+    return id;
+}
+
+void TargetDirectory::replaceAll(TargetListing listing, bool keepMissing)
 {
     std::set<std::string, std::less<>> present;
-    for (TargetEntry &entry : listed) {
-        present.insert(entry.id);
+    for (TargetEntry &entry : listing.entries) {
+        present.insert(entry.name);
         this->put(std::move(entry));
     }
+    for (std::string &name : listing.unusable) {
+        this->suspend(name);
+        present.insert(std::move(name));
+    }
     std::vector<std::string> absent;
-    for (const auto &[id, row] : this->entries) {
-        if (present.count(id) == 0)
-            absent.push_back(id);
+    for (const auto &[name, row] : this->entries) {
+        if (present.count(name) == 0)
+            absent.push_back(name);
     }
-    for (const std::string &id : absent)
-        this->remove(id, keepMissing);
+    for (const std::string &name : absent)
+        this->remove(name, keepMissing);
+}
+
+bool TargetDirectory::isOutdated(const TargetEntry &entry) const
+{
+    const auto latest = this->latestStarts.find(entry.name);
+    return latest != this->latestStarts.end() && entry.startedAt < latest->second;
+}
+
+void TargetDirectory::noteStart(const std::string &name, StartTime startedAt)
+{
+    if (startedAt == untoldStart)
+        return;
+    if (this->latestStarts.size() >= mostStartsKept)
+        this->latestStarts.clear();
+    this->latestStarts.insert_or_assign(name, startedAt);
+}
+
+void TargetDirectory::add(TargetEntry entry)
+{
+    this->noteStart(entry.name, entry.startedAt);
+    const std::string name = entry.name;
+    const TargetEntry added = entry;
+    this->entries.insert_or_assign(name, Row{std::move(entry)});
+    if (added.leaving)
+        this->listener.onTargetLeaving(added, "listed_leaving");
+    else
+        this->listener.onTargetListed(added);
 }
 
 void TargetDirectory::put(TargetEntry entry)
 {
-    const auto found = this->entries.find(entry.id);
-    if (found == this->entries.end()) {
-        const auto added = this->entries.emplace(entry.id, Row{entry, false}).first;
-        if (entry.leaving)
-            this->listener.onTargetLeaving(added->second.entry, "listed_leaving");
-        else
-            this->listener.onTargetListed(added->second.entry);
+    if (this->isOutdated(entry)) {
+        // A target that told its start once tells it always, so this is not its own entry.
+        if (entry.startedAt == untoldStart)
+            this->suspend(entry.name);
         return;
     }
-    const bool wasLeaving = found->second.entry.leaving;
-    // A target never takes its leaving back; an older entry read late must not revive it.
+    const auto found = this->entries.find(entry.name);
+    if (found == this->entries.end())
+        return this->add(std::move(entry));
+    if (found->second.entry.id != entry.id) {
+        this->endLife(found);
+        return this->add(std::move(entry));
+    }
+    Row &row = found->second;
+    const bool wasLeaving = row.entry.leaving;
+    // A life never takes its leaving back; an older entry read late must not revive it.
     entry.leaving = entry.leaving || wasLeaving;
-    found->second.entry = std::move(entry);
-    found->second.missing = false;
-    if (found->second.entry.leaving && !wasLeaving)
-        this->listener.onTargetLeaving(found->second.entry, "announced");
+    row.entry = std::move(entry);
+    row.missing = false;
+    row.suspended = false;
+    if (row.entry.leaving && !wasLeaving)
+        this->listener.onTargetLeaving(row.entry, "announced");
 }
 
-void TargetDirectory::remove(std::string_view id, bool keepMissing)
+void TargetDirectory::remove(std::string_view name, bool keepMissing)
 {
-    const auto found = this->entries.find(id);
+    const auto found = this->entries.find(name);
     if (found == this->entries.end())
         return;
     if (keepMissing && !found->second.entry.leaving) {
@@ -52,13 +105,43 @@
     this->leave(found, "unlisted");
 }
 
+void TargetDirectory::suspend(std::string_view name)
+{
+    const auto found = this->entries.find(name);
+    if (found != this->entries.end())
+        found->second.suspended = true;
+}
+
+TargetDirectory::Rows::const_iterator TargetDirectory::rowOf(std::string_view id) const
+{
+    for (const std::string_view name : {id, id.substr(0, id.rfind('@'))}) {
+        const auto found = this->entries.find(name);
+        if (found != this->entries.end() && found->second.entry.id == id)
+            return found;
+    }
+    return this->entries.end();
+}
+
 void TargetDirectory::markLeaving(std::string_view id, std::string_view reason)
 {
-    const auto found = this->entries.find(id);
+    const auto found = this->rowOf(id);
     if (found == this->entries.end() || found->second.entry.leaving)
         return;
-    found->second.entry.leaving = true;
-    this->listener.onTargetLeaving(found->second.entry, reason);
+    this->entries.find(found->first)->second.entry.leaving = true;
+    const TargetEntry entry = found->second.entry;
+    this->listener.onTargetLeaving(entry, reason);
+}
+
+void TargetDirectory::hearStart(std::string_view id, StartTime startedAt)
+{
+    const auto found = this->rowOf(id);
+    if (found == this->entries.end())
+        return;
+    const StartTime known = found->second.entry.startedAt;
+    if (known == untoldStart || startedAt <= known)
+        return;
+    this->noteStart(found->second.entry.name, startedAt);
+    this->endLife(this->entries.find(found->first));
 }
 
 void TargetDirectory::dropMissing()
@@ -71,8 +154,7 @@
     }
 }
 
-void TargetDirectory::leave(std::map<std::string, Row, std::less<>>::iterator row,
-                            std::string_view reason)
+void TargetDirectory::leave(Rows::iterator row, std::string_view reason)
 {
     const TargetEntry entry = std::move(row->second.entry);
     this->entries.erase(row);
@@ -80,11 +162,18 @@
         this->listener.onTargetLeaving(entry, reason);
 }
 
+void TargetDirectory::endLife(Rows::iterator row)
+{
+    const TargetEntry entry = std::move(row->second.entry);
+    this->entries.erase(row);
+    this->listener.onTargetRestarted(entry);
+}
+
 std::vector<const TargetEntry *> TargetDirectory::usable(std::string_view service) const
 {
     std::vector<const TargetEntry *> found;
-    for (const auto &[id, row] : this->entries) {
-        if (row.entry.service == service && !row.entry.leaving)
+    for (const auto &[name, row] : this->entries) {
+        if (row.entry.service == service && !row.entry.leaving && !row.suspended)
             found.push_back(&row.entry);
     }
     return found;
@@ -92,7 +181,7 @@
 
 const TargetEntry *TargetDirectory::find(std::string_view id) const
 {
-    const auto found = this->entries.find(id);
+    const auto found = this->rowOf(id);
     return found == this->entries.end() ? nullptr : &found->second.entry;
 }
 
--- a/unittests/Platform/dialecttest.cpp
+++ b/unittests/Platform/dialecttest.cpp
@@ -56,7 +56,7 @@
                                              {"X-Own", "kept"}};
     ForwardOrders orders;
     orders.timeLeft = std::chrono::milliseconds(1234);
-    orders.targetId = "i-1";
+    orders.targetName = "i-1";
     orders.customer = "cust";
     orders.priority = 2;
     orders.resume = ResumePoint{"10.0.0.1:80", "h7"};
@@ -80,6 +80,8 @@
     const std::vector<HttpHeader> shed = {{"X-Not-Executed", "1"}};
     cr_assert(dialect->describeAnswer(503, shed).notExecuted);
     cr_assert(dialect->describeAnswer(421, {}).notExecuted);
+    cr_assert(dialect->describeAnswer(421, {}).misdirected);
+    cr_assert_not(dialect->describeAnswer(503, shed).misdirected);
     cr_assert_not(dialect->describeAnswer(503, {}).notExecuted);
     cr_assert_eq(dialect->comeBackIn(std::chrono::milliseconds(250)).value, std::string("0.250"));
 }
@@ -132,13 +134,12 @@
 
 ParameterizedTestParameters(platformDialect, badStoreAnswersAreRefused)
 {
-    static BadInput cases[] = {
-            {"no json", "<html>"},
-            {"no revision", R"({"events":[]})"},
-            {"no list", R"({"At":5})"},
-            {"no base64", R"({"At":5,"events":[{"Key":"a","Value":"!!!!","Revision":5}]})"},
-            {"cut base64", R"({"At":5,"events":[{"Key":"a","Value":"abc","Revision":5}]})"},
-            {"no key", R"({"At":5,"events":[{"Value":"","Revision":5}]})"}};
+    static BadInput cases[] = {{"no json", "<html>"},
+                               {"no revision", R"({"events":[]})"},
+                               {"no list", R"({"At":5})"},
+                               {"list is an object", R"({"At":5,"events":{"Key":"a"}})"},
+                               {"revision is text", R"({"At":"5","events":[]})"},
+                               {"cut off", R"({"At":5,"events":[{"Key":"a")"}};
     return cr_make_param_array(BadInput, cases, std::size(cases));
 }
 
@@ -147,6 +148,174 @@
     cr_assert_not(makePlatformDialect()->decodeChanges(param->text).has_value(), "%s", param->name);
 }
 
+// Symptom: an instance hears of no change any more, neither of leaving engines nor of keys that
+// were taken away. Events: another writer leaves one item that cannot be read; the watch answers
+// with it among others. Cause: the whole answer was refused for it, and asked for again for ever.
+ParameterizedTestParameters(platformDialect, badItemCostsOnlyItself)
+{
+    static BadInput cases[] = {
+            {"no base64", R"({"Key":"bad","Value":"!!!!","Revision":5})"},
+            {"cut base64", R"({"Key":"bad","Value":"abc","Revision":5})"},
+            {"no value", R"({"Key":"bad","Revision":5})"},
+            {"value is a number", R"({"Key":"bad","Value":7,"Revision":5})"},
+            {"value is null", R"({"Key":"bad","Value":null,"Revision":5})"},
+            {"no key", R"({"Value":"bm9kZS0x","Revision":5})"},
+            {"key is a number", R"({"Key":5,"Value":"bm9kZS0x","Revision":5})"},
+            {"deleted is text", R"({"Key":"bad","Deleted":"yes","Revision":5})"},
+            {"revision is huge", R"({"Key":"bad","Value":"!","Revision":1e300})"},
+            {"a number", "7"},
+            {"a list", R"([{"Key":"bad"}])"},
+            {"null", "null"}};
+    return cr_make_param_array(BadInput, cases, std::size(cases));
+}
+
+ParameterizedTest(BadInput *param, platformDialect, badItemCostsOnlyItself)
+{
+    const std::string good = R"({"Key":"good","Value":"bm9kZS0x","Revision":4})";
+    const std::string last = R"({"Key":"last","Revision":6,"Deleted":true})";
+    const std::string body = R"({"At":6,"events":[)" + good + "," + param->text + "," + last + "]}";
+    const auto page = makePlatformDialect()->decodeChanges(body);
+    cr_assert(page.has_value(), "%s", param->name);
+    const std::vector<StoreItem> &items = page.value().items;
+    cr_assert_eq(items.size() + page.value().nameless, 3, "%s", param->name);
+    cr_assert_eq(items.front().value, std::string("node-1"), "%s", param->name);
+    cr_assert(items.back().deleted, "%s", param->name);
+    if (items.size() == 3) {
+        cr_assert_eq(items[1].key, std::string("bad"), "%s", param->name);
+        cr_assert(items[1].unreadable, "%s", param->name);
+    }
+}
+
+namespace {
+
+// An entry as targets write it, with one field replaced (or taken out, for an empty text).
+std::string entryWith(const std::string &field, const std::string &text)
+{
+    std::string made = "{";
+    const std::vector<std::pair<std::string, std::string>> fields = {
+            {"Service", R"("svc")"},  {"Address", R"("10.0.0.1:80")"},
+            {"Zone", R"("z")"},       {"Version", R"("v1")"},
+            {"Slots", "24"},          {"State", R"("ready")"},
+            {"ColdLeftMs", "0"},      {"Seq", "3"},
+            {"born", "1791614788022"}};
+    for (const auto &[name, value] : fields) {
+        const std::string &written = name == field ? text : value;
+        if (!written.empty())
+            made += (made.size() > 1 ? ",\"" : "\"") + name + "\":" + written;
+    }
+    return made + "}";
+}
+
+struct EntryCase
+{
+    char field[16];
+    char text[48];
+    bool good;
+};
+
+} // namespace
+
+// An entry that another writer left names no target, whichever field gives it away.
+ParameterizedTestParameters(platformDialect, entriesOfOtherWritersNameNoTarget)
+{
+    static EntryCase cases[] = {{"", "", true},
+                                {"born", "", true}, // deployments whose targets do not tell it
+                                {"ColdLeftMs", "996.5", true},
+                                {"State", R"("draining")", true},
+                                {"Service", "", false},
+                                {"Service", "7", false},
+                                {"Service", R"("")", false},
+                                {"Address", "", false},
+                                {"Address", R"("nowhere")", false},
+                                {"Address", R"("10.0.0.1")", false},
+                                {"Address", R"("10.0.0.1:99999")", false},
+                                {"Address", R"(["10.0.0.1:80"])", false},
+                                {"Zone", "", false},
+                                {"Zone", "null", false},
+                                {"Version", "1", false},
+                                {"Slots", "", false},
+                                {"Slots", R"("24")", false},
+                                {"Slots", "24.5", false},
+                                {"Slots", "-1", false},
+                                {"Slots", "0", false},
+                                {"Slots", "1e300", false},
+                                {"Slots", "18446744073709551615", false},
+                                {"State", "", false},
+                                {"State", R"("resting")", false},
+                                {"State", "true", false},
+                                {"State", R"(["ready"])", false},
+                                {"ColdLeftMs", "", false},
+                                {"ColdLeftMs", R"("0")", false},
+                                {"ColdLeftMs", "1e300", false},
+                                {"ColdLeftMs", "-1", false},
+                                {"Seq", "", false},
+                                {"Seq", R"("3")", false},
+                                {"Seq", "-3", false},
+                                {"born", R"("1791614788022")", false},
+                                {"born", "1791614788022.5", false},
+                                {"born", "0", false},
+                                {"born", "-5", false},
+                                {"born", "null", false}};
+    return cr_make_param_array(EntryCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EntryCase *param, platformDialect, entriesOfOtherWritersNameNoTarget)
+{
+    const auto entry = makePlatformDialect()->decodeTarget("servers/i-1",
+                                                           entryWith(param->field, param->text));
+    cr_assert_eq(entry.has_value(), param->good, "%s = %s", param->field, param->text);
+    if (entry.has_value()) {
+        cr_assert_eq(entry.value().name, std::string("i-1"));
+        const bool told = std::string_view(param->field) != "born";
+        cr_assert_eq(entry.value().id, std::string(told ? "i-1@1791614788022" : "i-1"));
+    }
+}
+
+ParameterizedTestParameters(platformDialect, unreadableEntriesNameNoTarget)
+{
+    static BadInput cases[] = {{"empty", ""},
+                               {"no json", "ready"},
+                               {"a list", "[1,2]"},
+                               {"a text", R"("ready")"},
+                               {"null", "null"},
+                               {"cut off", R"({"Service":"svc","Address":"10.0.0.1:80")"},
+                               {"no utf-8", "{\"Service\":\"\xff\xfe\"}"},
+                               {"zeros", "\x01\x02"}};
+    return cr_make_param_array(BadInput, cases, std::size(cases));
+}
+
+ParameterizedTest(BadInput *param, platformDialect, unreadableEntriesNameNoTarget)
+{
+    cr_assert_not(makePlatformDialect()->decodeTarget("servers/i-1", param->text).has_value(), "%s",
+                  param->name);
+}
+
+// A thousand open brackets must be refused like any other nonsense, not exhaust the stack.
+Test(platformDialect, deepNestingIsRefused)
+{
+    const std::string deep(200000, '[');
+    cr_assert_not(makePlatformDialect()->decodeTarget("servers/i-1", deep).has_value());
+    cr_assert_not(makePlatformDialect()->decodeChanges(deep).has_value());
+    cr_assert_not(makePlatformDialect()->decodeLoad(deep).has_value());
+    const std::string closed = deep + std::string(200000, ']');
+    cr_assert_not(makePlatformDialect()->decodeTarget("servers/i-1", closed).has_value());
+}
+
+ParameterizedTestParameters(platformDialect, reportsOfNonsenseAreRefused)
+{
+    static BadInput cases[] = {{"waiting is text", R"({"Waiting":"2"})"},
+                               {"memory is huge", R"({"KvInUse":1e300})"},
+                               {"running is negative", R"({"Running":-1})"},
+                               {"start is text", R"({"born":"yesterday"})"},
+                               {"a list", "[]"}};
+    return cr_make_param_array(BadInput, cases, std::size(cases));
+}
+
+ParameterizedTest(BadInput *param, platformDialect, reportsOfNonsenseAreRefused)
+{
+    cr_assert_not(makePlatformDialect()->decodeLoad(param->text).has_value(), "%s", param->name);
+}
+
 Test(platformDialect, storeAnswersAreDecoded)
 {
     const auto dialect = makePlatformDialect();
--- a/unittests/Platform/requesttest.cpp
+++ b/unittests/Platform/requesttest.cpp
@@ -25,7 +25,18 @@
 }
 
 // What a target does with a request.
-enum Deed { Good, Refuses, Fails, Resets, CutsBody, Garbles, OtherId, Unframed, UnframedReset };
+enum Deed {
+    Good,
+    Refuses,
+    Misdirected,
+    Fails,
+    Resets,
+    CutsBody,
+    Garbles,
+    OtherId,
+    Unframed,
+    UnframedReset
+};
 
 Answer perform(Deed deed)
 {
@@ -35,6 +46,8 @@
         return wholeAnswer(200, own, "good");
     case Refuses:
         return wholeAnswer(503, own + "X-Not-Executed: 1\r\n", "");
+    case Misdirected:
+        return wholeAnswer(421, "X-Instance: another\r\n", "");
     case Fails:
         return wholeAnswer(500, own, "bad");
     case Resets:
@@ -77,8 +90,10 @@
 {
     static DeedCase cases[] = {
             {"once good", "unsafe", 1, Good, 200, 1},
-            {"once refused", "unsafe", 1, Refuses, 503, 1},
+            {"once refused", "unsafe", 1, Refuses, 200, 2},
+            {"once misdirected", "unsafe", 1, Misdirected, 200, 2},
             {"once refused, two", "unsafe", 2, Refuses, 200, 2},
+            {"safe refused, one", "safe", 1, Refuses, 200, 2},
             {"once failed", "unsafe", 2, Fails, 500, 1},
             {"once reset", "unsafe", 2, Resets, 502, 1},
             {"once cut", "unsafe", 2, CutsBody, 502, 1},
@@ -120,6 +135,101 @@
         cr_assert(view.bytes.find("Retry-After: ") != std::string::npos, "%s", param->name);
 }
 
+namespace {
+
+struct SeriesCase
+{
+    char name[40];
+    char type[8];
+    int attempts;
+    Deed deeds[3]; // of the targets, in the order in which they are asked
+    int status;
+    std::size_t sends;
+};
+
+} // namespace
+
+// Symptom: a request is refused though targets are free, or runs at more of them than its route
+// allows. Events: a target vouches that it did not run the request; the next ones refuse, fail or
+// answer. Cause: what counts against the route is where a request may have run; what was sent
+// counts against the budget of repeats alone.
+ParameterizedTestParameters(request, refusalsUseUpNoAttempt)
+{
+    static SeriesCase cases[] = {
+            {"all refuse", "unsafe", 1, {Refuses, Refuses, Misdirected}, 503, 3},
+            {"refused twice", "unsafe", 1, {Refuses, Misdirected, Good}, 200, 3},
+            {"refused, then reset", "unsafe", 1, {Refuses, Resets, Good}, 502, 2},
+            {"refused, then failed", "unsafe", 1, {Refuses, Fails, Good}, 500, 2},
+            {"refused, then foreign", "unsafe", 2, {Misdirected, OtherId, Good}, 502, 2},
+            {"safe refused, then reset", "safe", 1, {Refuses, Resets, Good}, 502, 2},
+            {"safe reset, then refused", "safe", 2, {Resets, Refuses, Good}, 200, 3},
+            {"safe reset, then failed", "safe", 2, {Resets, Fails, Good}, 500, 2}};
+    return cr_make_param_array(SeriesCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SeriesCase *param, request, refusalsUseUpNoAttempt)
+{
+    std::atomic<int> asked{0};
+    const auto script = [&asked, param](const SeenRequest &request) -> Answer {
+        if (isProbe(request))
+            return wholeAnswer(200, "", "{}");
+        return perform(param->deeds[std::min(asked++, 2)]);
+    };
+    ScriptedServer one(script);
+    ScriptedServer two(script);
+    ScriptedServer three(script);
+    RouteSpec route;
+    route.type = param->type;
+    route.attempts = param->attempts;
+    EntryFixture entry({route});
+    entry.list("t1", one);
+    entry.list("t2", two);
+    entry.list("t3", three);
+    const CallerView view = callOnce(entry.port(), requestText({}));
+    cr_assert(view.bytes.starts_with("HTTP/1.1 " + std::to_string(param->status)), "%s: %s",
+              param->name, view.bytes.c_str());
+    cr_assert_eq(worked(one) + worked(two) + worked(three), param->sends, "%s", param->name);
+}
+
+// Symptom: an engine that restarted under its name is named to nobody any more, or a bad entry
+// takes a good engine's requests with it. Events: the target drains and comes back under its name,
+// told by its start; another writer leaves an entry beside it, and one over it, which the target
+// writes anew.
+Test(request, restartedTargetServesAgain)
+{
+    ScriptedServer target([](const SeenRequest &request) {
+        return isProbe(request) ? wholeAnswer(200, "", "{}") : perform(Good);
+    });
+    RouteSpec route;
+    route.type = "unsafe";
+    EntryFixture entry({route});
+    const auto entryOf = [&target](std::int64_t born, const std::string &state) {
+        nlohmann::json document = nlohmann::json::parse(targetJson(target.address(), state));
+        document["born"] = born;
+        return document.dump();
+    };
+    const auto statusSoon = [&entry](const std::string &wanted) {
+        std::string last;
+        for (int i = 0; i < 40 && !last.starts_with("HTTP/1.1 " + wanted); ++i) {
+            last = callOnce(entry.port(), requestText({}), std::chrono::milliseconds(100)).bytes;
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        return last.starts_with("HTTP/1.1 " + wanted);
+    };
+    cr_assert(entry.becomesReady());
+    entry.store.put("servers/t1", entryOf(1000, "ready"));
+    cr_assert(statusSoon("200"));
+    entry.store.put("servers/t1", entryOf(1000, "draining"));
+    cr_assert(statusSoon("503"), "a leaving target gets nothing");
+    entry.store.put("servers/t1", entryOf(2000, "ready"));
+    cr_assert(statusSoon("200"), "the new life gets work");
+    entry.store.put("servers/forged", R"({"Service":"svc","Address":17})");
+    entry.store.put("servers/t1", "torn");
+    cr_assert(statusSoon("503"), "an unusable entry names no target");
+    entry.store.put("servers/t1", entryOf(2000, "ready"));
+    cr_assert(statusSoon("200"), "a good one names it again");
+}
+
 // The engine sees the caller's request, with the instance's own headers instead of the caller's.
 Test(request, reachesTheTargetUnchanged)
 {
