Policy figures stand in one table of the settings; refusals say what engines lacked

Cause: measuring what a mechanism is worth took a rebuild for each figure. Change: EntryTuning, read from the optional table [tuning], with bounds and numbered problems; the end of a generation logs its size and how many engines lacked memory or would have read its prompt too late; a refuge's unread prompts may weigh more than those of a new run's engine.

--- a/include/jaytrack/Proxy/entrysettings.h
+++ b/include/jaytrack/Proxy/entrysettings.h
@@ -2,6 +2,7 @@
 #ifndef JAYTRACK_PROXY_ENTRYSETTINGS_H
 #define JAYTRACK_PROXY_ENTRYSETTINGS_H
 
+#include "jaytrack/Proxy/entrytuning.h"
 #include "jaytrack/Support/tomlreader.h"
 
 #include <chrono>
@@ -38,6 +39,8 @@
 
     std::size_t memoryBytes = 110U << 20U;
     std::size_t descriptors = 4096;
+
+    EntryTuning tuning;
 };
 
 // Reads and checks a settings file, adding every fault to problems.
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -5,6 +5,7 @@
 #include "jaytrack/Net/callerconnection.h"
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Policy/targethealth.h"
+#include "jaytrack/Proxy/entrytuning.h"
 #include "jaytrack/Routing/admission.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/retrybudget.h"
@@ -47,6 +48,7 @@
     RetryBudget &retries;
     std::mt19937_64 &random;
     PlacementNotices &notices;
+    const StreamOptions &streams;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until its answer is given
 };
@@ -143,8 +145,9 @@
 // Headers that concern only one connection, among them those that Connection names.
 std::vector<HttpHeader> withoutHopByHop(std::span<const HttpHeader> headers);
 
-// How long a caller who was refused had better wait before it comes back.
-std::chrono::milliseconds comeBackDelay(ResultCode code, const RouteRule *route,
+// How long a caller who was refused had better wait before it comes back: at most that part of its
+// objective where targets were full.
+std::chrono::milliseconds comeBackDelay(ResultCode code, const RouteRule *route, double most,
                                         std::mt19937_64 &random);
 
 std::shared_ptr<Exchange> makePlainExchange(ExchangeContext &context,
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -34,15 +34,11 @@
 class LoadProber final
 {
 public:
-    // How often each engine is asked. A question has a price at the engine; its answer is half a
-    // second old when it comes, so asking much more often tells little more.
-    static constexpr std::chrono::milliseconds gap{700};
-
     // Without any report for this long an instance asks for itself: whoever should has gone.
     static constexpr std::chrono::milliseconds askAnyway{2500};
 
     LoadProber(asio::io_context &loop, const Dialect &words, EngineChoice &told,
-               LoadSharing &shared, std::mt19937_64 &source);
+               LoadSharing &shared, std::mt19937_64 &source, std::chrono::milliseconds askGap);
 
     void add(const TargetEntry &entry);
     void remove(std::string_view id);
@@ -55,6 +51,7 @@
     EngineChoice &engines;
     LoadSharing &sharing;
     std::mt19937_64 &random;
+    std::chrono::milliseconds gap; // between two questions to an engine
     std::map<std::string, std::shared_ptr<Probe>, std::less<>> probes;
 };
 
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -47,6 +47,14 @@
     // What a second until the first token weighs against a whole memory.
     double weightOfDelay = 1.0;
 
+    // The same for a run that seeks refuge. What its copy lacks is read behind the prompts that
+    // wait there, and a pause of a fifth of a second makes the whole stream late, where a first
+    // token has more than a second.
+    double refugeWeightOfDelay = 3.0;
+
+    // Whether short urgent generations leave room to the runs of leaving engines too.
+    bool urgentLeavesRefuge = true;
+
     // Prompt tokens that an engine reads in a millisecond between the tokens of its other requests,
     // until it is learnt: half of the 14 that the sheets give for an engine that does nothing else.
     double promptTokensPerMilli = 7;
@@ -137,6 +145,14 @@
                               const EngineTraits &traits, const GenerationNeed &need,
                               const std::set<std::string> &avoid);
 
+    // Why the last choice compared found no engine, for the log.
+    struct Shortage
+    {
+        int full = 0; // engines without the memory
+        int slow = 0; // engines with it that would read the prompt too late
+    };
+    const Shortage &lastShortage() const { return this->shortage; }
+
     // The engine to which a run moves whose own is leaving; null if there is none but those to
     // avoid.
     const TargetEntry *chooseRefuge(std::span<const TargetEntry *const> engines,
@@ -214,6 +230,7 @@
                 0; // an engine whose memory would be taken beyond this part is not taken
         Duration mostDelay = Duration::max(); // nor one that would have read the prompt later
         double blur = 0;
+        double weightOfDelay = 1;
     };
 
     const TargetEntry *cheapest(std::vector<const TargetEntry *> open, const EngineTraits &traits,
@@ -233,6 +250,7 @@
     double readingSpeed; // prompt tokens in a millisecond, as learnt
     std::map<std::string, Board, std::less<>> boards;
     std::vector<Departure> departures;
+    Shortage shortage;
 };
 
 } // namespace jaytrack
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -31,11 +31,6 @@
 // Before the forced end, so that the process ends by itself.
 constexpr std::chrono::milliseconds endMargin{300};
 
-// After an answer with changes a reader of the store pauses. Changes come some times a second, and
-// readers that have not just been answered bring the next one without delay; with a pause of 50 ms
-// the readers of 73 instances made 10 calls a second each.
-constexpr std::chrono::milliseconds changesGap{400};
-
 constexpr std::chrono::milliseconds tickGap{100};
 constexpr int ticksPerFileCheck = 10;
 
@@ -113,16 +108,25 @@
         , random(std::random_device{}())
         , directory(*this)
         , health(time, this->random())
-        , engines(time, this->random(), given.dataCentre)
+        , engines(time, this->random(), given.dataCentre, given.tuning.engines)
         , retries(time, {given.retryRatio, given.retryWindow})
         , configuration(time, words)
         , targets(this->loop, time, words, this->metrics, this->directory)
         , feeds(this->configuration, this->targets)
-        , sharing(time, given.name, StoreSharingOptions(), this->random, this->configuration)
-        , prober(this->loop, words, this->engines, *this, this->random)
-        , context{this->loop,      time,         words,         this->metrics,
-                  this->directory, this->health, this->engines, this->retries,
-                  this->random,    *this,        this->open}
+        , sharing(time, given.name, given.tuning.sharing, this->random, this->configuration)
+        , prober(this->loop, words, this->engines, *this, this->random, given.tuning.probeGap)
+        , context{this->loop,
+                  time,
+                  words,
+                  this->metrics,
+                  this->directory,
+                  this->health,
+                  this->engines,
+                  this->retries,
+                  this->random,
+                  *this,
+                  this->settings.tuning.streams,
+                  this->open}
         , desk(*this)
         , callers(this->loop, time, *this)
         , readiness(this->loop, time, this->desk)
@@ -178,7 +182,7 @@
             return store.error();
         StoreFollowerOptions everything;
         everything.store = store.value();
-        everything.gap = changesGap;
+        everything.gap = this->settings.tuning.storeGap;
         this->follower =
                 std::make_shared<StoreFollower>(this->loop, this->clock, this->dialect, everything,
                                                 this->random(), this->feeds, this->sharing);
@@ -229,8 +233,9 @@
         std::vector<HttpHeader> headers;
         headers.push_back({"Jaytrack-Outcome", std::string(outcomeName(info.outcome))});
         if (info.httpStatus == unavailableStatus) {
-            headers.push_back(this->dialect.comeBackIn(
-                    comeBackDelay(code, admitted.admission.route, this->random)));
+            headers.push_back(this->dialect.comeBackIn(comeBackDelay(
+                    code, admitted.admission.route,
+                    this->settings.tuning.streams.partOfObjectiveToReturn, this->random)));
         }
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(inputs.age);
         logEvent(Severity::Info, "request_refused",
--- a/lib/Proxy/entrysettings.cpp
+++ b/lib/Proxy/entrysettings.cpp
@@ -110,6 +110,11 @@
     settings.descriptors = static_cast<std::size_t>(limits.integer(
             "descriptors", descriptorRange, static_cast<std::int64_t>(settings.descriptors)));
     limits.finish();
+
+    if (root.has("tuning")) {
+        TomlTable tuning = root.table("tuning");
+        settings.tuning = readEntryTuning(tuning);
+    }
     root.finish();
     return settings;
 }
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -58,9 +58,8 @@
 
 // Load that it answers: a herd of callers refused at the same moment. Whoever only met an instance
 // that cannot serve now goes to another one and may do so at once; whoever met full targets waits a
-// part of the objective, drawn at random, so that the herd spreads and its answer is still worth
-// having.
-std::chrono::milliseconds comeBackDelay(ResultCode code, const RouteRule *route,
+// part of the objective.
+std::chrono::milliseconds comeBackDelay(ResultCode code, const RouteRule *route, double most,
                                         std::mt19937_64 &random)
 {
     static constexpr std::chrono::milliseconds soon{20};
@@ -69,9 +68,9 @@
             route == nullptr || route->objective.count() == 0 ? unknownRoute : route->objective;
     const bool instanceOnly = code == ResultCode::Draining || code == ResultCode::NotReady ||
                               code == ResultCode::ConfigurationStale;
-    const std::chrono::milliseconds most =
-            instanceOnly ? soon * 2 : std::max(soon * 2, objective / 4);
-    std::uniform_int_distribution<std::int64_t> delay(soon.count(), most.count());
+    const auto part = static_cast<std::int64_t>(static_cast<double>(objective.count()) * most);
+    const std::int64_t longest = instanceOnly ? soon.count() * 2 : std::max(soon.count() * 2, part);
+    std::uniform_int_distribution<std::int64_t> delay(soon.count(), longest);
     return std::chrono::milliseconds(delay(random));
 }
 
@@ -153,8 +152,9 @@
     std::vector<HttpHeader> headers;
     headers.push_back({"Jaytrack-Outcome", std::string(outcomeName(info.outcome))});
     if (info.outcome == Outcome::NotRun) {
-        headers.push_back(this->context.dialect.comeBackIn(
-                comeBackDelay(code, this->admitted.admission.route, this->context.random)));
+        headers.push_back(this->context.dialect.comeBackIn(comeBackDelay(
+                code, this->admitted.admission.route, this->context.streams.partOfObjectiveToReturn,
+                this->context.random)));
     }
     this->caller->respond(info.httpStatus, headers, {});
     this->finish(code, info.httpStatus, detail);
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -26,7 +26,7 @@
     void start()
     {
         // Instances that start together would otherwise ask every engine in the same instant.
-        std::uniform_int_distribution<std::int64_t> first(0, gap.count());
+        std::uniform_int_distribution<std::int64_t> first(0, this->prober.gap.count());
         this->askAfter(std::chrono::milliseconds(first(this->prober.random)));
     }
 
@@ -55,7 +55,7 @@
         const bool unheard = age < Duration(0) || age > askAnyway;
         if (unheard || this->prober.sharing.isMineToAsk(this->target.id))
             return this->ask();
-        this->askAfter(gap);
+        this->askAfter(this->prober.gap);
     }
 
     void ask()
@@ -94,7 +94,7 @@
     {
         if (this->stopped)
             return;
-        this->askAfter(gap);
+        this->askAfter(this->prober.gap);
         const Result<EngineLoad> load = this->prober.dialect.decodeLoad(this->body);
         if (!end.whole || this->status != okStatus || !load) {
             this->prober.sharing.onNoLoad(this->target.id);
@@ -113,12 +113,14 @@
 };
 
 LoadProber::LoadProber(asio::io_context &loop, const Dialect &words, EngineChoice &told,
-                       LoadSharing &shared, std::mt19937_64 &source)
+                       LoadSharing &shared, std::mt19937_64 &source,
+                       std::chrono::milliseconds askGap)
     : context(loop)
     , dialect(words)
     , engines(told)
     , sharing(shared)
     , random(source)
+    , gap(askGap)
 {
 }
 
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -13,21 +13,9 @@
 // Longest answer that is no stream, such as an engine's own failure.
 constexpr std::size_t mostPlainBytes = 256U << 10U;
 
-// A generation waits for room for this part of its objective before its caller is refused, and
-// looks for it so often. Told that early, the caller can still come back in time for the whole
-// objective.
-constexpr int objectivePartsToWait = 8;
-
-// Of the time until the first token is late, this part may be planned for; the rest is for what the
-// forecast does not know.
-constexpr int usableTenths = 6;
-
+// How often a generation that waits looks for room.
 constexpr std::chrono::milliseconds roomGap{30};
 
-// Copies on notice begin within this time: long enough for notices between instances (2 ms each) to
-// keep sixty of them apart, short against the second and a half that a departure leaves.
-constexpr std::chrono::milliseconds mostFirstPause{100};
-
 constexpr int okStatus = 200;
 
 std::optional<std::uint64_t> parseEventId(std::string_view text)
@@ -44,10 +32,11 @@
     return service != nullptr && service->engine ? *service->engine : EngineTraits();
 }
 
-RunPlanOptions planOptions(const EngineTraits &traits, RequestKind kind, std::mt19937_64 &random)
+RunPlanOptions planOptions(const EngineTraits &traits, RequestKind kind,
+                           const StreamOptions &streams, std::mt19937_64 &random)
 {
     RunPlanOptions options;
-    std::uniform_int_distribution<std::int64_t> pause(0, mostFirstPause.count());
+    std::uniform_int_distribution<std::int64_t> pause(0, streams.mostFirstPause.count());
     options.firstPause = std::chrono::milliseconds(pause(random));
     options.movesRuns = traits.movesRuns;
     options.mayRunAgain = mayRunAgain(kind);
@@ -63,7 +52,8 @@
     : Exchange(shared, std::move(from), std::move(given))
     , traits(engineTraits(this->service()))
     , room(shared, this->facts().attemptId)
-    , plan(shared.clock, planOptions(this->traits, this->route().kind, shared.random))
+    , plan(shared.clock,
+           planOptions(this->traits, this->route().kind, shared.streams, shared.random))
     , overlapTimer(shared.loop)
     , moveTimer(shared.loop)
     , planTimer(shared.loop)
@@ -86,6 +76,12 @@
 
 void StreamExchange::describeEnd(std::vector<LogField> &fields) const
 {
+    fields.emplace_back("prompt_tokens", static_cast<std::int64_t>(this->need.promptTokens));
+    fields.emplace_back("expected_tokens", static_cast<std::int64_t>(this->need.outputTokens));
+    if (this->shortage.full + this->shortage.slow > 0) {
+        fields.emplace_back("engines_full", this->shortage.full);
+        fields.emplace_back("engines_slow", this->shortage.slow);
+    }
     fields.emplace_back("events", static_cast<std::int64_t>(this->lastEvent));
     fields.emplace_back("first_event_ms", toMillis(this->firstEventAfter));
     fields.emplace_back("longest_pause_ms", toMillis(this->longestPause));
@@ -167,6 +163,7 @@
     this->need.mostDelay = this->usableDelay();
     const TargetEntry *chosen =
             this->context.engines.choose(engines, this->traits, this->need, this->tried);
+    this->shortage = this->context.engines.lastShortage();
     if (chosen == nullptr)
         return engines.empty() ? this->answerOwn(this->uncertain ? ResultCode::TargetLost
                                                                  : ResultCode::NoTarget,
@@ -186,7 +183,9 @@
     const Duration waited = this->context.clock.now() - this->request().arrived;
     if (this->uncertain || this->route().objective.count() == 0)
         return Duration::max();
-    return std::max(Duration(0), (this->route().objective - waited) * usableTenths / 10);
+    const auto usable = std::chrono::duration<double, std::nano>(this->route().objective - waited) *
+                        this->context.streams.usablePartOfObjective;
+    return std::max(Duration(0), std::chrono::duration_cast<Duration>(usable));
 }
 
 // Every engine that was compared is full. Room comes free within tenths of a second as others end,
@@ -194,8 +193,10 @@
 void StreamExchange::waitForRoom()
 {
     const TimePoint since = this->uncertain ? this->lostAt : this->request().arrived;
+    const auto part = std::chrono::duration<double, std::nano>(this->route().objective) *
+                      this->context.streams.partOfObjectiveToWait;
     const Duration patience = this->uncertain ? Duration(this->route().objective)
-                                              : this->route().objective / objectivePartsToWait;
+                                              : std::chrono::duration_cast<Duration>(part);
     if (this->context.clock.now() - since > patience)
         return this->answerOwn(this->uncertain ? ResultCode::TargetLost : ResultCode::WaitExpired,
                                "engines_full");
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -126,6 +126,7 @@
 
     EngineTraits traits;
     GenerationNeed need;
+    EngineChoice::Shortage shortage; // of the last choice for this request
     std::shared_ptr<StreamLeg> current;
     std::shared_ptr<StreamLeg> next; // takes over from current
     std::shared_ptr<MoveCall> move;
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -289,7 +289,7 @@
     const double memory =
             (this->memoryOf(board) + need.promptTokens + need.outputTokens / 2.0) / capacity;
     const double delay = std::chrono::duration<double>(this->delayOf(board)).count();
-    const double cost = memory + this->options.weightOfDelay * delay;
+    const double cost = memory + preference.weightOfDelay * delay;
     const bool distant = entry.dataCentre != preference.dataCentre;
     return distant ? cost + preference.distantHandicap : cost;
 }
@@ -301,18 +301,23 @@
     std::shuffle(open.begin(), open.end(), this->random);
     std::uniform_real_distribution<double> blur(0, preference.blur);
     const std::size_t compared = std::min(open.size(), preference.candidates);
+    this->shortage = {};
     const TargetEntry *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t i = 0; i < compared; ++i) {
         const Board &board = this->boards[open[i]->id];
-        if (this->memoryWith(board, traits, need) > preference.mostMemory)
+        if (this->memoryWith(board, traits, need) > preference.mostMemory) {
+            ++this->shortage.full;
             continue;
+        }
         // A prompt that alone takes most of the time there is must find an engine that reads
         // nothing else, but it must not be shut out everywhere for its length.
         const Duration own =
                 std::min(this->readingTime(need.promptTokens), preference.mostDelay / 2);
-        if (this->delayOf(board) > preference.mostDelay - own)
+        if (this->delayOf(board) > preference.mostDelay - own) {
+            ++this->shortage.slow;
             continue;
+        }
         const double cost = this->costOf(*open[i], traits, need, preference) + blur(this->random);
         if (cost < bestCost) {
             best = open[i];
@@ -343,13 +348,15 @@
 {
     const bool isShort = need.outputTokens < this->options.shortTokens;
     const double most = isShort ? this->options.urgentShare : this->options.newRunShare;
-    const double share = most - this->refugeShare(engines, traits);
+    const bool leavesRefuge = !isShort || this->options.urgentLeavesRefuge;
+    const double share = most - (leavesRefuge ? this->refugeShare(engines, traits) : 0);
     const Preference preference{this->home,
                                 this->options.distantHandicap,
                                 this->options.candidates,
                                 share,
                                 need.mostDelay,
-                                0};
+                                0,
+                                this->options.weightOfDelay};
     return this->cheapest(this->openAmong(engines, avoid), traits, need, preference);
 }
 
@@ -362,9 +369,13 @@
     std::set<std::string> others = avoid;
     others.insert(running.id);
     // Every engine is compared: those of the run's own data centre are few.
-    const Preference preference{running.dataCentre, this->options.distantCopyHandicap,
-                                engines.size(),     anyMemory,
-                                Duration::max(),    this->options.refugeBlur};
+    const Preference preference{running.dataCentre,
+                                this->options.distantCopyHandicap,
+                                engines.size(),
+                                anyMemory,
+                                Duration::max(),
+                                this->options.refugeBlur,
+                                this->options.refugeWeightOfDelay};
     return this->cheapest(this->openAmong(engines, others), traits, need, preference);
 }
 
