--- a/include/jaytrack/Proxy/entrytuning.h
+++ b/include/jaytrack/Proxy/entrytuning.h
@@ -17,7 +17,7 @@
 {
     // A generation waits for room for this part of its objective before its caller is refused.
     // Told that early, the caller can still come back in time for the whole objective.
-    double partOfObjectiveToWait = 0.125;
+    double partOfObjectiveToWait = 0.06;
 
     // A caller that met full engines is told to come back within this part of its objective, drawn
     // at random, so that the herd spreads and its answer is still worth having.
--- a/include/jaytrack/Proxy/storesharing.h
+++ b/include/jaytrack/Proxy/storesharing.h
@@ -23,7 +23,7 @@
 {
     // Readers in the whole fleet. After a change each pauses before it asks again; five rarely
     // pause all at once, and any four may be cut off.
-    std::size_t readers = 5;
+    std::size_t readers = 3;
 
     // An instance whose knowledge was not confirmed for this long reads for itself. A reader whose
     // questions nothing answers is confirmed every 1.2 s at most, as of the question's start, and
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -35,11 +35,15 @@
     // do.
     std::size_t candidates = 6;
 
-    // Part of an engine's memory up to which new generations are let in; short urgent ones, which
-    // leave again within half a second, to a higher part. The rest is for the growth of those that
-    // run, and for the runs of engines that leave: a sixth of all engines at a time.
-    double newRunShare = 0.92;
-    double urgentShare = 0.95;
+    // Part of an engine's memory up to which new generations are let in. The rest is for the growth
+    // of those that run, for the runs of engines that leave (a sixth of all engines at a time), and
+    // for the prompts of short ones: where long ones may fill 0.92 of engines that hold six of
+    // them, half of the largest tenth of the short ones is refused.
+    double newRunShare = 0.88;
+
+    // The same for short urgent generations, which give their memory back within half a second,
+    // before those that run there have grown into it.
+    double urgentShare = 0.99;
 
     // Generations of fewer expected tokens than this count as short.
     std::uint32_t shortTokens = 64;
@@ -53,7 +57,7 @@
     double refugeWeightOfDelay = 3.0;
 
     // Whether short urgent generations leave room to the runs of leaving engines too.
-    bool urgentLeavesRefuge = true;
+    bool urgentLeavesRefuge = false;
 
     // Prompt tokens that an engine reads in a millisecond between the tokens of its other requests,
     // until it is learnt: half of the 14 that the sheets give for an engine that does nothing else.
@@ -82,7 +86,7 @@
     Duration refugeTime = std::chrono::milliseconds(1500);
 
     // The most, in parts of an engine's memory, that new generations leave to such runs.
-    double mostRefugeShare = 0.3;
+    double mostRefugeShare = 0.15;
 
     // What others say of an engine that is not listed is kept for this long. Listings reach the
     // instances within a second of each other.
@@ -237,6 +241,10 @@
                                 const GenerationNeed &need, const Preference &preference);
     double memoryWith(const Board &board, const EngineTraits &traits,
                       const GenerationNeed &need) const;
+    bool isShort(const GenerationNeed &need) const
+    {
+        return need.outputTokens < this->options.shortTokens;
+    }
     double costOf(const TargetEntry &entry, const EngineTraits &traits, const GenerationNeed &need,
                   const Preference &preference);
     bool avoided(const TargetEntry &entry);
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -346,9 +346,9 @@
                                         const EngineTraits &traits, const GenerationNeed &need,
                                         const std::set<std::string> &avoid)
 {
-    const bool isShort = need.outputTokens < this->options.shortTokens;
-    const double most = isShort ? this->options.urgentShare : this->options.newRunShare;
-    const bool leavesRefuge = !isShort || this->options.urgentLeavesRefuge;
+    const bool isUrgent = this->isShort(need);
+    const double most = isUrgent ? this->options.urgentShare : this->options.newRunShare;
+    const bool leavesRefuge = !isUrgent || this->options.urgentLeavesRefuge;
     const double share = most - (leavesRefuge ? this->refugeShare(engines, traits) : 0);
     const Preference preference{this->home,
                                 this->options.distantHandicap,
