--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -80,6 +80,8 @@
   2: binary value
   3: i64 revision
   4: bool deleted
+  // Bytes of the value before it was compressed; 0 for one that is as it was.
+  5: i64 plainSize
 }
 
 // What an instance has just read of the store: everything that changed after one revision up to another.
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Proxy/peerlink.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Support/compression.h"
 #include "jaytrack/Support/digest.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Wire/codec.h"
@@ -15,6 +16,14 @@
 
 constexpr std::chrono::milliseconds tickGap{100};
 
+// Values from this size on are compressed where that makes them smaller. A configuration of fifty
+// routes has 12 KB and fits into one datagram then; passed on as it is, or not at all, each of 87
+// instances would read it from the store, 85 calls for every change.
+constexpr std::size_t leastCompressed = 512;
+
+// The store's own bound on a value.
+constexpr std::size_t mostValueBytes = 1U << 20U;
+
 std::int64_t newIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -46,6 +55,30 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, number));
 }
 
+// A value as it goes to the peers.
+struct PackedValue
+{
+    std::string bytes;
+    std::size_t plainSize = 0; // 0 if it is not compressed
+};
+
+PackedValue pack(const std::string &value)
+{
+    if (value.size() < leastCompressed)
+        return {value, 0};
+    std::string packed = compressed(value);
+    if (packed.empty() || packed.size() >= value.size())
+        return {value, 0};
+    return {std::move(packed), value.size()};
+}
+
+std::optional<std::string> unpack(const wire::StoreItemNotice &item)
+{
+    if (item.plainSize == 0)
+        return item.value;
+    return decompressed(item.value, static_cast<std::size_t>(item.plainSize), mostValueBytes);
+}
+
 SharedChanges toChanges(const wire::StoreNotice &notice)
 {
     SharedChanges changes;
@@ -53,8 +86,12 @@
     changes.to = static_cast<std::uint64_t>(notice.toRevision);
     changes.incomplete = notice.incomplete;
     for (const wire::StoreItemNotice &item : notice.items) {
-        changes.items.push_back(
-                {item.key, item.value, static_cast<std::uint64_t>(item.revision), item.deleted});
+        std::optional<std::string> value = unpack(item);
+        // Whoever cannot read it asks the store, as for an item that was left out.
+        changes.incomplete = changes.incomplete || !value;
+        if (value)
+            changes.items.push_back({item.key, std::move(*value),
+                                     static_cast<std::uint64_t>(item.revision), item.deleted});
     }
     return changes;
 }
@@ -68,7 +105,9 @@
     for (const StoreItem &item : changes.items) {
         wire::StoreItemNotice shared;
         shared.key = item.key;
-        shared.value = item.value;
+        PackedValue value = pack(item.value);
+        shared.value = std::move(value.bytes);
+        shared.plainSize = static_cast<std::int64_t>(value.plainSize);
         shared.revision = static_cast<std::int64_t>(item.revision);
         shared.deleted = item.deleted;
         notice.items.push_back(std::move(shared));
@@ -95,7 +134,7 @@
     SharedChanges part{changes.from, changes.from, {}, false};
     std::size_t bytes = 0;
     for (StoreItem &item : items) {
-        const std::size_t whole = item.key.size() + item.value.size();
+        const std::size_t whole = item.key.size() + pack(item.value).bytes.size();
         const bool tooLarge = whole > mostBytes;
         const std::size_t size = tooLarge ? 0 : whole;
         if (bytes + size > mostBytes && !part.items.empty()) {
@@ -247,9 +286,10 @@
     this->tellPeers(encodeMessage(message));
 }
 
-// A value beyond this goes to its readers straight from the store: a datagram has its limits, and a
-// configuration of hundreds of routes would be sent to every instance by each that read it.
-constexpr std::size_t mostSharedBytes = 2048;
+// A value that is larger even when compressed goes to its readers straight from the store: a
+// datagram has its limits, and a configuration of hundreds of routes would be sent to every
+// instance by each that read it.
+constexpr std::size_t mostSharedBytes = 4096;
 
 void PeerLink::shareStore(const SharedChanges &changes)
 {
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -1429,6 +1429,10 @@
 void StoreItemNotice::__set_deleted(const bool val) {
   this->deleted = val;
 }
+
+void StoreItemNotice::__set_plainSize(const int64_t val) {
+  this->plainSize = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoreItemNotice& obj)
 {
   obj.printTo(out);
@@ -1489,6 +1493,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->plainSize);
+          this->__isset.plainSize = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1522,6 +1534,10 @@
   xfer += oprot->writeBool(this->deleted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("plainSize", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->plainSize);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1533,6 +1549,7 @@
   swap(a.value, b.value);
   swap(a.revision, b.revision);
   swap(a.deleted, b.deleted);
+  swap(a.plainSize, b.plainSize);
   swap(a.__isset, b.__isset);
 }
 
@@ -1541,6 +1558,7 @@
   value = other27.value;
   revision = other27.revision;
   deleted = other27.deleted;
+  plainSize = other27.plainSize;
   __isset = other27.__isset;
 }
 StoreItemNotice& StoreItemNotice::operator=(const StoreItemNotice& other28) {
@@ -1548,6 +1566,7 @@
   value = other28.value;
   revision = other28.revision;
   deleted = other28.deleted;
+  plainSize = other28.plainSize;
   __isset = other28.__isset;
   return *this;
 }
@@ -1558,6 +1577,7 @@
   out << ", " << "value=" << to_string(value);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "deleted=" << to_string(deleted);
+  out << ", " << "plainSize=" << to_string(plainSize);
   out << ")";
 }
 
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -613,11 +613,12 @@
 std::ostream& operator<<(std::ostream& out, const LoadNotice& obj);
 
 typedef struct _StoreItemNotice__isset {
-  _StoreItemNotice__isset() : key(false), value(false), revision(false), deleted(false) {}
+  _StoreItemNotice__isset() : key(false), value(false), revision(false), deleted(false), plainSize(false) {}
   bool key :1;
   bool value :1;
   bool revision :1;
   bool deleted :1;
+  bool plainSize :1;
 } _StoreItemNotice__isset;
 
 class StoreItemNotice : public virtual ::apache::thrift::TBase {
@@ -629,7 +630,8 @@
                   : key(),
                     value(),
                     revision(0),
-                    deleted(0) {
+                    deleted(0),
+                    plainSize(0) {
   }
 
   virtual ~StoreItemNotice() noexcept;
@@ -637,6 +639,7 @@
   std::string value;
   int64_t revision;
   bool deleted;
+  int64_t plainSize;
 
   _StoreItemNotice__isset __isset;
 
@@ -648,6 +651,8 @@
 
   void __set_deleted(const bool val);
 
+  void __set_plainSize(const int64_t val);
+
   bool operator == (const StoreItemNotice & rhs) const
   {
     if (!(key == rhs.key))
@@ -658,6 +663,8 @@
       return false;
     if (!(deleted == rhs.deleted))
       return false;
+    if (!(plainSize == rhs.plainSize))
+      return false;
     return true;
   }
   bool operator != (const StoreItemNotice &rhs) const {
--- a/unittests/Platform/followertest.cpp
+++ b/unittests/Platform/followertest.cpp
@@ -8,6 +8,8 @@
 
 #include <criterion/criterion.h>
 
+#include <random>
+
 using namespace jaytrack;
 using namespace jaytrack::testing;
 
@@ -145,6 +147,40 @@
     cr_assert(calls[1] <= 8 && calls[1] >= 2, "%zu calls if others tell it", calls[1]);
 }
 
+namespace {
+
+// Values are compressed on their way, so sizes hold only for bytes without a pattern.
+std::string incompressible(std::size_t size)
+{
+    std::mt19937 random(7);
+    std::string bytes;
+    for (std::size_t i = 0; i < size; ++i)
+        bytes += static_cast<char>(random());
+    return bytes;
+}
+
+} // namespace
+
+// Symptom: each change of the configuration makes every instance of the fleet ask the store.
+// Events: a configuration of fifty routes, 12 KB, is read by one instance for all.
+// Cause: it was larger than a notice between instances may be, so it was left out.
+Test(storeFollower, configurationOfFiftyRoutesIsPassedOn)
+{
+    std::string routes;
+    for (int i = 0; i < 50; ++i) {
+        routes += R"({"Name":"r-)" + std::to_string(i * 7919) +
+                  R"(","Host":"site.example","Prefix":"/jobs/)" + std::to_string(i) +
+                  R"(/","Type":"stream","TimeoutMs":39000,"SloMs":1800,"Priority":1,"Service":"s",
+                  "MaxAttempts":1,"Public":false,"Sticky":true,"Resumable":false})";
+    }
+    cr_assert_gt(routes.size(), 10000);
+    const SharedChanges changes{10, 11, {{"op/config", routes, 11, false}}, false};
+    const std::vector<SharedChanges> parts = splitChanges(changes, 4096);
+    cr_assert_eq(parts.size(), 1);
+    cr_assert_not(parts.front().incomplete);
+    cr_assert_eq(parts.front().items.front().value, routes);
+}
+
 // Symptom: whenever several engines leave at once, every instance asks the store what changed.
 // Events: ten entries of 250 bytes change together. Cause: the changes were passed on as one
 // notice, which was too large, so their items were left out.
@@ -165,7 +201,7 @@
     for (const Case &one : cases) {
         SharedChanges changes{10, 10 + one.sizes.size() + 3, {}, false};
         for (std::size_t i = 0; i < one.sizes.size(); ++i)
-            changes.items.push_back({"k", std::string(one.sizes[i], 'v'), 11 + i, false});
+            changes.items.push_back({"k", incompressible(one.sizes[i]), 11 + i, false});
         std::reverse(changes.items.begin(), changes.items.end());
         const std::vector<SharedChanges> parts = splitChanges(changes, 1000);
         cr_assert_eq(parts.size(), one.parts, "%zu items", one.sizes.size());
--- a/unittests/Platform/requesttest.cpp
+++ b/unittests/Platform/requesttest.cpp
@@ -191,6 +191,33 @@
     cr_assert_eq(worked(one) + worked(two) + worked(three), param->sends, "%s", param->name);
 }
 
+// Symptom: a caller that is refused comes back too late to be served in time.
+// Events: every engine is full; the caller waits at the door, is refused, waits as it was told, and
+// its first token may take another second. Cause: it waited for an eighth of its objective.
+Test(request, fullEnginesAreToldEarly)
+{
+    ScriptedServer target([](const SeenRequest &request) {
+        return isProbe(request) ? wholeAnswer(200, "", R"({"KvInUse":29900,"KvSize":30000})")
+                                : perform(Good);
+    });
+    RouteSpec route;
+    route.objectiveMs = 1800;
+    EntryFixture entry({route});
+    entry.list("t1", target);
+    const auto began = std::chrono::steady_clock::now();
+    const std::string bytes = callOnce(entry.port(), requestText({})).bytes;
+    const auto took = std::chrono::steady_clock::now() - began;
+    cr_assert(bytes.starts_with("HTTP/1.1 503"), "%s", bytes.c_str());
+    cr_assert_eq(worked(target), 0);
+    cr_assert(took < std::chrono::milliseconds(220), "told after %lld ms",
+              static_cast<long long>(
+                      std::chrono::duration_cast<std::chrono::milliseconds>(took).count()));
+    const std::size_t at = bytes.find("Retry-After: ");
+    cr_assert(at != std::string::npos);
+    const double delay = std::stod(bytes.substr(at + 13));
+    cr_assert(delay > 0 && delay <= 0.45, "%f s", delay);
+}
+
 // Symptom: an engine that restarted under its name is named to nobody any more, or a bad entry
 // takes a good engine's requests with it. Events: the target drains and comes back under its name,
 // told by its start; another writer leaves an entry beside it, and one over it, which the target
--- a/unittests/Routing/enginechoicetest.cpp
+++ b/unittests/Routing/enginechoicetest.cpp
@@ -2,6 +2,7 @@
 #include "jaytrack/Routing/enginechoice.h"
 
 #include <criterion/criterion.h>
+#include <criterion/parameterized.h>
 
 #include <algorithm>
 #include <memory>
@@ -138,6 +139,144 @@
     cr_assert_null(choice.choose(list, makeTraits(), need, {"e2"}));
 }
 
+namespace {
+
+// A load of long generations that takes every room that it is given, with the options of before and
+// of now.
+struct CrowdCase
+{
+    char name[24];
+    double newRunShare;
+    double urgentShare;
+    bool urgentLeavesRefuge;
+    int least; // of 100 short generations with long prompts
+    int most;
+};
+
+// Engines of 21,800 tokens under more long generations than they hold: whenever one ends, two more
+// ask for its room.
+class CrowdedEngines
+{
+public:
+    static constexpr int count = 40;
+
+    explicit CrowdedEngines(const EngineChoiceOptions &options)
+        : engines(makeEngines(count, count))
+        , choice(this->clock, 7, "dc0", options)
+    {
+        this->traits.memoryTokens = 21'800;
+        for (const TargetEntry &entry : this->engines)
+            this->choice.listed(entry);
+        for (int i = 0; i < 10 * count; ++i)
+            this->placeLong();
+    }
+
+    // An engine leaves, and its runs seek room.
+    void loseOne() { this->choice.gone(this->engines.back().id); }
+
+    // Of 100 short generations with prompts of that size, those that find room.
+    int servedShortOnes(std::uint32_t promptTokens)
+    {
+        int served = 0;
+        for (int i = 0; i < 100; ++i) {
+            this->endLong();
+            this->placeLong();
+            this->placeLong();
+            const auto list = pointers(this->engines);
+            served += this->choice.choose(list, this->traits, {promptTokens, 10}, {}) ? 1 : 0;
+        }
+        return served;
+    }
+
+private:
+    struct Placed
+    {
+        std::string engine;
+        std::uint32_t tokens;
+    };
+
+    void placeLong()
+    {
+        std::uniform_int_distribution<std::uint32_t> size(1000, 6000);
+        const GenerationNeed need{size(this->random), 700};
+        const TargetEntry *taken =
+                this->choice.choose(pointers(this->engines), this->traits, need, {});
+        if (taken == nullptr)
+            return;
+        this->choice.placedByOthers(taken->id, need, true);
+        this->placed.push_back({taken->id, need.promptTokens});
+    }
+
+    void endLong()
+    {
+        std::uniform_int_distribution<std::size_t> any(0, this->placed.size() - 1);
+        const std::size_t ended = any(this->random);
+        this->choice.releasedByOthers(this->placed[ended].engine, this->placed[ended].tokens);
+        this->placed.erase(this->placed.begin() + static_cast<std::ptrdiff_t>(ended));
+    }
+
+    ManualClock clock;
+    std::mt19937_64 random{11};
+    std::vector<TargetEntry> engines;
+    EngineChoice choice;
+    EngineTraits traits;
+    std::vector<Placed> placed;
+};
+
+} // namespace
+
+// Symptom: of the short generations with the longest prompts half are refused, while the others are
+// served nearly always. Events: long generations take every room as it comes free, and keep it for
+// ten seconds; an engine has just left. Cause: long ones may fill the engines up to where short
+// ones are refused, and short ones leave the same room to refugees though they give it back at
+// once.
+ParameterizedTestParameters(engineChoice, largestShortOnesFindRoomInACrowd)
+{
+    static const EngineChoiceOptions now;
+    static CrowdCase cases[] = {
+            {"before", 0.92, 0.95, true, 0, 45},
+            {"now", now.newRunShare, now.urgentShare, now.urgentLeavesRefuge, 80, 100}};
+    return cr_make_param_array(CrowdCase, cases, std::size(cases));
+}
+
+ParameterizedTest(CrowdCase *param, engineChoice, largestShortOnesFindRoomInACrowd)
+{
+    EngineChoiceOptions options;
+    options.newRunShare = param->newRunShare;
+    options.urgentShare = param->urgentShare;
+    options.urgentLeavesRefuge = param->urgentLeavesRefuge;
+    CrowdedEngines crowd(options);
+    crowd.loseOne();
+    const int served = crowd.servedShortOnes(4500);
+    cr_assert(served >= param->least && served <= param->most, "%s: %d of 100", param->name,
+              served);
+}
+
+// Symptom: a fifth of the runs that move to another engine pause for more than a fifth of a second.
+// Events: their engines leave; the emptiest refuges are reading prompts for a third of a second.
+// Cause: half a second of unread prompts weighed no more than half of a memory, though what a copy
+// lacks is read behind them.
+Test(engineChoice, runsSeekRefugeWhereLittleIsRead)
+{
+    const std::vector<TargetEntry> engines = makeEngines(3, 3);
+    for (const bool before : {true, false}) {
+        ManualClock clock;
+        EngineChoiceOptions options;
+        options.refugeBlur = 0;
+        if (before)
+            options.refugeWeightOfDelay = options.weightOfDelay;
+        EngineChoice choice(clock, 1, "dc0", options);
+        for (const TargetEntry &entry : engines)
+            choice.listed(entry);
+        choice.reported("e1", loadOf(4000));
+        choice.placedByOthers("e1", {2500, 400}, false);
+        choice.reported("e2", loadOf(24000));
+        const TargetEntry *refuge =
+                choice.chooseRefuge(pointers(engines), makeTraits(), {3000, 400}, engines[0], {});
+        cr_assert_eq(refuge->id, std::string(before ? "e1" : "e2"));
+    }
+}
+
 // Symptom: callers wait for a first token that cannot come in time, and delay those after them.
 // Events: every engine has seconds of prompts to read.
 Test(engineChoice, enginesThatWouldBeLateAreNotTaken)
