--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -43,8 +43,9 @@
     bool incomplete = false; // some item was too large to be passed on
 };
 
-// The same changes in parts of at most so many bytes of items, as they are sent, each going on where the one before
-// ends. An item that alone is larger is left out, and its part marked incomplete.
+// The same changes in parts of at most so many bytes of items, as they are sent, each going on
+// where the one before ends. An item that alone is larger is left out, and its part marked
+// incomplete.
 std::vector<SharedChanges> splitChanges(const SharedChanges &changes, std::size_t mostBytes);
 
 // Told what other instances say.
