Sight: an instance says at its end what its callers were still owed

instance_stopped now counts connections on which a request is being read or answered and bytes of answers that have not left.

--- a/include/jaytrack/Net/callerconnection.h
+++ b/include/jaytrack/Net/callerconnection.h
@@ -101,6 +101,9 @@
     // Bytes written that have not left yet.
     std::size_t pendingBytes() const { return this->queued.size() + this->inFlight.size(); }
 
+    // Whether a request is being read or answered, or its answer has not left whole yet.
+    bool isBusy() const;
+
     // Closes at once if no request is being read or answered.
     void closeIfIdle();
 
@@ -147,6 +150,13 @@
     bool closed = false;
 };
 
+// What a server's callers are still owed.
+struct CallerBacklog
+{
+    std::size_t connections = 0; // on which a request is being read or answered
+    std::size_t unsentBytes = 0; // of answers that were given and have not left
+};
+
 // Listens for callers and keeps track of their connections.
 class CallerServer
 {
@@ -164,6 +174,8 @@
     // Closes the connections that serve nothing now.
     void closeIdle();
 
+    CallerBacklog backlog() const;
+
 private:
     void accept();
 
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -350,6 +350,11 @@
     this->read();
 }
 
+bool CallerConnection::isBusy() const
+{
+    return !this->closed && (this->stage != Stage::Idle || this->pendingBytes() > 0);
+}
+
 void CallerConnection::closeIfIdle()
 {
     if (this->stage == Stage::Idle && this->pendingBytes() == 0)
@@ -427,6 +432,19 @@
     this->pause.cancel();
 }
 
+CallerBacklog CallerServer::backlog() const
+{
+    CallerBacklog owed;
+    for (const auto &weak : this->connections) {
+        const auto connection = weak.lock();
+        if (!connection || !connection->isBusy())
+            continue;
+        ++owed.connections;
+        owed.unsentBytes += connection->pendingBytes();
+    }
+    return owed;
+}
+
 void CallerServer::closeIdle()
 {
     for (const auto &weak : this->connections) {
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -452,9 +452,12 @@
 
     void endNow()
     {
+        const CallerBacklog owed = this->callers.backlog();
         logEvent(Severity::Info, "instance_stopped",
                  {{"name", this->settings.name},
-                  {"in_service", static_cast<std::int64_t>(this->open.size())}});
+                  {"in_service", static_cast<std::int64_t>(this->open.size())},
+                  {"busy_connections", static_cast<std::int64_t>(owed.connections)},
+                  {"unsent_bytes", static_cast<std::int64_t>(owed.unsentBytes)}});
         if (this->peers)
             this->peers->depart();
         this->loop.stop();
