An instance that stops ends once its callers' connections have

Cause: goOnStopping asked whether an exchange was open. An exchange closes when its answer is handed to the caller's connection, where a second write waits for the first to complete; if the tick falls between the two, the process ends with the rest unsent. Class: work counts as done when it is handed on, not when it has left (and as begun only when it was read whole). Ruled out: a decision to give up the stream (request_ended says code=0) and a death of the process (instance_stopped is there).

Ways weighed: a fixed pause after the last exchange (a guess, too short for a slow caller); exchanges that stay open until their bytes have left (refusals and half-read requests have none, and everything that walks the open ones would have to know the new state); asking the connections, which is taken: after listening has ended, idle ones are closed and the process ends when none is open, or shortly before its grace is over.

--- a/include/jaytrack/Net/callerconnection.h
+++ b/include/jaytrack/Net/callerconnection.h
@@ -101,8 +101,7 @@
     // Bytes written that have not left yet.
     std::size_t pendingBytes() const { return this->queued.size() + this->inFlight.size(); }
 
-    // Whether a request is being read or answered, or its answer has not left whole yet.
-    bool isBusy() const;
+    bool isOpen() const { return !this->closed; }
 
     // Closes at once if no request is being read or answered.
     void closeIfIdle();
@@ -150,11 +149,11 @@
     bool closed = false;
 };
 
-// What a server's callers are still owed.
+// What a server's callers hold.
 struct CallerBacklog
 {
-    std::size_t connections = 0; // on which a request is being read or answered
-    std::size_t unsentBytes = 0; // of answers that were given and have not left
+    std::size_t connections = 0; // open ones
+    std::size_t unsentBytes = 0; // of answers, written and not known to have left
 };
 
 // Listens for callers and keeps track of their connections.
@@ -171,6 +170,8 @@
     // Takes no new connections any more.
     void stopListening();
 
+    bool isListening() const { return this->acceptor.is_open(); }
+
     // Closes the connections that serve nothing now.
     void closeIdle();
 
@@ -178,6 +179,7 @@
 
 private:
     void accept();
+    void adopt(asio::ip::tcp::socket accepted);
 
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer pause;
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -350,11 +350,6 @@
     this->read();
 }
 
-bool CallerConnection::isBusy() const
-{
-    return !this->closed && (this->stage != Stage::Idle || this->pendingBytes() > 0);
-}
-
 void CallerConnection::closeIfIdle()
 {
     if (this->stage == Stage::Idle && this->pendingBytes() == 0)
@@ -400,29 +395,36 @@
 
 void CallerServer::accept()
 {
-    this->acceptor.async_accept([this](const asio::error_code &failure,
-                                       asio::ip::tcp::socket accepted) {
-        if (failure == asio::error::operation_aborted)
-            return;
-        if (failure) {
-            // Without a pause a process out of descriptors would spin here and starve its requests.
-            this->pause.expires_after(acceptPause);
-            this->pause.async_wait([this](const asio::error_code &stopped) {
-                if (!stopped)
+    this->acceptor.async_accept(
+            [this](const asio::error_code &failure, asio::ip::tcp::socket accepted) {
+                if (failure == asio::error::operation_aborted)
+                    return;
+                if (failure) {
+                    // Without a pause a process out of descriptors would spin here and starve its
+                    // requests.
+                    this->pause.expires_after(acceptPause);
+                    this->pause.async_wait([this](const asio::error_code &stopped) {
+                        if (!stopped)
+                            this->accept();
+                    });
+                    return;
+                }
+                this->adopt(std::move(accepted));
+                if (this->isListening())
                     this->accept();
             });
-            return;
-        }
-        const auto connection =
-                std::make_shared<CallerConnection>(std::move(accepted), this->clock, this->handler);
-        if (this->connections.size() >= this->sweepAt) {
-            std::erase_if(this->connections, [](const auto &weak) { return weak.expired(); });
-            this->sweepAt = std::max<std::size_t>(64, this->connections.size() * 2);
-        }
-        this->connections.push_back(connection);
-        connection->start();
-        this->accept();
-    });
+}
+
+void CallerServer::adopt(asio::ip::tcp::socket accepted)
+{
+    const auto connection =
+            std::make_shared<CallerConnection>(std::move(accepted), this->clock, this->handler);
+    if (this->connections.size() >= this->sweepAt) {
+        std::erase_if(this->connections, [](const auto &weak) { return weak.expired(); });
+        this->sweepAt = std::max<std::size_t>(64, this->connections.size() * 2);
+    }
+    this->connections.push_back(connection);
+    connection->start();
 }
 
 void CallerServer::stopListening()
@@ -437,7 +439,7 @@
     CallerBacklog owed;
     for (const auto &weak : this->connections) {
         const auto connection = weak.lock();
-        if (!connection || !connection->isBusy())
+        if (!connection || !connection->isOpen())
             continue;
         ++owed.connections;
         owed.unsentBytes += connection->pendingBytes();
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -456,7 +456,7 @@
         logEvent(Severity::Info, "instance_stopped",
                  {{"name", this->settings.name},
                   {"in_service", static_cast<std::int64_t>(this->open.size())},
-                  {"busy_connections", static_cast<std::int64_t>(owed.connections)},
+                  {"connections", static_cast<std::int64_t>(owed.connections)},
                   {"unsent_bytes", static_cast<std::int64_t>(owed.unsentBytes)}});
         if (this->peers)
             this->peers->depart();
@@ -508,15 +508,20 @@
             this->goOnStopping();
     }
 
+    // An answer that was given may still be on its way out, and a request on its way in: the
+    // process ends once its callers' connections have, or their ends would be lost. One round of
+    // the event loop passes between the last connection taken and that decision.
     void goOnStopping()
     {
         const Duration stoppingFor = this->clock.now() - this->stopBegan;
-        if (stoppingFor > takeConnectionsFor) {
-            this->callers.stopListening();
-            this->callers.closeIdle();
-        }
-        const bool idle = this->open.empty() && stoppingFor > takeConnectionsFor + tickGap;
-        if (idle || stoppingFor > this->settings.drainGrace - endMargin)
+        if (stoppingFor > this->settings.drainGrace - endMargin)
+            return this->endNow();
+        if (stoppingFor <= takeConnectionsFor)
+            return;
+        if (this->callers.isListening())
+            return this->callers.stopListening();
+        this->callers.closeIdle();
+        if (this->open.empty() && this->callers.backlog().connections == 0)
             this->endNow();
     }
 
