Ending to listen takes the connections that already wait

Cause: closing a listener resets what waits in its queue, with the requests that callers have sent there; after a process was held up that is many. The queue is now emptied first, without waiting. Ruled out: leaving the listener open until the end, since the balancer sends new connections to instances that are not ready when half of a data centre is not.

--- a/include/jaytrack/Net/callerconnection.h
+++ b/include/jaytrack/Net/callerconnection.h
@@ -167,7 +167,7 @@
 
     std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
 
-    // Takes no new connections any more.
+    // Takes the connections that callers have made so far and no new ones any more.
     void stopListening();
 
     bool isListening() const { return this->acceptor.is_open(); }
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -427,10 +427,19 @@
     connection->start();
 }
 
+// Closing resets the connections that wait to be taken, with the requests that callers have sent on
+// them: many, if the process was held up.
 void CallerServer::stopListening()
 {
-    asio::error_code ignored; // nobody connects any more either way
-    this->acceptor.close(ignored);
+    asio::error_code failure;
+    this->acceptor.non_blocking(true, failure);
+    while (!failure) {
+        asio::ip::tcp::socket waiting(this->acceptor.get_executor());
+        this->acceptor.accept(waiting, failure);
+        if (!failure)
+            this->adopt(std::move(waiting));
+    }
+    this->acceptor.close(failure); // nobody connects any more either way
     this->pause.cancel();
 }
 
