An idle connection in which a request has arrived is not closed

Cause: closing for idleness asked only what the instance had read, not what had arrived. Ruled out: reading first, which needs another round of the loop for every connection and leaves the same gap.

--- a/include/jaytrack/Net/callerconnection.h
+++ b/include/jaytrack/Net/callerconnection.h
@@ -103,7 +103,7 @@
 
     bool isOpen() const { return !this->closed; }
 
-    // Closes at once if no request is being read or answered.
+    // Closes at once if no request is being read or answered and none has arrived.
     void closeIfIdle();
 
 private:
@@ -120,6 +120,7 @@
     void onSent(const asio::error_code &failure);
     void completeAnswer();
     void lingerThenClose();
+    bool hasArrived() const;
     void close();
     void dropBody();
     void onHead(MessageHead head) override;
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -350,9 +350,19 @@
     this->read();
 }
 
+// Bytes of a request that is here already, though nobody has looked at it yet.
+bool CallerConnection::hasArrived() const
+{
+    asio::error_code failure; // a connection that cannot be asked has nothing to read either
+    return !this->unread.empty() || this->socket.available(failure) > 0;
+}
+
+// A process that was held up finds requests that came meanwhile; closing their connections would
+// leave them without an answer.
 void CallerConnection::closeIfIdle()
 {
-    if (this->stage == Stage::Idle && this->pendingBytes() == 0)
+    if (!this->closed && this->stage == Stage::Idle && this->pendingBytes() == 0 &&
+        !this->hasArrived())
         this->close();
 }
 
