--- a/include/jaytrack/Net/callerconnection.h
+++ b/include/jaytrack/Net/callerconnection.h
@@ -92,7 +92,7 @@
     void respond(int status, std::span<const HttpHeader> headers, std::string_view body);
 
     // Answers in pieces. finish() marks the end; abort() ends the connection without that mark, so
-    // that the answer cannot look complete.
+    // that the answer cannot look complete. What was written before either still leaves.
     void begin(int status, std::span<const HttpHeader> headers);
     void write(std::string_view bytes);
     void finish();
@@ -119,6 +119,7 @@
     void flush();
     void onSent(const asio::error_code &failure);
     void completeAnswer();
+    void closeOnceSent();
     void lingerThenClose();
     bool hasArrived() const;
     void close();
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -268,22 +268,24 @@
     this->completeAnswer();
 }
 
+// Events of a stream that breaks may still wait for a slow caller, who has a right to them.
 void CallerConnection::abort()
 {
-    this->close();
+    if (this->closed)
+        return;
+    this->listener.reset();
+    this->dropBody();
+    this->closeOnceSent();
+    if (!this->closed && this->pendingBytes() > 0)
+        this->expectWithin(lingerTime);
 }
 
 void CallerConnection::completeAnswer()
 {
     this->listener.reset();
     this->dropBody();
-    if (!this->keepAlive) {
-        this->stage = Stage::Closing;
-        this->closeWhenSent = true;
-        if (this->pendingBytes() == 0)
-            this->lingerThenClose();
-        return;
-    }
+    if (!this->keepAlive)
+        return this->closeOnceSent();
     this->stage = Stage::Idle;
     this->expectWithin(this->handler.connectionLimits().idleTimeout);
     // The next request may be here already; it is taken up from the event loop, so that a caller
@@ -294,6 +296,14 @@
     });
 }
 
+void CallerConnection::closeOnceSent()
+{
+    this->stage = Stage::Closing;
+    this->closeWhenSent = true;
+    if (this->pendingBytes() == 0)
+        this->lingerThenClose();
+}
+
 void CallerConnection::dropBody()
 {
     this->handler.releaseMemory(this->reserved);
