A further SIGTERM does not end a stopping instance; its forced end answers whoever still waits

Cause: a second SIGTERM, which overlapping rounds of restarts send within the grace, ended the process under its answers; at the end of the grace the process ended with requests open that it had passed on; and plain requests were taken up to that end with all of their time. Change: a further SIGTERM is logged and nothing else (SIGINT still ends at once); a request whose route and caller allow it longer than the instance may stay is refused as not run; at the forced end every open exchange gets its final answer (new code 312, or 204 if nothing was sent), and the process ends a tick later. What a stream wrote before its caller's time was over leaves within 0.2 s, else within 1 s. Releases of room not told yet are sent before departing. Two tests sent a request with 12 s of time to a stopping instance and now get the refusal; they assert the same with a request that has 2 s, as plain services' callers have.

--- a/include/jaytrack/Net/callerconnection.h
+++ b/include/jaytrack/Net/callerconnection.h
@@ -92,11 +92,12 @@
     void respond(int status, std::span<const HttpHeader> headers, std::string_view body);
 
     // Answers in pieces. finish() marks the end; abort() ends the connection without that mark, so
-    // that the answer cannot look complete. What was written before either still leaves.
+    // that the answer cannot look complete. What was written before still leaves, after abort()
+    // within the time given.
     void begin(int status, std::span<const HttpHeader> headers);
     void write(std::string_view bytes);
     void finish();
-    void abort();
+    void abort(std::chrono::milliseconds within);
 
     // Bytes written that have not left yet.
     std::size_t pendingBytes() const { return this->queued.size() + this->inFlight.size(); }
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -79,6 +79,9 @@
     // A target started again; what it worked on is lost.
     virtual void onTargetRestarted(const TargetEntry &ended) = 0;
 
+    // The instance ends now, so the caller gets the final answer that can be given.
+    void onInstanceEnding();
+
 protected:
     virtual void attempt() = 0;
     virtual void cancelCalls() = 0;
--- a/include/jaytrack/Routing/admission.h
+++ b/include/jaytrack/Routing/admission.h
@@ -9,6 +9,8 @@
 
 #include "jaytrack/Routing/dialect.h"
 
+#include <optional>
+
 namespace jaytrack {
 
 // How old a confirmation may be, counted on a clock that runs on while the machine is suspended.
@@ -28,7 +30,8 @@
 {
     const RoutingTable *table = nullptr; // null while none is known
     Duration age{0};                     // since the table was confirmed
-    bool stopping = false;
+    // Set while this instance is stopping: the time after which it ends in any case.
+    std::optional<Duration> endsIn;
     std::string_view host;
     std::string_view path;
     const RequestFacts *facts = nullptr;
--- a/include/jaytrack/Support/result.h
+++ b/include/jaytrack/Support/result.h
@@ -52,6 +52,7 @@
     StillRunning = 309,
     CallerLeft = 310,
     ResumedElsewhere = 311,
+    InstanceEnded = 312,
     SettingsUnreadable = 401,
     SettingsUnknownKey = 402,
     SettingsWrongType = 403,
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -269,7 +269,7 @@
 }
 
 // Events of a stream that breaks may still wait for a slow caller, who has a right to them.
-void CallerConnection::abort()
+void CallerConnection::abort(std::chrono::milliseconds within)
 {
     if (this->closed)
         return;
@@ -277,7 +277,7 @@
     this->dropBody();
     this->closeOnceSent();
     if (!this->closed && this->pendingBytes() > 0)
-        this->expectWithin(lingerTime);
+        this->expectWithin(within);
 }
 
 void CallerConnection::completeAnswer()
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -28,7 +28,8 @@
 // takes an instance out after two refusals.
 constexpr std::chrono::milliseconds takeConnectionsFor{3000};
 
-// Before the forced end, so that the process ends by itself.
+// Between the last answers and the end of the grace, at which the process is killed: two ticks, and
+// a third for one that is held up.
 constexpr std::chrono::milliseconds endMargin{300};
 
 constexpr std::chrono::milliseconds tickGap{100};
@@ -210,7 +211,8 @@
         AdmissionInputs inputs;
         inputs.table = admitted.table.get();
         inputs.age = this->configuration.age();
-        inputs.stopping = this->isStopping;
+        if (this->isStopping)
+            inputs.endsIn = this->forcedEnd() - this->clock.now();
         inputs.host = head.header("Host");
         inputs.path = head.path();
         inputs.facts = &admitted.facts;
@@ -433,10 +435,12 @@
                 return;
             if (signal == SIGHUP)
                 this->reload("sighup");
-            else if (this->isStopping)
+            else if (!this->isStopping)
+                this->beginStop();
+            else if (signal == SIGINT)
                 return this->endNow();
             else
-                this->beginStop();
+                this->logStopOrder("instance_stop_repeated");
             this->waitForSignal();
         });
     }
@@ -445,11 +449,28 @@
     {
         this->isStopping = true;
         this->stopBegan = this->clock.now();
-        logEvent(Severity::Info, "instance_stopping",
+        this->logStopOrder("instance_stopping");
+    }
+
+    void logStopOrder(std::string_view event) const
+    {
+        logEvent(Severity::Info, event,
                  {{"name", this->settings.name},
                   {"in_service", static_cast<std::int64_t>(this->open.size())}});
     }
 
+    TimePoint forcedEnd() const { return this->stopBegan + this->settings.drainGrace - endMargin; }
+
+    // Whoever still waits is told, by the tick before the process ends: a connection that just
+    // closes leaves its caller to guess.
+    void answerRest()
+    {
+        this->restAnswered = true;
+        const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
+        for (const auto &exchange : served)
+            exchange->onInstanceEnding();
+    }
+
     void endNow()
     {
         const CallerBacklog owed = this->callers.backlog();
@@ -513,10 +534,10 @@
     // the event loop passes between the last connection taken and that decision.
     void goOnStopping()
     {
-        const Duration stoppingFor = this->clock.now() - this->stopBegan;
-        if (stoppingFor > this->settings.drainGrace - endMargin)
-            return this->endNow();
-        if (stoppingFor <= takeConnectionsFor)
+        const TimePoint now = this->clock.now();
+        if (now > this->forcedEnd())
+            return this->restAnswered ? this->endNow() : this->answerRest();
+        if (now - this->stopBegan <= takeConnectionsFor)
             return;
         if (this->callers.isListening())
             return this->callers.stopListening();
@@ -570,6 +591,7 @@
     std::size_t reserved = 0;
     int ticks = 0;
     bool isStopping = false;
+    bool restAnswered = false;
     bool wasReady = false;
     TimePoint stopBegan;
 };
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -14,6 +14,11 @@
         "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
         "TE",         "Trailer",    "Upgrade",          "Content-Length"};
 
+// What a stream wrote before it broke may leave for so long; shorter where the caller's time is
+// over, since the end of its connection is its final answer.
+constexpr std::chrono::milliseconds restLeavesWithin{1000};
+constexpr std::chrono::milliseconds lateRestLeavesWithin{200};
+
 constexpr std::chrono::milliseconds unboundedWait = std::chrono::hours(1);
 
 bool concernsConnection(std::string_view name, std::string_view connectionOptions)
@@ -145,7 +150,7 @@
     if (this->finished)
         return;
     if (this->hasBegunAnswer()) {
-        this->caller->abort();
+        this->caller->abort(this->timeLeft().count() > 0 ? restLeavesWithin : lateRestLeavesWithin);
         return this->finish(code, 0, detail);
     }
     const ResultCodeInfo &info = describe(code);
@@ -212,6 +217,12 @@
     logEvent(Severity::Info, event, all);
 }
 
+void Exchange::onInstanceEnding()
+{
+    this->answerOwn(this->mayHaveRun() ? ResultCode::InstanceEnded : ResultCode::Draining,
+                    "grace_over");
+}
+
 void Exchange::onCallerGone()
 {
     this->finish(ResultCode::CallerLeft, 0, "caller_closed");
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -371,6 +371,7 @@
 
 void PeerLink::depart()
 {
+    this->sendReleases();
     this->membership.depart();
 }
 
--- a/lib/Routing/admission.cpp
+++ b/lib/Routing/admission.cpp
@@ -1,5 +1,7 @@
 #include "jaytrack/Routing/admission.h"
 
+#include <algorithm>
+
 namespace jaytrack {
 
 namespace {
@@ -10,6 +12,25 @@
     return {current ? code : ResultCode::ConfigurationStale, nullptr, nullptr};
 }
 
+// How long the request may take by its route and its caller.
+Duration mayTake(const RouteRule &route, const RequestFacts &facts)
+{
+    Duration longest = Duration::max();
+    if (route.timeout.count() > 0)
+        longest = route.timeout;
+    return facts.timeLeft ? std::min<Duration>(longest, *facts.timeLeft) : longest;
+}
+
+// A stream may outlive the grace of a graceful shutdown, which would cut it, and so may any request
+// that comes late in it. Its caller is better served by coming back at once to an instance that
+// stays.
+bool mayOutliveInstance(const AdmissionInputs &inputs, const RouteRule &route)
+{
+    if (!inputs.endsIn)
+        return false;
+    return isStream(route.kind) || mayTake(route, *inputs.facts) > *inputs.endsIn;
+}
+
 } // namespace
 
 std::string_view hostWithoutPort(std::string_view host)
@@ -34,9 +55,7 @@
         if (holder == nullptr)
             return deny(ResultCode::UnknownKey, inputs, bounds);
     }
-    // A stream may outlive the grace of a graceful shutdown, which would cut it; its caller is
-    // better served by coming back at once to an instance that stays.
-    if (inputs.stopping && isStream(route->kind))
+    if (mayOutliveInstance(inputs, *route))
         return {ResultCode::Draining, route, holder};
     return {ResultCode::Ok, route, holder};
 }
--- a/lib/Support/result.cpp
+++ b/lib/Support/result.cpp
@@ -79,6 +79,8 @@
                        "the caller left and did not come back in time"},
         ResultCodeInfo{RC::ResumedElsewhere, Outcome::Unknown, 499, "resumed_elsewhere",
                        "the caller goes on with its stream at another connection"},
+        ResultCodeInfo{RC::InstanceEnded, Outcome::Unknown, 502, "instance_ended",
+                       "this instance had to end before the answer came"},
         ResultCodeInfo{RC::SettingsUnreadable, Outcome::NotRun, 500, "settings_unreadable",
                        "the file cannot be read or is not TOML"},
         ResultCodeInfo{RC::SettingsUnknownKey, Outcome::NotRun, 500, "settings_unknown_key",
--- a/unittests/Platform/stoptest.cpp
+++ b/unittests/Platform/stoptest.cpp
@@ -48,6 +48,14 @@
     return route;
 }
 
+// A request that is answered soon if at all, so that a stopping instance still takes it.
+RequestSpec briefRequest()
+{
+    RequestSpec request;
+    request.deadlineMs = 2000;
+    return request;
+}
+
 RequestSpec patientRequest()
 {
     RequestSpec request;
@@ -170,7 +178,7 @@
     asio::io_context context;
     asio::ip::tcp::socket socket(context);
     socket.connect({asio::ip::make_address("127.0.0.1"), entry.port()});
-    const std::string request = requestText(patientRequest());
+    const std::string request = requestText(briefRequest());
     const std::size_t half = request.size() - 2;
     asio::write(socket, asio::buffer(request.data(), half));
     std::this_thread::sleep_for(milliseconds(1200));
@@ -287,7 +295,7 @@
     for (int i = 0; i < callers; ++i) {
         asio::ip::tcp::socket &socket = sockets.emplace_back(context);
         socket.connect({asio::ip::make_address("127.0.0.1"), entry.port()});
-        asio::write(socket, asio::buffer(requestText(patientRequest())));
+        asio::write(socket, asio::buffer(requestText(briefRequest())));
     }
     std::this_thread::sleep_for(milliseconds(400));
     clock.release();
--- a/unittests/Routing/admissiontest.cpp
+++ b/unittests/Routing/admissiontest.cpp
@@ -19,12 +19,14 @@
     wide.prefix = "/a/";
     wide.kind = RequestKind::Idempotent;
     wide.services = {{"svc", 1}};
+    wide.timeout = std::chrono::milliseconds(3000);
     RouteRule narrow = wide;
     narrow.prefix = "/a/b/";
     narrow.kind = RequestKind::OnceStream;
     RouteRule open = wide;
     open.prefix = "/open/";
     open.needsKey = false;
+    open.timeout = std::chrono::milliseconds(0); // none
     table.routes = {wide, narrow, open};
     return table;
 }
@@ -37,7 +39,8 @@
     char id[4];
     int ageMs;
     bool known;
-    bool stopping;
+    int endsInMs; // of a stopping instance; -1 for one that stays
+    int deadlineMs;
     int code;
 };
 
@@ -46,25 +49,30 @@
 ParameterizedTestParameters(admission, decides)
 {
     static AdmissionCase cases[] = {
-            {"site.example", "/a/x", "good", "i", 0, true, false, 0},
-            {"site.example:80", "/a/x", "good", "i", 0, true, false, 0},
-            {"site.example", "/a/x", "good", "i", 4400, true, false, 0},
+            {"site.example", "/a/x", "good", "i", 0, true, -1, 0, 0},
+            {"site.example:80", "/a/x", "good", "i", 0, true, -1, 0, 0},
+            {"site.example", "/a/x", "good", "i", 4400, true, -1, 0, 0},
             // A key may have been taken away since the last confirmation.
-            {"site.example", "/a/x", "good", "i", 4600, true, false, 209},
-            {"site.example", "/open/x", "", "i", 60000, true, false, 0},
+            {"site.example", "/a/x", "good", "i", 4600, true, -1, 0, 209},
+            {"site.example", "/open/x", "", "i", 60000, true, -1, 0, 0},
             // A denial needs knowledge that is as new as changes must be in force.
-            {"site.example", "/a/x", "bad", "i", 100, true, false, 105},
-            {"site.example", "/a/x", "", "i", 100, true, false, 105},
-            {"site.example", "/a/x", "bad", "i", 2500, true, false, 209},
-            {"site.example", "/none/", "good", "i", 100, true, false, 111},
-            {"other.example", "/a/x", "good", "i", 100, true, false, 111},
-            {"site.example", "/none/", "good", "i", 2500, true, false, 209},
-            {"site.example", "/a/x", "good", "i", 0, false, false, 205},
-            {"site.example", "/a/x", "good", "", 0, true, false, 101},
-            {"", "/a/x", "good", "i", 0, true, false, 101},
+            {"site.example", "/a/x", "bad", "i", 100, true, -1, 0, 105},
+            {"site.example", "/a/x", "", "i", 100, true, -1, 0, 105},
+            {"site.example", "/a/x", "bad", "i", 2500, true, -1, 0, 209},
+            {"site.example", "/none/", "good", "i", 100, true, -1, 0, 111},
+            {"other.example", "/a/x", "good", "i", 100, true, -1, 0, 111},
+            {"site.example", "/none/", "good", "i", 2500, true, -1, 0, 209},
+            {"site.example", "/a/x", "good", "i", 0, false, -1, 0, 205},
+            {"site.example", "/a/x", "good", "", 0, true, -1, 0, 101},
+            {"", "/a/x", "good", "i", 0, true, -1, 0, 101},
             // A stopping instance still answers short requests, but begins no stream.
-            {"site.example", "/a/x", "good", "i", 0, true, true, 0},
-            {"site.example", "/a/b/x", "good", "i", 0, true, true, 204},
+            {"site.example", "/a/x", "good", "i", 0, true, 5000, 1000, 0},
+            {"site.example", "/a/b/x", "good", "i", 0, true, 5000, 1000, 204},
+            // What might not be answered before it ends is better sent elsewhere at once.
+            {"site.example", "/a/x", "good", "i", 0, true, 900, 1000, 204},
+            {"site.example", "/a/x", "good", "i", 0, true, 2900, 0, 204},
+            {"site.example", "/a/x", "good", "i", 0, true, 3100, 0, 0},
+            {"site.example", "/open/x", "good", "i", 0, true, 3100, 0, 204},
     };
     return cr_make_param_array(AdmissionCase, cases, std::size(cases));
 }
@@ -78,7 +86,10 @@
     AdmissionInputs inputs;
     inputs.table = param->known ? &table : nullptr;
     inputs.age = std::chrono::milliseconds(param->ageMs);
-    inputs.stopping = param->stopping;
+    if (param->endsInMs >= 0)
+        inputs.endsIn = std::chrono::milliseconds(param->endsInMs);
+    if (param->deadlineMs > 0)
+        facts.timeLeft = std::chrono::milliseconds(param->deadlineMs);
     inputs.host = param->host;
     inputs.path = param->path;
     inputs.facts = &facts;
