The idle time of a connection counts from the leaving of its answer

Cause: the idle timer was armed when an answer was handed on, so it cut what a slow caller had not taken; and a timer that falls due in the same round of the loop as the first bytes of a request cannot be cancelled and refused that request. A connection with unsent bytes or an arrived request is now given its idle time again, and a timer whose expiry was moved does nothing. Besides, by reading: a caller that leaves while it waits in the listener's queue no longer ends the emptying of that queue, a paused accept is not retried on a closed listener, and the desk of the readiness listener outlives the loop whose connections refer to it.

--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -194,7 +194,10 @@
     this->timer.expires_after(bound);
     this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
         const auto self = weak.lock();
-        if (!failure && self)
+        // One that fell due in the same round of the loop as what made it needless cannot be
+        // cancelled any more; it would refuse a request that had just begun.
+        const bool stale = self && self->timer.expiry() > asio::steady_timer::clock_type::now();
+        if (!failure && self && !stale)
             self->onTimeout();
     });
 }
@@ -203,6 +206,9 @@
 {
     if (this->stage == Stage::Receiving)
         return this->refuse(requestTimeoutStatus, "slow_request");
+    const bool rests = this->pendingBytes() == 0 && !this->hasArrived();
+    if (this->stage == Stage::Idle && !rests)
+        return this->expectWithin(this->handler.connectionLimits().idleTimeout);
     if (this->stage != Stage::Serving)
         this->close();
 }
@@ -403,6 +409,8 @@
     this->acceptor.open(endpoint.protocol(), failure);
     if (!failure)
         this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        this->acceptor.set_option(asio::socket_base::enable_connection_aborted(true), failure);
     if (!failure)
         this->acceptor.bind(endpoint, failure);
     if (!failure)
@@ -424,7 +432,7 @@
                     // requests.
                     this->pause.expires_after(acceptPause);
                     this->pause.async_wait([this](const asio::error_code &stopped) {
-                        if (!stopped)
+                        if (!stopped && this->isListening())
                             this->accept();
                     });
                     return;
@@ -453,7 +461,8 @@
 {
     asio::error_code failure;
     this->acceptor.non_blocking(true, failure);
-    while (!failure) {
+    // A caller that left while it waited ends only its own place in the queue.
+    while (!failure || failure == asio::error::connection_aborted) {
         asio::ip::tcp::socket waiting(this->acceptor.get_executor());
         this->acceptor.accept(waiting, failure);
         if (!failure)
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -106,6 +106,7 @@
         : settings(given)
         , clock(time)
         , dialect(words)
+        , desk(*this)
         , random(std::random_device{}())
         , directory(*this)
         , health(time, this->random())
@@ -128,7 +129,6 @@
                   *this,
                   this->settings.tuning.streams,
                   this->open}
-        , desk(*this)
         , callers(this->loop, time, *this)
         , readiness(this->loop, time, this->desk)
         , metricsServer(this->loop, time, this->desk)
@@ -563,6 +563,7 @@
     EntrySettings settings;
     const Clock &clock;
     const Dialect &dialect;
+    Desk desk; // outlives the loop, whose open connections hand back their memory to it
     asio::io_context loop{1};
     Metrics metrics;
     std::mt19937_64 random;
@@ -578,7 +579,6 @@
     std::set<std::shared_ptr<Exchange>> open;
     ExchangeContext context;
     AdmissionBounds bounds;
-    Desk desk;
     CallerServer callers;
     CallerServer readiness;
     CallerServer metricsServer;
