--- a/unittests/Serve/site.h
+++ b/unittests/Serve/site.h
@@ -47,6 +47,7 @@
     bool engineResumes = true;
     std::uint32_t maxConcurrent = 50;
     std::chrono::milliseconds serviceTimeout{2000};
+    std::size_t streamBufferBytes = Settings().streamBufferBytes;
     EngineFaults engineFaults;
     ServiceStandinOptions service;
     double stepMs = 2;
@@ -141,6 +142,7 @@
         settings.configUrl = url;
         settings.abandonGrace = std::chrono::milliseconds(400);
         settings.readyDelay = std::chrono::milliseconds(300);
+        settings.streamBufferBytes = this->plan.streamBufferBytes;
         for (const auto &other : this->instances) {
             if (other)
                 settings.peerSeeds.push_back(addressOf(other->peerPort()));
