A graceful shutdown waits until the last answers have left

Cause: drained() took a request for done when its answer was handed to the connection. The server now counts each request in from its arrival until RESTinio says that the last byte has left or the connection is lost, and drained() asks for that count too, at the operators' listener as well, whose answer to a drain was open to the same. Ruled out: counting bytes in the calls, which know nothing of whole answers and refusals; use_count() of one shared token, which counts copies that RESTinio may make; closing RESTinio's server first, which only ends listening and waits for no answer. Bound: limits.delivery_grace_ms, 60 s, counted from the last request's answer. RESTinio gives one write of a caller 60 s at any time, so nobody who would have got an answer at another time loses it, and one who takes a little now and then cannot hold the end.

--- a/include/jaytrack/Config/settings.h
+++ b/include/jaytrack/Config/settings.h
@@ -46,6 +46,7 @@
     std::size_t streamBufferBytes = 16U << 10U;
     std::size_t ledgerBytes = 64U << 20U;
     std::chrono::milliseconds abandonGrace{30'000};
+    std::chrono::milliseconds deliveryGrace{60'000}; // what the server gives one write at any time
     std::chrono::milliseconds pauseLimit{2'000};
     std::chrono::milliseconds readyDelay{1'500};
 };
--- a/include/jaytrack/Http/server.h
+++ b/include/jaytrack/Http/server.h
@@ -52,6 +52,12 @@
 public:
     virtual ~HttpServer() = default;
     virtual std::uint16_t port() const = 0;
+
+    // Requests whose answers have not left whole and still can: those in the handler's hands and
+    // those that are answered while the system has not taken all of the answer.
+    virtual std::size_t unsent() const = 0;
+
+    // Ends at once; what has not left is lost.
     virtual void stop() = 0;
 };
 
--- a/include/jaytrack/Serve/instance.h
+++ b/include/jaytrack/Serve/instance.h
@@ -6,6 +6,7 @@
 #include "jaytrack/Support/clock.h"
 #include "jaytrack/Support/result.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -26,9 +27,13 @@
     // Begins a graceful shutdown: refuses new requests, lets those in service finish.
     void drain();
 
-    // Whether a graceful shutdown has come to its end.
+    // Whether a graceful shutdown has come to its end: every request is answered, and the answers
+    // have left or their callers have not taken them within the delivery grace.
     bool drained() const;
 
+    // Requests whose answers have not left whole.
+    std::size_t unsentAnswers() const;
+
     // Ends every request at once, naming each in the log.
     void cut();
 
--- a/lib/Config/settings.cpp
+++ b/lib/Config/settings.cpp
@@ -55,6 +55,7 @@
             readSize(table, "stream_buffer_bytes", byteRange, settings.streamBufferBytes);
     settings.ledgerBytes = readSize(table, "ledger_bytes", byteRange, settings.ledgerBytes);
     settings.abandonGrace = readMillis(table, "abandon_grace_ms", settings.abandonGrace);
+    settings.deliveryGrace = readMillis(table, "delivery_grace_ms", settings.deliveryGrace);
     settings.pauseLimit = readMillis(table, "pause_limit_ms", settings.pauseLimit);
     settings.readyDelay = readMillis(table, "ready_delay_ms", settings.readyDelay);
     table.finish();
--- a/lib/Http/server.cpp
+++ b/lib/Http/server.cpp
@@ -2,6 +2,7 @@
 
 #include <restinio/all.hpp>
 
+#include <atomic>
 #include <cassert>
 #include <future>
 #include <mutex>
@@ -31,6 +32,17 @@
 
 class RestinioWriter;
 
+// Counts the requests of one server whose answers have not left whole. It outlives the server,
+// since writers do.
+using AnswerCount = std::shared_ptr<std::atomic<std::size_t>>;
+
+// One request more in the count, until the pointer goes.
+std::shared_ptr<void> countIn(const AnswerCount &count)
+{
+    count->fetch_add(1);
+    return {count.get(), [count](void *) { count->fetch_sub(1); }};
+}
+
 // The writers that still hold a connection of one server. A handler may keep a writer for longer
 // than the server lives; a connection that went after its server would touch freed memory, so the
 // server takes the connections away from the writers before it goes.
@@ -59,9 +71,11 @@
 class RestinioWriter final : public ResponseWriter
 {
 public:
-    RestinioWriter(restinio::request_handle_t handle, std::shared_ptr<OpenWriters> open)
+    RestinioWriter(restinio::request_handle_t handle, std::shared_ptr<OpenWriters> open,
+                   const AnswerCount &unsent)
         : request(std::move(handle))
         , openWriters(std::move(open))
+        , owed(countIn(unsent))
     {
         this->openWriters->add(this);
     }
@@ -80,7 +94,7 @@
         for (const HttpHeader &header : headers)
             response.append_header(header.name, header.value);
         response.set_body(std::move(body));
-        response.done();
+        response.done(this->onceSent());
         this->request.reset();
     }
 
@@ -117,7 +131,7 @@
         if (this->detached)
             return;
         assert(this->stream && "finish() comes after begin()");
-        this->stream->done();
+        this->stream->done(this->onceSent());
         this->stream.reset();
     }
 
@@ -127,14 +141,24 @@
         this->detached = true;
         this->stream.reset();
         this->request.reset();
+        this->owed.reset();
     }
 
 private:
+    // An answer that is handed over may wait for its caller for long; a server that ended on the
+    // strength of the handing over would cut it. RESTinio drops this once the last byte has left
+    // or the connection is lost.
+    restinio::write_status_cb_t onceSent()
+    {
+        return [kept = std::move(this->owed)](const asio::error_code &) {};
+    }
+
     std::mutex mutex;
     bool detached = false;
     restinio::request_handle_t request;
     std::optional<StreamBuilder> stream;
     std::shared_ptr<OpenWriters> openWriters;
+    std::shared_ptr<void> owed; // counts this answer in until it has left
 };
 
 void OpenWriters::detachAll()
@@ -190,6 +214,8 @@
 
     std::uint16_t port() const override { return this->boundPort; }
 
+    std::size_t unsent() const override { return this->unsentAnswers->load(); }
+
     void stop() override
     {
         if (this->threads.empty())
@@ -237,13 +263,15 @@
                 })
                 .request_handler([this, &handler](const restinio::request_handle_t &request) {
                     handler.handle(toRequest(*request),
-                                   std::make_shared<RestinioWriter>(request, this->openWriters));
+                                   std::make_shared<RestinioWriter>(request, this->openWriters,
+                                                                    this->unsentAnswers));
                     return restinio::request_accepted();
                 });
         return made;
     }
 
     std::shared_ptr<OpenWriters> openWriters = std::make_shared<OpenWriters>();
+    AnswerCount unsentAnswers = std::make_shared<std::atomic<std::size_t>>(0);
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     std::atomic<std::uint16_t> boundPort{0};
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -56,6 +56,7 @@
         , timer(this->control)
         , targets(given.targetThreads)
         , incarnation(newIncarnation())
+        , deliverBy(time.now() + given.deliveryGrace)
         , placement([this](PlacementListener &listener) { return this->makePolicy(listener); },
                     [this](std::function<void()> step) {
                         asio::post(this->control, std::move(step));
@@ -179,6 +180,8 @@
     {
         this->peers.tick();
         this->gateway.sweep();
+        if (!this->gateway.isDraining() || !this->gateway.idle())
+            this->deliverBy.store(this->clock.now() + this->settings.deliveryGrace);
         if (const auto document = this->documents.current())
             this->watcher.tick(*document);
         this->cautious.store(this->peers.cautious());
@@ -217,6 +220,7 @@
     asio::steady_timer timer;
     HttpClient targets;
     std::int64_t incarnation;
+    std::atomic<TimePoint> deliverBy; // once all requests are answered, their answers leave by this
     PlacementDesk placement;
     PeerNode peers;
     ServeContext context;
@@ -298,7 +302,17 @@
 
 bool Instance::drained() const
 {
-    return this->parts->gateway.isDraining() && this->parts->gateway.idle();
+    if (!this->parts->gateway.isDraining() || !this->parts->gateway.idle())
+        return false;
+    // A request counts as answered once its answer is handed to the connection. Ending then would
+    // lose what a slow caller has not taken yet.
+    return this->unsentAnswers() == 0 || this->parts->clock.now() > this->parts->deliverBy.load();
+}
+
+std::size_t Instance::unsentAnswers() const
+{
+    const HttpServer *operators = this->parts->operators.get();
+    return this->parts->callers->unsent() + (operators ? operators->unsent() : 0);
 }
 
 void Instance::cut()
--- a/tools/jaytrackd/main.cpp
+++ b/tools/jaytrackd/main.cpp
@@ -78,6 +78,9 @@
         return jaytrack::ExitFailed;
     }
     serveUntilStopped(*instance.value());
-    jaytrack::logEvent(jaytrack::Severity::Info, "instance_stopped", {{"name", settings.name}});
+    jaytrack::logEvent(
+            jaytrack::Severity::Info, "instance_stopped",
+            {{"name", settings.name},
+             {"unsent_answers", static_cast<std::int64_t>(instance.value()->unsentAnswers())}});
     return jaytrack::ExitGood;
 }
--- a/unittests/Serve/site.h
+++ b/unittests/Serve/site.h
@@ -48,6 +48,7 @@
     std::uint32_t maxConcurrent = 50;
     std::chrono::milliseconds serviceTimeout{2000};
     std::size_t streamBufferBytes = Settings().streamBufferBytes;
+    std::chrono::milliseconds deliveryGrace = Settings().deliveryGrace;
     EngineFaults engineFaults;
     ServiceStandinOptions service;
     double stepMs = 2;
@@ -143,6 +144,7 @@
         settings.abandonGrace = std::chrono::milliseconds(400);
         settings.readyDelay = std::chrono::milliseconds(300);
         settings.streamBufferBytes = this->plan.streamBufferBytes;
+        settings.deliveryGrace = this->plan.deliveryGrace;
         for (const auto &other : this->instances) {
             if (other)
                 settings.peerSeeds.push_back(addressOf(other->peerPort()));
--- a/unittests/Serve/stoptest.cpp
+++ b/unittests/Serve/stoptest.cpp
@@ -91,6 +91,14 @@
     char last[32]; // the end of what the caller must get
 };
 
+struct WaitCase
+{
+    char name[24];
+    int graceMs;
+    bool leaves;
+    bool owedAtTheEnd;
+};
+
 } // namespace
 
 // A caller behind a slow link lost the end of its answer when the instance stopped. The answer had
@@ -129,6 +137,39 @@
     cr_assert(seen.size() > taken, "%s: %zu bytes", param->name, seen.size());
 }
 
+// The wait for callers must not hold up the end of the program for ever: a caller that takes
+// nothing is waited for as long as the delivery grace says, and one that has gone is not waited
+// for.
+ParameterizedTestParameters(stop, callersDoNotHoldTheEnd)
+{
+    static WaitCase cases[] = {{"takes nothing", 1000, false, true},
+                               {"has gone", 60'000, true, false}};
+    return cr_make_param_array(WaitCase, cases, std::size(cases));
+}
+
+ParameterizedTest(WaitCase *param, stop, callersDoNotHoldTheEnd)
+{
+    SitePlan plan;
+    plan.deliveryGrace = milliseconds(param->graceMs);
+    Site site(plan);
+    LargeAnswers target(jaytrack::testing::unreadBytesTaken() + waitingBytes);
+    const auto server = std::move(startHttpServer({}, target).value());
+    useTarget(site, server->port());
+    asio::io_context context;
+    asio::ip::tcp::socket socket =
+            jaytrack::testing::connectNarrow(context, site.instances[0]->callerPort());
+    asio::write(socket, asio::buffer(rawRequest("GET", "/account/readings", "")));
+    socket.wait(asio::ip::tcp::socket::wait_read);
+    cr_assert(eventually([&site] { return inService(site) == 0; }));
+    Instance &instance = *site.instances[0];
+    instance.drain();
+    cr_assert(!instance.drained(), "%s", param->name);
+    if (param->leaves)
+        socket.close();
+    cr_assert(eventually([&instance] { return instance.drained(); }), "%s", param->name);
+    cr_assert_eq(instance.unsentAnswers() > 0, param->owedAtTheEnd, "%s", param->name);
+}
+
 // A caller whose stream was cut by a second signal was not told so: the event that says it, and
 // what the engine had made before, were handed to the caller's connection, and the program ended
 // at once with them still in it.
