After a second signal jaytrackd ends once its callers are told, within two seconds

Cause: the program returned from cut() at once. It now goes on asking drained(), which after a cut is true once nothing is owed or two seconds are over (cutGrace: whoever signals twice wants the end; a caller that reads takes what waits in well under one). Ruled out: the delivery grace, which is for patient ends; sleeping a fixed time, which every second signal would pay.

--- a/include/jaytrack/Serve/instance.h
+++ b/include/jaytrack/Serve/instance.h
@@ -28,13 +28,14 @@
     void drain();
 
     // Whether a graceful shutdown has come to its end: every request is answered, and the answers
-    // have left or their callers have not taken them within the delivery grace.
+    // have left or their callers have not taken them within the delivery grace. After cut() that
+    // takes two seconds at most.
     bool drained() const;
 
     // Requests whose answers have not left whole.
     std::size_t unsentAnswers() const;
 
-    // Ends every request at once, naming each in the log.
+    // Ends every request at once, naming each in the log. What callers are told still has to leave.
     void cut();
 
     bool isReady() const;
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -27,6 +27,10 @@
 constexpr std::chrono::milliseconds controlTick{20};
 constexpr int ticksPerSweep = 5;
 
+// Whoever stops an instance twice wants it gone. A caller that reads takes the few kilobytes that
+// wait for it well within this, also behind a slow link.
+constexpr std::chrono::seconds cutGrace{2};
+
 std::int64_t newIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -221,6 +225,7 @@
     HttpClient targets;
     std::int64_t incarnation;
     std::atomic<TimePoint> deliverBy; // once all requests are answered, their answers leave by this
+    std::atomic<TimePoint> cutBy{TimePoint::max()}; // set by a cut: what is not done then never is
     PlacementDesk placement;
     PeerNode peers;
     ServeContext context;
@@ -302,11 +307,14 @@
 
 bool Instance::drained() const
 {
+    const TimePoint now = this->parts->clock.now();
+    if (now > this->parts->cutBy.load())
+        return true;
     if (!this->parts->gateway.isDraining() || !this->parts->gateway.idle())
         return false;
     // A request counts as answered once its answer is handed to the connection. Ending then would
     // lose what a slow caller has not taken yet.
-    return this->unsentAnswers() == 0 || this->parts->clock.now() > this->parts->deliverBy.load();
+    return this->unsentAnswers() == 0 || now > this->parts->deliverBy.load();
 }
 
 std::size_t Instance::unsentAnswers() const
@@ -317,6 +325,7 @@
 
 void Instance::cut()
 {
+    this->parts->cutBy.store(this->parts->clock.now() + cutGrace);
     this->parts->gateway.cut();
 }
 
--- a/tools/jaytrackd/main.cpp
+++ b/tools/jaytrackd/main.cpp
@@ -24,20 +24,23 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-// The first signal begins a graceful shutdown; a second one cuts what is still in service.
+// The first signal begins a graceful shutdown; a second one cuts what is still in service. Callers
+// are told of the cut by an answer that has to leave like any other, so the end is waited for then
+// as well.
 void serveUntilStopped(jaytrack::Instance &instance)
 {
     static constexpr std::chrono::milliseconds pollGap{50};
     bool draining = false;
+    bool cut = false;
     while (!instance.drained()) {
         std::this_thread::sleep_for(pollGap);
         if (stopSignals > 0 && !draining) {
             draining = true;
             instance.drain();
         }
-        if (stopSignals > 1) {
+        if (stopSignals > 1 && !cut) {
+            cut = true;
             instance.cut();
-            return;
         }
     }
 }
