Failing test: jaytrackd ends before it looked at what has arrived

Looked for elsewhere in jaytrackd: what has arrived is dropped because nobody looked at it yet. A program that was held up and finds on waking that it is to stop sees nothing in service, since its threads have not read the requests that came meanwhile, and ends; their callers are reset and cannot know that nothing ran.

--- a/unittests/Serve/programtest.cpp
+++ b/unittests/Serve/programtest.cpp
@@ -84,3 +84,34 @@
     cr_assert(program.logged("event=request_cut"), "%s", program.log().c_str());
     cr_assert(program.logged("unsent_answers=1"), "%s", program.log().c_str());
 }
+
+// Callers got no answer at all, not even that their requests did not run, from a program that was
+// held up and found on waking that it was to stop: their requests had arrived, nobody had looked at
+// them yet, and the program saw nothing in service and ended.
+Test(program, answersWhatArrivedWhileItWasHeldUp)
+{
+    constexpr std::size_t callers = 400;
+    const Site site(planWithoutInstances());
+    DaemonProcess program(site.configUrl());
+    awaitReady(program);
+    program.signal(SIGSTOP);
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (std::size_t i = 0; i < callers; ++i) {
+        sockets.emplace_back(context);
+        sockets.back().connect({asio::ip::make_address("127.0.0.1"), program.callersPort()});
+        asio::write(sockets.back(), asio::buffer("GET /v1/models HTTP/1.1\r\nHost: jaytrack\r\n"
+                                                 "Authorization: Bearer " +
+                                                 weaverKey + "\r\n\r\n"));
+    }
+    std::this_thread::sleep_for(milliseconds(100)); // so that its next look is due on waking
+    program.signal(SIGTERM);
+    program.signal(SIGCONT);
+    std::size_t answered = 0;
+    for (asio::ip::tcp::socket &socket : sockets) {
+        if (jaytrack::testing::readToEnd(socket).find("Jaytrack-Outcome: ") != std::string::npos)
+            ++answered;
+    }
+    cr_assert_eq(answered, callers, "%zu of %zu", answered, callers);
+    cr_assert(program.endsWithin(std::chrono::seconds(5)));
+}
