jaytrackd ends once it found nothing to do three times in a row

Cause: one look at what is in service, at the moment of the signal, decided over the end. The delivery grace and the two seconds of a cut bound it as before; an idle instance ends 0.2 to 0.3 s later than it did. Ruled out: emptying the listener's queue and asking each connection, as the entry instance does, since RESTinio keeps both to itself; going on for as long as requests arrive, since refusing without end is no service. The stop tests wait 0.8 s rather than 0.5 s for an instance that waits for nothing, which now takes longer to end; less would let a lost answer pass.

--- a/include/jaytrack/Serve/instance.h
+++ b/include/jaytrack/Serve/instance.h
@@ -27,9 +27,9 @@
     // Begins a graceful shutdown: refuses new requests, lets those in service finish.
     void drain();
 
-    // Whether a graceful shutdown has come to its end: every request is answered, and the answers
-    // have left or their callers have not taken them within the delivery grace. After cut() that
-    // takes two seconds at most.
+    // Whether a graceful shutdown has come to its end: every request that has arrived is answered,
+    // and the answers have left or their callers have not taken them within the delivery grace.
+    // After cut() that takes two seconds at most.
     bool drained() const;
 
     // Requests whose answers have not left whole.
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -27,6 +27,10 @@
 constexpr std::chrono::milliseconds controlTick{20};
 constexpr int ticksPerSweep = 5;
 
+// So many sweeps in a row find nothing owed before a graceful shutdown ends: 0.2 s or more, in
+// which threads that were held up come to what has arrived.
+constexpr int quietSweepsToEnd = 3;
+
 // Whoever stops an instance twice wants it gone. A caller that reads takes the few kilobytes that
 // wait for it well within this, also behind a slow link.
 constexpr std::chrono::seconds cutGrace{2};
@@ -186,6 +190,7 @@
         this->gateway.sweep();
         if (!this->gateway.isDraining() || !this->gateway.idle())
             this->deliverBy.store(this->clock.now() + this->settings.deliveryGrace);
+        this->noteQuiet();
         if (const auto document = this->documents.current())
             this->watcher.tick(*document);
         this->cautious.store(this->peers.cautious());
@@ -196,6 +201,20 @@
         logEvent(Severity::Info, "instance_ready", {{"name", this->settings.name}});
     }
 
+    // One look is not enough: a process that was held up has requests that came meanwhile and that
+    // no thread has read. Ending on the first look would reset them without an answer.
+    void noteQuiet()
+    {
+        const bool quiet =
+                this->gateway.isDraining() && this->gateway.idle() && this->unsentAnswers() == 0;
+        this->quietSweeps.store(quiet ? this->quietSweeps.load() + 1 : 0);
+    }
+
+    std::size_t unsentAnswers() const
+    {
+        return this->callers->unsent() + (this->operators ? this->operators->unsent() : 0);
+    }
+
     void drain()
     {
         this->gateway.drain();
@@ -225,6 +244,7 @@
     HttpClient targets;
     std::int64_t incarnation;
     std::atomic<TimePoint> deliverBy; // once all requests are answered, their answers leave by this
+    std::atomic<int> quietSweeps{0};  // in a row, since the graceful shutdown began
     std::atomic<TimePoint> cutBy{TimePoint::max()}; // set by a cut: what is not done then never is
     PlacementDesk placement;
     PeerNode peers;
@@ -314,13 +334,14 @@
         return false;
     // A request counts as answered once its answer is handed to the connection. Ending then would
     // lose what a slow caller has not taken yet.
-    return this->unsentAnswers() == 0 || now > this->parts->deliverBy.load();
+    if (now > this->parts->deliverBy.load())
+        return true;
+    return this->unsentAnswers() == 0 && this->parts->quietSweeps.load() >= quietSweepsToEnd;
 }
 
 std::size_t Instance::unsentAnswers() const
 {
-    const HttpServer *operators = this->parts->operators.get();
-    return this->parts->callers->unsent() + (operators ? operators->unsent() : 0);
+    return this->parts->unsentAnswers();
 }
 
 void Instance::cut()
--- a/unittests/Serve/stoptest.cpp
+++ b/unittests/Serve/stoptest.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t leastEventBytes = 256;
 
 // Longer than it takes an instance to end that waits for nothing.
-constexpr milliseconds endsWithin{500};
+constexpr milliseconds endsWithin{800};
 
 // A target whose answers are as large as a test wants them.
 class LargeAnswers final : public HttpHandler
