The count of stop signals is atomic

Found while the stop was run under the thread sanitizer (a scratch script: SIGSTOP, requests, SIGTERM, SIGCONT): a data race on the count, which the handler changes on whichever thread the system picks; two signals at once could count as one. A unit test can't see it, so the sanitizer's runs are the measurement.

--- a/tools/jaytrackd/main.cpp
+++ b/tools/jaytrackd/main.cpp
@@ -4,17 +4,20 @@
 #include "jaytrack/Support/commandline.h"
 #include "jaytrack/Support/log.h"
 
+#include <atomic>
 #include <csignal>
 #include <iostream>
 #include <thread>
 
 namespace {
 
-volatile std::sig_atomic_t stopSignals = 0;
+// The system may run the handler on any thread, so sig_atomic_t is not enough here.
+std::atomic<int> stopSignals{0};
+static_assert(std::atomic<int>::is_always_lock_free, "a signal handler must not wait");
 
 void onStopSignal(int)
 {
-    stopSignals = stopSignals + 1;
+    stopSignals.fetch_add(1);
 }
 
 void installSignals()
