--- a/include/jaytrack/Serve/instance.h
+++ b/include/jaytrack/Serve/instance.h
@@ -6,6 +6,7 @@
 #include "jaytrack/Support/clock.h"
 #include "jaytrack/Support/result.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -26,10 +27,15 @@
     // Begins a graceful shutdown: refuses new requests, lets those in service finish.
     void drain();
 
-    // Whether a graceful shutdown has come to its end.
+    // Whether a graceful shutdown has come to its end: every request that has arrived is answered,
+    // and the answers have left or their callers have not taken them within the delivery grace.
+    // After cut() that takes two seconds at most.
     bool drained() const;
 
-    // Ends every request at once, naming each in the log.
+    // Requests whose answers have not left whole.
+    std::size_t unsentAnswers() const;
+
+    // Ends every request at once, naming each in the log. What callers are told still has to leave.
     void cut();
 
     bool isReady() const;
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -27,6 +27,14 @@
 constexpr std::chrono::milliseconds controlTick{20};
 constexpr int ticksPerSweep = 5;
 
+// So many sweeps in a row find nothing owed before a graceful shutdown ends: 0.2 s or more, in
+// which threads that were held up come to what has arrived.
+constexpr int quietSweepsToEnd = 3;
+
+// Whoever stops an instance twice wants it gone. A caller that reads takes the few kilobytes that
+// wait for it well within this, also behind a slow link.
+constexpr std::chrono::seconds cutGrace{2};
+
 std::int64_t newIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -56,6 +64,7 @@
         , timer(this->control)
         , targets(given.targetThreads)
         , incarnation(newIncarnation())
+        , deliverBy(time.now() + given.deliveryGrace)
         , placement([this](PlacementListener &listener) { return this->makePolicy(listener); },
                     [this](std::function<void()> step) {
                         asio::post(this->control, std::move(step));
@@ -179,6 +188,9 @@
     {
         this->peers.tick();
         this->gateway.sweep();
+        if (!this->gateway.isDraining() || !this->gateway.idle())
+            this->deliverBy.store(this->clock.now() + this->settings.deliveryGrace);
+        this->noteQuiet();
         if (const auto document = this->documents.current())
             this->watcher.tick(*document);
         this->cautious.store(this->peers.cautious());
@@ -189,6 +201,20 @@
         logEvent(Severity::Info, "instance_ready", {{"name", this->settings.name}});
     }
 
+    // One look is not enough: a process that was held up has requests that came meanwhile and that
+    // no thread has read. Ending on the first look would reset them without an answer.
+    void noteQuiet()
+    {
+        const bool quiet =
+                this->gateway.isDraining() && this->gateway.idle() && this->unsentAnswers() == 0;
+        this->quietSweeps.store(quiet ? this->quietSweeps.load() + 1 : 0);
+    }
+
+    std::size_t unsentAnswers() const
+    {
+        return this->callers->unsent() + (this->operators ? this->operators->unsent() : 0);
+    }
+
     void drain()
     {
         this->gateway.drain();
@@ -217,6 +243,9 @@
     asio::steady_timer timer;
     HttpClient targets;
     std::int64_t incarnation;
+    std::atomic<TimePoint> deliverBy; // once all requests are answered, their answers leave by this
+    std::atomic<int> quietSweeps{0};  // in a row, since the graceful shutdown began
+    std::atomic<TimePoint> cutBy{TimePoint::max()}; // set by a cut: what is not done then never is
     PlacementDesk placement;
     PeerNode peers;
     ServeContext context;
@@ -298,11 +327,26 @@
 
 bool Instance::drained() const
 {
-    return this->parts->gateway.isDraining() && this->parts->gateway.idle();
+    const TimePoint now = this->parts->clock.now();
+    if (now > this->parts->cutBy.load())
+        return true;
+    if (!this->parts->gateway.isDraining() || !this->parts->gateway.idle())
+        return false;
+    // A request counts as answered once its answer is handed to the connection. Ending then would
+    // lose what a slow caller has not taken yet.
+    if (now > this->parts->deliverBy.load())
+        return true;
+    return this->unsentAnswers() == 0 && this->parts->quietSweeps.load() >= quietSweepsToEnd;
+}
+
+std::size_t Instance::unsentAnswers() const
+{
+    return this->parts->unsentAnswers();
 }
 
 void Instance::cut()
 {
+    this->parts->cutBy.store(this->parts->clock.now() + cutGrace);
     this->parts->gateway.cut();
 }
 
--- a/tools/jaytrackd/main.cpp
+++ b/tools/jaytrackd/main.cpp
@@ -4,17 +4,20 @@
 #include "jaytrack/Support/commandline.h"
 #include "jaytrack/Support/log.h"
 
+#include <atomic>
 #include <csignal>
 #include <iostream>
 #include <thread>
 
 namespace {
 
-volatile std::sig_atomic_t stopSignals = 0;
+// The system may run the handler on any thread, so sig_atomic_t is not enough here.
+std::atomic<int> stopSignals{0};
+static_assert(std::atomic<int>::is_always_lock_free, "a signal handler must not wait");
 
 void onStopSignal(int)
 {
-    stopSignals = stopSignals + 1;
+    stopSignals.fetch_add(1);
 }
 
 void installSignals()
@@ -24,20 +27,23 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-// The first signal begins a graceful shutdown; a second one cuts what is still in service.
+// The first signal begins a graceful shutdown; a second one cuts what is still in service. Callers
+// are told of the cut by an answer that has to leave like any other, so the end is waited for then
+// as well.
 void serveUntilStopped(jaytrack::Instance &instance)
 {
     static constexpr std::chrono::milliseconds pollGap{50};
     bool draining = false;
+    bool cut = false;
     while (!instance.drained()) {
         std::this_thread::sleep_for(pollGap);
         if (stopSignals > 0 && !draining) {
             draining = true;
             instance.drain();
         }
-        if (stopSignals > 1) {
+        if (stopSignals > 1 && !cut) {
+            cut = true;
             instance.cut();
-            return;
         }
     }
 }
@@ -78,6 +84,9 @@
         return jaytrack::ExitFailed;
     }
     serveUntilStopped(*instance.value());
-    jaytrack::logEvent(jaytrack::Severity::Info, "instance_stopped", {{"name", settings.name}});
+    jaytrack::logEvent(
+            jaytrack::Severity::Info, "instance_stopped",
+            {{"name", settings.name},
+             {"unsent_answers", static_cast<std::int64_t>(instance.value()->unsentAnswers())}});
     return jaytrack::ExitGood;
 }
--- a/unittests/Serve/site.h
+++ b/unittests/Serve/site.h
@@ -47,6 +47,8 @@
     bool engineResumes = true;
     std::uint32_t maxConcurrent = 50;
     std::chrono::milliseconds serviceTimeout{2000};
+    std::size_t streamBufferBytes = Settings().streamBufferBytes;
+    std::chrono::milliseconds deliveryGrace = Settings().deliveryGrace;
     EngineFaults engineFaults;
     ServiceStandinOptions service;
     double stepMs = 2;
@@ -141,6 +143,8 @@
         settings.configUrl = url;
         settings.abandonGrace = std::chrono::milliseconds(400);
         settings.readyDelay = std::chrono::milliseconds(300);
+        settings.streamBufferBytes = this->plan.streamBufferBytes;
+        settings.deliveryGrace = this->plan.deliveryGrace;
         for (const auto &other : this->instances) {
             if (other)
                 settings.peerSeeds.push_back(addressOf(other->peerPort()));
