Process soak: a planned stop is one order, and what is sent shortly after it is judged

Seen on the way: the soak orders a second stop at a process that already stops and judges it as a planned one, though a second order ends the process at once and cuts what it serves (docs/operators/entry.md). Ruled out: a process that ends by a tick, which needs 3 s and nothing in service. Change: a second order is a fault of its own; in place of judging it as a planned stop the soak demands that the process has ended 1.5 s later. Stricter besides: a request sent up to 2.8 s after the order, while the instance takes connections, must be answered whole too. How many requests were judged, excused and judged at the end of a stop is printed.

--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -46,6 +46,12 @@
     return known == this->disturbedUntil.end() || known->second < since;
 }
 
+bool Record::isCalm(const std::string &who) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->calm(who, std::chrono::steady_clock::now());
+}
+
 void Record::disturbed(const std::string &who, SteadyTime until)
 {
     const std::lock_guard lock(this->mutex);
@@ -65,10 +71,16 @@
     this->leaving[target] = std::chrono::steady_clock::now();
 }
 
-void Record::stopOrdered(const std::string &instance)
+void Record::stopOrdered(const std::string &instance, std::chrono::milliseconds takesFor)
+{
+    const std::lock_guard lock(this->mutex);
+    this->stops[instance] = {std::chrono::steady_clock::now(), takesFor};
+}
+
+void Record::stopForced(const std::string &instance)
 {
     const std::lock_guard lock(this->mutex);
-    this->stops[instance] = std::chrono::steady_clock::now();
+    this->stops.erase(instance);
 }
 
 void Record::sent(const std::string &id, WorkKind kind, const std::string &key,
@@ -152,18 +164,31 @@
         this->broken("body_not_whole", id, "got=" + answer.body);
 }
 
-// A planned stop cuts nothing at an instance that nothing else disturbs. What was sent after the
-// order may meet the end of the process; its caller sees no answer begin.
+// Whether a request that met a stop is answered whole: all that were sent before the order, and
+// those sent while the instance listens unless they meet the end of its grace.
+bool Record::isOwed(const Request &request, const Stop &stop)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (stop.at >= now)
+        return false;
+    if (request.sentAt < stop.at)
+        return true;
+    return request.sentAt < stop.at + stop.takesFor && now < stop.at + stopServesFor;
+}
+
+// A planned stop cuts nothing at an instance that nothing else disturbs.
 void Record::checkStop(const std::string &id, const Request &request, const CallerSaw &answer)
 {
     const auto stop = this->stops.find(request.instance);
-    const SteadyTime now = std::chrono::steady_clock::now();
+    if (stop == this->stops.end() || !isOwed(request, stop->second))
+        return;
     const std::chrono::seconds before(1);
-    const bool stopped = stop != this->stops.end() && request.sentAt < stop->second &&
-                         stop->second < now &&
-                         this->calm(request.instance, request.sentAt - before) &&
-                         this->calm("targets", request.sentAt - before);
-    if (stopped && !answer.whole && !request.spoiled)
+    const bool judged = this->calm(request.instance, request.sentAt - before) &&
+                        this->calm("targets", request.sentAt - before) && !request.spoiled;
+    ++this->counts[judged ? "at_stop_judged" : "at_stop_excused"];
+    if (std::chrono::steady_clock::now() > stop->second.at + stopTakesFor && judged)
+        ++this->counts["at_end_of_stop_judged"];
+    if (judged && !answer.whole)
         this->broken("stop_cut_request", id, "instance=" + request.instance);
 }
 
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -35,12 +35,24 @@
     static constexpr std::chrono::milliseconds leaveBound{2000};
     static constexpr std::chrono::milliseconds slack{700};
 
+    // A stopping instance takes connections for 3 s, and the last answers leave it before its grace
+    // of 6 s is over; both without what this machine may add.
+    static constexpr std::chrono::milliseconds stopTakesFor{2800};
+    static constexpr std::chrono::milliseconds stopServesFor{5400};
+
     // Something or somebody was disturbed, and is until the moment given.
     void disturbed(const std::string &who, SteadyTime until);
 
     void keyTaken(const std::string &key);
     void targetLeaves(const std::string &target);
-    void stopOrdered(const std::string &instance);
+
+    // A planned stop, of an instance that answers whoever connects to it within the time given.
+    void stopOrdered(const std::string &instance, std::chrono::milliseconds takesFor);
+
+    // A second order, which ends the instance at once with what it serves.
+    void stopForced(const std::string &instance);
+
+    bool isCalm(const std::string &who) const;
 
     void sent(const std::string &id, WorkKind kind, const std::string &key,
               const std::string &instance);
@@ -73,18 +85,25 @@
         bool spoiled = false;
     };
 
+    struct Stop
+    {
+        SteadyTime at;
+        std::chrono::milliseconds takesFor;
+    };
+
     void broken(const std::string &promise, const std::string &id, const std::string &detail);
     void checkSuccess(const std::string &id, const Request &request, const CallerSaw &answer);
     void checkEvents(const std::string &id, const Request &request, const CallerSaw &answer);
     void checkStop(const std::string &id, const Request &request, const CallerSaw &answer);
     bool calm(const std::string &who, SteadyTime since) const;
+    static bool isOwed(const Request &request, const Stop &stop);
 
     mutable std::mutex mutex;
     std::map<std::string, Request> byId;
     std::map<std::string, SteadyTime> disturbedUntil;
     std::map<std::string, SteadyTime> keysTaken;
     std::map<std::string, SteadyTime> leaving;
-    std::map<std::string, SteadyTime> stops;
+    std::map<std::string, Stop> stops;
     std::map<std::string, std::size_t> counts;
     std::vector<std::string> found;
 };
--- a/unittests/ProcessSoak/scenario.cpp
+++ b/unittests/ProcessSoak/scenario.cpp
@@ -21,9 +21,16 @@
 
 constexpr milliseconds stopBound{9000};
 
+// A process that is told twice to stop ends within this time, also after a short hold-up and on a
+// busy machine.
+constexpr milliseconds forcedEndBound{1500};
+
 // After a fault ends an instance needs this long until time bounds hold for it again.
 constexpr milliseconds calmAfter{3000};
 
+// An instance that has run for this long listens, also on a busy machine.
+constexpr milliseconds startBound{1500};
+
 } // namespace
 
 Scenario::Scenario(ScenarioOptions given)
@@ -63,11 +70,19 @@
         plan.storeAddress = member.storeProxy->address();
         member.callerProxy = this->site.makeProxy(plan.callers);
         member.process = std::make_unique<InstanceProcess>(plan);
-        member.process->start();
+        this->start(member);
         this->members.push_back(std::move(member));
     }
 }
 
+void Scenario::start(Member &member)
+{
+    member.restartDue = false;
+    member.stopping = false;
+    member.startedAt = Clock::now();
+    member.process->start();
+}
+
 bool Scenario::serves(const Member &member, const std::string &id)
 {
     CallerLine line(member.process->port());
@@ -168,10 +183,30 @@
     this->later(time, [&member] { member.process->signal(SIGCONT); });
 }
 
+// A second order ends the process at once, with what it serves.
+void Scenario::forceEnd(Member &member)
+{
+    this->record.stopForced(member.process->name());
+    member.process->signal(SIGTERM);
+    const SteadyTime due = Clock::now() + forcedEndBound;
+    this->later(forcedEndBound, [this, &member, due, life = member.startedAt] {
+        if (Clock::now() < due || member.startedAt != life || member.process->hasEnded() ||
+            !this->record.isCalm(member.process->name()))
+            return;
+        this->ownViolations.push_back("goes_on_after_second_order instance=" +
+                                      member.process->name());
+    });
+}
+
 void Scenario::stopInstance()
 {
     Member &member = this->someMember();
-    this->record.stopOrdered(member.process->name());
+    if (member.stopping)
+        return this->forceEnd(member);
+    const bool listens = Clock::now() > member.startedAt + startBound;
+    this->record.stopOrdered(member.process->name(),
+                             listens ? Record::stopTakesFor : milliseconds(0));
+    member.stopping = true;
     member.process->signal(SIGTERM);
     this->later(this->drawTime(4000, 7000), [&member] { member.restartDue = true; });
 }
@@ -276,8 +311,7 @@
     for (Member &member : this->members) {
         if (!member.process->hasEnded() || !member.restartDue)
             continue;
-        member.restartDue = false;
-        member.process->start();
+        this->start(member);
     }
 }
 
--- a/unittests/ProcessSoak/scenario.h
+++ b/unittests/ProcessSoak/scenario.h
@@ -52,11 +52,14 @@
         std::unique_ptr<InstanceProcess> process;
         std::unique_ptr<FaultProxy> callerProxy;
         bool restartDue = false;
+        bool stopping = false; // by a planned stop, in this life
+        SteadyTime startedAt;
     };
 
     void startInstances();
     void awaitService(const std::string &promise);
     bool serves(const Member &member, const std::string &id);
+    void start(Member &member);
     void callFrom(int caller);
     void injectFault();
     void advance(SteadyTime until);
@@ -79,6 +82,7 @@
     void leaveTarget();
 
     Member &someMember();
+    void forceEnd(Member &member);
     void disturb(const std::string &who, std::chrono::milliseconds time);
     std::chrono::milliseconds drawTime(int fromMs, int toMs);
     LinkFault drawLinkFault();
