--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -46,12 +46,6 @@
     return known == this->disturbedUntil.end() || known->second < since;
 }
 
-bool Record::isCalm(const std::string &who) const
-{
-    const std::lock_guard lock(this->mutex);
-    return this->calm(who, std::chrono::steady_clock::now());
-}
-
 void Record::disturbed(const std::string &who, SteadyTime until)
 {
     const std::lock_guard lock(this->mutex);
@@ -77,12 +71,6 @@
     this->stops[instance] = {std::chrono::steady_clock::now(), takesFor};
 }
 
-void Record::stopForced(const std::string &instance)
-{
-    const std::lock_guard lock(this->mutex);
-    this->stops.erase(instance);
-}
-
 void Record::sent(const std::string &id, const Work &work, const std::string &key,
                   const std::string &instance)
 {
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -56,11 +56,6 @@
     // A planned stop, of an instance that answers whoever connects to it within the time given.
     void stopOrdered(const std::string &instance, std::chrono::milliseconds takesFor);
 
-    // A second order, which ends the instance at once with what it serves.
-    void stopForced(const std::string &instance);
-
-    bool isCalm(const std::string &who) const;
-
     void sent(const std::string &id, const Work &work, const std::string &key,
               const std::string &instance);
     void saw(const std::string &id, const CallerSaw &answer);
