In a bad hour of the store some are drawn to read it, not all

Ruled out: fewer readers (any two may be cut off); longer ages (keys must be confirmed within 5 s). Change: ReadDuty decides. In trouble sixteen are drawn, anew every 3 s, and pass on what they read; the rest ask readers and anybody by turns. Whoever nobody answers reads in any case. Fleets of sixteen or fewer behave as before. An instance that is told by others now takes the store for away when nothing is confirmed, so that entries which lapsed are not taken for gone (until now only callers of the store noticed an outage). Tests: readDuty (7 to 340 instances), targetFeed; they hold on the new class alone, as the decision was part of StoreSharing before and had no test.

--- a/include/jaytrack/Proxy/entrytuning.h
+++ b/include/jaytrack/Proxy/entrytuning.h
@@ -4,7 +4,7 @@
 #ifndef JAYTRACK_PROXY_ENTRYTUNING_H
 #define JAYTRACK_PROXY_ENTRYTUNING_H
 
-#include "jaytrack/Proxy/storesharing.h"
+#include "jaytrack/Proxy/readduty.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Support/tomlreader.h"
 
@@ -36,7 +36,7 @@
 struct EntryTuning
 {
     EngineChoiceOptions engines;
-    StoreSharingOptions sharing;
+    ReadDutyOptions sharing;
     StreamOptions streams;
 
     // After an answer with changes a reader of the store pauses. Changes come some times a second,
--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -58,11 +58,18 @@
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
 
+    // Whether for long nobody has confirmed what this instance knows. One that others tell asks
+    // nothing of the store and would take entries that lapsed during an outage for gone.
+    void setUnconfirmed(bool now);
+
     bool isLoaded() const { return this->loaded; }
 
 private:
+    bool isAway() const { return this->lost || this->unconfirmed; }
+
     // While targets whose entries lapsed during an outage are still coming back.
-    bool inGrace() const { return this->away || this->graceRunning; }
+    bool inGrace() const { return this->isAway() || this->graceRunning; }
+    void startGrace();
     bool isTarget(const StoreItem &item) const;
     std::string nameOf(std::string_view key) const;
 
@@ -78,7 +85,8 @@
     int reportsInSpan = 0;
     asio::steady_timer graceTimer;
     bool loaded = false;
-    bool away = false;
+    bool lost = false; // by this instance's own calls
+    bool unconfirmed = false;
     bool graceRunning = false;
 };
 
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -115,7 +115,8 @@
         , configuration(time, words)
         , targets(this->loop, time, words, this->metrics, this->directory)
         , feeds(this->configuration, this->targets)
-        , sharing(time, given.name, given.tuning.sharing, this->random, this->configuration)
+        , sharing(time, given.name, given.tuning.sharing, this->random, this->configuration,
+                  this->targets)
         , prober(this->loop, time, words, this->engines, *this, this->random, given.tuning.probeGap)
         , context{this->loop,
                   time,
--- /dev/null
+++ b/lib/Proxy/readduty.cpp
@@ -0,0 +1,75 @@
+#include "jaytrack/Proxy/readduty.h"
+
+#include "jaytrack/Support/digest.h"
+
+#include <algorithm>
+
+namespace jaytrack {
+
+ReadDuty::ReadDuty(const Clock &time, std::string ownName, ReadDutyOptions given,
+                   std::mt19937_64 &source)
+    : clock(time)
+    , name(std::move(ownName))
+    , options(given)
+    , random(source)
+    , answeredAt(time.now())
+{
+}
+
+// Every instance ranks all by the same hash, so those that agree on who is there agree on who
+// reads.
+void ReadDuty::setPeers(std::span<const std::string> others)
+{
+    this->peers.assign(others.begin(), others.end());
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    ranked.emplace_back(placementHash("reader/" + this->name), this->name);
+    for (const std::string &peer : others)
+        ranked.emplace_back(placementHash("reader/" + peer), peer);
+    std::sort(ranked.rbegin(), ranked.rend());
+    ranked.resize(std::min(ranked.size(), this->options.readers));
+    const bool wasReader = this->reader;
+    this->reader = false;
+    this->readers.clear();
+    for (auto &[rank, who] : ranked) {
+        if (who == this->name)
+            this->reader = true;
+        else
+            this->readers.push_back(std::move(who));
+    }
+    // Before it knows its peers an instance reads for itself; then others do.
+    if (wasReader && !this->reader)
+        this->readUntil = this->clock.now() + this->options.handOverTime;
+}
+
+bool ReadDuty::reads(Duration age)
+{
+    const TimePoint now = this->clock.now();
+    if (this->reader)
+        this->readUntil = now + this->options.readAtLeast;
+    else if (this->isUnconfirmed(age) && now >= this->readUntil && this->isDrawn())
+        this->readUntil = this->drawnUntil = now + this->options.readAtLeast;
+    return now < this->readUntil;
+}
+
+bool ReadDuty::isDrawn()
+{
+    const TimePoint now = this->clock.now();
+    if (now - this->answeredAt > this->options.unansweredTime)
+        return true;
+    if (now < this->nextDraw)
+        return false;
+    this->nextDraw = now + this->options.readAtLeast;
+    const std::size_t fleet = this->peers.size() + 1;
+    return std::uniform_int_distribution<std::size_t>(1, fleet)(this->random) <=
+           this->options.readersInTrouble;
+}
+
+std::string ReadDuty::whomToAsk(Duration age)
+{
+    const bool old = age > this->options.mostAge / 2;
+    this->askAnybody = old && !this->askAnybody;
+    const std::vector<std::string> &among = this->askAnybody ? this->peers : this->readers;
+    return among.empty() ? std::string() : among[this->random() % among.size()];
+}
+
+} // namespace jaytrack
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -159,19 +159,33 @@
 
 void TargetFeed::onStoreLost(std::string_view)
 {
-    this->away = true;
+    this->lost = true;
 }
 
 void TargetFeed::onStoreRegained(Duration)
 {
-    this->away = false;
+    this->lost = false;
+    this->startGrace();
+}
+
+void TargetFeed::setUnconfirmed(bool now)
+{
+    const bool before = this->unconfirmed;
+    this->unconfirmed = now;
+    if (before && !now)
+        this->startGrace();
+}
+
+void TargetFeed::startGrace()
+{
     this->graceRunning = true;
     this->graceTimer.expires_after(returnGrace);
     this->graceTimer.async_wait([this](const asio::error_code &failure) {
         if (failure)
             return;
         this->graceRunning = false;
-        this->directory.dropMissing();
+        if (!this->isAway())
+            this->directory.dropMissing();
     });
 }
 
--- a/lib/Proxy/storesharing.cpp
+++ b/lib/Proxy/storesharing.cpp
@@ -1,19 +1,24 @@
 #include "jaytrack/Proxy/storesharing.h"
 
-#include "jaytrack/Support/digest.h"
 #include "jaytrack/Support/log.h"
 
-#include <algorithm>
-
 namespace jaytrack {
 
-StoreSharing::StoreSharing(const Clock &time, std::string ownName, StoreSharingOptions given,
-                           std::mt19937_64 &source, ConfigurationFeed &confirmed)
+namespace {
+
+// A reader whose questions are answered is never confirmed longer ago than this: a question that
+// the store holds for 1.2 s, and a pause of 0.2 s.
+constexpr std::chrono::milliseconds confirmedAge{1400};
+
+} // namespace
+
+StoreSharing::StoreSharing(const Clock &time, std::string ownName, ReadDutyOptions given,
+                           std::mt19937_64 &source, ConfigurationFeed &confirmed,
+                           TargetFeed &listed)
     : clock(time)
-    , name(std::move(ownName))
-    , options(given)
-    , random(source)
+    , duty(time, std::move(ownName), given, source)
     , configuration(confirmed)
+    , targets(listed)
 {
 }
 
@@ -23,25 +28,11 @@
     this->follower = std::move(follows);
 }
 
-// Every instance ranks all by the same hash, so those that agree on who is there agree on who
-// reads.
 void StoreSharing::onPeersChanged(const std::vector<std::string> &names)
 {
-    std::vector<std::string> ranked = names;
-    ranked.push_back(this->name);
-    std::sort(ranked.begin(), ranked.end(), [](const std::string &left, const std::string &right) {
-        return placementHash("reader/" + left) > placementHash("reader/" + right);
-    });
-    ranked.resize(std::min(ranked.size(), this->options.readers));
-    const bool wasReader = this->reader;
-    this->reader = std::find(ranked.begin(), ranked.end(), this->name) != ranked.end();
-    // Before it knows its peers an instance reads for itself; then others do.
-    if (wasReader && !this->reader)
-        this->readUntil = this->clock.now() + this->options.handOverTime;
+    this->duty.setPeers(names);
     if (this->follower != nullptr)
-        this->follower->setTold(!this->reader);
-    std::erase(ranked, this->name);
-    this->readers = std::move(ranked);
+        this->follower->setTold(!this->duty.isReader());
 }
 
 void StoreSharing::tick()
@@ -49,32 +40,38 @@
     if (this->follower == nullptr)
         return;
     this->follower->tick();
-    const TimePoint now = this->clock.now();
     const Duration age = this->configuration.age();
-    if (this->reader || age > this->options.mostAge)
-        this->readUntil = now + this->options.readAtLeast;
-    const bool read = now < this->readUntil;
+    this->targets.setUnconfirmed(this->duty.isUnconfirmed(age));
+    const bool read = this->duty.reads(age);
     if (read != this->reading) {
         this->reading = read;
         logEvent(Severity::Info, read ? "store_reading" : "store_shared",
-                 {{"reader", this->reader ? 1 : 0},
-                  {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
+                 {{"reader", this->duty.isReader() ? 1 : 0},
+                  {"age_ms", toMillis(age)},
                   {"revision", static_cast<std::int64_t>(this->follower->knownRevision())}});
         this->follower->setActive(read);
     }
+    this->askForFreshness(age);
+}
+
+void StoreSharing::askForFreshness(Duration age)
+{
+    const TimePoint now = this->clock.now();
     // A reader that the store turns away is still told by the others what they read.
-    const bool confirmedByItself = this->reader && age < this->options.mostAge / 2;
-    if (confirmedByItself || this->readers.empty() || now < this->nextAsk)
+    const bool confirmedByItself = this->duty.isReader() && age < confirmedAge;
+    if (confirmedByItself || now < this->nextAsk)
+        return;
+    const std::string asked = this->duty.whomToAsk(age);
+    if (asked.empty())
         return;
     this->nextAsk = now + askGap;
-    const std::string &asked = this->readers[this->random() % this->readers.size()];
     this->peers->askFreshness(asked, now.time_since_epoch().count());
 }
 
 void StoreSharing::onStoreRead(std::uint64_t from, std::uint64_t to,
                                const std::vector<StoreItem> &items)
 {
-    if (this->peers != nullptr && this->reader)
+    if (this->peers != nullptr && this->duty.passesOn())
         this->peers->shareStore({from, to, items, false});
 }
 
@@ -97,6 +94,7 @@
 // the answer took.
 void StoreSharing::onFreshness(std::int64_t askedAt, Duration age, std::uint64_t revision)
 {
+    this->duty.answered();
     const TimePoint asked{Duration(askedAt)};
     if (this->follower == nullptr || asked > this->clock.now() || age < Duration(0))
         return;
