--- a/include/jaytrack/Proxy/readduty.h
+++ b/include/jaytrack/Proxy/readduty.h
@@ -41,6 +41,11 @@
     // one of sixteen is served in four draws of five.
     std::size_t readersInTrouble = 16;
 
+    // An instance that has just started has listed the store, and waits this long to hear of others
+    // before it follows the store by itself: two to three calls at each start of each instance, and
+    // what it listed is young enough meanwhile.
+    Duration aloneAfter = std::chrono::milliseconds(1200);
+
     // An instance that no other answered for this long cannot be told and reads in any case.
     Duration unansweredTime = std::chrono::milliseconds(1000);
 };
@@ -76,6 +81,7 @@
 
 private:
     bool isDrawn();
+    bool awaitsPeers() const;
 
     const Clock &clock;
     std::string name;
@@ -85,6 +91,7 @@
     std::vector<std::string> readers; // without this instance
     bool reader = true;
     bool askAnybody = false;
+    TimePoint startedAt;
     TimePoint readUntil;
     TimePoint drawnUntil;
     TimePoint nextDraw;
--- a/lib/Proxy/readduty.cpp
+++ b/lib/Proxy/readduty.cpp
@@ -12,6 +12,7 @@
     , name(std::move(ownName))
     , options(given)
     , random(source)
+    , startedAt(time.now())
     , answeredAt(time.now())
 {
 }
@@ -20,6 +21,7 @@
 // reads.
 void ReadDuty::setPeers(std::span<const std::string> others)
 {
+    const bool wasReader = this->reader && !this->awaitsPeers();
     this->peers.assign(others.begin(), others.end());
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
     ranked.emplace_back(placementHash("reader/" + this->name), this->name);
@@ -27,7 +29,6 @@
         ranked.emplace_back(placementHash("reader/" + peer), peer);
     std::sort(ranked.rbegin(), ranked.rend());
     ranked.resize(std::min(ranked.size(), this->options.readers));
-    const bool wasReader = this->reader;
     this->reader = false;
     this->readers.clear();
     for (auto &[rank, who] : ranked) {
@@ -36,7 +37,7 @@
         else
             this->readers.push_back(std::move(who));
     }
-    // Before it knows its peers an instance reads for itself; then others do.
+    // Whoever reads goes on until the others have had time to tell it.
     if (wasReader && !this->reader)
         this->readUntil = this->clock.now() + this->options.handOverTime;
 }
@@ -44,6 +45,8 @@
 bool ReadDuty::reads(Duration age)
 {
     const TimePoint now = this->clock.now();
+    if (this->awaitsPeers())
+        return false;
     if (this->reader)
         this->readUntil = now + this->options.readAtLeast;
     else if (this->isUnconfirmed(age) && now >= this->readUntil && this->isDrawn())
@@ -51,6 +54,11 @@
     return now < this->readUntil;
 }
 
+bool ReadDuty::awaitsPeers() const
+{
+    return this->peers.empty() && this->clock.now() - this->startedAt < this->options.aloneAfter;
+}
+
 bool ReadDuty::isDrawn()
 {
     const TimePoint now = this->clock.now();
--- a/unittests/Platform/readdutytest.cpp
+++ b/unittests/Platform/readdutytest.cpp
@@ -103,6 +103,28 @@
     }
 }
 
+// Symptom: at each start of an instance, and 195 times at a common one, two or three calls go to
+// the store that readers make already. Events: it has listed the store and does not know its peers
+// yet. Cause: whoever knows nobody takes itself for a reader.
+Test(readDuty, newcomerWaitsForItsPeers)
+{
+    ManualClock clock;
+    clock.advance(std::chrono::hours(1));
+    std::mt19937_64 random(1);
+    ReadDuty duty(clock, nameOf(0), ReadDutyOptions(), random);
+    cr_assert_not(duty.reads(old));
+    clock.advance(std::chrono::milliseconds(300));
+    std::vector<std::string> others;
+    for (int i = 1; i < 195; ++i)
+        others.push_back(nameOf(i));
+    duty.setPeers(others);
+    cr_assert(duty.reads(calm) == duty.isReader());
+
+    ReadDuty alone(clock, nameOf(0), ReadDutyOptions(), random);
+    clock.advance(std::chrono::milliseconds(1300));
+    cr_assert(alone.reads(calm), "nobody else will");
+}
+
 // Symptom: an instance that is cut off from all others refuses keyed requests though it reaches the
 // store. Cause: waiting to be drawn, while nobody can tell it anything.
 Test(readDuty, whoeverNobodyAnswersReads)
