Large notices leave no faster than slow links carry them

Ruled out: items too large to pass on (cause=behind, not incomplete), instances that were not known. Change: datagrams over 1 KB wait their turn at 1 MB a second; a change that others know of may be on its way for 0.15 s and 2 ms for each instance, at most 0.5 s.

--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -10,6 +10,7 @@
 
 #include "jaytrack/Cluster/membership.h"
 #include "jaytrack/Cluster/noticespread.h"
+#include "jaytrack/Proxy/datagrampacer.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Support/keyring.h"
 
@@ -18,6 +19,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -110,6 +112,8 @@
     void send(std::string_view address, std::string datagram) override;
     void onMembersChanged() override;
     void takeMembers();
+    void sendNow(std::string_view address, const std::string &datagram);
+    void sendPaced();
     void onPeerHeard(const Member &, std::uint64_t, Duration, TimePoint) override {}
     void onPolicyMessage(std::string_view from, std::string_view message) override;
     void tellPeers(wire::EntryNotices &message);
@@ -124,6 +128,9 @@
     asio::ip::udp::socket socket;
     asio::ip::udp::endpoint sender;
     asio::steady_timer timer;
+    DatagramPacer pacer;
+    asio::steady_timer paceTimer;
+    std::deque<std::pair<std::string, std::string>> paced; // addresses and datagrams that wait
     std::array<char, 8192> buffer{};
     Membership membership;
     bool membersChanged = false; // since they were taken
--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -69,6 +69,12 @@
     // readers overtake each other by milliseconds, and each makes up for the other's losses.
     std::chrono::milliseconds patience{150};
 
+    // And so much longer for each instance, up to the most: a configuration is passed on no faster
+    // than slow links carry it, 0.3 s for a fleet of 195. 0.5 s is an eighth of the time that a
+    // change may take there.
+    std::chrono::milliseconds patiencePerInstance{2};
+    std::chrono::milliseconds mostPatience{500};
+
     // The longest pause between failed calls. Short, so that keys are confirmed well within their
     // bound; longer for an instance that others can tell, since the calls of a whole fleet to a
     // store in trouble are priced and help nobody.
@@ -97,6 +103,9 @@
     // Whether other instances read the store and tell this one.
     void setTold(bool byOthers) { this->told = byOthers; }
 
+    // How many instances there are, this one among them.
+    void setInstances(std::size_t count);
+
     // Takes what another instance read. If a change in between is missing or was left out, the
     // store is asked once.
     void applyShared(std::uint64_t from, std::uint64_t to, const std::vector<StoreItem> &items,
@@ -149,6 +158,7 @@
     bool stopped = false;
     bool active = true;
     bool told = false;
+    std::chrono::milliseconds patience;
     std::uint64_t heardOf = 0; // the newest revision that another instance said it knows
     TimePoint behindSince;
     bool waiting = false; // a call is under way or planned
--- /dev/null
+++ b/lib/Proxy/datagrampacer.cpp
@@ -0,0 +1,25 @@
+#include "jaytrack/Proxy/datagrampacer.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace jaytrack {
+
+bool DatagramPacer::take(std::size_t bytes)
+{
+    if (bytes <= this->options.smallBytes)
+        return true;
+    const TimePoint now = this->clock.now();
+    const double passed = std::chrono::duration<double>(now - this->countedAt).count();
+    this->countedAt = now;
+    this->allowance = std::min(this->options.burstBytes,
+                               this->allowance + passed * this->options.bytesPerSecond);
+    // One that is larger than a whole burst leaves when the burst is full.
+    const double needed = std::min(static_cast<double>(bytes), this->options.burstBytes);
+    if (this->allowance < needed)
+        return false;
+    this->allowance -= needed;
+    return true;
+}
+
+} // namespace jaytrack
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -16,6 +16,12 @@
 
 constexpr std::chrono::milliseconds tickGap{100};
 
+// Between two looks at datagrams that wait; 5 KB leave in it.
+constexpr std::chrono::milliseconds paceGap{5};
+
+// Large datagrams that may wait, for two changes told to 340 instances.
+constexpr std::size_t mostPaced = 512;
+
 // Values from this size on are compressed where that makes them smaller. A configuration of fifty
 // routes has 12 KB and fits into one datagram then; passed on as it is, or not at all, each of 87
 // instances would read it from the store, 85 calls for every change.
@@ -166,6 +172,8 @@
     , listener(told)
     , socket(loop)
     , timer(loop)
+    , pacer(time)
+    , paceTimer(loop)
     , membership(describeSelf(this->settings), time, seed, this->keys, *this, *this)
     , spread(this->settings.dataCentre)
     , random(seed)
@@ -216,7 +224,36 @@
             });
 }
 
+// Whatever is large waits its turn; a queue that is full drops what comes, as a link would.
 void PeerLink::send(std::string_view address, std::string datagram)
+{
+    if (this->paced.empty() && this->pacer.take(datagram.size()))
+        return this->sendNow(address, datagram);
+    if (datagram.size() <= DatagramPacerOptions().smallBytes)
+        return this->sendNow(address, datagram);
+    if (this->paced.size() >= mostPaced)
+        return;
+    this->paced.emplace_back(address, std::move(datagram));
+    if (this->paced.size() == 1)
+        this->sendPaced();
+}
+
+void PeerLink::sendPaced()
+{
+    while (!this->paced.empty() && this->pacer.take(this->paced.front().second.size())) {
+        this->sendNow(this->paced.front().first, this->paced.front().second);
+        this->paced.pop_front();
+    }
+    if (this->paced.empty())
+        return;
+    this->paceTimer.expires_after(paceGap);
+    this->paceTimer.async_wait([this](const asio::error_code &failure) {
+        if (!failure)
+            this->sendPaced();
+    });
+}
+
+void PeerLink::sendNow(std::string_view address, const std::string &datagram)
 {
     const auto endpoint = parseDatagramEndpoint(address);
     if (!endpoint)
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -37,6 +37,7 @@
     , listener(to)
     , reads(readBy)
     , lastAnswer(time.now())
+    , patience(this->options.patience)
 {
 }
 
@@ -60,6 +61,14 @@
         this->ask();
 }
 
+void StoreFollower::setInstances(std::size_t count)
+{
+    const auto others = static_cast<std::int64_t>(count) - 1;
+    const std::chrono::milliseconds wanted =
+            this->options.patience + this->options.patiencePerInstance * others;
+    this->patience = std::min(wanted, this->options.mostPatience);
+}
+
 void StoreFollower::catchUp(std::uint64_t to)
 {
     if (to <= this->revision || to <= this->heardOf)
@@ -73,7 +82,7 @@
 {
     const bool behind = this->heardOf > this->revision && !this->listing;
     if (behind && !this->waiting && !this->stopped &&
-        this->clock.now() - this->behindSince > this->options.patience)
+        this->clock.now() - this->behindSince > this->patience)
         this->catchUpNow("behind");
 }
 
--- a/lib/Proxy/storesharing.cpp
+++ b/lib/Proxy/storesharing.cpp
@@ -31,8 +31,10 @@
 void StoreSharing::onPeersChanged(const std::vector<std::string> &names)
 {
     this->duty.setPeers(names);
-    if (this->follower != nullptr)
-        this->follower->setTold(!this->duty.isReader());
+    if (this->follower == nullptr)
+        return;
+    this->follower->setTold(!this->duty.isReader());
+    this->follower->setInstances(names.size() + 1);
 }
 
 void StoreSharing::tick()
