An outage is told by failed calls or by four seconds of silence, and what readers say is believed

Two mends of the state before, by reading it against the bound on leaving targets: an instance whose knowledge had been old for 2.8 s held removals for 2.2 s more, longer than the 2 s within which a leaving target must get no new work on small sites, though only the readers had failed; and an instance that had just started did so too. Ruled out: no grace at all for whoever is drawn as the store returns (it would tell the whole fleet that lapsed entries are gone). Tests: targetFeed.

--- a/include/jaytrack/Proxy/readduty.h
+++ b/include/jaytrack/Proxy/readduty.h
@@ -34,6 +34,10 @@
     // of a datagram. Whoever was not drawn is drawn again after it.
     Duration readAtLeast = std::chrono::milliseconds(3000);
 
+    // Knowledge that is older than this shows that nobody reaches the store. Where the readers
+    // alone fail, those that are drawn after mostAge confirm it within half a second.
+    Duration outageAge = std::chrono::milliseconds(4000);
+
     // An instance that finds that others are readers reads on for this long: two questions of 0.3 s
     // to one of them.
     Duration handOverTime = std::chrono::milliseconds(600);
@@ -73,7 +77,7 @@
     bool passesOn() const { return this->reader || this->clock.now() < this->drawnUntil; }
 
     // Whether knowledge of this age means that nobody reaches the store.
-    bool isUnconfirmed(Duration age) const { return age > this->options.mostAge; }
+    bool showsOutage(Duration age) const { return age > this->options.outageAge; }
 
     // Whom to ask how old this instance's knowledge is, that of this age; empty if there is nobody.
     // Whoever last knew it well is asked again: a reader that the store turns away answers too.
--- a/lib/Proxy/readduty.cpp
+++ b/lib/Proxy/readduty.cpp
@@ -50,7 +50,7 @@
         return false;
     if (this->reader)
         this->readUntil = now + this->options.readAtLeast;
-    else if (this->isUnconfirmed(age) && now >= this->readUntil && this->isDrawn())
+    else if (age > this->options.mostAge && now >= this->readUntil && this->isDrawn())
         this->readUntil = this->drawnUntil = now + this->options.readAtLeast;
     return now < this->readUntil;
 }
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -154,7 +154,7 @@
 // of the others' reading. Runs were left at engines that were gone until this was told apart.
 void TargetFeed::onSharedChanges(const std::vector<StoreItem> &items, bool afterOutage)
 {
-    this->apply(items, afterOutage || this->inGrace());
+    this->apply(items, afterOutage);
     if (afterOutage && !this->graceRunning)
         this->startGrace();
 }
@@ -195,8 +195,9 @@
 {
     this->confirmedAsOf = asOf;
     const bool before = this->tooOld;
-    this->tooOld = old;
-    if (before && !old)
+    // Before the first listing there is nothing that might have lapsed.
+    this->tooOld = old && this->loaded;
+    if (before && !this->tooOld)
         this->startGrace();
 }
 
--- a/lib/Proxy/storesharing.cpp
+++ b/lib/Proxy/storesharing.cpp
@@ -43,7 +43,7 @@
         return;
     this->follower->tick();
     const Duration age = this->configuration.age();
-    this->targets.noteKnowledge(this->configuration.confirmedAsOf(), this->duty.isUnconfirmed(age));
+    this->targets.noteKnowledge(this->configuration.confirmedAsOf(), this->duty.showsOutage(age));
     const bool read = this->duty.reads(age);
     if (read != this->reading) {
         this->reading = read;
--- a/unittests/Platform/readdutytest.cpp
+++ b/unittests/Platform/readdutytest.cpp
@@ -77,6 +77,7 @@
         TargetEntry entry;
         entry.id = entry.name = "t1";
         entry.service = "svc";
+        this->feed.onListing({}, this->clock.now());
         this->directory.put(entry);
         this->removal.key = std::string(this->dialect->targetsPrefix()) + "t1";
         this->removal.deleted = true;
@@ -196,15 +197,16 @@
     cr_assert(asked.size() > 1);
 }
 
-// Symptom: after an outage of the store an instance that is told by others has no targets for two
-// seconds. Events: entries lapse while the store is away, a reader passes their removal on, and
-// they come back. Cause: only whoever calls the store notices that it is away.
-Test(targetFeed, lapsedEntriesArePassedOverWhileNothingIsConfirmed)
+// Symptom: after an outage of the store the fleet has no targets for two seconds. Events: entries
+// lapse while the store is away; an instance that is drawn to read just as it returns sees their
+// removal, and none of its own calls has failed. Cause: only failed calls counted as an outage.
+Test(targetFeed, lapsedEntriesArePassedOverAfterNothingWasConfirmed)
 {
     TargetBelief belief;
     belief.feed.noteKnowledge(belief.clock.now(), true);
-    belief.feed.onSharedChanges({belief.removal}, false);
-    cr_assert(belief.isUsed(), "kept while nobody reaches the store");
+    belief.feed.onChanges({belief.removal}, belief.clock.now());
+    cr_assert(belief.isUsed(), "kept while nobody reached the store");
+    cr_assert(belief.feed.inGrace(), "and others are told so");
     belief.feed.noteKnowledge(belief.clock.now(), false);
     belief.loop.run_for(std::chrono::milliseconds(1900));
     cr_assert(belief.isUsed(), "kept until living targets had time to return");
@@ -212,8 +214,8 @@
     cr_assert_not(belief.isUsed(), "what is missing after that is gone");
 }
 
-// Symptom: the same after an outage that is too short for knowledge to grow old. Cause: as above;
-// the reader, whose calls failed, has to say so.
+// Symptom: as above, at instances that are told by others. Cause: they make no calls that could
+// fail; the reader, whose calls failed, has to say so.
 Test(targetFeed, whoeverReadTellsOfAnOutage)
 {
     TargetBelief belief;
