Beyond a hundred engines each instance gives work to a share of them

Each placement, release and report is told to every instance that may place there, and all placed everywhere. Ruled out: batching alone (a sender has some three notices in 0.1 s, for other engines each), membership (its cost does not grow). Change: EngineShares ranks instances for each engine by rendezvous hashing; up to 96 engines all give work to all, as before, beyond that each instance to at least so many, and only those sharing an engine hear of it and one of them asks it. An instance whose share is gone takes any engine.

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -8,6 +8,7 @@
 #include "jaytrack/Proxy/entrytuning.h"
 #include "jaytrack/Routing/admission.h"
 #include "jaytrack/Routing/enginechoice.h"
+#include "jaytrack/Routing/engineshares.h"
 #include "jaytrack/Routing/retrybudget.h"
 #include "jaytrack/Routing/targetdirectory.h"
 #include "jaytrack/Support/log.h"
@@ -45,6 +46,7 @@
     TargetDirectory &directory;
     TargetHealth &health;
     EngineChoice &engines;
+    const EngineShares &shares;
     RetryBudget &retries;
     std::mt19937_64 &random;
     PlacementNotices &notices;
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -24,6 +24,9 @@
     virtual ~LoadSharing() = default;
     virtual bool isMineToAsk(std::string_view engine) const = 0;
 
+    // Whether this instance gives work to the engine and has to know its load.
+    virtual bool isMine(std::string_view engine) const = 0;
+
     // An engine reported its load to this instance.
     virtual void onLoad(std::string_view engine, const EngineLoad &load) = 0;
 
@@ -37,6 +40,10 @@
     // Without any report for this long an instance asks for itself: whoever should has gone.
     static constexpr std::chrono::milliseconds askAnyway{2500};
 
+    // An engine that gets its work from others is looked at again after this time: it may have
+    // fallen to this instance.
+    static constexpr std::chrono::milliseconds lookAgain{4000};
+
     LoadProber(asio::io_context &loop, const Clock &time, const Dialect &words, EngineChoice &told,
                LoadSharing &shared, std::mt19937_64 &source, std::chrono::milliseconds askGap);
 
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -12,6 +12,7 @@
 #include "jaytrack/Cluster/noticespread.h"
 #include "jaytrack/Proxy/datagrampacer.h"
 #include "jaytrack/Routing/enginechoice.h"
+#include "jaytrack/Routing/engineshares.h"
 #include "jaytrack/Support/keyring.h"
 
 #include <asio/io_context.hpp>
@@ -77,12 +78,12 @@
 {
 public:
     PeerLink(asio::io_context &loop, const Clock &time, PeerLinkSettings given, std::uint64_t seed,
-             PeerLinkListener &told);
+             EngineShares &shared, PeerLinkListener &told);
 
     // Fails if the address cannot be bound.
     Result<void> open();
 
-    // Tells the other instances of a generation that this one gave to an engine.
+    // Tells the other instances that give work to an engine of a generation that this one gave it.
     void announce(std::string_view engine, const GenerationNeed &need, bool copied);
 
     // Tells them that a generation of this instance gave back memory. Such notices are sent
@@ -101,10 +102,6 @@
     void answerFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
                          std::uint64_t revision);
 
-    // Whether it falls to this instance to ask the engine for its load. Asking has a price at the
-    // engine, so one instance asks for all.
-    bool isMineToAsk(std::string_view engine) const;
-
     // Tells the others that this instance is about to end.
     void depart();
 
@@ -117,6 +114,7 @@
     void onPeerHeard(const Member &, std::uint64_t, Duration, TimePoint) override {}
     void onPolicyMessage(std::string_view from, std::string_view message) override;
     void tellPeers(wire::EntryNotices &message);
+    void tellSharers(std::string_view engine, wire::EntryNotices &message);
     void passOn(std::string_view from, wire::EntryNotices &message);
     void receiveNext();
     void tick();
@@ -137,9 +135,7 @@
     NoticeSpread spread;
     std::mt19937_64 random;
     std::vector<std::string> peers; // names of the others that are up
-
-    // Whether engines are this instance's to ask, as found since the last change of members.
-    mutable std::map<std::string, bool, std::less<>> askDuties;
+    EngineShares &shares;
     std::map<std::string, std::uint32_t, std::less<>> releases; // tokens, not told yet
 };
 
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -111,6 +111,7 @@
         , directory(*this)
         , health(time, this->random())
         , engines(time, this->random(), given.dataCentre, given.tuning.engines)
+        , shares(given.name)
         , retries(time, {given.retryRatio, given.retryWindow, given.retrySlack})
         , configuration(time, words)
         , targets(this->loop, time, words, this->metrics, this->directory)
@@ -118,17 +119,9 @@
         , sharing(time, given.name, given.tuning.sharing, this->random, this->configuration,
                   this->targets)
         , prober(this->loop, time, words, this->engines, *this, this->random, given.tuning.probeGap)
-        , context{this->loop,
-                  time,
-                  words,
-                  this->metrics,
-                  this->directory,
-                  this->health,
-                  this->engines,
-                  this->retries,
-                  this->random,
-                  *this,
-                  this->settings.tuning.streams,
+        , context{this->loop,      time,         words,         this->metrics,
+                  this->directory, this->health, this->engines, this->shares,
+                  this->retries,   this->random, *this,         this->settings.tuning.streams,
                   this->open}
         , callers(this->loop, time, *this)
         , readiness(this->loop, time, this->desk)
@@ -173,7 +166,7 @@
         link.seeds = this->settings.peerSeeds;
         link.keys = this->settings.peerKeys;
         this->peers = std::make_unique<PeerLink>(this->loop, this->clock, std::move(link),
-                                                 this->random(), *this);
+                                                 this->random(), this->shares, *this);
         return this->peers->open();
     }
 
@@ -300,8 +293,10 @@
         this->engines.listed(entry);
         const auto table = this->configuration.table();
         const ServiceRule *service = table ? table->serviceNamed(entry.service) : nullptr;
-        if (service != nullptr && service->engine)
-            this->prober.add(entry);
+        if (service == nullptr || !service->engine)
+            return;
+        this->shares.listed(entry.id);
+        this->prober.add(entry);
     }
 
     void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override
@@ -309,6 +304,7 @@
         logEvent(Severity::Info, "target_leaving",
                  {{"target", entry.id}, {"service", entry.service}, {"reason", reason}});
         this->engines.gone(entry.id);
+        this->shares.gone(entry.id);
         this->health.forget(entry.id);
         this->prober.remove(entry.id);
         const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
@@ -325,6 +321,7 @@
                   {"leaving", ended.leaving ? 1 : 0}});
         this->metrics.count("jaytrack_targets_restarted_total");
         this->engines.forget(ended.id);
+        this->shares.gone(ended.id);
         this->health.forget(ended.id);
         this->prober.remove(ended.id);
         const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
@@ -402,9 +399,11 @@
 
     bool isMineToAsk(std::string_view engine) const override
     {
-        return !this->peers || this->peers->isMineToAsk(engine);
+        return this->shares.isMineToAsk(engine);
     }
 
+    bool isMine(std::string_view engine) const override { return this->shares.isMine(engine); }
+
     void onNoLoad(std::string_view engine) override
     {
         this->engines.failed(engine);
@@ -573,6 +572,7 @@
     TargetDirectory directory;
     TargetHealth health;
     EngineChoice engines;
+    EngineShares shares;
     RetryBudget retries;
     ConfigurationFeed configuration;
     TargetFeed targets;
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -52,6 +52,10 @@
 
     void askIfDue()
     {
+        if (!this->prober.sharing.isMine(this->target.id)) {
+            this->addedAt = this->prober.clock.now();
+            return this->askAfter(lookAgain);
+        }
         // A report that never came is as old as the listing: an instance that starts would
         // otherwise ask every engine, 59 questions at each of 195 starts.
         const Duration told = this->prober.engines.forecast(this->target.id).reportAge;
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -27,9 +27,6 @@
 // instances would read it from the store, 85 calls for every change.
 constexpr std::size_t leastCompressed = 512;
 
-// Engines come and go under new names; what was found for the old ones is dropped with the rest.
-constexpr std::size_t mostAskDuties = 4096;
-
 // The store's own bound on a value.
 constexpr std::size_t mostValueBytes = 1U << 20U;
 
@@ -166,7 +163,7 @@
 }
 
 PeerLink::PeerLink(asio::io_context &loop, const Clock &time, PeerLinkSettings given,
-                   std::uint64_t seed, PeerLinkListener &told)
+                   std::uint64_t seed, EngineShares &shared, PeerLinkListener &told)
     : settings(std::move(given))
     , keys(this->settings.keys)
     , listener(told)
@@ -177,6 +174,7 @@
     , membership(describeSelf(this->settings), time, seed, this->keys, *this, *this)
     , spread(this->settings.dataCentre)
     , random(seed)
+    , shares(shared)
 {
 }
 
@@ -277,6 +275,7 @@
         return member.name == this->settings.name || !member.isUp();
     });
     std::vector<std::string> names;
+    names.reserve(others.size());
     for (const Member &member : others)
         names.push_back(member.name);
     // A member that started again may have moved to another data centre.
@@ -287,7 +286,7 @@
              {{"peers", static_cast<std::int64_t>(names.size())},
               {"before", static_cast<std::int64_t>(this->peers.size())}});
     this->peers = std::move(names);
-    this->askDuties.clear();
+    this->shares.setInstances(this->peers);
     this->listener.onPeersChanged(this->peers);
 }
 
@@ -300,7 +299,7 @@
     notice.copied = copied;
     wire::EntryNotices message;
     message.placements.push_back(std::move(notice));
-    this->tellPeers(message);
+    this->tellSharers(engine, message);
 }
 
 void PeerLink::announceReleased(std::string_view engine, std::uint32_t tokens)
@@ -312,22 +311,26 @@
 {
     wire::EntryNotices message;
     message.failedEngines.emplace_back(engine);
-    this->tellPeers(message);
+    this->tellSharers(engine, message);
 }
 
+// One message for all where all hear of every engine, else one for each engine.
 void PeerLink::sendReleases()
 {
-    if (this->releases.empty())
-        return;
     wire::EntryNotices message;
     for (const auto &[engine, tokens] : this->releases) {
         wire::ReleaseNotice notice;
         notice.engine = engine;
         notice.tokens = tokens;
         message.releases.push_back(std::move(notice));
+        if (this->shares.isWhole())
+            continue;
+        this->tellSharers(engine, message);
+        message.releases.clear();
     }
     this->releases.clear();
-    this->tellPeers(message);
+    if (!message.releases.empty())
+        this->tellPeers(message);
 }
 
 void PeerLink::announce(std::string_view engine, const EngineLoad &load)
@@ -342,7 +345,7 @@
     notice.firstWaitingTokens = load.firstWaitingTokens;
     wire::EntryNotices message;
     message.loads.push_back(std::move(notice));
-    this->tellPeers(message);
+    this->tellSharers(engine, message);
 }
 
 // A value that is larger even when compressed goes to its readers straight from the store: a
@@ -387,6 +390,13 @@
     this->membership.sendPolicy(ways.relays, encodeMessage(message));
 }
 
+void PeerLink::tellSharers(std::string_view engine, wire::EntryNotices &message)
+{
+    if (this->shares.isWhole())
+        return this->tellPeers(message);
+    this->membership.sendPolicy(this->shares.othersOf(engine), encodeMessage(message));
+}
+
 void PeerLink::passOn(std::string_view from, wire::EntryNotices &message)
 {
     message.relay = false;
@@ -433,26 +443,6 @@
     }
 }
 
-// Of all instances, the one whose hash with the engine is highest asks it; when one goes, only its
-// engines get another. Found once a change of members: 195 hashes for each of 59 engines at each
-// gap took a quarter of an instance's processor time for control.
-bool PeerLink::isMineToAsk(std::string_view engine) const
-{
-    const auto found = this->askDuties.find(engine);
-    if (found != this->askDuties.end())
-        return found->second;
-    if (this->askDuties.size() >= mostAskDuties)
-        this->askDuties.clear();
-    const auto rank = [engine](std::string_view name) {
-        return placementHash(std::string(engine) + "/" + std::string(name));
-    };
-    const std::uint64_t own = rank(this->settings.name);
-    const bool mine = std::none_of(this->peers.begin(), this->peers.end(),
-                                   [&](const std::string &peer) { return rank(peer) > own; });
-    this->askDuties.emplace(engine, mine);
-    return mine;
-}
-
 void PeerLink::depart()
 {
     this->sendReleases();
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 
 namespace jaytrack {
 
@@ -157,9 +158,21 @@
     return leg;
 }
 
+// The engines to which this instance gives work. If none of them is left it takes any: it knows
+// nothing of their load, but its caller has nobody else.
+std::vector<const TargetEntry *>
+StreamExchange::ownShare(std::vector<const TargetEntry *> engines) const
+{
+    std::vector<const TargetEntry *> own;
+    std::copy_if(
+            engines.begin(), engines.end(), std::back_inserter(own),
+            [this](const TargetEntry *engine) { return this->context.shares.isMine(engine->id); });
+    return own.empty() ? engines : own;
+}
+
 void StreamExchange::attempt()
 {
-    const std::vector<const TargetEntry *> engines = this->untried();
+    const std::vector<const TargetEntry *> engines = this->ownShare(this->untried());
     this->need.mostDelay = this->usableDelay();
     const TargetEntry *chosen =
             this->context.engines.choose(engines, this->traits, this->need, this->tried);
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -123,6 +123,7 @@
     void beginLeg(const StreamLeg &leg);
     void waitForRoom();
     Duration usableDelay() const;
+    std::vector<const TargetEntry *> ownShare(std::vector<const TargetEntry *> engines) const;
 
     EngineTraits traits;
     GenerationNeed need;
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -216,7 +216,7 @@
     if (!this->current || this->move)
         return;
     const std::vector<const TargetEntry *> engines =
-            this->context.directory.usable(this->serviceName);
+            this->ownShare(this->context.directory.usable(this->serviceName));
     const TargetEntry *chosen = this->context.engines.chooseRefuge(
             engines, this->traits, this->need, this->current->target, this->plan.unfit());
     if (chosen != nullptr)
