--- a/include/jaytrack/Proxy/readduty.h
+++ b/include/jaytrack/Proxy/readduty.h
@@ -21,8 +21,8 @@
 
 struct ReadDutyOptions
 {
-    // Readers in the whole fleet. After a change each pauses before it asks again; five rarely
-    // pause all at once, and any four may be cut off.
+    // Readers in the whole fleet. After a change each pauses before it asks again; three rarely
+    // pause all at once, and any two may be cut off.
     std::size_t readers = 3;
 
     // An instance whose knowledge was not confirmed for this long may read for itself. A reader
