--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -107,6 +107,9 @@
 
     std::chrono::milliseconds timeLeft() const;
 
+    // By which the request is recognised when its caller sends it again.
+    const std::string &digest() const;
+
     // The request as it goes to a target. Orders about deadline, identity and customer are filled
     // in.
     TargetRequest makeRequest(const TargetEntry &target, ForwardOrders orders,
@@ -141,6 +144,7 @@
     void onLimit();
 
     asio::steady_timer limitTimer;
+    mutable std::string knownDigest; // empty until it is asked for
     bool finished = false;
 };
 
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Proxy/exchange.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Quarantine/requestdigest.h"
 #include "jaytrack/Support/metrics.h"
 
 #include <algorithm>
@@ -128,6 +129,18 @@
                                                                  this->context.clock.now());
 }
 
+const std::string &Exchange::digest() const
+{
+    if (this->knownDigest.empty()) {
+        const MessageHead &head = this->request().head;
+        const KeyHolder *holder = this->admitted.admission.holder;
+        this->knownDigest = requestDigest({head.method, head.header("Host"), head.target,
+                                           holder != nullptr ? holder->customer : std::string_view(),
+                                           this->request().body});
+    }
+    return this->knownDigest;
+}
+
 TargetRequest Exchange::makeRequest(const TargetEntry &target, ForwardOrders orders,
                                     const asio::ip::tcp::endpoint &endpoint) const
 {
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -79,6 +79,7 @@
         this->logDecision("request_sent",
                           {{"target", entry.id},
                            {"address", entry.address},
+                           {"digest", this->digest()},
                            {"try", this->sends + 1},
                            {"left_ms", static_cast<std::int64_t>(this->timeLeft().count())}});
         TargetRequest made = this->makeRequest(entry, {}, endpoint.value());
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -121,6 +121,7 @@
 void StreamExchange::currentLost(std::string_view reason)
 {
     this->logDecision("engine_lost", {{"target", this->current->target.id},
+                                      {"digest", this->digest()},
                                       {"reason", reason},
                                       {"events", static_cast<std::int64_t>(this->lastEvent)}});
     const bool sent = this->current->call->bytesSent();
