--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -134,9 +134,9 @@
     if (this->knownDigest.empty()) {
         const MessageHead &head = this->request().head;
         const KeyHolder *holder = this->admitted.admission.holder;
-        this->knownDigest = requestDigest({head.method, head.header("Host"), head.target,
-                                           holder != nullptr ? holder->customer : std::string_view(),
-                                           this->request().body});
+        this->knownDigest = requestDigest(
+                {head.method, head.header("Host"), head.target,
+                 holder != nullptr ? holder->customer : std::string_view(), this->request().body});
     }
     return this->knownDigest;
 }
--- /dev/null
+++ b/unittests/Platform/crashingrequesttest.cpp
@@ -0,0 +1,146 @@
+// Requests under which targets end. A target that begins to run the deadly one ends with all that
+// it works on; others must neither be given the same request again nor be kept from other requests.
+#include "entryfixture.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <algorithm>
+#include <atomic>
+
+using namespace jaytrack;
+using namespace jaytrack::testing;
+
+namespace {
+
+const std::string deadlyBody = "deadly";
+const std::string ownHeaders = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
+
+// Ends soon after it began the deadly request; all others it answers at the end of that time.
+Answer fragileAnswer(const SeenRequest &request)
+{
+    static constexpr std::chrono::milliseconds workTime{60};
+    if (request.head.path() == "/jaytrack/report")
+        return wholeAnswer(200, "", "{}");
+    if (request.body == deadlyBody)
+        return {{AnswerStep::Kind::Die, "", workTime / 2}};
+    Answer answer = {{AnswerStep::Kind::Send, streamHead(ownHeaders), workTime}};
+    answer.push_back(chunkStep(eventText(1, "token1")));
+    answer.push_back({AnswerStep::Kind::Send, "0\r\n\r\n", {}});
+    return answer;
+}
+
+// Targets of one service that the store lists from the start.
+class FragileTargets
+{
+public:
+    explicit FragileTargets(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            this->targets.push_back(std::make_unique<ScriptedServer>(fragileAnswer));
+    }
+
+    void listAt(EntryFixture &entry) const
+    {
+        for (std::size_t i = 0; i < this->targets.size(); ++i)
+            entry.store.put("servers/t" + std::to_string(i),
+                            targetJson(this->targets[i]->address()));
+    }
+
+    std::size_t dead() const
+    {
+        return static_cast<std::size_t>(
+                std::count_if(this->targets.begin(), this->targets.end(),
+                              [](const auto &target) { return target->isDead(); }));
+    }
+
+    // How often the deadly request reached a target.
+    std::size_t deadlySends() const
+    {
+        std::size_t count = 0;
+        for (const auto &target : this->targets) {
+            for (const SeenRequest &request : target->seen())
+                count += request.body == deadlyBody ? 1 : 0;
+        }
+        return count;
+    }
+
+private:
+    std::vector<std::unique_ptr<ScriptedServer>> targets;
+};
+
+std::string send(const EntryFixture &entry, const std::string &body)
+{
+    RequestSpec spec;
+    spec.body = body;
+    return callOnce(entry.port(), requestText(spec)).bytes;
+}
+
+bool isServed(const EntryFixture &entry, const std::string &body)
+{
+    return send(entry, body).starts_with("HTTP/1.1 200");
+}
+
+bool servesSoon(const EntryFixture &entry)
+{
+    for (int i = 0; i < 100; ++i) {
+        if (isServed(entry, "harmless"))
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    }
+    return false;
+}
+
+RouteSpec routeOf(const std::string &type, bool resumable)
+{
+    RouteSpec route;
+    route.type = type;
+    route.resumable = resumable;
+    route.attempts = 2;
+    return route;
+}
+
+struct KindCase
+{
+    char name[24];
+    char type[8];
+    bool resumable;
+};
+
+// As many targets may end as it takes to know the request.
+constexpr std::size_t deathsToKnow = 3;
+
+// What is under way while the third death becomes known may reach one target more.
+constexpr std::size_t mostDeaths = deathsToKnow + 1;
+
+} // namespace
+
+// Targets end one after another, each soon after it was given the same request; the caller, or the
+// instance itself, sends that request again each time, with another attempt's id. Nobody kept in
+// mind what a request had done, only what a target had, so every target was ended in turn: the logs
+// show one digest at all 73 ends, and with no event at any of them.
+ParameterizedTestParameters(crashingRequest, endsNoMoreTargetsOnceItIsKnown)
+{
+    static KindCase cases[] = {{"stream", "stream", false},
+                               {"resumable stream", "stream", true},
+                               {"once", "unsafe", false},
+                               {"idempotent", "safe", false}};
+    return cr_make_param_array(KindCase, cases, std::size(cases));
+}
+
+ParameterizedTest(KindCase *param, crashingRequest, endsNoMoreTargetsOnceItIsKnown)
+{
+    const FragileTargets targets(8);
+    EntryFixture entry({routeOf(param->type, param->resumable)});
+    targets.listAt(entry);
+    cr_assert(servesSoon(entry));
+    std::string last;
+    for (int i = 0; i < 8; ++i) {
+        last = send(entry, deadlyBody);
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    }
+    cr_assert_leq(targets.dead(), mostDeaths, "%s: %zu targets ended", param->name, targets.dead());
+    cr_assert(last.starts_with("HTTP/1.1 503"), "%s: %s", param->name, last.c_str());
+    cr_assert(last.find("Retry-After: ") != std::string::npos, "%s: %s", param->name, last.c_str());
+    cr_assert(isServed(entry, "harmless"), "%s: others are served on", param->name);
+}
--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -42,17 +42,20 @@
 }
 
 EntryFixture::EntryFixture(const std::vector<RouteSpec> &routes, FixtureOptions given)
-    : options(given)
+    : options(std::move(given))
 {
     this->publish(configurationJson(1, routes));
     EntrySettings settings;
-    settings.name = "under-test";
+    settings.name = this->options.name;
     settings.dataCentre = "dc";
     settings.callers = "127.0.0.1:0";
     settings.readiness = "127.0.0.1:0";
     settings.store = this->store.address();
-    settings.drainGrace = given.drainGrace;
-    const Clock &time = given.clock != nullptr ? *given.clock : this->clock;
+    settings.drainGrace = this->options.drainGrace;
+    settings.peers = this->options.peers;
+    settings.peerSeeds = this->options.peerSeeds;
+    settings.peerKeys = {"fleet-of-the-tests"};
+    const Clock &time = this->options.clock != nullptr ? *this->options.clock : this->clock;
     this->instance = std::make_unique<EntryInstance>(settings, time, *this->dialect);
     cr_assert(this->instance->open().has_value());
     this->callerPort = this->instance->callerPort();
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -39,6 +39,9 @@
     const Clock *clock = nullptr; // null for the system's
     bool takesSignals = false;    // whether SIGTERM of this process stops the instance
     std::chrono::seconds drainGrace{8};
+    std::string name = "under-test";
+    std::string peers = {}; // IP:PORT for datagrams between instances; empty for none
+    std::vector<std::string> peerSeeds = {};
 };
 
 class EntryFixture
--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -86,6 +86,15 @@
                 });
     }
 
+    void end()
+    {
+        asio::error_code ignored;
+        this->answering = false;
+        this->timer.cancel();
+        this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        this->socket.close(ignored);
+    }
+
 private:
     void onHead(MessageHead head) override { this->request.head = std::move(head); }
     void onBody(std::string_view bytes) override { this->request.body += bytes; }
@@ -134,10 +143,9 @@
             this->socket.close(ignored);
             return;
         case AnswerStep::Kind::Close:
-            this->answering = false;
-            this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-            this->socket.close(ignored);
-            return;
+            return this->end();
+        case AnswerStep::Kind::Die:
+            return this->owner.die();
         case AnswerStep::Kind::Send:
             asio::async_write(this->socket, asio::buffer(step.bytes),
                               [self = this->shared_from_this(),
@@ -162,6 +170,7 @@
     : work(asio::make_work_guard(this->context))
     , acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
     , script(std::move(answers))
+    , port(this->acceptor.local_endpoint().port())
 {
     this->accept();
     this->thread = std::thread([this] { this->context.run(); });
@@ -179,14 +188,36 @@
             [this](const asio::error_code &failure, asio::ip::tcp::socket accepted) {
                 if (failure)
                     return;
-                std::make_shared<Connection>(std::move(accepted), *this)->read();
+                const auto taken = std::make_shared<Connection>(std::move(accepted), *this);
+                this->connections.push_back(taken);
+                taken->read();
                 this->accept();
             });
 }
 
+void ScriptedServer::die()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->dead = true;
+    }
+    asio::error_code ignored;
+    this->acceptor.close(ignored);
+    for (const std::weak_ptr<Connection> &weak : this->connections) {
+        if (const auto open = weak.lock())
+            open->end();
+    }
+}
+
+bool ScriptedServer::isDead() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->dead;
+}
+
 std::string ScriptedServer::address() const
 {
-    return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(this->port);
 }
 
 std::vector<SeenRequest> ScriptedServer::seen() const
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -29,11 +29,11 @@
 struct AnswerStep;
 using Answer = std::vector<AnswerStep>;
 
-// One step of an answer after a pause: bytes, the end of the connection, or a look at what to do
-// then.
+// One step of an answer after a pause: bytes, the end of the connection, the end of the whole
+// server with all its connections, or a look at what to do then.
 struct AnswerStep
 {
-    enum class Kind { Send, Close, Reset, Hang, LookAgain };
+    enum class Kind { Send, Close, Reset, Hang, Die, LookAgain };
 
     Kind kind = Kind::Send;
     std::string bytes;
@@ -61,6 +61,7 @@
     std::string address() const;
     std::vector<SeenRequest> seen() const;
     std::size_t closedByPeer() const; // connections that the other side ended while being answered
+    bool isDead() const;
 
 private:
     class Connection;
@@ -71,10 +72,14 @@
     Script script;
     mutable std::mutex mutex;
     std::vector<SeenRequest> requests;
+    std::vector<std::weak_ptr<Connection>> connections;
     std::size_t closed = 0;
+    std::uint16_t port;
+    bool dead = false;
     std::thread thread;
 
     void accept();
+    void die();
 };
 
 // The platform's store: items that the test sets, and its bad hours.
