--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -43,10 +43,39 @@
   5: bool alive
 }
 
-// What the placement policies of two instances tell each other.
+// A request that stood unanswered at a target for so long until that ended.
+struct SuspectNotice {
+  1: string digest
+  2: i64 heldMicros
+}
+
+// A target ended so long ago, while it had not answered these requests at all.
+struct TargetEndNotice {
+  1: string target
+  2: list<SuspectNotice> suspects
+  3: i64 agoMicros
+}
+
+// No target may be given the request any more, for so long.
+struct BarredNotice {
+  1: string digest
+  2: i64 leftMicros
+  3: i32 ends
+}
+
+// What instances tell each other of requests that end targets.
+struct QuarantineNotices {
+  1: list<TargetEndNotice> ends
+  2: list<BarredNotice> barred
+  // Digests of suspected requests that a target ran without harm.
+  3: list<string> ranWell
+}
+
+// What two instances tell each other beside who they are.
 struct PolicyMessage {
   1: list<GrantBody> grants
   2: list<EngineSummary> summaries
+  3: QuarantineNotices quarantine
 }
 
 // A generation that an entry instance has just given to an engine.
@@ -122,6 +151,9 @@
   8: bool relay
   // Whose notices these are, if another instance passes them on.
   9: string origin
+  10: QuarantineNotices quarantine
+  // Targets that told the sender in an answer that they leave.
+  11: list<string> leavingTargets
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Net/targetcall.h
+++ b/include/jaytrack/Net/targetcall.h
@@ -33,6 +33,7 @@
     bool whole = false;     // the answer arrived complete
     bool bytesSent = false; // some byte of the request may have reached the target
     std::string_view reason;
+    bool lostConnection = false; // the connection ended before the answer did
 };
 
 // Receives one answer.
@@ -68,7 +69,7 @@
     void send();
     void read();
     void onRead(const asio::error_code &failure, std::size_t bytes);
-    void end(bool whole, std::string_view reason);
+    void end(bool whole, std::string_view reason, bool lostConnection = false);
     void onHead(MessageHead head) override;
     void onBody(std::string_view bytes) override;
     void onMessageEnd() override;
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -6,6 +6,7 @@
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Policy/targethealth.h"
 #include "jaytrack/Proxy/entrytuning.h"
+#include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Routing/admission.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/engineshares.h"
@@ -50,6 +51,7 @@
     RetryBudget &retries;
     std::mt19937_64 &random;
     PlacementNotices &notices;
+    CrashWatch &crashes;
     const StreamOptions &streams;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until its answer is given
@@ -64,6 +66,9 @@
     std::shared_ptr<const RoutingTable> table; // the version that the request is decided under
 };
 
+// By which a request is recognised when its caller sends it again.
+std::string digestOf(const AdmittedRequest &admitted);
+
 class Exchange : public CallerListener, public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -81,6 +86,10 @@
     // A target started again; what it worked on is lost.
     virtual void onTargetRestarted(const TargetEntry &ended) = 0;
 
+    // No target may be given the request any more. An answer that has begun goes on: its target
+    // stands it.
+    void onRequestBarred(std::string_view barredDigest);
+
     // The instance ends now, so the caller gets the final answer that can be given.
     void onInstanceEnding();
 
@@ -102,6 +111,14 @@
     const RequestFacts &facts() const { return this->admitted.facts; }
     const ServiceRule *service() const;
 
+    // The connection on which the request went to a target at that moment was lost. Whether the
+    // target ended is found out elsewhere; if it did, a request to which it had answered nothing
+    // may be what ended it.
+    void noteLostUnanswered(const TargetEntry &target, TimePoint sentAt) const;
+
+    // A target stands the request.
+    void noteRanWell() const;
+
     // Usable targets of the request's service that were not tried yet.
     std::vector<const TargetEntry *> untried() const;
 
@@ -140,6 +157,7 @@
     TimePoint limit;             // the final answer is due by then
 
 private:
+    std::chrono::milliseconds delayToReturn(ResultCode code) const;
     void onCallerGone() override;
     void onLimit();
 
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -11,6 +11,7 @@
 #include "jaytrack/Cluster/membership.h"
 #include "jaytrack/Cluster/noticespread.h"
 #include "jaytrack/Proxy/datagrampacer.h"
+#include "jaytrack/Quarantine/quarantinenews.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/engineshares.h"
 #include "jaytrack/Support/keyring.h"
@@ -71,6 +72,7 @@
     virtual void onFreshnessAsked(std::string_view peer, std::int64_t askedAt) = 0;
     virtual void onFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
                              std::uint64_t revision) = 0;
+    virtual void onQuarantineNews(const QuarantineNews &news) = 0;
     virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
 };
 
@@ -96,6 +98,10 @@
     // Tells them what an engine reported.
     void announce(std::string_view engine, const EngineLoad &load);
 
+    // Tells all others, or some drawn by chance, of requests that end targets.
+    void tellAll(const QuarantineNews &news);
+    void tellSome(const QuarantineNews &news);
+
     // Passes on what this instance read of the store, to readers too: each pauses after a change.
     void shareStore(const SharedChanges &changes);
     void askFreshness(std::string_view peer, std::int64_t askedAt);
--- /dev/null
+++ b/include/jaytrack/Quarantine/crashwatch.h
@@ -0,0 +1,96 @@
+// Finds out which lost connections were ends of targets, keeps the quarantine with the other
+// instances, and says what may not be sent.
+#ifndef JAYTRACK_QUARANTINE_CRASHWATCH_H
+#define JAYTRACK_QUARANTINE_CRASHWATCH_H
+
+#include "jaytrack/Quarantine/quarantinenews.h"
+
+#include <asio/io_context.hpp>
+
+#include <memory>
+#include <mutex>
+
+namespace jaytrack {
+
+class Metrics;
+
+// Carries the news to other instances. They may be lost, which the watch allows for.
+class QuarantineSpread
+{
+public:
+    virtual ~QuarantineSpread() = default;
+    virtual void tellAll(const QuarantineNews &news) = 0;
+
+    // Tells some instances, others each time.
+    virtual void tellSome(const QuarantineNews &news) = 0;
+};
+
+class CrashWatchListener
+{
+public:
+    virtual ~CrashWatchListener() = default;
+
+    // No target may be given the request any more; one that waits at a target has to be taken back.
+    virtual void onRequestBarred(std::string_view digest) = 0;
+};
+
+// lostUnanswered(), ranWell() and the questions may be called from any thread, the rest from the
+// loop's, from which spread and listener are called too.
+class CrashWatch
+{
+public:
+    CrashWatch(asio::io_context &loop, const Clock &time, Metrics &counters,
+               QuarantineSpread &others, CrashWatchListener &told);
+    ~CrashWatch();
+    CrashWatch(const CrashWatch &) = delete;
+    CrashWatch &operator=(const CrashWatch &) = delete;
+
+    // The connection on which the request had gone to the target so long ago was lost before
+    // anything came back. The id names the target's life, the address is IP:PORT.
+    void lostUnanswered(std::string_view target, std::string_view address, Suspect suspect);
+
+    // A target has answered the request, or has worked on it for long enough.
+    void ranWell(std::string_view digest);
+
+    void onNews(const QuarantineNews &news);
+
+    // To be called some times a second.
+    void tick();
+
+    // Whether nothing is suspected or barred, so that no request need be looked at.
+    bool isIdle() const;
+    bool isBarred(std::string_view digest) const;
+    Duration barredFor(std::string_view digest) const;
+
+private:
+    struct Loss // of connections to one target, until it is known what became of it
+    {
+        std::string address;
+        TimePoint firstAt;
+        std::map<std::string, Suspect, std::less<>> suspects; // by digest
+    };
+
+    void addLoss(const std::string &target, const std::string &address, const Suspect &suspect);
+    void check(const std::string &target);
+    void conclude(const std::string &target, bool ended);
+    void tellEnd(const TargetEnd &end);
+    void announce(const std::vector<BarredRequest> &fresh, std::string_view source);
+    void repeatEnds();
+    void tellBarred();
+
+    asio::io_context &context;
+    const Clock &clock;
+    Metrics &metrics;
+    QuarantineSpread &spread;
+    CrashWatchListener &listener;
+    mutable std::mutex mutex; // guards the quarantine
+    CrashQuarantine quarantine;
+    std::map<std::string, Loss, std::less<>> losses;
+    std::deque<std::pair<TimePoint, TargetEnd>> toRepeat; // with the moment of the first telling
+    TimePoint barredToldAt;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); // checks may outlive the watch
+};
+
+} // namespace jaytrack
+
+#endif
--- /dev/null
+++ b/include/jaytrack/Quarantine/quarantinenews.h
@@ -0,0 +1,32 @@
+// What instances tell each other of requests that end targets, and its form on the wire.
+#ifndef JAYTRACK_QUARANTINE_QUARANTINENEWS_H
+#define JAYTRACK_QUARANTINE_QUARANTINENEWS_H
+
+#include "jaytrack/Quarantine/crashquarantine.h"
+
+namespace jaytrack {
+
+namespace wire {
+class QuarantineNotices;
+} // namespace wire
+
+struct QuarantineNews
+{
+    std::vector<TargetEnd> ends;
+    std::vector<BarredRequest> barred;
+    std::vector<std::string> ranWell; // digests
+
+    bool isEmpty() const
+    {
+        return this->ends.empty() && this->barred.empty() && this->ranWell.empty();
+    }
+};
+
+wire::QuarantineNotices toNotices(const QuarantineNews &news);
+
+// Times that no instance can mean are cut to the bounds.
+QuarantineNews toNews(const wire::QuarantineNotices &notices);
+
+} // namespace jaytrack
+
+#endif
--- a/include/jaytrack/Support/result.h
+++ b/include/jaytrack/Support/result.h
@@ -41,6 +41,7 @@
     TargetFull = 210,
     HeadTooLarge = 211,
     RequestTooSlow = 212,
+    RequestBarred = 213,
     TargetLost = 301,
     TargetTimeout = 302,
     TargetRefused = 303,
--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -106,7 +106,7 @@
         const bool orderly = failure == asio::error::eof;
         if (orderly && this->parser.inMessage() && this->parser.finish())
             return this->end(true, "complete");
-        return this->end(false, orderly ? "closed_early" : "reset");
+        return this->end(false, orderly ? "closed_early" : "reset", true);
     }
     std::string_view rest(this->incoming.data(), bytes);
     while (!rest.empty() && !this->over) {
@@ -147,13 +147,13 @@
     this->answered = !this->interim;
 }
 
-void TargetCall::end(bool whole, std::string_view reason)
+void TargetCall::end(bool whole, std::string_view reason, bool lostConnection)
 {
     if (this->over)
         return;
     this->cancel();
     if (const auto to = this->listener.lock())
-        to->onCallEnd({whole, this->sent, reason});
+        to->onCallEnd({whole, this->sent, reason, lostConnection});
 }
 
 void TargetCall::cancel()
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -70,7 +70,9 @@
                                     public TargetDirectoryListener,
                                     public PeerLinkListener,
                                     public LoadSharing,
-                                    public PlacementNotices
+                                    public PlacementNotices,
+                                    public QuarantineSpread,
+                                    public CrashWatchListener
 {
     // Answers the balancer's question and the request for metrics; what callers may not reach.
     struct Desk final : public CallerHandler
@@ -119,9 +121,20 @@
         , sharing(time, given.name, given.tuning.sharing, this->random, this->configuration,
                   this->targets)
         , prober(this->loop, time, words, this->engines, *this, this->random, given.tuning.probeGap)
-        , context{this->loop,      time,         words,         this->metrics,
-                  this->directory, this->health, this->engines, this->shares,
-                  this->retries,   this->random, *this,         this->settings.tuning.streams,
+        , crashes(this->loop, time, this->metrics, *this, *this)
+        , context{this->loop,
+                  time,
+                  words,
+                  this->metrics,
+                  this->directory,
+                  this->health,
+                  this->engines,
+                  this->shares,
+                  this->retries,
+                  this->random,
+                  *this,
+                  this->crashes,
+                  this->settings.tuning.streams,
                   this->open}
         , callers(this->loop, time, *this)
         , readiness(this->loop, time, this->desk)
@@ -211,6 +224,8 @@
         inputs.path = head.path();
         inputs.facts = &admitted.facts;
         admitted.admission = admit(inputs, this->bounds);
+        if (admitted.admission.code == ResultCode::Ok && this->isBarred(admitted))
+            admitted.admission.code = ResultCode::RequestBarred;
         if (admitted.admission.code != ResultCode::Ok)
             return this->refuse(*connection, admitted, inputs);
         const bool stream = isStream(admitted.admission.route->kind);
@@ -221,6 +236,21 @@
         exchange->start();
     }
 
+    bool isBarred(const AdmittedRequest &request) const
+    {
+        return !this->crashes.isIdle() && this->crashes.isBarred(digestOf(request));
+    }
+
+    std::chrono::milliseconds delayToReturn(const AdmittedRequest &refused)
+    {
+        const ResultCode code = refused.admission.code;
+        if (code == ResultCode::RequestBarred)
+            return std::chrono::duration_cast<std::chrono::milliseconds>(
+                    this->crashes.barredFor(digestOf(refused)));
+        return comeBackDelay(code, refused.admission.route,
+                             this->settings.tuning.streams.partOfObjectiveToReturn, this->random);
+    }
+
     void refuse(CallerConnection &connection, const AdmittedRequest &admitted,
                 const AdmissionInputs &inputs)
     {
@@ -229,9 +259,7 @@
         std::vector<HttpHeader> headers;
         headers.push_back({"Jaytrack-Outcome", std::string(outcomeName(info.outcome))});
         if (info.httpStatus == unavailableStatus) {
-            headers.push_back(this->dialect.comeBackIn(comeBackDelay(
-                    code, admitted.admission.route,
-                    this->settings.tuning.streams.partOfObjectiveToReturn, this->random)));
+            headers.push_back(this->dialect.comeBackIn(this->delayToReturn(admitted)));
         }
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(inputs.age);
         logEvent(Severity::Info, "request_refused",
@@ -369,6 +397,8 @@
         this->sharing.onFreshness(peer, askedAt, age, revision);
     }
 
+    void onQuarantineNews(const QuarantineNews &news) override { this->crashes.onNews(news); }
+
     void onPeersChanged(const std::vector<std::string> &names) override
     {
         this->sharing.onPeersChanged(names);
@@ -395,6 +425,29 @@
             this->peers->announceFailed(engine);
     }
 
+    // QuarantineSpread
+
+    void tellAll(const QuarantineNews &news) override
+    {
+        if (this->peers)
+            this->peers->tellAll(news);
+    }
+
+    void tellSome(const QuarantineNews &news) override
+    {
+        if (this->peers)
+            this->peers->tellSome(news);
+    }
+
+    // CrashWatchListener
+
+    void onRequestBarred(std::string_view digest) override
+    {
+        const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
+        for (const auto &exchange : served)
+            exchange->onRequestBarred(digest);
+    }
+
     // LoadSharing
 
     bool isMineToAsk(std::string_view engine) const override
@@ -526,6 +579,7 @@
         if (!this->settingsFile.empty() && ++this->ticks % ticksPerFileCheck == 0)
             this->checkFile();
         this->sharing.tick();
+        this->crashes.tick();
         this->logReadiness();
         if (this->isStopping)
             this->goOnStopping();
@@ -579,6 +633,7 @@
     StoreFeeds feeds;
     StoreSharing sharing;
     LoadProber prober;
+    CrashWatch crashes;
     std::set<std::shared_ptr<Exchange>> open;
     ExchangeContext context;
     AdmissionBounds bounds;
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -80,6 +80,15 @@
     return std::chrono::milliseconds(delay(random));
 }
 
+std::string digestOf(const AdmittedRequest &admitted)
+{
+    const MessageHead &head = admitted.request.head;
+    const KeyHolder *holder = admitted.admission.holder;
+    const std::string_view customer = holder != nullptr ? std::string_view(holder->customer) : "";
+    return requestDigest(
+            {head.method, head.header("Host"), head.target, customer, admitted.request.body});
+}
+
 Exchange::Exchange(ExchangeContext &shared, std::shared_ptr<CallerConnection> from,
                    AdmittedRequest given)
     : context(shared)
@@ -131,13 +140,8 @@
 
 const std::string &Exchange::digest() const
 {
-    if (this->knownDigest.empty()) {
-        const MessageHead &head = this->request().head;
-        const KeyHolder *holder = this->admitted.admission.holder;
-        this->knownDigest = requestDigest(
-                {head.method, head.header("Host"), head.target,
-                 holder != nullptr ? holder->customer : std::string_view(), this->request().body});
-    }
+    if (this->knownDigest.empty())
+        this->knownDigest = digestOf(this->admitted);
     return this->knownDigest;
 }
 
@@ -158,6 +162,39 @@
     return made;
 }
 
+std::chrono::milliseconds Exchange::delayToReturn(ResultCode code) const
+{
+    if (code == ResultCode::RequestBarred)
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                this->context.crashes.barredFor(this->digest()));
+    return comeBackDelay(code, this->admitted.admission.route,
+                         this->context.streams.partOfObjectiveToReturn, this->context.random);
+}
+
+void Exchange::noteLostUnanswered(const TargetEntry &target, TimePoint sentAt) const
+{
+    // A target that leaves closes what waits there when it ends, as planned.
+    const TargetEntry *listed = this->context.directory.find(target.id);
+    if (listed != nullptr && listed->leaving)
+        return;
+    this->context.crashes.lostUnanswered(target.id, target.address,
+                                         {this->digest(), this->context.clock.now() - sentAt});
+}
+
+void Exchange::noteRanWell() const
+{
+    if (!this->context.crashes.isIdle())
+        this->context.crashes.ranWell(this->digest());
+}
+
+void Exchange::onRequestBarred(std::string_view barredDigest)
+{
+    if (this->finished || this->hasBegunAnswer() || this->digest() != barredDigest)
+        return;
+    this->answerOwn(this->mayHaveRun() ? ResultCode::TargetLost : ResultCode::RequestBarred,
+                    "barred");
+}
+
 void Exchange::answerOwn(ResultCode code, std::string_view detail)
 {
     if (this->finished)
@@ -170,9 +207,7 @@
     std::vector<HttpHeader> headers;
     headers.push_back({"Jaytrack-Outcome", std::string(outcomeName(info.outcome))});
     if (info.outcome == Outcome::NotRun) {
-        headers.push_back(this->context.dialect.comeBackIn(comeBackDelay(
-                code, this->admitted.admission.route, this->context.streams.partOfObjectiveToReturn,
-                this->context.random)));
+        headers.push_back(this->context.dialect.comeBackIn(this->delayToReturn(code)));
     }
     this->caller->respond(info.httpStatus, headers, {});
     this->finish(code, info.httpStatus, detail);
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -9,6 +9,7 @@
 #include "peer_types.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace jaytrack {
 
@@ -22,6 +23,10 @@
 // Large datagrams that may wait, for two changes told to 340 instances.
 constexpr std::size_t mostPaced = 512;
 
+// Instances that are told of what is barred each time. One that starts misses the telling of 340
+// others three times in a row with a chance of one in ten thousand.
+constexpr std::size_t drawnPeers = 3;
+
 // Values from this size on are compressed where that makes them smaller. A configuration of fifty
 // routes has 12 KB and fits into one datagram then; passed on as it is, or not at all, each of 87
 // instances would read it from the store, 85 calls for every change.
@@ -314,6 +319,23 @@
     this->tellSharers(engine, message);
 }
 
+void PeerLink::tellAll(const QuarantineNews &news)
+{
+    wire::EntryNotices message;
+    message.quarantine = toNotices(news);
+    this->tellPeers(message);
+}
+
+void PeerLink::tellSome(const QuarantineNews &news)
+{
+    wire::EntryNotices message;
+    message.quarantine = toNotices(news);
+    std::vector<std::string> drawn;
+    std::sample(this->peers.begin(), this->peers.end(), std::back_inserter(drawn), drawnPeers,
+                this->random);
+    this->membership.sendPolicy(drawn, encodeMessage(message));
+}
+
 // One message for all where all hear of every engine, else one for each engine.
 void PeerLink::sendReleases()
 {
@@ -432,6 +454,9 @@
         load.firstWaitingTokens = toTokens(notice.firstWaitingTokens);
         this->listener.onLoadFromPeer(notice.engine, load);
     }
+    const QuarantineNews news = toNews(message->quarantine);
+    if (!news.isEmpty())
+        this->listener.onQuarantineNews(news);
     for (const wire::StoreNotice &notice : message->stores)
         this->listener.onStoreFromPeer(toChanges(notice));
     for (const wire::FreshnessAsk &ask : message->asks)
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -140,9 +140,13 @@
             return this->retryOr(ResultCode::TargetFull, "refused_by_target");
         if (!sent)
             return this->retryOr(ResultCode::TargetUnreachable, end.reason);
+        if (good && !refused)
+            this->noteRanWell();
         if (good && this->answer.status < serverErrorStatus)
             return this->answerWhole(this->answer, this->body, this->target.id);
         this->uncertain = true;
+        if (end.lostConnection && this->answer.status == 0)
+            this->noteLostUnanswered(this->target, this->sentAt);
         if (good)
             return this->retryOrPassOn();
         this->retryOr(ours ? ResultCode::TargetLost : ResultCode::TargetGarbled,
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -14,6 +14,9 @@
 // Longest answer that is no stream, such as an engine's own failure.
 constexpr std::size_t mostPlainBytes = 256U << 10U;
 
+// An engine that has gone on for this long after the first event of a run stands it.
+constexpr std::chrono::milliseconds provenAfter{1000};
+
 // How often a generation that waits looks for room.
 constexpr std::chrono::milliseconds roomGap{30};
 
@@ -154,6 +157,7 @@
     // A copy was accounted for when it was ordered.
     if (!orders.resume)
         this->room.takeForPrompt(target.id, this->need);
+    leg->openedAt = this->context.clock.now();
     leg->call = TargetCall::start(this->context.loop,
                                   this->makeRequest(target, orders, endpoint.value()), leg);
     return leg;
@@ -305,6 +309,7 @@
     this->notePause();
     this->beginAnswer(leg.head);
     this->caller->write(event.text);
+    this->noteProgress(leg);
     this->context.engines.firstToken(leg.target.id, this->facts().attemptId);
     this->context.engines.answered(leg.target.id);
     if (this->caller->pendingBytes() > mostPendingBytes)
@@ -314,6 +319,18 @@
         this->act();
 }
 
+// The end of an engine is not laid at the door of a run that it has worked on for a while.
+void StreamExchange::noteProgress(StreamLeg &leg) const
+{
+    const TimePoint now = this->context.clock.now();
+    if (!leg.firstEventAt)
+        leg.firstEventAt = now;
+    if (leg.proven || now - *leg.firstEventAt < provenAfter)
+        return;
+    leg.proven = true;
+    this->noteRanWell();
+}
+
 void StreamExchange::notePause()
 {
     const TimePoint now = this->context.clock.now();
@@ -351,6 +368,8 @@
     this->sends += end.bytesSent ? 1 : 0;
     this->runs += end.bytesSent && !this->vouchedNotRun(leg, end) ? 1 : 0;
     this->noteOutcome(leg, end);
+    if (end.lostConnection && end.bytesSent && !leg.proven)
+        this->noteLostUnanswered(leg.target, leg.openedAt);
     if (this->next.get() == &leg)
         return this->nextLost(end.whole ? "refused_by_engine" : end.reason);
     if (this->current.get() != &leg)
@@ -359,6 +378,7 @@
         return this->currentLost(end.whole ? "event_cut" : end.reason);
     if (!leg.streaming)
         return this->passOnAnswer(leg);
+    this->noteRanWell();
     this->beginAnswer(leg.head);
     this->caller->finish();
     this->finish(ResultCode::Ok, okStatus, leg.target.id);
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -38,6 +38,9 @@
     std::string plainBody;
     SseSplitter events;
     bool streaming = false; // the engine answers with events
+    TimePoint openedAt;
+    std::optional<TimePoint> firstEventAt;
+    bool proven = false; // the engine stands the run
 };
 
 // A call by which an engine is told to copy a run to another one.
@@ -119,6 +122,7 @@
     void passOnAnswer(StreamLeg &leg);
     bool vouchedNotRun(const StreamLeg &leg, const TargetCallEnd &end) const;
     void notePause();
+    void noteProgress(StreamLeg &leg) const;
     void beginAnswer(const MessageHead &head);
     void beginLeg(const StreamLeg &leg);
     void waitForRoom();
--- a/lib/Support/result.cpp
+++ b/lib/Support/result.cpp
@@ -57,6 +57,9 @@
                        "the request's line and headers exceed the limit"},
         ResultCodeInfo{RC::RequestTooSlow, Outcome::NotRun, 408, "request_too_slow",
                        "the request did not arrive whole in time"},
+        ResultCodeInfo{RC::RequestBarred, Outcome::NotRun, 503, "request_barred",
+                       "targets ended one after another as they ran the same request; it is kept "
+                       "from all"},
         ResultCodeInfo{RC::TargetLost, Outcome::Unknown, 502, "target_lost",
                        "the target failed after the request had been sent"},
         ResultCodeInfo{RC::TargetTimeout, Outcome::Unknown, 504, "target_timeout",
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -786,6 +786,594 @@
 }
 
 
+SuspectNotice::~SuspectNotice() noexcept {
+}
+
+
+void SuspectNotice::__set_digest(const std::string& val) {
+  this->digest = val;
+}
+
+void SuspectNotice::__set_heldMicros(const int64_t val) {
+  this->heldMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heldMicros);
+          this->__isset.heldMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SuspectNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectNotice");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->heldMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectNotice &a, SuspectNotice &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.heldMicros, b.heldMicros);
+  swap(a.__isset, b.__isset);
+}
+
+SuspectNotice::SuspectNotice(const SuspectNotice& other7) {
+  digest = other7.digest;
+  heldMicros = other7.heldMicros;
+  __isset = other7.__isset;
+}
+SuspectNotice& SuspectNotice::operator=(const SuspectNotice& other8) {
+  digest = other8.digest;
+  heldMicros = other8.heldMicros;
+  __isset = other8.__isset;
+  return *this;
+}
+void SuspectNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectNotice(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "heldMicros=" << to_string(heldMicros);
+  out << ")";
+}
+
+
+TargetEndNotice::~TargetEndNotice() noexcept {
+}
+
+
+void TargetEndNotice::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void TargetEndNotice::__set_suspects(const std::vector<SuspectNotice> & val) {
+  this->suspects = val;
+}
+
+void TargetEndNotice::__set_agoMicros(const int64_t val) {
+  this->agoMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetEndNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetEndNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size9;
+            ::apache::thrift::protocol::TType _etype12;
+            xfer += iprot->readListBegin(_etype12, _size9);
+            this->suspects.resize(_size9);
+            uint32_t _i13;
+            for (_i13 = 0; _i13 < _size9; ++_i13)
+            {
+              xfer += this->suspects[_i13].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agoMicros);
+          this->__isset.agoMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetEndNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetEndNotice");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<SuspectNotice> ::const_iterator _iter14;
+    for (_iter14 = this->suspects.begin(); _iter14 != this->suspects.end(); ++_iter14)
+    {
+      xfer += (*_iter14).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agoMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->agoMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetEndNotice &a, TargetEndNotice &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.suspects, b.suspects);
+  swap(a.agoMicros, b.agoMicros);
+  swap(a.__isset, b.__isset);
+}
+
+TargetEndNotice::TargetEndNotice(const TargetEndNotice& other15) {
+  target = other15.target;
+  suspects = other15.suspects;
+  agoMicros = other15.agoMicros;
+  __isset = other15.__isset;
+}
+TargetEndNotice& TargetEndNotice::operator=(const TargetEndNotice& other16) {
+  target = other16.target;
+  suspects = other16.suspects;
+  agoMicros = other16.agoMicros;
+  __isset = other16.__isset;
+  return *this;
+}
+void TargetEndNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetEndNotice(";
+  out << "target=" << to_string(target);
+  out << ", " << "suspects=" << to_string(suspects);
+  out << ", " << "agoMicros=" << to_string(agoMicros);
+  out << ")";
+}
+
+
+BarredNotice::~BarredNotice() noexcept {
+}
+
+
+void BarredNotice::__set_digest(const std::string& val) {
+  this->digest = val;
+}
+
+void BarredNotice::__set_leftMicros(const int64_t val) {
+  this->leftMicros = val;
+}
+
+void BarredNotice::__set_ends(const int32_t val) {
+  this->ends = val;
+}
+std::ostream& operator<<(std::ostream& out, const BarredNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BarredNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leftMicros);
+          this->__isset.leftMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ends);
+          this->__isset.ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BarredNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BarredNotice");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leftMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->leftMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ends);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BarredNotice &a, BarredNotice &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.leftMicros, b.leftMicros);
+  swap(a.ends, b.ends);
+  swap(a.__isset, b.__isset);
+}
+
+BarredNotice::BarredNotice(const BarredNotice& other17) {
+  digest = other17.digest;
+  leftMicros = other17.leftMicros;
+  ends = other17.ends;
+  __isset = other17.__isset;
+}
+BarredNotice& BarredNotice::operator=(const BarredNotice& other18) {
+  digest = other18.digest;
+  leftMicros = other18.leftMicros;
+  ends = other18.ends;
+  __isset = other18.__isset;
+  return *this;
+}
+void BarredNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BarredNotice(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "leftMicros=" << to_string(leftMicros);
+  out << ", " << "ends=" << to_string(ends);
+  out << ")";
+}
+
+
+QuarantineNotices::~QuarantineNotices() noexcept {
+}
+
+
+void QuarantineNotices::__set_ends(const std::vector<TargetEndNotice> & val) {
+  this->ends = val;
+}
+
+void QuarantineNotices::__set_barred(const std::vector<BarredNotice> & val) {
+  this->barred = val;
+}
+
+void QuarantineNotices::__set_ranWell(const std::vector<std::string> & val) {
+  this->ranWell = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantineNotices& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantineNotices::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ends.clear();
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->ends.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
+            {
+              xfer += this->ends[_i23].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->barred.clear();
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->barred.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
+            {
+              xfer += this->barred[_i28].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.barred = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ranWell.clear();
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->ranWell.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
+            {
+              xfer += iprot->readString(this->ranWell[_i33]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ranWell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantineNotices::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantineNotices");
+
+  xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
+    std::vector<TargetEndNotice> ::const_iterator _iter34;
+    for (_iter34 = this->ends.begin(); _iter34 != this->ends.end(); ++_iter34)
+    {
+      xfer += (*_iter34).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("barred", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->barred.size()));
+    std::vector<BarredNotice> ::const_iterator _iter35;
+    for (_iter35 = this->barred.begin(); _iter35 != this->barred.end(); ++_iter35)
+    {
+      xfer += (*_iter35).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ranWell", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->ranWell.size()));
+    std::vector<std::string> ::const_iterator _iter36;
+    for (_iter36 = this->ranWell.begin(); _iter36 != this->ranWell.end(); ++_iter36)
+    {
+      xfer += oprot->writeString((*_iter36));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantineNotices &a, QuarantineNotices &b) {
+  using ::std::swap;
+  swap(a.ends, b.ends);
+  swap(a.barred, b.barred);
+  swap(a.ranWell, b.ranWell);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantineNotices::QuarantineNotices(const QuarantineNotices& other37) {
+  ends = other37.ends;
+  barred = other37.barred;
+  ranWell = other37.ranWell;
+  __isset = other37.__isset;
+}
+QuarantineNotices& QuarantineNotices::operator=(const QuarantineNotices& other38) {
+  ends = other38.ends;
+  barred = other38.barred;
+  ranWell = other38.ranWell;
+  __isset = other38.__isset;
+  return *this;
+}
+void QuarantineNotices::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantineNotices(";
+  out << "ends=" << to_string(ends);
+  out << ", " << "barred=" << to_string(barred);
+  out << ", " << "ranWell=" << to_string(ranWell);
+  out << ")";
+}
+
+
 PolicyMessage::~PolicyMessage() noexcept {
 }
 
@@ -797,6 +1385,10 @@
 void PolicyMessage::__set_summaries(const std::vector<EngineSummary> & val) {
   this->summaries = val;
 }
+
+void PolicyMessage::__set_quarantine(const QuarantineNotices& val) {
+  this->quarantine = val;
+}
 std::ostream& operator<<(std::ostream& out, const PolicyMessage& obj)
 {
   obj.printTo(out);
@@ -829,14 +1421,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size7;
-            ::apache::thrift::protocol::TType _etype10;
-            xfer += iprot->readListBegin(_etype10, _size7);
-            this->grants.resize(_size7);
-            uint32_t _i11;
-            for (_i11 = 0; _i11 < _size7; ++_i11)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->grants.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->grants[_i11].read(iprot);
+              xfer += this->grants[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -849,14 +1441,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->summaries.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->summaries.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->summaries[_i16].read(iprot);
+              xfer += this->summaries[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -865,6 +1457,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quarantine.read(iprot);
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -885,10 +1485,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<GrantBody> ::const_iterator _iter17;
-    for (_iter17 = this->grants.begin(); _iter17 != this->grants.end(); ++_iter17)
+    std::vector<GrantBody> ::const_iterator _iter49;
+    for (_iter49 = this->grants.begin(); _iter49 != this->grants.end(); ++_iter49)
     {
-      xfer += (*_iter17).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -897,15 +1497,19 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<EngineSummary> ::const_iterator _iter18;
-    for (_iter18 = this->summaries.begin(); _iter18 != this->summaries.end(); ++_iter18)
+    std::vector<EngineSummary> ::const_iterator _iter50;
+    for (_iter50 = this->summaries.begin(); _iter50 != this->summaries.end(); ++_iter50)
     {
-      xfer += (*_iter18).write(oprot);
+      xfer += (*_iter50).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->quarantine.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -915,18 +1519,21 @@
   using ::std::swap;
   swap(a.grants, b.grants);
   swap(a.summaries, b.summaries);
+  swap(a.quarantine, b.quarantine);
   swap(a.__isset, b.__isset);
 }
 
-PolicyMessage::PolicyMessage(const PolicyMessage& other19) {
-  grants = other19.grants;
-  summaries = other19.summaries;
-  __isset = other19.__isset;
+PolicyMessage::PolicyMessage(const PolicyMessage& other51) {
+  grants = other51.grants;
+  summaries = other51.summaries;
+  quarantine = other51.quarantine;
+  __isset = other51.__isset;
 }
-PolicyMessage& PolicyMessage::operator=(const PolicyMessage& other20) {
-  grants = other20.grants;
-  summaries = other20.summaries;
-  __isset = other20.__isset;
+PolicyMessage& PolicyMessage::operator=(const PolicyMessage& other52) {
+  grants = other52.grants;
+  summaries = other52.summaries;
+  quarantine = other52.quarantine;
+  __isset = other52.__isset;
   return *this;
 }
 void PolicyMessage::printTo(std::ostream& out) const {
@@ -934,6 +1541,7 @@
   out << "PolicyMessage(";
   out << "grants=" << to_string(grants);
   out << ", " << "summaries=" << to_string(summaries);
+  out << ", " << "quarantine=" << to_string(quarantine);
   out << ")";
 }
 
@@ -1064,19 +1672,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PlacementNotice::PlacementNotice(const PlacementNotice& other21) {
-  engine = other21.engine;
-  promptTokens = other21.promptTokens;
-  expectedTokens = other21.expectedTokens;
-  copied = other21.copied;
-  __isset = other21.__isset;
+PlacementNotice::PlacementNotice(const PlacementNotice& other53) {
+  engine = other53.engine;
+  promptTokens = other53.promptTokens;
+  expectedTokens = other53.expectedTokens;
+  copied = other53.copied;
+  __isset = other53.__isset;
 }
-PlacementNotice& PlacementNotice::operator=(const PlacementNotice& other22) {
-  engine = other22.engine;
-  promptTokens = other22.promptTokens;
-  expectedTokens = other22.expectedTokens;
-  copied = other22.copied;
-  __isset = other22.__isset;
+PlacementNotice& PlacementNotice::operator=(const PlacementNotice& other54) {
+  engine = other54.engine;
+  promptTokens = other54.promptTokens;
+  expectedTokens = other54.expectedTokens;
+  copied = other54.copied;
+  __isset = other54.__isset;
   return *this;
 }
 void PlacementNotice::printTo(std::ostream& out) const {
@@ -1182,15 +1790,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseNotice::ReleaseNotice(const ReleaseNotice& other23) {
-  engine = other23.engine;
-  tokens = other23.tokens;
-  __isset = other23.__isset;
+ReleaseNotice::ReleaseNotice(const ReleaseNotice& other55) {
+  engine = other55.engine;
+  tokens = other55.tokens;
+  __isset = other55.__isset;
 }
-ReleaseNotice& ReleaseNotice::operator=(const ReleaseNotice& other24) {
-  engine = other24.engine;
-  tokens = other24.tokens;
-  __isset = other24.__isset;
+ReleaseNotice& ReleaseNotice::operator=(const ReleaseNotice& other56) {
+  engine = other56.engine;
+  tokens = other56.tokens;
+  __isset = other56.__isset;
   return *this;
 }
 void ReleaseNotice::printTo(std::ostream& out) const {
@@ -1379,25 +1987,25 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadNotice::LoadNotice(const LoadNotice& other25) {
-  engine = other25.engine;
-  waiting = other25.waiting;
-  running = other25.running;
-  memoryInUse = other25.memoryInUse;
-  memoryTokens = other25.memoryTokens;
-  leaving = other25.leaving;
-  firstWaitingTokens = other25.firstWaitingTokens;
-  __isset = other25.__isset;
-}
-LoadNotice& LoadNotice::operator=(const LoadNotice& other26) {
-  engine = other26.engine;
-  waiting = other26.waiting;
-  running = other26.running;
-  memoryInUse = other26.memoryInUse;
-  memoryTokens = other26.memoryTokens;
-  leaving = other26.leaving;
-  firstWaitingTokens = other26.firstWaitingTokens;
-  __isset = other26.__isset;
+LoadNotice::LoadNotice(const LoadNotice& other57) {
+  engine = other57.engine;
+  waiting = other57.waiting;
+  running = other57.running;
+  memoryInUse = other57.memoryInUse;
+  memoryTokens = other57.memoryTokens;
+  leaving = other57.leaving;
+  firstWaitingTokens = other57.firstWaitingTokens;
+  __isset = other57.__isset;
+}
+LoadNotice& LoadNotice::operator=(const LoadNotice& other58) {
+  engine = other58.engine;
+  waiting = other58.waiting;
+  running = other58.running;
+  memoryInUse = other58.memoryInUse;
+  memoryTokens = other58.memoryTokens;
+  leaving = other58.leaving;
+  firstWaitingTokens = other58.firstWaitingTokens;
+  __isset = other58.__isset;
   return *this;
 }
 void LoadNotice::printTo(std::ostream& out) const {
@@ -1557,21 +2165,21 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreItemNotice::StoreItemNotice(const StoreItemNotice& other27) {
-  key = other27.key;
-  value = other27.value;
-  revision = other27.revision;
-  deleted = other27.deleted;
-  plainSize = other27.plainSize;
-  __isset = other27.__isset;
-}
-StoreItemNotice& StoreItemNotice::operator=(const StoreItemNotice& other28) {
-  key = other28.key;
-  value = other28.value;
-  revision = other28.revision;
-  deleted = other28.deleted;
-  plainSize = other28.plainSize;
-  __isset = other28.__isset;
+StoreItemNotice::StoreItemNotice(const StoreItemNotice& other59) {
+  key = other59.key;
+  value = other59.value;
+  revision = other59.revision;
+  deleted = other59.deleted;
+  plainSize = other59.plainSize;
+  __isset = other59.__isset;
+}
+StoreItemNotice& StoreItemNotice::operator=(const StoreItemNotice& other60) {
+  key = other60.key;
+  value = other60.value;
+  revision = other60.revision;
+  deleted = other60.deleted;
+  plainSize = other60.plainSize;
+  __isset = other60.__isset;
   return *this;
 }
 void StoreItemNotice::printTo(std::ostream& out) const {
@@ -1657,14 +2265,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->items.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->items.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->items[_i33].read(iprot);
+              xfer += this->items[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1717,10 +2325,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItemNotice> ::const_iterator _iter34;
-    for (_iter34 = this->items.begin(); _iter34 != this->items.end(); ++_iter34)
+    std::vector<StoreItemNotice> ::const_iterator _iter66;
+    for (_iter66 = this->items.begin(); _iter66 != this->items.end(); ++_iter66)
     {
-      xfer += (*_iter34).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1749,21 +2357,21 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreNotice::StoreNotice(const StoreNotice& other35) {
-  fromRevision = other35.fromRevision;
-  toRevision = other35.toRevision;
-  items = other35.items;
-  incomplete = other35.incomplete;
-  afterOutage = other35.afterOutage;
-  __isset = other35.__isset;
-}
-StoreNotice& StoreNotice::operator=(const StoreNotice& other36) {
-  fromRevision = other36.fromRevision;
-  toRevision = other36.toRevision;
-  items = other36.items;
-  incomplete = other36.incomplete;
-  afterOutage = other36.afterOutage;
-  __isset = other36.__isset;
+StoreNotice::StoreNotice(const StoreNotice& other67) {
+  fromRevision = other67.fromRevision;
+  toRevision = other67.toRevision;
+  items = other67.items;
+  incomplete = other67.incomplete;
+  afterOutage = other67.afterOutage;
+  __isset = other67.__isset;
+}
+StoreNotice& StoreNotice::operator=(const StoreNotice& other68) {
+  fromRevision = other68.fromRevision;
+  toRevision = other68.toRevision;
+  items = other68.items;
+  incomplete = other68.incomplete;
+  afterOutage = other68.afterOutage;
+  __isset = other68.__isset;
   return *this;
 }
 void StoreNotice::printTo(std::ostream& out) const {
@@ -1853,13 +2461,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAsk::FreshnessAsk(const FreshnessAsk& other37) noexcept {
-  askedAt = other37.askedAt;
-  __isset = other37.__isset;
+FreshnessAsk::FreshnessAsk(const FreshnessAsk& other69) noexcept {
+  askedAt = other69.askedAt;
+  __isset = other69.__isset;
 }
-FreshnessAsk& FreshnessAsk::operator=(const FreshnessAsk& other38) noexcept {
-  askedAt = other38.askedAt;
-  __isset = other38.__isset;
+FreshnessAsk& FreshnessAsk::operator=(const FreshnessAsk& other70) noexcept {
+  askedAt = other70.askedAt;
+  __isset = other70.__isset;
   return *this;
 }
 void FreshnessAsk::printTo(std::ostream& out) const {
@@ -1979,17 +2587,17 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other39) noexcept {
-  askedAt = other39.askedAt;
-  ageMicros = other39.ageMicros;
-  revision = other39.revision;
-  __isset = other39.__isset;
+FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other71) noexcept {
+  askedAt = other71.askedAt;
+  ageMicros = other71.ageMicros;
+  revision = other71.revision;
+  __isset = other71.__isset;
 }
-FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other40) noexcept {
-  askedAt = other40.askedAt;
-  ageMicros = other40.ageMicros;
-  revision = other40.revision;
-  __isset = other40.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other72) noexcept {
+  askedAt = other72.askedAt;
+  ageMicros = other72.ageMicros;
+  revision = other72.revision;
+  __isset = other72.__isset;
   return *this;
 }
 void FreshnessAnswer::printTo(std::ostream& out) const {
@@ -2041,6 +2649,14 @@
 void EntryNotices::__set_origin(const std::string& val) {
   this->origin = val;
 }
+
+void EntryNotices::__set_quarantine(const QuarantineNotices& val) {
+  this->quarantine = val;
+}
+
+void EntryNotices::__set_leavingTargets(const std::vector<std::string> & val) {
+  this->leavingTargets = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
@@ -2073,14 +2689,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->placements.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->placements.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += this->placements[_i45].read(iprot);
+              xfer += this->placements[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2093,14 +2709,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->loads.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->loads.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->loads[_i50].read(iprot);
+              xfer += this->loads[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2113,14 +2729,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->stores.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->stores.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->stores[_i55].read(iprot);
+              xfer += this->stores[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2133,14 +2749,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->asks.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->asks.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->asks[_i60].read(iprot);
+              xfer += this->asks[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2153,14 +2769,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->answers.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->answers.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->answers[_i65].read(iprot);
+              xfer += this->answers[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2173,14 +2789,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->releases.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->releases.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->releases.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->releases[_i70].read(iprot);
+              xfer += this->releases[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2193,14 +2809,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedEngines.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->failedEngines.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->failedEngines.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += iprot->readString(this->failedEngines[_i75]);
+              xfer += iprot->readString(this->failedEngines[_i107]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2225,6 +2841,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quarantine.read(iprot);
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leavingTargets.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->leavingTargets.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += iprot->readString(this->leavingTargets[_i112]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leavingTargets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2245,10 +2889,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter76;
-    for (_iter76 = this->placements.begin(); _iter76 != this->placements.end(); ++_iter76)
+    std::vector<PlacementNotice> ::const_iterator _iter113;
+    for (_iter113 = this->placements.begin(); _iter113 != this->placements.end(); ++_iter113)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2257,10 +2901,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter77;
-    for (_iter77 = this->loads.begin(); _iter77 != this->loads.end(); ++_iter77)
+    std::vector<LoadNotice> ::const_iterator _iter114;
+    for (_iter114 = this->loads.begin(); _iter114 != this->loads.end(); ++_iter114)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter114).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2269,10 +2913,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreNotice> ::const_iterator _iter78;
-    for (_iter78 = this->stores.begin(); _iter78 != this->stores.end(); ++_iter78)
+    std::vector<StoreNotice> ::const_iterator _iter115;
+    for (_iter115 = this->stores.begin(); _iter115 != this->stores.end(); ++_iter115)
     {
-      xfer += (*_iter78).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2281,10 +2925,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<FreshnessAsk> ::const_iterator _iter79;
-    for (_iter79 = this->asks.begin(); _iter79 != this->asks.end(); ++_iter79)
+    std::vector<FreshnessAsk> ::const_iterator _iter116;
+    for (_iter116 = this->asks.begin(); _iter116 != this->asks.end(); ++_iter116)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter116).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2293,10 +2937,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<FreshnessAnswer> ::const_iterator _iter80;
-    for (_iter80 = this->answers.begin(); _iter80 != this->answers.end(); ++_iter80)
+    std::vector<FreshnessAnswer> ::const_iterator _iter117;
+    for (_iter117 = this->answers.begin(); _iter117 != this->answers.end(); ++_iter117)
     {
-      xfer += (*_iter80).write(oprot);
+      xfer += (*_iter117).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2305,10 +2949,10 @@
   xfer += oprot->writeFieldBegin("releases", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releases.size()));
-    std::vector<ReleaseNotice> ::const_iterator _iter81;
-    for (_iter81 = this->releases.begin(); _iter81 != this->releases.end(); ++_iter81)
+    std::vector<ReleaseNotice> ::const_iterator _iter118;
+    for (_iter118 = this->releases.begin(); _iter118 != this->releases.end(); ++_iter118)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2317,10 +2961,10 @@
   xfer += oprot->writeFieldBegin("failedEngines", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedEngines.size()));
-    std::vector<std::string> ::const_iterator _iter82;
-    for (_iter82 = this->failedEngines.begin(); _iter82 != this->failedEngines.end(); ++_iter82)
+    std::vector<std::string> ::const_iterator _iter119;
+    for (_iter119 = this->failedEngines.begin(); _iter119 != this->failedEngines.end(); ++_iter119)
     {
-      xfer += oprot->writeString((*_iter82));
+      xfer += oprot->writeString((*_iter119));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2334,6 +2978,22 @@
   xfer += oprot->writeString(this->origin);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_STRUCT, 10);
+  xfer += this->quarantine.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leavingTargets", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingTargets.size()));
+    std::vector<std::string> ::const_iterator _iter120;
+    for (_iter120 = this->leavingTargets.begin(); _iter120 != this->leavingTargets.end(); ++_iter120)
+    {
+      xfer += oprot->writeString((*_iter120));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2350,32 +3010,38 @@
   swap(a.failedEngines, b.failedEngines);
   swap(a.relay, b.relay);
   swap(a.origin, b.origin);
+  swap(a.quarantine, b.quarantine);
+  swap(a.leavingTargets, b.leavingTargets);
   swap(a.__isset, b.__isset);
 }
 
-EntryNotices::EntryNotices(const EntryNotices& other83) {
-  placements = other83.placements;
-  loads = other83.loads;
-  stores = other83.stores;
-  asks = other83.asks;
-  answers = other83.answers;
-  releases = other83.releases;
-  failedEngines = other83.failedEngines;
-  relay = other83.relay;
-  origin = other83.origin;
-  __isset = other83.__isset;
-}
-EntryNotices& EntryNotices::operator=(const EntryNotices& other84) {
-  placements = other84.placements;
-  loads = other84.loads;
-  stores = other84.stores;
-  asks = other84.asks;
-  answers = other84.answers;
-  releases = other84.releases;
-  failedEngines = other84.failedEngines;
-  relay = other84.relay;
-  origin = other84.origin;
-  __isset = other84.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other121) {
+  placements = other121.placements;
+  loads = other121.loads;
+  stores = other121.stores;
+  asks = other121.asks;
+  answers = other121.answers;
+  releases = other121.releases;
+  failedEngines = other121.failedEngines;
+  relay = other121.relay;
+  origin = other121.origin;
+  quarantine = other121.quarantine;
+  leavingTargets = other121.leavingTargets;
+  __isset = other121.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other122) {
+  placements = other122.placements;
+  loads = other122.loads;
+  stores = other122.stores;
+  asks = other122.asks;
+  answers = other122.answers;
+  releases = other122.releases;
+  failedEngines = other122.failedEngines;
+  relay = other122.relay;
+  origin = other122.origin;
+  quarantine = other122.quarantine;
+  leavingTargets = other122.leavingTargets;
+  __isset = other122.__isset;
   return *this;
 }
 void EntryNotices::printTo(std::ostream& out) const {
@@ -2390,6 +3056,8 @@
   out << ", " << "failedEngines=" << to_string(failedEngines);
   out << ", " << "relay=" << to_string(relay);
   out << ", " << "origin=" << to_string(origin);
+  out << ", " << "quarantine=" << to_string(quarantine);
+  out << ", " << "leavingTargets=" << to_string(leavingTargets);
   out << ")";
 }
 
@@ -2463,9 +3131,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast85;
-          xfer += iprot->readI32(ecast85);
-          this->kind = static_cast<PeerKind::type>(ecast85);
+          int32_t ecast123;
+          xfer += iprot->readI32(ecast123);
+          this->kind = static_cast<PeerKind::type>(ecast123);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2507,14 +3175,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->records.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->records.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->records[_i90].read(iprot);
+              xfer += this->records[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2587,10 +3255,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter91;
-    for (_iter91 = this->records.begin(); _iter91 != this->records.end(); ++_iter91)
+    std::vector<MemberRecord> ::const_iterator _iter129;
+    for (_iter129 = this->records.begin(); _iter129 != this->records.end(); ++_iter129)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2627,29 +3295,29 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other92) {
-  kind = other92.kind;
-  sequence = other92.sequence;
-  sender = other92.sender;
-  revision = other92.revision;
-  configAgeMs = other92.configAgeMs;
-  records = other92.records;
-  probeTarget = other92.probeTarget;
-  policy = other92.policy;
-  tableDigest = other92.tableDigest;
-  __isset = other92.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other93) {
-  kind = other93.kind;
-  sequence = other93.sequence;
-  sender = other93.sender;
-  revision = other93.revision;
-  configAgeMs = other93.configAgeMs;
-  records = other93.records;
-  probeTarget = other93.probeTarget;
-  policy = other93.policy;
-  tableDigest = other93.tableDigest;
-  __isset = other93.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other130) {
+  kind = other130.kind;
+  sequence = other130.sequence;
+  sender = other130.sender;
+  revision = other130.revision;
+  configAgeMs = other130.configAgeMs;
+  records = other130.records;
+  probeTarget = other130.probeTarget;
+  policy = other130.policy;
+  tableDigest = other130.tableDigest;
+  __isset = other130.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other131) {
+  kind = other131.kind;
+  sequence = other131.sequence;
+  sender = other131.sender;
+  revision = other131.revision;
+  configAgeMs = other131.configAgeMs;
+  records = other131.records;
+  probeTarget = other131.probeTarget;
+  policy = other131.policy;
+  tableDigest = other131.tableDigest;
+  __isset = other131.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -2760,15 +3428,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other94) {
-  body = other94.body;
-  mac = other94.mac;
-  __isset = other94.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other132) {
+  body = other132.body;
+  mac = other132.mac;
+  __isset = other132.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other95) {
-  body = other95.body;
-  mac = other95.mac;
-  __isset = other95.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other133) {
+  body = other133.body;
+  mac = other133.mac;
+  __isset = other133.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -2906,19 +3574,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other96) {
-  engine = other96.engine;
-  generation = other96.generation;
-  customer = other96.customer;
-  model = other96.model;
-  __isset = other96.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other134) {
+  engine = other134.engine;
+  generation = other134.generation;
+  customer = other134.customer;
+  model = other134.model;
+  __isset = other134.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other97) {
-  engine = other97.engine;
-  generation = other97.generation;
-  customer = other97.customer;
-  model = other97.model;
-  __isset = other97.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other135) {
+  engine = other135.engine;
+  generation = other135.generation;
+  customer = other135.customer;
+  model = other135.model;
+  __isset = other135.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -3075,21 +3743,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other98) {
-  issuer = other98.issuer;
-  incarnation = other98.incarnation;
-  serial = other98.serial;
-  customer = other98.customer;
-  scope = other98.scope;
-  __isset = other98.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other99) {
-  issuer = other99.issuer;
-  incarnation = other99.incarnation;
-  serial = other99.serial;
-  customer = other99.customer;
-  scope = other99.scope;
-  __isset = other99.__isset;
+TicketBody::TicketBody(const TicketBody& other136) {
+  issuer = other136.issuer;
+  incarnation = other136.incarnation;
+  serial = other136.serial;
+  customer = other136.customer;
+  scope = other136.scope;
+  __isset = other136.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other137) {
+  issuer = other137.issuer;
+  incarnation = other137.incarnation;
+  serial = other137.serial;
+  customer = other137.customer;
+  scope = other137.scope;
+  __isset = other137.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -61,6 +61,14 @@
 
 class EngineSummary;
 
+class SuspectNotice;
+
+class TargetEndNotice;
+
+class BarredNotice;
+
+class QuarantineNotices;
+
 class PolicyMessage;
 
 class PlacementNotice;
@@ -367,10 +375,228 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineSummary& obj);
 
+typedef struct _SuspectNotice__isset {
+  _SuspectNotice__isset() : digest(false), heldMicros(false) {}
+  bool digest :1;
+  bool heldMicros :1;
+} _SuspectNotice__isset;
+
+class SuspectNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectNotice(const SuspectNotice&);
+  SuspectNotice& operator=(const SuspectNotice&);
+  SuspectNotice() noexcept
+                : digest(),
+                  heldMicros(0) {
+  }
+
+  virtual ~SuspectNotice() noexcept;
+  std::string digest;
+  int64_t heldMicros;
+
+  _SuspectNotice__isset __isset;
+
+  void __set_digest(const std::string& val);
+
+  void __set_heldMicros(const int64_t val);
+
+  bool operator == (const SuspectNotice & rhs) const
+  {
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(heldMicros == rhs.heldMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectNotice &a, SuspectNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectNotice& obj);
+
+typedef struct _TargetEndNotice__isset {
+  _TargetEndNotice__isset() : target(false), suspects(false), agoMicros(false) {}
+  bool target :1;
+  bool suspects :1;
+  bool agoMicros :1;
+} _TargetEndNotice__isset;
+
+class TargetEndNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetEndNotice(const TargetEndNotice&);
+  TargetEndNotice& operator=(const TargetEndNotice&);
+  TargetEndNotice() noexcept
+                  : target(),
+                    agoMicros(0) {
+  }
+
+  virtual ~TargetEndNotice() noexcept;
+  std::string target;
+  std::vector<SuspectNotice>  suspects;
+  int64_t agoMicros;
+
+  _TargetEndNotice__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_suspects(const std::vector<SuspectNotice> & val);
+
+  void __set_agoMicros(const int64_t val);
+
+  bool operator == (const TargetEndNotice & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(suspects == rhs.suspects))
+      return false;
+    if (!(agoMicros == rhs.agoMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetEndNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetEndNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetEndNotice &a, TargetEndNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetEndNotice& obj);
+
+typedef struct _BarredNotice__isset {
+  _BarredNotice__isset() : digest(false), leftMicros(false), ends(false) {}
+  bool digest :1;
+  bool leftMicros :1;
+  bool ends :1;
+} _BarredNotice__isset;
+
+class BarredNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  BarredNotice(const BarredNotice&);
+  BarredNotice& operator=(const BarredNotice&);
+  BarredNotice() noexcept
+               : digest(),
+                 leftMicros(0),
+                 ends(0) {
+  }
+
+  virtual ~BarredNotice() noexcept;
+  std::string digest;
+  int64_t leftMicros;
+  int32_t ends;
+
+  _BarredNotice__isset __isset;
+
+  void __set_digest(const std::string& val);
+
+  void __set_leftMicros(const int64_t val);
+
+  void __set_ends(const int32_t val);
+
+  bool operator == (const BarredNotice & rhs) const
+  {
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(leftMicros == rhs.leftMicros))
+      return false;
+    if (!(ends == rhs.ends))
+      return false;
+    return true;
+  }
+  bool operator != (const BarredNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BarredNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BarredNotice &a, BarredNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const BarredNotice& obj);
+
+typedef struct _QuarantineNotices__isset {
+  _QuarantineNotices__isset() : ends(false), barred(false), ranWell(false) {}
+  bool ends :1;
+  bool barred :1;
+  bool ranWell :1;
+} _QuarantineNotices__isset;
+
+class QuarantineNotices : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantineNotices(const QuarantineNotices&);
+  QuarantineNotices& operator=(const QuarantineNotices&);
+  QuarantineNotices() noexcept {
+  }
+
+  virtual ~QuarantineNotices() noexcept;
+  std::vector<TargetEndNotice>  ends;
+  std::vector<BarredNotice>  barred;
+  std::vector<std::string>  ranWell;
+
+  _QuarantineNotices__isset __isset;
+
+  void __set_ends(const std::vector<TargetEndNotice> & val);
+
+  void __set_barred(const std::vector<BarredNotice> & val);
+
+  void __set_ranWell(const std::vector<std::string> & val);
+
+  bool operator == (const QuarantineNotices & rhs) const
+  {
+    if (!(ends == rhs.ends))
+      return false;
+    if (!(barred == rhs.barred))
+      return false;
+    if (!(ranWell == rhs.ranWell))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantineNotices &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantineNotices & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantineNotices &a, QuarantineNotices &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantineNotices& obj);
+
 typedef struct _PolicyMessage__isset {
-  _PolicyMessage__isset() : grants(false), summaries(false) {}
+  _PolicyMessage__isset() : grants(false), summaries(false), quarantine(false) {}
   bool grants :1;
   bool summaries :1;
+  bool quarantine :1;
 } _PolicyMessage__isset;
 
 class PolicyMessage : public virtual ::apache::thrift::TBase {
@@ -384,6 +610,7 @@
   virtual ~PolicyMessage() noexcept;
   std::vector<GrantBody>  grants;
   std::vector<EngineSummary>  summaries;
+  QuarantineNotices quarantine;
 
   _PolicyMessage__isset __isset;
 
@@ -391,12 +618,16 @@
 
   void __set_summaries(const std::vector<EngineSummary> & val);
 
+  void __set_quarantine(const QuarantineNotices& val);
+
   bool operator == (const PolicyMessage & rhs) const
   {
     if (!(grants == rhs.grants))
       return false;
     if (!(summaries == rhs.summaries))
       return false;
+    if (!(quarantine == rhs.quarantine))
+      return false;
     return true;
   }
   bool operator != (const PolicyMessage &rhs) const {
@@ -856,7 +1087,7 @@
 std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj);
 
 typedef struct _EntryNotices__isset {
-  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false) {}
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false) {}
   bool placements :1;
   bool loads :1;
   bool stores :1;
@@ -866,6 +1097,8 @@
   bool failedEngines :1;
   bool relay :1;
   bool origin :1;
+  bool quarantine :1;
+  bool leavingTargets :1;
 } _EntryNotices__isset;
 
 class EntryNotices : public virtual ::apache::thrift::TBase {
@@ -888,6 +1121,8 @@
   std::vector<std::string>  failedEngines;
   bool relay;
   std::string origin;
+  QuarantineNotices quarantine;
+  std::vector<std::string>  leavingTargets;
 
   _EntryNotices__isset __isset;
 
@@ -909,6 +1144,10 @@
 
   void __set_origin(const std::string& val);
 
+  void __set_quarantine(const QuarantineNotices& val);
+
+  void __set_leavingTargets(const std::vector<std::string> & val);
+
   bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
@@ -929,6 +1168,10 @@
       return false;
     if (!(origin == rhs.origin))
       return false;
+    if (!(quarantine == rhs.quarantine))
+      return false;
+    if (!(leavingTargets == rhs.leavingTargets))
+      return false;
     return true;
   }
   bool operator != (const EntryNotices &rhs) const {
--- a/unittests/Platform/crashingrequesttest.cpp
+++ b/unittests/Platform/crashingrequesttest.cpp
@@ -144,3 +144,116 @@
     cr_assert(last.find("Retry-After: ") != std::string::npos, "%s: %s", param->name, last.c_str());
     cr_assert(isServed(entry, "harmless"), "%s: others are served on", param->name);
 }
+
+namespace {
+
+// A port that is free for datagrams.
+std::string freeDatagramAddress()
+{
+    asio::io_context context;
+    const asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+}
+
+FixtureOptions memberOf(const std::string &name, const std::string &own, const std::string &other)
+{
+    FixtureOptions options;
+    options.name = name;
+    options.peers = own;
+    options.peerSeeds = {other};
+    return options;
+}
+
+bool isRefusedSoon(const EntryFixture &entry, std::chrono::milliseconds within)
+{
+    const auto end = std::chrono::steady_clock::now() + within;
+    while (std::chrono::steady_clock::now() < end) {
+        if (send(entry, deadlyBody).starts_with("HTTP/1.1 503"))
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return false;
+}
+
+} // namespace
+
+// The deadly request comes to another instance, or to one that started again since and has
+// forgotten what it knew, and ends more targets there. What one instance has concluded has to be
+// known to all, also to those that were not there when it was told.
+Test(crashingRequest, isKnownToOtherInstancesAndAfterARestart)
+{
+    const FragileTargets targets(12);
+    const std::string firstAddress = freeDatagramAddress();
+    const std::string secondAddress = freeDatagramAddress();
+    const std::vector<RouteSpec> routes = {routeOf("stream", false)};
+    EntryFixture first(routes, memberOf("first", firstAddress, secondAddress));
+    targets.listAt(first);
+    {
+        EntryFixture second(routes, memberOf("second", secondAddress, firstAddress));
+        targets.listAt(second);
+        cr_assert(servesSoon(first) && servesSoon(second));
+        for (int i = 0; i < 2; ++i) {
+            send(first, deadlyBody);
+            send(second, deadlyBody);
+            std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        }
+        cr_assert_leq(targets.dead(), mostDeaths, "%zu targets ended", targets.dead());
+        const std::size_t before = targets.deadlySends();
+        cr_assert(send(second, deadlyBody).starts_with("HTTP/1.1 503"));
+        cr_assert(send(first, deadlyBody).starts_with("HTTP/1.1 503"));
+        cr_assert_eq(targets.deadlySends(), before);
+    }
+    EntryFixture again(routes, memberOf("second", secondAddress, firstAddress));
+    targets.listAt(again);
+    cr_assert(servesSoon(again));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    const std::size_t before = targets.deadlySends();
+    cr_assert(isRefusedSoon(again, std::chrono::milliseconds(200)));
+    cr_assert_eq(targets.deadlySends(), before);
+}
+
+// A request that waits at a target beside the deadly one is lost with it, and its caller sends it
+// again beside the deadly one: it stands at as many ends. It must be served, not barred.
+Test(crashingRequest, whatStoodBesideItIsServed)
+{
+    const FragileTargets targets(10);
+    RouteSpec route = routeOf("safe", false);
+    route.attempts = 3;
+    EntryFixture entry({route});
+    targets.listAt(entry);
+    cr_assert(servesSoon(entry));
+    std::atomic<int> refused{0};
+    for (int round = 0; round < 4; ++round) {
+        std::vector<std::thread> callers;
+        for (int i = 0; i < 6; ++i) {
+            callers.emplace_back([&entry, &refused] {
+                refused += send(entry, "innocent").starts_with("HTTP/1.1 503") ? 1 : 0;
+            });
+        }
+        send(entry, deadlyBody);
+        for (std::thread &caller : callers)
+            caller.join();
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    cr_assert_eq(refused, 0, "%d of 24 innocent requests were refused", refused.load());
+    cr_assert(isServed(entry, "innocent"));
+    cr_assert(send(entry, deadlyBody).starts_with("HTTP/1.1 503"));
+}
+
+// A target that resets one connection and lives on, or leaves as it was planned, says nothing of
+// the requests that it had: they must not be barred, however often that happens to them.
+Test(crashingRequest, lostConnectionAloneProvesNothing)
+{
+    ScriptedServer target([](const SeenRequest &request) -> Answer {
+        if (request.head.path() == "/jaytrack/report")
+            return wholeAnswer(200, "", "{}");
+        return {{AnswerStep::Kind::Reset, "", std::chrono::milliseconds(10)}};
+    });
+    EntryFixture entry({routeOf("unsafe", false)});
+    entry.list("t1", target);
+    for (int i = 0; i < 6; ++i) {
+        const std::string seen = send(entry, "unlucky");
+        cr_assert(seen.starts_with("HTTP/1.1 502"), "%d: %s", i, seen.c_str());
+        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    }
+}
