--- a/unittests/Serve/crashingrequesttest.cpp
+++ b/unittests/Serve/crashingrequesttest.cpp
@@ -17,8 +17,6 @@
 
 namespace {
 
-constexpr std::size_t targetCount = 8;
-
 // As many targets may end as it takes to know the request, and one under what is on its way then.
 constexpr std::size_t mostDeaths = 4;
 
@@ -47,7 +45,7 @@
 
 struct FragileSite
 {
-    FragileSite()
+    explicit FragileSite(std::size_t targetCount = 8)
         : site(emptyPlan())
     {
         Document document = this->site.document();
@@ -103,6 +101,12 @@
     Site site;
 };
 
+// The code that the caller of an idempotent call is told.
+std::string_view codeOf(const FetchedAnswer &answer)
+{
+    return findHeader(answer.headers, "Jaytrack-Code");
+}
+
 struct WorkCase
 {
     char name[16];
@@ -134,9 +138,22 @@
     }
     cr_assert_leq(fragile.dead(), mostDeaths, "%s: %zu targets ended", param->name, fragile.dead());
     cr_assert_eq(last.end.status, 503, "%s", param->name);
-    cr_assert_eq(findHeader(last.headers, "Jaytrack-Code"), std::string_view("213"));
+    cr_assert_eq(codeOf(last), std::string_view("213"));
     cr_assert(!findHeader(last.headers, "Retry-After").empty());
     for (std::size_t instance = 0; instance < 2; ++instance)
         cr_assert_eq(send("harmless", instance).end.status, 200, "%s: others are served",
                      param->name);
 }
+
+// A caller is told "not run" though its call had reached a target. The call went out on a kept
+// connection, the target ended under it, and the HTTP client sent it again by itself on a new
+// connection, which was refused: what it reported was that no connection could be made.
+Test(service, lostOnAKeptConnectionIsNotCalledNotRun)
+{
+    FragileSite fragile(1);
+    cr_assert_eq(fragile.ask("harmless", 0).end.status, 200);
+    const FetchedAnswer answer = fragile.ask("deadly", 0);
+    cr_assert_eq(fragile.dead(), 1);
+    cr_assert_eq(codeOf(answer), std::string_view("301"), "code %s",
+                 std::string(codeOf(answer)).c_str());
+}
