--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -88,9 +88,15 @@
     return size * count;
 }
 
-// Whether the failure shows that no connection stood, so that no byte of the request left.
+// Whether the failure shows that no connection stood, so that no byte of the request left. The
+// error alone does not show it: where a kept connection breaks before the answer, libcurl sends the
+// request again by itself, and the error is that of the second connection.
 bool failedBeforeSending(CURLcode code, CURL *easy)
 {
+    long sentBytes = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentBytes);
+    if (sentBytes > 0)
+        return false;
     if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
         code == CURLE_URL_MALFORMAT)
         return true;
