--- a/include/jaytrack/Quarantine/crashwatch.h
+++ b/include/jaytrack/Quarantine/crashwatch.h
@@ -14,6 +14,15 @@
 
 class Metrics;
 
+// Within this time of a target's end it is known whether a request is barred for it: the check of
+// its address, what the others tell, and a tick.
+constexpr std::chrono::milliseconds verdictTime{500};
+
+// A request that was lost unanswered at so many targets in a row waits for the verdict before it is
+// sent to another one. Sent on at once it ended six engines in the half second that a verdict
+// takes.
+constexpr int lossesBeforePause = 2;
+
 // Carries the news to other instances. They may be lost, which the watch allows for.
 class QuarantineSpread
 {
--- a/include/jaytrack/Serve/context.h
+++ b/include/jaytrack/Serve/context.h
@@ -15,6 +15,7 @@
 
 namespace jaytrack {
 
+class CrashWatch;
 class DocumentStore;
 class HttpClient;
 class KeyRing;
@@ -51,6 +52,7 @@
     PlacementDesk &placement;
     Wakefulness &wakefulness;
     PeerDirectory &peers;
+    CrashWatch &crashes;
     std::function<bool()> cautious; // the rules in force may have been replaced unnoticed
     std::string instanceName;
     std::int64_t incarnation = 0;
--- a/include/jaytrack/Serve/gateway.h
+++ b/include/jaytrack/Serve/gateway.h
@@ -52,6 +52,9 @@
     // Does what is due for every request in service.
     void sweep();
 
+    // Takes back a request that no target may be given any more from wherever it waits.
+    void withdraw(std::string_view digest);
+
     // From now on new requests are refused; those in service go on.
     void drain() { this->draining.store(true); }
     bool isDraining() const { return this->draining.load(); }
--- a/include/jaytrack/Serve/generationcall.h
+++ b/include/jaytrack/Serve/generationcall.h
@@ -49,6 +49,9 @@
     // Does what has come due: recovery, time-outs, keep-alive comments, abandonment.
     void sweep();
 
+    // Ends the call if it is this request and no token has come yet: no engine may be given it.
+    void withdraw(std::string_view barredDigest);
+
     // Ends the call at once because the instance was told to stop without waiting.
     void cut();
 
@@ -59,6 +62,13 @@
 
     enum class Phase { Placing, Relaying, Pausing, Ended };
 
+    // By which the request is recognised when its caller sends it again.
+    std::string digest() const;
+
+    // Ends the call if no engine may be given it; tells whether it did.
+    bool refusedAsBarred();
+    void noteLostUnanswered(const HttpCallEnd &end);
+
     // What an event means beyond the token that it may carry.
     enum class Signal { None, Done, Superseded, Failed, Garbled };
 
@@ -110,6 +120,8 @@
     const Engine *engine = nullptr; // within the caller's document
     std::string handle;             // sealed, of the current generation
     std::string attachEpoch;
+    TimePoint attachedAt;
+    int unansweredLosses = 0; // connections that were lost before a token came
     bool generationKnown = false;
     bool headersGood = false;
     bool bodyStarted = false;
--- a/include/jaytrack/Serve/servicecall.h
+++ b/include/jaytrack/Serve/servicecall.h
@@ -11,6 +11,7 @@
 #include "jaytrack/Serve/context.h"
 #include "jaytrack/Serve/requestlog.h"
 
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -31,6 +32,9 @@
     void handle(Caller caller, const Service &service, std::string path, HttpRequest request,
                 std::shared_ptr<ResponseWriter> writer);
 
+    // Sends on what was held back and has come due. Called some times a second.
+    void sweep();
+
     std::size_t inService() const;
     std::size_t ledgerSize() const;
     std::size_t ledgerBytes() const;
@@ -52,6 +56,8 @@
     void onAnswer(const CallPointer &call, const ServiceTarget &target,
                   const FetchedAnswer &answer);
     void onForwarded(const CallPointer &call, FetchedAnswer answer);
+    Duration barredFor(const Call &call) const;
+    void noteRun(Call &call, const ServiceTarget &target, const FetchedAnswer &answer) const;
     bool mayRepeat(const CallPointer &call, const FetchedAnswer &answer);
     const ServiceTarget *chooseTarget(const Call &call);
     void settle(const CallPointer &call, const KeptAnswer &answer);
@@ -66,6 +72,7 @@
     TicketLedger ledger;
     TargetHealth health;
     std::unordered_map<std::int64_t, std::vector<CallPointer>> waiters;
+    std::deque<std::pair<TimePoint, CallPointer>> heldBack; // with the moment of sending
     std::unordered_map<std::string, std::weak_ptr<Call>> active;
 };
 
--- a/lib/Serve/gateway.cpp
+++ b/lib/Serve/gateway.cpp
@@ -329,6 +329,13 @@
 {
     for (const auto &call : this->registry.all())
         call->sweep();
+    this->serviceDesk.sweep();
+}
+
+void Gateway::withdraw(std::string_view digest)
+{
+    for (const auto &call : this->registry.all())
+        call->withdraw(digest);
 }
 
 bool Gateway::idle() const
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -2,6 +2,8 @@
 
 #include "jaytrack/Cluster/wakefulness.h"
 #include "jaytrack/Config/settings.h"
+#include "jaytrack/Quarantine/crashwatch.h"
+#include "jaytrack/Quarantine/requestdigest.h"
 #include "jaytrack/Serve/placementdesk.h"
 #include "jaytrack/Stream/sse.h"
 #include "jaytrack/Support/log.h"
@@ -88,7 +90,8 @@
 {
     this->registry.add(this->shared_from_this());
     if (!this->order.resumed) {
-        this->place();
+        if (!this->refusedAsBarred())
+            this->place();
         return;
     }
     const std::lock_guard lock(this->mutex);
@@ -102,6 +105,41 @@
     this->attach(*holder, true);
 }
 
+std::string GenerationCall::digest() const
+{
+    return requestDigest(
+            {"POST", {}, this->order.path, this->caller.customer->name, this->order.body});
+}
+
+bool GenerationCall::refusedAsBarred()
+{
+    if (this->order.resumed || this->context.crashes.isIdle())
+        return false;
+    const Duration left = this->context.crashes.barredFor(this->digest());
+    if (left <= Duration(0))
+        return false;
+    const std::lock_guard lock(this->mutex);
+    if (this->phase != Phase::Ended)
+        this->finish({ResultCode::RequestBarred, "engines ended under it",
+                      std::chrono::duration_cast<std::chrono::milliseconds>(left)});
+    return true;
+}
+
+void GenerationCall::withdraw(std::string_view barredDigest)
+{
+    if (this->order.resumed || this->digest() != barredDigest)
+        return;
+    const std::lock_guard lock(this->mutex);
+    if (this->phase == Phase::Ended || this->relay.nextIndex() > this->order.firstIndex)
+        return;
+    this->everSent = this->everSent || this->phase == Phase::Relaying;
+    this->dropAttempt();
+    this->leaveEngine(Departure::Cancelled);
+    this->finish({ResultCode::RequestBarred, "engines ended under it",
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                          this->context.crashes.barredFor(barredDigest))});
+}
+
 void GenerationCall::place()
 {
     const std::weak_ptr<GenerationCall> self = this->weak_from_this();
@@ -180,6 +218,7 @@
     this->refusedStatus = 0;
     this->attempt = this->relay.beginAttempt();
     this->lastEventAt = this->context.clock.now();
+    this->attachedAt = this->lastEventAt;
     this->paused.store(false);
     const auto listener = std::make_shared<Attempt>(this->shared_from_this(), this->attempt);
     this->httpCall.store(this->context.targets.start(
@@ -396,11 +435,26 @@
                       {}});
         return;
     }
+    this->noteLostUnanswered(end);
     const Ending why{end.maySentBytes ? ResultCode::TargetLost : ResultCode::TargetUnreachable,
                      end.whole ? "the stream ended early" : end.error, std::chrono::seconds(1)};
     this->lost(end.maySentBytes, why);
 }
 
+// Whether the engine ended is found out elsewhere; if it did, a request of which no token had come
+// may be what ended it.
+void GenerationCall::noteLostUnanswered(const HttpCallEnd &end)
+{
+    const bool unanswered = this->relay.nextIndex() == this->order.firstIndex;
+    if (end.whole || !end.maySentBytes || !unanswered || this->order.resumed ||
+        this->engine->leaving)
+        return;
+    ++this->unansweredLosses;
+    this->context.crashes.lostUnanswered(
+            this->engine->name, this->engine->address,
+            {this->digest(), this->context.clock.now() - this->attachedAt});
+}
+
 void GenerationCall::lost(bool maySentBytes, const Ending &why)
 {
     LostAttempt attemptLost;
@@ -436,6 +490,8 @@
             this->order.ask.avoid.push_back(this->engine->name);
         this->phase = Phase::Pausing;
         this->resumeAt = this->context.clock.now();
+        if (this->unansweredLosses >= lossesBeforePause)
+            this->resumeAt += verdictTime;
         this->engine = nullptr;
         return;
     case RecoveryStep::GiveUp:
@@ -562,6 +618,8 @@
 
 void GenerationCall::complete()
 {
+    if (!this->order.resumed && !this->context.crashes.isIdle())
+        this->context.crashes.ranWell(this->digest());
     this->leaveEngine(Departure::Finished);
     this->dropAttempt();
     this->finish({ResultCode::Ok, "", {}});
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -5,6 +5,7 @@
 #include "jaytrack/Http/client.h"
 #include "jaytrack/Policy/baselines.h"
 #include "jaytrack/Policy/fleetpolicy.h"
+#include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Serve/enginewatcher.h"
 #include "jaytrack/Serve/gateway.h"
 #include "jaytrack/Serve/operatordesk.h"
@@ -14,9 +15,14 @@
 #include "jaytrack/Support/keyring.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Support/metrics.h"
+#include "jaytrack/Wire/codec.h"
+
+#include "peer_types.h"
 
 #include <asio.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <random>
 #include <thread>
 
@@ -35,6 +41,10 @@
 // wait for it well within this, also behind a slow link.
 constexpr std::chrono::seconds cutGrace{2};
 
+// Instances that are told of what is barred each time. One that starts misses the telling of 340
+// others three times in a row with a chance of one in ten thousand.
+constexpr std::size_t drawnPeers = 3;
+
 std::int64_t newIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -53,7 +63,10 @@
 
 } // namespace
 
-struct Instance::Parts final : public PlatformListener, public PolicyTransport
+struct Instance::Parts final : public PlatformListener,
+                               public PolicyTransport,
+                               public QuarantineSpread,
+                               public CrashWatchListener
 {
     Parts(const Settings &given, const Clock &time)
         : settings(given)
@@ -71,9 +84,12 @@
                     })
         , peers(this->control, settings, time, keys, documents, targets, incarnation,
                 this->peerEvents())
-        , context{settings,      clock,      metrics,
-                  keys,          targets,    placement,
-                  wakefulness,   peers,      [this] { return this->cautious.load(); },
+        , crashes(this->control, time, metrics, *this, *this)
+        , context{settings,      clock,
+                  metrics,       keys,
+                  targets,       placement,
+                  wakefulness,   peers,
+                  crashes,       [this] { return this->cautious.load(); },
                   settings.name, incarnation}
         , gateway(this->context, this->documents)
         , watcher(this->context, [this](std::string_view engine) { return this->isHome(engine); })
@@ -101,9 +117,12 @@
         PeerNodeEvents events;
         events.membersChanged = [this](const std::vector<std::string> &names) {
             this->placement.with([&names](PlacementPolicy &policy) { policy.setInstances(names); });
+            this->others = names;
+            std::erase(this->others, this->settings.name);
         };
         events.policyMessage = [this](const std::string &from, const std::string &message) {
             this->placement.with([&](PlacementPolicy &policy) { policy.receive(from, message); });
+            this->readQuarantineNews(message);
         };
         events.refreshed = [this](TimePoint askedAt) { this->wakefulness.refreshed(askedAt); };
         return events;
@@ -118,6 +137,39 @@
                    });
     }
 
+    // QuarantineSpread and CrashWatchListener, on the control thread.
+
+    void tellAll(const QuarantineNews &news) override { this->tell(this->others, news); }
+
+    void tellSome(const QuarantineNews &news) override
+    {
+        std::vector<std::string> drawn;
+        std::sample(this->others.begin(), this->others.end(), std::back_inserter(drawn), drawnPeers,
+                    this->random);
+        this->tell(drawn, news);
+    }
+
+    void tell(const std::vector<std::string> &names, const QuarantineNews &news)
+    {
+        wire::PolicyMessage message;
+        message.quarantine = toNotices(news);
+        const std::string bytes = encodeMessage(message);
+        for (const std::string &name : names)
+            this->peers.sendPolicy(name, bytes);
+    }
+
+    void readQuarantineNews(std::string_view bytes)
+    {
+        const auto message = decodeMessage<wire::PolicyMessage>(bytes);
+        if (!message)
+            return;
+        const QuarantineNews news = toNews(message->quarantine);
+        if (!news.isEmpty())
+            this->crashes.onNews(news);
+    }
+
+    void onRequestBarred(std::string_view digest) override { this->gateway.withdraw(digest); }
+
     // A baseline has no homes; every instance then asks every engine.
     bool isHome(std::string_view engine)
     {
@@ -187,6 +239,7 @@
     void sweep()
     {
         this->peers.tick();
+        this->crashes.tick();
         this->gateway.sweep();
         if (!this->gateway.isDraining() || !this->gateway.idle())
             this->deliverBy.store(this->clock.now() + this->settings.deliveryGrace);
@@ -248,6 +301,9 @@
     std::atomic<TimePoint> cutBy{TimePoint::max()}; // set by a cut: what is not done then never is
     PlacementDesk placement;
     PeerNode peers;
+    std::vector<std::string> others; // names of the other live instances; for the control thread
+    std::mt19937_64 random{std::random_device{}()};
+    CrashWatch crashes;
     ServeContext context;
     Gateway gateway;
     EngineWatcher watcher;
--- a/lib/Serve/servicecall.cpp
+++ b/lib/Serve/servicecall.cpp
@@ -2,6 +2,8 @@
 
 #include "jaytrack/Cluster/wakefulness.h"
 #include "jaytrack/Config/settings.h"
+#include "jaytrack/Quarantine/crashwatch.h"
+#include "jaytrack/Quarantine/requestdigest.h"
 #include "jaytrack/Support/digest.h"
 #include "jaytrack/Support/keyring.h"
 #include "jaytrack/Support/log.h"
@@ -78,6 +80,7 @@
     std::int64_t ticketSerial = 0; // 0 if it runs without a ticket
     int attempts = 0;
     bool everSent = false;
+    int unansweredLosses = 0; // connections that were lost before an answer came
     std::vector<std::string> tried;
     TimePoint startedAt;
     TimePoint sentAt;
@@ -95,6 +98,14 @@
                sealed;
     }
 
+    // By which the request is recognised when its caller sends it again, under any ticket.
+    std::string contentDigest() const
+    {
+        return requestDigest({this->request.method, this->service->name,
+                              this->path + "?" + this->query, this->caller.customer->name,
+                              this->request.body});
+    }
+
     // Of what the ticket binds: query and body.
     std::string digest() const { return sha256Hex(this->query + "\n" + this->request.body); }
 };
@@ -279,6 +290,28 @@
     return chosen < 0 ? nullptr : usable[static_cast<std::size_t>(chosen)];
 }
 
+// How long the request is kept from all targets; zero if it is not.
+Duration ServiceDesk::barredFor(const Call &call) const
+{
+    return this->context.crashes.isIdle() ? Duration(0)
+                                          : this->context.crashes.barredFor(call.contentDigest());
+}
+
+// Remembers what the end of the attempt says of the request, beside what it says of the target.
+void ServiceDesk::noteRun(Call &call, const ServiceTarget &target,
+                          const FetchedAnswer &answer) const
+{
+    if (answer.end.whole && !this->context.crashes.isIdle())
+        this->context.crashes.ranWell(call.contentDigest());
+    const bool unanswered = !answer.end.whole && answer.headers.empty();
+    if (!unanswered || !answer.end.maySentBytes || target.leaving)
+        return;
+    ++call.unansweredLosses;
+    this->context.crashes.lostUnanswered(
+            target.name, target.address,
+            {call.contentDigest(), this->context.clock.now() - call.sentAt});
+}
+
 void ServiceDesk::attempt(const CallPointer &call)
 {
     // See Wakefulness: a process that woke late must not send on what it knew before.
@@ -286,6 +319,12 @@
         this->refuse(call, {ResultCode::AsleepTooLong, "", comeBackSoon});
         return;
     }
+    const Duration barred = this->barredFor(*call);
+    if (barred > Duration(0)) {
+        this->refuse(call, {ResultCode::RequestBarred, "targets ended under it",
+                            std::chrono::duration_cast<std::chrono::milliseconds>(barred)});
+        return;
+    }
     const ServiceTarget *target = this->chooseTarget(*call);
     if (target == nullptr) {
         this->refuse(call,
@@ -330,6 +369,7 @@
     this->health.ended(target.name, !answer.end.whole, now - call->sentAt);
     call->record.firstByte = now - call->startedAt;
     call->everSent |= answer.end.maySentBytes;
+    this->noteRun(*call, target, answer);
     if (answer.end.whole) {
         const KeptAnswer kept{ResultCode::Ok, answer.end.status,
                               std::string(findHeader(answer.headers, "Content-Type")), answer.body};
@@ -337,7 +377,10 @@
         return;
     }
     if (this->mayRepeat(call, answer)) {
-        this->attempt(call);
+        if (call->unansweredLosses >= lossesBeforePause)
+            this->heldBack.emplace_back(now + verdictTime, call);
+        else
+            this->attempt(call);
         return;
     }
     if (!call->everSent) {
@@ -426,6 +469,17 @@
     this->log.add(call->record);
 }
 
+void ServiceDesk::sweep()
+{
+    const std::lock_guard lock(this->mutex);
+    const TimePoint now = this->context.clock.now();
+    while (!this->heldBack.empty() && this->heldBack.front().first <= now) {
+        const CallPointer call = std::move(this->heldBack.front().second);
+        this->heldBack.pop_front();
+        this->attempt(call);
+    }
+}
+
 std::size_t ServiceDesk::inService() const
 {
     const std::lock_guard lock(this->mutex);
