--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -6,6 +6,7 @@
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Policy/targethealth.h"
 #include "jaytrack/Proxy/entrytuning.h"
+#include "jaytrack/Proxy/selfreports.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Routing/admission.h"
 #include "jaytrack/Routing/enginechoice.h"
@@ -52,6 +53,8 @@
     std::mt19937_64 &random;
     PlacementNotices &notices;
     CrashWatch &crashes;
+    SelfReports &selfReports;
+    const TargetPauses &pauses;
     const StreamOptions &streams;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until its answer is given
@@ -119,9 +122,18 @@
     // A target stands the request.
     void noteRanWell() const;
 
-    // Usable targets of the request's service that were not tried yet.
+    // Targets of the request's service that may be given work and want it.
+    std::vector<const TargetEntry *> usableTargets() const;
+
+    // Those of them that were not tried yet.
     std::vector<const TargetEntry *> untried() const;
 
+    // The time until the first target that wants no work now takes some again.
+    std::optional<Duration> shortestRest() const;
+
+    // Ends the request because all targets that are left want no work for so long.
+    void refuseUntilRested(Duration rest);
+
     std::chrono::milliseconds timeLeft() const;
 
     // By which the request is recognised when its caller sends it again.
@@ -162,6 +174,7 @@
     void onLimit();
 
     asio::steady_timer limitTimer;
+    Duration returnAfter{0};         // the caller had better not come back sooner
     mutable std::string knownDigest; // empty until it is asked for
     bool finished = false;
 };
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -4,6 +4,7 @@
 #define JAYTRACK_PROXY_LOADPROBER_H
 
 #include "jaytrack/Net/targetcall.h"
+#include "jaytrack/Proxy/selfreports.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/targetdirectory.h"
 
@@ -45,7 +46,8 @@
     static constexpr std::chrono::milliseconds lookAgain{4000};
 
     LoadProber(asio::io_context &loop, const Clock &time, const Dialect &words, EngineChoice &told,
-               LoadSharing &shared, std::mt19937_64 &source, std::chrono::milliseconds askGap);
+               LoadSharing &shared, SelfReports &heard, std::mt19937_64 &source,
+               std::chrono::milliseconds askGap);
 
     void add(const TargetEntry &entry);
     void remove(std::string_view id);
@@ -58,6 +60,7 @@
     const Dialect &dialect;
     EngineChoice &engines;
     LoadSharing &sharing;
+    SelfReports &selfReports;
     std::mt19937_64 &random;
     std::chrono::milliseconds gap; // between two questions to an engine
     std::map<std::string, std::shared_ptr<Probe>, std::less<>> probes;
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -72,6 +72,7 @@
     virtual void onFreshnessAsked(std::string_view peer, std::int64_t askedAt) = 0;
     virtual void onFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
                              std::uint64_t revision) = 0;
+    virtual void onLeavingFromPeer(std::string_view target) = 0;
     virtual void onQuarantineNews(const QuarantineNews &news) = 0;
     virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
 };
@@ -98,6 +99,9 @@
     // Tells them what an engine reported.
     void announce(std::string_view engine, const EngineLoad &load);
 
+    // Tells them that a target has said in an answer that it leaves.
+    void announceLeaving(std::string_view target);
+
     // Tells all others, or some drawn by chance, of requests that end targets.
     void tellAll(const QuarantineNews &news);
     void tellSome(const QuarantineNews &news);
--- /dev/null
+++ b/include/jaytrack/Proxy/selfreports.h
@@ -0,0 +1,50 @@
+// What targets tell of themselves in their answers, beside the answer to what they were asked.
+//
+// Load that it answers: hours in which the store is away, slow or serves others. Its entries say
+// "ready" of targets that have long said otherwise to everybody who asked them something. The
+// target's own word is the newest there is, so each answer is read for it, whatever it answers.
+#ifndef JAYTRACK_PROXY_SELFREPORTS_H
+#define JAYTRACK_PROXY_SELFREPORTS_H
+
+#include "jaytrack/Net/httpparser.h"
+#include "jaytrack/Policy/targetpauses.h"
+#include "jaytrack/Routing/dialect.h"
+
+namespace jaytrack {
+
+// Tells the other instances that a target leaves, since each may get its next answer much later.
+class LeavingNotices
+{
+public:
+    virtual ~LeavingNotices() = default;
+    virtual void announceLeaving(std::string_view target) = 0;
+};
+
+class SelfReports
+{
+public:
+    SelfReports(const Dialect &words, TargetDirectory &targets, TargetPauses &rests,
+                LeavingNotices &others)
+        : dialect(words)
+        , directory(targets)
+        , pauses(rests)
+        , notices(others)
+    {
+    }
+
+    // The head of an answer of this life of a target. May lead to calls of onTargetLeaving().
+    void hear(std::string_view target, const MessageHead &answer);
+
+    // Whether the target wants nothing of this instance now.
+    bool wantsRest(std::string_view target) const { return this->pauses.isPaused(target); }
+
+private:
+    const Dialect &dialect;
+    TargetDirectory &directory;
+    TargetPauses &pauses;
+    LeavingNotices &notices;
+};
+
+} // namespace jaytrack
+
+#endif
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -61,6 +61,9 @@
     std::string attemptId;
     bool notExecuted = false; // the target vouches that it did not run the request
     bool misdirected = false; // the address belongs to another target by now
+    bool leaving = false;     // the target that answers leaves
+    // The target turned the request away and wants none from this instance for so long.
+    std::optional<std::chrono::milliseconds> leaveAloneFor;
 };
 
 // A page of the store.
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -6,8 +6,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -93,8 +95,9 @@
     // it leaves.
     void suspend(std::string_view name);
 
-    // Takes a target's own word, or a failure, that it is leaving before the platform lists it so.
-    void markLeaving(std::string_view id, std::string_view reason);
+    // Takes a target's own word that it is leaving before the platform lists it so, or lists it at
+    // all. Returns whether it is news.
+    bool markLeaving(std::string_view id, std::string_view reason);
 
     // Takes a target's own word of when it started. If this life is over, it is ended here; the new
     // one gets work once the platform lists it.
@@ -125,12 +128,17 @@
     Rows::const_iterator rowOf(std::string_view id) const;
     bool isOutdated(const TargetEntry &entry) const;
     void noteStart(const std::string &name, StartTime startedAt);
+    void noteLeft(const std::string &id);
 
     TargetDirectoryListener &listener;
     Rows entries;
     // The latest start that was told under each name. It outlives the listing, so that an entry of
     // an ended life that is read late does not bring it back.
     std::map<std::string, StartTime, std::less<>> latestStarts;
+    // Lives that leave or have left. They outlive the listing too: an entry that lapsed while the
+    // store was away may come back as it was before the target said so.
+    std::set<std::string, std::less<>> leftLives;
+    std::deque<std::string> leftOrder; // the same, oldest first
 };
 
 } // namespace jaytrack
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -71,6 +71,7 @@
                                     public PeerLinkListener,
                                     public LoadSharing,
                                     public PlacementNotices,
+                                    public LeavingNotices,
                                     public QuarantineSpread,
                                     public CrashWatchListener
 {
@@ -120,7 +121,10 @@
         , feeds(this->configuration, this->targets)
         , sharing(time, given.name, given.tuning.sharing, this->random, this->configuration,
                   this->targets)
-        , prober(this->loop, time, words, this->engines, *this, this->random, given.tuning.probeGap)
+        , pauses(time)
+        , selfReports(words, this->directory, this->pauses, *this)
+        , prober(this->loop, time, words, this->engines, *this, this->selfReports, this->random,
+                 given.tuning.probeGap)
         , crashes(this->loop, time, this->metrics, *this, *this)
         , context{this->loop,
                   time,
@@ -134,6 +138,8 @@
                   this->random,
                   *this,
                   this->crashes,
+                  this->selfReports,
+                  this->pauses,
                   this->settings.tuning.streams,
                   this->open}
         , callers(this->loop, time, *this)
@@ -397,6 +403,11 @@
         this->sharing.onFreshness(peer, askedAt, age, revision);
     }
 
+    void onLeavingFromPeer(std::string_view target) override
+    {
+        this->directory.markLeaving(target, "told_to_peer");
+    }
+
     void onQuarantineNews(const QuarantineNews &news) override { this->crashes.onNews(news); }
 
     void onPeersChanged(const std::vector<std::string> &names) override
@@ -425,6 +436,14 @@
             this->peers->announceFailed(engine);
     }
 
+    // LeavingNotices
+
+    void announceLeaving(std::string_view target) override
+    {
+        if (this->peers)
+            this->peers->announceLeaving(target);
+    }
+
     // QuarantineSpread
 
     void tellAll(const QuarantineNews &news) override
@@ -632,6 +651,8 @@
     TargetFeed targets;
     StoreFeeds feeds;
     StoreSharing sharing;
+    TargetPauses pauses;
+    SelfReports selfReports;
     LoadProber prober;
     CrashWatch crashes;
     std::set<std::shared_ptr<Exchange>> open;
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -124,14 +124,41 @@
     return this->admitted.table->serviceNamed(this->serviceName);
 }
 
-std::vector<const TargetEntry *> Exchange::untried() const
+std::vector<const TargetEntry *> Exchange::usableTargets() const
 {
     std::vector<const TargetEntry *> targets = this->context.directory.usable(this->serviceName);
+    std::erase_if(targets, [this](const TargetEntry *entry) {
+        return this->context.pauses.isPaused(entry->id);
+    });
+    return targets;
+}
+
+std::vector<const TargetEntry *> Exchange::untried() const
+{
+    std::vector<const TargetEntry *> targets = this->usableTargets();
     std::erase_if(targets,
                   [this](const TargetEntry *entry) { return this->tried.count(entry->id) > 0; });
     return targets;
 }
 
+std::optional<Duration> Exchange::shortestRest() const
+{
+    std::optional<Duration> shortest;
+    for (const TargetEntry *entry : this->context.directory.usable(this->serviceName)) {
+        const Duration left = this->context.pauses.left(entry->id);
+        if (left > Duration(0))
+            shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
+void Exchange::refuseUntilRested(Duration rest)
+{
+    this->returnAfter = rest;
+    this->answerOwn(this->mayHaveRun() ? ResultCode::TargetLost : ResultCode::TargetFull,
+                    "targets_want_rest");
+}
+
 std::chrono::milliseconds Exchange::timeLeft() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(this->limit -
@@ -167,8 +194,10 @@
     if (code == ResultCode::RequestBarred)
         return std::chrono::duration_cast<std::chrono::milliseconds>(
                 this->context.crashes.barredFor(this->digest()));
-    return comeBackDelay(code, this->admitted.admission.route,
-                         this->context.streams.partOfObjectiveToReturn, this->context.random);
+    const auto usual =
+            comeBackDelay(code, this->admitted.admission.route,
+                          this->context.streams.partOfObjectiveToReturn, this->context.random);
+    return usual + std::chrono::duration_cast<std::chrono::milliseconds>(this->returnAfter);
 }
 
 void Exchange::noteLostUnanswered(const TargetEntry &target, TimePoint sentAt) const
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -52,6 +52,8 @@
 
     void askIfDue()
     {
+        if (this->prober.selfReports.wantsRest(this->target.id))
+            return this->askAfter(this->prober.gap);
         if (!this->prober.sharing.isMine(this->target.id)) {
             this->addedAt = this->prober.clock.now();
             return this->askAfter(lookAgain);
@@ -94,7 +96,11 @@
         });
     }
 
-    void onAnswerHead(MessageHead head) override { this->status = head.status; }
+    void onAnswerHead(MessageHead head) override
+    {
+        this->status = head.status;
+        this->prober.selfReports.hear(this->target.id, head);
+    }
     void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
 
     void onCallEnd(const TargetCallEnd &end) override
@@ -121,13 +127,14 @@
 };
 
 LoadProber::LoadProber(asio::io_context &loop, const Clock &time, const Dialect &words,
-                       EngineChoice &told, LoadSharing &shared, std::mt19937_64 &source,
-                       std::chrono::milliseconds askGap)
+                       EngineChoice &told, LoadSharing &shared, SelfReports &heard,
+                       std::mt19937_64 &source, std::chrono::milliseconds askGap)
     : context(loop)
     , clock(time)
     , dialect(words)
     , engines(told)
     , sharing(shared)
+    , selfReports(heard)
     , random(source)
     , gap(askGap)
 {
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -319,6 +319,13 @@
     this->tellSharers(engine, message);
 }
 
+void PeerLink::announceLeaving(std::string_view target)
+{
+    wire::EntryNotices message;
+    message.leavingTargets.emplace_back(target);
+    this->tellPeers(message);
+}
+
 void PeerLink::tellAll(const QuarantineNews &news)
 {
     wire::EntryNotices message;
@@ -454,6 +461,8 @@
         load.firstWaitingTokens = toTokens(notice.firstWaitingTokens);
         this->listener.onLoadFromPeer(notice.engine, load);
     }
+    for (const std::string &target : message->leavingTargets)
+        this->listener.onLeavingFromPeer(target);
     const QuarantineNews news = toNews(message->quarantine);
     if (!news.isEmpty())
         this->listener.onQuarantineNews(news);
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -46,6 +46,8 @@
         names.reserve(targets.size());
         for (const TargetEntry *entry : targets)
             names.push_back(entry->id);
+        if (const auto rest = this->shortestRest(); names.empty() && rest)
+            return this->refuseUntilRested(*rest);
         const int chosen = names.empty() ? -1 : this->context.health.choose(names);
         if (chosen < 0)
             return this->giveUp(names.empty() ? ResultCode::NoTarget : ResultCode::Overloaded,
@@ -111,7 +113,11 @@
         });
     }
 
-    void onAnswerHead(MessageHead head) override { this->answer = std::move(head); }
+    void onAnswerHead(MessageHead head) override
+    {
+        this->answer = std::move(head);
+        this->context.selfReports.hear(this->target.id, this->answer);
+    }
 
     void onAnswerBody(std::string_view bytes) override
     {
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -178,6 +178,9 @@
 void StreamExchange::attempt()
 {
     const std::vector<const TargetEntry *> engines = this->ownShare(this->untried());
+    const std::optional<Duration> rest = this->shortestRest();
+    if (engines.empty() && rest)
+        return *rest > this->patience() ? this->refuseUntilRested(*rest) : this->waitForRoom();
     this->need.mostDelay = this->usableDelay();
     const TargetEntry *chosen =
             this->context.engines.choose(engines, this->traits, this->need, this->tried);
@@ -206,16 +209,22 @@
     return std::max(Duration(0), std::chrono::duration_cast<Duration>(usable));
 }
 
+// How long the request waits for room.
+Duration StreamExchange::patience() const
+{
+    if (this->uncertain)
+        return this->route().objective;
+    const auto part = std::chrono::duration<double, std::nano>(this->route().objective) *
+                      this->context.streams.partOfObjectiveToWait;
+    return std::chrono::duration_cast<Duration>(part);
+}
+
 // Every engine that was compared is full. Room comes free within tenths of a second as others end,
 // so a short wait is worth it; after it the caller is told, early enough to come back in time.
 void StreamExchange::waitForRoom()
 {
     const TimePoint since = this->uncertain ? this->lostAt : this->request().arrived;
-    const auto part = std::chrono::duration<double, std::nano>(this->route().objective) *
-                      this->context.streams.partOfObjectiveToWait;
-    const Duration patience = this->uncertain ? Duration(this->route().objective)
-                                              : std::chrono::duration_cast<Duration>(part);
-    if (this->context.clock.now() - since > patience)
+    if (this->context.clock.now() - since > this->patience())
         return this->answerOwn(this->uncertain ? ResultCode::TargetLost : ResultCode::WaitExpired,
                                "engines_full");
     this->roomTimer.expires_after(roomGap);
@@ -270,6 +279,9 @@
 
 void StreamExchange::legHead(StreamLeg &leg)
 {
+    this->context.selfReports.hear(leg.target.id, leg.head);
+    if (this->isFinished())
+        return;
     const AnswerFacts said =
             this->context.dialect.describeAnswer(leg.head.status, leg.head.headers);
     if (!said.attemptId.empty() && said.attemptId != this->facts().attemptId) {
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -52,12 +52,13 @@
     {
     }
 
-    void onAnswerHead(MessageHead head) override { this->status = head.status; }
+    void onAnswerHead(MessageHead head) override;
     void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
     void onCallEnd(const TargetCallEnd &end) override;
 
     std::weak_ptr<StreamExchange> owner;
     std::shared_ptr<TargetCall> call;
+    std::string source; // id of the engine that is asked
     TargetEntry destination;
     int status = 0;
     std::string body;
@@ -84,6 +85,7 @@
     void legEvent(StreamLeg &leg, const SseEvent &event);
     void legEnded(StreamLeg &leg, const TargetCallEnd &end);
     void noteOutcome(const StreamLeg &leg, const TargetCallEnd &end);
+    void moveHead(const MoveCall &move, const MessageHead &head);
     void moveEnded(MoveCall &move, const TargetCallEnd &end);
 
 protected:
@@ -126,6 +128,7 @@
     void beginAnswer(const MessageHead &head);
     void beginLeg(const StreamLeg &leg);
     void waitForRoom();
+    Duration patience() const;
     Duration usableDelay() const;
     std::vector<const TargetEntry *> ownShare(std::vector<const TargetEntry *> engines) const;
 
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -76,6 +76,18 @@
     });
 }
 
+void MoveCall::onAnswerHead(MessageHead head)
+{
+    this->status = head.status;
+    if (const auto to = this->owner.lock())
+        to->moveHead(*this, head);
+}
+
+void StreamExchange::moveHead(const MoveCall &asked, const MessageHead &head)
+{
+    this->context.selfReports.hear(asked.source, head);
+}
+
 void MoveCall::onCallEnd(const TargetCallEnd &end)
 {
     if (const auto to = this->owner.lock())
@@ -216,8 +228,7 @@
 {
     if (!this->current || this->move)
         return;
-    const std::vector<const TargetEntry *> engines =
-            this->ownShare(this->context.directory.usable(this->serviceName));
+    const std::vector<const TargetEntry *> engines = this->ownShare(this->usableTargets());
     const TargetEntry *chosen = this->context.engines.chooseRefuge(
             engines, this->traits, this->need, this->current->target, this->plan.unfit());
     if (chosen != nullptr)
@@ -239,6 +250,7 @@
                                    {"leaving", this->plan.isLeaving() ? 1 : 0},
                                    {"events", static_cast<std::int64_t>(this->lastEvent)}});
     this->move = std::make_shared<MoveCall>(this->self());
+    this->move->source = this->current->target.id;
     this->move->destination = destination;
     TargetRequest request;
     request.endpoint = endpoint.value();
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -10,6 +10,9 @@
 // some hundred bytes.
 constexpr std::size_t mostStartsKept = 4096;
 
+// Lives that have left and are remembered, for the same time.
+constexpr std::size_t mostLeftKept = 4096;
+
 } // namespace
 
 std::string lifeId(std::string_view name, StartTime startedAt)
@@ -55,8 +58,22 @@
     this->latestStarts.insert_or_assign(name, startedAt);
 }
 
+void TargetDirectory::noteLeft(const std::string &id)
+{
+    if (!this->leftLives.insert(id).second)
+        return;
+    this->leftOrder.push_back(id);
+    if (this->leftOrder.size() <= mostLeftKept)
+        return;
+    this->leftLives.erase(this->leftOrder.front());
+    this->leftOrder.pop_front();
+}
+
 void TargetDirectory::add(TargetEntry entry)
 {
+    entry.leaving = entry.leaving || this->leftLives.count(entry.id) > 0;
+    if (entry.leaving)
+        this->noteLeft(entry.id);
     this->noteStart(entry.name, entry.startedAt);
     const std::string name = entry.name;
     const TargetEntry added = entry;
@@ -89,8 +106,10 @@
     row.entry = std::move(entry);
     row.missing = false;
     row.suspended = false;
-    if (row.entry.leaving && !wasLeaving)
+    if (row.entry.leaving && !wasLeaving) {
+        this->noteLeft(row.entry.id);
         this->listener.onTargetLeaving(row.entry, "announced");
+    }
 }
 
 void TargetDirectory::remove(std::string_view name, bool keepMissing)
@@ -122,14 +141,17 @@
     return this->entries.end();
 }
 
-void TargetDirectory::markLeaving(std::string_view id, std::string_view reason)
+bool TargetDirectory::markLeaving(std::string_view id, std::string_view reason)
 {
+    const bool news = this->leftLives.count(id) == 0;
+    this->noteLeft(std::string(id));
     const auto found = this->rowOf(id);
     if (found == this->entries.end() || found->second.entry.leaving)
-        return;
+        return news;
     this->entries.find(found->first)->second.entry.leaving = true;
     const TargetEntry entry = found->second.entry;
     this->listener.onTargetLeaving(entry, reason);
+    return news;
 }
 
 void TargetDirectory::hearStart(std::string_view id, StartTime startedAt)
--- a/unittests/Platform/answertoldtest.cpp
+++ b/unittests/Platform/answertoldtest.cpp
@@ -258,3 +258,37 @@
         cr_assert(send(entry).starts_with("HTTP/1.1 200"));
     cr_assert_eq(workSeen(busy), before);
 }
+
+// One instance learns from an answer that a target leaves; the others go on sending there until
+// each has had such an answer itself. What one was told is told to all.
+Test(answerTold, leavingIsToldToOtherInstances)
+{
+    std::atomic<bool> leaves{false};
+    ScriptedServer leaving([&leaves](const SeenRequest &request) {
+        return leaves ? leavingAnswer(Plain200, request) : goodAnswer(request);
+    });
+    ScriptedServer stays(goodAnswer);
+    const std::string firstAddress = freeDatagramAddress();
+    const std::string secondAddress = freeDatagramAddress();
+    RouteSpec route;
+    route.type = "unsafe";
+    EntryFixture first({route}, memberOf("first", firstAddress, secondAddress));
+    EntryFixture second({route}, memberOf("second", secondAddress, firstAddress));
+    for (EntryFixture *entry : {&first, &second}) {
+        entry->store.put("servers/t1", targetJson(leaving.address()));
+        entry->store.put("servers/t2", targetJson(stays.address()));
+        cr_assert(entry->becomesReady());
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    reach(second, leaving);
+    leaves = true;
+    const std::size_t atFirst = workSeen(leaving);
+    for (int i = 0; i < 50 && workSeen(leaving) == atFirst; ++i)
+        send(first);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    const std::size_t before = workSeen(leaving);
+    cr_assert_gt(before, atFirst);
+    for (int i = 0; i < 20; ++i)
+        cr_assert(send(second).starts_with("HTTP/1.1 200"));
+    cr_assert_eq(workSeen(leaving), before);
+}
--- a/unittests/Platform/crashingrequesttest.cpp
+++ b/unittests/Platform/crashingrequesttest.cpp
@@ -147,23 +147,6 @@
 
 namespace {
 
-// A port that is free for datagrams.
-std::string freeDatagramAddress()
-{
-    asio::io_context context;
-    const asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
-}
-
-FixtureOptions memberOf(const std::string &name, const std::string &own, const std::string &other)
-{
-    FixtureOptions options;
-    options.name = name;
-    options.peers = own;
-    options.peerSeeds = {other};
-    return options;
-}
-
 bool isRefusedSoon(const EntryFixture &entry, std::chrono::milliseconds within)
 {
     const auto end = std::chrono::steady_clock::now() + within;
--- a/unittests/Platform/dialecttest.cpp
+++ b/unittests/Platform/dialecttest.cpp
@@ -86,6 +86,48 @@
     cr_assert_eq(dialect->comeBackIn(std::chrono::milliseconds(250)).value, std::string("0.250"));
 }
 
+namespace {
+
+struct SaidCase
+{
+    char name[24];
+    int status;
+    char header[16];
+    char value[16];
+    bool leaving;
+    int restMs; // 0 for none
+};
+
+} // namespace
+
+// What a target tells of itself beside its answer. Only its own word counts, and only a number.
+ParameterizedTestParameters(platformDialect, selfReportsAreDecoded)
+{
+    static SaidCase cases[] = {{"leaving", 200, "server-leaving", "1", true, 0},
+                               {"not leaving", 200, "Server-Leaving", "0", false, 0},
+                               {"another's", 421, "Server-Leaving", "1", false, 0},
+                               {"rest", 503, "Retry-After", "3", false, 3000},
+                               {"part of a second", 503, "Retry-After", "0.25", false, 250},
+                               {"for ever", 503, "Retry-After", "1e300", false, 600'000},
+                               {"infinite", 503, "Retry-After", "inf", false, 600'000},
+                               {"not turned away", 200, "Retry-After", "3", false, 0},
+                               {"none", 503, "Retry-After", "0", false, 0},
+                               {"negative", 503, "Retry-After", "-2", false, 0},
+                               {"no number", 503, "Retry-After", "nan", false, 0},
+                               {"a date", 503, "Retry-After", "Thu, 03 Dec", false, 0}};
+    return cr_make_param_array(SaidCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SaidCase *param, platformDialect, selfReportsAreDecoded)
+{
+    const auto dialect = makePlatformDialect();
+    const std::vector<HttpHeader> headers = {{param->header, param->value}};
+    const AnswerFacts said = dialect->describeAnswer(param->status, headers);
+    cr_assert_eq(said.leaving, param->leaving, "%s", param->name);
+    cr_assert_eq(said.leaveAloneFor.value_or(std::chrono::milliseconds(0)).count(), param->restMs,
+                 "%s", param->name);
+}
+
 Test(platformDialect, configurationIsDecoded)
 {
     const auto dialect = makePlatformDialect();
--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -41,6 +41,22 @@
     this->changed.notify_all();
 }
 
+std::string freeDatagramAddress()
+{
+    asio::io_context context;
+    const asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+}
+
+FixtureOptions memberOf(const std::string &name, const std::string &own, const std::string &other)
+{
+    FixtureOptions options;
+    options.name = name;
+    options.peers = own;
+    options.peerSeeds = {other};
+    return options;
+}
+
 EntryFixture::EntryFixture(const std::vector<RouteSpec> &routes, FixtureOptions given)
     : options(std::move(given))
 {
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -44,6 +44,12 @@
     std::vector<std::string> peerSeeds = {};
 };
 
+// An address that is free for datagrams between instances.
+std::string freeDatagramAddress();
+
+// Options of an instance that knows one other.
+FixtureOptions memberOf(const std::string &name, const std::string &own, const std::string &other);
+
 class EntryFixture
 {
 public:
--- a/unittests/Routing/directorytest.cpp
+++ b/unittests/Routing/directorytest.cpp
@@ -70,7 +70,7 @@
 
 namespace {
 
-enum Fact { Ready, Leaving, Reported, Removed, Unusable };
+enum Fact { Ready, Leaving, Told, Reported, Removed, Unusable };
 
 // One thing that an instance hears of the target "a", in the order of the table.
 struct Heard
@@ -102,6 +102,9 @@
     case Ready:
     case Leaving:
         return directory.put(lifeOf(heard.startedAt, heard.fact == Leaving));
+    case Told:
+        directory.markLeaving(lifeId("a", StartTime(heard.startedAt)), "told");
+        return;
     case Reported:
         return directory.hearStart(lifeId("a", StartTime(listedBefore)),
                                    StartTime(heard.startedAt));
@@ -164,6 +167,22 @@
              4,
              "a@5 listed|a@5 restarted|a@9 listed|a@9 announced|a@9 restarted|a@12 listed",
              true},
+            {"left, lapsed, back as it was",
+             {{Leaving, 5}, {Removed, 0}, {Ready, 5}},
+             3,
+             "a@5 listed_leaving|a@5 listed_leaving",
+             false},
+            {"told, lapsed, back as it was",
+             {{Ready, 5}, {Told, 5}, {Removed, 0}, {Ready, 5}},
+             4,
+             "a@5 listed|a@5 told|a@5 listed_leaving",
+             false},
+            {"told before it is listed", {{Told, 5}, {Ready, 5}}, 2, "a@5 listed_leaving", false},
+            {"told, then the next life",
+             {{Ready, 5}, {Told, 5}, {Ready, 9}},
+             3,
+             "a@5 listed|a@5 told|a@5 restarted|a@9 listed",
+             true},
             {"untold start", {{Ready, 0}, {Reported, 9}}, 2, "a listed", true},
             {"start told only later",
              {{Leaving, 0}, {Ready, 9}},
