--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -267,6 +267,28 @@
     this->oldest = this->revision;
 }
 
+void StoreStandin::takeCopy()
+{
+    const std::lock_guard lock(this->mutex);
+    this->copiedItems = this->items;
+    this->copiedRevision = this->revision;
+}
+
+void StoreStandin::comeBackFromCopy()
+{
+    const std::lock_guard lock(this->mutex);
+    this->items = this->copiedItems;
+    this->revision = this->copiedRevision;
+    this->history.clear();
+    this->oldest = this->revision;
+    ++this->era;
+}
+
+std::string StoreStandin::eraHeader() const
+{
+    return "Store-Era: " + std::to_string(this->era) + "\r\n";
+}
+
 std::size_t StoreStandin::calls() const
 {
     const std::lock_guard lock(this->mutex);
@@ -278,7 +300,7 @@
     const std::lock_guard lock(this->mutex);
     ++this->callCount;
     if (this->failure != 0)
-        return wholeAnswer(this->failure, "", "");
+        return wholeAnswer(this->failure, this->eraHeader(), "");
     if (request.head.path() == "/jaytrack/kv-range")
         return this->range(request.head.target);
     return this->watch(request.head.target, {});
@@ -297,7 +319,7 @@
                                {"Lease", 0}});
     }
     return wholeAnswer(
-            200, "Content-Type: application/json\r\n",
+            200, this->eraHeader() + "Content-Type: application/json\r\n",
             json{{"Entries", entries}, {"HasMore", false}, {"At", this->revision}}.dump());
 }
 
@@ -308,8 +330,8 @@
     const std::string prefix = queryValue(target, "Prefix");
     const std::uint64_t after = std::stoull(queryValue(target, "After"));
     const std::chrono::milliseconds wait(std::stoll(queryValue(target, "WaitMs")));
-    if (after < this->oldest)
-        return wholeAnswer(410, "", "");
+    if (after < this->oldest || after > this->revision)
+        return wholeAnswer(410, this->eraHeader(), "");
     json events = json::array();
     for (const Change &change : this->history) {
         if (change.revision <= after || !change.key.starts_with(prefix))
@@ -326,12 +348,12 @@
         AnswerStep later{AnswerStep::Kind::LookAgain, "", lookGap};
         later.again = [this, target, held] {
             const std::lock_guard lock(this->mutex);
-            return this->failure != 0 ? wholeAnswer(this->failure, "", "")
+            return this->failure != 0 ? wholeAnswer(this->failure, this->eraHeader(), "")
                                       : this->watch(target, held + lookGap);
         };
         return {later};
     }
-    return wholeAnswer(200, "Content-Type: application/json\r\n",
+    return wholeAnswer(200, this->eraHeader() + "Content-Type: application/json\r\n",
                        json{{"events", events}, {"At", this->revision}}.dump());
 }
 
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -97,6 +97,11 @@
     // Forgets the history, so that watches from before get 410.
     void compact();
 
+    // Remembers what is stored now, and comes back as it was then: revisions go back and are given
+    // out again, and all answers tell the next era.
+    void takeCopy();
+    void comeBackFromCopy();
+
     std::string address() const { return this->server->address(); }
     std::size_t calls() const;
 
@@ -114,10 +119,17 @@
     Answer watch(const std::string &target, std::chrono::milliseconds held);
 
     mutable std::mutex mutex;
-    std::map<std::string, std::pair<std::string, std::uint64_t>> items;
     std::vector<Change> history;
+    using Items = std::map<std::string, std::pair<std::string, std::uint64_t>>;
+
+    std::string eraHeader() const;
+
     std::uint64_t revision = 1;
     std::uint64_t oldest = 0;
+    std::uint64_t era = 1;
+    Items copiedItems;
+    std::uint64_t copiedRevision = 1;
+    Items items;
     int failure = 0;
     std::size_t callCount = 0;
     std::unique_ptr<ScriptedServer> server;
