--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -123,6 +123,8 @@
   4: bool incomplete
   // The store has just come back, and what lapsed meanwhile may do so too.
   5: bool afterOutage
+  // The history that the revisions belong to; 0 if the sender knows none.
+  6: i64 era
 }
 
 // Asks how old an instance's knowledge of the store is. The moment is the asker's and comes back with
@@ -135,6 +137,7 @@
   1: i64 askedAt
   2: i64 ageMicros
   3: i64 revision
+  4: i64 era
 }
 
 // What entry instances tell each other, beside who they are.
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -51,6 +51,7 @@
     std::vector<StoreItem> items;
     bool incomplete = false;  // some item was too large to be passed on
     bool afterOutage = false; // removals may be of entries that lapsed while the store was away
+    std::uint64_t era = 0;    // the history that the revisions belong to; 0 if none is known
 };
 
 // The same changes in parts of at most so many bytes of items, as they are sent, each going on
@@ -71,7 +72,7 @@
     virtual void onStoreFromPeer(const SharedChanges &changes) = 0;
     virtual void onFreshnessAsked(std::string_view peer, std::int64_t askedAt) = 0;
     virtual void onFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
-                             std::uint64_t revision) = 0;
+                             std::uint64_t era, std::uint64_t revision) = 0;
     virtual void onLeavingFromPeer(std::string_view target) = 0;
     virtual void onQuarantineNews(const QuarantineNews &news) = 0;
     virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
@@ -110,7 +111,7 @@
     void shareStore(const SharedChanges &changes);
     void askFreshness(std::string_view peer, std::int64_t askedAt);
     void answerFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
-                         std::uint64_t revision);
+                         std::uint64_t era, std::uint64_t revision);
 
     // Tells the others that this instance is about to end.
     void depart();
--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -28,9 +28,10 @@
     void onSharedChanges(const std::vector<StoreItem> &items, bool afterOutage) override;
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
+    void onStoreReturned() override;
 
     // The table in force was the newest at this moment.
-    void confirm(TimePoint asOf) { this->confirmedAt = std::max(this->confirmedAt, asOf); }
+    void confirm(TimePoint asOf);
 
     // Null while none is known.
     std::shared_ptr<const RoutingTable> table() const { return this->inForce; }
@@ -47,6 +48,8 @@
     const Dialect &dialect;
     std::shared_ptr<const RoutingTable> inForce;
     TimePoint confirmedAt;
+    TimePoint unsureFrom; // until then the store may lack a newer table that it had acknowledged
+    TimePoint unsureUntil;
 };
 
 // The platform's list of targets.
@@ -61,6 +64,7 @@
     void onSharedChanges(const std::vector<StoreItem> &items, bool afterOutage) override;
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
+    void onStoreReturned() override;
 
     // As of when this instance's knowledge was last confirmed, by itself or by another instance,
     // and whether that is too long ago. Then the store counts as away: an instance that others tell
@@ -114,6 +118,7 @@
     void onSharedChanges(const std::vector<StoreItem> &items, bool afterOutage) override;
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
+    void onStoreReturned() override;
 
 private:
     ConfigurationFeed &configuration;
--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -36,6 +37,10 @@
 
     virtual void onStoreLost(std::string_view reason) = 0;
     virtual void onStoreRegained(Duration away) = 0;
+
+    // The store came back from an older copy. What it had acknowledged since is not in it until it
+    // is written again; the next listing is of the new history.
+    virtual void onStoreReturned() = 0;
 };
 
 // Told what this instance itself read, so that it can be passed on.
@@ -81,6 +86,12 @@
     std::chrono::milliseconds mostBackoff{250};
     std::chrono::milliseconds mostBackoffIfTold{1500};
 
+    // After a return from an older copy every instance has to list the store again, since what
+    // others pass on says nothing of what is gone. Those that others tell do so one after another,
+    // a hundred calls a second at most, and use what they know meanwhile.
+    std::chrono::milliseconds relistPerInstance{10};
+    std::chrono::milliseconds mostRelist{2000};
+
     // Pause after an answer with changes. Calls are priced and counted against the store's rate,
     // while several changes fit into one answer.
     std::chrono::milliseconds gap{0};
@@ -115,6 +126,14 @@
     // asked.
     void catchUp(std::uint64_t to);
 
+    // Another instance speaks of this history of the store. Returns false if it is an older one, of
+    // which nothing holds any more; a newer one makes this instance list the store again. 0 is told
+    // by one that knows no number.
+    bool hearEra(std::uint64_t heard);
+
+    // The history that the known revision belongs to; 0 if the store tells none.
+    std::uint64_t knownEra() const { return this->era; }
+
     // To be called some times a second.
     void tick();
 
@@ -123,6 +142,8 @@
 
 private:
     void ask();
+    bool belongsToKnownEra();
+    void enterEra(std::uint64_t next, std::string_view source, std::chrono::milliseconds pause);
     void catchUpNow(std::string_view cause);
     void askLater(std::chrono::milliseconds delay);
     void onAnswerHead(MessageHead head) override;
@@ -148,7 +169,11 @@
     TimePoint listingAskedAt;
     TimePoint lastAnswer;
     int status = 0;
+    std::optional<std::uint64_t> answerEra;
     std::string body;
+    std::uint64_t era = 0;
+    TimePoint eraSince; // when it was learnt here
+    std::size_t instances = 1;
     bool listing = true;
     std::string pageAfter;
     std::vector<StoreItem> listed;
--- a/include/jaytrack/Proxy/storesharing.h
+++ b/include/jaytrack/Proxy/storesharing.h
@@ -35,7 +35,7 @@
     void onPeersChanged(const std::vector<std::string> &names);
     void onStoreFromPeer(const SharedChanges &changes);
     void onFreshnessAsked(std::string_view peer, std::int64_t askedAt);
-    void onFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
+    void onFreshness(std::string_view peer, std::int64_t askedAt, Duration age, std::uint64_t era,
                      std::uint64_t revision);
 
 private:
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -115,6 +115,10 @@
     virtual std::string rangeTarget(std::string_view prefix, std::string_view after) const = 0;
     virtual std::string watchTarget(std::string_view prefix, std::uint64_t after,
                                     std::chrono::milliseconds wait) const = 0;
+    // The number of the history that the store's answer belongs to: it rises when the store comes
+    // back from an older copy. Nothing if it is not told.
+    virtual std::optional<std::uint64_t> storeEra(std::span<const HttpHeader> headers) const = 0;
+
     virtual Result<StorePage> decodePage(std::string_view body) const = 0;
     virtual Result<StorePage> decodeChanges(std::string_view body) const = 0;
 
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -397,10 +397,10 @@
         this->sharing.onFreshnessAsked(peer, askedAt);
     }
 
-    void onFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
+    void onFreshness(std::string_view peer, std::int64_t askedAt, Duration age, std::uint64_t era,
                      std::uint64_t revision) override
     {
-        this->sharing.onFreshness(peer, askedAt, age, revision);
+        this->sharing.onFreshness(peer, askedAt, age, era, revision);
     }
 
     void onLeavingFromPeer(std::string_view target) override
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -97,6 +97,7 @@
     changes.to = static_cast<std::uint64_t>(notice.toRevision);
     changes.incomplete = notice.incomplete;
     changes.afterOutage = notice.afterOutage;
+    changes.era = static_cast<std::uint64_t>(notice.era);
     for (const wire::StoreItemNotice &item : notice.items) {
         std::optional<std::string> value = unpack(item);
         // Whoever cannot read it asks the store, as for an item that was left out.
@@ -115,6 +116,7 @@
     notice.toRevision = static_cast<std::int64_t>(changes.to);
     notice.incomplete = changes.incomplete;
     notice.afterOutage = changes.afterOutage;
+    notice.era = static_cast<std::int64_t>(changes.era);
     for (const StoreItem &item : changes.items) {
         wire::StoreItemNotice shared;
         shared.key = item.key;
@@ -144,7 +146,7 @@
         return left.revision < right.revision;
     });
     std::vector<SharedChanges> parts;
-    SharedChanges part{changes.from, changes.from, {}, false, changes.afterOutage};
+    SharedChanges part{changes.from, changes.from, {}, false, changes.afterOutage, changes.era};
     std::size_t bytes = 0;
     for (StoreItem &item : items) {
         const std::size_t whole = item.key.size() + pack(item.value).bytes.size();
@@ -152,7 +154,7 @@
         const std::size_t size = tooLarge ? 0 : whole;
         if (bytes + size > mostBytes && !part.items.empty()) {
             parts.push_back(part);
-            part = {part.to, part.to, {}, false, changes.afterOutage};
+            part = {part.to, part.to, {}, false, changes.afterOutage, changes.era};
             bytes = 0;
         }
         part.to = item.revision;
@@ -400,12 +402,13 @@
 }
 
 void PeerLink::answerFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
-                               std::uint64_t revision)
+                               std::uint64_t era, std::uint64_t revision)
 {
     wire::FreshnessAnswer answer;
     answer.askedAt = askedAt;
     answer.ageMicros = std::chrono::duration_cast<std::chrono::microseconds>(age).count();
     answer.revision = static_cast<std::int64_t>(revision);
+    answer.era = static_cast<std::int64_t>(era);
     wire::EntryNotices message;
     message.answers.push_back(answer);
     this->membership.sendPolicy(peer, encodeMessage(message));
@@ -473,6 +476,7 @@
     for (const wire::FreshnessAnswer &answer : message->answers) {
         this->listener.onFreshness(from, answer.askedAt,
                                    std::chrono::microseconds(answer.ageMicros),
+                                   static_cast<std::uint64_t>(answer.era),
                                    static_cast<std::uint64_t>(answer.revision));
     }
 }
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -67,6 +67,21 @@
               {"keys", static_cast<std::int64_t>(this->inForce->holders.size())}});
 }
 
+void ConfigurationFeed::confirm(TimePoint asOf)
+{
+    const bool unsure = asOf >= this->unsureFrom && asOf < this->unsureUntil;
+    if (!unsure)
+        this->confirmedAt = std::max(this->confirmedAt, asOf);
+}
+
+// A key may have been taken away by a change that was acknowledged, is not in the copy, and never
+// came here. Until it is written again nothing that the store says confirms that the key holds.
+void ConfigurationFeed::onStoreReturned()
+{
+    this->unsureFrom = this->clock.now();
+    this->unsureUntil = this->unsureFrom + returnGrace;
+}
+
 void ConfigurationFeed::onStoreLost(std::string_view reason)
 {
     logEvent(Severity::Warning, "store_lost",
@@ -182,6 +197,13 @@
     this->lostAt = this->clock.now();
 }
 
+// Targets that wrote themselves after the copy was made are not in it, and do so again.
+void TargetFeed::onStoreReturned()
+{
+    this->metrics.count("jaytrack_store_returns_total");
+    this->startGrace();
+}
+
 // If others read the store after this instance lost it, it was not away but turned this instance
 // away, and nothing has lapsed.
 void TargetFeed::onStoreRegained(Duration)
@@ -238,6 +260,12 @@
     this->targets.onStoreLost(reason);
 }
 
+void StoreFeeds::onStoreReturned()
+{
+    this->configuration.onStoreReturned();
+    this->targets.onStoreReturned();
+}
+
 void StoreFeeds::onStoreRegained(Duration away)
 {
     this->configuration.onStoreRegained(away);
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -3,6 +3,7 @@
 #include "jaytrack/Support/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jaytrack {
 
@@ -63,6 +64,7 @@
 
 void StoreFollower::setInstances(std::size_t count)
 {
+    this->instances = count;
     const auto others = static_cast<std::int64_t>(count) - 1;
     const std::chrono::milliseconds wanted =
             this->options.patience + this->options.patiencePerInstance * others;
@@ -78,6 +80,70 @@
     this->heardOf = to;
 }
 
+bool StoreFollower::hearEra(std::uint64_t heard)
+{
+    if (heard == 0 || heard == this->era)
+        return true;
+    if (heard < this->era)
+        return false;
+    std::chrono::milliseconds pause{0};
+    if (this->told && !this->active) {
+        const auto share = this->options.relistPerInstance * static_cast<int>(this->instances);
+        const auto most = std::min(share, this->options.mostRelist);
+        std::uniform_int_distribution<std::int64_t> draw(0, most.count());
+        pause = std::chrono::milliseconds(draw(this->random));
+    }
+    this->enterEra(heard, "peer", pause);
+    return true;
+}
+
+// The revisions known so far belong to a history that no longer exists: followed on from there, the
+// store would tell nothing of changes that it made under the same numbers.
+void StoreFollower::enterEra(std::uint64_t next, std::string_view source,
+                             std::chrono::milliseconds pause)
+{
+    const std::uint64_t before = std::exchange(this->era, next);
+    this->eraSince = this->clock.now();
+    if (before == 0)
+        return;
+    logEvent(Severity::Warning, "store_returned",
+             {{"era", static_cast<std::int64_t>(next)},
+              {"before", static_cast<std::int64_t>(before)},
+              {"source", source},
+              {"revision", static_cast<std::int64_t>(this->revision)},
+              {"lists_after_ms", static_cast<std::int64_t>(pause.count())}});
+    if (this->call)
+        this->call->cancel();
+    this->timer.cancel();
+    this->revision = 0;
+    this->heardOf = 0;
+    this->listing = true;
+    this->pageAfter.clear();
+    this->listed.clear();
+    this->listener.onStoreReturned();
+    this->askLater(pause);
+}
+
+// Whether the answer is of the history that is known here. One to a question that was put before a
+// newer one was learnt of may be of the older one.
+bool StoreFollower::belongsToKnownEra()
+{
+    if (!this->answerEra || *this->answerEra == this->era)
+        return true;
+    if (this->era == 0) {
+        this->enterEra(*this->answerEra, "store", {});
+        return true;
+    }
+    if (*this->answerEra < this->era && this->askedAt < this->eraSince) {
+        this->failed("older_era");
+        return false;
+    }
+    if (this->status == okStatus)
+        this->succeeded();
+    this->enterEra(*this->answerEra, "store", {});
+    return false;
+}
+
 void StoreFollower::tick()
 {
     const bool behind = this->heardOf > this->revision && !this->listing;
@@ -137,6 +203,7 @@
     }
     request.headers.push_back({"Host", this->options.store.address().to_string()});
     this->status = 0;
+    this->answerEra.reset();
     this->body.clear();
     this->askedAt = this->clock.now();
     if (this->listing && this->pageAfter.empty())
@@ -171,6 +238,7 @@
 void StoreFollower::onAnswerHead(MessageHead head)
 {
     this->status = head.status;
+    this->answerEra = this->dialect.storeEra(head.headers);
 }
 
 void StoreFollower::onAnswerBody(std::string_view bytes)
@@ -185,6 +253,8 @@
         return;
     if (!end.whole)
         return this->failed(end.reason);
+    if (!this->belongsToKnownEra())
+        return;
     if (!this->listing && this->status == historyGoneStatus) {
         logEvent(Severity::Warning, "store_history_gone",
                  {{"revision", static_cast<std::int64_t>(this->revision)}});
--- a/lib/Proxy/storesharing.cpp
+++ b/lib/Proxy/storesharing.cpp
@@ -74,12 +74,13 @@
                                const std::vector<StoreItem> &items)
 {
     if (this->peers != nullptr && this->duty.passesOn())
-        this->peers->shareStore({from, to, items, false, this->targets.inGrace()});
+        this->peers->shareStore(
+                {from, to, items, false, this->targets.inGrace(), this->follower->knownEra()});
 }
 
 void StoreSharing::onStoreFromPeer(const SharedChanges &changes)
 {
-    if (this->follower != nullptr)
+    if (this->follower != nullptr && this->follower->hearEra(changes.era))
         this->follower->applyShared(changes.from, changes.to, changes.items, changes.incomplete,
                                     changes.afterOutage);
 }
@@ -89,19 +90,22 @@
     if (this->follower == nullptr || this->follower->knownRevision() == 0)
         return;
     this->peers->answerFreshness(peer, askedAt, this->configuration.age(),
-                                 this->follower->knownRevision());
+                                 this->follower->knownEra(), this->follower->knownRevision());
 }
 
 // The peer knew, when it answered, the state as it was that long ago, and it answered after the
 // question was put; so counted from the question the state is at least as new as that, however long
 // the answer took.
 void StoreSharing::onFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
-                               std::uint64_t revision)
+                               std::uint64_t era, std::uint64_t revision)
 {
     this->duty.answered(peer, age);
     const TimePoint asked{Duration(askedAt)};
     if (this->follower == nullptr || asked > this->clock.now() || age < Duration(0))
         return;
+    // Revisions of two histories cannot be compared.
+    if (!this->follower->hearEra(era))
+        return;
     if (revision > this->follower->knownRevision())
         return this->follower->catchUp(revision);
     this->configuration.confirm(asked - age);
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -2217,6 +2217,10 @@
 void StoreNotice::__set_afterOutage(const bool val) {
   this->afterOutage = val;
 }
+
+void StoreNotice::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoreNotice& obj)
 {
   obj.printTo(out);
@@ -2297,6 +2301,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2342,6 +2354,10 @@
   xfer += oprot->writeBool(this->afterOutage);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2354,6 +2370,7 @@
   swap(a.items, b.items);
   swap(a.incomplete, b.incomplete);
   swap(a.afterOutage, b.afterOutage);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -2363,6 +2380,7 @@
   items = other67.items;
   incomplete = other67.incomplete;
   afterOutage = other67.afterOutage;
+  era = other67.era;
   __isset = other67.__isset;
 }
 StoreNotice& StoreNotice::operator=(const StoreNotice& other68) {
@@ -2371,6 +2389,7 @@
   items = other68.items;
   incomplete = other68.incomplete;
   afterOutage = other68.afterOutage;
+  era = other68.era;
   __isset = other68.__isset;
   return *this;
 }
@@ -2382,6 +2401,7 @@
   out << ", " << "items=" << to_string(items);
   out << ", " << "incomplete=" << to_string(incomplete);
   out << ", " << "afterOutage=" << to_string(afterOutage);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
@@ -2493,6 +2513,10 @@
 void FreshnessAnswer::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void FreshnessAnswer::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj)
 {
   obj.printTo(out);
@@ -2545,6 +2569,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2574,6 +2606,10 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2584,6 +2620,7 @@
   swap(a.askedAt, b.askedAt);
   swap(a.ageMicros, b.ageMicros);
   swap(a.revision, b.revision);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -2591,12 +2628,14 @@
   askedAt = other71.askedAt;
   ageMicros = other71.ageMicros;
   revision = other71.revision;
+  era = other71.era;
   __isset = other71.__isset;
 }
 FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other72) noexcept {
   askedAt = other72.askedAt;
   ageMicros = other72.ageMicros;
   revision = other72.revision;
+  era = other72.era;
   __isset = other72.__isset;
   return *this;
 }
@@ -2606,6 +2645,7 @@
   out << "askedAt=" << to_string(askedAt);
   out << ", " << "ageMicros=" << to_string(ageMicros);
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -917,12 +917,13 @@
 std::ostream& operator<<(std::ostream& out, const StoreItemNotice& obj);
 
 typedef struct _StoreNotice__isset {
-  _StoreNotice__isset() : fromRevision(false), toRevision(false), items(false), incomplete(false), afterOutage(false) {}
+  _StoreNotice__isset() : fromRevision(false), toRevision(false), items(false), incomplete(false), afterOutage(false), era(false) {}
   bool fromRevision :1;
   bool toRevision :1;
   bool items :1;
   bool incomplete :1;
   bool afterOutage :1;
+  bool era :1;
 } _StoreNotice__isset;
 
 class StoreNotice : public virtual ::apache::thrift::TBase {
@@ -934,7 +935,8 @@
               : fromRevision(0),
                 toRevision(0),
                 incomplete(0),
-                afterOutage(0) {
+                afterOutage(0),
+                era(0) {
   }
 
   virtual ~StoreNotice() noexcept;
@@ -943,6 +945,7 @@
   std::vector<StoreItemNotice>  items;
   bool incomplete;
   bool afterOutage;
+  int64_t era;
 
   _StoreNotice__isset __isset;
 
@@ -956,6 +959,8 @@
 
   void __set_afterOutage(const bool val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const StoreNotice & rhs) const
   {
     if (!(fromRevision == rhs.fromRevision))
@@ -968,6 +973,8 @@
       return false;
     if (!(afterOutage == rhs.afterOutage))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const StoreNotice &rhs) const {
@@ -1030,10 +1037,11 @@
 std::ostream& operator<<(std::ostream& out, const FreshnessAsk& obj);
 
 typedef struct _FreshnessAnswer__isset {
-  _FreshnessAnswer__isset() : askedAt(false), ageMicros(false), revision(false) {}
+  _FreshnessAnswer__isset() : askedAt(false), ageMicros(false), revision(false), era(false) {}
   bool askedAt :1;
   bool ageMicros :1;
   bool revision :1;
+  bool era :1;
 } _FreshnessAnswer__isset;
 
 class FreshnessAnswer : public virtual ::apache::thrift::TBase {
@@ -1044,13 +1052,15 @@
   FreshnessAnswer() noexcept
                   : askedAt(0),
                     ageMicros(0),
-                    revision(0) {
+                    revision(0),
+                    era(0) {
   }
 
   virtual ~FreshnessAnswer() noexcept;
   int64_t askedAt;
   int64_t ageMicros;
   int64_t revision;
+  int64_t era;
 
   _FreshnessAnswer__isset __isset;
 
@@ -1060,6 +1070,8 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const FreshnessAnswer & rhs) const
   {
     if (!(askedAt == rhs.askedAt))
@@ -1068,6 +1080,8 @@
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const FreshnessAnswer &rhs) const {
--- a/unittests/Platform/followertest.cpp
+++ b/unittests/Platform/followertest.cpp
@@ -23,11 +23,13 @@
     void onSharedChanges(const std::vector<StoreItem> &items, bool) override { this->add(items); }
     void onStoreLost(std::string_view) override { ++this->lost; }
     void onStoreRegained(Duration) override { ++this->regained; }
+    void onStoreReturned() override { ++this->returned; }
     void onStoreRead(std::uint64_t, std::uint64_t, const std::vector<StoreItem> &) override {}
 
     std::vector<std::string> keys;
     int lost = 0;
     int regained = 0;
+    int returned = 0;
 
 private:
     void add(const std::vector<StoreItem> &items)
--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -284,6 +284,12 @@
     ++this->era;
 }
 
+std::uint64_t StoreStandin::currentEra() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->era;
+}
+
 std::string StoreStandin::eraHeader() const
 {
     return "Store-Era: " + std::to_string(this->era) + "\r\n";
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -101,6 +101,7 @@
     // out again, and all answers tell the next era.
     void takeCopy();
     void comeBackFromCopy();
+    std::uint64_t currentEra() const;
 
     std::string address() const { return this->server->address(); }
     std::size_t calls() const;
--- a/unittests/Platform/storeeratest.cpp
+++ b/unittests/Platform/storeeratest.cpp
@@ -157,3 +157,168 @@
     }
     cr_assert(becomes(entry, "/jobs/1", 503), "what never came back is gone");
 }
+
+namespace {
+
+class EraRecorder final : public StoreFollowerListener, public StoreReadListener
+{
+public:
+    void onListing(const std::vector<StoreItem> &items, TimePoint) override
+    {
+        ++this->listings;
+        this->add(items);
+    }
+    void onChanges(const std::vector<StoreItem> &items, TimePoint) override { this->add(items); }
+    void onSharedChanges(const std::vector<StoreItem> &items, bool) override { this->add(items); }
+    void onStoreLost(std::string_view) override {}
+    void onStoreRegained(Duration) override {}
+    void onStoreReturned() override { ++this->returns; }
+    void onStoreRead(std::uint64_t, std::uint64_t, const std::vector<StoreItem> &) override {}
+
+    std::map<std::string, std::string> values;
+    int listings = 0;
+    int returns = 0;
+
+private:
+    void add(const std::vector<StoreItem> &items)
+    {
+        for (const StoreItem &item : items)
+            this->values[item.key] = item.value;
+    }
+};
+
+// Followers of one store, as the instances of a fleet have them.
+struct Followers
+{
+    explicit Followers(std::size_t count)
+    {
+        this->store.put("a", "1");
+        StoreFollowerOptions options;
+        options.store = parseEndpoint(this->store.address()).value();
+        this->recorders.resize(count);
+        for (std::size_t i = 0; i < count; ++i) {
+            this->all.push_back(std::make_shared<StoreFollower>(
+                    this->loop, this->clock, *this->dialect, options, i, this->recorders[i],
+                    this->recorders[i]));
+            this->all.back()->start();
+        }
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        this->loop.restart();
+        this->loop.run_for(time);
+    }
+
+    StoreStandin store;
+    asio::io_context loop;
+    SystemClock clock;
+    std::unique_ptr<Dialect> dialect = makePlatformDialect();
+    std::vector<EraRecorder> recorders;
+    std::vector<std::shared_ptr<StoreFollower>> all;
+};
+
+constexpr std::chrono::milliseconds settle{300};
+
+} // namespace
+
+// What others tell of a history that is over is taken for news, or what they tell of the new one
+// for old: notices of both cross each other on their way.
+Test(storeEra, noticesAreOrderedByEraFirst)
+{
+    Followers fleet(1);
+    StoreFollower &follower = *fleet.all[0];
+    fleet.run(settle);
+    const std::uint64_t era = follower.knownEra();
+    cr_assert_eq(era, 1);
+    cr_assert(follower.hearEra(era));
+    cr_assert(follower.hearEra(0), "one that knows no number is heard");
+    cr_assert(follower.hearEra(era + 1));
+    cr_assert_eq(fleet.recorders[0].returns, 1);
+    cr_assert_eq(follower.knownRevision(), 0, "nothing is claimed until it is listed");
+    cr_assert_not(follower.hearEra(era), "late");
+    cr_assert(follower.hearEra(era + 1));
+    cr_assert_eq(fleet.recorders[0].returns, 1);
+    cr_assert(follower.hearEra(era + 3), "two returns in a row");
+    cr_assert_eq(fleet.recorders[0].returns, 2);
+}
+
+// Two returns in a row, a number that goes down, or an answer without one leave a follower deaf, or
+// with what is gone. Whatever the numbers do, what the store holds in the end is known.
+Test(storeEra, storeIsKnownAfterAnySeriesOfReturns)
+{
+    std::mt19937_64 random(32);
+    for (int round = 0; round < 6; ++round) {
+        Followers fleet(2);
+        fleet.all[1]->setActive(round % 2 == 0);
+        fleet.run(settle);
+        for (int step = 0; step < 12; ++step) {
+            switch (random() % 4) {
+            case 0:
+                fleet.store.takeCopy();
+                break;
+            case 1:
+                fleet.store.comeBackFromCopy();
+                break;
+            case 2:
+                fleet.store.put("a", std::to_string(step));
+                break;
+            default:
+                fleet.store.put("b" + std::to_string(random() % 3), std::to_string(step));
+            }
+            if (random() % 2 == 0)
+                fleet.run(std::chrono::milliseconds(random() % 40));
+        }
+        fleet.store.put("a", "last");
+        fleet.all[1]->hearEra(fleet.store.currentEra());
+        fleet.all[1]->setActive(true);
+        fleet.run(std::chrono::milliseconds(1500));
+        for (const EraRecorder &recorder : fleet.recorders)
+            cr_assert_eq(recorder.values.at("a"), std::string("last"), "round %d", round);
+    }
+}
+
+namespace {
+
+struct FleetSize
+{
+    std::size_t instances;
+};
+
+} // namespace
+
+// After a return all instances list the store in the same moment. Those that others tell spread
+// their listings, a hundred a second at most, and each lists once.
+ParameterizedTestParameters(storeEra, listingsAreSpreadOverTheFleet)
+{
+    static FleetSize cases[] = {{9}, {87}, {195}};
+    return cr_make_param_array(FleetSize, cases, std::size(cases));
+}
+
+ParameterizedTest(FleetSize *param, storeEra, listingsAreSpreadOverTheFleet)
+{
+    Followers fleet(param->instances);
+    fleet.run(std::chrono::milliseconds(800));
+    for (const auto &follower : fleet.all) {
+        follower->setTold(true);
+        follower->setInstances(param->instances);
+        follower->setActive(false);
+    }
+    fleet.run(std::chrono::milliseconds(1500));
+    for (const EraRecorder &recorder : fleet.recorders)
+        cr_assert_eq(recorder.listings, 1);
+    fleet.store.takeCopy();
+    fleet.store.comeBackFromCopy();
+    const std::size_t before = fleet.store.calls();
+    for (const auto &follower : fleet.all)
+        follower->hearEra(2);
+    static constexpr std::size_t mostInHalfASecond = 70;
+    fleet.run(std::chrono::milliseconds(500));
+    cr_assert_leq(fleet.store.calls() - before, mostInHalfASecond, "%zu calls at once",
+                  fleet.store.calls() - before);
+    fleet.run(std::chrono::milliseconds(2000));
+    cr_assert_eq(fleet.store.calls() - before, param->instances, "%zu calls",
+                 fleet.store.calls() - before);
+    for (const EraRecorder &recorder : fleet.recorders)
+        cr_assert_eq(recorder.listings, 2);
+}
