--- a/unittests/Serve/servicetest.cpp
+++ b/unittests/Serve/servicetest.cpp
@@ -312,3 +312,27 @@
     const auto burn = nlohmann::json::parse(ask("/burn").body);
     cr_assert(burn[0]["subject"] == "account" && burn[0]["total"][0] == 1);
 }
+
+// A call is refused though a target is free. Most targets of its service have ended, each refuses
+// the connection, and three such refusals used up the attempts, although nothing had been sent.
+Test(service, targetsThatCannotBeReachedUseUpNoAttempt)
+{
+    SitePlan plan;
+    plan.services = 1;
+    Site site(plan);
+    Document document = site.document();
+    for (int i = 0; i < 7; ++i) {
+        asio::io_context context;
+        const asio::ip::tcp::acceptor free(context, {asio::ip::make_address("127.0.0.1"), 0});
+        document.services[0].targets.push_back({"ended-" + std::to_string(i), "falun",
+                                                Site::addressOf(free.local_endpoint().port()),
+                                                false});
+    }
+    site.publish(document);
+    site.addInstance(site.configUrl());
+    for (int i = 0; i < 5; ++i) {
+        const FetchedAnswer answer =
+                site.request("GET", "/account/readings?meter=7", "", {}, weaverKey, 1);
+        cr_assert_eq(answer.end.status, 200, "%d: code %s", i, codeOf(answer).c_str());
+    }
+}
