--- a/lib/Serve/servicecall.cpp
+++ b/lib/Serve/servicecall.cpp
@@ -79,6 +79,7 @@
     std::string bodyDigest;        // set if it carries a ticket
     std::int64_t ticketSerial = 0; // 0 if it runs without a ticket
     int attempts = 0;
+    int sends = 0; // attempts of which bytes may have left
     bool everSent = false;
     int unansweredLosses = 0; // connections that were lost before an answer came
     std::vector<std::string> tried;
@@ -369,6 +370,7 @@
     this->health.ended(target.name, !answer.end.whole, now - call->sentAt);
     call->record.firstByte = now - call->startedAt;
     call->everSent |= answer.end.maySentBytes;
+    call->sends += answer.end.maySentBytes ? 1 : 0;
     this->noteRun(*call, target, answer);
     if (answer.end.whole) {
         const KeptAnswer kept{ResultCode::Ok, answer.end.status,
@@ -401,10 +403,14 @@
     // A route may have been declared not idempotent since the last revision that reached us.
     const bool trusted = call->mayRunAgain && !this->context.cautious();
     const bool safe = trusted || !answer.end.maySentBytes;
-    if (!safe || call->attempts >= maxAttempts)
-        return false;
     const bool elsewhere = call->tried.size() < call->service->targets.size();
-    return elsewhere && this->health.takeRetry();
+    if (!safe || !elsewhere)
+        return false;
+    // Of several targets that have ended each refuses the connection at once; counted as attempts
+    // they had calls refused while other targets were free.
+    if (!answer.end.maySentBytes)
+        return true;
+    return call->sends < maxAttempts && this->health.takeRetry();
 }
 
 // The final word on a request that ran, or may have run.
