--- a/include/jaytrack/Quarantine/crashquarantine.h
+++ b/include/jaytrack/Quarantine/crashquarantine.h
@@ -96,7 +96,8 @@
     // that others may have to be told.
     bool ranWell(std::string_view digest);
 
-    // Weighs the ends that everybody can have told of by now. Returns what is barred from now on.
+    // Weighs the ends that everybody can have told of by now, if there are new ones. Returns what
+    // is barred from now on.
     std::vector<BarredRequest> weigh();
 
     // Takes over what another instance has barred. Returns whether it is new here.
@@ -135,6 +136,7 @@
 
     End &endOf(std::string_view target, TimePoint endedAt);
     void dropOld();
+    void planWeighing();
     bool isSettled(const End &end) const;
     EvidenceByDigest collectEvidence() const;
     bool isEnough(std::string_view digest, const Evidence &evidence) const;
@@ -143,6 +145,7 @@
 
     const Clock &clock;
     CrashQuarantineOptions options;
+    TimePoint weighAt = TimePoint::max();         // the next end is settled by then
     std::deque<End> ends;                         // in the order in which they happened
     std::map<std::string, Bar, std::less<>> bars; // kept through the probation
 };
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -202,9 +202,10 @@
 
 void Exchange::noteLostUnanswered(const TargetEntry &target, TimePoint sentAt) const
 {
-    // A target that leaves closes what waits there when it ends, as planned.
+    // A target that leaves closes what waits there when it ends, as planned; some leave by being
+    // taken off the list. One that has just crashed is still listed.
     const TargetEntry *listed = this->context.directory.find(target.id);
-    if (listed != nullptr && listed->leaving)
+    if (listed == nullptr || listed->leaving)
         return;
     this->context.crashes.lostUnanswered(target.id, target.address,
                                          {this->digest(), this->context.clock.now() - sentAt});
--- a/lib/Quarantine/crashquarantine.cpp
+++ b/lib/Quarantine/crashquarantine.cpp
@@ -31,6 +31,7 @@
         if (end.suspects.size() < this->options.mostSuspects)
             end.suspects.emplace(suspect.digest, end.endedAt - suspect.held);
     }
+    this->weighAt = std::min(this->weighAt, end.endedAt + this->options.settleTime);
 }
 
 bool CrashQuarantine::ranWell(std::string_view digest)
@@ -56,6 +57,17 @@
     });
 }
 
+// Weighing looks at all suspects of all ends, some ten thousand at the most, so it is done once for
+// each end and not at each tick.
+void CrashQuarantine::planWeighing()
+{
+    this->weighAt = TimePoint::max();
+    for (const End &end : this->ends) {
+        if (!this->isSettled(end))
+            this->weighAt = std::min(this->weighAt, end.endedAt + this->options.settleTime);
+    }
+}
+
 bool CrashQuarantine::isSettled(const End &end) const
 {
     return this->clock.now() - end.endedAt >= this->options.settleTime;
@@ -116,6 +128,9 @@
 {
     this->dropOld();
     std::vector<BarredRequest> fresh;
+    if (this->clock.now() < this->weighAt)
+        return fresh;
+    this->planWeighing();
     while (true) {
         const EvidenceByDigest all = this->collectEvidence();
         const std::string digest(this->mostSuspect(all));
