--- a/unittests/Platform/storeeratest.cpp
+++ b/unittests/Platform/storeeratest.cpp
@@ -3,6 +3,7 @@
 #include "entryfixture.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Proxy/storefeeds.h"
 #include "jaytrack/Proxy/storefollower.h"
 
 #include <criterion/criterion.h>
@@ -322,3 +323,23 @@
     for (const EraRecorder &recorder : fleet.recorders)
         cr_assert_eq(recorder.listings, 2);
 }
+
+// A key works on for ever though it was taken away: the change was acknowledged and lost before it
+// came here, the instance listed the copy, and took it for a confirmation that the key holds.
+Test(storeEra, copyConfirmsNothingUntilLostChangesAreWrittenAgain)
+{
+    ManualClock clock;
+    clock.advance(std::chrono::hours(1));
+    const auto dialect = makePlatformDialect();
+    ConfigurationFeed feed(clock, *dialect);
+    feed.confirm(clock.now());
+    clock.advance(std::chrono::milliseconds(800));
+    feed.onStoreReturned();
+    clock.advance(std::chrono::milliseconds(100));
+    feed.confirm(clock.now());
+    cr_assert_eq(feed.age(), Duration(std::chrono::milliseconds(900)),
+                 "the copy may lack a change");
+    clock.advance(std::chrono::milliseconds(2100));
+    feed.confirm(clock.now());
+    cr_assert_eq(feed.age(), Duration(0), "what was lost is written again by now");
+}
--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -87,6 +87,31 @@
         request->second.spoiled = true;
 }
 
+void Record::toldOfLeaving(const std::string &id, const std::string &target)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto request = this->byId.find(id);
+    if (request != this->byId.end())
+        this->toldLeaving.emplace(std::pair(request->second.instance, target),
+                                  std::chrono::steady_clock::now());
+}
+
+// What a target said in an answer binds the instance that passed it on also while the store is
+// away, unless it was restarted, paused or cut since.
+void Record::checkToldLeaving(const std::string &id, const Request &request,
+                              const std::string &target)
+{
+    const auto told = this->toldLeaving.find({request.instance, target});
+    if (told == this->toldLeaving.end())
+        return;
+    const bool late = request.sentAt > told->second + leaveBound + slack;
+    const bool excused = !this->calm(request.instance, told->second - slack) ||
+                         !this->calm("targets-cut", told->second - slack);
+    ++this->counts[late && !excused ? "after_own_word_judged" : "after_own_word_excused"];
+    if (late && !excused)
+        this->broken("sent_to_target_that_said_it_leaves", id, "target=" + target);
+}
+
 int Record::ran(const std::string &id, const std::string &target)
 {
     const std::lock_guard lock(this->mutex);
@@ -103,6 +128,7 @@
         this->calm("store", left->second - slack) &&
         this->calm(request->second.instance, left->second - slack))
         this->broken("sent_to_leaving_target", id, "target=" + target);
+    this->checkToldLeaving(id, request->second, target);
     return ++request->second.runs;
 }
 
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -63,6 +63,9 @@
     // A target loses or spoils the answer to a request, which it may have run.
     void spoiled(const std::string &id);
 
+    // An answer to the request says that its target leaves.
+    void toldOfLeaving(const std::string &id, const std::string &target);
+
     // A target begins to work on a request. Returns the number of this generation of it.
     int ran(const std::string &id, const std::string &target);
 
@@ -97,6 +100,7 @@
     void broken(const std::string &promise, const std::string &id, const std::string &detail);
     void checkSuccess(const std::string &id, const Request &request, const CallerSaw &answer);
     void checkEvents(const std::string &id, const Request &request, const CallerSaw &answer);
+    void checkToldLeaving(const std::string &id, const Request &request, const std::string &target);
     void checkStop(const std::string &id, const Request &request, const CallerSaw &answer);
     bool calm(const std::string &who, SteadyTime since) const;
     static bool isOwed(const Request &request, const Stop &stop);
@@ -106,6 +110,8 @@
     std::map<std::string, SteadyTime> disturbedUntil;
     std::map<std::string, SteadyTime> keysTaken;
     std::map<std::string, SteadyTime> leaving;
+    // By instance and target, when an answer that passed there first said that the target leaves.
+    std::map<std::pair<std::string, std::string>, SteadyTime> toldLeaving;
     std::map<std::string, Stop> stops;
     std::map<std::string, std::size_t> counts;
     std::vector<std::string> found;
--- a/unittests/ProcessSoak/scenario.cpp
+++ b/unittests/ProcessSoak/scenario.cpp
@@ -269,6 +269,7 @@
     SoakTarget &target = *this->site.targets[this->random() % this->site.targets.size()];
     const milliseconds time = this->drawTime(100, 2500);
     this->disturb("targets", time);
+    this->disturb("targets-cut", time);
     target.setFault(this->drawLinkFault());
     this->later(time, [&target] { target.setFault(LinkFault::None); });
 }
@@ -287,6 +288,23 @@
     this->site.store.compact();
 }
 
+// The store is away for a moment and comes back as it was some seconds ago; what was written since
+// is written again a little later.
+void Scenario::returnStoreFromCopy()
+{
+    const milliseconds copyAge = this->drawTime(300, 4000);
+    const milliseconds away = this->drawTime(100, 1200);
+    const milliseconds lacks = this->drawTime(20, 1500);
+    this->disturb("store", copyAge + away + lacks);
+    this->site.store.takeCopy();
+    this->later(copyAge, [this] { this->site.store.failWith(503); });
+    this->later(copyAge + away, [this] {
+        this->site.store.comeBackFromCopy();
+        this->site.store.failWith(0);
+    });
+    this->later(copyAge + away + lacks, [this] { this->site.writeAgain(); });
+}
+
 void Scenario::changeConfiguration()
 {
     this->site.changeConfiguration();
@@ -318,7 +336,7 @@
         const char *name;
         void (Scenario::*inject)();
     };
-    static constexpr std::array<Kind, 13> kinds = {
+    static constexpr std::array<Kind, 14> kinds = {
             {{"stop_held", &Scenario::stopInstanceHeld},
              {"stop", &Scenario::stopInstance},
              {"kill", &Scenario::killInstance},
@@ -329,6 +347,7 @@
              {"target_cut", &Scenario::cutTarget},
              {"store_refuses", &Scenario::refuseAtStore},
              {"store_forgets", &Scenario::forgetAtStore},
+             {"store_returns", &Scenario::returnStoreFromCopy},
              {"configuration", &Scenario::changeConfiguration},
              {"key_taken", &Scenario::changeKey},
              {"target_leaves", &Scenario::leaveTarget}}};
--- a/unittests/ProcessSoak/scenario.h
+++ b/unittests/ProcessSoak/scenario.h
@@ -80,6 +80,7 @@
     void cutTarget();
     void refuseAtStore();
     void forgetAtStore();
+    void returnStoreFromCopy();
     void changeConfiguration();
     void changeKey();
     void leaveTarget();
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -26,9 +26,10 @@
 constexpr int percentHalved = 2;
 constexpr int percentMovesRefused = 30;
 
-std::string stampHeaders(const std::string &attempt)
+std::string stampHeaders(const std::string &attempt, bool leaves)
 {
-    return "X-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: s\r\n";
+    return "X-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: s\r\n" +
+           (leaves ? "Server-Leaving: 1\r\n" : "");
 }
 
 testing::RouteSpec routeOf(const std::string &prefix, const std::string &type, int timeoutMs)
@@ -65,6 +66,19 @@
 {
     const std::lock_guard lock(this->mutex);
     this->ownId = newId;
+    this->leaving = false;
+}
+
+void SoakTarget::saysItLeaves()
+{
+    const std::lock_guard lock(this->mutex);
+    this->leaving = true;
+}
+
+bool SoakTarget::leaves() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->leaving;
 }
 
 Answer SoakTarget::answer(const SeenRequest &request)
@@ -81,7 +95,8 @@
         return wholeAnswer(421, "", "");
     const std::string attempt(request.head.header("X-Attempt-Id"));
     if (percent(this->random) < percentRefused)
-        return wholeAnswer(503, stampHeaders(attempt) + "X-Not-Executed: 1\r\n", "");
+        return wholeAnswer(503, stampHeaders(attempt, this->leaves()) + "X-Not-Executed: 1\r\n",
+                           "");
     return this->run(request, attempt);
 }
 
@@ -92,7 +107,10 @@
     this->record.ran(attempt, this->id());
     std::uniform_int_distribution<int> percent(0, 99);
     std::uniform_int_distribution<int> work(5, 60);
-    Answer answer = wholeAnswer(200, stampHeaders(attempt), plainBody(attempt));
+    const bool leaves = this->leaves();
+    if (leaves)
+        this->record.toldOfLeaving(attempt, this->id());
+    Answer answer = wholeAnswer(200, stampHeaders(attempt, leaves), plainBody(attempt));
     answer.front().after = std::chrono::milliseconds(work(this->random));
     const int luck = percent(this->random);
     if (luck < percentLost + percentHalved) {
@@ -119,7 +137,11 @@
     if (lost)
         this->record.spoiled(attempt);
     const int last = lost ? (first + eventsOfStream) / 2 : eventsOfStream;
-    Answer answer = {{AnswerStep::Kind::Send, testing::streamHead(stampHeaders(attempt)), {}}};
+    const bool leaves = this->leaves();
+    if (leaves)
+        this->record.toldOfLeaving(attempt, this->id());
+    Answer answer = {
+            {AnswerStep::Kind::Send, testing::streamHead(stampHeaders(attempt, leaves)), {}}};
     for (int number = first; number <= last; ++number) {
         const std::string text = testing::eventText(number, eventData(attempt, generation, number));
         answer.push_back(testing::chunkStep(text, gap));
@@ -195,7 +217,8 @@
     json document = testing::configurationJson(++this->version, routes);
     document["Services"].push_back({{"Name", "desk"}, {"HealthPath", "/healthz"}});
     document["Tenants"][0]["ApiKeys"] = json::array({this->keys.back()});
-    this->store.put("op/config", document.dump());
+    this->published = document.dump();
+    this->store.put("op/config", this->published);
 }
 
 void Site::changeConfiguration()
@@ -229,6 +252,7 @@
 
 void Site::announceLeaving(std::size_t target)
 {
+    this->targets[target]->saysItLeaves();
     this->list(*this->targets[target], "draining");
     this->record.targetLeaves(this->targets[target]->id());
 }
@@ -237,8 +261,19 @@
 {
     SoakTarget &leaving = *this->targets[target];
     this->store.remove("servers/" + leaving.id());
+    this->goneTargets.push_back(leaving.id());
     leaving.becomes("t" + std::to_string(this->serial++));
     this->list(leaving, "ready");
 }
 
+void Site::writeAgain()
+{
+    const std::lock_guard lock(this->mutex);
+    this->store.put("op/config", this->published);
+    for (const std::string &id : this->goneTargets)
+        this->store.remove("servers/" + id);
+    for (const auto &target : this->targets)
+        this->list(*target, target->leaves() ? "draining" : "ready");
+}
+
 } // namespace jaytrack::soak
--- a/unittests/ProcessSoak/site.h
+++ b/unittests/ProcessSoak/site.h
@@ -29,6 +29,10 @@
     std::string address() const { return this->proxy->address(); }
     const std::string &service() const { return this->serviceOf; }
     void becomes(const std::string &newId);
+
+    // From now on, until it becomes another one, all its answers say that it leaves.
+    void saysItLeaves();
+    bool leaves() const;
     void setFault(LinkFault fault) { this->proxy->setFault(fault); }
 
 private:
@@ -40,6 +44,7 @@
     std::string serviceOf;
     mutable std::mutex mutex;
     std::string ownId;
+    bool leaving = false;
     std::mt19937_64 random; // used by the server's thread alone
     testing::ScriptedServer server;
     std::unique_ptr<FaultProxy> proxy;
@@ -63,6 +68,9 @@
     void announceLeaving(std::size_t target);
     void replaceTarget(std::size_t target);
 
+    // What the operator and the targets last wrote, after the store lost some of it.
+    void writeAgain();
+
     // A key that a caller uses: mostly the newest, at times one that was taken away.
     std::string someKey(std::mt19937_64 &draws) const;
     std::string newestKey() const;
@@ -91,6 +99,8 @@
     int version = 0;
     int serial = 0;
     std::vector<std::string> keys;
+    std::string published; // the configuration as it was last written
+    std::vector<std::string> goneTargets;
     std::thread thread;
 };
 
