--- a/unittests/Serve/servicetest.cpp
+++ b/unittests/Serve/servicetest.cpp
@@ -1,5 +1,7 @@
 #include "site.h"
 
+#include "platformstandin.h"
+
 #include <asio.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -336,3 +338,34 @@
         cr_assert_eq(answer.end.status, 200, "%d: code %s", i, codeOf(answer).c_str());
     }
 }
+
+// A target of a service that turns calls away and says for how long it wants none is asked again by
+// the next call, while the others are free. What it says holds for this instance until it is over.
+Test(service, busyTargetIsLeftAloneForSoLong)
+{
+    std::atomic<int> askedBusy{0};
+    jaytrack::testing::ScriptedServer busy([&askedBusy](const jaytrack::testing::SeenRequest &) {
+        ++askedBusy;
+        return jaytrack::testing::wholeAnswer(503, "Retry-After: 2\r\n", "");
+    });
+    SitePlan plan;
+    plan.services = 1;
+    Site site(plan);
+    Document document = site.document();
+    document.services[0].targets.push_back({"busy", "falun", busy.address(), false});
+    site.publish(document);
+    site.addInstance(site.configUrl());
+    const auto ask = [&site] {
+        return site.request("GET", "/account/readings?meter=7", "", {}, weaverKey, 1).end.status;
+    };
+    for (int i = 0; i < 100 && askedBusy == 0; ++i)
+        ask();
+    cr_assert_eq(askedBusy, 1);
+    for (int i = 0; i < 40; ++i)
+        cr_assert_eq(ask(), 200);
+    cr_assert_eq(askedBusy, 1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2100));
+    for (int i = 0; i < 100 && askedBusy == 1; ++i)
+        ask();
+    cr_assert_eq(askedBusy, 2, "it is over");
+}
