--- a/unittests/Platform/crashingrequesttest.cpp
+++ b/unittests/Platform/crashingrequesttest.cpp
@@ -227,14 +227,20 @@
 // the requests that it had: they must not be barred, however often that happens to them.
 Test(crashingRequest, lostConnectionAloneProvesNothing)
 {
-    ScriptedServer target([](const SeenRequest &request) -> Answer {
-        if (request.head.path() == "/jaytrack/report")
-            return wholeAnswer(200, "", "{}");
-        return {{AnswerStep::Kind::Reset, "", std::chrono::milliseconds(10)}};
-    });
+    std::vector<std::unique_ptr<ScriptedServer>> targets;
     EntryFixture entry({routeOf("unsafe", false)});
-    entry.list("t1", target);
     for (int i = 0; i < 6; ++i) {
+        targets.push_back(
+                std::make_unique<ScriptedServer>([](const SeenRequest &request) -> Answer {
+                    if (request.head.path() == "/jaytrack/report")
+                        return wholeAnswer(200, "", "{}");
+                    return {{AnswerStep::Kind::Reset, "", std::chrono::milliseconds(10)}};
+                }));
+        entry.store.put("servers/t" + std::to_string(i), targetJson(targets.back()->address()));
+    }
+    cr_assert(entry.becomesReady());
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    for (int i = 0; i < 10; ++i) {
         const std::string seen = send(entry, "unlucky");
         cr_assert(seen.starts_with("HTTP/1.1 502"), "%d: %s", i, seen.c_str());
         std::this_thread::sleep_for(std::chrono::milliseconds(250));
