--- a/include/jaytrack/Net/message.h
+++ b/include/jaytrack/Net/message.h
@@ -2,6 +2,8 @@
 #ifndef JAYTRACK_NET_MESSAGE_H
 #define JAYTRACK_NET_MESSAGE_H
 
+#include <chrono>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,6 +23,10 @@
 // Whether two header names are the same; HTTP disregards their case.
 bool sameHeaderName(std::string_view left, std::string_view right);
 
+// What a Retry-After header says in seconds, which may have a fraction; at most ten minutes.
+// Nothing for a date, or for what is no positive number.
+std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view value);
+
 // A request as a server received it, whole.
 struct HttpRequest
 {
--- a/include/jaytrack/Serve/servicecall.h
+++ b/include/jaytrack/Serve/servicecall.h
@@ -7,6 +7,7 @@
 #include "jaytrack/Http/server.h"
 #include "jaytrack/Once/ledger.h"
 #include "jaytrack/Policy/targethealth.h"
+#include "jaytrack/Policy/targetpauses.h"
 #include "jaytrack/Serve/answers.h"
 #include "jaytrack/Serve/context.h"
 #include "jaytrack/Serve/requestlog.h"
@@ -60,6 +61,7 @@
     void noteRun(Call &call, const ServiceTarget &target, const FetchedAnswer &answer) const;
     bool mayRepeat(const CallPointer &call, const FetchedAnswer &answer);
     const ServiceTarget *chooseTarget(const Call &call);
+    Duration shortestRest(const Call &call) const;
     void settle(const CallPointer &call, const KeptAnswer &answer);
     void refuse(const CallPointer &call, const Ending &ending);
     void tellWaiters(std::int64_t serial, const KeptAnswer &answer);
@@ -71,6 +73,7 @@
     mutable std::mutex mutex; // guards all below
     TicketLedger ledger;
     TargetHealth health;
+    TargetPauses pauses;
     std::unordered_map<std::int64_t, std::vector<CallPointer>> waiters;
     std::deque<std::pair<TimePoint, CallPointer>> heldBack; // with the moment of sending
     std::unordered_map<std::string, std::weak_ptr<Call>> active;
--- a/lib/Net/message.cpp
+++ b/lib/Net/message.cpp
@@ -3,11 +3,16 @@
 #include <restinio/uri_helpers.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 
 namespace jaytrack {
 
 namespace {
 
+// Whoever wants to be left alone for longer is not busy but gone.
+constexpr double longestRetrySeconds = 600;
+
 char lowered(char c)
 {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
@@ -29,6 +34,17 @@
     return found == headers.end() ? std::string_view{} : std::string_view(found->value);
 }
 
+std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view value)
+{
+    double seconds = 0;
+    const auto [end, failure] = std::from_chars(value.data(), value.data() + value.size(), seconds);
+    const bool number = failure == std::errc() && end == value.data() + value.size();
+    if (!number || !(seconds > 0))
+        return std::nullopt;
+    return std::chrono::milliseconds(
+            static_cast<std::int64_t>(std::min(seconds, longestRetrySeconds) * 1000));
+}
+
 std::string HttpRequest::queryValue(std::string_view name) const
 {
     const auto parsed =
--- a/lib/Serve/servicecall.cpp
+++ b/lib/Serve/servicecall.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view ticketParameter = "jaytrack_ticket";
 constexpr std::string_view keyHeader = "Idempotency-Key";
 constexpr int redirectStatus = 307;
+constexpr int unavailableStatus = 503;
 constexpr int maxAttempts = 3;
 constexpr std::chrono::milliseconds connectBound{500};
 constexpr std::chrono::milliseconds comeBackSoon{1000};
@@ -116,6 +117,7 @@
     , log(requestLog)
     , ledger(ctx.instanceName, ctx.incarnation, LedgerBounds{ctx.settings.ledgerBytes})
     , health(ctx.clock, static_cast<std::uint64_t>(ctx.incarnation))
+    , pauses(ctx.clock)
 {
 }
 
@@ -282,7 +284,7 @@
     for (const ServiceTarget &target : call.service->targets) {
         const bool tried =
                 std::find(call.tried.begin(), call.tried.end(), target.name) != call.tried.end();
-        if (target.leaving || tried)
+        if (target.leaving || tried || this->pauses.isPaused(target.name))
             continue;
         usable.push_back(&target);
         names.push_back(target.name);
@@ -313,6 +315,18 @@
             {call.contentDigest(), this->context.clock.now() - call.sentAt});
 }
 
+// The time until the first target that wants no work now takes some again; zero if none does.
+Duration ServiceDesk::shortestRest(const Call &call) const
+{
+    Duration shortest{0};
+    for (const ServiceTarget &target : call.service->targets) {
+        const Duration left = this->pauses.left(target.name);
+        if (left > Duration(0) && (shortest == Duration(0) || left < shortest))
+            shortest = left;
+    }
+    return shortest;
+}
+
 void ServiceDesk::attempt(const CallPointer &call)
 {
     // See Wakefulness: a process that woke late must not send on what it knew before.
@@ -328,8 +342,10 @@
     }
     const ServiceTarget *target = this->chooseTarget(*call);
     if (target == nullptr) {
-        this->refuse(call,
-                     {ResultCode::Overloaded, "no target of the service has room", comeBackSoon});
+        const auto rest =
+                std::chrono::duration_cast<std::chrono::milliseconds>(this->shortestRest(*call));
+        this->refuse(call, {ResultCode::Overloaded, "no target of the service has room",
+                            std::max(rest, comeBackSoon)});
         return;
     }
     ++call->attempts;
@@ -372,6 +388,9 @@
     call->everSent |= answer.end.maySentBytes;
     call->sends += answer.end.maySentBytes ? 1 : 0;
     this->noteRun(*call, target, answer);
+    const auto rest = parseRetryAfter(findHeader(answer.headers, "Retry-After"));
+    if (answer.end.whole && answer.end.status == unavailableStatus && rest)
+        this->pauses.leaveAlone(target.name, *rest);
     if (answer.end.whole) {
         const KeptAnswer kept{ResultCode::Ok, answer.end.status,
                               std::string(findHeader(answer.headers, "Content-Type")), answer.body};
