--- /dev/null
+++ b/lib/Proxy/entrybeliefs.cpp
@@ -0,0 +1,179 @@
+// What an entry instance believes of targets, and what it and the other instances tell each other.
+#include "entryparts.h"
+
+#include "jaytrack/Support/log.h"
+
+#include <vector>
+
+namespace jaytrack {
+
+void EntryInstance::Parts::onTargetListed(const TargetEntry &entry)
+{
+    logEvent(Severity::Info, "target_listed",
+             {{"target", entry.id},
+              {"service", entry.service},
+              {"address", entry.address},
+              {"data_centre", entry.dataCentre}});
+    this->engines.listed(entry);
+    const auto table = this->configuration.table();
+    const ServiceRule *service = table ? table->serviceNamed(entry.service) : nullptr;
+    if (service == nullptr || !service->engine)
+        return;
+    this->shares.listed(entry.id);
+    this->prober.add(entry);
+}
+
+void EntryInstance::Parts::onTargetLeaving(const TargetEntry &entry, std::string_view reason)
+{
+    logEvent(Severity::Info, "target_leaving",
+             {{"target", entry.id}, {"service", entry.service}, {"reason", reason}});
+    this->engines.gone(entry.id);
+    this->shares.gone(entry.id);
+    this->health.forget(entry.id);
+    this->prober.remove(entry.id);
+    const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
+    for (const auto &exchange : served)
+        exchange->onTargetLeaving(entry, reason);
+}
+
+void EntryInstance::Parts::onTargetRestarted(const TargetEntry &ended)
+{
+    logEvent(Severity::Warning, "target_restarted",
+             {{"target", ended.id},
+              {"service", ended.service},
+              {"address", ended.address},
+              {"leaving", ended.leaving ? 1 : 0}});
+    this->metrics.count("jaytrack_targets_restarted_total");
+    this->engines.forget(ended.id);
+    this->shares.gone(ended.id);
+    this->health.forget(ended.id);
+    this->prober.remove(ended.id);
+    const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
+    for (const auto &exchange : served)
+        exchange->onTargetRestarted(ended);
+}
+
+void EntryInstance::Parts::onPlacedByPeer(std::string_view engine, const GenerationNeed &need,
+                                          bool copied)
+{
+    this->engines.placedByOthers(engine, need, copied);
+}
+
+void EntryInstance::Parts::onReleasedByPeer(std::string_view engine, std::uint32_t tokens)
+{
+    this->engines.releasedByOthers(engine, tokens);
+}
+
+void EntryInstance::Parts::onFailedForPeer(std::string_view engine, std::string_view peer)
+{
+    this->engines.failedForOther(engine, peer);
+}
+
+void EntryInstance::Parts::onLoadFromPeer(std::string_view engine, const EngineLoad &load)
+{
+    this->engines.reported(engine, load);
+    if (load.leaving)
+        this->directory.markLeaving(engine, "reported_to_peer");
+}
+
+void EntryInstance::Parts::onStoreFromPeer(const SharedChanges &changes)
+{
+    this->sharing.onStoreFromPeer(changes);
+}
+
+void EntryInstance::Parts::onFreshnessAsked(std::string_view peer, std::int64_t askedAt)
+{
+    this->sharing.onFreshnessAsked(peer, askedAt);
+}
+
+void EntryInstance::Parts::onFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
+                                       std::uint64_t era, std::uint64_t revision)
+{
+    this->sharing.onFreshness(peer, askedAt, age, era, revision);
+}
+
+void EntryInstance::Parts::onLeavingFromPeer(std::string_view target)
+{
+    this->directory.markLeaving(target, "told_to_peer");
+}
+
+void EntryInstance::Parts::onPeersChanged(const std::vector<std::string> &names)
+{
+    this->sharing.onPeersChanged(names);
+    this->retries.setInstances(names.size() + 1);
+}
+
+void EntryInstance::Parts::announcePlaced(std::string_view engine, const GenerationNeed &need,
+                                          bool copied)
+{
+    if (this->peers)
+        this->peers->announce(engine, need, copied);
+}
+
+void EntryInstance::Parts::announceReleased(std::string_view engine, std::uint32_t tokens)
+{
+    if (this->peers)
+        this->peers->announceReleased(engine, tokens);
+}
+
+void EntryInstance::Parts::announceFailed(std::string_view engine)
+{
+    if (this->peers)
+        this->peers->announceFailed(engine);
+}
+
+void EntryInstance::Parts::announceLeaving(std::string_view target)
+{
+    if (this->peers)
+        this->peers->announceLeaving(target);
+}
+
+void EntryInstance::Parts::tellAll(const QuarantineNews &news)
+{
+    if (this->peers)
+        this->peers->tellAll(news);
+}
+
+void EntryInstance::Parts::tellSome(const QuarantineNews &news)
+{
+    if (this->peers)
+        this->peers->tellSome(news);
+}
+
+void EntryInstance::Parts::onRequestBarred(std::string_view digest)
+{
+    const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
+    for (const auto &exchange : served)
+        exchange->onRequestBarred(digest);
+}
+
+bool EntryInstance::Parts::isMineToAsk(std::string_view engine) const
+{
+    return this->shares.isMineToAsk(engine);
+}
+
+void EntryInstance::Parts::onNoLoad(std::string_view engine)
+{
+    this->engines.failed(engine);
+    this->announceFailed(engine);
+}
+
+void EntryInstance::Parts::onLoad(std::string_view engine, const EngineLoad &load)
+{
+    if (load.startedAt != untoldStart)
+        this->directory.hearStart(engine, load.startedAt);
+    // A report of another life says nothing of the one that was asked.
+    const TargetEntry *listed = this->directory.find(engine);
+    const bool other = listed == nullptr ||
+                       (load.startedAt != untoldStart && listed->startedAt != untoldStart &&
+                        load.startedAt != listed->startedAt);
+    if (other)
+        return;
+    this->engines.reported(engine, load);
+    if (this->peers)
+        this->peers->announce(engine, load);
+    if (load.leaving)
+        this->directory.markLeaving(engine, "reported");
+}
+
+} // namespace jaytrack
