--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -131,8 +131,8 @@
     // The time until the first target that wants no work now takes some again.
     std::optional<Duration> shortestRest() const;
 
-    // Ends the request because all targets that are left want no work for so long.
-    void refuseUntilRested(Duration rest);
+    // Ends the request because all targets that are left want no work for a while.
+    void refuseUntilRested();
 
     std::chrono::milliseconds timeLeft() const;
 
@@ -174,7 +174,6 @@
     void onLimit();
 
     asio::steady_timer limitTimer;
-    Duration returnAfter{0};         // the caller had better not come back sooner
     mutable std::string knownDigest; // empty until it is asked for
     bool finished = false;
 };
--- a/include/jaytrack/Quarantine/crashquarantine.h
+++ b/include/jaytrack/Quarantine/crashquarantine.h
@@ -39,6 +39,10 @@
     // a request that stood at several of them; unless it was sent to one after another had ended.
     Duration apart = std::chrono::milliseconds(100);
 
+    // How much the delays of two notices may differ: a request that seems to have been sent so long
+    // before another target ended may have been sent on because of that.
+    Duration noticeJitter = std::chrono::milliseconds(20);
+
     // One end is told by several instances within this time of each other; a later one is another
     // life of the target.
     Duration sameEnd = std::chrono::seconds(1);
--- a/include/jaytrack/Quarantine/crashwatch.h
+++ b/include/jaytrack/Quarantine/crashwatch.h
@@ -54,9 +54,10 @@
     CrashWatch(const CrashWatch &) = delete;
     CrashWatch &operator=(const CrashWatch &) = delete;
 
-    // The connection on which the request had gone to the target so long ago was lost before
-    // anything came back. The id names the target's life, the address is IP:PORT.
-    void lostUnanswered(std::string_view target, std::string_view address, Suspect suspect);
+    // The connection on which the request went to the target at that moment has just been lost
+    // before anything came back. The id names the target's life, the address is IP:PORT.
+    void lostUnanswered(std::string_view target, std::string_view address, std::string_view digest,
+                        TimePoint sentAt);
 
     // A target has answered the request, or has worked on it for long enough.
     void ranWell(std::string_view digest);
@@ -76,10 +77,11 @@
     {
         std::string address;
         TimePoint firstAt;
-        std::map<std::string, Suspect, std::less<>> suspects; // by digest
+        std::map<std::string, TimePoint, std::less<>> suspects; // with the moment of sending
     };
 
-    void addLoss(const std::string &target, const std::string &address, const Suspect &suspect);
+    void addLoss(const std::string &target, const std::string &address, const std::string &digest,
+                 TimePoint sentAt, TimePoint lostAt);
     void check(const std::string &target);
     void conclude(const std::string &target, bool ended);
     void tellEnd(const TargetEnd &end);
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -152,9 +152,8 @@
     return shortest;
 }
 
-void Exchange::refuseUntilRested(Duration rest)
+void Exchange::refuseUntilRested()
 {
-    this->returnAfter = rest;
     this->answerOwn(this->mayHaveRun() ? ResultCode::TargetLost : ResultCode::TargetFull,
                     "targets_want_rest");
 }
@@ -197,7 +196,10 @@
     const auto usual =
             comeBackDelay(code, this->admitted.admission.route,
                           this->context.streams.partOfObjectiveToReturn, this->context.random);
-    return usual + std::chrono::duration_cast<std::chrono::milliseconds>(this->returnAfter);
+    // Where all targets want rest, nobody is served before the first of them is rested.
+    const Duration rest = this->usableTargets().empty() ? this->shortestRest().value_or(Duration(0))
+                                                        : Duration(0);
+    return usual + std::chrono::duration_cast<std::chrono::milliseconds>(rest);
 }
 
 void Exchange::noteLostUnanswered(const TargetEntry &target, TimePoint sentAt) const
@@ -207,8 +209,7 @@
     const TargetEntry *listed = this->context.directory.find(target.id);
     if (listed == nullptr || listed->leaving)
         return;
-    this->context.crashes.lostUnanswered(target.id, target.address,
-                                         {this->digest(), this->context.clock.now() - sentAt});
+    this->context.crashes.lostUnanswered(target.id, target.address, this->digest(), sentAt);
 }
 
 void Exchange::noteRanWell() const
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -46,8 +46,8 @@
         names.reserve(targets.size());
         for (const TargetEntry *entry : targets)
             names.push_back(entry->id);
-        if (const auto rest = this->shortestRest(); names.empty() && rest)
-            return this->refuseUntilRested(*rest);
+        if (names.empty() && this->shortestRest())
+            return this->refuseUntilRested();
         const int chosen = names.empty() ? -1 : this->context.health.choose(names);
         if (chosen < 0)
             return this->giveUp(names.empty() ? ResultCode::NoTarget : ResultCode::Overloaded,
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -180,7 +180,7 @@
     const std::vector<const TargetEntry *> engines = this->ownShare(this->untried());
     const std::optional<Duration> rest = this->shortestRest();
     if (engines.empty() && rest)
-        return *rest > this->patience() ? this->refuseUntilRested(*rest) : this->waitForRoom();
+        return *rest > this->patience() ? this->refuseUntilRested() : this->waitForRoom();
     this->need.mostDelay = this->usableDelay();
     const TargetEntry *chosen =
             this->context.engines.choose(engines, this->traits, this->need, this->tried);
--- a/lib/Quarantine/crashquarantine.cpp
+++ b/lib/Quarantine/crashquarantine.cpp
@@ -82,7 +82,8 @@
             continue;
         for (const auto &[digest, sentAt] : end.suspects) {
             Evidence &evidence = all[digest];
-            const bool together = evidence.ends > 0 && sentAt < evidence.lastEnd &&
+            const bool sentOn = sentAt + this->options.noticeJitter >= evidence.lastEnd;
+            const bool together = evidence.ends > 0 && !sentOn &&
                                   end.endedAt - evidence.lastEnd < this->options.apart;
             if (together)
                 continue;
--- a/lib/Quarantine/crashwatch.cpp
+++ b/lib/Quarantine/crashwatch.cpp
@@ -50,24 +50,28 @@
     *this->alive = false;
 }
 
-void CrashWatch::lostUnanswered(std::string_view target, std::string_view address, Suspect suspect)
+// The loss is dated here: by the time that the loop comes to it, the request may have been sent to
+// the next target, and that it was sent after this one had ended would not show.
+void CrashWatch::lostUnanswered(std::string_view target, std::string_view address,
+                                std::string_view digest, TimePoint sentAt)
 {
     asio::post(this->context, [this, kept = this->alive, target = std::string(target),
-                               address = std::string(address), suspect = std::move(suspect)] {
+                               address = std::string(address), digest = std::string(digest), sentAt,
+                               lostAt = this->clock.now()] {
         if (*kept)
-            this->addLoss(target, address, suspect);
+            this->addLoss(target, address, digest, sentAt, lostAt);
     });
 }
 
 void CrashWatch::addLoss(const std::string &target, const std::string &address,
-                         const Suspect &suspect)
+                         const std::string &digest, TimePoint sentAt, TimePoint lostAt)
 {
     const auto [loss, first] = this->losses.try_emplace(target);
-    loss->second.suspects.emplace(suspect.digest, suspect);
+    loss->second.suspects.emplace(digest, sentAt);
     if (!first)
         return;
     loss->second.address = address;
-    loss->second.firstAt = this->clock.now();
+    loss->second.firstAt = lostAt;
     const auto timer = std::make_shared<asio::steady_timer>(this->context, gatherTime);
     timer->async_wait([this, kept = this->alive, timer, target](const asio::error_code &failure) {
         if (!failure && *kept)
@@ -101,8 +105,8 @@
         return;
     this->metrics.count("jaytrack_target_ends_total");
     TargetEnd end{target, {}, this->clock.now() - loss.firstAt};
-    for (const auto &[digest, suspect] : loss.suspects)
-        end.suspects.push_back(suspect);
+    for (const auto &[digest, sentAt] : loss.suspects)
+        end.suspects.push_back({digest, std::max(Duration(0), loss.firstAt - sentAt)});
     {
         const std::lock_guard lock(this->mutex);
         this->quarantine.targetEnded(end);
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -450,9 +450,8 @@
         this->engine->leaving)
         return;
     ++this->unansweredLosses;
-    this->context.crashes.lostUnanswered(
-            this->engine->name, this->engine->address,
-            {this->digest(), this->context.clock.now() - this->attachedAt});
+    this->context.crashes.lostUnanswered(this->engine->name, this->engine->address, this->digest(),
+                                         this->attachedAt);
 }
 
 void GenerationCall::lost(bool maySentBytes, const Ending &why)
--- a/lib/Serve/servicecall.cpp
+++ b/lib/Serve/servicecall.cpp
@@ -310,9 +310,8 @@
     if (!unanswered || !answer.end.maySentBytes || target.leaving)
         return;
     ++call.unansweredLosses;
-    this->context.crashes.lostUnanswered(
-            target.name, target.address,
-            {call.contentDigest(), this->context.clock.now() - call.sentAt});
+    this->context.crashes.lostUnanswered(target.name, target.address, call.contentDigest(),
+                                         call.sentAt);
 }
 
 // The time until the first target that wants no work now takes some again; zero if none does.
--- a/unittests/Platform/answertoldtest.cpp
+++ b/unittests/Platform/answertoldtest.cpp
@@ -216,7 +216,11 @@
     route.type = param->type;
     EntryFixture entry({route});
     entry.list("t1", target);
-    cr_assert(send(entry).starts_with("HTTP/1.1 503"));
+    const std::string first = send(entry);
+    cr_assert(first.starts_with("HTTP/1.1 503"));
+    const std::size_t told = first.find("Retry-After: ");
+    cr_assert(told != std::string::npos, "%s", param->name);
+    cr_assert_eq(std::stod(first.substr(told + 13)) > 1.9, param->pauses, "%s", param->name);
     const std::size_t before = workSeen(target);
     const auto began = std::chrono::steady_clock::now();
     std::string refusal;
