--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -90,7 +90,7 @@
     virtual void onTargetRestarted(const TargetEntry &ended) = 0;
 
     // No target may be given the request any more. An answer that has begun goes on: its target
-    // stands it.
+    // runs it without harm.
     void onRequestBarred(std::string_view barredDigest);
 
     // The instance ends now, so the caller gets the final answer that can be given.
@@ -119,7 +119,7 @@
     // may be what ended it.
     void noteLostUnanswered(const TargetEntry &target, TimePoint sentAt) const;
 
-    // A target stands the request.
+    // A target has run the request without harm.
     void noteRanWell() const;
 
     // Targets of the request's service that may be given work and want it.
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -14,7 +14,7 @@
 // Longest answer that is no stream, such as an engine's own failure.
 constexpr std::size_t mostPlainBytes = 256U << 10U;
 
-// An engine that has gone on for this long after the first event of a run stands it.
+// An engine that has gone on for this long after the first event of a run is not ended by it.
 constexpr std::chrono::milliseconds provenAfter{1000};
 
 // How often a generation that waits looks for room.
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -40,7 +40,7 @@
     bool streaming = false; // the engine answers with events
     TimePoint openedAt;
     std::optional<TimePoint> firstEventAt;
-    bool proven = false; // the engine stands the run
+    bool proven = false; // the engine has gone on long enough not to be ended by the run
 };
 
 // A call by which an engine is told to copy a run to another one.
