--- a/include/jaytrack/Quarantine/quarantinenews.h
+++ b/include/jaytrack/Quarantine/quarantinenews.h
@@ -10,6 +10,10 @@
 class QuarantineNotices;
 } // namespace wire
 
+// Instances that are told of what is barred each time. One that starts misses the telling of 340
+// others three times in a row with a chance of one in ten thousand.
+constexpr std::size_t drawnPeers = 3;
+
 struct QuarantineNews
 {
     std::vector<TargetEnd> ends;
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -23,10 +23,6 @@
 // Large datagrams that may wait, for two changes told to 340 instances.
 constexpr std::size_t mostPaced = 512;
 
-// Instances that are told of what is barred each time. One that starts misses the telling of 340
-// others three times in a row with a chance of one in ten thousand.
-constexpr std::size_t drawnPeers = 3;
-
 // Values from this size on are compressed where that makes them smaller. A configuration of fifty
 // routes has 12 KB and fits into one datagram then; passed on as it is, or not at all, each of 87
 // instances would read it from the store, 85 calls for every change.
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -41,10 +41,6 @@
 // wait for it well within this, also behind a slow link.
 constexpr std::chrono::seconds cutGrace{2};
 
-// Instances that are told of what is barred each time. One that starts misses the telling of 340
-// others three times in a row with a chance of one in ten thousand.
-constexpr std::size_t drawnPeers = 3;
-
 std::int64_t newIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
