--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -61,6 +61,8 @@
     : options(std::move(given))
 {
     this->publish(configurationJson(1, routes));
+    for (const auto &[key, value] : this->options.items)
+        this->store.put(key, value);
     EntrySettings settings;
     settings.name = this->options.name;
     settings.dataCentre = "dc";
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -10,6 +10,7 @@
 #include "jaytrack/Support/boottimeclock.h"
 
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <thread>
 
@@ -42,6 +43,7 @@
     std::string name = "under-test";
     std::string peers = {}; // IP:PORT for datagrams between instances; empty for none
     std::vector<std::string> peerSeeds = {};
+    std::map<std::string, std::string> items = {}; // in the store before the instance starts
 };
 
 // An address that is free for datagrams between instances.
