Data centres that the operators put out of use get no new work

Cause: the operators' records were read with everything else of the store and used by nothing. Change: TargetDirectory holds which data centres are out of use beside which targets leave, so that every choice (first sends, repeats, refuges, waiting generations) leaves them out; records are ordered by revision, survive the store's return from an older copy for as long as lapsed entries do, and are taken from listings and notices alike. Copies that lie there or are on their way there are given up, engines there are asked nothing, a service without targets elsewhere is refused at once. What runs goes on. Weighed: a filter at each choice (four places that each can forget it), a flag in each entry (an entry listed later lacks it).

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -86,6 +86,9 @@
     // A target may no longer be given work and will end.
     virtual void onTargetLeaving(const TargetEntry &entry, std::string_view reason) = 0;
 
+    // Nothing new may be sent to the targets of a data centre; what runs there goes on.
+    virtual void onDataCentreOutOfUse(std::string_view dataCentre) = 0;
+
     // A target started again; what it worked on is lost.
     virtual void onTargetRestarted(const TargetEntry &ended) = 0;
 
@@ -131,6 +134,9 @@
     // The time until the first target that wants no work now takes some again.
     std::optional<Duration> shortestRest() const;
 
+    // Why a request finds no target, for the log.
+    std::string_view lackOfTargets() const;
+
     // Ends the request because all targets that are left want no work for a while.
     void refuseUntilRested();
 
--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -52,7 +52,7 @@
     TimePoint unsureUntil;
 };
 
-// The platform's list of targets.
+// The platform's list of targets, and which data centres are out of use.
 class TargetFeed final : public StoreFollowerListener
 {
 public:
@@ -80,6 +80,9 @@
     void startGrace();
     void apply(const std::vector<StoreItem> &items, bool keepMissing);
     bool isTarget(const StoreItem &item) const;
+
+    // What an item says of the use of a data centre; nothing if it is about something else.
+    std::optional<DataCentreRecord> useOf(const StoreItem &item) const;
     std::string nameOf(std::string_view key) const;
 
     // The target that an item names; nothing, after a line in the log, if it names none.
@@ -99,6 +102,7 @@
     TimePoint confirmedAsOf;
     bool tooOld = false;
     bool graceRunning = false;
+    TimePoint rewrittenBy; // when what the store's older copy lacked will have been written again
 };
 
 // Hands what one follower of the whole store reads to both feeds. One question that waits for
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -102,6 +102,9 @@
     virtual std::string_view configurationKey() const = 0;
     virtual std::string_view targetsPrefix() const = 0;
 
+    // Under it lies a record for each data centre that is out of use.
+    virtual std::string_view outOfUsePrefix() const = 0;
+
     virtual RequestFacts describe(std::span<const HttpHeader> headers) const = 0;
     virtual AnswerFacts describeAnswer(int status, std::span<const HttpHeader> headers) const = 0;
 
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -2,6 +2,7 @@
 #ifndef JAYTRACK_ROUTING_TARGETDIRECTORY_H
 #define JAYTRACK_ROUTING_TARGETDIRECTORY_H
 
+#include "jaytrack/Routing/datacentreuse.h"
 #include "jaytrack/Support/clock.h"
 
 #include <chrono>
@@ -10,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,6 +65,9 @@
     // The target started again under its name. This life is over: nothing that was sent to it, read
     // there or copied there exists any more.
     virtual void onTargetRestarted(const TargetEntry &ended) = 0;
+
+    // The operators put a data centre out of use, or back.
+    virtual void onDataCentreUse(std::string_view dataCentre, bool outOfUse) = 0;
 };
 
 // Everything that the platform lists at one moment.
@@ -103,12 +108,31 @@
     // one gets work once the platform lists it.
     void hearStart(std::string_view id, StartTime startedAt);
 
-    // Ends the grace after an outage: what has not come back is gone.
+    // Ends the grace after an outage: what has not come back is gone, and a data centre that was
+    // not put out of use again is back.
     void dropMissing();
 
+    // Takes one change of what the operators say of a data centre, or all that they say now.
+    void noteDataCentre(const DataCentreRecord &record);
+    void replaceDataCentres(std::span<const DataCentreRecord> records, bool keepMissing);
+
+    // The store came back from an older copy, whose revisions are given out again.
+    void forgetDataCentreRevisions() { this->dataCentres.forgetRevisions(); }
+
     // The targets of a service that may be given new work.
     std::vector<const TargetEntry *> usable(std::string_view service) const;
 
+    // The targets of a data centre that were not said to leave.
+    std::vector<TargetEntry> staying(std::string_view dataCentre) const;
+
+    bool isOutOfUse(std::string_view dataCentre) const
+    {
+        return this->dataCentres.isOutOfUse(dataCentre);
+    }
+
+    // Whether the service has targets that would get work if their data centres were in use.
+    bool waitsForDataCentre(std::string_view service) const;
+
     // The life with this id, if it is still listed.
     const TargetEntry *find(std::string_view id) const;
     std::size_t size() const { return this->entries.size(); }
@@ -122,6 +146,7 @@
     };
     using Rows = std::map<std::string, Row, std::less<>>; // by name
 
+    void tellOfUse(std::span<const std::string> changed);
     void add(TargetEntry entry);
     void leave(Rows::iterator row, std::string_view reason);
     void endLife(Rows::iterator row);
@@ -132,6 +157,7 @@
 
     TargetDirectoryListener &listener;
     Rows entries;
+    DataCentreUse dataCentres;
     // The latest start that was told under each name. It outlives the listing, so that an entry of
     // an ended life that is read late does not bring it back.
     std::map<std::string, StartTime, std::less<>> latestStarts;
--- a/lib/Proxy/entrybeliefs.cpp
+++ b/lib/Proxy/entrybeliefs.cpp
@@ -15,12 +15,48 @@
               {"address", entry.address},
               {"data_centre", entry.dataCentre}});
     this->engines.listed(entry);
+    if (!this->isEngine(entry))
+        return;
+    this->shares.listed(entry.id);
+    if (!this->directory.isOutOfUse(entry.dataCentre))
+        this->prober.add(entry);
+}
+
+bool EntryInstance::Parts::isEngine(const TargetEntry &entry) const
+{
     const auto table = this->configuration.table();
     const ServiceRule *service = table ? table->serviceNamed(entry.service) : nullptr;
-    if (service == nullptr || !service->engine)
+    return service != nullptr && service->engine;
+}
+
+// What was known of the engines' load is old when they come back, and would be forecast to have
+// grown ever since.
+void EntryInstance::Parts::onDataCentreUse(std::string_view dataCentre, bool outOfUse)
+{
+    const std::vector<TargetEntry> concerned = this->directory.staying(dataCentre);
+    logEvent(Severity::Warning, outOfUse ? "data_centre_out_of_use" : "data_centre_back",
+             {{"data_centre", dataCentre},
+              {"targets", static_cast<std::int64_t>(concerned.size())},
+              {"revision", static_cast<std::int64_t>(this->follower->knownRevision())},
+              {"config_age_ms", toMillis(this->configuration.age())}});
+    this->metrics.count(outOfUse ? "jaytrack_data_centres_out_of_use_total"
+                                 : "jaytrack_data_centres_back_total");
+    for (const TargetEntry &target : concerned) {
+        if (!this->isEngine(target))
+            continue;
+        if (outOfUse) {
+            this->prober.remove(target.id);
+            continue;
+        }
+        this->engines.forget(target.id);
+        this->engines.listed(target);
+        this->prober.add(target);
+    }
+    if (!outOfUse)
         return;
-    this->shares.listed(entry.id);
-    this->prober.add(entry);
+    const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
+    for (const auto &exchange : served)
+        exchange->onDataCentreOutOfUse(dataCentre);
 }
 
 void EntryInstance::Parts::onTargetLeaving(const TargetEntry &entry, std::string_view reason)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -72,6 +72,9 @@
     void onTargetListed(const TargetEntry &entry) override;
     void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override;
     void onTargetRestarted(const TargetEntry &ended) override;
+    void onDataCentreUse(std::string_view dataCentre, bool outOfUse) override;
+
+    bool isEngine(const TargetEntry &entry) const;
 
     // PeerLinkListener
 
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -152,6 +152,12 @@
     return shortest;
 }
 
+std::string_view Exchange::lackOfTargets() const
+{
+    return this->context.directory.waitsForDataCentre(this->serviceName) ? "data_centre_out_of_use"
+                                                                         : "no_usable_target";
+}
+
 void Exchange::refuseUntilRested()
 {
     this->answerOwn(this->mayHaveRun() ? ResultCode::TargetLost : ResultCode::TargetFull,
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -33,6 +33,7 @@
     }
 
     void onTargetLeaving(const TargetEntry &, std::string_view) override {}
+    void onDataCentreOutOfUse(std::string_view) override {}
 
     // Its connection tells by itself: an answer may still come from the new life.
     void onTargetRestarted(const TargetEntry &) override {}
@@ -51,7 +52,7 @@
         const int chosen = names.empty() ? -1 : this->context.health.choose(names);
         if (chosen < 0)
             return this->giveUp(names.empty() ? ResultCode::NoTarget : ResultCode::Overloaded,
-                                "no_usable_target");
+                                this->lackOfTargets());
         this->send(*targets[static_cast<std::size_t>(chosen)]);
     }
 
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -144,10 +144,22 @@
     return std::move(entry.value());
 }
 
+// The key alone says it: whatever the record holds, somebody put the data centre out of use.
+std::optional<DataCentreRecord> TargetFeed::useOf(const StoreItem &item) const
+{
+    const std::string_view prefix = this->dialect.outOfUsePrefix();
+    if (!item.key.starts_with(prefix) || item.key.size() == prefix.size())
+        return std::nullopt;
+    return DataCentreRecord{item.key.substr(prefix.size()), item.revision, !item.deleted};
+}
+
 void TargetFeed::onListing(const std::vector<StoreItem> &items, TimePoint)
 {
     TargetListing listing;
+    std::vector<DataCentreRecord> records;
     for (const StoreItem &item : items) {
+        if (const auto record = this->useOf(item))
+            records.push_back(*record);
         if (!this->isTarget(item))
             continue;
         std::optional<TargetEntry> entry = this->decode(item);
@@ -156,6 +168,8 @@
         else
             listing.unusable.push_back(this->nameOf(item.key));
     }
+    // First what is out of use, so that nothing is asked of the targets there when they are listed.
+    this->directory.replaceDataCentres(records, this->clock.now() < this->rewrittenBy);
     this->directory.replaceAll(std::move(listing), this->inGrace());
     this->loaded = true;
 }
@@ -177,6 +191,8 @@
 void TargetFeed::apply(const std::vector<StoreItem> &items, bool keepMissing)
 {
     for (const StoreItem &item : items) {
+        if (const auto record = this->useOf(item))
+            this->directory.noteDataCentre(*record);
         if (!this->isTarget(item))
             continue;
         if (item.deleted) {
@@ -197,10 +213,13 @@
     this->lostAt = this->clock.now();
 }
 
-// Targets that wrote themselves after the copy was made are not in it, and do so again.
+// Targets that wrote themselves after the copy was made are not in it, and do so again. So do the
+// operators, whose orders hold until then.
 void TargetFeed::onStoreReturned()
 {
     this->metrics.count("jaytrack_store_returns_total");
+    this->directory.forgetDataCentreRevisions();
+    this->rewrittenBy = this->clock.now() + returnGrace;
     this->startGrace();
 }
 
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -188,7 +188,7 @@
     if (chosen == nullptr)
         return engines.empty() ? this->answerOwn(this->uncertain ? ResultCode::TargetLost
                                                                  : ResultCode::NoTarget,
-                                                 "no_usable_engine")
+                                                 this->lackOfTargets())
                                : this->waitForRoom();
     this->tried.insert(chosen->id);
     this->current = this->open(*chosen, std::nullopt);
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -73,6 +73,7 @@
                    AdmittedRequest given);
 
     void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override;
+    void onDataCentreOutOfUse(std::string_view dataCentre) override;
     void onTargetRestarted(const TargetEntry &ended) override;
     void onCallerWritable() override
     {
@@ -108,6 +109,7 @@
 
     std::shared_ptr<StreamLeg> open(const TargetEntry &target, std::optional<ResumePoint> resume);
     void syncCopy();
+    void forgetCopyAt(const std::string &engine);
     void act();
     void resume(const RunStep &step);
     void makeCopy();
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -46,16 +46,33 @@
         this->watchPlan();
 }
 
-void StreamExchange::onTargetRestarted(const TargetEntry &ended)
+// A copy that lies where nothing may be sent any more is of no use, nor is one on its way there.
+void StreamExchange::onDataCentreOutOfUse(std::string_view dataCentre)
+{
+    const TargetEntry *holder = this->context.directory.find(this->plan.copyHolder());
+    if (holder != nullptr && holder->dataCentre == dataCentre)
+        this->forgetCopyAt(std::string(holder->id));
+    if (this->move && this->move->destination.dataCentre == dataCentre)
+        this->forgetCopyAt(std::string(this->move->destination.id));
+    if (this->plan.isLeaving())
+        this->act();
+}
+
+void StreamExchange::forgetCopyAt(const std::string &engine)
 {
-    if (this->plan.copyHolder() == ended.id) {
+    if (this->plan.copyHolder() == engine) {
         this->plan.copyRefused();
         this->syncCopy();
     }
-    if (this->move && this->move->destination.id == ended.id) {
+    if (this->move && this->move->destination.id == engine) {
         this->dropMove();
-        this->plan.copyFailed(ended.id);
+        this->plan.copyFailed(engine);
     }
+}
+
+void StreamExchange::onTargetRestarted(const TargetEntry &ended)
+{
+    this->forgetCopyAt(ended.id);
     if (this->next && this->next->target.id == ended.id)
         return this->nextLost("engine_restarted");
     if (this->current && this->current->target.id == ended.id)
--- /dev/null
+++ b/lib/Routing/datacentreuse.cpp
@@ -0,0 +1,72 @@
+#include "jaytrack/Routing/datacentreuse.h"
+
+#include <algorithm>
+
+namespace jaytrack {
+
+bool DataCentreUse::take(const DataCentreRecord &record)
+{
+    State &state = this->states[record.dataCentre];
+    if (record.revision < state.revision)
+        return false;
+    const bool changes = state.outOfUse != record.outOfUse;
+    state = {record.revision, record.outOfUse, false};
+    return changes;
+}
+
+std::vector<std::string> DataCentreUse::takeAll(std::span<const DataCentreRecord> records,
+                                                bool keepMissing)
+{
+    std::vector<std::string> changed;
+    // What the listing says is newer than all that was known of those in use.
+    std::erase_if(this->states, [](const auto &entry) { return !entry.second.outOfUse; });
+    for (const DataCentreRecord &record : records) {
+        if (this->take(record))
+            changed.push_back(record.dataCentre);
+    }
+    for (auto &[name, state] : this->states) {
+        const auto same = [&name](const DataCentreRecord &one) { return one.dataCentre == name; };
+        if (std::any_of(records.begin(), records.end(), same))
+            continue;
+        state.missing = state.outOfUse && keepMissing;
+        if (!state.outOfUse || state.missing)
+            continue;
+        state.outOfUse = false;
+        changed.push_back(name);
+    }
+    return changed;
+}
+
+std::vector<std::string> DataCentreUse::dropMissing()
+{
+    std::vector<std::string> changed;
+    for (auto &[name, state] : this->states) {
+        if (!state.missing)
+            continue;
+        state.missing = false;
+        state.outOfUse = false;
+        changed.push_back(name);
+    }
+    return changed;
+}
+
+void DataCentreUse::forgetRevisions()
+{
+    for (auto &[name, state] : this->states)
+        state.revision = 0;
+}
+
+bool DataCentreUse::isOutOfUse(std::string_view dataCentre) const
+{
+    const auto found = this->states.find(dataCentre);
+    return found != this->states.end() && found->second.outOfUse;
+}
+
+std::size_t DataCentreUse::count() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->states.begin(), this->states.end(),
+                          [](const auto &entry) { return entry.second.outOfUse; }));
+}
+
+} // namespace jaytrack
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -1,5 +1,6 @@
 #include "jaytrack/Routing/targetdirectory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace jaytrack {
@@ -174,6 +175,25 @@
             this->leave(row, "missing_after_outage");
         row = next;
     }
+    this->tellOfUse(this->dataCentres.dropMissing());
+}
+
+void TargetDirectory::noteDataCentre(const DataCentreRecord &record)
+{
+    if (this->dataCentres.take(record))
+        this->listener.onDataCentreUse(record.dataCentre, record.outOfUse);
+}
+
+void TargetDirectory::replaceDataCentres(std::span<const DataCentreRecord> records,
+                                         bool keepMissing)
+{
+    this->tellOfUse(this->dataCentres.takeAll(records, keepMissing));
+}
+
+void TargetDirectory::tellOfUse(std::span<const std::string> changed)
+{
+    for (const std::string &dataCentre : changed)
+        this->listener.onDataCentreUse(dataCentre, this->isOutOfUse(dataCentre));
 }
 
 void TargetDirectory::leave(Rows::iterator row, std::string_view reason)
@@ -195,12 +215,31 @@
 {
     std::vector<const TargetEntry *> found;
     for (const auto &[name, row] : this->entries) {
-        if (row.entry.service == service && !row.entry.leaving && !row.suspended)
+        const bool given = row.entry.service == service && !row.entry.leaving && !row.suspended;
+        if (given && !this->isOutOfUse(row.entry.dataCentre))
             found.push_back(&row.entry);
     }
     return found;
 }
 
+std::vector<TargetEntry> TargetDirectory::staying(std::string_view dataCentre) const
+{
+    std::vector<TargetEntry> found;
+    for (const auto &[name, row] : this->entries) {
+        if (row.entry.dataCentre == dataCentre && !row.entry.leaving)
+            found.push_back(row.entry);
+    }
+    return found;
+}
+
+bool TargetDirectory::waitsForDataCentre(std::string_view service) const
+{
+    return std::any_of(this->entries.begin(), this->entries.end(), [&](const auto &entry) {
+        const TargetEntry &target = entry.second.entry;
+        return target.service == service && !target.leaving && this->isOutOfUse(target.dataCentre);
+    });
+}
+
 const TargetEntry *TargetDirectory::find(std::string_view id) const
 {
     const auto found = this->rowOf(id);
--- a/unittests/Routing/directorytest.cpp
+++ b/unittests/Routing/directorytest.cpp
@@ -14,6 +14,10 @@
 class Recorder final : public TargetDirectoryListener
 {
 public:
+    void onDataCentreUse(std::string_view dataCentre, bool outOfUse) override
+    {
+        this->uses.push_back(std::string(dataCentre) + (outOfUse ? " out" : " back"));
+    }
     void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override
     {
         this->events.push_back(entry.id + " " + std::string(reason));
@@ -29,6 +33,7 @@
     }
 
     std::vector<std::string> events;
+    std::vector<std::string> uses;
 };
 
 TargetEntry entryOf(const std::string &id, bool leaving = false)
@@ -41,8 +46,36 @@
     return entry;
 }
 
+TargetEntry entryIn(const std::string &id, const std::string &dataCentre)
+{
+    TargetEntry entry = entryOf(id);
+    entry.dataCentre = dataCentre;
+    return entry;
+}
+
 } // namespace
 
+// Guards against targets of a data centre that is out of use among those that get work, whichever
+// is known first.
+Test(targetDirectory, dataCentreOutOfUseGetsNoWork)
+{
+    Recorder recorder;
+    TargetDirectory directory(recorder);
+    directory.put(entryIn("a", "north"));
+    directory.noteDataCentre({"north", 5, true});
+    directory.put(entryIn("b", "north"));
+    directory.put(entryIn("c", "south"));
+    cr_assert_eq(directory.usable("svc").size(), 1);
+    cr_assert_eq(directory.staying("north").size(), 2);
+    cr_assert_neq(directory.find("a"), nullptr, "what runs there is still known");
+    cr_assert(directory.waitsForDataCentre("svc"));
+    directory.noteDataCentre({"north", 6, false});
+    cr_assert_eq(directory.usable("svc").size(), 3);
+    cr_assert_not(directory.waitsForDataCentre("svc"));
+    const std::vector<std::string> expected = {"north out", "north back"};
+    cr_assert(recorder.uses == expected);
+}
+
 Test(targetDirectory, leavingTargetGetsNoWorkAndIsToldOnce)
 {
     Recorder recorder;
