--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -140,6 +140,12 @@
   4: i64 era
 }
 
+// A target has said in an answer that it is cold for so long.
+struct ColdNotice {
+  1: string target
+  2: i64 leftMicros
+}
+
 // What entry instances tell each other, beside who they are.
 struct EntryNotices {
   1: list<PlacementNotice> placements
@@ -157,6 +163,7 @@
   10: QuarantineNotices quarantine
   // Targets that told the sender in an answer that they leave.
   11: list<string> leavingTargets
+  12: list<ColdNotice> coldTargets
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Proxy/entrysettings.h
+++ b/include/jaytrack/Proxy/entrysettings.h
@@ -3,6 +3,7 @@
 #define JAYTRACK_PROXY_ENTRYSETTINGS_H
 
 #include "jaytrack/Proxy/entrytuning.h"
+#include "jaytrack/Routing/coldtargets.h"
 #include "jaytrack/Support/tomlreader.h"
 
 #include <chrono>
@@ -38,6 +39,8 @@
     std::chrono::seconds retryWindow{10};
     // Repeats allowed in a window beyond that share.
     double retrySlack = 20;
+    // Requests to a target that is cold, over all instances.
+    ColdBound coldBound;
 
     std::size_t memoryBytes = 110U << 20U;
     std::size_t descriptors = 4096;
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -9,6 +9,7 @@
 #include "jaytrack/Proxy/selfreports.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Routing/admission.h"
+#include "jaytrack/Routing/coldtargets.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/engineshares.h"
 #include "jaytrack/Routing/retrybudget.h"
@@ -55,6 +56,7 @@
     CrashWatch &crashes;
     SelfReports &selfReports;
     const TargetPauses &pauses;
+    ColdTargets &cold;
     const StreamOptions &streams;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until its answer is given
@@ -131,6 +133,9 @@
     // Those of them that were not tried yet.
     std::vector<const TargetEntry *> untried() const;
 
+    // How long the target may get nothing of this instance: it wants rest, or is cold.
+    Duration restOf(const TargetEntry &target) const;
+
     // The time until the first target that wants no work now takes some again.
     std::optional<Duration> shortestRest() const;
 
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -74,6 +74,7 @@
     virtual void onFreshness(std::string_view peer, std::int64_t askedAt, Duration age,
                              std::uint64_t era, std::uint64_t revision) = 0;
     virtual void onLeavingFromPeer(std::string_view target) = 0;
+    virtual void onColdFromPeer(std::string_view target, Duration left) = 0;
     virtual void onQuarantineNews(const QuarantineNews &news) = 0;
     virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
 };
@@ -103,6 +104,9 @@
     // Tells them that a target has said in an answer that it leaves.
     void announceLeaving(std::string_view target);
 
+    // Tells them that a target has said in an answer that it is cold.
+    void announceCold(std::string_view target, Duration left);
+
     // Tells all others, or some drawn by chance, of requests that end targets.
     void tellAll(const QuarantineNews &news);
     void tellSome(const QuarantineNews &news);
--- a/include/jaytrack/Proxy/selfreports.h
+++ b/include/jaytrack/Proxy/selfreports.h
@@ -8,26 +8,30 @@
 
 #include "jaytrack/Net/httpparser.h"
 #include "jaytrack/Policy/targetpauses.h"
+#include "jaytrack/Routing/coldtargets.h"
 #include "jaytrack/Routing/dialect.h"
 
 namespace jaytrack {
 
-// Tells the other instances that a target leaves, since each may get its next answer much later.
-class LeavingNotices
+// Tells the other instances what a target said of itself, since each may get its next answer much
+// later.
+class SelfReportNotices
 {
 public:
-    virtual ~LeavingNotices() = default;
+    virtual ~SelfReportNotices() = default;
     virtual void announceLeaving(std::string_view target) = 0;
+    virtual void announceCold(std::string_view target, Duration left) = 0;
 };
 
 class SelfReports
 {
 public:
     SelfReports(const Dialect &words, TargetDirectory &targets, TargetPauses &rests,
-                LeavingNotices &others)
+                ColdTargets &coldOnes, SelfReportNotices &others)
         : dialect(words)
         , directory(targets)
         , pauses(rests)
+        , cold(coldOnes)
         , notices(others)
     {
     }
@@ -42,7 +46,8 @@
     const Dialect &dialect;
     TargetDirectory &directory;
     TargetPauses &pauses;
-    LeavingNotices &notices;
+    ColdTargets &cold;
+    SelfReportNotices &notices;
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -64,6 +64,7 @@
     bool leaving = false;     // the target that answers leaves
     // The target turned the request away and wants none from this instance for so long.
     std::optional<std::chrono::milliseconds> leaveAloneFor;
+    std::optional<std::chrono::milliseconds> coldFor; // the target is cold for so long
 };
 
 // A page of the store.
--- a/include/jaytrack/Routing/engineshares.h
+++ b/include/jaytrack/Routing/engineshares.h
@@ -8,13 +8,13 @@
 #ifndef JAYTRACK_ROUTING_ENGINESHARES_H
 #define JAYTRACK_ROUTING_ENGINESHARES_H
 
+#include "jaytrack/Routing/instanceranking.h"
+
 #include <cstddef>
-#include <cstdint>
 #include <set>
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace jaytrack {
@@ -39,7 +39,7 @@
     void gone(std::string_view engine);
 
     // Whether every instance gives work to every engine.
-    bool isWhole() const { return this->sharers >= this->instances.size(); }
+    bool isWhole() const { return this->sharers >= this->ranking.count(); }
 
     // Whether this instance gives work to the engine.
     bool isMine(std::string_view engine) const;
@@ -53,22 +53,12 @@
     std::vector<std::string> othersOf(std::string_view engine) const;
 
 private:
-    struct Instance
-    {
-        std::uint64_t hash = 0;
-        std::string name;
-    };
-
-    // This instance's place among all for an engine; the first one is 0.
-    std::size_t placeOf(std::string_view engine) const;
     void countSharers();
 
-    std::string name;
     EngineSharesOptions options;
-    std::vector<Instance> instances; // this one first
+    InstanceRanking ranking;
     std::set<std::string, std::less<>> engines;
-    std::size_t sharers = 1;                                     // of each engine
-    mutable std::unordered_map<std::string, std::size_t> places; // as found so far
+    std::size_t sharers = 1; // of each engine
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Routing/routingtable.h
+++ b/include/jaytrack/Routing/routingtable.h
@@ -59,12 +59,20 @@
     std::chrono::milliseconds handleLife{0}; // how long a copy waits at its destination
 };
 
+// What a target that has just started, or fell back to that, bears.
+struct ColdTraits
+{
+    double requestsPerSecond = 0; // from all instances together; 0 is unbounded
+    std::chrono::milliseconds lasts{0};
+};
+
 // The targets that do one kind of work.
 struct ServiceRule
 {
     std::string name;
     std::string healthPath;
     int maxConnections = 0; // at each target, from all callers together; 0 is unbounded
+    ColdTraits cold;
     std::optional<EngineTraits> engine;
 };
 
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -37,7 +37,7 @@
     std::string dataCentre;
     int slots = 0;
     bool leaving = false;
-    std::chrono::milliseconds slowFor{0}; // how long it is still slow after its start
+    std::chrono::milliseconds coldFor{0}; // until it bears as much as usual
 };
 
 // The identity of one life of a target. Where targets do not tell their start, each has a new name
@@ -66,6 +66,9 @@
     // there or copied there exists any more.
     virtual void onTargetRestarted(const TargetEntry &ended) = 0;
 
+    // The target says that it is cold.
+    virtual void onTargetCold(const TargetEntry &entry) = 0;
+
     // The operators put a data centre out of use, or back.
     virtual void onDataCentreUse(std::string_view dataCentre, bool outOfUse) = 0;
 };
@@ -148,6 +151,7 @@
 
     void tellOfUse(std::span<const std::string> changed);
     void add(TargetEntry entry);
+    void tellIfCold(const TargetEntry &entry);
     void leave(Rows::iterator row, std::string_view reason);
     void endLife(Rows::iterator row);
     Rows::const_iterator rowOf(std::string_view id) const;
--- a/lib/Proxy/entrybeliefs.cpp
+++ b/lib/Proxy/entrybeliefs.cpp
@@ -7,6 +7,13 @@
 
 namespace jaytrack {
 
+namespace {
+
+// Targets write their entries about once a second, and the list lags by as much.
+constexpr std::chrono::milliseconds untilEntriesTell{2200};
+
+} // namespace
+
 void EntryInstance::Parts::onTargetListed(const TargetEntry &entry)
 {
     logEvent(Severity::Info, "target_listed",
@@ -22,13 +29,46 @@
         this->prober.add(entry);
 }
 
-bool EntryInstance::Parts::isEngine(const TargetEntry &entry) const
+const ServiceRule *EntryInstance::Parts::serviceOf(const TargetEntry &entry) const
 {
     const auto table = this->configuration.table();
-    const ServiceRule *service = table ? table->serviceNamed(entry.service) : nullptr;
+    return table ? table->serviceNamed(entry.service) : nullptr;
+}
+
+bool EntryInstance::Parts::isEngine(const TargetEntry &entry) const
+{
+    const ServiceRule *service = this->serviceOf(entry);
     return service != nullptr && service->engine;
 }
 
+void EntryInstance::Parts::noteCold(std::string_view target, Duration left, std::string_view source)
+{
+    if (!this->cold.heard(target, left))
+        return;
+    logEvent(Severity::Info, "target_cold",
+             {{"target", target}, {"for_ms", toMillis(left)}, {"source", source}});
+    this->metrics.count("jaytrack_targets_cold_total");
+}
+
+void EntryInstance::Parts::onTargetCold(const TargetEntry &entry)
+{
+    this->noteCold(entry.id, entry.coldFor, "store");
+}
+
+void EntryInstance::Parts::onColdFromPeer(std::string_view target, Duration left)
+{
+    this->noteCold(target, left, "peer");
+}
+
+// The targets of a data centre that comes back may have gone cold just before, and their entries
+// say so only some time later.
+void EntryInstance::Parts::doubtWarmth(const TargetEntry &entry)
+{
+    const ServiceRule *service = this->serviceOf(entry);
+    if (service != nullptr && service->cold.requestsPerSecond > 0)
+        this->noteCold(entry.id, service->cold.lasts + untilEntriesTell, "data_centre_back");
+}
+
 // What was known of the engines' load is old when they come back, and would be forecast to have
 // grown ever since.
 void EntryInstance::Parts::onDataCentreUse(std::string_view dataCentre, bool outOfUse)
@@ -42,6 +82,8 @@
     this->metrics.count(outOfUse ? "jaytrack_data_centres_out_of_use_total"
                                  : "jaytrack_data_centres_back_total");
     for (const TargetEntry &target : concerned) {
+        if (!outOfUse)
+            this->doubtWarmth(target);
         if (!this->isEngine(target))
             continue;
         if (outOfUse) {
@@ -137,6 +179,7 @@
 {
     this->sharing.onPeersChanged(names);
     this->retries.setInstances(names.size() + 1);
+    this->cold.setInstances(names);
 }
 
 void EntryInstance::Parts::announcePlaced(std::string_view engine, const GenerationNeed &need,
@@ -164,6 +207,12 @@
         this->peers->announceLeaving(target);
 }
 
+void EntryInstance::Parts::announceCold(std::string_view target, Duration left)
+{
+    if (this->peers)
+        this->peers->announceCold(target, left);
+}
+
 void EntryInstance::Parts::tellAll(const QuarantineNews &news)
 {
     if (this->peers)
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -12,6 +12,13 @@
 // decision and the request's leaving.
 constexpr std::chrono::milliseconds keyMargin{500};
 
+// Whether the settings name an instance beside this one.
+bool expectsOthers(const EntrySettings &settings)
+{
+    return std::any_of(settings.peerSeeds.begin(), settings.peerSeeds.end(),
+                       [&settings](const std::string &seed) { return seed != settings.peers; });
+}
+
 } // namespace
 
 EntryInstance::Parts::Parts(const EntrySettings &given, const Clock &time, const Dialect &words)
@@ -31,25 +38,15 @@
     , sharing(time, given.name, given.tuning.sharing, this->random, this->configuration,
               this->targets)
     , pauses(time)
-    , selfReports(words, this->directory, this->pauses, *this)
+    , cold(time, given.name, given.coldBound, expectsOthers(given))
+    , selfReports(words, this->directory, this->pauses, this->cold, *this)
     , prober(this->loop, time, words, this->engines, *this, this->selfReports, this->random,
              given.tuning.probeGap)
     , crashes(this->loop, time, this->metrics, *this, *this)
-    , context{this->loop,
-              time,
-              words,
-              this->metrics,
-              this->directory,
-              this->health,
-              this->engines,
-              this->shares,
-              this->retries,
-              this->random,
-              *this,
-              this->crashes,
-              this->selfReports,
-              this->pauses,
-              this->settings.tuning.streams,
+    , context{this->loop,        time,         words,         this->metrics,
+              this->directory,   this->health, this->engines, this->shares,
+              this->retries,     this->random, *this,         this->crashes,
+              this->selfReports, this->pauses, this->cold,    this->settings.tuning.streams,
               this->open}
     , callers(this->loop, time, *this)
     , readiness(this->loop, time, this->desk)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -22,7 +22,7 @@
                                     public PeerLinkListener,
                                     public LoadSharing,
                                     public PlacementNotices,
-                                    public LeavingNotices,
+                                    public SelfReportNotices,
                                     public QuarantineSpread,
                                     public CrashWatchListener
 {
@@ -72,9 +72,13 @@
     void onTargetListed(const TargetEntry &entry) override;
     void onTargetLeaving(const TargetEntry &entry, std::string_view reason) override;
     void onTargetRestarted(const TargetEntry &ended) override;
+    void onTargetCold(const TargetEntry &entry) override;
     void onDataCentreUse(std::string_view dataCentre, bool outOfUse) override;
 
+    const ServiceRule *serviceOf(const TargetEntry &entry) const;
     bool isEngine(const TargetEntry &entry) const;
+    void doubtWarmth(const TargetEntry &entry);
+    void noteCold(std::string_view target, Duration left, std::string_view source);
 
     // PeerLinkListener
 
@@ -87,6 +91,7 @@
     void onFreshness(std::string_view peer, std::int64_t askedAt, Duration age, std::uint64_t era,
                      std::uint64_t revision) override;
     void onLeavingFromPeer(std::string_view target) override;
+    void onColdFromPeer(std::string_view target, Duration left) override;
 
     void onQuarantineNews(const QuarantineNews &news) override { this->crashes.onNews(news); }
 
@@ -98,9 +103,10 @@
     void announceReleased(std::string_view engine, std::uint32_t tokens) override;
     void announceFailed(std::string_view engine) override;
 
-    // LeavingNotices
+    // SelfReportNotices
 
     void announceLeaving(std::string_view target) override;
+    void announceCold(std::string_view target, Duration left) override;
 
     // QuarantineSpread
 
@@ -153,6 +159,7 @@
     StoreFeeds feeds;
     StoreSharing sharing;
     TargetPauses pauses;
+    ColdTargets cold;
     SelfReports selfReports;
     LoadProber prober;
     CrashWatch crashes;
--- a/lib/Proxy/entrysettings.cpp
+++ b/lib/Proxy/entrysettings.cpp
@@ -11,6 +11,8 @@
 constexpr IntegerRange megabyteRange{16, 1'048'576};
 constexpr IntegerRange descriptorRange{64, 10'000'000};
 constexpr double mostRetrySlack = 1e6;
+constexpr double mostColdOverage = 100;
+constexpr double mostColdExtra = 1e6;
 
 std::string readAddress(TomlTable &table, std::string_view key, bool required)
 {
@@ -101,6 +103,10 @@
     settings.retryRatio = bounds.number("retry_ratio", 0, 1, settings.retryRatio);
     settings.retryWindow = readSeconds(bounds, "retry_window_s", settings.retryWindow);
     settings.retrySlack = bounds.number("retry_slack", 0, mostRetrySlack, settings.retrySlack);
+    settings.coldBound.overage =
+            bounds.number("cold_overage", 1, mostColdOverage, settings.coldBound.overage);
+    settings.coldBound.extra =
+            bounds.number("cold_extra", 0, mostColdExtra, settings.coldBound.extra);
     bounds.finish();
 
     TomlTable limits = root.table("limits");
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -127,12 +127,19 @@
 std::vector<const TargetEntry *> Exchange::usableTargets() const
 {
     std::vector<const TargetEntry *> targets = this->context.directory.usable(this->serviceName);
-    std::erase_if(targets, [this](const TargetEntry *entry) {
-        return this->context.pauses.isPaused(entry->id);
-    });
+    std::erase_if(targets,
+                  [this](const TargetEntry *entry) { return this->restOf(*entry) > Duration(0); });
     return targets;
 }
 
+Duration Exchange::restOf(const TargetEntry &target) const
+{
+    const ServiceRule *rule = this->service();
+    const double coldRate = rule != nullptr ? rule->cold.requestsPerSecond : 0;
+    return std::max(this->context.pauses.left(target.id),
+                    this->context.cold.wait(target.id, coldRate));
+}
+
 std::vector<const TargetEntry *> Exchange::untried() const
 {
     std::vector<const TargetEntry *> targets = this->usableTargets();
@@ -145,7 +152,7 @@
 {
     std::optional<Duration> shortest;
     for (const TargetEntry *entry : this->context.directory.usable(this->serviceName)) {
-        const Duration left = this->context.pauses.left(entry->id);
+        const Duration left = this->restOf(*entry);
         if (left > Duration(0))
             shortest = std::min(shortest.value_or(left), left);
     }
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -324,6 +324,16 @@
     this->tellPeers(message);
 }
 
+void PeerLink::announceCold(std::string_view target, Duration left)
+{
+    wire::ColdNotice notice;
+    notice.target = target;
+    notice.leftMicros = std::chrono::duration_cast<std::chrono::microseconds>(left).count();
+    wire::EntryNotices message;
+    message.coldTargets.push_back(std::move(notice));
+    this->tellPeers(message);
+}
+
 void PeerLink::tellAll(const QuarantineNews &news)
 {
     wire::EntryNotices message;
@@ -462,6 +472,8 @@
     }
     for (const std::string &target : message->leavingTargets)
         this->listener.onLeavingFromPeer(target);
+    for (const wire::ColdNotice &notice : message->coldTargets)
+        this->listener.onColdFromPeer(notice.target, std::chrono::microseconds(notice.leftMicros));
     const QuarantineNews news = toNews(message->quarantine);
     if (!news.isEmpty())
         this->listener.onQuarantineNews(news);
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -79,6 +79,7 @@
         this->body.clear();
         this->sentAt = this->context.clock.now();
         this->context.health.began(entry.id, entry.service);
+        this->context.cold.sent(entry.id);
         this->logDecision("request_sent",
                           {{"target", entry.id},
                            {"address", entry.address},
--- a/lib/Proxy/selfreports.cpp
+++ b/lib/Proxy/selfreports.cpp
@@ -13,6 +13,13 @@
                  {{"target", target},
                   {"for_ms", static_cast<std::int64_t>(said.leaveAloneFor->count())}});
     }
+    if (said.coldFor && this->cold.heard(target, *said.coldFor)) {
+        logEvent(Severity::Info, "target_cold",
+                 {{"target", target},
+                  {"for_ms", static_cast<std::int64_t>(said.coldFor->count())},
+                  {"source", "answer"}});
+        this->notices.announceCold(target, *said.coldFor);
+    }
     if (said.leaving && this->directory.markLeaving(target, "told_in_answer"))
         this->notices.announceLeaving(target);
 }
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -158,6 +158,7 @@
     if (!orders.resume)
         this->room.takeForPrompt(target.id, this->need);
     leg->openedAt = this->context.clock.now();
+    this->context.cold.sent(target.id);
     leg->call = TargetCall::start(this->context.loop,
                                   this->makeRequest(target, orders, endpoint.value()), leg);
     return leg;
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -110,6 +110,7 @@
     std::shared_ptr<StreamLeg> open(const TargetEntry &target, std::optional<ResumePoint> resume);
     void syncCopy();
     void forgetCopyAt(const std::string &engine);
+    std::vector<const TargetEntry *> refuges() const;
     void act();
     void resume(const RunStep &step);
     void makeCopy();
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -241,11 +241,22 @@
     });
 }
 
+// A run that has fled cannot wait until a cold engine takes one more, so those are the last choice.
+std::vector<const TargetEntry *> StreamExchange::refuges() const
+{
+    std::vector<const TargetEntry *> open = this->usableTargets();
+    std::vector<const TargetEntry *> warm = open;
+    std::erase_if(warm, [this](const TargetEntry *engine) {
+        return this->context.cold.isCold(engine->id);
+    });
+    return this->ownShare(warm.empty() ? std::move(open) : std::move(warm));
+}
+
 void StreamExchange::makeCopy()
 {
     if (!this->current || this->move)
         return;
-    const std::vector<const TargetEntry *> engines = this->ownShare(this->usableTargets());
+    const std::vector<const TargetEntry *> engines = this->refuges();
     const TargetEntry *chosen = this->context.engines.chooseRefuge(
             engines, this->traits, this->need, this->current->target, this->plan.unfit());
     if (chosen != nullptr)
--- /dev/null
+++ b/lib/Routing/coldtargets.cpp
@@ -0,0 +1,117 @@
+#include "jaytrack/Routing/coldtargets.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace jaytrack {
+
+namespace {
+
+// Told again within this, a target's coldness is no news: each beat tells it anew.
+constexpr std::chrono::milliseconds newsFrom{200};
+
+} // namespace
+
+ColdTargets::ColdTargets(const Clock &time, std::string ownName, ColdBound given,
+                         bool expectsOthers, ColdTargetOptions chosen)
+    : clock(time)
+    , bound(given)
+    , othersExpected(expectsOthers)
+    , options(chosen)
+    , startedAt(time.now())
+    , ranking(std::move(ownName))
+{
+}
+
+void ColdTargets::setInstances(std::span<const std::string> others)
+{
+    const TimePoint now = this->clock.now();
+    for (const std::string &name : this->up)
+        this->lastUp.insert_or_assign(name, now);
+    this->up = {others.begin(), others.end()};
+    const TimePoint oldest = now - this->options.remembered;
+    std::erase_if(this->lastUp, [this, oldest](const auto &entry) {
+        return entry.second < oldest || this->up.count(entry.first) > 0;
+    });
+    std::vector<std::string> known(this->up.begin(), this->up.end());
+    for (const auto &[name, seenAt] : this->lastUp)
+        known.push_back(name);
+    this->ranking.setOthers(known);
+}
+
+void ColdTargets::dropWarm()
+{
+    const TimePoint oldest = this->clock.now() - this->options.window;
+    std::erase_if(this->accounts,
+                  [oldest](const auto &entry) { return entry.second.coldUntil < oldest; });
+}
+
+bool ColdTargets::heard(std::string_view target, Duration left)
+{
+    if (left <= Duration(0))
+        return false;
+    this->dropWarm();
+    Account &account = this->accounts[std::string(target)];
+    const TimePoint until = this->clock.now() + left;
+    const bool news = until > account.coldUntil + newsFrom;
+    account.coldUntil = std::max(account.coldUntil, until);
+    return news;
+}
+
+Duration ColdTargets::coldFor(std::string_view target) const
+{
+    const auto found = this->accounts.find(target);
+    if (found == this->accounts.end())
+        return Duration(0);
+    return std::max(Duration(0), found->second.coldUntil - this->clock.now());
+}
+
+bool ColdTargets::knowsFleet() const
+{
+    const bool alone = this->othersExpected && this->ranking.count() == 1;
+    return !alone && this->clock.now() - this->startedAt >= this->options.settleTime;
+}
+
+std::size_t ColdTargets::allowance(std::string_view target, double ownRate) const
+{
+    const double most = ownRate * this->bound.overage + this->bound.extra;
+    const double used = std::min(ownRate, most * this->options.usedPart);
+    const auto all = static_cast<std::size_t>(std::max(1.0, std::floor(used)));
+    const std::size_t senders = std::min(all, this->ranking.count());
+    return this->ranking.ownPlace(target) < senders ? all / senders : 0;
+}
+
+Duration ColdTargets::wait(std::string_view target, double ownRate) const
+{
+    const Duration cold = this->coldFor(target);
+    if (cold == Duration(0) || ownRate <= 0)
+        return Duration(0);
+    if (!this->knowsFleet())
+        return std::min(cold, this->options.lookAgain);
+    const std::size_t allowed = this->allowance(target, ownRate);
+    if (allowed == 0)
+        return cold;
+    const TimePoint now = this->clock.now();
+    const std::deque<TimePoint> &sends = this->accounts.find(target)->second.sends;
+    const TimePoint oldest = now - this->options.window;
+    const auto first = std::upper_bound(sends.begin(), sends.end(), oldest);
+    if (static_cast<std::size_t>(sends.end() - first) < allowed)
+        return Duration(0);
+    const TimePoint blocking = *(sends.end() - static_cast<std::ptrdiff_t>(allowed));
+    return std::min(cold, blocking - oldest);
+}
+
+void ColdTargets::sent(std::string_view target)
+{
+    const auto found = this->accounts.find(target);
+    if (found == this->accounts.end())
+        return;
+    const TimePoint now = this->clock.now();
+    std::deque<TimePoint> &sends = found->second.sends;
+    while (!sends.empty() && sends.front() <= now - this->options.window)
+        sends.pop_front();
+    sends.push_back(now);
+}
+
+} // namespace jaytrack
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -83,6 +83,13 @@
         this->listener.onTargetLeaving(added, "listed_leaving");
     else
         this->listener.onTargetListed(added);
+    this->tellIfCold(added);
+}
+
+void TargetDirectory::tellIfCold(const TargetEntry &entry)
+{
+    if (entry.coldFor > std::chrono::milliseconds(0) && !entry.leaving)
+        this->listener.onTargetCold(entry);
 }
 
 void TargetDirectory::put(TargetEntry entry)
@@ -111,6 +118,7 @@
         this->noteLeft(row.entry.id);
         this->listener.onTargetLeaving(row.entry, "announced");
     }
+    this->tellIfCold(TargetEntry(row.entry));
 }
 
 void TargetDirectory::remove(std::string_view name, bool keepMissing)
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -2650,6 +2650,118 @@
 }
 
 
+ColdNotice::~ColdNotice() noexcept {
+}
+
+
+void ColdNotice::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void ColdNotice::__set_leftMicros(const int64_t val) {
+  this->leftMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const ColdNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ColdNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leftMicros);
+          this->__isset.leftMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ColdNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ColdNotice");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leftMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->leftMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ColdNotice &a, ColdNotice &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.leftMicros, b.leftMicros);
+  swap(a.__isset, b.__isset);
+}
+
+ColdNotice::ColdNotice(const ColdNotice& other73) {
+  target = other73.target;
+  leftMicros = other73.leftMicros;
+  __isset = other73.__isset;
+}
+ColdNotice& ColdNotice::operator=(const ColdNotice& other74) {
+  target = other74.target;
+  leftMicros = other74.leftMicros;
+  __isset = other74.__isset;
+  return *this;
+}
+void ColdNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ColdNotice(";
+  out << "target=" << to_string(target);
+  out << ", " << "leftMicros=" << to_string(leftMicros);
+  out << ")";
+}
+
+
 EntryNotices::~EntryNotices() noexcept {
 }
 
@@ -2697,6 +2809,10 @@
 void EntryNotices::__set_leavingTargets(const std::vector<std::string> & val) {
   this->leavingTargets = val;
 }
+
+void EntryNotices::__set_coldTargets(const std::vector<ColdNotice> & val) {
+  this->coldTargets = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
@@ -2729,14 +2845,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->placements.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->placements.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->placements[_i77].read(iprot);
+              xfer += this->placements[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2749,14 +2865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->loads.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->loads.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->loads[_i82].read(iprot);
+              xfer += this->loads[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2769,14 +2885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->stores.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->stores.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->stores[_i87].read(iprot);
+              xfer += this->stores[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2789,14 +2905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->asks.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->asks.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->asks[_i92].read(iprot);
+              xfer += this->asks[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2809,14 +2925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->answers.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->answers.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->answers[_i97].read(iprot);
+              xfer += this->answers[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2829,14 +2945,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->releases.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->releases.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->releases.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->releases[_i102].read(iprot);
+              xfer += this->releases[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2849,14 +2965,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedEngines.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->failedEngines.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->failedEngines.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += iprot->readString(this->failedEngines[_i107]);
+              xfer += iprot->readString(this->failedEngines[_i109]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2893,14 +3009,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavingTargets.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->leavingTargets.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->leavingTargets.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += iprot->readString(this->leavingTargets[_i112]);
+              xfer += iprot->readString(this->leavingTargets[_i114]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2909,6 +3025,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->coldTargets.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->coldTargets.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              xfer += this->coldTargets[_i119].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.coldTargets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2929,10 +3065,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter113;
-    for (_iter113 = this->placements.begin(); _iter113 != this->placements.end(); ++_iter113)
+    std::vector<PlacementNotice> ::const_iterator _iter120;
+    for (_iter120 = this->placements.begin(); _iter120 != this->placements.end(); ++_iter120)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2941,10 +3077,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter114;
-    for (_iter114 = this->loads.begin(); _iter114 != this->loads.end(); ++_iter114)
+    std::vector<LoadNotice> ::const_iterator _iter121;
+    for (_iter121 = this->loads.begin(); _iter121 != this->loads.end(); ++_iter121)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2953,10 +3089,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreNotice> ::const_iterator _iter115;
-    for (_iter115 = this->stores.begin(); _iter115 != this->stores.end(); ++_iter115)
+    std::vector<StoreNotice> ::const_iterator _iter122;
+    for (_iter122 = this->stores.begin(); _iter122 != this->stores.end(); ++_iter122)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2965,10 +3101,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<FreshnessAsk> ::const_iterator _iter116;
-    for (_iter116 = this->asks.begin(); _iter116 != this->asks.end(); ++_iter116)
+    std::vector<FreshnessAsk> ::const_iterator _iter123;
+    for (_iter123 = this->asks.begin(); _iter123 != this->asks.end(); ++_iter123)
     {
-      xfer += (*_iter116).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2977,10 +3113,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<FreshnessAnswer> ::const_iterator _iter117;
-    for (_iter117 = this->answers.begin(); _iter117 != this->answers.end(); ++_iter117)
+    std::vector<FreshnessAnswer> ::const_iterator _iter124;
+    for (_iter124 = this->answers.begin(); _iter124 != this->answers.end(); ++_iter124)
     {
-      xfer += (*_iter117).write(oprot);
+      xfer += (*_iter124).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2989,10 +3125,10 @@
   xfer += oprot->writeFieldBegin("releases", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releases.size()));
-    std::vector<ReleaseNotice> ::const_iterator _iter118;
-    for (_iter118 = this->releases.begin(); _iter118 != this->releases.end(); ++_iter118)
+    std::vector<ReleaseNotice> ::const_iterator _iter125;
+    for (_iter125 = this->releases.begin(); _iter125 != this->releases.end(); ++_iter125)
     {
-      xfer += (*_iter118).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3001,10 +3137,10 @@
   xfer += oprot->writeFieldBegin("failedEngines", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedEngines.size()));
-    std::vector<std::string> ::const_iterator _iter119;
-    for (_iter119 = this->failedEngines.begin(); _iter119 != this->failedEngines.end(); ++_iter119)
+    std::vector<std::string> ::const_iterator _iter126;
+    for (_iter126 = this->failedEngines.begin(); _iter126 != this->failedEngines.end(); ++_iter126)
     {
-      xfer += oprot->writeString((*_iter119));
+      xfer += oprot->writeString((*_iter126));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3025,10 +3161,22 @@
   xfer += oprot->writeFieldBegin("leavingTargets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingTargets.size()));
-    std::vector<std::string> ::const_iterator _iter120;
-    for (_iter120 = this->leavingTargets.begin(); _iter120 != this->leavingTargets.end(); ++_iter120)
+    std::vector<std::string> ::const_iterator _iter127;
+    for (_iter127 = this->leavingTargets.begin(); _iter127 != this->leavingTargets.end(); ++_iter127)
+    {
+      xfer += oprot->writeString((*_iter127));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldTargets", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coldTargets.size()));
+    std::vector<ColdNotice> ::const_iterator _iter128;
+    for (_iter128 = this->coldTargets.begin(); _iter128 != this->coldTargets.end(); ++_iter128)
     {
-      xfer += oprot->writeString((*_iter120));
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3052,36 +3200,39 @@
   swap(a.origin, b.origin);
   swap(a.quarantine, b.quarantine);
   swap(a.leavingTargets, b.leavingTargets);
+  swap(a.coldTargets, b.coldTargets);
   swap(a.__isset, b.__isset);
 }
 
-EntryNotices::EntryNotices(const EntryNotices& other121) {
-  placements = other121.placements;
-  loads = other121.loads;
-  stores = other121.stores;
-  asks = other121.asks;
-  answers = other121.answers;
-  releases = other121.releases;
-  failedEngines = other121.failedEngines;
-  relay = other121.relay;
-  origin = other121.origin;
-  quarantine = other121.quarantine;
-  leavingTargets = other121.leavingTargets;
-  __isset = other121.__isset;
-}
-EntryNotices& EntryNotices::operator=(const EntryNotices& other122) {
-  placements = other122.placements;
-  loads = other122.loads;
-  stores = other122.stores;
-  asks = other122.asks;
-  answers = other122.answers;
-  releases = other122.releases;
-  failedEngines = other122.failedEngines;
-  relay = other122.relay;
-  origin = other122.origin;
-  quarantine = other122.quarantine;
-  leavingTargets = other122.leavingTargets;
-  __isset = other122.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other129) {
+  placements = other129.placements;
+  loads = other129.loads;
+  stores = other129.stores;
+  asks = other129.asks;
+  answers = other129.answers;
+  releases = other129.releases;
+  failedEngines = other129.failedEngines;
+  relay = other129.relay;
+  origin = other129.origin;
+  quarantine = other129.quarantine;
+  leavingTargets = other129.leavingTargets;
+  coldTargets = other129.coldTargets;
+  __isset = other129.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other130) {
+  placements = other130.placements;
+  loads = other130.loads;
+  stores = other130.stores;
+  asks = other130.asks;
+  answers = other130.answers;
+  releases = other130.releases;
+  failedEngines = other130.failedEngines;
+  relay = other130.relay;
+  origin = other130.origin;
+  quarantine = other130.quarantine;
+  leavingTargets = other130.leavingTargets;
+  coldTargets = other130.coldTargets;
+  __isset = other130.__isset;
   return *this;
 }
 void EntryNotices::printTo(std::ostream& out) const {
@@ -3098,6 +3249,7 @@
   out << ", " << "origin=" << to_string(origin);
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "leavingTargets=" << to_string(leavingTargets);
+  out << ", " << "coldTargets=" << to_string(coldTargets);
   out << ")";
 }
 
@@ -3171,9 +3323,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast123;
-          xfer += iprot->readI32(ecast123);
-          this->kind = static_cast<PeerKind::type>(ecast123);
+          int32_t ecast131;
+          xfer += iprot->readI32(ecast131);
+          this->kind = static_cast<PeerKind::type>(ecast131);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3215,14 +3367,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->records.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->records.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->records[_i128].read(iprot);
+              xfer += this->records[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3295,10 +3447,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter129;
-    for (_iter129 = this->records.begin(); _iter129 != this->records.end(); ++_iter129)
+    std::vector<MemberRecord> ::const_iterator _iter137;
+    for (_iter137 = this->records.begin(); _iter137 != this->records.end(); ++_iter137)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3335,29 +3487,29 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other130) {
-  kind = other130.kind;
-  sequence = other130.sequence;
-  sender = other130.sender;
-  revision = other130.revision;
-  configAgeMs = other130.configAgeMs;
-  records = other130.records;
-  probeTarget = other130.probeTarget;
-  policy = other130.policy;
-  tableDigest = other130.tableDigest;
-  __isset = other130.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other131) {
-  kind = other131.kind;
-  sequence = other131.sequence;
-  sender = other131.sender;
-  revision = other131.revision;
-  configAgeMs = other131.configAgeMs;
-  records = other131.records;
-  probeTarget = other131.probeTarget;
-  policy = other131.policy;
-  tableDigest = other131.tableDigest;
-  __isset = other131.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other138) {
+  kind = other138.kind;
+  sequence = other138.sequence;
+  sender = other138.sender;
+  revision = other138.revision;
+  configAgeMs = other138.configAgeMs;
+  records = other138.records;
+  probeTarget = other138.probeTarget;
+  policy = other138.policy;
+  tableDigest = other138.tableDigest;
+  __isset = other138.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other139) {
+  kind = other139.kind;
+  sequence = other139.sequence;
+  sender = other139.sender;
+  revision = other139.revision;
+  configAgeMs = other139.configAgeMs;
+  records = other139.records;
+  probeTarget = other139.probeTarget;
+  policy = other139.policy;
+  tableDigest = other139.tableDigest;
+  __isset = other139.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -3468,15 +3620,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other132) {
-  body = other132.body;
-  mac = other132.mac;
-  __isset = other132.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other140) {
+  body = other140.body;
+  mac = other140.mac;
+  __isset = other140.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other133) {
-  body = other133.body;
-  mac = other133.mac;
-  __isset = other133.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other141) {
+  body = other141.body;
+  mac = other141.mac;
+  __isset = other141.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -3614,19 +3766,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other134) {
-  engine = other134.engine;
-  generation = other134.generation;
-  customer = other134.customer;
-  model = other134.model;
-  __isset = other134.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other142) {
+  engine = other142.engine;
+  generation = other142.generation;
+  customer = other142.customer;
+  model = other142.model;
+  __isset = other142.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other135) {
-  engine = other135.engine;
-  generation = other135.generation;
-  customer = other135.customer;
-  model = other135.model;
-  __isset = other135.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other143) {
+  engine = other143.engine;
+  generation = other143.generation;
+  customer = other143.customer;
+  model = other143.model;
+  __isset = other143.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -3783,21 +3935,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other136) {
-  issuer = other136.issuer;
-  incarnation = other136.incarnation;
-  serial = other136.serial;
-  customer = other136.customer;
-  scope = other136.scope;
-  __isset = other136.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other137) {
-  issuer = other137.issuer;
-  incarnation = other137.incarnation;
-  serial = other137.serial;
-  customer = other137.customer;
-  scope = other137.scope;
-  __isset = other137.__isset;
+TicketBody::TicketBody(const TicketBody& other144) {
+  issuer = other144.issuer;
+  incarnation = other144.incarnation;
+  serial = other144.serial;
+  customer = other144.customer;
+  scope = other144.scope;
+  __isset = other144.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other145) {
+  issuer = other145.issuer;
+  incarnation = other145.incarnation;
+  serial = other145.serial;
+  customer = other145.customer;
+  scope = other145.scope;
+  __isset = other145.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -85,6 +85,8 @@
 
 class FreshnessAnswer;
 
+class ColdNotice;
+
 class EntryNotices;
 
 class PeerMessage;
@@ -1100,8 +1102,58 @@
 
 std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj);
 
+typedef struct _ColdNotice__isset {
+  _ColdNotice__isset() : target(false), leftMicros(false) {}
+  bool target :1;
+  bool leftMicros :1;
+} _ColdNotice__isset;
+
+class ColdNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  ColdNotice(const ColdNotice&);
+  ColdNotice& operator=(const ColdNotice&);
+  ColdNotice() noexcept
+             : target(),
+               leftMicros(0) {
+  }
+
+  virtual ~ColdNotice() noexcept;
+  std::string target;
+  int64_t leftMicros;
+
+  _ColdNotice__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_leftMicros(const int64_t val);
+
+  bool operator == (const ColdNotice & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(leftMicros == rhs.leftMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const ColdNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ColdNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ColdNotice &a, ColdNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const ColdNotice& obj);
+
 typedef struct _EntryNotices__isset {
-  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false) {}
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false) {}
   bool placements :1;
   bool loads :1;
   bool stores :1;
@@ -1113,6 +1165,7 @@
   bool origin :1;
   bool quarantine :1;
   bool leavingTargets :1;
+  bool coldTargets :1;
 } _EntryNotices__isset;
 
 class EntryNotices : public virtual ::apache::thrift::TBase {
@@ -1137,6 +1190,7 @@
   std::string origin;
   QuarantineNotices quarantine;
   std::vector<std::string>  leavingTargets;
+  std::vector<ColdNotice>  coldTargets;
 
   _EntryNotices__isset __isset;
 
@@ -1162,6 +1216,8 @@
 
   void __set_leavingTargets(const std::vector<std::string> & val);
 
+  void __set_coldTargets(const std::vector<ColdNotice> & val);
+
   bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
@@ -1186,6 +1242,8 @@
       return false;
     if (!(leavingTargets == rhs.leavingTargets))
       return false;
+    if (!(coldTargets == rhs.coldTargets))
+      return false;
     return true;
   }
   bool operator != (const EntryNotices &rhs) const {
--- a/unittests/Platform/readdutytest.cpp
+++ b/unittests/Platform/readdutytest.cpp
@@ -89,6 +89,7 @@
     {
     public:
         void onTargetLeaving(const TargetEntry &, std::string_view) override {}
+        void onTargetCold(const TargetEntry &) override {}
         void onDataCentreUse(std::string_view, bool) override {}
         void onTargetListed(const TargetEntry &) override {}
         void onTargetRestarted(const TargetEntry &) override {}
--- a/unittests/Routing/directorytest.cpp
+++ b/unittests/Routing/directorytest.cpp
@@ -14,6 +14,7 @@
 class Recorder final : public TargetDirectoryListener
 {
 public:
+    void onTargetCold(const TargetEntry &entry) override { this->cold.push_back(entry.id); }
     void onDataCentreUse(std::string_view dataCentre, bool outOfUse) override
     {
         this->uses.push_back(std::string(dataCentre) + (outOfUse ? " out" : " back"));
@@ -34,6 +35,7 @@
 
     std::vector<std::string> events;
     std::vector<std::string> uses;
+    std::vector<std::string> cold;
 };
 
 TargetEntry entryOf(const std::string &id, bool leaving = false)
