Requests stay in the regions that their route and customer allow

Change: routes and customers hold the regions they allow; where both name some, both bind. The settings name each data centre's region ([[data_centres]], filled in from the platform's table); a target whose data centre has none is in none of those named. Nothing is denied that a configuration without it allows. A request without a target there is refused at once, not run.

--- a/include/jaytrack/Proxy/entrysettings.h
+++ b/include/jaytrack/Proxy/entrysettings.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
     std::string name;
     std::string dataCentre;
 
+    std::map<std::string, std::string, std::less<>> regions; // by data centre
+
     std::string callers;   // IP:PORT
     std::string readiness; // IP:PORT
     std::string metrics;   // IP:PORT; empty for none
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -18,6 +18,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -51,6 +52,7 @@
     EngineChoice &engines;
     const EngineShares &shares;
     RetryBudget &retries;
+    const std::map<std::string, std::string, std::less<>> &regions; // by data centre
     std::mt19937_64 &random;
     PlacementNotices &notices;
     CrashWatch &crashes;
@@ -127,12 +129,18 @@
     // A target has run the request without harm.
     void noteRanWell() const;
 
-    // Targets of the request's service that may be given work and want it.
+    // Targets of the request's service that are in use, in regions where it may run.
+    std::vector<const TargetEntry *> allowedTargets() const;
+
+    // Those of them that want work now.
     std::vector<const TargetEntry *> usableTargets() const;
 
     // Those of them that were not tried yet.
     std::vector<const TargetEntry *> untried() const;
 
+    // Whether the route and the customer allow the region of the target.
+    bool isAllowedAt(const TargetEntry &target) const;
+
     // How long the target may get nothing of this instance: it wants rest, or is cold.
     Duration restOf(const TargetEntry &target) const;
 
--- a/include/jaytrack/Routing/routingtable.h
+++ b/include/jaytrack/Routing/routingtable.h
@@ -23,6 +23,12 @@
 // The word for a kind in logs and metrics.
 std::string_view kindName(RequestKind kind);
 
+// Regions to which requests may go; empty for all. Where several rules name some, all of them bind.
+using AllowedRegions = std::vector<std::string>;
+
+// A region that is not known is in none of those that are named.
+bool allowsRegion(const AllowedRegions &regions, std::string_view region);
+
 // A share of a route's requests that goes to one service.
 struct ServiceShare
 {
@@ -44,6 +50,7 @@
     int maxAttempts = 1;
     bool needsKey = true;
     std::vector<ServiceShare> services;
+    AllowedRegions regions;
 };
 
 // What a model engine offers beyond a plain service.
@@ -90,6 +97,7 @@
 {
     std::string customer;
     std::optional<int> priority; // goes before the route's
+    AllowedRegions regions = {};
 };
 
 class RoutingTable
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -43,10 +43,23 @@
     , prober(this->loop, time, words, this->engines, *this, this->selfReports, this->random,
              given.tuning.probeGap)
     , crashes(this->loop, time, this->metrics, *this, *this)
-    , context{this->loop,        time,         words,         this->metrics,
-              this->directory,   this->health, this->engines, this->shares,
-              this->retries,     this->random, *this,         this->crashes,
-              this->selfReports, this->pauses, this->cold,    this->settings.tuning.streams,
+    , context{this->loop,
+              time,
+              words,
+              this->metrics,
+              this->directory,
+              this->health,
+              this->engines,
+              this->shares,
+              this->retries,
+              this->settings.regions,
+              this->random,
+              *this,
+              this->crashes,
+              this->selfReports,
+              this->pauses,
+              this->cold,
+              this->settings.tuning.streams,
               this->open}
     , callers(this->loop, time, *this)
     , readiness(this->loop, time, this->desk)
--- a/lib/Proxy/entrysettings.cpp
+++ b/lib/Proxy/entrysettings.cpp
@@ -65,6 +65,18 @@
     peers.finish();
 }
 
+void readRegions(TomlTable &root, EntrySettings &settings)
+{
+    for (TomlTable &dataCentre : root.tables("data_centres")) {
+        const std::string name = dataCentre.text("name");
+        const std::string region = dataCentre.text("region");
+        if (!settings.regions.emplace(name, region).second)
+            dataCentre.report(ResultCode::SettingsContradiction, "name",
+                              name + " is given more than once");
+        dataCentre.finish();
+    }
+}
+
 } // namespace
 
 EntrySettings readEntrySettings(const std::string &file, Problems &problems)
@@ -77,6 +89,8 @@
     settings.name = root.text("name");
     settings.dataCentre = root.text("data_centre");
 
+    readRegions(root, settings);
+
     TomlTable listen = root.table("listen");
     settings.callers = readAddress(listen, "callers", true);
     settings.readiness = readAddress(listen, "readiness", true);
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -126,12 +126,29 @@
 
 std::vector<const TargetEntry *> Exchange::usableTargets() const
 {
-    std::vector<const TargetEntry *> targets = this->context.directory.usable(this->serviceName);
+    std::vector<const TargetEntry *> targets = this->allowedTargets();
     std::erase_if(targets,
                   [this](const TargetEntry *entry) { return this->restOf(*entry) > Duration(0); });
     return targets;
 }
 
+std::vector<const TargetEntry *> Exchange::allowedTargets() const
+{
+    std::vector<const TargetEntry *> targets = this->context.directory.usable(this->serviceName);
+    std::erase_if(targets, [this](const TargetEntry *entry) { return !this->isAllowedAt(*entry); });
+    return targets;
+}
+
+bool Exchange::isAllowedAt(const TargetEntry &target) const
+{
+    const KeyHolder *holder = this->admitted.admission.holder;
+    const auto found = this->context.regions.find(target.dataCentre);
+    const std::string_view region =
+            found == this->context.regions.end() ? std::string_view() : found->second;
+    return allowsRegion(this->route().regions, region) &&
+           (holder == nullptr || allowsRegion(holder->regions, region));
+}
+
 Duration Exchange::restOf(const TargetEntry &target) const
 {
     const ServiceRule *rule = this->service();
@@ -151,7 +168,7 @@
 std::optional<Duration> Exchange::shortestRest() const
 {
     std::optional<Duration> shortest;
-    for (const TargetEntry *entry : this->context.directory.usable(this->serviceName)) {
+    for (const TargetEntry *entry : this->allowedTargets()) {
         const Duration left = this->restOf(*entry);
         if (left > Duration(0))
             shortest = std::min(shortest.value_or(left), left);
--- a/lib/Routing/routingtable.cpp
+++ b/lib/Routing/routingtable.cpp
@@ -1,5 +1,7 @@
 #include "jaytrack/Routing/routingtable.h"
 
+#include <algorithm>
+
 #include <cassert>
 
 namespace jaytrack {
@@ -29,6 +31,11 @@
     return "unknown";
 }
 
+bool allowsRegion(const AllowedRegions &regions, std::string_view region)
+{
+    return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
 const RouteRule *RoutingTable::match(std::string_view host, std::string_view path) const
 {
     const RouteRule *best = nullptr;
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -43,6 +43,7 @@
     std::string name = "under-test";
     std::string peers = {}; // IP:PORT for datagrams between instances; empty for none
     std::vector<std::string> peerSeeds = {};
+    std::map<std::string, std::string, std::less<>> regions = {}; // by data centre
     std::map<std::string, std::string> items = {}; // in the store before the instance starts
 };
 
