--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -142,6 +142,8 @@
 bool Exchange::isAllowedAt(const TargetEntry &target) const
 {
     const KeyHolder *holder = this->admitted.admission.holder;
+    if (this->route().regions.empty() && (holder == nullptr || holder->regions.empty()))
+        return true;
     const auto found = this->context.regions.find(target.dataCentre);
     const std::string_view region =
             found == this->context.regions.end() ? std::string_view() : found->second;
--- a/unittests/Platform/coldtest.cpp
+++ b/unittests/Platform/coldtest.cpp
@@ -37,9 +37,7 @@
 
 std::string entryWith(const ScriptedServer &target, int coldMillis)
 {
-    nlohmann::json document = nlohmann::json::parse(targetJson(target.address()));
-    document["ColdLeftMs"] = coldMillis;
-    return document.dump();
+    return targetJson(target.address(), "ready", "svc", "dc", coldMillis);
 }
 
 std::size_t workSeen(const ScriptedServer &target)
--- a/unittests/Platform/handovertest.cpp
+++ b/unittests/Platform/handovertest.cpp
@@ -130,6 +130,36 @@
     cr_assert_eq(first.closedByPeer(), 1, "the old engine is told to stop");
 }
 
+// Guards against a run that flees into a data centre which is put out of use while its copy is on
+// its way there.
+Test(handOver, copyUnderWayToADataCentreOutOfUseIsGivenUp)
+{
+    static constexpr std::chrono::milliseconds copyTime(600);
+    ScriptedServer first([](const SeenRequest &request) -> Answer {
+        if (isRun(request))
+            return events(1, 80, std::chrono::milliseconds(25), true);
+        if (request.head.path() != "/jaytrack/kv-move")
+            return wholeAnswer(200, "", "{}");
+        Answer answer = moveAnswer(200);
+        answer.front().after = copyTime;
+        return answer;
+    });
+    ScriptedServer out([](const SeenRequest &) { return wholeAnswer(200, "", "{}"); });
+    EntryFixture entry({RouteSpec()});
+    entry.list("e1", first);
+    std::thread announcer([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        entry.store.put("servers/e2", targetJson(out.address(), "ready", "svc", "dc-out"));
+        entry.store.put("servers/e1", targetJson(first.address(), "draining"));
+        std::this_thread::sleep_for(copyTime / 2);
+        entry.store.put("op/evacuate/dc-out", "{}");
+    });
+    const CallerView view = callOnce(entry.port(), requestText({}), std::chrono::seconds(5));
+    announcer.join();
+    assertWhole(view.bytes, 80);
+    cr_assert(runsOf(out).empty());
+}
+
 // Symptom: a run breaks off although its engine would have finished it.
 // Events: the engine announces that it leaves; no other engine has room; the engine works on.
 Test(handOver, refusedCopiesLeaveTheRunWhereItIs)
--- a/unittests/Platform/outofusetest.cpp
+++ b/unittests/Platform/outofusetest.cpp
@@ -48,9 +48,7 @@
 
 std::string entryIn(const ScriptedServer &target, const std::string &dataCentre)
 {
-    nlohmann::json document = nlohmann::json::parse(targetJson(target.address()));
-    document["Zone"] = dataCentre;
-    return document.dump();
+    return targetJson(target.address(), "ready", "svc", dataCentre);
 }
 
 void listIn(EntryFixture &entry, const std::string &id, const ScriptedServer &target,
--- a/unittests/Platform/platformdocuments.cpp
+++ b/unittests/Platform/platformdocuments.cpp
@@ -49,10 +49,16 @@
 }
 
 std::string targetJson(const std::string &address, const std::string &state,
-                       const std::string &service)
+                       const std::string &service, const std::string &dataCentre, int coldMillis)
 {
-    return json{{"Service", service}, {"Address", address}, {"Zone", "dc"},    {"Version", "v1"},
-                {"Slots", 8},         {"State", state},     {"ColdLeftMs", 0}, {"Seq", 1}}
+    return json{{"Service", service},
+                {"Address", address},
+                {"Zone", dataCentre},
+                {"Version", "v1"},
+                {"Slots", 8},
+                {"State", state},
+                {"ColdLeftMs", coldMillis},
+                {"Seq", 1}}
             .dump();
 }
 
--- a/unittests/Platform/platformdocuments.h
+++ b/unittests/Platform/platformdocuments.h
@@ -29,7 +29,8 @@
 
 // The store's entry of a target.
 std::string targetJson(const std::string &address, const std::string &state = "ready",
-                       const std::string &service = "svc");
+                       const std::string &service = "svc", const std::string &dataCentre = "dc",
+                       int coldMillis = 0);
 
 // The text of a request of the customer.
 struct RequestSpec
--- a/unittests/Platform/regionstest.cpp
+++ b/unittests/Platform/regionstest.cpp
@@ -28,9 +28,7 @@
 
 std::string entryIn(const ScriptedServer &target, const std::string &dataCentre)
 {
-    nlohmann::json document = nlohmann::json::parse(targetJson(target.address()));
-    document["Zone"] = dataCentre;
-    return document.dump();
+    return targetJson(target.address(), "ready", "svc", dataCentre);
 }
 
 struct RegionCase
--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -65,6 +65,28 @@
     this->leaving[target] = std::chrono::steady_clock::now();
 }
 
+void Record::targetStands(const std::string &target, const std::string &dataCentre)
+{
+    const std::lock_guard lock(this->mutex);
+    this->homes[target] = dataCentre;
+}
+
+void Record::dataCentreOutOfUse(const std::string &dataCentre, bool out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (out)
+        this->outOfUse.emplace(dataCentre, std::chrono::steady_clock::now());
+    else
+        this->outOfUse.erase(dataCentre);
+}
+
+void Record::targetCold(const std::string &target, std::chrono::milliseconds time)
+{
+    const std::lock_guard lock(this->mutex);
+    const SteadyTime now = std::chrono::steady_clock::now();
+    this->coldTargets[target] = {now, now + time, {}};
+}
+
 void Record::stopOrdered(const std::string &instance, std::chrono::milliseconds takesFor)
 {
     const std::lock_guard lock(this->mutex);
@@ -112,6 +134,39 @@
         this->broken("sent_to_target_that_said_it_leaves", id, "target=" + target);
 }
 
+void Record::checkOutOfUse(const std::string &id, const Request &request, const std::string &target)
+{
+    const auto home = this->homes.find(target);
+    const auto out =
+            home == this->homes.end() ? this->outOfUse.end() : this->outOfUse.find(home->second);
+    if (out == this->outOfUse.end() || request.sentAt <= out->second + leaveBound + slack)
+        return;
+    const bool judged = this->calm("store", out->second - slack) &&
+                        this->calm(request.instance, out->second - slack);
+    ++this->counts[judged ? "out_of_use_judged" : "out_of_use_excused"];
+    if (judged)
+        this->broken("sent_to_data_centre_out_of_use", id, "target=" + target);
+}
+
+// The bound is on all instances together; only those that had time to learn of it are counted.
+void Record::checkCold(const std::string &id, const Request &request, const std::string &target)
+{
+    const auto known = this->coldTargets.find(target);
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (known == this->coldTargets.end() || now > known->second.until)
+        return;
+    ColdTime &cold = known->second;
+    if (request.sentAt <= cold.from + leaveBound + slack ||
+        !this->calm("store", cold.from - slack) || !this->calm(request.instance, cold.from - slack))
+        return;
+    while (!cold.arrivals.empty() && cold.arrivals.front() < now - std::chrono::seconds(1))
+        cold.arrivals.pop_front();
+    cold.arrivals.push_back(now);
+    ++this->counts["cold_judged"];
+    if (cold.arrivals.size() > coldRate)
+        this->broken("cold_target_overrun", id, "target=" + target);
+}
+
 int Record::ran(const std::string &id, const std::string &target)
 {
     const std::lock_guard lock(this->mutex);
@@ -129,6 +184,8 @@
         this->calm(request->second.instance, left->second - slack))
         this->broken("sent_to_leaving_target", id, "target=" + target);
     this->checkToldLeaving(id, request->second, target);
+    this->checkOutOfUse(id, request->second, target);
+    this->checkCold(id, request->second, target);
     return ++request->second.runs;
 }
 
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -4,6 +4,7 @@
 #define JAYTRACK_TESTS_PROCESSSOAK_RECORD_H
 
 #include <chrono>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <string>
@@ -42,6 +43,9 @@
     static constexpr std::chrono::milliseconds leaveBound{2000};
     static constexpr std::chrono::milliseconds slack{700};
 
+    // Requests that a cold target bears in a second, from all instances.
+    static constexpr std::size_t coldRate = 4;
+
     // A stopping instance takes connections for 3 s, and the last answers leave it before its grace
     // of 6 s is over; both without what this machine may add.
     static constexpr std::chrono::milliseconds stopTakesFor{2800};
@@ -53,6 +57,10 @@
     void keyTaken(const std::string &key);
     void targetLeaves(const std::string &target);
 
+    void targetStands(const std::string &target, const std::string &dataCentre);
+    void dataCentreOutOfUse(const std::string &dataCentre, bool out);
+    void targetCold(const std::string &target, std::chrono::milliseconds time);
+
     // A planned stop, of an instance that answers whoever connects to it within the time given.
     void stopOrdered(const std::string &instance, std::chrono::milliseconds takesFor);
 
@@ -97,6 +105,15 @@
         std::chrono::milliseconds takesFor;
     };
 
+    struct ColdTime
+    {
+        SteadyTime from;
+        SteadyTime until;
+        std::deque<SteadyTime> arrivals; // in the last second
+    };
+
+    void checkOutOfUse(const std::string &id, const Request &request, const std::string &target);
+    void checkCold(const std::string &id, const Request &request, const std::string &target);
     void broken(const std::string &promise, const std::string &id, const std::string &detail);
     void checkSuccess(const std::string &id, const Request &request, const CallerSaw &answer);
     void checkEvents(const std::string &id, const Request &request, const CallerSaw &answer);
@@ -110,6 +127,9 @@
     std::map<std::string, SteadyTime> disturbedUntil;
     std::map<std::string, SteadyTime> keysTaken;
     std::map<std::string, SteadyTime> leaving;
+    std::map<std::string, std::string> homes;   // data centres of targets
+    std::map<std::string, SteadyTime> outOfUse; // since when, by data centre
+    std::map<std::string, ColdTime> coldTargets;
     // By instance and target, when an answer that passed there first said that the target leaves.
     std::map<std::pair<std::string, std::string>, SteadyTime> toldLeaving;
     std::map<std::string, Stop> stops;
--- a/unittests/ProcessSoak/scenario.cpp
+++ b/unittests/ProcessSoak/scenario.cpp
@@ -329,6 +329,26 @@
     });
 }
 
+// One at a time, so that somebody is left to serve.
+void Scenario::putDataCentreOutOfUse()
+{
+    if (this->dataCentreIsOut)
+        return;
+    this->dataCentreIsOut = true;
+    const std::string dataCentre = dataCentres[this->random() % dataCentres.size()];
+    this->site.setOutOfUse(dataCentre, true);
+    this->later(this->drawTime(3500, 7000), [this, dataCentre] {
+        this->site.setOutOfUse(dataCentre, false);
+        this->dataCentreIsOut = false;
+    });
+}
+
+void Scenario::makeTargetCold()
+{
+    const auto target = this->random() % static_cast<std::size_t>(this->options.engines);
+    this->site.makeCold(target, this->drawTime(3500, 7000));
+}
+
 void Scenario::injectFault()
 {
     struct Kind
@@ -336,7 +356,7 @@
         const char *name;
         void (Scenario::*inject)();
     };
-    static constexpr std::array<Kind, 14> kinds = {
+    static constexpr std::array<Kind, 16> kinds = {
             {{"stop_held", &Scenario::stopInstanceHeld},
              {"stop", &Scenario::stopInstance},
              {"kill", &Scenario::killInstance},
@@ -350,7 +370,9 @@
              {"store_returns", &Scenario::returnStoreFromCopy},
              {"configuration", &Scenario::changeConfiguration},
              {"key_taken", &Scenario::changeKey},
-             {"target_leaves", &Scenario::leaveTarget}}};
+             {"target_leaves", &Scenario::leaveTarget},
+             {"data_centre_out", &Scenario::putDataCentreOutOfUse},
+             {"target_cold", &Scenario::makeTargetCold}}};
     const Kind &kind = this->stopsOnly() ? kinds.front() : kinds[this->random() % kinds.size()];
     ++this->faults[kind.name];
     (this->*kind.inject)();
--- a/unittests/ProcessSoak/scenario.h
+++ b/unittests/ProcessSoak/scenario.h
@@ -84,6 +84,8 @@
     void changeConfiguration();
     void changeKey();
     void leaveTarget();
+    void putDataCentreOutOfUse();
+    void makeTargetCold();
 
     Member &someMember();
     bool orderStop(Member &member);
@@ -104,6 +106,7 @@
     std::atomic<bool> calling{false};
     std::vector<std::thread> callers;
     std::vector<bool> targetLeaving;
+    bool dataCentreIsOut = false;
 };
 
 } // namespace jaytrack::soak
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -45,9 +45,10 @@
 } // namespace
 
 SoakTarget::SoakTarget(asio::io_context &context, Record &seen, std::string serviceName,
-                       std::string firstId, std::uint64_t seed)
+                       std::string firstId, std::string standsIn, std::uint64_t seed)
     : record(seen)
     , serviceOf(std::move(serviceName))
+    , home(std::move(standsIn))
     , ownId(std::move(firstId))
     , random(seed)
     , server([this](const SeenRequest &request) { return this->answer(request); })
@@ -160,9 +161,9 @@
     , keys({"key-0"})
 {
     for (int i = 0; i < engines + desks; ++i) {
-        this->targets.push_back(
-                std::make_unique<SoakTarget>(this->context, seen, i < engines ? "svc" : "desk",
-                                             "t" + std::to_string(i), this->random()));
+        this->targets.push_back(std::make_unique<SoakTarget>(
+                this->context, seen, i < engines ? "svc" : "desk", "t" + std::to_string(i),
+                dataCentres[i % 2], this->random()));
         this->list(*this->targets.back(), "ready");
     }
     this->serial = engines + desks;
@@ -192,10 +193,39 @@
     return parseEndpoint(this->store.address()).value().port();
 }
 
-void Site::list(const SoakTarget &target, const std::string &state)
+void Site::list(const SoakTarget &target, const std::string &state, int coldMillis)
 {
+    this->record.targetStands(target.id(), target.dataCentre());
     this->store.put("servers/" + target.id(),
-                    testing::targetJson(target.address(), state, target.service()));
+                    testing::targetJson(target.address(), state, target.service(),
+                                        target.dataCentre(), coldMillis));
+}
+
+void Site::writeOutOfUse(const std::string &dataCentre)
+{
+    const std::string key = "op/evacuate/" + dataCentre;
+    if (this->outOfUse.count(dataCentre) > 0)
+        this->store.put(key, "{}");
+    else
+        this->store.remove(key);
+}
+
+void Site::setOutOfUse(const std::string &dataCentre, bool out)
+{
+    const std::lock_guard lock(this->mutex);
+    if (out)
+        this->outOfUse.insert(dataCentre);
+    else
+        this->outOfUse.erase(dataCentre);
+    this->writeOutOfUse(dataCentre);
+    this->record.dataCentreOutOfUse(dataCentre, out);
+}
+
+void Site::makeCold(std::size_t target, std::chrono::milliseconds time)
+{
+    const SoakTarget &cold = *this->targets[target];
+    this->list(cold, cold.leaves() ? "draining" : "ready", static_cast<int>(time.count()));
+    this->record.targetCold(cold.id(), time);
 }
 
 void Site::publish()
@@ -215,6 +245,7 @@
     routes[3].resumable = true;
     routes[5].resumable = true;
     json document = testing::configurationJson(++this->version, routes);
+    document["Services"][0]["ColdPerS"] = Record::coldRate;
     document["Services"].push_back({{"Name", "desk"}, {"HealthPath", "/healthz"}});
     document["Tenants"][0]["ApiKeys"] = json::array({this->keys.back()});
     this->published = document.dump();
@@ -274,6 +305,8 @@
         this->store.remove("servers/" + id);
     for (const auto &target : this->targets)
         this->list(*target, target->leaves() ? "draining" : "ready");
+    for (const char *dataCentre : dataCentres)
+        this->writeOutOfUse(dataCentre);
 }
 
 } // namespace jaytrack::soak
--- a/unittests/ProcessSoak/site.h
+++ b/unittests/ProcessSoak/site.h
@@ -9,9 +9,11 @@
 #include "platformdocuments.h"
 #include "platformstandin.h"
 
+#include <array>
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,11 +25,12 @@
 {
 public:
     SoakTarget(asio::io_context &context, Record &seen, std::string serviceName,
-               std::string firstId, std::uint64_t seed);
+               std::string firstId, std::string standsIn, std::uint64_t seed);
 
     std::string id() const;
     std::string address() const { return this->proxy->address(); }
     const std::string &service() const { return this->serviceOf; }
+    const std::string &dataCentre() const { return this->home; }
     void becomes(const std::string &newId);
 
     // From now on, until it becomes another one, all its answers say that it leaves.
@@ -42,6 +45,7 @@
 
     Record &record;
     std::string serviceOf;
+    std::string home;
     mutable std::mutex mutex;
     std::string ownId;
     bool leaving = false;
@@ -50,6 +54,9 @@
     std::unique_ptr<FaultProxy> proxy;
 };
 
+// Every second target of each service stands in the other one.
+constexpr std::array<const char *, 2> dataCentres = {"dc", "dc-2"};
+
 class Site
 {
 public:
@@ -68,6 +75,12 @@
     void announceLeaving(std::size_t target);
     void replaceTarget(std::size_t target);
 
+    // A data centre is put out of use, or back.
+    void setOutOfUse(const std::string &dataCentre, bool out);
+
+    // A target says for so long that it is cold.
+    void makeCold(std::size_t target, std::chrono::milliseconds time);
+
     // What the operator and the targets last wrote, after the store lost some of it.
     void writeAgain();
 
@@ -90,7 +103,8 @@
 
 private:
     void publish();
-    void list(const SoakTarget &target, const std::string &state);
+    void list(const SoakTarget &target, const std::string &state, int coldMillis = 0);
+    void writeOutOfUse(const std::string &dataCentre);
 
     Record &record;
     asio::executor_work_guard<asio::io_context::executor_type> work;
@@ -101,6 +115,7 @@
     std::vector<std::string> keys;
     std::string published; // the configuration as it was last written
     std::vector<std::string> goneTargets;
+    std::set<std::string> outOfUse;
     std::thread thread;
 };
 
