--- a/lib/Routing/datacentreuse.cpp
+++ b/lib/Routing/datacentreuse.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Routing/datacentreuse.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jaytrack {
 
@@ -24,9 +25,11 @@
         if (this->take(record))
             changed.push_back(record.dataCentre);
     }
+    std::set<std::string_view> listed;
+    for (const DataCentreRecord &record : records)
+        listed.insert(record.dataCentre);
     for (auto &[name, state] : this->states) {
-        const auto same = [&name](const DataCentreRecord &one) { return one.dataCentre == name; };
-        if (std::any_of(records.begin(), records.end(), same))
+        if (listed.count(name) > 0)
             continue;
         state.missing = state.outOfUse && keepMissing;
         if (!state.outOfUse || state.missing)
