The template gives data centres' names as text

Cause: the platform renders the name of an entry of a table as plain text only; asked for as JSON it is null. Ruled out: the figures of the bounds, which were rendered well.

--- a/unittests/Platform/entrysettingstest.cpp
+++ b/unittests/Platform/entrysettingstest.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <iterator>
 #include <unistd.h>
 
 using namespace jaytrack;
@@ -69,3 +70,13 @@
     cr_assert_eq(problems.size(), 1, "%s", given->text);
     cr_assert_eq(problems.front().code, given->code, "%s", given->text);
 }
+
+// Guards against a template that the platform renders as something that is no TOML: the name of an
+// entry of a table comes as plain text only, and as "null" in any other form.
+Test(entrySettings, templateQuotesNamesItself)
+{
+    std::ifstream file(JAYTRACK_DOCS "/../deploy/entry.toml.in");
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    cr_assert_neq(text.find("[[data_centres]]"), std::string::npos);
+    cr_assert_eq(text.find("{{@|"), std::string::npos);
+}
