Tests of the platform share what they look at targets with; an unused count goes

isReport, workSeen and goodAnswer stood in six test files under three names; they stand in the fixture now. DataCentreUse::count and an include were used by nothing. No other code changes.

--- a/include/jaytrack/Routing/coldtargets.h
+++ b/include/jaytrack/Routing/coldtargets.h
@@ -13,7 +13,6 @@
 
 #include <deque>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
--- a/include/jaytrack/Routing/datacentreuse.h
+++ b/include/jaytrack/Routing/datacentreuse.h
@@ -43,9 +43,6 @@
 
     bool isOutOfUse(std::string_view dataCentre) const;
 
-    // How many are out of use.
-    std::size_t count() const;
-
 private:
     struct State
     {
--- a/lib/Routing/datacentreuse.cpp
+++ b/lib/Routing/datacentreuse.cpp
@@ -1,6 +1,5 @@
 #include "jaytrack/Routing/datacentreuse.h"
 
-#include <algorithm>
 #include <set>
 
 namespace jaytrack {
@@ -65,11 +64,4 @@
     return found != this->states.end() && found->second.outOfUse;
 }
 
-std::size_t DataCentreUse::count() const
-{
-    return static_cast<std::size_t>(
-            std::count_if(this->states.begin(), this->states.end(),
-                          [](const auto &entry) { return entry.second.outOfUse; }));
-}
-
 } // namespace jaytrack
--- a/unittests/Platform/answertoldtest.cpp
+++ b/unittests/Platform/answertoldtest.cpp
@@ -15,24 +15,6 @@
 const std::string ownHeaders = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
 const std::string leavingHeader = "Server-Leaving: 1\r\n";
 
-bool isReport(const SeenRequest &request)
-{
-    return request.head.path() == "/jaytrack/report";
-}
-
-std::size_t workSeen(const ScriptedServer &target)
-{
-    std::size_t count = 0;
-    for (const SeenRequest &request : target.seen())
-        count += isReport(request) ? 0 : 1;
-    return count;
-}
-
-Answer goodAnswer(const SeenRequest &request)
-{
-    return wholeAnswer(200, isReport(request) ? "" : ownHeaders, isReport(request) ? "{}" : "good");
-}
-
 Answer streamAnswer(const std::string &headers)
 {
     return {{AnswerStep::Kind::Send, streamHead(ownHeaders + headers), {}},
--- a/unittests/Platform/beliefstest.cpp
+++ b/unittests/Platform/beliefstest.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-Answer goodAnswer(const SeenRequest &request)
-{
-    if (request.head.path() == "/jaytrack/report")
-        return wholeAnswer(200, "", "{}");
-    return wholeAnswer(200, "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n", "good");
-}
-
 RouteSpec plainRoute(const std::string &prefix = "/jobs/")
 {
     RouteSpec route;
--- a/unittests/Platform/coldtest.cpp
+++ b/unittests/Platform/coldtest.cpp
@@ -15,11 +15,6 @@
 constexpr int requests = 40;
 const std::string ownHeaders = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
 
-bool isReport(const SeenRequest &request)
-{
-    return request.head.path() == "/jaytrack/report";
-}
-
 Answer answerWith(const SeenRequest &request, const std::string &said)
 {
     if (isReport(request))
@@ -40,14 +35,6 @@
     return targetJson(target.address(), "ready", "svc", "dc", coldMillis);
 }
 
-std::size_t workSeen(const ScriptedServer &target)
-{
-    std::size_t count = 0;
-    for (const SeenRequest &request : target.seen())
-        count += isReport(request) ? 0 : 1;
-    return count;
-}
-
 enum class Teller { Store, Answer, Nobody };
 
 struct TellerCase
--- a/unittests/Platform/crashingrequesttest.cpp
+++ b/unittests/Platform/crashingrequesttest.cpp
@@ -20,7 +20,7 @@
 Answer fragileAnswer(const SeenRequest &request)
 {
     static constexpr std::chrono::milliseconds workTime{60};
-    if (request.head.path() == "/jaytrack/report")
+    if (isReport(request))
         return wholeAnswer(200, "", "{}");
     if (request.body == deadlyBody)
         return {{AnswerStep::Kind::Die, "", workTime / 2}};
@@ -232,7 +232,7 @@
     for (int i = 0; i < 6; ++i) {
         targets.push_back(
                 std::make_unique<ScriptedServer>([](const SeenRequest &request) -> Answer {
-                    if (request.head.path() == "/jaytrack/report")
+                    if (isReport(request))
                         return wholeAnswer(200, "", "{}");
                     return {{AnswerStep::Kind::Reset, "", std::chrono::milliseconds(10)}};
                 }));
--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -57,6 +57,26 @@
     return options;
 }
 
+bool isReport(const SeenRequest &request)
+{
+    return request.head.path() == "/jaytrack/report";
+}
+
+std::size_t workSeen(const ScriptedServer &target)
+{
+    std::size_t count = 0;
+    for (const SeenRequest &request : target.seen())
+        count += isReport(request) ? 0 : 1;
+    return count;
+}
+
+Answer goodAnswer(const SeenRequest &request)
+{
+    if (isReport(request))
+        return wholeAnswer(200, "", "{}");
+    return wholeAnswer(200, "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n", "good");
+}
+
 EntryFixture::EntryFixture(const std::vector<RouteSpec> &routes, FixtureOptions given)
     : options(std::move(given))
 {
@@ -115,9 +135,7 @@
     cr_assert(this->becomesReady());
     const auto asked = [&target] {
         const auto seen = target.seen();
-        return std::any_of(seen.begin(), seen.end(), [](const SeenRequest &request) {
-            return request.head.path() == "/jaytrack/report";
-        });
+        return std::any_of(seen.begin(), seen.end(), isReport);
     };
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
     while (!asked() && std::chrono::steady_clock::now() < end)
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -53,6 +53,15 @@
 // Options of an instance that knows one other.
 FixtureOptions memberOf(const std::string &name, const std::string &own, const std::string &other);
 
+// Whether an instance asks an engine for its load.
+bool isReport(const SeenRequest &request);
+
+// The requests that a target got besides such questions.
+std::size_t workSeen(const ScriptedServer &target);
+
+// A whole answer to either.
+Answer goodAnswer(const SeenRequest &request);
+
 class EntryFixture
 {
 public:
--- a/unittests/Platform/outofusetest.cpp
+++ b/unittests/Platform/outofusetest.cpp
@@ -14,24 +14,6 @@
 const std::string ownHeaders = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
 const std::string recordOf = "op/evacuate/";
 
-bool isReport(const SeenRequest &request)
-{
-    return request.head.path() == "/jaytrack/report";
-}
-
-std::size_t workSeen(const ScriptedServer &target)
-{
-    std::size_t count = 0;
-    for (const SeenRequest &request : target.seen())
-        count += isReport(request) ? 0 : 1;
-    return count;
-}
-
-Answer plainAnswer(const SeenRequest &request)
-{
-    return wholeAnswer(200, isReport(request) ? "" : ownHeaders, isReport(request) ? "{}" : "good");
-}
-
 Answer streamAnswer(const SeenRequest &request)
 {
     if (isReport(request))
@@ -92,8 +74,8 @@
     route.type = given->type;
     route.attempts = 2;
     EntryFixture entry({route});
-    ScriptedServer out(stream ? streamAnswer : plainAnswer);
-    ScriptedServer in(stream ? streamAnswer : plainAnswer);
+    ScriptedServer out(stream ? streamAnswer : goodAnswer);
+    ScriptedServer in(stream ? streamAnswer : goodAnswer);
     listIn(entry, "i-out", out, "dc-out");
     if (!given->alone)
         listIn(entry, "i-in", in, "dc-in");
@@ -156,8 +138,8 @@
     route.type = "safe";
     route.attempts = 2;
     auto entry = std::make_unique<EntryFixture>(std::vector<RouteSpec>{route});
-    ScriptedServer out(plainAnswer);
-    ScriptedServer in(plainAnswer);
+    ScriptedServer out(goodAnswer);
+    ScriptedServer in(goodAnswer);
     listIn(*entry, "i-out", out, "dc-out");
     listIn(*entry, "i-in", in, "dc-in");
     entry->store.takeCopy();
@@ -187,7 +169,7 @@
     RouteSpec route;
     route.type = "safe";
     EntryFixture entry({route});
-    ScriptedServer out(plainAnswer);
+    ScriptedServer out(goodAnswer);
     listIn(entry, "i-out", out, "dc-out");
     entry.store.put(recordOf, "{}");
     entry.store.put(recordOf + "elsewhere", "{}");
@@ -229,7 +211,7 @@
 // use.
 Test(outOfUse, isKnownToAnInstanceThatStartsMeanwhile)
 {
-    ScriptedServer out(plainAnswer);
+    ScriptedServer out(goodAnswer);
     RouteSpec route;
     route.type = "safe";
     FixtureOptions options;
--- a/unittests/Platform/requesttest.cpp
+++ b/unittests/Platform/requesttest.cpp
@@ -11,19 +11,6 @@
 
 namespace {
 
-bool isProbe(const SeenRequest &request)
-{
-    return request.head.path() == "/jaytrack/report";
-}
-
-std::size_t worked(const ScriptedServer &server)
-{
-    std::size_t count = 0;
-    for (const SeenRequest &request : server.seen())
-        count += isProbe(request) ? 0 : 1;
-    return count;
-}
-
 // What a target does with a request.
 enum Deed {
     Good,
@@ -115,7 +102,7 @@
 {
     std::atomic<int> asked{0};
     const auto script = [&asked, param](const SeenRequest &request) -> Answer {
-        if (isProbe(request))
+        if (isReport(request))
             return wholeAnswer(200, "", "{}");
         return perform(asked++ == 0 ? param->first : Good);
     };
@@ -130,7 +117,7 @@
     const CallerView view = callOnce(entry.port(), requestText({}));
     cr_assert(view.bytes.starts_with("HTTP/1.1 " + std::to_string(param->status)), "%s: %s",
               param->name, view.bytes.c_str());
-    cr_assert_eq(worked(one) + worked(two), param->sends, "%s", param->name);
+    cr_assert_eq(workSeen(one) + workSeen(two), param->sends, "%s", param->name);
     if (param->status == 503)
         cr_assert(view.bytes.find("Retry-After: ") != std::string::npos, "%s", param->name);
 }
@@ -171,7 +158,7 @@
 {
     std::atomic<int> asked{0};
     const auto script = [&asked, param](const SeenRequest &request) -> Answer {
-        if (isProbe(request))
+        if (isReport(request))
             return wholeAnswer(200, "", "{}");
         return perform(param->deeds[std::min(asked++, 2)]);
     };
@@ -188,7 +175,7 @@
     const CallerView view = callOnce(entry.port(), requestText({}));
     cr_assert(view.bytes.starts_with("HTTP/1.1 " + std::to_string(param->status)), "%s: %s",
               param->name, view.bytes.c_str());
-    cr_assert_eq(worked(one) + worked(two) + worked(three), param->sends, "%s", param->name);
+    cr_assert_eq(workSeen(one) + workSeen(two) + workSeen(three), param->sends, "%s", param->name);
 }
 
 // Symptom: a caller that is refused comes back too late to be served in time.
@@ -197,8 +184,8 @@
 Test(request, fullEnginesAreToldEarly)
 {
     ScriptedServer target([](const SeenRequest &request) {
-        return isProbe(request) ? wholeAnswer(200, "", R"({"KvInUse":29900,"KvSize":30000})")
-                                : perform(Good);
+        return isReport(request) ? wholeAnswer(200, "", R"({"KvInUse":29900,"KvSize":30000})")
+                                 : perform(Good);
     });
     RouteSpec route;
     route.objectiveMs = 1800;
@@ -208,7 +195,7 @@
     const std::string bytes = callOnce(entry.port(), requestText({})).bytes;
     const auto took = std::chrono::steady_clock::now() - began;
     cr_assert(bytes.starts_with("HTTP/1.1 503"), "%s", bytes.c_str());
-    cr_assert_eq(worked(target), 0);
+    cr_assert_eq(workSeen(target), 0);
     cr_assert(took < std::chrono::milliseconds(220), "told after %lld ms",
               static_cast<long long>(
                       std::chrono::duration_cast<std::chrono::milliseconds>(took).count()));
@@ -225,7 +212,7 @@
 Test(request, restartedTargetServesAgain)
 {
     ScriptedServer target([](const SeenRequest &request) {
-        return isProbe(request) ? wholeAnswer(200, "", "{}") : perform(Good);
+        return isReport(request) ? wholeAnswer(200, "", "{}") : perform(Good);
     });
     RouteSpec route;
     route.type = "unsafe";
@@ -261,7 +248,7 @@
 Test(request, reachesTheTargetUnchanged)
 {
     ScriptedServer target([](const SeenRequest &request) {
-        return isProbe(request) ? wholeAnswer(200, "", "{}") : perform(Good);
+        return isReport(request) ? wholeAnswer(200, "", "{}") : perform(Good);
     });
     RouteSpec route;
     route.type = "unsafe";
@@ -273,7 +260,7 @@
     const CallerView view = callOnce(entry.port(), requestText(spec));
     cr_assert(view.bytes.find("X-Server-Stamp: s") != std::string::npos);
     for (const SeenRequest &seen : target.seen()) {
-        if (isProbe(seen))
+        if (isReport(seen))
             continue;
         cr_assert_eq(seen.head.target, std::string("/jobs/x?q=1"));
         cr_assert_eq(seen.body, std::string("hello"));
@@ -290,7 +277,7 @@
 Test(request, callersLeavingReachesTheEngine)
 {
     ScriptedServer target([](const SeenRequest &request) -> Answer {
-        if (isProbe(request))
+        if (isReport(request))
             return wholeAnswer(200, "", "{}");
         return {{AnswerStep::Kind::Hang, "", {}}};
     });
@@ -306,7 +293,7 @@
 Test(request, routeTimeoutIsKept)
 {
     ScriptedServer target([](const SeenRequest &request) -> Answer {
-        if (isProbe(request))
+        if (isReport(request))
             return wholeAnswer(200, "", "{}");
         return {{AnswerStep::Kind::Hang, "", {}}};
     });
--- a/unittests/Platform/storeeratest.cpp
+++ b/unittests/Platform/storeeratest.cpp
@@ -14,13 +14,6 @@
 
 namespace {
 
-Answer goodAnswer(const SeenRequest &request)
-{
-    if (request.head.path() == "/jaytrack/report")
-        return wholeAnswer(200, "", "{}");
-    return wholeAnswer(200, "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n", "good");
-}
-
 RouteSpec routeAt(const std::string &prefix)
 {
     RouteSpec route;
@@ -49,14 +42,6 @@
     return false;
 }
 
-std::size_t workSeen(const ScriptedServer &target)
-{
-    std::size_t count = 0;
-    for (const SeenRequest &request : target.seen())
-        count += request.head.path() == "/jaytrack/report" ? 0 : 1;
-    return count;
-}
-
 // Away for a moment: the store answers nothing while it comes back and is written to.
 template <typename Written>
 void comeBack(StoreStandin &store, Written written)
