--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -142,7 +142,10 @@
     bool isAllowedAt(const TargetEntry &target) const;
 
     // How long the target may get nothing of this instance: it wants rest, or is cold.
-    Duration restOf(const TargetEntry &target) const;
+    Duration restOf(const TargetEntry &target, double rate) const;
+
+    // Requests a second that a cold target of the service bears.
+    double coldRate() const;
 
     // The time until the first target that wants no work now takes some again.
     std::optional<Duration> shortestRest() const;
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -127,8 +127,10 @@
 std::vector<const TargetEntry *> Exchange::usableTargets() const
 {
     std::vector<const TargetEntry *> targets = this->allowedTargets();
-    std::erase_if(targets,
-                  [this](const TargetEntry *entry) { return this->restOf(*entry) > Duration(0); });
+    const double rate = this->coldRate();
+    std::erase_if(targets, [this, rate](const TargetEntry *entry) {
+        return this->restOf(*entry, rate) > Duration(0);
+    });
     return targets;
 }
 
@@ -151,12 +153,15 @@
            (holder == nullptr || allowsRegion(holder->regions, region));
 }
 
-Duration Exchange::restOf(const TargetEntry &target) const
+Duration Exchange::restOf(const TargetEntry &target, double rate) const
+{
+    return std::max(this->context.pauses.left(target.id), this->context.cold.wait(target.id, rate));
+}
+
+double Exchange::coldRate() const
 {
     const ServiceRule *rule = this->service();
-    const double coldRate = rule != nullptr ? rule->cold.requestsPerSecond : 0;
-    return std::max(this->context.pauses.left(target.id),
-                    this->context.cold.wait(target.id, coldRate));
+    return rule != nullptr ? rule->cold.requestsPerSecond : 0;
 }
 
 std::vector<const TargetEntry *> Exchange::untried() const
@@ -170,8 +175,9 @@
 std::optional<Duration> Exchange::shortestRest() const
 {
     std::optional<Duration> shortest;
+    const double rate = this->coldRate();
     for (const TargetEntry *entry : this->allowedTargets()) {
-        const Duration left = this->restOf(*entry);
+        const Duration left = this->restOf(*entry, rate);
         if (left > Duration(0))
             shortest = std::min(shortest.value_or(left), left);
     }
--- a/unittests/Platform/outofusetest.cpp
+++ b/unittests/Platform/outofusetest.cpp
@@ -143,6 +143,9 @@
     listIn(*entry, "i-out", out, "dc-out");
     listIn(*entry, "i-in", in, "dc-in");
     entry->store.takeCopy();
+    // Written again, the order has a smaller revision than it had.
+    for (int i = 0; i < 5; ++i)
+        entry->store.put("other/" + std::to_string(i), "x");
     entry->store.put(recordOf + "dc-out", "{}");
     waitUntilLearnt();
     if (given->event == Event::Compact)
