Sight: an instance says in its log which limits targets name

Change: the platform's word is decoded, and what is known is kept in NamedLimits, ordered by time; target_limited and target_limit_ended say so. Nothing acts on it yet. Ruled out: letting any answer without the word end a limit; answers to requests sent before it was named, failures and load reports may lack it.

--- a/include/jaytrack/Proxy/selfreports.h
+++ b/include/jaytrack/Proxy/selfreports.h
@@ -6,6 +6,7 @@
 #ifndef JAYTRACK_PROXY_SELFREPORTS_H
 #define JAYTRACK_PROXY_SELFREPORTS_H
 
+#include "jaytrack/Limits/namedlimits.h"
 #include "jaytrack/Net/httpparser.h"
 #include "jaytrack/Policy/targetpauses.h"
 #include "jaytrack/Routing/coldtargets.h"
@@ -27,26 +28,35 @@
 {
 public:
     SelfReports(const Dialect &words, TargetDirectory &targets, TargetPauses &rests,
-                ColdTargets &coldOnes, SelfReportNotices &others)
+                ColdTargets &coldOnes, NamedLimits &named, SelfReportNotices &others)
         : dialect(words)
         , directory(targets)
         , pauses(rests)
         , cold(coldOnes)
+        , limits(named)
         , notices(others)
     {
     }
 
-    // The head of an answer of this life of a target. May lead to calls of onTargetLeaving().
+    // The head of an answer of this life of a target to a question of this instance's own. May lead
+    // to calls of onTargetLeaving().
     void hear(std::string_view target, const MessageHead &answer);
 
+    // The same of an answer to a caller's request, which was sent so long ago.
+    void hearServed(std::string_view target, const MessageHead &answer, Duration sentAgo);
+
     // Whether the target wants nothing of this instance now.
     bool wantsRest(std::string_view target) const { return this->pauses.isPaused(target); }
 
 private:
+    void hearFacts(std::string_view target, const AnswerFacts &said);
+    void hearLimit(std::string_view target, double perSecond);
+
     const Dialect &dialect;
     TargetDirectory &directory;
     TargetPauses &pauses;
     ColdTargets &cold;
+    NamedLimits &limits;
     SelfReportNotices &notices;
 };
 
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -65,6 +65,9 @@
     // The target turned the request away and wants none from this instance for so long.
     std::optional<std::chrono::milliseconds> leaveAloneFor;
     std::optional<std::chrono::milliseconds> coldFor; // the target is cold for so long
+    // Requests a second that the target takes from all instances together.
+    std::optional<double> limitPerSecond;
+    bool namesNoLimit = false; // neither a limit nor anything that may be meant for one
 };
 
 // A page of the store.
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -160,6 +160,7 @@
     StoreSharing sharing;
     TargetPauses pauses;
     ColdTargets cold;
+    NamedLimits limits;
     SelfReports selfReports;
     LoadProber prober;
     CrashWatch crashes;
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -118,7 +118,8 @@
     void onAnswerHead(MessageHead head) override
     {
         this->answer = std::move(head);
-        this->context.selfReports.hear(this->target.id, this->answer);
+        this->context.selfReports.hearServed(this->target.id, this->answer,
+                                             this->context.clock.now() - this->sentAt);
     }
 
     void onAnswerBody(std::string_view bytes) override
--- a/lib/Proxy/selfreports.cpp
+++ b/lib/Proxy/selfreports.cpp
@@ -4,9 +4,43 @@
 
 namespace jaytrack {
 
+namespace {
+
+constexpr int firstGoodStatus = 200;
+constexpr int afterGoodStatus = 300;
+
+} // namespace
+
 void SelfReports::hear(std::string_view target, const MessageHead &answer)
+{
+    this->hearFacts(target, this->dialect.describeAnswer(answer.status, answer.headers));
+}
+
+// A failure may leave a limit out, as may the answer to a question about load; only a served
+// request tells that the target is no longer in need.
+void SelfReports::hearServed(std::string_view target, const MessageHead &answer, Duration sentAgo)
 {
     const AnswerFacts said = this->dialect.describeAnswer(answer.status, answer.headers);
+    this->hearFacts(target, said);
+    const bool served = answer.status >= firstGoodStatus && answer.status < afterGoodStatus;
+    if (!served || !said.namesNoLimit)
+        return;
+    if (this->limits.namedNone(target, sentAgo))
+        logEvent(Severity::Info, "target_limit_ended", {{"target", target}, {"source", "answer"}});
+}
+
+void SelfReports::hearLimit(std::string_view target, double perSecond)
+{
+    if (!this->limits.named(target, perSecond))
+        return;
+    logEvent(Severity::Info, "target_limited",
+             {{"target", target},
+              {"per_second", std::string_view(std::to_string(perSecond))},
+              {"source", "answer"}});
+}
+
+void SelfReports::hearFacts(std::string_view target, const AnswerFacts &said)
+{
     if (said.leaveAloneFor) {
         this->pauses.leaveAlone(target, *said.leaveAloneFor);
         logEvent(Severity::Info, "target_wants_rest",
@@ -20,6 +54,8 @@
                   {"source", "answer"}});
         this->notices.announceCold(target, *said.coldFor);
     }
+    if (said.limitPerSecond)
+        this->hearLimit(target, *said.limitPerSecond);
     if (said.leaving && this->directory.markLeaving(target, "told_in_answer"))
         this->notices.announceLeaving(target);
 }
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -280,7 +280,8 @@
 
 void StreamExchange::legHead(StreamLeg &leg)
 {
-    this->context.selfReports.hear(leg.target.id, leg.head);
+    this->context.selfReports.hearServed(leg.target.id, leg.head,
+                                         this->context.clock.now() - leg.openedAt);
     if (this->isFinished())
         return;
     const AnswerFacts said =
--- a/unittests/Platform/dialecttest.cpp
+++ b/unittests/Platform/dialecttest.cpp
@@ -100,6 +100,53 @@
 
 } // namespace
 
+namespace {
+
+struct LimitCase
+{
+    char name[24];
+    int status;
+    char value[16];
+    double limit; // negative for none that can be read
+    bool namesNone;
+};
+
+LimitCase limitCases[] = {
+        {"whole", 200, "3", 3, false},
+        {"part", 200, "2.5", 2.5, false},
+        {"in a failure", 500, "0.4", 0.4, false},
+        {"in a refusal", 503, "7", 7, false},
+        {"nothing", 200, "0", 0, false},
+        {"none named", 200, "", -1, true},
+        {"another's", 421, "3", -1, false},
+        {"another's, none", 421, "", -1, false},
+        {"negative", 200, "-1", -1, false},
+        {"no number", 200, "many", -1, false},
+        {"infinite", 200, "inf", -1, false},
+        {"nan", 200, "nan", -1, false},
+        {"with a unit", 200, "3/s", -1, false},
+        {"out of range", 200, "1e999", -1, false},
+};
+
+} // namespace
+
+// Guards against a limit that is misread, taken from another target, or ended by a word that
+// cannot be read.
+ParameterizedTestParameters(platformDialect, limitsAreDecoded)
+{
+    return cr_make_param_array(LimitCase, limitCases, std::size(limitCases));
+}
+
+ParameterizedTest(LimitCase *param, platformDialect, limitsAreDecoded)
+{
+    std::vector<HttpHeader> headers;
+    if (param->value[0] != 0)
+        headers.push_back({"server-limit", param->value});
+    const AnswerFacts said = makePlatformDialect()->describeAnswer(param->status, headers);
+    cr_expect_float_eq(said.limitPerSecond.value_or(-1), param->limit, 1e-9, "%s", param->name);
+    cr_expect_eq(said.namesNoLimit, param->namesNone, "%s", param->name);
+}
+
 // What a target tells of itself beside its answer. Only its own word counts, and only a number.
 ParameterizedTestParameters(platformDialect, selfReportsAreDecoded)
 {
