--- a/lib/Proxy/entrybeliefs.cpp
+++ b/lib/Proxy/entrybeliefs.cpp
@@ -125,7 +125,7 @@
     this->engines.forget(ended.id);
     this->shares.gone(ended.id);
     this->health.forget(ended.id);
-    this->limits.forget(ended.id);
+    this->namedLimits.forget(ended.id);
     this->prober.remove(ended.id);
     const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
     for (const auto &exchange : served)
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -39,8 +39,8 @@
               this->targets)
     , pauses(time)
     , cold(time, given.name, given.coldBound, expectsOthers(given))
-    , limits(time)
-    , selfReports(words, this->directory, this->pauses, this->cold, this->limits, *this)
+    , namedLimits(time)
+    , selfReports(words, this->directory, this->pauses, this->cold, this->namedLimits, *this)
     , prober(this->loop, time, words, this->engines, *this, this->selfReports, this->random,
              given.tuning.probeGap)
     , crashes(this->loop, time, this->metrics, *this, *this)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -160,7 +160,7 @@
     StoreSharing sharing;
     TargetPauses pauses;
     ColdTargets cold;
-    NamedLimits limits;
+    NamedLimits namedLimits;
     SelfReports selfReports;
     LoadProber prober;
     CrashWatch crashes;
