Which instances are counted on, though gone, is one class of its own

Cause: what shares out a target among instances has to count on those that may live on the other side of a partition; cold targets kept that in themselves, and limits need the same. Change: KnownFleet, with the moment since which each instance is up. Ruled out: remembering in the membership table, which drops who is gone so that tables stay small. No decision changes: coldTargets/sumOfTheFleetHolds gives the same sums; RoutingTests 126 of 126.

--- a/include/jaytrack/Routing/coldtargets.h
+++ b/include/jaytrack/Routing/coldtargets.h
@@ -9,11 +9,11 @@
 #define JAYTRACK_ROUTING_COLDTARGETS_H
 
 #include "jaytrack/Routing/instanceranking.h"
+#include "jaytrack/Routing/knownfleet.h"
 #include "jaytrack/Support/clock.h"
 
 #include <deque>
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -93,9 +93,8 @@
     bool othersExpected;
     ColdTargetOptions options;
     TimePoint startedAt;
-    InstanceRanking ranking; // of all that are remembered
-    std::set<std::string, std::less<>> up;
-    std::map<std::string, TimePoint, std::less<>> lastUp; // of those that are not
+    KnownFleet fleet;
+    InstanceRanking ranking; // of all that are known
     std::map<std::string, Account, std::less<>> accounts;
 };
 
--- a/lib/Routing/coldtargets.cpp
+++ b/lib/Routing/coldtargets.cpp
@@ -20,24 +20,15 @@
     , othersExpected(expectsOthers)
     , options(chosen)
     , startedAt(time.now())
+    , fleet(time, chosen.remembered)
     , ranking(std::move(ownName))
 {
 }
 
 void ColdTargets::setInstances(std::span<const std::string> others)
 {
-    const TimePoint now = this->clock.now();
-    for (const std::string &name : this->up)
-        this->lastUp.insert_or_assign(name, now);
-    this->up = {others.begin(), others.end()};
-    const TimePoint oldest = now - this->options.remembered;
-    std::erase_if(this->lastUp, [this, oldest](const auto &entry) {
-        return entry.second < oldest || this->up.count(entry.first) > 0;
-    });
-    std::vector<std::string> known(this->up.begin(), this->up.end());
-    for (const auto &[name, seenAt] : this->lastUp)
-        known.push_back(name);
-    this->ranking.setOthers(known);
+    this->fleet.setInstances(others);
+    this->ranking.setOthers(this->fleet.names());
 }
 
 void ColdTargets::dropWarm()
