--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -71,11 +71,47 @@
   3: list<string> ranWell
 }
 
+// What is known of the limit that a target names: requests a second over all instances, when it was named
+// last, and when the last request was sent whose answer named none (-1: no such answer is known).
+struct LimitWordNotice {
+  1: string target
+  2: double perSecond
+  3: i64 namedAgoMicros
+  4: i64 endedAgoMicros
+}
+
+// Asks whoever keeps the account of a limited target whether one request may go there now.
+struct PermitAskNotice {
+  1: i64 serial
+  2: LimitWordNotice word
+  // The request goes there in any case and is only to be counted; nothing is answered.
+  3: bool counted
+}
+
+struct PermitAnswerNotice {
+  1: i64 serial
+  2: bool granted
+  // After which the asker had better ask again.
+  3: i64 waitMicros
+  // Whether the sender keeps accounts; one that has just started does not yet.
+  4: bool keeps
+  // Of the target that was asked for, as the sender knows it.
+  5: LimitWordNotice word
+}
+
+// What instances tell each other of targets that name limits.
+struct LimitNotices {
+  1: list<LimitWordNotice> words
+  2: list<PermitAskNotice> asks
+  3: list<PermitAnswerNotice> answers
+}
+
 // What two instances tell each other beside who they are.
 struct PolicyMessage {
   1: list<GrantBody> grants
   2: list<EngineSummary> summaries
   3: QuarantineNotices quarantine
+  4: LimitNotices limits
 }
 
 // A generation that an entry instance has just given to an engine.
@@ -164,6 +200,7 @@
   // Targets that told the sender in an answer that they leave.
   11: list<string> leavingTargets
   12: list<ColdNotice> coldTargets
+  13: LimitNotices limits
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Routing/coldtargets.h
+++ b/include/jaytrack/Routing/coldtargets.h
@@ -41,10 +41,6 @@
     // An instance that has just started does not know the others yet.
     Duration settleTime = std::chrono::seconds(3);
 
-    // An instance that is no longer up may live on the other side of a partition, so it keeps its
-    // places for so long: longer than regions lose each other.
-    Duration remembered = std::chrono::hours(2);
-
     // How soon an instance that does not know the fleet looks again.
     Duration lookAgain = std::chrono::milliseconds(200);
 };
--- a/include/jaytrack/Routing/knownfleet.h
+++ b/include/jaytrack/Routing/knownfleet.h
@@ -10,7 +10,7 @@
 
 #include <cstddef>
 #include <map>
-#include <set>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -18,32 +18,58 @@
 
 namespace jaytrack {
 
+struct KnownFleetOptions
+{
+    // Longer than regions lose each other.
+    Duration remembered = std::chrono::hours(2);
+
+    // An instance that is gone for less than this and comes back counts as never gone: news of
+    // members are late, and overtake each other.
+    Duration absence = std::chrono::seconds(2);
+};
+
 class KnownFleet
 {
 public:
-    KnownFleet(const Clock &time, Duration rememberedFor)
+    // What is known of another instance.
+    struct Instance
+    {
+        TimePoint upSince;
+        std::optional<TimePoint> goneSince; // nothing while it is up
+    };
+    using Instances = std::map<std::string, Instance, std::less<>>;
+
+    explicit KnownFleet(const Clock &time, KnownFleetOptions given = {})
         : clock(time)
-        , remembered(rememberedFor)
+        , options(given)
     {
     }
 
     // The names of the other instances that are up.
     void setInstances(std::span<const std::string> others);
 
-    // The others that are up, with the moment since which they have been.
-    const std::map<std::string, TimePoint, std::less<>> &up() const { return this->upSince; }
+    // All others that are counted on.
+    const Instances &instances() const { return this->known; }
 
-    // The names of all others that are counted on.
+    // Their names.
     std::vector<std::string> names() const;
 
-    // How many others are counted on.
-    std::size_t count() const { return this->upSince.size() + this->lastUp.size(); }
+    // How many of them are up.
+    std::size_t countUp() const;
+
+    bool isUp(std::string_view name) const;
+
+    // When an instance that is gone now will count as gone.
+    TimePoint missedFrom(const Instance &gone) const
+    {
+        return gone.goneSince.value_or(TimePoint::max() - this->options.absence) +
+               this->options.absence;
+    }
 
 private:
     const Clock &clock;
-    Duration remembered;
-    std::map<std::string, TimePoint, std::less<>> upSince;
-    std::map<std::string, TimePoint, std::less<>> lastUp; // of those that are not
+    KnownFleetOptions options;
+    Instances known;
 };
 
 } // namespace jaytrack
--- a/lib/Routing/coldtargets.cpp
+++ b/lib/Routing/coldtargets.cpp
@@ -20,7 +20,7 @@
     , othersExpected(expectsOthers)
     , options(chosen)
     , startedAt(time.now())
-    , fleet(time, chosen.remembered)
+    , fleet(time)
     , ranking(std::move(ownName))
 {
 }
--- a/lib/Routing/instanceranking.cpp
+++ b/lib/Routing/instanceranking.cpp
@@ -30,12 +30,19 @@
     this->instances.push_back({hash, std::move(ownName)});
 }
 
+// Of hundreds of names one or two differ from those before, so hashes are kept.
 void InstanceRanking::setOthers(std::span<const std::string> names)
 {
+    std::unordered_map<std::string, std::uint64_t> hashes;
+    for (Instance &known : this->instances)
+        hashes.emplace(known.name, known.hash);
     this->instances.resize(1);
     this->instances.reserve(names.size() + 1);
-    for (const std::string &other : names)
-        this->instances.push_back({placementHash(other), other});
+    for (const std::string &other : names) {
+        const auto known = hashes.find(other);
+        const std::uint64_t hash = known == hashes.end() ? placementHash(other) : known->second;
+        this->instances.push_back({hash, other});
+    }
     this->places.clear();
 }
 
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -1374,6 +1374,654 @@
 }
 
 
+LimitWordNotice::~LimitWordNotice() noexcept {
+}
+
+
+void LimitWordNotice::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void LimitWordNotice::__set_perSecond(const double val) {
+  this->perSecond = val;
+}
+
+void LimitWordNotice::__set_namedAgoMicros(const int64_t val) {
+  this->namedAgoMicros = val;
+}
+
+void LimitWordNotice::__set_endedAgoMicros(const int64_t val) {
+  this->endedAgoMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitWordNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitWordNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->perSecond);
+          this->__isset.perSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->namedAgoMicros);
+          this->__isset.namedAgoMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endedAgoMicros);
+          this->__isset.endedAgoMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitWordNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitWordNotice");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("perSecond", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->perSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("namedAgoMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->namedAgoMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endedAgoMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->endedAgoMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitWordNotice &a, LimitWordNotice &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.perSecond, b.perSecond);
+  swap(a.namedAgoMicros, b.namedAgoMicros);
+  swap(a.endedAgoMicros, b.endedAgoMicros);
+  swap(a.__isset, b.__isset);
+}
+
+LimitWordNotice::LimitWordNotice(const LimitWordNotice& other39) {
+  target = other39.target;
+  perSecond = other39.perSecond;
+  namedAgoMicros = other39.namedAgoMicros;
+  endedAgoMicros = other39.endedAgoMicros;
+  __isset = other39.__isset;
+}
+LimitWordNotice& LimitWordNotice::operator=(const LimitWordNotice& other40) {
+  target = other40.target;
+  perSecond = other40.perSecond;
+  namedAgoMicros = other40.namedAgoMicros;
+  endedAgoMicros = other40.endedAgoMicros;
+  __isset = other40.__isset;
+  return *this;
+}
+void LimitWordNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitWordNotice(";
+  out << "target=" << to_string(target);
+  out << ", " << "perSecond=" << to_string(perSecond);
+  out << ", " << "namedAgoMicros=" << to_string(namedAgoMicros);
+  out << ", " << "endedAgoMicros=" << to_string(endedAgoMicros);
+  out << ")";
+}
+
+
+PermitAskNotice::~PermitAskNotice() noexcept {
+}
+
+
+void PermitAskNotice::__set_serial(const int64_t val) {
+  this->serial = val;
+}
+
+void PermitAskNotice::__set_word(const LimitWordNotice& val) {
+  this->word = val;
+}
+
+void PermitAskNotice::__set_counted(const bool val) {
+  this->counted = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitAskNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitAskNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serial);
+          this->__isset.serial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->word.read(iprot);
+          this->__isset.word = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->counted);
+          this->__isset.counted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitAskNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitAskNotice");
+
+  xfer += oprot->writeFieldBegin("serial", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serial);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("word", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->word.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->counted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitAskNotice &a, PermitAskNotice &b) {
+  using ::std::swap;
+  swap(a.serial, b.serial);
+  swap(a.word, b.word);
+  swap(a.counted, b.counted);
+  swap(a.__isset, b.__isset);
+}
+
+PermitAskNotice::PermitAskNotice(const PermitAskNotice& other41) {
+  serial = other41.serial;
+  word = other41.word;
+  counted = other41.counted;
+  __isset = other41.__isset;
+}
+PermitAskNotice& PermitAskNotice::operator=(const PermitAskNotice& other42) {
+  serial = other42.serial;
+  word = other42.word;
+  counted = other42.counted;
+  __isset = other42.__isset;
+  return *this;
+}
+void PermitAskNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitAskNotice(";
+  out << "serial=" << to_string(serial);
+  out << ", " << "word=" << to_string(word);
+  out << ", " << "counted=" << to_string(counted);
+  out << ")";
+}
+
+
+PermitAnswerNotice::~PermitAnswerNotice() noexcept {
+}
+
+
+void PermitAnswerNotice::__set_serial(const int64_t val) {
+  this->serial = val;
+}
+
+void PermitAnswerNotice::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void PermitAnswerNotice::__set_waitMicros(const int64_t val) {
+  this->waitMicros = val;
+}
+
+void PermitAnswerNotice::__set_keeps(const bool val) {
+  this->keeps = val;
+}
+
+void PermitAnswerNotice::__set_word(const LimitWordNotice& val) {
+  this->word = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitAnswerNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitAnswerNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serial);
+          this->__isset.serial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitMicros);
+          this->__isset.waitMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->keeps);
+          this->__isset.keeps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->word.read(iprot);
+          this->__isset.word = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitAnswerNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitAnswerNotice");
+
+  xfer += oprot->writeFieldBegin("serial", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serial);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->waitMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keeps", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->keeps);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("word", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->word.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitAnswerNotice &a, PermitAnswerNotice &b) {
+  using ::std::swap;
+  swap(a.serial, b.serial);
+  swap(a.granted, b.granted);
+  swap(a.waitMicros, b.waitMicros);
+  swap(a.keeps, b.keeps);
+  swap(a.word, b.word);
+  swap(a.__isset, b.__isset);
+}
+
+PermitAnswerNotice::PermitAnswerNotice(const PermitAnswerNotice& other43) {
+  serial = other43.serial;
+  granted = other43.granted;
+  waitMicros = other43.waitMicros;
+  keeps = other43.keeps;
+  word = other43.word;
+  __isset = other43.__isset;
+}
+PermitAnswerNotice& PermitAnswerNotice::operator=(const PermitAnswerNotice& other44) {
+  serial = other44.serial;
+  granted = other44.granted;
+  waitMicros = other44.waitMicros;
+  keeps = other44.keeps;
+  word = other44.word;
+  __isset = other44.__isset;
+  return *this;
+}
+void PermitAnswerNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitAnswerNotice(";
+  out << "serial=" << to_string(serial);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "waitMicros=" << to_string(waitMicros);
+  out << ", " << "keeps=" << to_string(keeps);
+  out << ", " << "word=" << to_string(word);
+  out << ")";
+}
+
+
+LimitNotices::~LimitNotices() noexcept {
+}
+
+
+void LimitNotices::__set_words(const std::vector<LimitWordNotice> & val) {
+  this->words = val;
+}
+
+void LimitNotices::__set_asks(const std::vector<PermitAskNotice> & val) {
+  this->asks = val;
+}
+
+void LimitNotices::__set_answers(const std::vector<PermitAnswerNotice> & val) {
+  this->answers = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitNotices& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitNotices::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->words.clear();
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->words.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
+            {
+              xfer += this->words[_i49].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.words = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->asks.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += this->asks[_i54].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->answers.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
+            {
+              xfer += this->answers[_i59].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitNotices::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitNotices");
+
+  xfer += oprot->writeFieldBegin("words", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->words.size()));
+    std::vector<LimitWordNotice> ::const_iterator _iter60;
+    for (_iter60 = this->words.begin(); _iter60 != this->words.end(); ++_iter60)
+    {
+      xfer += (*_iter60).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<PermitAskNotice> ::const_iterator _iter61;
+    for (_iter61 = this->asks.begin(); _iter61 != this->asks.end(); ++_iter61)
+    {
+      xfer += (*_iter61).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<PermitAnswerNotice> ::const_iterator _iter62;
+    for (_iter62 = this->answers.begin(); _iter62 != this->answers.end(); ++_iter62)
+    {
+      xfer += (*_iter62).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitNotices &a, LimitNotices &b) {
+  using ::std::swap;
+  swap(a.words, b.words);
+  swap(a.asks, b.asks);
+  swap(a.answers, b.answers);
+  swap(a.__isset, b.__isset);
+}
+
+LimitNotices::LimitNotices(const LimitNotices& other63) {
+  words = other63.words;
+  asks = other63.asks;
+  answers = other63.answers;
+  __isset = other63.__isset;
+}
+LimitNotices& LimitNotices::operator=(const LimitNotices& other64) {
+  words = other64.words;
+  asks = other64.asks;
+  answers = other64.answers;
+  __isset = other64.__isset;
+  return *this;
+}
+void LimitNotices::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitNotices(";
+  out << "words=" << to_string(words);
+  out << ", " << "asks=" << to_string(asks);
+  out << ", " << "answers=" << to_string(answers);
+  out << ")";
+}
+
+
 PolicyMessage::~PolicyMessage() noexcept {
 }
 
@@ -1389,6 +2037,10 @@
 void PolicyMessage::__set_quarantine(const QuarantineNotices& val) {
   this->quarantine = val;
 }
+
+void PolicyMessage::__set_limits(const LimitNotices& val) {
+  this->limits = val;
+}
 std::ostream& operator<<(std::ostream& out, const PolicyMessage& obj)
 {
   obj.printTo(out);
@@ -1421,14 +2073,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->grants.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->grants.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->grants[_i43].read(iprot);
+              xfer += this->grants[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1441,14 +2093,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->summaries.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->summaries.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->summaries[_i48].read(iprot);
+              xfer += this->summaries[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1465,6 +2117,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limits.read(iprot);
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1485,10 +2145,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<GrantBody> ::const_iterator _iter49;
-    for (_iter49 = this->grants.begin(); _iter49 != this->grants.end(); ++_iter49)
+    std::vector<GrantBody> ::const_iterator _iter75;
+    for (_iter75 = this->grants.begin(); _iter75 != this->grants.end(); ++_iter75)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1497,10 +2157,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<EngineSummary> ::const_iterator _iter50;
-    for (_iter50 = this->summaries.begin(); _iter50 != this->summaries.end(); ++_iter50)
+    std::vector<EngineSummary> ::const_iterator _iter76;
+    for (_iter76 = this->summaries.begin(); _iter76 != this->summaries.end(); ++_iter76)
     {
-      xfer += (*_iter50).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1510,6 +2170,10 @@
   xfer += this->quarantine.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->limits.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1520,20 +2184,23 @@
   swap(a.grants, b.grants);
   swap(a.summaries, b.summaries);
   swap(a.quarantine, b.quarantine);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-PolicyMessage::PolicyMessage(const PolicyMessage& other51) {
-  grants = other51.grants;
-  summaries = other51.summaries;
-  quarantine = other51.quarantine;
-  __isset = other51.__isset;
+PolicyMessage::PolicyMessage(const PolicyMessage& other77) {
+  grants = other77.grants;
+  summaries = other77.summaries;
+  quarantine = other77.quarantine;
+  limits = other77.limits;
+  __isset = other77.__isset;
 }
-PolicyMessage& PolicyMessage::operator=(const PolicyMessage& other52) {
-  grants = other52.grants;
-  summaries = other52.summaries;
-  quarantine = other52.quarantine;
-  __isset = other52.__isset;
+PolicyMessage& PolicyMessage::operator=(const PolicyMessage& other78) {
+  grants = other78.grants;
+  summaries = other78.summaries;
+  quarantine = other78.quarantine;
+  limits = other78.limits;
+  __isset = other78.__isset;
   return *this;
 }
 void PolicyMessage::printTo(std::ostream& out) const {
@@ -1542,6 +2209,7 @@
   out << "grants=" << to_string(grants);
   out << ", " << "summaries=" << to_string(summaries);
   out << ", " << "quarantine=" << to_string(quarantine);
+  out << ", " << "limits=" << to_string(limits);
   out << ")";
 }
 
@@ -1672,19 +2340,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PlacementNotice::PlacementNotice(const PlacementNotice& other53) {
-  engine = other53.engine;
-  promptTokens = other53.promptTokens;
-  expectedTokens = other53.expectedTokens;
-  copied = other53.copied;
-  __isset = other53.__isset;
+PlacementNotice::PlacementNotice(const PlacementNotice& other79) {
+  engine = other79.engine;
+  promptTokens = other79.promptTokens;
+  expectedTokens = other79.expectedTokens;
+  copied = other79.copied;
+  __isset = other79.__isset;
 }
-PlacementNotice& PlacementNotice::operator=(const PlacementNotice& other54) {
-  engine = other54.engine;
-  promptTokens = other54.promptTokens;
-  expectedTokens = other54.expectedTokens;
-  copied = other54.copied;
-  __isset = other54.__isset;
+PlacementNotice& PlacementNotice::operator=(const PlacementNotice& other80) {
+  engine = other80.engine;
+  promptTokens = other80.promptTokens;
+  expectedTokens = other80.expectedTokens;
+  copied = other80.copied;
+  __isset = other80.__isset;
   return *this;
 }
 void PlacementNotice::printTo(std::ostream& out) const {
@@ -1790,15 +2458,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseNotice::ReleaseNotice(const ReleaseNotice& other55) {
-  engine = other55.engine;
-  tokens = other55.tokens;
-  __isset = other55.__isset;
+ReleaseNotice::ReleaseNotice(const ReleaseNotice& other81) {
+  engine = other81.engine;
+  tokens = other81.tokens;
+  __isset = other81.__isset;
 }
-ReleaseNotice& ReleaseNotice::operator=(const ReleaseNotice& other56) {
-  engine = other56.engine;
-  tokens = other56.tokens;
-  __isset = other56.__isset;
+ReleaseNotice& ReleaseNotice::operator=(const ReleaseNotice& other82) {
+  engine = other82.engine;
+  tokens = other82.tokens;
+  __isset = other82.__isset;
   return *this;
 }
 void ReleaseNotice::printTo(std::ostream& out) const {
@@ -1987,25 +2655,25 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadNotice::LoadNotice(const LoadNotice& other57) {
-  engine = other57.engine;
-  waiting = other57.waiting;
-  running = other57.running;
-  memoryInUse = other57.memoryInUse;
-  memoryTokens = other57.memoryTokens;
-  leaving = other57.leaving;
-  firstWaitingTokens = other57.firstWaitingTokens;
-  __isset = other57.__isset;
-}
-LoadNotice& LoadNotice::operator=(const LoadNotice& other58) {
-  engine = other58.engine;
-  waiting = other58.waiting;
-  running = other58.running;
-  memoryInUse = other58.memoryInUse;
-  memoryTokens = other58.memoryTokens;
-  leaving = other58.leaving;
-  firstWaitingTokens = other58.firstWaitingTokens;
-  __isset = other58.__isset;
+LoadNotice::LoadNotice(const LoadNotice& other83) {
+  engine = other83.engine;
+  waiting = other83.waiting;
+  running = other83.running;
+  memoryInUse = other83.memoryInUse;
+  memoryTokens = other83.memoryTokens;
+  leaving = other83.leaving;
+  firstWaitingTokens = other83.firstWaitingTokens;
+  __isset = other83.__isset;
+}
+LoadNotice& LoadNotice::operator=(const LoadNotice& other84) {
+  engine = other84.engine;
+  waiting = other84.waiting;
+  running = other84.running;
+  memoryInUse = other84.memoryInUse;
+  memoryTokens = other84.memoryTokens;
+  leaving = other84.leaving;
+  firstWaitingTokens = other84.firstWaitingTokens;
+  __isset = other84.__isset;
   return *this;
 }
 void LoadNotice::printTo(std::ostream& out) const {
@@ -2165,21 +2833,21 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreItemNotice::StoreItemNotice(const StoreItemNotice& other59) {
-  key = other59.key;
-  value = other59.value;
-  revision = other59.revision;
-  deleted = other59.deleted;
-  plainSize = other59.plainSize;
-  __isset = other59.__isset;
-}
-StoreItemNotice& StoreItemNotice::operator=(const StoreItemNotice& other60) {
-  key = other60.key;
-  value = other60.value;
-  revision = other60.revision;
-  deleted = other60.deleted;
-  plainSize = other60.plainSize;
-  __isset = other60.__isset;
+StoreItemNotice::StoreItemNotice(const StoreItemNotice& other85) {
+  key = other85.key;
+  value = other85.value;
+  revision = other85.revision;
+  deleted = other85.deleted;
+  plainSize = other85.plainSize;
+  __isset = other85.__isset;
+}
+StoreItemNotice& StoreItemNotice::operator=(const StoreItemNotice& other86) {
+  key = other86.key;
+  value = other86.value;
+  revision = other86.revision;
+  deleted = other86.deleted;
+  plainSize = other86.plainSize;
+  __isset = other86.__isset;
   return *this;
 }
 void StoreItemNotice::printTo(std::ostream& out) const {
@@ -2269,14 +2937,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->items.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->items.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->items[_i65].read(iprot);
+              xfer += this->items[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2337,10 +3005,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItemNotice> ::const_iterator _iter66;
-    for (_iter66 = this->items.begin(); _iter66 != this->items.end(); ++_iter66)
+    std::vector<StoreItemNotice> ::const_iterator _iter92;
+    for (_iter92 = this->items.begin(); _iter92 != this->items.end(); ++_iter92)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2374,23 +3042,23 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreNotice::StoreNotice(const StoreNotice& other67) {
-  fromRevision = other67.fromRevision;
-  toRevision = other67.toRevision;
-  items = other67.items;
-  incomplete = other67.incomplete;
-  afterOutage = other67.afterOutage;
-  era = other67.era;
-  __isset = other67.__isset;
-}
-StoreNotice& StoreNotice::operator=(const StoreNotice& other68) {
-  fromRevision = other68.fromRevision;
-  toRevision = other68.toRevision;
-  items = other68.items;
-  incomplete = other68.incomplete;
-  afterOutage = other68.afterOutage;
-  era = other68.era;
-  __isset = other68.__isset;
+StoreNotice::StoreNotice(const StoreNotice& other93) {
+  fromRevision = other93.fromRevision;
+  toRevision = other93.toRevision;
+  items = other93.items;
+  incomplete = other93.incomplete;
+  afterOutage = other93.afterOutage;
+  era = other93.era;
+  __isset = other93.__isset;
+}
+StoreNotice& StoreNotice::operator=(const StoreNotice& other94) {
+  fromRevision = other94.fromRevision;
+  toRevision = other94.toRevision;
+  items = other94.items;
+  incomplete = other94.incomplete;
+  afterOutage = other94.afterOutage;
+  era = other94.era;
+  __isset = other94.__isset;
   return *this;
 }
 void StoreNotice::printTo(std::ostream& out) const {
@@ -2481,13 +3149,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAsk::FreshnessAsk(const FreshnessAsk& other69) noexcept {
-  askedAt = other69.askedAt;
-  __isset = other69.__isset;
+FreshnessAsk::FreshnessAsk(const FreshnessAsk& other95) noexcept {
+  askedAt = other95.askedAt;
+  __isset = other95.__isset;
 }
-FreshnessAsk& FreshnessAsk::operator=(const FreshnessAsk& other70) noexcept {
-  askedAt = other70.askedAt;
-  __isset = other70.__isset;
+FreshnessAsk& FreshnessAsk::operator=(const FreshnessAsk& other96) noexcept {
+  askedAt = other96.askedAt;
+  __isset = other96.__isset;
   return *this;
 }
 void FreshnessAsk::printTo(std::ostream& out) const {
@@ -2624,19 +3292,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other71) noexcept {
-  askedAt = other71.askedAt;
-  ageMicros = other71.ageMicros;
-  revision = other71.revision;
-  era = other71.era;
-  __isset = other71.__isset;
+FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other97) noexcept {
+  askedAt = other97.askedAt;
+  ageMicros = other97.ageMicros;
+  revision = other97.revision;
+  era = other97.era;
+  __isset = other97.__isset;
 }
-FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other72) noexcept {
-  askedAt = other72.askedAt;
-  ageMicros = other72.ageMicros;
-  revision = other72.revision;
-  era = other72.era;
-  __isset = other72.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other98) noexcept {
+  askedAt = other98.askedAt;
+  ageMicros = other98.ageMicros;
+  revision = other98.revision;
+  era = other98.era;
+  __isset = other98.__isset;
   return *this;
 }
 void FreshnessAnswer::printTo(std::ostream& out) const {
@@ -2742,15 +3410,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ColdNotice::ColdNotice(const ColdNotice& other73) {
-  target = other73.target;
-  leftMicros = other73.leftMicros;
-  __isset = other73.__isset;
+ColdNotice::ColdNotice(const ColdNotice& other99) {
+  target = other99.target;
+  leftMicros = other99.leftMicros;
+  __isset = other99.__isset;
 }
-ColdNotice& ColdNotice::operator=(const ColdNotice& other74) {
-  target = other74.target;
-  leftMicros = other74.leftMicros;
-  __isset = other74.__isset;
+ColdNotice& ColdNotice::operator=(const ColdNotice& other100) {
+  target = other100.target;
+  leftMicros = other100.leftMicros;
+  __isset = other100.__isset;
   return *this;
 }
 void ColdNotice::printTo(std::ostream& out) const {
@@ -2813,6 +3481,10 @@
 void EntryNotices::__set_coldTargets(const std::vector<ColdNotice> & val) {
   this->coldTargets = val;
 }
+
+void EntryNotices::__set_limits(const LimitNotices& val) {
+  this->limits = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
@@ -2845,14 +3517,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->placements.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->placements.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
             {
-              xfer += this->placements[_i79].read(iprot);
+              xfer += this->placements[_i105].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2865,14 +3537,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->loads.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->loads.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->loads[_i84].read(iprot);
+              xfer += this->loads[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2885,14 +3557,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->stores.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->stores.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += this->stores[_i89].read(iprot);
+              xfer += this->stores[_i115].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2905,14 +3577,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->asks.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->asks.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->asks[_i94].read(iprot);
+              xfer += this->asks[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2925,14 +3597,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->answers.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->answers.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
             {
-              xfer += this->answers[_i99].read(iprot);
+              xfer += this->answers[_i125].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2945,14 +3617,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->releases.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->releases.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->releases.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->releases[_i104].read(iprot);
+              xfer += this->releases[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2965,14 +3637,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedEngines.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->failedEngines.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->failedEngines.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
             {
-              xfer += iprot->readString(this->failedEngines[_i109]);
+              xfer += iprot->readString(this->failedEngines[_i135]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3009,14 +3681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavingTargets.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->leavingTargets.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->leavingTargets.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += iprot->readString(this->leavingTargets[_i114]);
+              xfer += iprot->readString(this->leavingTargets[_i140]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3029,14 +3701,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coldTargets.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->coldTargets.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->coldTargets.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += this->coldTargets[_i119].read(iprot);
+              xfer += this->coldTargets[_i145].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3045,6 +3717,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limits.read(iprot);
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3065,10 +3745,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter120;
-    for (_iter120 = this->placements.begin(); _iter120 != this->placements.end(); ++_iter120)
+    std::vector<PlacementNotice> ::const_iterator _iter146;
+    for (_iter146 = this->placements.begin(); _iter146 != this->placements.end(); ++_iter146)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3077,10 +3757,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter121;
-    for (_iter121 = this->loads.begin(); _iter121 != this->loads.end(); ++_iter121)
+    std::vector<LoadNotice> ::const_iterator _iter147;
+    for (_iter147 = this->loads.begin(); _iter147 != this->loads.end(); ++_iter147)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3089,10 +3769,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreNotice> ::const_iterator _iter122;
-    for (_iter122 = this->stores.begin(); _iter122 != this->stores.end(); ++_iter122)
+    std::vector<StoreNotice> ::const_iterator _iter148;
+    for (_iter148 = this->stores.begin(); _iter148 != this->stores.end(); ++_iter148)
     {
-      xfer += (*_iter122).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3101,10 +3781,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<FreshnessAsk> ::const_iterator _iter123;
-    for (_iter123 = this->asks.begin(); _iter123 != this->asks.end(); ++_iter123)
+    std::vector<FreshnessAsk> ::const_iterator _iter149;
+    for (_iter149 = this->asks.begin(); _iter149 != this->asks.end(); ++_iter149)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3113,10 +3793,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<FreshnessAnswer> ::const_iterator _iter124;
-    for (_iter124 = this->answers.begin(); _iter124 != this->answers.end(); ++_iter124)
+    std::vector<FreshnessAnswer> ::const_iterator _iter150;
+    for (_iter150 = this->answers.begin(); _iter150 != this->answers.end(); ++_iter150)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3125,10 +3805,10 @@
   xfer += oprot->writeFieldBegin("releases", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releases.size()));
-    std::vector<ReleaseNotice> ::const_iterator _iter125;
-    for (_iter125 = this->releases.begin(); _iter125 != this->releases.end(); ++_iter125)
+    std::vector<ReleaseNotice> ::const_iterator _iter151;
+    for (_iter151 = this->releases.begin(); _iter151 != this->releases.end(); ++_iter151)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3137,10 +3817,10 @@
   xfer += oprot->writeFieldBegin("failedEngines", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedEngines.size()));
-    std::vector<std::string> ::const_iterator _iter126;
-    for (_iter126 = this->failedEngines.begin(); _iter126 != this->failedEngines.end(); ++_iter126)
+    std::vector<std::string> ::const_iterator _iter152;
+    for (_iter152 = this->failedEngines.begin(); _iter152 != this->failedEngines.end(); ++_iter152)
     {
-      xfer += oprot->writeString((*_iter126));
+      xfer += oprot->writeString((*_iter152));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3161,10 +3841,10 @@
   xfer += oprot->writeFieldBegin("leavingTargets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingTargets.size()));
-    std::vector<std::string> ::const_iterator _iter127;
-    for (_iter127 = this->leavingTargets.begin(); _iter127 != this->leavingTargets.end(); ++_iter127)
+    std::vector<std::string> ::const_iterator _iter153;
+    for (_iter153 = this->leavingTargets.begin(); _iter153 != this->leavingTargets.end(); ++_iter153)
     {
-      xfer += oprot->writeString((*_iter127));
+      xfer += oprot->writeString((*_iter153));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3173,15 +3853,19 @@
   xfer += oprot->writeFieldBegin("coldTargets", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coldTargets.size()));
-    std::vector<ColdNotice> ::const_iterator _iter128;
-    for (_iter128 = this->coldTargets.begin(); _iter128 != this->coldTargets.end(); ++_iter128)
+    std::vector<ColdNotice> ::const_iterator _iter154;
+    for (_iter154 = this->coldTargets.begin(); _iter154 != this->coldTargets.end(); ++_iter154)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_STRUCT, 13);
+  xfer += this->limits.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3201,38 +3885,41 @@
   swap(a.quarantine, b.quarantine);
   swap(a.leavingTargets, b.leavingTargets);
   swap(a.coldTargets, b.coldTargets);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-EntryNotices::EntryNotices(const EntryNotices& other129) {
-  placements = other129.placements;
-  loads = other129.loads;
-  stores = other129.stores;
-  asks = other129.asks;
-  answers = other129.answers;
-  releases = other129.releases;
-  failedEngines = other129.failedEngines;
-  relay = other129.relay;
-  origin = other129.origin;
-  quarantine = other129.quarantine;
-  leavingTargets = other129.leavingTargets;
-  coldTargets = other129.coldTargets;
-  __isset = other129.__isset;
-}
-EntryNotices& EntryNotices::operator=(const EntryNotices& other130) {
-  placements = other130.placements;
-  loads = other130.loads;
-  stores = other130.stores;
-  asks = other130.asks;
-  answers = other130.answers;
-  releases = other130.releases;
-  failedEngines = other130.failedEngines;
-  relay = other130.relay;
-  origin = other130.origin;
-  quarantine = other130.quarantine;
-  leavingTargets = other130.leavingTargets;
-  coldTargets = other130.coldTargets;
-  __isset = other130.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other155) {
+  placements = other155.placements;
+  loads = other155.loads;
+  stores = other155.stores;
+  asks = other155.asks;
+  answers = other155.answers;
+  releases = other155.releases;
+  failedEngines = other155.failedEngines;
+  relay = other155.relay;
+  origin = other155.origin;
+  quarantine = other155.quarantine;
+  leavingTargets = other155.leavingTargets;
+  coldTargets = other155.coldTargets;
+  limits = other155.limits;
+  __isset = other155.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other156) {
+  placements = other156.placements;
+  loads = other156.loads;
+  stores = other156.stores;
+  asks = other156.asks;
+  answers = other156.answers;
+  releases = other156.releases;
+  failedEngines = other156.failedEngines;
+  relay = other156.relay;
+  origin = other156.origin;
+  quarantine = other156.quarantine;
+  leavingTargets = other156.leavingTargets;
+  coldTargets = other156.coldTargets;
+  limits = other156.limits;
+  __isset = other156.__isset;
   return *this;
 }
 void EntryNotices::printTo(std::ostream& out) const {
@@ -3250,6 +3937,7 @@
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "leavingTargets=" << to_string(leavingTargets);
   out << ", " << "coldTargets=" << to_string(coldTargets);
+  out << ", " << "limits=" << to_string(limits);
   out << ")";
 }
 
@@ -3323,9 +4011,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast131;
-          xfer += iprot->readI32(ecast131);
-          this->kind = static_cast<PeerKind::type>(ecast131);
+          int32_t ecast157;
+          xfer += iprot->readI32(ecast157);
+          this->kind = static_cast<PeerKind::type>(ecast157);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3367,14 +4055,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->records.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->records.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->records[_i136].read(iprot);
+              xfer += this->records[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3447,10 +4135,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter137;
-    for (_iter137 = this->records.begin(); _iter137 != this->records.end(); ++_iter137)
+    std::vector<MemberRecord> ::const_iterator _iter163;
+    for (_iter163 = this->records.begin(); _iter163 != this->records.end(); ++_iter163)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3487,29 +4175,29 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other138) {
-  kind = other138.kind;
-  sequence = other138.sequence;
-  sender = other138.sender;
-  revision = other138.revision;
-  configAgeMs = other138.configAgeMs;
-  records = other138.records;
-  probeTarget = other138.probeTarget;
-  policy = other138.policy;
-  tableDigest = other138.tableDigest;
-  __isset = other138.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other139) {
-  kind = other139.kind;
-  sequence = other139.sequence;
-  sender = other139.sender;
-  revision = other139.revision;
-  configAgeMs = other139.configAgeMs;
-  records = other139.records;
-  probeTarget = other139.probeTarget;
-  policy = other139.policy;
-  tableDigest = other139.tableDigest;
-  __isset = other139.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other164) {
+  kind = other164.kind;
+  sequence = other164.sequence;
+  sender = other164.sender;
+  revision = other164.revision;
+  configAgeMs = other164.configAgeMs;
+  records = other164.records;
+  probeTarget = other164.probeTarget;
+  policy = other164.policy;
+  tableDigest = other164.tableDigest;
+  __isset = other164.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other165) {
+  kind = other165.kind;
+  sequence = other165.sequence;
+  sender = other165.sender;
+  revision = other165.revision;
+  configAgeMs = other165.configAgeMs;
+  records = other165.records;
+  probeTarget = other165.probeTarget;
+  policy = other165.policy;
+  tableDigest = other165.tableDigest;
+  __isset = other165.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -3620,15 +4308,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other140) {
-  body = other140.body;
-  mac = other140.mac;
-  __isset = other140.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other166) {
+  body = other166.body;
+  mac = other166.mac;
+  __isset = other166.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other141) {
-  body = other141.body;
-  mac = other141.mac;
-  __isset = other141.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other167) {
+  body = other167.body;
+  mac = other167.mac;
+  __isset = other167.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -3766,19 +4454,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other142) {
-  engine = other142.engine;
-  generation = other142.generation;
-  customer = other142.customer;
-  model = other142.model;
-  __isset = other142.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other168) {
+  engine = other168.engine;
+  generation = other168.generation;
+  customer = other168.customer;
+  model = other168.model;
+  __isset = other168.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other143) {
-  engine = other143.engine;
-  generation = other143.generation;
-  customer = other143.customer;
-  model = other143.model;
-  __isset = other143.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other169) {
+  engine = other169.engine;
+  generation = other169.generation;
+  customer = other169.customer;
+  model = other169.model;
+  __isset = other169.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -3935,21 +4623,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other144) {
-  issuer = other144.issuer;
-  incarnation = other144.incarnation;
-  serial = other144.serial;
-  customer = other144.customer;
-  scope = other144.scope;
-  __isset = other144.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other145) {
-  issuer = other145.issuer;
-  incarnation = other145.incarnation;
-  serial = other145.serial;
-  customer = other145.customer;
-  scope = other145.scope;
-  __isset = other145.__isset;
+TicketBody::TicketBody(const TicketBody& other170) {
+  issuer = other170.issuer;
+  incarnation = other170.incarnation;
+  serial = other170.serial;
+  customer = other170.customer;
+  scope = other170.scope;
+  __isset = other170.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other171) {
+  issuer = other171.issuer;
+  incarnation = other171.incarnation;
+  serial = other171.serial;
+  customer = other171.customer;
+  scope = other171.scope;
+  __isset = other171.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -69,6 +69,14 @@
 
 class QuarantineNotices;
 
+class LimitWordNotice;
+
+class PermitAskNotice;
+
+class PermitAnswerNotice;
+
+class LimitNotices;
+
 class PolicyMessage;
 
 class PlacementNotice;
@@ -594,11 +602,256 @@
 
 std::ostream& operator<<(std::ostream& out, const QuarantineNotices& obj);
 
+typedef struct _LimitWordNotice__isset {
+  _LimitWordNotice__isset() : target(false), perSecond(false), namedAgoMicros(false), endedAgoMicros(false) {}
+  bool target :1;
+  bool perSecond :1;
+  bool namedAgoMicros :1;
+  bool endedAgoMicros :1;
+} _LimitWordNotice__isset;
+
+class LimitWordNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitWordNotice(const LimitWordNotice&);
+  LimitWordNotice& operator=(const LimitWordNotice&);
+  LimitWordNotice() noexcept
+                  : target(),
+                    perSecond(0),
+                    namedAgoMicros(0),
+                    endedAgoMicros(0) {
+  }
+
+  virtual ~LimitWordNotice() noexcept;
+  std::string target;
+  double perSecond;
+  int64_t namedAgoMicros;
+  int64_t endedAgoMicros;
+
+  _LimitWordNotice__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_perSecond(const double val);
+
+  void __set_namedAgoMicros(const int64_t val);
+
+  void __set_endedAgoMicros(const int64_t val);
+
+  bool operator == (const LimitWordNotice & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(perSecond == rhs.perSecond))
+      return false;
+    if (!(namedAgoMicros == rhs.namedAgoMicros))
+      return false;
+    if (!(endedAgoMicros == rhs.endedAgoMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitWordNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitWordNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitWordNotice &a, LimitWordNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitWordNotice& obj);
+
+typedef struct _PermitAskNotice__isset {
+  _PermitAskNotice__isset() : serial(false), word(false), counted(false) {}
+  bool serial :1;
+  bool word :1;
+  bool counted :1;
+} _PermitAskNotice__isset;
+
+class PermitAskNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitAskNotice(const PermitAskNotice&);
+  PermitAskNotice& operator=(const PermitAskNotice&);
+  PermitAskNotice() noexcept
+                  : serial(0),
+                    counted(0) {
+  }
+
+  virtual ~PermitAskNotice() noexcept;
+  int64_t serial;
+  LimitWordNotice word;
+  bool counted;
+
+  _PermitAskNotice__isset __isset;
+
+  void __set_serial(const int64_t val);
+
+  void __set_word(const LimitWordNotice& val);
+
+  void __set_counted(const bool val);
+
+  bool operator == (const PermitAskNotice & rhs) const
+  {
+    if (!(serial == rhs.serial))
+      return false;
+    if (!(word == rhs.word))
+      return false;
+    if (!(counted == rhs.counted))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitAskNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitAskNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitAskNotice &a, PermitAskNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitAskNotice& obj);
+
+typedef struct _PermitAnswerNotice__isset {
+  _PermitAnswerNotice__isset() : serial(false), granted(false), waitMicros(false), keeps(false), word(false) {}
+  bool serial :1;
+  bool granted :1;
+  bool waitMicros :1;
+  bool keeps :1;
+  bool word :1;
+} _PermitAnswerNotice__isset;
+
+class PermitAnswerNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitAnswerNotice(const PermitAnswerNotice&);
+  PermitAnswerNotice& operator=(const PermitAnswerNotice&);
+  PermitAnswerNotice() noexcept
+                     : serial(0),
+                       granted(0),
+                       waitMicros(0),
+                       keeps(0) {
+  }
+
+  virtual ~PermitAnswerNotice() noexcept;
+  int64_t serial;
+  bool granted;
+  int64_t waitMicros;
+  bool keeps;
+  LimitWordNotice word;
+
+  _PermitAnswerNotice__isset __isset;
+
+  void __set_serial(const int64_t val);
+
+  void __set_granted(const bool val);
+
+  void __set_waitMicros(const int64_t val);
+
+  void __set_keeps(const bool val);
+
+  void __set_word(const LimitWordNotice& val);
+
+  bool operator == (const PermitAnswerNotice & rhs) const
+  {
+    if (!(serial == rhs.serial))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(waitMicros == rhs.waitMicros))
+      return false;
+    if (!(keeps == rhs.keeps))
+      return false;
+    if (!(word == rhs.word))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitAnswerNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitAnswerNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitAnswerNotice &a, PermitAnswerNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitAnswerNotice& obj);
+
+typedef struct _LimitNotices__isset {
+  _LimitNotices__isset() : words(false), asks(false), answers(false) {}
+  bool words :1;
+  bool asks :1;
+  bool answers :1;
+} _LimitNotices__isset;
+
+class LimitNotices : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitNotices(const LimitNotices&);
+  LimitNotices& operator=(const LimitNotices&);
+  LimitNotices() noexcept {
+  }
+
+  virtual ~LimitNotices() noexcept;
+  std::vector<LimitWordNotice>  words;
+  std::vector<PermitAskNotice>  asks;
+  std::vector<PermitAnswerNotice>  answers;
+
+  _LimitNotices__isset __isset;
+
+  void __set_words(const std::vector<LimitWordNotice> & val);
+
+  void __set_asks(const std::vector<PermitAskNotice> & val);
+
+  void __set_answers(const std::vector<PermitAnswerNotice> & val);
+
+  bool operator == (const LimitNotices & rhs) const
+  {
+    if (!(words == rhs.words))
+      return false;
+    if (!(asks == rhs.asks))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitNotices &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitNotices & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitNotices &a, LimitNotices &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitNotices& obj);
+
 typedef struct _PolicyMessage__isset {
-  _PolicyMessage__isset() : grants(false), summaries(false), quarantine(false) {}
+  _PolicyMessage__isset() : grants(false), summaries(false), quarantine(false), limits(false) {}
   bool grants :1;
   bool summaries :1;
   bool quarantine :1;
+  bool limits :1;
 } _PolicyMessage__isset;
 
 class PolicyMessage : public virtual ::apache::thrift::TBase {
@@ -613,6 +866,7 @@
   std::vector<GrantBody>  grants;
   std::vector<EngineSummary>  summaries;
   QuarantineNotices quarantine;
+  LimitNotices limits;
 
   _PolicyMessage__isset __isset;
 
@@ -622,6 +876,8 @@
 
   void __set_quarantine(const QuarantineNotices& val);
 
+  void __set_limits(const LimitNotices& val);
+
   bool operator == (const PolicyMessage & rhs) const
   {
     if (!(grants == rhs.grants))
@@ -630,6 +886,8 @@
       return false;
     if (!(quarantine == rhs.quarantine))
       return false;
+    if (!(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const PolicyMessage &rhs) const {
@@ -1153,7 +1411,7 @@
 std::ostream& operator<<(std::ostream& out, const ColdNotice& obj);
 
 typedef struct _EntryNotices__isset {
-  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false) {}
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false), limits(false) {}
   bool placements :1;
   bool loads :1;
   bool stores :1;
@@ -1166,6 +1424,7 @@
   bool quarantine :1;
   bool leavingTargets :1;
   bool coldTargets :1;
+  bool limits :1;
 } _EntryNotices__isset;
 
 class EntryNotices : public virtual ::apache::thrift::TBase {
@@ -1191,6 +1450,7 @@
   QuarantineNotices quarantine;
   std::vector<std::string>  leavingTargets;
   std::vector<ColdNotice>  coldTargets;
+  LimitNotices limits;
 
   _EntryNotices__isset __isset;
 
@@ -1218,6 +1478,8 @@
 
   void __set_coldTargets(const std::vector<ColdNotice> & val);
 
+  void __set_limits(const LimitNotices& val);
+
   bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
@@ -1244,6 +1506,8 @@
       return false;
     if (!(coldTargets == rhs.coldTargets))
       return false;
+    if (!(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const EntryNotices &rhs) const {
--- a/unittests/Routing/knownfleettest.cpp
+++ b/unittests/Routing/knownfleettest.cpp
@@ -17,33 +17,39 @@
 Test(knownFleet, whoIsGoneIsCountedOnForAWhile)
 {
     ManualClock clock;
-    KnownFleet fleet(clock, 1h);
+    KnownFleet fleet(clock, {1h, 4s});
     fleet.setInstances(both);
     fleet.setInstances(onlyA);
-    cr_assert_eq(fleet.up().size(), 1);
-    cr_assert_eq(fleet.count(), 2);
+    cr_assert_eq(fleet.countUp(), 1);
+    cr_assert_not(fleet.isUp("b"));
     cr_assert(fleet.names() == both);
     clock.advance(59min);
     fleet.setInstances(onlyA);
-    cr_assert_eq(fleet.count(), 2);
+    cr_assert_eq(fleet.instances().size(), 2);
     clock.advance(2min);
     fleet.setInstances(onlyA);
-    cr_assert_eq(fleet.count(), 1);
+    cr_assert_eq(fleet.instances().size(), 1);
 }
 
-// Guards against an instance that started again passing for one that has been up all the while.
-Test(knownFleet, whoComesBackIsUpAnew)
+// Guards against an instance that started again passing for one that has been up all the while,
+// and against late news of members making an old instance a new one.
+Test(knownFleet, whoComesBackLateIsUpAnew)
 {
     ManualClock clock;
-    KnownFleet fleet(clock, 1h);
+    KnownFleet fleet(clock, {1h, 4s});
     clock.advance(1s);
     fleet.setInstances(both);
     const TimePoint first = clock.now();
-    clock.advance(1s);
     fleet.setInstances(onlyA);
-    clock.advance(1s);
+    clock.advance(3s);
+    fleet.setInstances(both);
+    cr_assert(fleet.instances().at("b").upSince == first, "gone for a moment");
+    fleet.setInstances(onlyA);
+    const KnownFleet::Instance &gone = fleet.instances().at("b");
+    cr_assert(fleet.missedFrom(gone) == clock.now() + 4s);
+    clock.advance(4s);
     fleet.setInstances(both);
-    cr_assert(fleet.up().at("a") == first);
-    cr_assert(fleet.up().at("b") == clock.now());
-    cr_assert_eq(fleet.count(), 2);
+    cr_assert(fleet.instances().at("b").upSince == clock.now());
+    cr_assert(fleet.instances().at("a").upSince == first);
+    cr_assert_eq(fleet.countUp(), 2);
 }
