Entry instances keep to the limits that targets name

What callers and targets saw: a target that answers that it takes 2.5 requests a second got 62 to 126 in 4 s from two instances, 20 allowed.

Change: before a request, a repeat, the order of a copy, a run that goes on from one and a question about load, an instance asks for a permit; without one it takes another target or refuses at once, as not run, with the time to come back. Engines that name limits are the last choice as refuges and are asked for their load more seldom. A target's own failure that waits while another target is sought is passed on if none is left; a slow first try is ended only if some target without a limit is left. Ruled out: holding the request until a permit accrues; at 2.5 a second that is longer than a plain request's objective.

New: limitTold/copiesAndRunsThatGoOnCount.

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -2,6 +2,7 @@
 #ifndef JAYTRACK_PROXY_EXCHANGE_H
 #define JAYTRACK_PROXY_EXCHANGE_H
 
+#include "jaytrack/Limits/limitgate.h"
 #include "jaytrack/Net/callerconnection.h"
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Policy/targethealth.h"
@@ -18,6 +19,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -59,6 +61,7 @@
     SelfReports &selfReports;
     const TargetPauses &pauses;
     ColdTargets &cold;
+    LimitGate &limits;
     const StreamOptions &streams;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until its answer is given
@@ -132,6 +135,8 @@
     // Targets of the request's service that are in use, in regions where it may run.
     std::vector<const TargetEntry *> allowedTargets() const;
 
+    bool isAllowed(const TargetEntry &target) const;
+
     // Those of them that want work now.
     std::vector<const TargetEntry *> usableTargets() const;
 
@@ -141,7 +146,8 @@
     // Whether the route and the customer allow the region of the target.
     bool isAllowedAt(const TargetEntry &target) const;
 
-    // How long the target may get nothing of this instance: it wants rest, or is cold.
+    // How long the target may get nothing of this instance: it wants rest, is cold, or names a
+    // limit that is used up.
     Duration restOf(const TargetEntry &target, double rate) const;
 
     // Requests a second that a cold target of the service bears.
@@ -156,6 +162,10 @@
     // Ends the request because all targets that are left want no work for a while.
     void refuseUntilRested();
 
+    // Goes on once it is known whether the target, which may name a limit, takes one request more:
+    // with what is given if it does and may still be used, else with another attempt.
+    void whenPermitted(const TargetEntry &target, std::function<void(const TargetEntry &)> send);
+
     std::chrono::milliseconds timeLeft() const;
 
     // By which the request is recognised when its caller sends it again.
@@ -191,6 +201,8 @@
     TimePoint limit;             // the final answer is due by then
 
 private:
+    void goOnWith(const TargetEntry &target, const Permit &permit,
+                  const std::function<void(const TargetEntry &)> &send);
     std::chrono::milliseconds delayToReturn(ResultCode code) const;
     void onCallerGone() override;
     void onLimit();
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -46,7 +46,7 @@
     static constexpr std::chrono::milliseconds lookAgain{4000};
 
     LoadProber(asio::io_context &loop, const Clock &time, const Dialect &words, EngineChoice &told,
-               LoadSharing &shared, SelfReports &heard, std::mt19937_64 &source,
+               LoadSharing &shared, SelfReports &heard, LimitGate &gate, std::mt19937_64 &source,
                std::chrono::milliseconds askGap);
 
     void add(const TargetEntry &entry);
@@ -55,12 +55,16 @@
 private:
     class Probe;
 
+    // Between two questions to the target; longer if it names a limit.
+    std::chrono::milliseconds gapOf(std::string_view target) const;
+
     asio::io_context &context;
     const Clock &clock;
     const Dialect &dialect;
     EngineChoice &engines;
     LoadSharing &sharing;
     SelfReports &selfReports;
+    LimitGate &limits;
     std::mt19937_64 &random;
     std::chrono::milliseconds gap; // between two questions to an engine
     std::map<std::string, std::shared_ptr<Probe>, std::less<>> probes;
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -10,6 +10,7 @@
 
 #include "jaytrack/Cluster/membership.h"
 #include "jaytrack/Cluster/noticespread.h"
+#include "jaytrack/Limits/limitnews.h"
 #include "jaytrack/Proxy/datagrampacer.h"
 #include "jaytrack/Quarantine/quarantinenews.h"
 #include "jaytrack/Routing/enginechoice.h"
@@ -76,6 +77,7 @@
     virtual void onLeavingFromPeer(std::string_view target) = 0;
     virtual void onColdFromPeer(std::string_view target, Duration left) = 0;
     virtual void onQuarantineNews(const QuarantineNews &news) = 0;
+    virtual void onLimitNews(std::string_view peer, const LimitNews &news) = 0;
     virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
 };
 
@@ -111,6 +113,11 @@
     void tellAll(const QuarantineNews &news);
     void tellSome(const QuarantineNews &news);
 
+    // Tells one other, all, or some drawn by chance, of targets that name limits.
+    void tellLimits(std::string_view peer, const LimitNews &news);
+    void tellAllLimits(const LimitNews &news);
+    void tellSomeLimits(const LimitNews &news);
+
     // Passes on what this instance read of the store, to readers too: each pauses after a change.
     void shareStore(const SharedChanges &changes);
     void askFreshness(std::string_view peer, std::int64_t askedAt);
@@ -129,6 +136,7 @@
     void onPeerHeard(const Member &, std::uint64_t, Duration, TimePoint) override {}
     void onPolicyMessage(std::string_view from, std::string_view message) override;
     void tellPeers(wire::EntryNotices &message);
+    void tellDrawn(const wire::EntryNotices &message);
     void tellSharers(std::string_view engine, wire::EntryNotices &message);
     void passOn(std::string_view from, wire::EntryNotices &message);
     void receiveNext();
--- a/include/jaytrack/Proxy/selfreports.h
+++ b/include/jaytrack/Proxy/selfreports.h
@@ -6,7 +6,7 @@
 #ifndef JAYTRACK_PROXY_SELFREPORTS_H
 #define JAYTRACK_PROXY_SELFREPORTS_H
 
-#include "jaytrack/Limits/namedlimits.h"
+#include "jaytrack/Limits/limitgate.h"
 #include "jaytrack/Net/httpparser.h"
 #include "jaytrack/Policy/targetpauses.h"
 #include "jaytrack/Routing/coldtargets.h"
@@ -28,12 +28,12 @@
 {
 public:
     SelfReports(const Dialect &words, TargetDirectory &targets, TargetPauses &rests,
-                ColdTargets &coldOnes, NamedLimits &named, SelfReportNotices &others)
+                ColdTargets &coldOnes, LimitGate &gate, SelfReportNotices &others)
         : dialect(words)
         , directory(targets)
         , pauses(rests)
         , cold(coldOnes)
-        , limits(named)
+        , limits(gate)
         , notices(others)
     {
     }
@@ -50,13 +50,12 @@
 
 private:
     void hearFacts(std::string_view target, const AnswerFacts &said);
-    void hearLimit(std::string_view target, double perSecond);
 
     const Dialect &dialect;
     TargetDirectory &directory;
     TargetPauses &pauses;
     ColdTargets &cold;
-    NamedLimits &limits;
+    LimitGate &limits;
     SelfReportNotices &notices;
 };
 
--- a/lib/Proxy/entrybeliefs.cpp
+++ b/lib/Proxy/entrybeliefs.cpp
@@ -125,7 +125,7 @@
     this->engines.forget(ended.id);
     this->shares.gone(ended.id);
     this->health.forget(ended.id);
-    this->namedLimits.forget(ended.id);
+    this->limitGate.forget(ended.id);
     this->prober.remove(ended.id);
     const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
     for (const auto &exchange : served)
@@ -181,6 +181,7 @@
     this->sharing.onPeersChanged(names);
     this->retries.setInstances(names.size() + 1);
     this->cold.setInstances(names);
+    this->limitGate.setInstances(names);
 }
 
 void EntryInstance::Parts::announcePlaced(std::string_view engine, const GenerationNeed &need,
@@ -226,6 +227,24 @@
         this->peers->tellSome(news);
 }
 
+void EntryInstance::Parts::tellLimits(std::string_view instance, const LimitNews &news)
+{
+    if (this->peers)
+        this->peers->tellLimits(instance, news);
+}
+
+void EntryInstance::Parts::tellAllLimits(const LimitNews &news)
+{
+    if (this->peers)
+        this->peers->tellAllLimits(news);
+}
+
+void EntryInstance::Parts::tellSomeLimits(const LimitNews &news)
+{
+    if (this->peers)
+        this->peers->tellSomeLimits(news);
+}
+
 void EntryInstance::Parts::onRequestBarred(std::string_view digest)
 {
     const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -12,11 +12,13 @@
 // decision and the request's leaving.
 constexpr std::chrono::milliseconds keyMargin{500};
 
-// Whether the settings name an instance beside this one.
-bool expectsOthers(const EntrySettings &settings)
+// The instances beside this one that the settings name.
+std::size_t namedOthers(const EntrySettings &settings)
 {
-    return std::any_of(settings.peerSeeds.begin(), settings.peerSeeds.end(),
-                       [&settings](const std::string &seed) { return seed != settings.peers; });
+    const auto others =
+            std::count_if(settings.peerSeeds.begin(), settings.peerSeeds.end(),
+                          [&settings](const std::string &seed) { return seed != settings.peers; });
+    return static_cast<std::size_t>(others);
 }
 
 } // namespace
@@ -38,29 +40,22 @@
     , sharing(time, given.name, given.tuning.sharing, this->random, this->configuration,
               this->targets)
     , pauses(time)
-    , cold(time, given.name, given.coldBound, expectsOthers(given))
-    , namedLimits(time)
-    , selfReports(words, this->directory, this->pauses, this->cold, this->namedLimits, *this)
-    , prober(this->loop, time, words, this->engines, *this, this->selfReports, this->random,
-             given.tuning.probeGap)
+    , cold(time, given.name, given.coldBound, namedOthers(given) > 0)
+    , limitGate(this->loop, time, given.name, namedOthers(given), this->random(), *this,
+                this->metrics)
+    , selfReports(words, this->directory, this->pauses, this->cold, this->limitGate, *this)
+    , prober(this->loop, time, words, this->engines, *this, this->selfReports, this->limitGate,
+             this->random, given.tuning.probeGap)
     , crashes(this->loop, time, this->metrics, *this, *this)
-    , context{this->loop,
-              time,
-              words,
-              this->metrics,
-              this->directory,
-              this->health,
-              this->engines,
-              this->shares,
-              this->retries,
-              this->settings.regions,
-              this->random,
-              *this,
-              this->crashes,
-              this->selfReports,
-              this->pauses,
-              this->cold,
-              this->settings.tuning.streams,
+    , context{this->loop,      time,
+              words,           this->metrics,
+              this->directory, this->health,
+              this->engines,   this->shares,
+              this->retries,   this->settings.regions,
+              this->random,    *this,
+              this->crashes,   this->selfReports,
+              this->pauses,    this->cold,
+              this->limitGate, this->settings.tuning.streams,
               this->open}
     , callers(this->loop, time, *this)
     , readiness(this->loop, time, this->desk)
--- a/lib/Proxy/entrylife.cpp
+++ b/lib/Proxy/entrylife.cpp
@@ -129,6 +129,7 @@
         this->checkFile();
     this->sharing.tick();
     this->crashes.tick();
+    this->limitGate.tick();
     this->logReadiness();
     if (this->isStopping)
         this->goOnStopping();
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -24,6 +24,7 @@
                                     public PlacementNotices,
                                     public SelfReportNotices,
                                     public QuarantineSpread,
+                                    public LimitSpread,
                                     public CrashWatchListener
 {
     // Answers the balancer's question and the request for metrics; what callers may not reach.
@@ -95,6 +96,11 @@
 
     void onQuarantineNews(const QuarantineNews &news) override { this->crashes.onNews(news); }
 
+    void onLimitNews(std::string_view peer, const LimitNews &news) override
+    {
+        this->limitGate.onNews(peer, news);
+    }
+
     void onPeersChanged(const std::vector<std::string> &names) override;
 
     // PlacementNotices
@@ -113,6 +119,12 @@
     void tellAll(const QuarantineNews &news) override;
     void tellSome(const QuarantineNews &news) override;
 
+    // LimitSpread
+
+    void tellLimits(std::string_view instance, const LimitNews &news) override;
+    void tellAllLimits(const LimitNews &news) override;
+    void tellSomeLimits(const LimitNews &news) override;
+
     // CrashWatchListener
 
     void onRequestBarred(std::string_view digest) override;
@@ -160,7 +172,7 @@
     StoreSharing sharing;
     TargetPauses pauses;
     ColdTargets cold;
-    NamedLimits namedLimits;
+    LimitGate limitGate;
     SelfReports selfReports;
     LoadProber prober;
     CrashWatch crashes;
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -155,7 +155,8 @@
 
 Duration Exchange::restOf(const TargetEntry &target, double rate) const
 {
-    return std::max(this->context.pauses.left(target.id), this->context.cold.wait(target.id, rate));
+    return std::max({this->context.pauses.left(target.id), this->context.cold.wait(target.id, rate),
+                     this->context.limits.rest(target.id)});
 }
 
 double Exchange::coldRate() const
@@ -196,6 +197,41 @@
                     "targets_want_rest");
 }
 
+void Exchange::whenPermitted(const TargetEntry &target,
+                             std::function<void(const TargetEntry &)> send)
+{
+    const std::weak_ptr<Exchange> weak = this->weak_from_this();
+    const auto later = [weak, target, send](const Permit &permit) {
+        const auto self = weak.lock();
+        if (self && !self->finished)
+            self->goOnWith(target, permit, send);
+    };
+    if (const auto permit = this->context.limits.request(target.id, later))
+        this->goOnWith(target, *permit, send);
+}
+
+void Exchange::goOnWith(const TargetEntry &target, const Permit &permit,
+                        const std::function<void(const TargetEntry &)> &send)
+{
+    if (!permit.granted) {
+        this->logDecision("permit_denied", {{"target", target.id},
+                                            {"keeper", permit.keeper},
+                                            {"wait_ms", toMillis(permit.wait)}});
+        return this->attempt();
+    }
+    // The keeper's answer took a moment, in which the target may have gone out of use.
+    if (!this->isAllowed(target))
+        return this->attempt();
+    send(target);
+}
+
+bool Exchange::isAllowed(const TargetEntry &target) const
+{
+    const auto targets = this->allowedTargets();
+    return std::any_of(targets.begin(), targets.end(),
+                       [&target](const TargetEntry *entry) { return entry->id == target.id; });
+}
+
 std::chrono::milliseconds Exchange::timeLeft() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(this->limit -
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -3,6 +3,8 @@
 #include "jaytrack/Net/socket.h"
 #include "jaytrack/Support/log.h"
 
+#include <algorithm>
+
 namespace jaytrack {
 
 namespace {
@@ -10,6 +12,10 @@
 constexpr std::chrono::milliseconds answerBound{400};
 constexpr int okStatus = 200;
 
+// Of so many requests that a target with a limit takes one may be a question.
+constexpr double requestsPerQuestion = 4;
+constexpr std::chrono::milliseconds longestGap{10'000};
+
 } // namespace
 
 class LoadProber::Probe final : public TargetCallListener,
@@ -62,7 +68,27 @@
         // otherwise ask every engine, 59 questions at each of 195 starts.
         const Duration told = this->prober.engines.forecast(this->target.id).reportAge;
         const Duration age = told < Duration(0) ? this->prober.clock.now() - this->addedAt : told;
-        if (age > askAnyway || this->prober.sharing.isMineToAsk(this->target.id))
+        const std::chrono::milliseconds usual = this->prober.gapOf(this->target.id);
+        const bool overdue = age > askAnyway + usual - this->prober.gap;
+        if (overdue || this->prober.sharing.isMineToAsk(this->target.id))
+            return this->askIfPermitted();
+        this->askAfter(this->prober.gap);
+    }
+
+    void askIfPermitted()
+    {
+        const auto later = [weak = this->weak_from_this()](const Permit &permit) {
+            const auto self = weak.lock();
+            if (self && !self->stopped)
+                self->goOnWith(permit);
+        };
+        if (const auto permit = this->prober.limits.request(this->target.id, later))
+            this->goOnWith(*permit);
+    }
+
+    void goOnWith(const Permit &permit)
+    {
+        if (permit.granted)
             return this->ask();
         this->askAfter(this->prober.gap);
     }
@@ -107,7 +133,7 @@
     {
         if (this->stopped)
             return;
-        this->askAfter(this->prober.gap);
+        this->askAfter(this->prober.gapOf(this->target.id));
         const Result<EngineLoad> load = this->prober.dialect.decodeLoad(this->body);
         if (!end.whole || this->status != okStatus || !load) {
             this->prober.sharing.onNoLoad(this->target.id);
@@ -127,7 +153,7 @@
 };
 
 LoadProber::LoadProber(asio::io_context &loop, const Clock &time, const Dialect &words,
-                       EngineChoice &told, LoadSharing &shared, SelfReports &heard,
+                       EngineChoice &told, LoadSharing &shared, SelfReports &heard, LimitGate &gate,
                        std::mt19937_64 &source, std::chrono::milliseconds askGap)
     : context(loop)
     , clock(time)
@@ -135,11 +161,22 @@
     , engines(told)
     , sharing(shared)
     , selfReports(heard)
+    , limits(gate)
     , random(source)
     , gap(askGap)
 {
 }
 
+std::chrono::milliseconds LoadProber::gapOf(std::string_view target) const
+{
+    const std::optional<double> limit = this->limits.limitOf(target);
+    if (!limit)
+        return this->gap;
+    const std::chrono::duration<double> spaced(requestsPerQuestion / std::max(*limit, 1e-3));
+    const auto shortened = std::min<std::chrono::duration<double>>(spaced, longestGap);
+    return std::max(this->gap, std::chrono::duration_cast<std::chrono::milliseconds>(shortened));
+}
+
 void LoadProber::add(const TargetEntry &entry)
 {
     if (this->probes.count(entry.id) > 0)
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -345,12 +345,38 @@
 {
     wire::EntryNotices message;
     message.quarantine = toNotices(news);
+    this->tellDrawn(message);
+}
+
+void PeerLink::tellDrawn(const wire::EntryNotices &message)
+{
     std::vector<std::string> drawn;
     std::sample(this->peers.begin(), this->peers.end(), std::back_inserter(drawn), drawnPeers,
                 this->random);
     this->membership.sendPolicy(drawn, encodeMessage(message));
 }
 
+void PeerLink::tellLimits(std::string_view peer, const LimitNews &news)
+{
+    wire::EntryNotices message;
+    message.limits = toNotices(news);
+    this->membership.sendPolicy(peer, encodeMessage(message));
+}
+
+void PeerLink::tellAllLimits(const LimitNews &news)
+{
+    wire::EntryNotices message;
+    message.limits = toNotices(news);
+    this->tellPeers(message);
+}
+
+void PeerLink::tellSomeLimits(const LimitNews &news)
+{
+    wire::EntryNotices message;
+    message.limits = toNotices(news);
+    this->tellDrawn(message);
+}
+
 // One message for all where all hear of every engine, else one for each engine.
 void PeerLink::sendReleases()
 {
@@ -477,6 +503,9 @@
     const QuarantineNews news = toNews(message->quarantine);
     if (!news.isEmpty())
         this->listener.onQuarantineNews(news);
+    const LimitNews limits = toNews(message->limits);
+    if (!limits.isEmpty())
+        this->listener.onLimitNews(origin, limits);
     for (const wire::StoreNotice &notice : message->stores)
         this->listener.onStoreFromPeer(toChanges(notice));
     for (const wire::FreshnessAsk &ask : message->asks)
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -47,13 +47,16 @@
         names.reserve(targets.size());
         for (const TargetEntry *entry : targets)
             names.push_back(entry->id);
+        if (names.empty() && this->failedAnswer)
+            return this->passOnFailure();
         if (names.empty() && this->shortestRest())
             return this->refuseUntilRested();
         const int chosen = names.empty() ? -1 : this->context.health.choose(names);
         if (chosen < 0)
             return this->giveUp(names.empty() ? ResultCode::NoTarget : ResultCode::Overloaded,
                                 this->lackOfTargets());
-        this->send(*targets[static_cast<std::size_t>(chosen)]);
+        this->whenPermitted(*targets[static_cast<std::size_t>(chosen)],
+                            [this](const TargetEntry &entry) { this->send(entry); });
     }
 
     void cancelCalls() override
@@ -77,6 +80,7 @@
         this->target = entry;
         this->answer = {};
         this->body.clear();
+        this->failedAnswer = false;
         this->sentAt = this->context.clock.now();
         this->context.health.began(entry.id, entry.service);
         this->context.cold.sent(entry.id);
@@ -103,7 +107,7 @@
                 std::max(this->route().objective * objectivesPerTry, leastTry));
         this->tryTimer.async_wait([self = this->shared_from_this(),
                                    this](const asio::error_code &failure) {
-            if (failure || this->isFinished() || this->untried().empty() ||
+            if (failure || this->isFinished() || !this->mayReplaceSlowTry() ||
                 !this->context.retries.take(this->serviceName))
                 return;
             ++this->sends;
@@ -115,6 +119,15 @@
         });
     }
 
+    // A target that names a limit may turn the second try down when the first one has been ended.
+    bool mayReplaceSlowTry() const
+    {
+        const auto targets = this->untried();
+        return std::any_of(targets.begin(), targets.end(), [this](const TargetEntry *entry) {
+            return !this->context.limits.limitOf(entry->id);
+        });
+    }
+
     void onAnswerHead(MessageHead head) override
     {
         this->answer = std::move(head);
@@ -185,11 +198,15 @@
         if (this->mayRetry() && this->context.retries.take(this->serviceName)) {
             this->logDecision("request_retried",
                               {{"reason", "failed_by_target"}, {"target", this->target.id}});
+            this->failedAnswer = true;
             return this->attempt();
         }
-        this->answerWhole(this->answer, this->body, this->target.id);
+        this->passOnFailure();
     }
 
+    // The target's own failure is what the caller gets if no other target takes the request.
+    void passOnFailure() { this->answerWhole(this->answer, this->body, this->target.id); }
+
     // A refusal says "not run", which must hold for every target that was tried.
     void giveUp(ResultCode code, std::string_view reason)
     {
@@ -213,6 +230,8 @@
     TimePoint sentAt;
     MessageHead answer;
     std::string body;
+    bool failedAnswer =
+            false;          // the answer at hand is a failure, in place of which another is sought
     bool uncertain = false; // some target may have run the request
 };
 
--- a/lib/Proxy/selfreports.cpp
+++ b/lib/Proxy/selfreports.cpp
@@ -23,20 +23,8 @@
     const AnswerFacts said = this->dialect.describeAnswer(answer.status, answer.headers);
     this->hearFacts(target, said);
     const bool served = answer.status >= firstGoodStatus && answer.status < afterGoodStatus;
-    if (!served || !said.namesNoLimit)
-        return;
-    if (this->limits.namedNone(target, sentAgo))
-        logEvent(Severity::Info, "target_limit_ended", {{"target", target}, {"source", "answer"}});
-}
-
-void SelfReports::hearLimit(std::string_view target, double perSecond)
-{
-    if (!this->limits.named(target, perSecond))
-        return;
-    logEvent(Severity::Info, "target_limited",
-             {{"target", target},
-              {"per_second", std::string_view(std::to_string(perSecond))},
-              {"source", "answer"}});
+    if (served && said.namesNoLimit)
+        this->limits.namedNone(target, sentAgo);
 }
 
 void SelfReports::hearFacts(std::string_view target, const AnswerFacts &said)
@@ -55,7 +43,7 @@
         this->notices.announceCold(target, *said.coldFor);
     }
     if (said.limitPerSecond)
-        this->hearLimit(target, *said.limitPerSecond);
+        this->limits.named(target, *said.limitPerSecond);
     if (said.leaving && this->directory.markLeaving(target, "told_in_answer"))
         this->notices.announceLeaving(target);
 }
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -191,8 +191,13 @@
                                                                  : ResultCode::NoTarget,
                                                  this->lackOfTargets())
                                : this->waitForRoom();
-    this->tried.insert(chosen->id);
-    this->current = this->open(*chosen, std::nullopt);
+    this->whenPermitted(*chosen, [this](const TargetEntry &engine) { this->begin(engine); });
+}
+
+void StreamExchange::begin(const TargetEntry &engine)
+{
+    this->tried.insert(engine.id);
+    this->current = this->open(engine, std::nullopt);
     if (!this->current)
         return this->attempt();
     this->beginLeg(*this->current);
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -107,6 +107,7 @@
         return std::static_pointer_cast<StreamExchange>(this->shared_from_this());
     }
 
+    void begin(const TargetEntry &engine);
     std::shared_ptr<StreamLeg> open(const TargetEntry &target, std::optional<ResumePoint> resume);
     void syncCopy();
     void forgetCopyAt(const std::string &engine);
@@ -114,6 +115,8 @@
     void act();
     void resume(const RunStep &step);
     void makeCopy();
+    void askForCopy(const TargetEntry &source, const TargetEntry &destination);
+    void ifPermitted(const std::string &target, std::function<void(bool)> goOn);
     void orderCopy(const TargetEntry &destination);
     void copyFailed(std::string_view destination);
     void watchSilence();
@@ -143,6 +146,8 @@
     std::shared_ptr<MoveCall> move;
     EngineRoom room;
     RunPlan plan;
+    bool copyAsked = false;            // whether engines that name limits take it is being asked
+    std::string permittedAt;           // the engine that takes the run from its copy
     std::string copyHolder;            // the engine whose room for the copy is accounted for
     std::uint64_t eventsBeforeLeg = 0; // passed on before the current engine took the run
     asio::steady_timer overlapTimer;
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -225,6 +225,9 @@
     }
     const TargetEntry at = *listed;
     this->dropMove();
+    if (this->permittedAt != at.id)
+        this->context.limits.countSent(at.id);
+    this->permittedAt.clear();
     this->next = this->open(at, step.from);
     if (!this->next) {
         this->plan.copyRefused();
@@ -241,26 +244,60 @@
     });
 }
 
-// A run that has fled cannot wait until a cold engine takes one more, so those are the last choice.
+// A run that has fled cannot wait until an engine that is cold, or names a limit, takes one more,
+// so those are the last choice.
 std::vector<const TargetEntry *> StreamExchange::refuges() const
 {
     std::vector<const TargetEntry *> open = this->usableTargets();
-    std::vector<const TargetEntry *> warm = open;
-    std::erase_if(warm, [this](const TargetEntry *engine) {
-        return this->context.cold.isCold(engine->id);
+    std::vector<const TargetEntry *> free = open;
+    std::erase_if(free, [this](const TargetEntry *engine) {
+        return this->context.cold.isCold(engine->id) || this->context.limits.limitOf(engine->id);
     });
-    return this->ownShare(warm.empty() ? std::move(open) : std::move(warm));
+    return this->ownShare(free.empty() ? std::move(open) : std::move(free));
 }
 
 void StreamExchange::makeCopy()
 {
-    if (!this->current || this->move)
+    if (!this->current || this->move || this->copyAsked)
+        return;
+    // The order is a request to the engine that leaves.
+    if (this->context.limits.rest(this->current->target.id) > Duration(0))
         return;
     const std::vector<const TargetEntry *> engines = this->refuges();
     const TargetEntry *chosen = this->context.engines.chooseRefuge(
             engines, this->traits, this->need, this->current->target, this->plan.unfit());
     if (chosen != nullptr)
-        this->orderCopy(*chosen);
+        this->askForCopy(this->current->target, *chosen);
+}
+
+// What is not permitted is tried again at the next look, at another engine perhaps.
+void StreamExchange::askForCopy(const TargetEntry &source, const TargetEntry &destination)
+{
+    this->copyAsked = true;
+    this->ifPermitted(destination.id, [this, source, destination](bool takesTheRun) {
+        if (!takesTheRun) {
+            this->copyAsked = false;
+            return;
+        }
+        this->ifPermitted(source.id, [this, source, destination](bool takesTheOrder) {
+            this->copyAsked = false;
+            const bool stillThere = this->current && this->current->target.id == source.id;
+            if (takesTheOrder && stillThere && !this->move && this->isAllowed(destination))
+                this->orderCopy(destination);
+        });
+    });
+}
+
+void StreamExchange::ifPermitted(const std::string &target, std::function<void(bool)> goOn)
+{
+    const std::weak_ptr<Exchange> weak = this->weak_from_this();
+    const auto later = [weak, this, goOn](const Permit &permit) {
+        const auto alive = weak.lock();
+        if (alive && !this->isFinished())
+            goOn(permit.granted);
+    };
+    if (const auto permit = this->context.limits.request(target, later))
+        goOn(permit->granted);
 }
 
 void StreamExchange::orderCopy(const TargetEntry &destination)
@@ -268,6 +305,7 @@
     const auto endpoint = parseEndpoint(this->current->target.address);
     assert(endpoint && "the run's own connection was opened at this address");
     this->plan.copyBegan();
+    this->permittedAt = destination.id;
     // The copy is as large as the run has grown by now.
     GenerationNeed copied = this->need;
     copied.promptTokens +=
--- a/unittests/Platform/limittoldtest.cpp
+++ b/unittests/Platform/limittoldtest.cpp
@@ -195,3 +195,60 @@
     cr_expect_eq(site.told.refused, refused);
     cr_expect_geq(site.limited.gotWithin(2s), 40);
 }
+
+namespace {
+
+constexpr int runs = 20;
+
+// An engine whose runs last a while and may be copied to others.
+Answer engineWithLongRuns(const SeenRequest &request, const std::string &headers)
+{
+    if (isReport(request))
+        return wholeAnswer(200, headers, "{}");
+    if (request.head.path() == "/jaytrack/kv-move")
+        return wholeAnswer(200, headers + "Content-Type: application/json\r\n",
+                           R"({"KvHandle":"h7","Created":2})");
+    Answer answer = {{AnswerStep::Kind::Send, streamHead(ownHeaders + headers), {}}};
+    for (int id = 1; id <= 300; ++id)
+        answer.push_back(chunkStep(eventText(id, "token"), 20ms));
+    answer.push_back({AnswerStep::Kind::Send, "0\r\n\r\n", {}});
+    return answer;
+}
+
+} // namespace
+
+// Guards against runs that flee together: each orders a copy where it is and goes on elsewhere,
+// twenty requests at once for an engine that takes one a second.
+Test(limitTold, copiesAndRunsThatGoOnCount)
+{
+    LimitedTarget leaving(limitHeader, 1, engineWithLongRuns);
+    LimitedTarget refuge(limitHeader, 1, engineWithLongRuns);
+    RouteSpec route;
+    route.timeoutMs = 9000;
+    EntryFixture entry({route});
+    nlohmann::json configuration = configurationJson(2, {route});
+    entry.publish(configuration);
+    entry.store.put("servers/i-1", targetJson(leaving.address()));
+    std::this_thread::sleep_for(acquaintance);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < runs; ++i)
+        callers.emplace_back([&entry] {
+            RequestSpec request;
+            request.deadlineMs = 9000;
+            callOnce(entry.port(), requestText(request), 9000ms);
+        });
+    std::this_thread::sleep_for(500ms);
+    entry.store.put("servers/i-2", targetJson(refuge.address()));
+    leaving.nameLimit(true);
+    refuge.nameLimit(true);
+    // Both say so in the next answer to a question about their load.
+    std::this_thread::sleep_for(1500ms);
+    entry.store.put("servers/i-1", targetJson(leaving.address(), "draining"));
+    for (std::thread &caller : callers)
+        caller.join();
+    cr_expect_leq(static_cast<double>(leaving.worstWindow(heeded)), leaving.mostAllowed(), "%zu",
+                  leaving.worstWindow(heeded));
+    cr_expect_leq(static_cast<double>(refuge.worstWindow(heeded)), refuge.mostAllowed(), "%zu",
+                  refuge.worstWindow(heeded));
+    cr_expect_gt(refuge.gotWithin(9s), 2, "no run went on there");
+}
