jaytrackd keeps to the limits that targets name

What targets saw: 67 to 142 requests in 4 s at one that names 2.5 a second (20 allowed), calls of a service, generations, and questions about load. Cause: the same class as in the entry instances; the daemon's interface had no word for a limit and nobody to sum over instances. Change: Target-Limit is heard in answers of services and engines; calls, generations, resumed streams, orders to cancel and questions about load need a permit of the same LimitGate. A generation waits for an engine if it may, else it is refused at once, not run, with the time to come back. Ruled out: letting the engine's home grant at the limited rate; it knows nothing of resumes, cancels, and services, and two homes in a partition would both grant the whole. The parser of a rate stands once, beside that of Retry-After.

--- a/include/jaytrack/Limits/limitgate.h
+++ b/include/jaytrack/Limits/limitgate.h
@@ -51,16 +51,30 @@
     // from the loop's thread.
     std::optional<Permit> request(std::string_view target, Decided later);
 
+    // Asks again and again for so long. The function is called once, from the loop's thread or at
+    // once, with whether a request may go.
+    void requestWithin(std::string_view target, Duration patience,
+                       std::function<void(bool)> decided);
+
     // A request goes to the target though none was asked for, since it could not be held back.
     void countSent(std::string_view target);
 
+    // The time between two questions about the load of a target that is usually asked so often.
+    std::chrono::milliseconds questionGap(std::string_view target,
+                                          std::chrono::milliseconds usual) const;
+
 private:
+    struct PatientRequest;
+
+    void tryAgain(const std::shared_ptr<PatientRequest> &request);
+    void goOnWith(const std::shared_ptr<PatientRequest> &request, const Permit &permit);
     void runDue();
     void watchAnswers();
     void note(const Permit &permit);
     void logWord(std::string_view target, std::string_view source) const;
 
     asio::io_context &context;
+    const Clock &clock;
     Metrics &metrics;
     mutable std::mutex mutex; // guards limits and due
     TargetLimits limits;
--- a/include/jaytrack/Net/message.h
+++ b/include/jaytrack/Net/message.h
@@ -27,6 +27,9 @@
 // Nothing for a date, or for what is no positive number.
 std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view value);
 
+// A number of requests a second; nothing for what is no such number.
+std::optional<double> parseRequestRate(std::string_view value);
+
 // A request as a server received it, whole.
 struct HttpRequest
 {
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -55,9 +55,6 @@
 private:
     class Probe;
 
-    // Between two questions to the target; longer if it names a limit.
-    std::chrono::milliseconds gapOf(std::string_view target) const;
-
     asio::io_context &context;
     const Clock &clock;
     const Dialect &dialect;
--- a/include/jaytrack/Serve/context.h
+++ b/include/jaytrack/Serve/context.h
@@ -19,6 +19,7 @@
 class DocumentStore;
 class HttpClient;
 class KeyRing;
+class LimitGate;
 class Metrics;
 class PlacementDesk;
 class Wakefulness;
@@ -53,6 +54,7 @@
     Wakefulness &wakefulness;
     PeerDirectory &peers;
     CrashWatch &crashes;
+    LimitGate &limits;
     std::function<bool()> cautious; // the rules in force may have been replaced unnoticed
     std::string instanceName;
     std::int64_t incarnation = 0;
--- a/include/jaytrack/Serve/enginewatcher.h
+++ b/include/jaytrack/Serve/enginewatcher.h
@@ -35,7 +35,8 @@
 
     struct State;
 
-    void ask(const Engine &engine);
+    void askIfPermitted(const std::string &name, const std::string &address);
+    void ask(const std::string &engine, const std::string &address);
 
     ServeContext &context;
     std::function<bool(std::string_view)> isHome;
--- a/include/jaytrack/Serve/generationcall.h
+++ b/include/jaytrack/Serve/generationcall.h
@@ -5,6 +5,7 @@
 
 #include "jaytrack/Http/client.h"
 #include "jaytrack/Http/server.h"
+#include "jaytrack/Limits/limitgate.h"
 #include "jaytrack/Policy/placement.h"
 #include "jaytrack/Serve/answers.h"
 #include "jaytrack/Serve/context.h"
@@ -60,7 +61,8 @@
 private:
     class Attempt;
 
-    enum class Phase { Placing, Relaying, Pausing, Ended };
+    // Asking: the engine names a limit, and a permit for the attempt is awaited.
+    enum class Phase { Placing, Asking, Relaying, Pausing, Ended };
 
     // By which the request is recognised when its caller sends it again.
     std::string digest() const;
@@ -75,6 +77,10 @@
     void place();
     void onPlaced(const Placement &placement);
     void attach(const Engine &engine, bool resume);
+    void onPermit(const Permit &permit, bool resume);
+    void begin(bool resume);
+    std::vector<std::string> restingEngines() const;
+    bool waitsForLimits();
     HttpCall firstCall(const Engine &engine) const;
     HttpCall resumeCall(const Engine &engine) const;
 
--- a/include/jaytrack/Serve/servicecall.h
+++ b/include/jaytrack/Serve/servicecall.h
@@ -5,6 +5,7 @@
 
 #include "jaytrack/Http/client.h"
 #include "jaytrack/Http/server.h"
+#include "jaytrack/Limits/limitgate.h"
 #include "jaytrack/Once/ledger.h"
 #include "jaytrack/Policy/targethealth.h"
 #include "jaytrack/Policy/targetpauses.h"
@@ -54,6 +55,10 @@
     void forward(const CallPointer &call, const Ticket &ticket);
     void offerTicket(const CallPointer &call);
     void attempt(const CallPointer &call);
+    void onPermit(const CallPointer &call, const ServiceTarget &target, const Permit &permit);
+    void send(const CallPointer &call, const ServiceTarget &target);
+    Duration restOf(const ServiceTarget &target) const;
+    void hearLimit(const Call &call, const ServiceTarget &target, const FetchedAnswer &answer);
     void onAnswer(const CallPointer &call, const ServiceTarget &target,
                   const FetchedAnswer &answer);
     void onForwarded(const CallPointer &call, FetchedAnswer answer);
--- a/lib/Limits/limitgate.cpp
+++ b/lib/Limits/limitgate.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jaytrack {
@@ -14,12 +15,25 @@
 // How often it is looked whether a keeper's answer is overdue, while one is awaited.
 constexpr std::chrono::milliseconds watchGap{10};
 
+// Of so many requests that a target with a limit takes one may be a question about its load.
+constexpr double requestsPerQuestion = 4;
+constexpr std::chrono::milliseconds longestGap{10'000};
+
 } // namespace
 
+struct LimitGate::PatientRequest
+{
+    std::string target;
+    TimePoint until;
+    std::function<void(bool)> decided;
+    asio::steady_timer timer;
+};
+
 LimitGate::LimitGate(asio::io_context &loop, const Clock &time, std::string ownName,
                      std::size_t expectedOthers, std::uint64_t seed, LimitSpread &others,
                      Metrics &counters)
     : context(loop)
+    , clock(time)
     , metrics(counters)
     , limits(time, std::move(ownName), expectedOthers, seed, others)
     , timer(loop)
@@ -129,6 +143,47 @@
     return std::nullopt;
 }
 
+void LimitGate::requestWithin(std::string_view target, Duration patience,
+                              std::function<void(bool)> decided)
+{
+    this->tryAgain(std::make_shared<PatientRequest>(
+            PatientRequest{std::string(target), this->clock.now() + patience, std::move(decided),
+                           asio::steady_timer(this->context)}));
+}
+
+void LimitGate::tryAgain(const std::shared_ptr<PatientRequest> &request)
+{
+    const auto later = [this, kept = this->alive, request](const Permit &permit) {
+        if (*kept)
+            this->goOnWith(request, permit);
+    };
+    if (const auto permit = this->request(request->target, later))
+        this->goOnWith(request, *permit);
+}
+
+void LimitGate::goOnWith(const std::shared_ptr<PatientRequest> &request, const Permit &permit)
+{
+    if (permit.granted || this->clock.now() + permit.wait > request->until)
+        return request->decided(permit.granted);
+    request->timer.expires_after(permit.wait);
+    request->timer.async_wait([this, kept = this->alive, request](const asio::error_code &failure) {
+        if (!failure && *kept)
+            this->tryAgain(request);
+    });
+}
+
+std::chrono::milliseconds LimitGate::questionGap(std::string_view target,
+                                                 std::chrono::milliseconds usual) const
+{
+    const std::optional<double> limit = this->limitOf(target);
+    if (!limit)
+        return usual;
+    const double most = std::chrono::duration<double>(longestGap).count();
+    const double spaced = *limit > 0 ? std::min(requestsPerQuestion / *limit, most) : most;
+    return std::max(usual, std::chrono::duration_cast<std::chrono::milliseconds>(
+                                   std::chrono::duration<double>(spaced)));
+}
+
 void LimitGate::countSent(std::string_view target)
 {
     const std::lock_guard lock(this->mutex);
--- a/lib/Net/message.cpp
+++ b/lib/Net/message.cpp
@@ -45,6 +45,16 @@
             static_cast<std::int64_t>(std::min(seconds, longestRetrySeconds) * 1000));
 }
 
+std::optional<double> parseRequestRate(std::string_view value)
+{
+    double rate = 0;
+    const auto [end, failure] = std::from_chars(value.data(), value.data() + value.size(), rate);
+    const bool number = failure == std::errc() && end == value.data() + value.size();
+    if (!number || !std::isfinite(rate) || rate < 0)
+        return std::nullopt;
+    return rate;
+}
+
 std::string HttpRequest::queryValue(std::string_view name) const
 {
     const auto parsed =
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -3,8 +3,6 @@
 #include "jaytrack/Net/socket.h"
 #include "jaytrack/Support/log.h"
 
-#include <algorithm>
-
 namespace jaytrack {
 
 namespace {
@@ -12,10 +10,6 @@
 constexpr std::chrono::milliseconds answerBound{400};
 constexpr int okStatus = 200;
 
-// Of so many requests that a target with a limit takes one may be a question.
-constexpr double requestsPerQuestion = 4;
-constexpr std::chrono::milliseconds longestGap{10'000};
-
 } // namespace
 
 class LoadProber::Probe final : public TargetCallListener,
@@ -68,13 +62,17 @@
         // otherwise ask every engine, 59 questions at each of 195 starts.
         const Duration told = this->prober.engines.forecast(this->target.id).reportAge;
         const Duration age = told < Duration(0) ? this->prober.clock.now() - this->addedAt : told;
-        const std::chrono::milliseconds usual = this->prober.gapOf(this->target.id);
-        const bool overdue = age > askAnyway + usual - this->prober.gap;
+        const bool overdue = age > askAnyway + this->ownGap() - this->prober.gap;
         if (overdue || this->prober.sharing.isMineToAsk(this->target.id))
             return this->askIfPermitted();
         this->askAfter(this->prober.gap);
     }
 
+    std::chrono::milliseconds ownGap() const
+    {
+        return this->prober.limits.questionGap(this->target.id, this->prober.gap);
+    }
+
     void askIfPermitted()
     {
         const auto later = [weak = this->weak_from_this()](const Permit &permit) {
@@ -133,7 +131,7 @@
     {
         if (this->stopped)
             return;
-        this->askAfter(this->prober.gapOf(this->target.id));
+        this->askAfter(this->ownGap());
         const Result<EngineLoad> load = this->prober.dialect.decodeLoad(this->body);
         if (!end.whole || this->status != okStatus || !load) {
             this->prober.sharing.onNoLoad(this->target.id);
@@ -167,16 +165,6 @@
 {
 }
 
-std::chrono::milliseconds LoadProber::gapOf(std::string_view target) const
-{
-    const std::optional<double> limit = this->limits.limitOf(target);
-    if (!limit)
-        return this->gap;
-    const std::chrono::duration<double> spaced(requestsPerQuestion / std::max(*limit, 1e-3));
-    const auto shortened = std::min<std::chrono::duration<double>>(spaced, longestGap);
-    return std::max(this->gap, std::chrono::duration_cast<std::chrono::milliseconds>(shortened));
-}
-
 void LoadProber::add(const TargetEntry &entry)
 {
     if (this->probes.count(entry.id) > 0)
--- a/lib/Serve/enginewatcher.cpp
+++ b/lib/Serve/enginewatcher.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Serve/enginewatcher.h"
 
 #include "jaytrack/Http/client.h"
+#include "jaytrack/Serve/limitwords.h"
 #include "jaytrack/Serve/placementdesk.h"
 #include "jaytrack/Support/log.h"
 
@@ -10,7 +11,7 @@
 
 namespace {
 
-constexpr Duration askGap = std::chrono::milliseconds(250);
+constexpr std::chrono::milliseconds askGap{250};
 constexpr std::chrono::milliseconds answerWait{1000};
 constexpr Duration assumedLag = std::chrono::milliseconds(300); // of what the engines publish
 constexpr int failuresToDeath = 2;
@@ -48,55 +49,72 @@
             Watched &watched = this->state->engines[engine.name];
             if (watched.asking || now < watched.nextAt)
                 continue;
-            watched.nextAt = now + askGap;
+            watched.nextAt = now + this->context.limits.questionGap(engine.name, askGap);
         }
         if (this->isHome(engine.name))
-            this->ask(engine);
+            this->askIfPermitted(engine.name, engine.address);
     }
 }
 
-void EngineWatcher::ask(const Engine &engine)
+void EngineWatcher::askIfPermitted(const std::string &name, const std::string &address)
 {
     {
         const std::lock_guard lock(this->state->mutex);
-        this->state->engines[engine.name].asking = true;
+        this->state->engines[name].asking = true;
     }
+    const auto goOn = [this, kept = this->state, name, address](const Permit &permit) {
+        {
+            const std::lock_guard lock(kept->mutex);
+            if (kept->ended)
+                return;
+            kept->engines[name].asking = permit.granted;
+        }
+        if (permit.granted)
+            this->ask(name, address);
+    };
+    if (const auto permit = this->context.limits.request(name, goOn))
+        goOn(*permit);
+}
+
+void EngineWatcher::ask(const std::string &engine, const std::string &address)
+{
     HttpCall call;
-    call.url = "http://" + engine.address + "/load";
+    call.url = "http://" + address + "/load";
     call.totalTimeout = answerWait;
     call.mayRepeat = true;
     const TimePoint askedAt = this->context.clock.now();
     ServeContext *serve = &this->context;
-    fetchLater(
-            serve->targets, std::move(call), answerBound,
-            [serve, kept = this->state, name = engine.name, askedAt](const FetchedAnswer &answer) {
-                EngineReport report;
-                const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-                const bool good =
-                        answer.end.whole && answer.end.status == goodStatus && body.is_object();
-                if (good) {
-                    report.memoryUsed = body.value("memory_used", std::uint64_t{0});
-                    report.running = body.value("running", 0U);
-                    report.waiting = body.value("waiting", 0U);
-                    report.leaving = body.value("leaving", false);
-                    report.takenAt = askedAt - assumedLag;
-                }
-                const std::lock_guard lock(kept->mutex);
-                if (kept->ended)
-                    return;
-                Watched &watched = kept->engines[name];
-                watched.asking = false;
-                watched.failures = good ? 0 : watched.failures + 1;
-                // One lost answer is no death; the engine may be busy and the link lossy.
-                if (!good && watched.failures < failuresToDeath)
-                    return;
-                if (watched.failures == failuresToDeath)
-                    logEvent(Severity::Warning, "engine_unreachable",
-                             {{"engine", name}, {"detail", answer.end.error}});
-                report.alive = good;
-                serve->placement.with(
-                        [&name, &report](PlacementPolicy &policy) { policy.report(name, report); });
-            });
+    fetchLater(serve->targets, std::move(call), answerBound,
+               [serve, kept = this->state, name = engine, askedAt](const FetchedAnswer &answer) {
+                   hearTargetLimit(serve->limits, name, {answer.end.status, answer.headers});
+                   EngineReport report;
+                   const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+                   const bool good =
+                           answer.end.whole && answer.end.status == goodStatus && body.is_object();
+                   if (good) {
+                       report.memoryUsed = body.value("memory_used", std::uint64_t{0});
+                       report.running = body.value("running", 0U);
+                       report.waiting = body.value("waiting", 0U);
+                       report.leaving = body.value("leaving", false);
+                       report.takenAt = askedAt - assumedLag;
+                   }
+                   const std::lock_guard lock(kept->mutex);
+                   if (kept->ended)
+                       return;
+                   Watched &watched = kept->engines[name];
+                   watched.asking = false;
+                   watched.failures = good ? 0 : watched.failures + 1;
+                   // One lost answer is no death; the engine may be busy and the link lossy.
+                   if (!good && watched.failures < failuresToDeath)
+                       return;
+                   if (watched.failures == failuresToDeath)
+                       logEvent(Severity::Warning, "engine_unreachable",
+                                {{"engine", name}, {"detail", answer.end.error}});
+                   report.alive = good;
+                   serve->placement.with([&name, &report](PlacementPolicy &policy) {
+                       policy.report(name, report);
+                   });
+               });
 }
 
 } // namespace jaytrack
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -4,6 +4,7 @@
 #include "jaytrack/Config/settings.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Quarantine/requestdigest.h"
+#include "jaytrack/Serve/limitwords.h"
 #include "jaytrack/Serve/placementdesk.h"
 #include "jaytrack/Stream/sse.h"
 #include "jaytrack/Support/log.h"
@@ -21,6 +22,8 @@
 constexpr std::chrono::milliseconds resumeBackoff{150};
 constexpr std::chrono::seconds keepAliveGap{5};
 constexpr std::chrono::milliseconds connectBound{500};
+// An engine that names a limit takes the order to cancel in its turn, but not for ever.
+constexpr std::chrono::seconds cancelPatience{5};
 constexpr std::string_view doneMark = "[DONE]";
 constexpr std::string_view generationHeader = "Engine-Generation";
 constexpr std::string_view attachHeader = "Engine-Attach";
@@ -89,12 +92,13 @@
 void GenerationCall::start()
 {
     this->registry.add(this->shared_from_this());
+    if (!this->order.resumed && this->refusedAsBarred())
+        return;
+    const std::lock_guard lock(this->mutex);
     if (!this->order.resumed) {
-        if (!this->refusedAsBarred())
-            this->place();
+        this->place();
         return;
     }
-    const std::lock_guard lock(this->mutex);
     this->record.reason = "resumed at its engine";
     const Engine *holder = this->caller.document->findEngine(this->order.resumed->engine);
     if (holder == nullptr) {
@@ -140,10 +144,60 @@
                           this->context.crashes.barredFor(barredDigest))});
 }
 
+// Engines of the model that name limits which are used up for now.
+std::vector<std::string> GenerationCall::restingEngines() const
+{
+    std::vector<std::string> names;
+    for (const Engine &one : this->caller.document->engines) {
+        const bool fits = one.model == this->order.ask.model && !one.leaving;
+        if (fits && this->context.limits.rest(one.name) > Duration(0))
+            names.push_back(one.name);
+    }
+    return names;
+}
+
+// Where all engines that are left name limits, the call waits for the first of them if it may, or
+// is refused at once.
+bool GenerationCall::waitsForLimits()
+{
+    const auto &avoid = this->order.ask.avoid;
+    std::optional<Duration> shortest;
+    for (const Engine &one : this->caller.document->engines) {
+        const bool fits = one.model == this->order.ask.model && !one.leaving &&
+                          std::find(avoid.begin(), avoid.end(), one.name) == avoid.end();
+        if (!fits)
+            continue;
+        const Duration rest = this->context.limits.rest(one.name);
+        if (rest == Duration(0))
+            return false;
+        shortest = std::min(shortest.value_or(rest), rest);
+    }
+    if (!shortest)
+        return false;
+    const TimePoint now = this->context.clock.now();
+    const GenerationAsk &ask = this->order.ask;
+    const Duration patience = ask.mayWait ? ask.maxWait : Duration(0);
+    if (now + *shortest > this->startedAt + patience) {
+        this->finish({ResultCode::Overloaded, "the engines name limits",
+                      std::chrono::duration_cast<std::chrono::milliseconds>(*shortest)});
+        return true;
+    }
+    this->engine = nullptr;
+    this->phase = Phase::Pausing;
+    this->resumeAt = now + *shortest;
+    return true;
+}
+
 void GenerationCall::place()
 {
+    if (this->waitsForLimits())
+        return;
+    this->phase = Phase::Placing;
+    GenerationAsk ask = this->order.ask;
+    for (std::string &name : this->restingEngines())
+        ask.avoid.push_back(std::move(name));
     const std::weak_ptr<GenerationCall> self = this->weak_from_this();
-    this->context.placement.submit(this->order.ask, [self](const Placement &placement) {
+    this->context.placement.submit(ask, [self](const Placement &placement) {
         if (const auto call = self.lock())
             call->onPlaced(placement);
     });
@@ -212,7 +266,41 @@
         return;
     }
     this->engine = &chosen;
-    this->record.target = chosen.name;
+    this->phase = Phase::Asking;
+    const std::weak_ptr<GenerationCall> self = this->weak_from_this();
+    const auto later = [self, resume](const Permit &permit) {
+        const auto call = self.lock();
+        if (!call)
+            return;
+        const std::lock_guard lock(call->mutex);
+        if (call->phase == Phase::Asking)
+            call->onPermit(permit, resume);
+    };
+    if (const auto permit = this->context.limits.request(chosen.name, later))
+        this->onPermit(*permit, resume);
+}
+
+void GenerationCall::onPermit(const Permit &permit, bool resume)
+{
+    if (permit.granted) {
+        this->begin(resume);
+        return;
+    }
+    logPermitDenied(this->caller.requestId, this->engine->name, permit);
+    if (resume) {
+        // Only this engine has the generation.
+        this->phase = Phase::Pausing;
+        this->resumeAt = this->context.clock.now() + permit.wait;
+        return;
+    }
+    this->leaveEngine(Departure::Cancelled);
+    this->engine = nullptr;
+    this->place();
+}
+
+void GenerationCall::begin(bool resume)
+{
+    this->record.target = this->engine->name;
     this->phase = Phase::Relaying;
     this->headersGood = false;
     this->refusedStatus = 0;
@@ -222,7 +310,7 @@
     this->paused.store(false);
     const auto listener = std::make_shared<Attempt>(this->shared_from_this(), this->attempt);
     this->httpCall.store(this->context.targets.start(
-            resume ? this->resumeCall(chosen) : this->firstCall(chosen), listener));
+            resume ? this->resumeCall(*this->engine) : this->firstCall(*this->engine), listener));
 }
 
 void GenerationCall::onHeaders(AttemptId from, int status, std::span<const HttpHeader> headers)
@@ -231,6 +319,8 @@
     if (this->phase != Phase::Relaying || !this->relay.isCurrent(from))
         return;
     this->lastEventAt = this->context.clock.now();
+    hearTargetLimit(this->context.limits, this->engine->name, {status, headers},
+                    this->lastEventAt - this->attachedAt);
     if (status != statusOk) {
         const bool refused = !findHeader(headers, refusedHeader).empty();
         this->refusedStatus = status == statusUnavailable && !refused ? statusOk + 300 : status;
@@ -523,8 +613,16 @@
     call.headers = {{std::string(attachHeader), this->attachEpoch}};
     call.totalTimeout = std::chrono::seconds(5);
     call.mayRepeat = true;
-    static constexpr std::size_t answerBound = 4096;
-    fetchLater(this->context.targets, std::move(call), answerBound, [](const FetchedAnswer &) {});
+    ServeContext *serve = &this->context;
+    const auto send = [serve, call = std::move(call), id = this->caller.requestId,
+                       name = this->engine->name](bool permitted) {
+        static constexpr std::size_t answerBound = 4096;
+        if (permitted)
+            fetchLater(serve->targets, call, answerBound, [](const FetchedAnswer &) {});
+        else
+            logEvent(Severity::Warning, "cancel_dropped", {{"id", id}, {"target", name}});
+    };
+    this->context.limits.requestWithin(this->engine->name, cancelPatience, send);
 }
 
 void GenerationCall::leaveEngine(Departure how)
@@ -556,7 +654,6 @@
         this->attach(*this->engine, true);
         return;
     }
-    this->phase = Phase::Placing;
     this->place();
 }
 
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -3,6 +3,7 @@
 #include "jaytrack/Cluster/wakefulness.h"
 #include "jaytrack/Config/documentstore.h"
 #include "jaytrack/Http/client.h"
+#include "jaytrack/Limits/limitgate.h"
 #include "jaytrack/Policy/baselines.h"
 #include "jaytrack/Policy/fleetpolicy.h"
 #include "jaytrack/Quarantine/crashwatch.h"
@@ -62,6 +63,7 @@
 struct Instance::Parts final : public PlatformListener,
                                public PolicyTransport,
                                public QuarantineSpread,
+                               public LimitSpread,
                                public CrashWatchListener
 {
     Parts(const Settings &given, const Clock &time)
@@ -81,12 +83,21 @@
         , peers(this->control, settings, time, keys, documents, targets, incarnation,
                 this->peerEvents())
         , crashes(this->control, time, metrics, *this, *this)
-        , context{settings,      clock,
-                  metrics,       keys,
-                  targets,       placement,
-                  wakefulness,   peers,
-                  crashes,       [this] { return this->cautious.load(); },
-                  settings.name, incarnation}
+        , limits(this->control, time, given.name, given.peerSeeds.size(), std::random_device{}(),
+                 *this, metrics)
+        , context{settings,
+                  clock,
+                  metrics,
+                  keys,
+                  targets,
+                  placement,
+                  wakefulness,
+                  peers,
+                  crashes,
+                  limits,
+                  [this] { return this->cautious.load(); },
+                  settings.name,
+                  incarnation}
         , gateway(this->context, this->documents)
         , watcher(this->context, [this](std::string_view engine) { return this->isHome(engine); })
         , platform(makeHttpPlatform(this->targets, time, std::random_device{}(), settings.configUrl,
@@ -115,10 +126,11 @@
             this->placement.with([&names](PlacementPolicy &policy) { policy.setInstances(names); });
             this->others = names;
             std::erase(this->others, this->settings.name);
+            this->limits.setInstances(this->others);
         };
         events.policyMessage = [this](const std::string &from, const std::string &message) {
             this->placement.with([&](PlacementPolicy &policy) { policy.receive(from, message); });
-            this->readQuarantineNews(message);
+            this->readNews(from, message);
         };
         events.refreshed = [this](TimePoint askedAt) { this->wakefulness.refreshed(askedAt); };
         return events;
@@ -137,24 +149,57 @@
 
     void tellAll(const QuarantineNews &news) override { this->tell(this->others, news); }
 
-    void tellSome(const QuarantineNews &news) override
+    void tellSome(const QuarantineNews &news) override { this->tell(this->drawnOthers(), news); }
+
+    std::vector<std::string> drawnOthers()
     {
         std::vector<std::string> drawn;
         std::sample(this->others.begin(), this->others.end(), std::back_inserter(drawn), drawnPeers,
                     this->random);
-        this->tell(drawn, news);
+        return drawn;
     }
 
     void tell(const std::vector<std::string> &names, const QuarantineNews &news)
     {
         wire::PolicyMessage message;
         message.quarantine = toNotices(news);
+        this->sendAll(names, message);
+    }
+
+    void sendAll(const std::vector<std::string> &names, const wire::PolicyMessage &message)
+    {
         const std::string bytes = encodeMessage(message);
         for (const std::string &name : names)
             this->peers.sendPolicy(name, bytes);
     }
 
-    void readQuarantineNews(std::string_view bytes)
+    // LimitSpread, from any thread: the control thread sends.
+
+    void tellLimits(std::string_view instance, const LimitNews &news) override
+    {
+        this->postLimits(news, [name = std::string(instance)] { return std::vector{name}; });
+    }
+
+    void tellAllLimits(const LimitNews &news) override
+    {
+        this->postLimits(news, [this] { return this->others; });
+    }
+
+    void tellSomeLimits(const LimitNews &news) override
+    {
+        this->postLimits(news, [this] { return this->drawnOthers(); });
+    }
+
+    void postLimits(const LimitNews &news, std::function<std::vector<std::string>()> whom)
+    {
+        asio::post(this->control, [this, news, whom = std::move(whom)] {
+            wire::PolicyMessage message;
+            message.limits = toNotices(news);
+            this->sendAll(whom(), message);
+        });
+    }
+
+    void readNews(std::string_view from, std::string_view bytes)
     {
         const auto message = decodeMessage<wire::PolicyMessage>(bytes);
         if (!message)
@@ -162,6 +207,9 @@
         const QuarantineNews news = toNews(message->quarantine);
         if (!news.isEmpty())
             this->crashes.onNews(news);
+        const LimitNews limitNews = toNews(message->limits);
+        if (!limitNews.isEmpty())
+            this->limits.onNews(from, limitNews);
     }
 
     void onRequestBarred(std::string_view digest) override { this->gateway.withdraw(digest); }
@@ -236,6 +284,7 @@
     {
         this->peers.tick();
         this->crashes.tick();
+        this->limits.tick();
         this->gateway.sweep();
         if (!this->gateway.isDraining() || !this->gateway.idle())
             this->deliverBy.store(this->clock.now() + this->settings.deliveryGrace);
@@ -300,6 +349,7 @@
     std::vector<std::string> others; // names of the other live instances; for the control thread
     std::mt19937_64 random{std::random_device{}()};
     CrashWatch crashes;
+    LimitGate limits;
     ServeContext context;
     Gateway gateway;
     EngineWatcher watcher;
--- a/lib/Serve/servicecall.cpp
+++ b/lib/Serve/servicecall.cpp
@@ -4,6 +4,7 @@
 #include "jaytrack/Config/settings.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Quarantine/requestdigest.h"
+#include "jaytrack/Serve/limitwords.h"
 #include "jaytrack/Support/digest.h"
 #include "jaytrack/Support/keyring.h"
 #include "jaytrack/Support/log.h"
@@ -277,6 +278,12 @@
     this->answer(call, kept);
 }
 
+// How long the target gets nothing: it wants rest, or names a limit that is used up.
+Duration ServiceDesk::restOf(const ServiceTarget &target) const
+{
+    return std::max(this->pauses.left(target.name), this->context.limits.rest(target.name));
+}
+
 const ServiceTarget *ServiceDesk::chooseTarget(const Call &call)
 {
     std::vector<const ServiceTarget *> usable;
@@ -284,7 +291,7 @@
     for (const ServiceTarget &target : call.service->targets) {
         const bool tried =
                 std::find(call.tried.begin(), call.tried.end(), target.name) != call.tried.end();
-        if (target.leaving || tried || this->pauses.isPaused(target.name))
+        if (target.leaving || tried || this->restOf(target) > Duration(0))
             continue;
         usable.push_back(&target);
         names.push_back(target.name);
@@ -319,7 +326,7 @@
 {
     Duration shortest{0};
     for (const ServiceTarget &target : call.service->targets) {
-        const Duration left = this->pauses.left(target.name);
+        const Duration left = this->restOf(target);
         if (left > Duration(0) && (shortest == Duration(0) || left < shortest))
             shortest = left;
     }
@@ -347,14 +354,33 @@
                             std::max(rest, comeBackSoon)});
         return;
     }
+    const auto later = [this, call, target](const Permit &permit) {
+        const std::lock_guard lock(this->mutex);
+        this->onPermit(call, *target, permit);
+    };
+    if (const auto permit = this->context.limits.request(target->name, later))
+        this->onPermit(call, *target, *permit);
+}
+
+void ServiceDesk::onPermit(const CallPointer &call, const ServiceTarget &target,
+                           const Permit &permit)
+{
+    if (permit.granted)
+        return this->send(call, target);
+    logPermitDenied(call->caller.requestId, target.name, permit);
+    this->attempt(call);
+}
+
+void ServiceDesk::send(const CallPointer &call, const ServiceTarget &target)
+{
     ++call->attempts;
-    call->tried.push_back(target->name);
-    call->record.target = target->name;
+    call->tried.push_back(target.name);
+    call->record.target = target.name;
     call->sentAt = this->context.clock.now();
-    this->health.began(target->name, call->service->name);
+    this->health.began(target.name, call->service->name);
     HttpCall out;
     out.method = call->request.method;
-    out.url = "http://" + target->address + call->path +
+    out.url = "http://" + target.address + call->path +
               (call->query.empty() ? "" : "?" + call->query);
     out.body = call->request.body;
     out.connectTimeout = connectBound;
@@ -372,8 +398,8 @@
         out.headers.push_back(
                 {std::string(keyHeader), call->caller.customer->name + ":" + std::string(key)});
     fetchLater(this->context.targets, std::move(out), this->context.settings.maxAnswerBytes,
-               [this, call, target](const FetchedAnswer &answer) {
-                   this->onAnswer(call, *target, answer);
+               [this, call, &target](const FetchedAnswer &answer) {
+                   this->onAnswer(call, target, answer);
                });
 }
 
@@ -387,6 +413,7 @@
     call->everSent |= answer.end.maySentBytes;
     call->sends += answer.end.maySentBytes ? 1 : 0;
     this->noteRun(*call, target, answer);
+    this->hearLimit(*call, target, answer);
     const auto rest = parseRetryAfter(findHeader(answer.headers, "Retry-After"));
     if (answer.end.whole && answer.end.status == unavailableStatus && rest)
         this->pauses.leaveAlone(target.name, *rest);
@@ -414,6 +441,15 @@
                         errorBody(ending, call->caller.requestId)});
 }
 
+void ServiceDesk::hearLimit(const Call &call, const ServiceTarget &target,
+                            const FetchedAnswer &answer)
+{
+    if (!answer.end.whole)
+        return;
+    hearTargetLimit(this->context.limits, target.name, {answer.end.status, answer.headers},
+                    this->context.clock.now() - call.sentAt);
+}
+
 // The rule of at most once: a request goes out again only if it may run twice, or if nothing of it
 // can have reached the target.
 bool ServiceDesk::mayRepeat(const CallPointer &call, const FetchedAnswer &answer)
