--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -87,6 +87,65 @@
     this->coldTargets[target] = {now, now + time, {}};
 }
 
+void Record::targetLimited(const std::string &target, double perSecond)
+{
+    const std::lock_guard lock(this->mutex);
+    this->limitedTargets[target] = {perSecond, std::chrono::steady_clock::now(), {}, {}};
+}
+
+void Record::targetFree(const std::string &target)
+{
+    const std::lock_guard lock(this->mutex);
+    this->limitedTargets.erase(target);
+}
+
+void Record::toldOfLimit(const std::string &id, const std::string &target)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto request = this->byId.find(id);
+    const auto limited = this->limitedTargets.find(target);
+    if (request != this->byId.end() && limited != this->limitedTargets.end())
+        limited->second.told.emplace(request->second.instance, std::chrono::steady_clock::now());
+}
+
+void Record::wentOn(const std::string &id, const std::string &target)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto request = this->byId.find(id);
+    if (request != this->byId.end())
+        this->checkLimit(id, request->second, target);
+}
+
+// The bound is on all instances together that had heard of the limit and that nothing disturbed
+// since; what disturbs the others, the keeper of the account among them, excuses nothing.
+void Record::checkLimit(const std::string &id, const Request &request, const std::string &target)
+{
+    const auto known = this->limitedTargets.find(target);
+    if (known == this->limitedTargets.end())
+        return;
+    Limited &limited = known->second;
+    const auto told = limited.told.find(request.instance);
+    if (told == limited.told.end() || request.sentAt < told->second + limitHeard)
+        return;
+    if (!this->calm(request.instance, told->second - slack)) {
+        ++this->counts["limit_excused"];
+        return;
+    }
+    const SteadyTime now = std::chrono::steady_clock::now();
+    while (!limited.arrivals.empty() && limited.arrivals.front() < now - limitWindow)
+        limited.arrivals.pop_front();
+    limited.arrivals.push_back(now);
+    if (now < limited.from + limitBinds)
+        return;
+    ++this->counts["limit_judged"];
+    const double most =
+            limited.perSecond * limitOverage * std::chrono::duration<double>(limitWindow).count() +
+            limitExtra;
+    if (static_cast<double>(limited.arrivals.size()) > most)
+        this->broken("limited_target_overrun", id,
+                     "target=" + target + " got=" + std::to_string(limited.arrivals.size()));
+}
+
 void Record::stopOrdered(const std::string &instance, std::chrono::milliseconds takesFor)
 {
     const std::lock_guard lock(this->mutex);
@@ -186,6 +245,7 @@
     this->checkToldLeaving(id, request->second, target);
     this->checkOutOfUse(id, request->second, target);
     this->checkCold(id, request->second, target);
+    this->checkLimit(id, request->second, target);
     return ++request->second.runs;
 }
 
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -46,6 +46,14 @@
     // Requests that a cold target bears in a second, from all instances.
     static constexpr std::size_t coldRate = 4;
 
+    // Of the limit that a target names, and requests beyond it, that may reach it in the window,
+    // once it has been named for so long; counted from instances that heard of it that long ago.
+    static constexpr double limitOverage = 1.5;
+    static constexpr double limitExtra = 5;
+    static constexpr std::chrono::milliseconds limitWindow{4000};
+    static constexpr std::chrono::milliseconds limitBinds{3000};
+    static constexpr std::chrono::milliseconds limitHeard{500};
+
     // A stopping instance takes connections for 3 s, and the last answers leave it before its grace
     // of 6 s is over; both without what this machine may add.
     static constexpr std::chrono::milliseconds stopTakesFor{2800};
@@ -61,6 +69,10 @@
     void dataCentreOutOfUse(const std::string &dataCentre, bool out);
     void targetCold(const std::string &target, std::chrono::milliseconds time);
 
+    // The target names a limit from now on, or none any more.
+    void targetLimited(const std::string &target, double perSecond);
+    void targetFree(const std::string &target);
+
     // A planned stop, of an instance that answers whoever connects to it within the time given.
     void stopOrdered(const std::string &instance, std::chrono::milliseconds takesFor);
 
@@ -74,6 +86,12 @@
     // An answer to the request says that its target leaves.
     void toldOfLeaving(const std::string &id, const std::string &target);
 
+    // An answer to the request names the limit of its target.
+    void toldOfLimit(const std::string &id, const std::string &target);
+
+    // A run goes on at a target from its copy.
+    void wentOn(const std::string &id, const std::string &target);
+
     // A target begins to work on a request. Returns the number of this generation of it.
     int ran(const std::string &id, const std::string &target);
 
@@ -112,6 +130,15 @@
         std::deque<SteadyTime> arrivals; // in the last second
     };
 
+    struct Limited
+    {
+        double perSecond;
+        SteadyTime from;
+        std::map<std::string, SteadyTime> told; // by instance
+        std::deque<SteadyTime> arrivals;        // in the last window
+    };
+
+    void checkLimit(const std::string &id, const Request &request, const std::string &target);
     void checkOutOfUse(const std::string &id, const Request &request, const std::string &target);
     void checkCold(const std::string &id, const Request &request, const std::string &target);
     void broken(const std::string &promise, const std::string &id, const std::string &detail);
@@ -130,6 +157,7 @@
     std::map<std::string, std::string> homes;   // data centres of targets
     std::map<std::string, SteadyTime> outOfUse; // since when, by data centre
     std::map<std::string, ColdTime> coldTargets;
+    std::map<std::string, Limited> limitedTargets;
     // By instance and target, when an answer that passed there first said that the target leaves.
     std::map<std::pair<std::string, std::string>, SteadyTime> toldLeaving;
     std::map<std::string, Stop> stops;
--- a/unittests/ProcessSoak/scenario.cpp
+++ b/unittests/ProcessSoak/scenario.cpp
@@ -32,6 +32,9 @@
 // by other faults.
 constexpr std::uint64_t stopsOnlyEvery = 4;
 
+// Requests a second.
+constexpr double lowestLimit = 1.5;
+
 // A process is held up around the moments in which a stop ends: from shortly before it may end to
 // the end of its grace.
 constexpr milliseconds holdsFrom{2500};
@@ -349,6 +352,13 @@
     this->site.makeCold(target, this->drawTime(3500, 7000));
 }
 
+void Scenario::limitTarget()
+{
+    const auto target = this->random() % this->site.targets.size();
+    this->site.setLimit(target, lowestLimit + static_cast<double>(this->random() % 3));
+    this->later(this->drawTime(5000, 9000), [this, target] { this->site.setLimit(target, 0); });
+}
+
 void Scenario::injectFault()
 {
     struct Kind
@@ -356,7 +366,7 @@
         const char *name;
         void (Scenario::*inject)();
     };
-    static constexpr std::array<Kind, 16> kinds = {
+    static constexpr std::array<Kind, 17> kinds = {
             {{"stop_held", &Scenario::stopInstanceHeld},
              {"stop", &Scenario::stopInstance},
              {"kill", &Scenario::killInstance},
@@ -372,7 +382,8 @@
              {"key_taken", &Scenario::changeKey},
              {"target_leaves", &Scenario::leaveTarget},
              {"data_centre_out", &Scenario::putDataCentreOutOfUse},
-             {"target_cold", &Scenario::makeTargetCold}}};
+             {"target_cold", &Scenario::makeTargetCold},
+             {"target_limited", &Scenario::limitTarget}}};
     const Kind &kind = this->stopsOnly() ? kinds.front() : kinds[this->random() % kinds.size()];
     ++this->faults[kind.name];
     (this->*kind.inject)();
--- a/unittests/ProcessSoak/scenario.h
+++ b/unittests/ProcessSoak/scenario.h
@@ -86,6 +86,7 @@
     void leaveTarget();
     void putDataCentreOutOfUse();
     void makeTargetCold();
+    void limitTarget();
 
     Member &someMember();
     bool orderStop(Member &member);
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -26,10 +26,9 @@
 constexpr int percentHalved = 2;
 constexpr int percentMovesRefused = 30;
 
-std::string stampHeaders(const std::string &attempt, bool leaves)
+std::string stampHeaders(const std::string &attempt, const std::string &ownWords)
 {
-    return "X-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: s\r\n" +
-           (leaves ? "Server-Leaving: 1\r\n" : "");
+    return "X-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: s\r\n" + ownWords;
 }
 
 testing::RouteSpec routeOf(const std::string &prefix, const std::string &type, int timeoutMs)
@@ -68,6 +67,35 @@
     const std::lock_guard lock(this->mutex);
     this->ownId = newId;
     this->leaving = false;
+    this->perSecond = 0;
+}
+
+void SoakTarget::namesLimit(double requestsPerSecond)
+{
+    const std::lock_guard lock(this->mutex);
+    this->perSecond = requestsPerSecond;
+}
+
+double SoakTarget::limit() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->perSecond;
+}
+
+// What it says of itself in its answers.
+std::string SoakTarget::ownWords() const
+{
+    const std::string leaves = this->leaves() ? "Server-Leaving: 1\r\n" : "";
+    const double named = this->limit();
+    return named > 0 ? leaves + "Server-Limit: " + std::to_string(named) + "\r\n" : leaves;
+}
+
+void SoakTarget::noteWords(const std::string &attempt) const
+{
+    if (this->leaves())
+        this->record.toldOfLeaving(attempt, this->id());
+    if (this->limit() > 0)
+        this->record.toldOfLimit(attempt, this->id());
 }
 
 void SoakTarget::saysItLeaves()
@@ -85,7 +113,7 @@
 Answer SoakTarget::answer(const SeenRequest &request)
 {
     if (request.head.path() == "/jaytrack/report")
-        return wholeAnswer(200, "Content-Type: application/json\r\n", "{}");
+        return wholeAnswer(200, this->ownWords() + "Content-Type: application/json\r\n", "{}");
     std::uniform_int_distribution<int> percent(0, 99);
     if (request.head.path() == "/jaytrack/kv-move") {
         const bool refused = percent(this->random) < percentMovesRefused;
@@ -96,7 +124,7 @@
         return wholeAnswer(421, "", "");
     const std::string attempt(request.head.header("X-Attempt-Id"));
     if (percent(this->random) < percentRefused)
-        return wholeAnswer(503, stampHeaders(attempt, this->leaves()) + "X-Not-Executed: 1\r\n",
+        return wholeAnswer(503, stampHeaders(attempt, this->ownWords()) + "X-Not-Executed: 1\r\n",
                            "");
     return this->run(request, attempt);
 }
@@ -108,10 +136,8 @@
     this->record.ran(attempt, this->id());
     std::uniform_int_distribution<int> percent(0, 99);
     std::uniform_int_distribution<int> work(5, 60);
-    const bool leaves = this->leaves();
-    if (leaves)
-        this->record.toldOfLeaving(attempt, this->id());
-    Answer answer = wholeAnswer(200, stampHeaders(attempt, leaves), plainBody(attempt));
+    this->noteWords(attempt);
+    Answer answer = wholeAnswer(200, stampHeaders(attempt, this->ownWords()), plainBody(attempt));
     answer.front().after = std::chrono::milliseconds(work(this->random));
     const int luck = percent(this->random);
     if (luck < percentLost + percentHalved) {
@@ -126,6 +152,8 @@
 Answer SoakTarget::stream(const SeenRequest &request, const std::string &attempt)
 {
     const bool resumed = !request.head.header("Kv-From").empty();
+    if (resumed)
+        this->record.wentOn(attempt, this->id());
     const int generation =
             resumed ? this->record.generationOf(attempt) : this->record.ran(attempt, this->id());
     const std::string_view after = request.head.header("Last-Event-Id");
@@ -138,11 +166,10 @@
     if (lost)
         this->record.spoiled(attempt);
     const int last = lost ? (first + eventsOfStream) / 2 : eventsOfStream;
-    const bool leaves = this->leaves();
-    if (leaves)
-        this->record.toldOfLeaving(attempt, this->id());
-    Answer answer = {
-            {AnswerStep::Kind::Send, testing::streamHead(stampHeaders(attempt, leaves)), {}}};
+    this->noteWords(attempt);
+    Answer answer = {{AnswerStep::Kind::Send,
+                      testing::streamHead(stampHeaders(attempt, this->ownWords())),
+                      {}}};
     for (int number = first; number <= last; ++number) {
         const std::string text = testing::eventText(number, eventData(attempt, generation, number));
         answer.push_back(testing::chunkStep(text, gap));
@@ -228,6 +255,16 @@
     this->record.targetCold(cold.id(), time);
 }
 
+void Site::setLimit(std::size_t target, double perSecond)
+{
+    SoakTarget &limited = *this->targets[target];
+    if (perSecond > 0)
+        this->record.targetLimited(limited.id(), perSecond);
+    else
+        this->record.targetFree(limited.id());
+    limited.namesLimit(perSecond);
+}
+
 void Site::publish()
 {
     std::uniform_int_distribution<int> timeout(2500, 3500);
@@ -293,6 +330,7 @@
     SoakTarget &leaving = *this->targets[target];
     this->store.remove("servers/" + leaving.id());
     this->goneTargets.push_back(leaving.id());
+    this->record.targetFree(leaving.id());
     leaving.becomes("t" + std::to_string(this->serial++));
     this->list(leaving, "ready");
 }
--- a/unittests/ProcessSoak/site.h
+++ b/unittests/ProcessSoak/site.h
@@ -36,12 +36,18 @@
     // From now on, until it becomes another one, all its answers say that it leaves.
     void saysItLeaves();
     bool leaves() const;
+
+    // All its answers name a limit from now on; 0 for none.
+    void namesLimit(double requestsPerSecond);
+    double limit() const;
     void setFault(LinkFault fault) { this->proxy->setFault(fault); }
 
 private:
     testing::Answer answer(const testing::SeenRequest &request);
     testing::Answer run(const testing::SeenRequest &request, const std::string &attempt);
     testing::Answer stream(const testing::SeenRequest &request, const std::string &attempt);
+    std::string ownWords() const;
+    void noteWords(const std::string &attempt) const;
 
     Record &record;
     std::string serviceOf;
@@ -49,6 +55,7 @@
     mutable std::mutex mutex;
     std::string ownId;
     bool leaving = false;
+    double perSecond = 0;   // the limit that it names; 0 for none
     std::mt19937_64 random; // used by the server's thread alone
     testing::ScriptedServer server;
     std::unique_ptr<FaultProxy> proxy;
@@ -81,6 +88,9 @@
     // A target says for so long that it is cold.
     void makeCold(std::size_t target, std::chrono::milliseconds time);
 
+    // A target names a limit from now on, or none any more.
+    void setLimit(std::size_t target, double perSecond);
+
     // What the operator and the targets last wrote, after the store lost some of it.
     void writeAgain();
 
