--- a/unittests/Platform/limittoldtest.cpp
+++ b/unittests/Platform/limittoldtest.cpp
@@ -167,6 +167,34 @@
         cr_expect_gt(site.told.refused, 0, "%s", given->name);
 }
 
+// Guards against a failure, or a report of the load, that lacks the word ending the limit for the
+// whole fleet until the next answer.
+Test(limitTold, answersWithoutTheWordEndNothing)
+{
+    std::atomic<int> served{0};
+    LimitedTarget limited(limitHeader, limit,
+                          [&served](const SeenRequest &request, const std::string &headers) {
+                              if (isReport(request))
+                                  return wholeAnswer(200, "", "{}");
+                              if (++served % 2 == 0)
+                                  return wholeAnswer(500, ownHeaders, "bad");
+                              return wholeAnswer(200, ownHeaders + headers, "good");
+                          });
+    RouteSpec route;
+    route.type = "unsafe";
+    EntryFixture entry({route});
+    entry.store.put("servers/i-limited", targetJson(limited.address()));
+    std::this_thread::sleep_for(acquaintance);
+    limited.nameLimit(true);
+    {
+        Told told;
+        const Pressure pressure(30, 4, [&] { told.ask(entry); });
+        std::this_thread::sleep_for(played);
+    }
+    const auto worst = static_cast<double>(limited.worstWindow(heeded));
+    cr_expect_leq(worst, limited.mostAllowed(), "%.0f", worst);
+}
+
 // Guards against an instance that starts again and knows nothing of the limit.
 Test(limitTold, startedAgainHoldsToIt)
 {
