--- a/include/jaytrack/Limits/targetlimits.h
+++ b/include/jaytrack/Limits/targetlimits.h
@@ -121,7 +121,7 @@
     // names no limit, or rests, or its account is kept here. Else the function is called once,
     // after the keeper's answer or its bound. A request that is not granted leaves the target
     // resting for a while.
-    std::optional<Permit> request(std::string_view target, Decided later);
+    std::optional<Permit> request(std::string_view target, const Decided &later);
 
     // A request goes to the target though none was asked for, since it could not be held back.
     void countSent(std::string_view target);
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -164,7 +164,8 @@
 
     // Goes on once it is known whether the target, which may name a limit, takes one request more:
     // with what is given if it does and may still be used, else with another attempt.
-    void whenPermitted(const TargetEntry &target, std::function<void(const TargetEntry &)> send);
+    void whenPermitted(const TargetEntry &target,
+                       const std::function<void(const TargetEntry &)> &send);
 
     std::chrono::milliseconds timeLeft() const;
 
--- a/lib/Limits/limitgate.cpp
+++ b/lib/Limits/limitgate.cpp
@@ -127,7 +127,7 @@
     const std::lock_guard lock(this->mutex);
     if (!this->limits.limitOf(target))
         return Permit{true, Duration(0), {}};
-    const std::optional<Permit> permit =
+    std::optional<Permit> permit =
             this->limits.request(target, [this, later = std::move(later)](const Permit &decided) {
                 this->due.emplace_back([later, decided] { later(decided); });
                 this->note(decided);
--- a/lib/Limits/targetlimits.cpp
+++ b/lib/Limits/targetlimits.cpp
@@ -205,7 +205,7 @@
     return std::max(Duration(0), found->second - this->clock.now());
 }
 
-std::optional<Permit> TargetLimits::request(std::string_view target, Decided later)
+std::optional<Permit> TargetLimits::request(std::string_view target, const Decided &later)
 {
     this->noteHeldUp();
     const Duration resting = this->rest(target);
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -198,7 +198,7 @@
 }
 
 void Exchange::whenPermitted(const TargetEntry &target,
-                             std::function<void(const TargetEntry &)> send)
+                             const std::function<void(const TargetEntry &)> &send)
 {
     const std::weak_ptr<Exchange> weak = this->weak_from_this();
     const auto later = [weak, target, send](const Permit &permit) {
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -116,7 +116,7 @@
     void resume(const RunStep &step);
     void makeCopy();
     void askForCopy(const TargetEntry &source, const TargetEntry &destination);
-    void ifPermitted(const std::string &target, std::function<void(bool)> goOn);
+    void ifPermitted(const std::string &target, const std::function<void(bool)> &goOn);
     void orderCopy(const TargetEntry &destination);
     void copyFailed(std::string_view destination);
     void watchSilence();
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -288,7 +288,7 @@
     });
 }
 
-void StreamExchange::ifPermitted(const std::string &target, std::function<void(bool)> goOn)
+void StreamExchange::ifPermitted(const std::string &target, const std::function<void(bool)> &goOn)
 {
     const std::weak_ptr<Exchange> weak = this->weak_from_this();
     const auto later = [weak, this, goOn](const Permit &permit) {
