Requests that reach an instance which has just started wait for its first listing

Cause: an instance without a configuration refused at once whatever came. Change: such a request waits until the first listing is there, for a sixth of its caller's time at most and no later than 1 s after the start, so that a request in a hurry still goes to another instance where only this one has started.

--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -47,6 +47,11 @@
     , prober(this->loop, time, words, this->engines, *this, this->selfReports, this->limitGate,
              this->random, given.tuning.probeGap)
     , crashes(this->loop, time, this->metrics, *this, *this)
+    , startup(
+              this->loop, time, [this] { return this->knowsEnough(); },
+              [this](std::shared_ptr<CallerConnection> connection, CallerRequest request) {
+                  this->serve(std::move(connection), std::move(request));
+              })
     , context{this->loop,      time,
               words,           this->metrics,
               this->directory, this->health,
@@ -123,7 +128,7 @@
 
 bool EntryInstance::Parts::isReady() const
 {
-    return !this->isStopping && this->configuration.table() && this->targets.isLoaded() &&
+    return !this->isStopping && this->knowsEnough() &&
            this->configuration.age() <= this->bounds.keyFreshness;
 }
 
--- a/lib/Proxy/entrylife.cpp
+++ b/lib/Proxy/entrylife.cpp
@@ -57,6 +57,7 @@
     this->isStopping = true;
     this->stopBegan = this->clock.now();
     this->logStopOrder("instance_stopping");
+    this->startup.release();
 }
 
 void EntryInstance::Parts::logStopOrder(std::string_view event) const
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -9,6 +9,7 @@
 #include "jaytrack/Proxy/exchange.h"
 #include "jaytrack/Proxy/loadprober.h"
 #include "jaytrack/Proxy/peerlink.h"
+#include "jaytrack/Proxy/startupqueue.h"
 #include "jaytrack/Proxy/storefeeds.h"
 #include "jaytrack/Proxy/storesharing.h"
 #include "jaytrack/Support/metrics.h"
@@ -53,9 +54,13 @@
     Result<void> followStore();
     bool isReady() const;
 
+    // Whether this instance knows what it needs to serve requests, lately confirmed or not.
+    bool knowsEnough() const { return this->configuration.table() && this->targets.isLoaded(); }
+
     // CallerHandler
 
     void onRequest(std::shared_ptr<CallerConnection> connection, CallerRequest request) override;
+    void serve(std::shared_ptr<CallerConnection> connection, CallerRequest request);
     bool isBarred(const AdmittedRequest &request) const;
     std::chrono::milliseconds delayToReturn(const AdmittedRequest &refused);
     void refuse(CallerConnection &connection, const AdmittedRequest &admitted,
@@ -176,6 +181,7 @@
     SelfReports selfReports;
     LoadProber prober;
     CrashWatch crashes;
+    StartupQueue startup;
     std::set<std::shared_ptr<Exchange>> open;
     ExchangeContext context;
     AdmissionBounds bounds;
--- a/lib/Proxy/entryrequests.cpp
+++ b/lib/Proxy/entryrequests.cpp
@@ -50,6 +50,17 @@
 
 void EntryInstance::Parts::onRequest(std::shared_ptr<CallerConnection> connection,
                                      CallerRequest request)
+{
+    if (this->knowsEnough() || this->isStopping)
+        return this->serve(std::move(connection), std::move(request));
+    const auto callersTime = this->dialect.describe(request.head.headers).timeLeft;
+    if (!this->startup.mayWait(callersTime))
+        return this->serve(std::move(connection), std::move(request));
+    this->startup.add(std::move(connection), std::move(request), callersTime);
+}
+
+void EntryInstance::Parts::serve(std::shared_ptr<CallerConnection> connection,
+                                 CallerRequest request)
 {
     AdmittedRequest admitted;
     admitted.table = this->configuration.table();
--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -83,6 +83,7 @@
     this->publish(configurationJson(1, routes));
     for (const auto &[key, value] : this->options.items)
         this->store.put(key, value);
+    this->store.failWith(this->options.storeStatus);
     EntrySettings settings;
     settings.name = this->options.name;
     settings.dataCentre = "dc";
