A first listing tells forty targets one by one and the rest in a number

Change: LogAllowance, which bounds lines of one kind in a span and counts what it leaves out; unusable entries, which had a bound of their own, use it too. Ruled out: no line for a target (an operator looks for the one that is missing; calm hours list a few).

--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -4,6 +4,7 @@
 
 #include "jaytrack/Proxy/storefollower.h"
 #include "jaytrack/Routing/targetdirectory.h"
+#include "jaytrack/Support/logallowance.h"
 
 #include <algorithm>
 #include <memory>
@@ -93,8 +94,7 @@
     const Dialect &dialect;
     Metrics &metrics;
     TargetDirectory &directory;
-    TimePoint reportsSince; // start of the span in which unusable entries were last reported
-    int reportsInSpan = 0;
+    LogAllowance reports; // of unusable entries
     asio::steady_timer graceTimer;
     bool loaded = false;
     bool lost = false; // by this instance's own calls
--- a/lib/Proxy/entrybeliefs.cpp
+++ b/lib/Proxy/entrybeliefs.cpp
@@ -16,11 +16,12 @@
 
 void EntryInstance::Parts::onTargetListed(const TargetEntry &entry)
 {
-    logEvent(Severity::Info, "target_listed",
-             {{"target", entry.id},
-              {"service", entry.service},
-              {"address", entry.address},
-              {"data_centre", entry.dataCentre}});
+    if (this->listedLines.take())
+        logEvent(Severity::Info, "target_listed",
+                 {{"target", entry.id},
+                  {"service", entry.service},
+                  {"address", entry.address},
+                  {"data_centre", entry.dataCentre}});
     this->engines.listed(entry);
     if (!this->isEngine(entry))
         return;
@@ -29,6 +30,16 @@
         this->prober.add(entry);
 }
 
+void EntryInstance::Parts::logListingsLeftOut()
+{
+    const std::size_t leftOut = this->listedLines.takeLeftOut();
+    if (leftOut == 0)
+        return;
+    logEvent(Severity::Info, "targets_listed",
+             {{"more", static_cast<std::int64_t>(leftOut)},
+              {"targets", static_cast<std::int64_t>(this->directory.size())}});
+}
+
 const ServiceRule *EntryInstance::Parts::serviceOf(const TargetEntry &entry) const
 {
     const auto table = this->configuration.table();
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -12,6 +12,10 @@
 // decision and the request's leaving.
 constexpr std::chrono::milliseconds keyMargin{500};
 
+// Lines about single targets that become known; a first listing may hold thousands.
+constexpr std::size_t mostListedLines = 40;
+constexpr std::chrono::seconds listedSpan{1};
+
 // The instances beside this one that the settings name.
 std::size_t namedOthers(const EntrySettings &settings)
 {
@@ -29,6 +33,7 @@
     , dialect(words)
     , desk(*this)
     , random(std::random_device{}())
+    , listedLines(time, mostListedLines, listedSpan)
     , directory(*this)
     , health(time, this->random())
     , engines(time, this->random(), given.dataCentre, given.tuning.engines)
--- a/lib/Proxy/entrylife.cpp
+++ b/lib/Proxy/entrylife.cpp
@@ -132,6 +132,7 @@
     this->crashes.tick();
     this->limitGate.tick();
     this->logReadiness();
+    this->logListingsLeftOut();
     if (this->isStopping)
         this->goOnStopping();
 }
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -81,6 +81,7 @@
     void onTargetCold(const TargetEntry &entry) override;
     void onDataCentreUse(std::string_view dataCentre, bool outOfUse) override;
 
+    void logListingsLeftOut();
     const ServiceRule *serviceOf(const TargetEntry &entry) const;
     bool isEngine(const TargetEntry &entry) const;
     void doubtWarmth(const TargetEntry &entry);
@@ -166,6 +167,7 @@
     asio::io_context loop{1};
     Metrics metrics;
     std::mt19937_64 random;
+    LogAllowance listedLines; // of single targets
     TargetDirectory directory;
     TargetHealth health;
     EngineChoice engines;
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -13,7 +13,7 @@
 
 // Lines about unusable entries in a span of time. A writer gone wrong may leave thousands; the
 // first lines show what is the matter, the counter how much of it there is.
-constexpr int mostReportsInSpan = 20;
+constexpr std::size_t mostReportsInSpan = 20;
 constexpr std::chrono::seconds reportSpan{10};
 
 } // namespace
@@ -99,6 +99,7 @@
     , dialect(words)
     , metrics(counted)
     , directory(filled)
+    , reports(time, mostReportsInSpan, reportSpan)
     , graceTimer(loop)
 {
 }
@@ -116,18 +117,13 @@
 void TargetFeed::reportUnusable(std::string_view key, std::string_view detail)
 {
     this->metrics.count("jaytrack_unusable_entries_total");
-    const TimePoint now = this->clock.now();
-    if (now - this->reportsSince >= reportSpan) {
-        this->reportsSince = now;
-        this->reportsInSpan = 0;
-    }
-    if (++this->reportsInSpan > mostReportsInSpan)
+    if (!this->reports.take())
         return;
     logEvent(Severity::Warning, "target_rejected",
              {{"code", static_cast<std::int64_t>(ResultCode::DocumentMalformed)},
               {"key", key},
               {"detail", detail},
-              {"more", this->reportsInSpan == mostReportsInSpan ? "counted_only" : "told"}});
+              {"more", this->reports.isSpent() ? "counted_only" : "told"}});
 }
 
 std::optional<TargetEntry> TargetFeed::decode(const StoreItem &item)
