Read all but the first page of the first listing from replicas of the store

Cause: an instance that starts lists the store in pages, each a call that counts towards the rate limit of all instances. With 6,002 targets that is a dozen calls a start, 7,000 for a fleet that is killed and starts again against 16,000 a second, and they grow with targets times instances.

Change: pages after the first are read with the platform's word that they may be seconds old, which the store answers from replicas, beside its rate limit, at a tenth of the cost. The first page, which holds the configuration and what operators put out of use, stays current. The follower takes the oldest revision of all pages, claims none until a watch from there has answered, and so tells no other instance that anything is confirmed by it. A replica that answers from an older history, that lags beyond the history, or that mixes other keys into the pages makes it list again as current. Listings that repeat one (history gone, store restored from a copy) are always current.

--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -60,6 +60,11 @@
     std::string prefix; // key prefix to follow; empty for everything
     asio::ip::tcp::endpoint store;
 
+    // The first listing reads the keys under this prefix from replicas that may lag, except those
+    // on its first page; empty for none. A fleet of 584 instances that start together otherwise
+    // makes as many calls for its 6,002 targets as the store allows in half a second.
+    std::string stalePrefix;
+
     // How long the store may hold a watch without a change. A dead connection is detected after
     // this time, and normally a confirmation is at most twice this old. The wait is longer than one
     // second because a store that loses its history first stops reporting changes to watches for
@@ -138,8 +143,12 @@
     // Must be called a few times a second.
     void tick();
 
-    // The revision up to which all changes are known; 0 before the first listing.
-    std::uint64_t knownRevision() const { return this->listing ? 0 : this->revision; }
+    // The revision up to which all changes are known; 0 before the first listing, and until the
+    // changes that a stale listing may lack have been read.
+    std::uint64_t knownRevision() const
+    {
+        return this->listing || this->listedStale ? 0 : this->revision;
+    }
 
 private:
     void query();
@@ -153,7 +162,11 @@
     void onTimeout();
     void failed(std::string_view reason);
     void succeeded();
+    void startListing();
+    ReadFreshness pageFreshness() const;
     void applyPage();
+    void addToListing(StorePage &page);
+    void completeListing();
     void applyChanges();
 
     asio::io_context &context;
@@ -166,6 +179,7 @@
     StoreReadListener &reads;
     std::shared_ptr<TargetCall> call;
     TimePoint querySentAt;
+    ReadFreshness queryFreshness = ReadFreshness::Current; // of the last listing call
     std::chrono::milliseconds requestedWait{0};
     TimePoint listingStartedAt;
     TimePoint lastAnswer;
@@ -178,6 +192,8 @@
     bool listing = true;
     std::string pageAfter;
     std::vector<StoreItem> listed;
+    bool mayListStale = true; // until the first listing is complete or has to be repeated
+    bool listedStale = false; // the last listing may lack changes that no watch has reported yet
     std::uint64_t revision = 0;
     int failures = 0;
     bool lost = false;
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -92,6 +92,11 @@
     StartTime startedAt = unknownStart; // of the reporting incarnation
 };
 
+// How recent the data of a read has to be. Reads that may be stale are answered by any replica of
+// the store, are cheaper, and do not count towards its rate limit, but may lack the changes of the
+// last seconds.
+enum class ReadFreshness { Current, MayBeStale };
+
 // The result of requesting an engine to copy a run.
 struct MoveAnswer
 {
@@ -120,7 +125,8 @@
     // Returns the header that tells a caller after which delay to retry.
     virtual HttpHeader retryAfterHeader(std::chrono::milliseconds delay) const = 0;
 
-    virtual std::string rangeTarget(std::string_view prefix, std::string_view after) const = 0;
+    virtual std::string rangeTarget(std::string_view prefix, std::string_view after,
+                                    ReadFreshness freshness) const = 0;
     virtual std::string watchTarget(std::string_view prefix, std::uint64_t after,
                                     std::chrono::milliseconds wait) const = 0;
     // Returns the number of the store history to which the answer belongs; the number increases
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -123,6 +123,7 @@
         return store.error();
     StoreFollowerOptions everything;
     everything.store = store.value();
+    everything.stalePrefix = this->dialect.targetsPrefix();
     everything.gap = this->settings.tuning.storeReadInterval;
     this->follower =
             std::make_shared<StoreFollower>(this->loop, this->clock, this->dialect, everything,
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -119,9 +119,7 @@
     this->timer.cancel();
     this->revision = 0;
     this->announcedRevision = 0;
-    this->listing = true;
-    this->pageAfter.clear();
-    this->listed.clear();
+    this->startListing();
     this->listener.onStoreRestored();
     this->queryAfter(pause);
 }
@@ -140,12 +138,36 @@
         this->failed("older_era");
         return false;
     }
+    // A replica may still answer from the history before the known one.
+    if (*this->answerEra < this->era && this->queryFreshness == ReadFreshness::MayBeStale) {
+        this->startListing();
+        this->queryAfter(std::chrono::milliseconds(0));
+        return false;
+    }
     if (this->status == okStatus)
         this->succeeded();
     this->enterEra(*this->answerEra, "store", {});
     return false;
 }
 
+// Starts a listing that repeats an earlier one. Replicas that lag may still lack what made it
+// necessary, so all of it is read as current.
+void StoreFollower::startListing()
+{
+    this->listing = true;
+    this->mayListStale = false;
+    this->listedStale = false;
+    this->pageAfter.clear();
+    this->listed.clear();
+}
+
+ReadFreshness StoreFollower::pageFreshness() const
+{
+    const std::string &prefix = this->options.stalePrefix;
+    const bool stale = this->mayListStale && !prefix.empty() && this->pageAfter.starts_with(prefix);
+    return stale ? ReadFreshness::MayBeStale : ReadFreshness::Current;
+}
+
 void StoreFollower::tick()
 {
     const bool behind = this->announcedRevision > this->revision && !this->listing;
@@ -196,7 +218,9 @@
     request.connectTimeout = maxConnectTime;
     std::chrono::milliseconds bound = answerMargin;
     if (this->listing) {
-        request.target = this->dialect.rangeTarget(this->options.prefix, this->pageAfter);
+        this->queryFreshness = this->pageFreshness();
+        request.target = this->dialect.rangeTarget(this->options.prefix, this->pageAfter,
+                                                   this->queryFreshness);
     } else {
         std::uniform_int_distribution<std::int64_t> jitter(0, this->options.waitJitter.count());
         this->requestedWait = this->options.wait + std::chrono::milliseconds(jitter(this->random));
@@ -223,9 +247,10 @@
 void StoreFollower::queryAfter(std::chrono::milliseconds delay)
 {
     this->waiting = false;
-    // An inactive follower makes no further calls once it has a complete listing, but still retries
-    // a failed call.
-    if (this->stopped || (!this->active && !this->listing && this->failures == 0))
+    // An inactive follower makes no further calls once it has a complete and current listing, but
+    // still retries a failed call.
+    const bool isCurrent = !this->listing && !this->listedStale;
+    if (this->stopped || (!this->active && isCurrent && this->failures == 0))
         return;
     this->waiting = true;
     if (delay.count() == 0)
@@ -261,9 +286,7 @@
     if (!this->listing && this->status == historyGoneStatus) {
         logEvent(Severity::Warning, "store_history_gone",
                  {{"revision", static_cast<std::int64_t>(this->revision)}});
-        this->listing = true;
-        this->pageAfter.clear();
-        this->listed.clear();
+        this->startListing();
         return this->queryAfter(std::chrono::milliseconds(0));
     }
     if (this->status != okStatus)
@@ -316,20 +339,45 @@
         return this->failed("malformed_answer");
     this->succeeded();
     StorePage &page = decoded.value();
-    // Pages are read one after another. Watching from the revision of the first page catches
-    // changes made between them.
-    if (this->pageAfter.empty())
-        this->revision = page.revision;
-    for (StoreItem &item : page.items)
-        this->listed.push_back(std::move(item));
+    this->addToListing(page);
     if (page.more && !this->listed.empty()) {
         this->pageAfter = this->listed.back().key;
         return this->queryAfter(std::chrono::milliseconds(0));
     }
+    this->completeListing();
+}
+
+// Pages are read one after another, and stale ones from replicas that lag by different amounts.
+// Watching from the oldest of their revisions catches all changes that any of them lacks.
+void StoreFollower::addToListing(StorePage &page)
+{
+    const bool isFirst = this->pageAfter.empty();
+    this->revision = isFirst ? page.revision : std::min(this->revision, page.revision);
+    const bool stale = this->queryFreshness == ReadFreshness::MayBeStale;
+    this->listedStale = this->listedStale || stale;
+    for (StoreItem &item : page.items) {
+        // Only keys under the prefix may be stale, so the rest of the page is read again.
+        if (stale && !item.key.starts_with(this->options.stalePrefix)) {
+            this->mayListStale = false;
+            page.more = true;
+            return;
+        }
+        this->listed.push_back(std::move(item));
+    }
+}
+
+void StoreFollower::completeListing()
+{
     this->listing = false;
+    this->mayListStale = false;
     this->pageAfter.clear();
     const std::vector<StoreItem> whole = std::move(this->listed);
     this->listed.clear();
+    logEvent(Severity::Info, "store_listed",
+             {{"items", static_cast<std::int64_t>(whole.size())},
+              {"revision", static_cast<std::int64_t>(this->revision)},
+              {"stale", this->listedStale ? 1 : 0},
+              {"took_ms", toMillis(this->clock.now() - this->listingStartedAt)}});
     this->listener.onListing(whole, this->listingStartedAt);
     this->reads.onStoreRead(this->revision, this->revision, {});
     this->queryAfter(std::chrono::milliseconds(0));
@@ -346,6 +394,7 @@
     // Changes received from other instances meanwhile are already applied and may be newer.
     std::erase_if(page.items, [before](const StoreItem &item) { return item.revision <= before; });
     this->revision = std::max(before, page.revision);
+    this->listedStale = false;
     const bool heldForFullWait = this->clock.now() - this->querySentAt >= this->requestedWait;
     if (heldForFullWait || !page.items.empty())
         this->listener.onChanges(page.items, this->querySentAt);
--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -267,6 +267,24 @@
     this->oldest = this->revision;
 }
 
+void StoreStandin::limitPages(std::size_t count)
+{
+    const std::lock_guard lock(this->mutex);
+    this->pageItems = count;
+}
+
+void StoreStandin::freezeReplica()
+{
+    const std::lock_guard lock(this->mutex);
+    this->replica = Replica{this->items, this->revision, this->era};
+}
+
+std::size_t StoreStandin::staleCalls() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->staleCallCount;
+}
+
 void StoreStandin::takeCopy()
 {
     const std::lock_guard lock(this->mutex);
@@ -313,20 +331,37 @@
 }
 
 Answer StoreStandin::range(const std::string &target)
+{
+    const bool stale = !queryValue(target, "StaleOk").empty();
+    this->staleCallCount += stale ? 1 : 0;
+    if (!stale || !this->replica)
+        return page(this->eraHeader(), target, this->items, this->revision, this->pageItems);
+    const std::string header = "Store-Era: " + std::to_string(this->replica->era) + "\r\n";
+    return page(header, target, this->replica->items, this->replica->revision, this->pageItems);
+}
+
+Answer StoreStandin::page(const std::string &headers, const std::string &target, const Items &from,
+                          std::uint64_t at, std::size_t maxItems)
 {
     const std::string prefix = queryValue(target, "Prefix");
+    const std::string after = queryValue(target, "After");
     json entries = json::array();
-    for (const auto &[key, item] : this->items) {
-        if (key.starts_with(prefix))
-            entries.push_back({{"Key", key},
-                               {"Value", encodeBase64(item.first)},
-                               {"Revision", item.second},
-                               {"Created", item.second},
-                               {"Lease", 0}});
+    bool more = false;
+    for (auto item = from.upper_bound(after); item != from.end(); ++item) {
+        const auto &[key, value] = *item;
+        if (!key.starts_with(prefix))
+            continue;
+        more = entries.size() == maxItems;
+        if (more)
+            break;
+        entries.push_back({{"Key", key},
+                           {"Value", encodeBase64(value.first)},
+                           {"Revision", value.second},
+                           {"Created", value.second},
+                           {"Lease", 0}});
     }
-    return wholeAnswer(
-            200, this->eraHeader() + "Content-Type: application/json\r\n",
-            json{{"Entries", entries}, {"HasMore", false}, {"At", this->revision}}.dump());
+    return wholeAnswer(200, headers + "Content-Type: application/json\r\n",
+                       json{{"Entries", entries}, {"HasMore", more}, {"At", at}}.dump());
 }
 
 // Changes are answered at once; without any the question is held as long as it asks for.
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -97,6 +98,13 @@
     // Forgets the history, so that watches from before get 410.
     void compact();
 
+    // Answers with at most this many items a page.
+    void limitPages(std::size_t items);
+
+    // Answers reads that may be stale with what is stored now, however it changes.
+    void freezeReplica();
+    std::size_t staleCalls() const;
+
     // Remembers what is stored now, and comes back as it was then: revisions go back and are given
     // out again, and all answers tell the next era.
     void takeCopy();
@@ -115,15 +123,26 @@
         bool deleted;
     };
 
+    using Items = std::map<std::string, std::pair<std::string, std::uint64_t>>;
+
+    // What a replica that lags holds.
+    struct Replica
+    {
+        Items items;
+        std::uint64_t revision;
+        std::uint64_t era;
+    };
+
     Answer answer(const SeenRequest &request);
     Answer range(const std::string &target);
+    static Answer page(const std::string &headers, const std::string &target, const Items &from,
+                       std::uint64_t at, std::size_t maxItems);
     Answer watch(const std::string &target, std::chrono::milliseconds held);
 
+    std::string eraHeader() const;
+
     mutable std::mutex mutex;
     std::vector<Change> history;
-    using Items = std::map<std::string, std::pair<std::string, std::uint64_t>>;
-
-    std::string eraHeader() const;
 
     std::uint64_t revision = 1;
     std::uint64_t oldest = 0;
@@ -131,8 +150,11 @@
     Items copiedItems;
     std::uint64_t copiedRevision = 1;
     Items items;
+    std::optional<Replica> replica; // none: stale reads are current
+    std::size_t pageItems = 500;
     int failure = 0;
     std::size_t callCount = 0;
+    std::size_t staleCallCount = 0;
     std::unique_ptr<ScriptedServer> server;
 };
 
