Adapt the ranks of instances to the members that changed

Cause: each change of a member cleared all ranks, and every instance worked out N x T hashes again: 3.3 million for 584 instances and 5,720 engines, 40 million at 2,000 and 20,000.

Change: a known rank moves by the instances that came and went ahead of this one: T hashes for one change. If more changed than stayed, as at a start, all are worked out anew when they are asked for.

--- a/include/jaytrack/Routing/instanceranking.h
+++ b/include/jaytrack/Routing/instanceranking.h
@@ -18,7 +18,9 @@
 public:
     explicit InstanceRanking(std::string ownName);
 
-    // Sets the names of the other instances. When one leaves, only its ranks pass to others.
+    // Sets the names of the other instances. When one leaves, only its ranks pass to others. Ranks
+    // already known are adapted to the instances that came and went; in a large fleet it would take
+    // too long to work out each of them again for every change.
     void setOthers(std::span<const std::string> names);
 
     // Returns the number of instances including this one.
@@ -39,8 +41,18 @@
         std::string name;
     };
 
-    std::vector<Instance> instances;                                  // this one first
-    mutable std::unordered_map<std::string, std::size_t> cachedRanks; // by key
+    // This instance's rank for a key.
+    struct CachedRank
+    {
+        std::uint64_t keyHash = 0;
+        std::size_t rank = 0;
+    };
+
+    void adaptCachedRanks(std::span<const std::uint64_t> added,
+                          std::span<const std::uint64_t> removed);
+
+    std::vector<Instance> instances;                                 // this one first
+    mutable std::unordered_map<std::string, CachedRank> cachedRanks; // by key
 };
 
 } // namespace jaytrack
--- a/lib/Routing/instanceranking.cpp
+++ b/lib/Routing/instanceranking.cpp
@@ -34,17 +34,48 @@
 // Usually only one or two of hundreds of names change, so the known hashes are kept.
 void InstanceRanking::setOthers(std::span<const std::string> names)
 {
-    std::unordered_map<std::string, std::uint64_t> hashes;
-    for (Instance &known : this->instances)
-        hashes.emplace(known.name, known.hash);
+    std::unordered_map<std::string, std::uint64_t> before;
+    for (auto known = this->instances.begin() + 1; known != this->instances.end(); ++known)
+        before.emplace(std::move(known->name), known->hash);
     this->instances.resize(1);
     this->instances.reserve(names.size() + 1);
+    std::vector<std::uint64_t> added;
     for (const std::string &other : names) {
-        const auto known = hashes.find(other);
-        const std::uint64_t hash = known == hashes.end() ? placementHash(other) : known->second;
+        const auto known = before.find(other);
+        const bool isNew = known == before.end();
+        const std::uint64_t hash = isNew ? placementHash(other) : known->second;
         this->instances.push_back({hash, other});
+        if (isNew)
+            added.push_back(hash);
+        else
+            before.erase(known);
+    }
+    std::vector<std::uint64_t> removed;
+    removed.reserve(before.size());
+    for (const auto &[name, hash] : before)
+        removed.push_back(hash);
+    this->adaptCachedRanks(added, removed);
+}
+
+void InstanceRanking::adaptCachedRanks(std::span<const std::uint64_t> added,
+                                       std::span<const std::uint64_t> removed)
+{
+    if (added.empty() && removed.empty())
+        return;
+    if (added.size() + removed.size() >= this->instances.size())
+        return this->cachedRanks.clear();
+    const std::uint64_t ownHash = this->instances.front().hash;
+    for (auto &[key, cached] : this->cachedRanks) {
+        const std::uint64_t keyHash = cached.keyHash;
+        const std::uint64_t own = combinedHash(keyHash, ownHash);
+        const auto isHigher = [keyHash, own](std::uint64_t other) {
+            return combinedHash(keyHash, other) > own;
+        };
+        cached.rank +=
+                static_cast<std::size_t>(std::count_if(added.begin(), added.end(), isHigher));
+        cached.rank -=
+                static_cast<std::size_t>(std::count_if(removed.begin(), removed.end(), isHigher));
     }
-    this->cachedRanks.clear();
 }
 
 std::size_t InstanceRanking::ownRank(std::string_view key) const
@@ -52,7 +83,7 @@
     std::string text(key);
     const auto found = this->cachedRanks.find(text);
     if (found != this->cachedRanks.end())
-        return found->second;
+        return found->second.rank;
     if (this->cachedRanks.size() >= maxCachedRanks)
         this->cachedRanks.clear();
     const std::uint64_t hash = placementHash(key);
@@ -60,9 +91,9 @@
     const auto higher = std::count_if(
             this->instances.begin(), this->instances.end(),
             [hash, own](const Instance &other) { return combinedHash(hash, other.hash) > own; });
-    const auto ownRankForKey = static_cast<std::size_t>(higher);
-    this->cachedRanks.emplace(std::move(text), ownRankForKey);
-    return ownRankForKey;
+    const auto rank = static_cast<std::size_t>(higher);
+    this->cachedRanks.emplace(std::move(text), CachedRank{hash, rank});
+    return rank;
 }
 
 std::vector<std::string> InstanceRanking::first(std::string_view key, std::size_t maxCount) const
