Probe idle engines less often, and keep probes only of engines with work of this instance

Cause: the load of each engine was probed every 0.7 s whether it worked or not, on a connection of its own, and each report was sent to the 15 other instances that place work there. Besides, every instance kept a timer and a copy of the entry for each of 5,720 engines, of which it uses 160, and looked at each every 4 s.

Ruled out: keeping connections open (saves the connections, not the reports, and holds 10 sockets an instance); a longer interval for all (an engine that works is placed on by forecasts of that age).

Change: ProbeSchedule doubles the interval with each report without work, up to 8 times the shortest; a placement, by whomever, or a failure brings back the shortest. All instances of an engine know the same reports and placements, so they agree on when its reporter must be gone. The prober holds the engines at which the instance places work, and follows the assignment once a second.

--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -6,6 +6,7 @@
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Proxy/selfreports.h"
 #include "jaytrack/Routing/enginechoice.h"
+#include "jaytrack/Routing/probeschedule.h"
 #include "jaytrack/Routing/targetdirectory.h"
 
 #include <asio/steady_timer.hpp>
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <span>
 #include <string>
 
 namespace jaytrack {
@@ -38,22 +40,19 @@
 class LoadProber final
 {
 public:
-    // An instance without a report for this long probes the engine itself, because the instance
-    // responsible for it must be gone.
-    static constexpr std::chrono::milliseconds maxReportAge{2500};
-
-    // Interval at which an engine that gets its work from other instances is checked, because it
-    // may have been reassigned to this instance.
-    static constexpr std::chrono::milliseconds assignmentCheckInterval{4000};
-
     LoadProber(asio::io_context &loop, const Clock &time, const Dialect &platform,
                EngineChoice &engineChoice, LoadSharing &loadSharing, SelfReports &reports,
                LimitGate &gate, std::mt19937_64 &source,
                std::chrono::milliseconds timeBetweenProbes);
 
+    // Probes the engine from now on, if this instance places work there.
     void add(const TargetEntry &entry);
     void remove(std::string_view id);
 
+    // Adapts to a change of the engines at which this instance places work; candidates are all that
+    // may receive work.
+    void reassign(std::span<const TargetEntry *const> candidates);
+
 private:
     class Probe;
 
@@ -65,7 +64,8 @@
     SelfReports &selfReports;
     LimitGate &limits;
     std::mt19937_64 &random;
-    std::chrono::milliseconds interval; // between two probes of an engine
+    std::chrono::milliseconds interval; // between two checks whether an engine is to be probed
+    ProbeSchedule schedule;
     std::map<std::string, std::shared_ptr<Probe>, std::less<>> probes;
 };
 
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -179,7 +179,8 @@
     {
         double memoryTokens = 0;
         Duration reportAge{0};
-        Duration delay{0}; // until all prompts waiting there have been read
+        Duration delay{0};   // until all prompts waiting there have been read
+        int idleReports = 0; // consecutive reports without work; 0 if work was placed since
     };
     Forecast forecast(std::string_view id) const;
 
@@ -204,6 +205,7 @@
         EngineLoad load;
         TimePoint reportedAt;
         bool everReported = false;
+        int idleReports = 0; // consecutive reports without work
         std::map<std::string, PendingPrompt, std::less<>> pendingPrompts;
         std::vector<Change> changes;
         TimePoint promptsReadBy; // when all prompts placed so far will have been read
@@ -234,6 +236,7 @@
     void dropStaleStates();
     void addChange(EngineState &state, double tokens);
     double memoryOf(const EngineState &state) const;
+    bool isIdle(const EngineState &state) const;
     Duration delayOf(const EngineState &state) const;
     Duration readingTime(std::uint32_t tokens) const;
     void addPrompt(EngineState &state, std::uint32_t tokens);
--- a/include/jaytrack/Routing/engineshares.h
+++ b/include/jaytrack/Routing/engineshares.h
@@ -12,6 +12,7 @@
 #include "jaytrack/Routing/instanceranking.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <set>
 #include <span>
 #include <string>
@@ -42,6 +43,9 @@
     // Returns whether every instance places work at every engine.
     bool usesAllEngines() const { return this->assignees >= this->ranking.count(); }
 
+    // Returns a number that grows whenever engines listed before may have been reassigned.
+    std::uint64_t assignmentVersion() const { return this->version; }
+
     // Returns whether this instance places work at the engine.
     bool isAssigned(std::string_view engine) const;
 
@@ -55,11 +59,13 @@
 
 private:
     void updateAssigneeCount();
+    std::size_t wantedAssignees() const;
 
     EngineSharesOptions options;
     InstanceRanking ranking;
     std::set<std::string, std::less<>> engines;
     std::size_t assignees = 1; // instances assigned to each engine
+    std::uint64_t version = 0;
 };
 
 } // namespace jaytrack
--- a/lib/Proxy/entrylife.cpp
+++ b/lib/Proxy/entrylife.cpp
@@ -22,6 +22,10 @@
 constexpr std::chrono::milliseconds tickInterval{100};
 constexpr int ticksPerFileCheck = 10;
 
+// Members are discovered and lost in batches; going through all engines for each batch would cost a
+// small machine most of its processor time while a large fleet starts.
+constexpr int ticksPerAssignmentCheck = 10;
+
 std::string readWhole(const std::string &file)
 {
     std::ifstream stream(file);
@@ -126,11 +130,15 @@
         if (!failure)
             this->tick();
     });
-    if (!this->settingsFile.empty() && ++this->ticks % ticksPerFileCheck == 0)
+    ++this->ticks;
+    if (!this->settingsFile.empty() && this->ticks % ticksPerFileCheck == 0)
         this->checkFile();
+    if (this->ticks % ticksPerAssignmentCheck == 0)
+        this->updateProbedEngines();
     this->sharing.tick();
     this->crashes.tick();
     this->limitGate.tick();
+    this->retries.tick();
     this->logReadiness();
     this->logOmittedListings();
     if (this->isStopping)
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -271,6 +271,23 @@
     return this->shares.shouldPollLoad(engine);
 }
 
+void EntryInstance::Parts::updateProbedEngines()
+{
+    const auto table = this->configuration.table();
+    const std::uint64_t version = this->shares.assignmentVersion();
+    if (!table || version == this->probedAssignment)
+        return;
+    this->probedAssignment = version;
+    std::vector<const TargetEntry *> all;
+    for (const auto &[name, service] : table->services) {
+        if (!service.engine)
+            continue;
+        const std::vector<const TargetEntry *> usable = this->directory.usable(name);
+        all.insert(all.end(), usable.begin(), usable.end());
+    }
+    this->prober.reassign(all);
+}
+
 void EntryInstance::Parts::onNoLoad(std::string_view engine)
 {
     this->engines.recordFailure(engine);
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -145,6 +145,9 @@
 
     bool isMine(std::string_view engine) const override { return this->shares.isAssigned(engine); }
 
+    // Passes on to the prober which engines this instance places work at, if that has changed.
+    void updateProbedEngines();
+
     void onNoLoad(std::string_view engine) override;
     void onLoad(std::string_view engine, const EngineLoad &load) override;
 
@@ -203,6 +206,7 @@
     std::string settingsText;
     std::size_t reserved = 0;
     int ticks = 0;
+    std::uint64_t probedAssignment = 0; // version of the assignment of engines that the prober has
     bool isStopping = false;
     bool remainingAnswered = false;
     bool wasReady = false;
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -54,23 +54,29 @@
     {
         if (this->prober.selfReports.isTargetPaused(this->target.id))
             return this->probeAfter(this->prober.interval);
-        if (!this->prober.sharing.isMine(this->target.id)) {
-            this->addedAt = this->prober.clock.now();
-            return this->probeAfter(assignmentCheckInterval);
-        }
-        // Without a report, the age counts from the listing of the engine. Otherwise a starting
-        // instance would probe every engine: 59 probes at each of 195 starts.
-        const Duration lastReportAge = this->prober.engines.forecast(this->target.id).reportAge;
-        const Duration age = lastReportAge < Duration(0) ? this->prober.clock.now() - this->addedAt
-                                                         : lastReportAge;
-        const bool overdue =
-                age > maxReportAge + this->targetProbeInterval() - this->prober.interval;
-        if (overdue || this->prober.sharing.isMineToAsk(this->target.id))
+        if (this->prober.schedule.isDue(this->inputs(), this->limitInterval()))
             return this->probeWhenPermitted();
         this->probeAfter(this->prober.interval);
     }
 
-    std::chrono::milliseconds targetProbeInterval() const
+    // Without a report, the age counts from the listing of the engine for an instance that is told
+    // by another. Otherwise a starting instance would probe every engine: 59 probes at each of 195
+    // starts. The reporter probes at once.
+    ProbeInputs inputs() const
+    {
+        const EngineChoice::Forecast forecast = this->prober.engines.forecast(this->target.id);
+        ProbeInputs inputs;
+        inputs.isReporter = this->prober.sharing.isMineToAsk(this->target.id);
+        inputs.idleReports = forecast.idleReports;
+        inputs.reportAge = forecast.reportAge;
+        if (forecast.reportAge < Duration(0))
+            inputs.reportAge = inputs.isReporter ? Duration::max() / 2
+                                                 : this->prober.clock.now() - this->addedAt;
+        return inputs;
+    }
+
+    // The interval that the engine's rate limit allows.
+    std::chrono::milliseconds limitInterval() const
     {
         return this->prober.limits.probeInterval(this->target.id, this->prober.interval);
     }
@@ -133,7 +139,7 @@
     {
         if (this->stopped)
             return;
-        this->probeAfter(this->targetProbeInterval());
+        this->probeAfter(this->limitInterval());
         const Result<EngineLoad> load = this->prober.dialect.decodeLoad(this->body);
         if (!end.whole || this->status != okStatus || !load) {
             this->prober.sharing.onNoLoad(this->target.id);
@@ -165,12 +171,13 @@
     , limits(gate)
     , random(source)
     , interval(timeBetweenProbes)
+    , schedule(timeBetweenProbes)
 {
 }
 
 void LoadProber::add(const TargetEntry &entry)
 {
-    if (this->probes.count(entry.id) > 0)
+    if (!this->sharing.isMine(entry.id) || this->probes.count(entry.id) > 0)
         return;
     const auto probe = std::make_shared<Probe>(*this, entry);
     this->probes.emplace(entry.id, probe);
@@ -186,4 +193,16 @@
     this->probes.erase(found);
 }
 
+void LoadProber::reassign(std::span<const TargetEntry *const> candidates)
+{
+    std::erase_if(this->probes, [this](const auto &entry) {
+        const bool mine = this->sharing.isMine(entry.first);
+        if (!mine)
+            entry.second->stop();
+        return !mine;
+    });
+    for (const TargetEntry *engine : candidates)
+        this->add(*engine);
+}
+
 } // namespace jaytrack
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -94,6 +94,8 @@
     const TimePoint snapshotTime = found->second.reportedAt - reportLag;
     std::erase_if(found->second.changes,
                   [snapshotTime](const Change &one) { return one.since < snapshotTime; });
+    const bool idle = load.running == 0 && load.waiting == 0 && found->second.changes.empty();
+    found->second.idleReports = idle ? found->second.idleReports + 1 : 0;
 }
 
 void EngineChoice::noteFailure(EngineState &state, std::string_view instance)
@@ -265,6 +267,14 @@
     return std::max(Duration(0), state.promptsReadBy - this->clock.now());
 }
 
+// Whether nothing is known to have changed since the last report: no work was placed, and no
+// instance found the engine failing.
+bool EngineChoice::isIdle(const EngineState &state) const
+{
+    return state.changes.empty() && state.ownFailures == 0 && state.failedBy.empty() &&
+           this->clock.now() >= state.avoidedUntil;
+}
+
 EngineChoice::Forecast EngineChoice::forecast(std::string_view id) const
 {
     const auto found = this->states.find(id);
@@ -273,7 +283,7 @@
     const EngineState &state = found->second;
     return {this->memoryOf(state),
             state.everReported ? this->clock.now() - state.reportedAt : Duration(-1),
-            this->delayOf(state)};
+            this->delayOf(state), this->isIdle(state) ? state.idleReports : 0};
 }
 
 bool EngineChoice::isAvoided(const TargetEntry &entry)
--- a/lib/Routing/engineshares.cpp
+++ b/lib/Routing/engineshares.cpp
@@ -15,6 +15,7 @@
 void EngineShares::setInstances(std::span<const std::string> names)
 {
     this->ranking.setOthers(names);
+    ++this->version;
     this->updateAssigneeCount();
 }
 
@@ -35,13 +36,19 @@
 
 // The number of assignees is a power of two, so that it rarely changes as engines come and go.
 void EngineShares::updateAssigneeCount()
+{
+    const std::size_t before = this->assignees;
+    this->assignees = this->wantedAssignees();
+    this->version += this->assignees != before ? 1 : 0;
+}
+
+std::size_t EngineShares::wantedAssignees() const
 {
     const std::size_t instanceCount = this->ranking.count();
-    this->assignees = instanceCount;
     if (this->engines.size() <= this->options.minEngines)
-        return;
+        return instanceCount;
     const std::size_t wanted = this->options.minEngines * instanceCount / this->engines.size() + 1;
-    this->assignees = std::min(instanceCount, std::bit_ceil(wanted));
+    return std::min(instanceCount, std::bit_ceil(wanted));
 }
 
 bool EngineShares::isAssigned(std::string_view engine) const
