--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -182,6 +182,26 @@
   2: i64 leftMicros
 }
 
+// A part of notices that are too large for one datagram: encoded, compressed and cut.
+struct FragmentNotice {
+  // Distinguishes what one instance sends.
+  1: i64 batch
+  2: i32 index
+  3: i32 count
+  // Bytes of the whole, before they were compressed.
+  4: i64 plainSize
+  5: binary bytes
+}
+
+// To which members of its data centre the receiver passes the message on: those whose name's hash, less the
+// offset, lies in the range, bounds included.
+struct SpreadNotice {
+  1: bool passOn
+  2: i64 offset
+  3: i64 first
+  4: i64 last
+}
+
 // What entry instances tell each other, beside who they are.
 struct EntryNotices {
   1: list<PlacementNotice> placements
@@ -201,6 +221,10 @@
   11: list<string> leavingTargets
   12: list<ColdNotice> coldTargets
   13: LimitNotices limits
+  // Permits for retries; the names are those of services.
+  14: LimitNotices retryPermits
+  15: list<FragmentNotice> fragments
+  16: SpreadNotice spread
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Limits/limitgate.h
+++ b/include/jaytrack/Limits/limitgate.h
@@ -11,12 +11,19 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace jaytrack {
 
 class Metrics;
 
+struct LimitGateOptions
+{
+    TargetLimitOptions limits;
+    std::string permitMetric = "jaytrack_permits_total"; // name of the counter of permits
+};
+
 // onMessage(), setInstances() and tick() have to be called from the event loop's thread; the other
 // functions may be called from any thread. The transport is called from the calling thread with the
 // mutex held, and must not call back into this class.
@@ -27,7 +34,7 @@
 
     LimitGate(asio::io_context &loop, const Clock &time, std::string ownName,
               std::size_t expectedOthers, std::uint64_t seed, LimitTransport &peerTransport,
-              Metrics &counters);
+              Metrics &counters, const LimitGateOptions &options = {});
     ~LimitGate();
     LimitGate(const LimitGate &) = delete;
     LimitGate &operator=(const LimitGate &) = delete;
@@ -81,6 +88,8 @@
     asio::io_context &context;
     const Clock &clock;
     Metrics &metrics;
+    std::string grantedMetric;
+    std::string deniedMetric;
     mutable std::mutex mutex; // guards limits and pendingCallbacks
     TargetLimits limits;
     std::vector<std::function<void()>> pendingCallbacks; // to be called without the lock
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -3,6 +3,7 @@
 #define JAYTRACK_PROXY_EXCHANGE_H
 
 #include "jaytrack/Limits/limitgate.h"
+#include "jaytrack/Limits/retrygate.h"
 #include "jaytrack/Net/callerconnection.h"
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Policy/targethealth.h"
@@ -13,7 +14,6 @@
 #include "jaytrack/Routing/coldtargets.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/engineshares.h"
-#include "jaytrack/Routing/retrybudget.h"
 #include "jaytrack/Routing/targetdirectory.h"
 #include "jaytrack/Support/log.h"
 
@@ -54,7 +54,7 @@
     TargetHealth &health;
     EngineChoice &engines;
     const EngineShares &shares;
-    RetryBudget &retries;
+    RetryGate &retries;
     const std::map<std::string, std::string, std::less<>> &regions; // by data centre
     std::mt19937_64 &random;
     PlacementNotices &notices;
@@ -171,6 +171,13 @@
     void sendWhenPermitted(const TargetEntry &target,
                            const std::function<void(const TargetEntry &)> &send);
 
+    // Requests a retry from the budget that all instances share. Calls proceed with whether it was
+    // granted, immediately or within RetryGate::maxPermitWait, unless the request ends before.
+    void requestRetry(const std::function<void(bool)> &proceed);
+
+    // Whether a retry has been requested and not decided yet.
+    bool isRetryPending() const { return this->retryPending; }
+
     std::chrono::milliseconds timeLeft() const;
 
     // Identifies the request when its caller sends it again.
@@ -215,6 +222,7 @@
 
     asio::steady_timer deadlineTimer;
     mutable std::string cachedDigest; // computed on first use
+    bool retryPending = false;
     bool finished = false;
 };
 
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -78,6 +78,7 @@
     virtual void onColdFromPeer(std::string_view target, Duration left) = 0;
     virtual void onQuarantineNews(const QuarantineMessage &news) = 0;
     virtual void onLimitNews(std::string_view peer, const LimitMessage &news) = 0;
+    virtual void onRetryPermits(std::string_view peer, const LimitMessage &message) = 0;
     virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
 };
 
@@ -118,6 +119,9 @@
     void broadcastLimits(const LimitMessage &news);
     void sendLimitsToSample(const LimitMessage &news);
 
+    // Sends permit requests and answers for retries to one other instance.
+    void sendRetryPermits(std::string_view peer, const LimitMessage &content);
+
     // Sends what this instance read from the store to all others. This includes the readers, since
     // each pauses after a change.
     void shareStoreChanges(const SharedChanges &changes);
--- a/include/jaytrack/Routing/retrybudget.h
+++ b/include/jaytrack/Routing/retrybudget.h
@@ -30,10 +30,11 @@
     // that window earns, so each window earns only half of the ratio.
     static constexpr double usableRatioPart = 0.5;
 
-    // The part of the slack that all instances together may spend without having earned it. An
-    // instance that restarts has lost its count, a fleet may lose power and start twice within one
-    // window, and in a fleet that is split into two halves each half counts separately.
-    static constexpr double unearnedSlackPart = 0.4;
+    // The part of the slack that is divided among the instances, to be spent without having been
+    // earned. An instance that restarts has lost its count, a fleet may lose power and start twice
+    // within one window, and in a fleet that is split into two halves each half counts separately.
+    // The rest of the slack is granted by permits (RetryGate).
+    static constexpr double unearnedSlackPart = 0.2;
 
     // Retries that one instance may send without having earned them, when few instances share the
     // slack. Two are enough for a request that meets two broken targets.
--- a/lib/Limits/limitgate.cpp
+++ b/lib/Limits/limitgate.cpp
@@ -32,11 +32,13 @@
 
 LimitGate::LimitGate(asio::io_context &loop, const Clock &time, std::string ownName,
                      std::size_t expectedOthers, std::uint64_t seed, LimitTransport &peerTransport,
-                     Metrics &counters)
+                     Metrics &counters, const LimitGateOptions &options)
     : context(loop)
     , clock(time)
     , metrics(counters)
-    , limits(time, std::move(ownName), expectedOthers, seed, peerTransport)
+    , grantedMetric(options.permitMetric + "{result=\"granted\"}")
+    , deniedMetric(options.permitMetric + "{result=\"denied\"}")
+    , limits(time, std::move(ownName), expectedOthers, seed, peerTransport, options.limits)
     , timer(loop)
 {
 }
@@ -119,8 +121,7 @@
 
 void LimitGate::countPermit(const Permit &permit)
 {
-    this->metrics.count(permit.granted ? "jaytrack_permits_total{result=\"granted\"}"
-                                       : "jaytrack_permits_total{result=\"denied\"}");
+    this->metrics.count(permit.granted ? this->grantedMetric : this->deniedMetric);
 }
 
 std::optional<Permit> LimitGate::request(std::string_view target, PermitCallback callback)
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -39,7 +39,9 @@
     , health(time, this->random())
     , engines(time, this->random(), entrySettings.dataCentre, entrySettings.tuning.engines)
     , shares(entrySettings.name)
-    , retries(time, {entrySettings.retryRatio, entrySettings.retryWindow, entrySettings.retrySlack})
+    , retries(this->loop, time, entrySettings.name, configuredPeerCount(entrySettings),
+              {entrySettings.retryRatio, entrySettings.retryWindow, entrySettings.retrySlack},
+              this->random(), *this, this->metrics)
     , configuration(time, platform)
     , targets(this->loop, time, platform, this->metrics, this->directory)
     , feeds(this->configuration, this->targets)
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -193,7 +193,7 @@
 void EntryInstance::Parts::onPeersChanged(const std::vector<std::string> &names)
 {
     this->sharing.onPeersChanged(names);
-    this->retries.setInstances(names.size() + 1);
+    this->retries.setInstances(names);
     this->cold.setInstances(names);
     this->limitGate.setInstances(names);
 }
@@ -247,6 +247,12 @@
         this->peers->sendLimits(instance, message);
 }
 
+void EntryInstance::Parts::sendRetryPermits(std::string_view instance, const LimitMessage &message)
+{
+    if (this->peers)
+        this->peers->sendRetryPermits(instance, message);
+}
+
 void EntryInstance::Parts::broadcastLimits(const LimitMessage &message)
 {
     if (this->peers)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -26,6 +26,7 @@
                                     public SelfReportNotices,
                                     public QuarantineTransport,
                                     public LimitTransport,
+                                    public RetryTransport,
                                     public CrashWatchListener
 {
     // Serves the load balancer's readiness check and the metrics, which callers cannot reach.
@@ -111,6 +112,11 @@
         this->limitGate.onMessage(peer, message);
     }
 
+    void onRetryPermits(std::string_view peer, const LimitMessage &message) override
+    {
+        this->retries.onMessage(peer, message);
+    }
+
     void onPeersChanged(const std::vector<std::string> &names) override;
 
     // PlacementNotices
@@ -135,6 +141,10 @@
     void broadcastLimits(const LimitMessage &message) override;
     void sendLimitsToSample(const LimitMessage &message) override;
 
+    // RetryTransport
+
+    void sendRetryPermits(std::string_view instance, const LimitMessage &message) override;
+
     // CrashWatchListener
 
     void onRequestBarred(std::string_view digest) override;
@@ -180,7 +190,7 @@
     TargetHealth health;
     EngineChoice engines;
     EngineShares shares;
-    RetryBudget retries;
+    RetryGate retries;
     ConfigurationFeed configuration;
     TargetFeed targets;
     StoreFeeds feeds;
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -228,6 +228,21 @@
     send(target);
 }
 
+void Exchange::requestRetry(const std::function<void(bool)> &proceed)
+{
+    this->retryPending = true;
+    const auto decided = [weak = this->weak_from_this(), proceed](bool granted) {
+        const auto self = weak.lock();
+        if (!self || self->finished)
+            return;
+        self->retryPending = false;
+        if (!granted)
+            self->logDecision("retry_denied", {{"service", std::string_view(self->serviceName)}});
+        proceed(granted);
+    };
+    this->context.retries.take(this->serviceName, decided);
+}
+
 bool Exchange::isAllowed(const TargetEntry &target) const
 {
     const auto targets = this->allowedTargets();
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -364,6 +364,13 @@
     this->membership.sendPolicy(peer, encodeMessage(message));
 }
 
+void PeerLink::sendRetryPermits(std::string_view peer, const LimitMessage &content)
+{
+    wire::EntryNotices message;
+    message.retryPermits = toNotices(content);
+    this->membership.sendPolicy(peer, encodeMessage(message));
+}
+
 void PeerLink::broadcastLimits(const LimitMessage &news)
 {
     wire::EntryNotices message;
@@ -508,6 +515,9 @@
     const LimitMessage limits = fromNotices(message->limits);
     if (!limits.isEmpty())
         this->listener.onLimitNews(origin, limits);
+    const LimitMessage retryPermits = fromNotices(message->retryPermits);
+    if (!retryPermits.isEmpty())
+        this->listener.onRetryPermits(from, retryPermits);
     for (const wire::StoreNotice &notice : message->stores)
         this->listener.onStoreFromPeer(toChanges(notice));
     for (const wire::FreshnessAsk &ask : message->asks)
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -106,18 +106,25 @@
             return;
         this->attemptTimer.expires_after(
                 std::max(this->route().objective * attemptTimeoutObjectives, minAttemptTimeout));
-        this->attemptTimer.async_wait([self = this->shared_from_this(),
-                                       this](const asio::error_code &failure) {
-            if (failure || this->isFinished() || !this->mayReplaceSlowAttempt() ||
-                !this->context.retries.take(this->serviceName))
-                return;
-            ++this->sends;
-            ++this->runs;
-            this->uncertain = this->uncertain || this->call->bytesSent();
-            this->endCall(true);
-            this->logDecision("request_retried", {{"reason", "slow"}, {"target", this->target.id}});
-            this->attempt();
-        });
+        this->attemptTimer.async_wait(
+                [self = this->shared_from_this(), this](const asio::error_code &failure) {
+                    if (failure || this->isFinished() || !this->mayReplaceSlowAttempt())
+                        return;
+                    this->requestRetry([this, slow = this->call](bool granted) {
+                        if (granted && this->call == slow)
+                            this->replaceSlowAttempt();
+                    });
+                });
+    }
+
+    void replaceSlowAttempt()
+    {
+        ++this->sends;
+        ++this->runs;
+        this->uncertain = this->uncertain || this->call->bytesSent();
+        this->endCall(true);
+        this->logDecision("request_retried", {{"reason", "slow"}, {"target", this->target.id}});
+        this->attempt();
     }
 
     // A target with a rate limit may refuse the second attempt after the first has been cancelled,
@@ -187,25 +194,35 @@
 
     void retryOr(ResultCode code, std::string_view reason)
     {
+        if (!this->mayRetry())
+            return this->giveUp(code, reason);
         // If no connection was made, the service did not receive the request, so trying another
         // target is not charged to the retry budget.
-        if (this->mayRetry() && (code == ResultCode::TargetUnreachable ||
-                                 this->context.retries.take(this->serviceName))) {
-            this->logDecision("request_retried", {{"reason", reason}, {"target", this->target.id}});
-            return this->attempt();
-        }
-        this->giveUp(code, reason);
+        if (code == ResultCode::TargetUnreachable)
+            return this->retry(reason);
+        this->requestRetry([this, code, reason = std::string(reason)](bool granted) {
+            if (!granted)
+                return this->giveUp(code, reason);
+            this->retry(reason);
+        });
     }
 
     void retryOrForwardFailure()
     {
-        if (this->mayRetry() && this->context.retries.take(this->serviceName)) {
-            this->logDecision("request_retried",
-                              {{"reason", "failed_by_target"}, {"target", this->target.id}});
+        if (!this->mayRetry())
+            return this->forwardFailure();
+        this->requestRetry([this](bool granted) {
+            if (!granted)
+                return this->forwardFailure();
             this->failedAnswer = true;
-            return this->attempt();
-        }
-        this->forwardFailure();
+            this->retry("failed_by_target");
+        });
+    }
+
+    void retry(std::string_view reason)
+    {
+        this->logDecision("request_retried", {{"reason", reason}, {"target", this->target.id}});
+        this->attempt();
     }
 
     // Forwards the target's own failure answer, because the request is not retried at another
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -425,10 +425,18 @@
     }
     this->closeLeg(this->current);
     const bool mayTry = this->runs < this->route().maxAttempts && !this->untriedTargets().empty();
-    if (mayTry && this->context.retries.take(this->serviceName)) {
+    if (!mayTry)
+        return this->refuseAfterEngine();
+    this->requestRetry([this](bool granted) {
+        if (!granted)
+            return this->refuseAfterEngine();
         this->logDecision("request_retried", {{"reason", "refused_by_engine"}});
-        return this->attempt();
-    }
+        this->attempt();
+    });
+}
+
+void StreamExchange::refuseAfterEngine()
+{
     this->answerWithResult(this->uncertain ? ResultCode::TargetLost : ResultCode::TargetFull,
                            "refused_by_engine");
 }
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -113,6 +113,7 @@
     void discardCopyAt(const std::string &engine);
     std::vector<const TargetEntry *> copyDestinations() const;
     void executeNextStep();
+    void startAnew();
     void resume(const RunStep &step);
     void makeCopy();
     void requestCopyPermits(const TargetEntry &source, const TargetEntry &destination);
@@ -128,6 +129,7 @@
     void onCurrentLost(std::string_view reason);
     void onNextLost(std::string_view reason);
     void forwardNonStreamAnswer(StreamLeg &leg);
+    void refuseAfterEngine();
     bool reportedNotRun(const StreamLeg &leg, const TargetCallEnd &end) const;
     void recordEventGap();
     void recordProgress(StreamLeg &leg) const;
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -184,7 +184,7 @@
 // Executes the next step of the plan.
 void StreamExchange::executeNextStep()
 {
-    if (this->isFinished() || this->next)
+    if (this->isFinished() || this->next || this->isRetryPending())
         return;
     const RunStep step = this->plan.next();
     switch (step.kind) {
@@ -195,14 +195,23 @@
     case RunStepKind::MakeCopy:
         return this->makeCopy();
     case RunStepKind::StartAnew:
-        if (this->runs < this->route().maxAttempts && this->context.retries.take(this->serviceName))
-            return this->attempt();
-        return this->answerWithResult(ResultCode::TargetLost, this->lossReason);
+        return this->startAnew();
     case RunStepKind::Lost:
         return this->answerWithResult(ResultCode::TargetLost, this->lossReason);
     }
 }
 
+void StreamExchange::startAnew()
+{
+    if (this->runs >= this->route().maxAttempts)
+        return this->answerWithResult(ResultCode::TargetLost, this->lossReason);
+    this->requestRetry([this](bool granted) {
+        if (!granted)
+            return this->answerWithResult(ResultCode::TargetLost, this->lossReason);
+        this->attempt();
+    });
+}
+
 // Re-evaluates the plan periodically while the engine is shutting down, so that refused copies are
 // retried.
 void StreamExchange::schedulePlanCheck()
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -3430,6 +3430,330 @@
 }
 
 
+FragmentNotice::~FragmentNotice() noexcept {
+}
+
+
+void FragmentNotice::__set_batch(const int64_t val) {
+  this->batch = val;
+}
+
+void FragmentNotice::__set_index(const int32_t val) {
+  this->index = val;
+}
+
+void FragmentNotice::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void FragmentNotice::__set_plainSize(const int64_t val) {
+  this->plainSize = val;
+}
+
+void FragmentNotice::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const FragmentNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FragmentNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->batch);
+          this->__isset.batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->plainSize);
+          this->__isset.plainSize = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FragmentNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FragmentNotice");
+
+  xfer += oprot->writeFieldBegin("batch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->batch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("plainSize", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->plainSize);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FragmentNotice &a, FragmentNotice &b) {
+  using ::std::swap;
+  swap(a.batch, b.batch);
+  swap(a.index, b.index);
+  swap(a.count, b.count);
+  swap(a.plainSize, b.plainSize);
+  swap(a.bytes, b.bytes);
+  swap(a.__isset, b.__isset);
+}
+
+FragmentNotice::FragmentNotice(const FragmentNotice& other101) {
+  batch = other101.batch;
+  index = other101.index;
+  count = other101.count;
+  plainSize = other101.plainSize;
+  bytes = other101.bytes;
+  __isset = other101.__isset;
+}
+FragmentNotice& FragmentNotice::operator=(const FragmentNotice& other102) {
+  batch = other102.batch;
+  index = other102.index;
+  count = other102.count;
+  plainSize = other102.plainSize;
+  bytes = other102.bytes;
+  __isset = other102.__isset;
+  return *this;
+}
+void FragmentNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FragmentNotice(";
+  out << "batch=" << to_string(batch);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "count=" << to_string(count);
+  out << ", " << "plainSize=" << to_string(plainSize);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ")";
+}
+
+
+SpreadNotice::~SpreadNotice() noexcept {
+}
+
+
+void SpreadNotice::__set_passOn(const bool val) {
+  this->passOn = val;
+}
+
+void SpreadNotice::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void SpreadNotice::__set_first(const int64_t val) {
+  this->first = val;
+}
+
+void SpreadNotice::__set_last(const int64_t val) {
+  this->last = val;
+}
+std::ostream& operator<<(std::ostream& out, const SpreadNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SpreadNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->passOn);
+          this->__isset.passOn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last);
+          this->__isset.last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SpreadNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SpreadNotice");
+
+  xfer += oprot->writeFieldBegin("passOn", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->passOn);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SpreadNotice &a, SpreadNotice &b) {
+  using ::std::swap;
+  swap(a.passOn, b.passOn);
+  swap(a.offset, b.offset);
+  swap(a.first, b.first);
+  swap(a.last, b.last);
+  swap(a.__isset, b.__isset);
+}
+
+SpreadNotice::SpreadNotice(const SpreadNotice& other103) noexcept {
+  passOn = other103.passOn;
+  offset = other103.offset;
+  first = other103.first;
+  last = other103.last;
+  __isset = other103.__isset;
+}
+SpreadNotice& SpreadNotice::operator=(const SpreadNotice& other104) noexcept {
+  passOn = other104.passOn;
+  offset = other104.offset;
+  first = other104.first;
+  last = other104.last;
+  __isset = other104.__isset;
+  return *this;
+}
+void SpreadNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SpreadNotice(";
+  out << "passOn=" << to_string(passOn);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "first=" << to_string(first);
+  out << ", " << "last=" << to_string(last);
+  out << ")";
+}
+
+
 EntryNotices::~EntryNotices() noexcept {
 }
 
@@ -3485,6 +3809,18 @@
 void EntryNotices::__set_limits(const LimitNotices& val) {
   this->limits = val;
 }
+
+void EntryNotices::__set_retryPermits(const LimitNotices& val) {
+  this->retryPermits = val;
+}
+
+void EntryNotices::__set_fragments(const std::vector<FragmentNotice> & val) {
+  this->fragments = val;
+}
+
+void EntryNotices::__set_spread(const SpreadNotice& val) {
+  this->spread = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
@@ -3517,14 +3853,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->placements.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->placements.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += this->placements[_i105].read(iprot);
+              xfer += this->placements[_i109].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3537,14 +3873,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->loads.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->loads.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->loads[_i110].read(iprot);
+              xfer += this->loads[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3557,14 +3893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->stores.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->stores.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->stores[_i115].read(iprot);
+              xfer += this->stores[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3577,14 +3913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->asks.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->asks.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->asks[_i120].read(iprot);
+              xfer += this->asks[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3597,14 +3933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->answers.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->answers.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->answers[_i125].read(iprot);
+              xfer += this->answers[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3617,14 +3953,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->releases.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->releases.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->releases.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->releases[_i130].read(iprot);
+              xfer += this->releases[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3637,14 +3973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedEngines.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->failedEngines.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->failedEngines.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += iprot->readString(this->failedEngines[_i135]);
+              xfer += iprot->readString(this->failedEngines[_i139]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3681,14 +4017,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavingTargets.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->leavingTargets.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->leavingTargets.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += iprot->readString(this->leavingTargets[_i140]);
+              xfer += iprot->readString(this->leavingTargets[_i144]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3701,14 +4037,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coldTargets.clear();
-            uint32_t _size141;
-            ::apache::thrift::protocol::TType _etype144;
-            xfer += iprot->readListBegin(_etype144, _size141);
-            this->coldTargets.resize(_size141);
-            uint32_t _i145;
-            for (_i145 = 0; _i145 < _size141; ++_i145)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->coldTargets.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += this->coldTargets[_i145].read(iprot);
+              xfer += this->coldTargets[_i149].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3725,6 +4061,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->retryPermits.read(iprot);
+          this->__isset.retryPermits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->fragments.clear();
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->fragments.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
+            {
+              xfer += this->fragments[_i154].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.fragments = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->spread.read(iprot);
+          this->__isset.spread = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3745,10 +4117,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter146;
-    for (_iter146 = this->placements.begin(); _iter146 != this->placements.end(); ++_iter146)
+    std::vector<PlacementNotice> ::const_iterator _iter155;
+    for (_iter155 = this->placements.begin(); _iter155 != this->placements.end(); ++_iter155)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3757,10 +4129,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter147;
-    for (_iter147 = this->loads.begin(); _iter147 != this->loads.end(); ++_iter147)
+    std::vector<LoadNotice> ::const_iterator _iter156;
+    for (_iter156 = this->loads.begin(); _iter156 != this->loads.end(); ++_iter156)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter156).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3769,10 +4141,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreNotice> ::const_iterator _iter148;
-    for (_iter148 = this->stores.begin(); _iter148 != this->stores.end(); ++_iter148)
+    std::vector<StoreNotice> ::const_iterator _iter157;
+    for (_iter157 = this->stores.begin(); _iter157 != this->stores.end(); ++_iter157)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3781,10 +4153,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<FreshnessAsk> ::const_iterator _iter149;
-    for (_iter149 = this->asks.begin(); _iter149 != this->asks.end(); ++_iter149)
+    std::vector<FreshnessAsk> ::const_iterator _iter158;
+    for (_iter158 = this->asks.begin(); _iter158 != this->asks.end(); ++_iter158)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3793,10 +4165,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<FreshnessAnswer> ::const_iterator _iter150;
-    for (_iter150 = this->answers.begin(); _iter150 != this->answers.end(); ++_iter150)
+    std::vector<FreshnessAnswer> ::const_iterator _iter159;
+    for (_iter159 = this->answers.begin(); _iter159 != this->answers.end(); ++_iter159)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3805,10 +4177,10 @@
   xfer += oprot->writeFieldBegin("releases", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releases.size()));
-    std::vector<ReleaseNotice> ::const_iterator _iter151;
-    for (_iter151 = this->releases.begin(); _iter151 != this->releases.end(); ++_iter151)
+    std::vector<ReleaseNotice> ::const_iterator _iter160;
+    for (_iter160 = this->releases.begin(); _iter160 != this->releases.end(); ++_iter160)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter160).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3817,10 +4189,10 @@
   xfer += oprot->writeFieldBegin("failedEngines", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedEngines.size()));
-    std::vector<std::string> ::const_iterator _iter152;
-    for (_iter152 = this->failedEngines.begin(); _iter152 != this->failedEngines.end(); ++_iter152)
+    std::vector<std::string> ::const_iterator _iter161;
+    for (_iter161 = this->failedEngines.begin(); _iter161 != this->failedEngines.end(); ++_iter161)
     {
-      xfer += oprot->writeString((*_iter152));
+      xfer += oprot->writeString((*_iter161));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3841,10 +4213,10 @@
   xfer += oprot->writeFieldBegin("leavingTargets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingTargets.size()));
-    std::vector<std::string> ::const_iterator _iter153;
-    for (_iter153 = this->leavingTargets.begin(); _iter153 != this->leavingTargets.end(); ++_iter153)
+    std::vector<std::string> ::const_iterator _iter162;
+    for (_iter162 = this->leavingTargets.begin(); _iter162 != this->leavingTargets.end(); ++_iter162)
     {
-      xfer += oprot->writeString((*_iter153));
+      xfer += oprot->writeString((*_iter162));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3853,10 +4225,10 @@
   xfer += oprot->writeFieldBegin("coldTargets", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coldTargets.size()));
-    std::vector<ColdNotice> ::const_iterator _iter154;
-    for (_iter154 = this->coldTargets.begin(); _iter154 != this->coldTargets.end(); ++_iter154)
+    std::vector<ColdNotice> ::const_iterator _iter163;
+    for (_iter163 = this->coldTargets.begin(); _iter163 != this->coldTargets.end(); ++_iter163)
     {
-      xfer += (*_iter154).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3866,6 +4238,26 @@
   xfer += this->limits.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("retryPermits", ::apache::thrift::protocol::T_STRUCT, 14);
+  xfer += this->retryPermits.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fragments", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fragments.size()));
+    std::vector<FragmentNotice> ::const_iterator _iter164;
+    for (_iter164 = this->fragments.begin(); _iter164 != this->fragments.end(); ++_iter164)
+    {
+      xfer += (*_iter164).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spread", ::apache::thrift::protocol::T_STRUCT, 16);
+  xfer += this->spread.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3886,40 +4278,49 @@
   swap(a.leavingTargets, b.leavingTargets);
   swap(a.coldTargets, b.coldTargets);
   swap(a.limits, b.limits);
+  swap(a.retryPermits, b.retryPermits);
+  swap(a.fragments, b.fragments);
+  swap(a.spread, b.spread);
   swap(a.__isset, b.__isset);
 }
 
-EntryNotices::EntryNotices(const EntryNotices& other155) {
-  placements = other155.placements;
-  loads = other155.loads;
-  stores = other155.stores;
-  asks = other155.asks;
-  answers = other155.answers;
-  releases = other155.releases;
-  failedEngines = other155.failedEngines;
-  relay = other155.relay;
-  origin = other155.origin;
-  quarantine = other155.quarantine;
-  leavingTargets = other155.leavingTargets;
-  coldTargets = other155.coldTargets;
-  limits = other155.limits;
-  __isset = other155.__isset;
-}
-EntryNotices& EntryNotices::operator=(const EntryNotices& other156) {
-  placements = other156.placements;
-  loads = other156.loads;
-  stores = other156.stores;
-  asks = other156.asks;
-  answers = other156.answers;
-  releases = other156.releases;
-  failedEngines = other156.failedEngines;
-  relay = other156.relay;
-  origin = other156.origin;
-  quarantine = other156.quarantine;
-  leavingTargets = other156.leavingTargets;
-  coldTargets = other156.coldTargets;
-  limits = other156.limits;
-  __isset = other156.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other165) {
+  placements = other165.placements;
+  loads = other165.loads;
+  stores = other165.stores;
+  asks = other165.asks;
+  answers = other165.answers;
+  releases = other165.releases;
+  failedEngines = other165.failedEngines;
+  relay = other165.relay;
+  origin = other165.origin;
+  quarantine = other165.quarantine;
+  leavingTargets = other165.leavingTargets;
+  coldTargets = other165.coldTargets;
+  limits = other165.limits;
+  retryPermits = other165.retryPermits;
+  fragments = other165.fragments;
+  spread = other165.spread;
+  __isset = other165.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other166) {
+  placements = other166.placements;
+  loads = other166.loads;
+  stores = other166.stores;
+  asks = other166.asks;
+  answers = other166.answers;
+  releases = other166.releases;
+  failedEngines = other166.failedEngines;
+  relay = other166.relay;
+  origin = other166.origin;
+  quarantine = other166.quarantine;
+  leavingTargets = other166.leavingTargets;
+  coldTargets = other166.coldTargets;
+  limits = other166.limits;
+  retryPermits = other166.retryPermits;
+  fragments = other166.fragments;
+  spread = other166.spread;
+  __isset = other166.__isset;
   return *this;
 }
 void EntryNotices::printTo(std::ostream& out) const {
@@ -3938,6 +4339,9 @@
   out << ", " << "leavingTargets=" << to_string(leavingTargets);
   out << ", " << "coldTargets=" << to_string(coldTargets);
   out << ", " << "limits=" << to_string(limits);
+  out << ", " << "retryPermits=" << to_string(retryPermits);
+  out << ", " << "fragments=" << to_string(fragments);
+  out << ", " << "spread=" << to_string(spread);
   out << ")";
 }
 
@@ -4011,9 +4415,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast157;
-          xfer += iprot->readI32(ecast157);
-          this->kind = static_cast<PeerKind::type>(ecast157);
+          int32_t ecast167;
+          xfer += iprot->readI32(ecast167);
+          this->kind = static_cast<PeerKind::type>(ecast167);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4055,14 +4459,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->records.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->records.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->records[_i162].read(iprot);
+              xfer += this->records[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4135,10 +4539,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter163;
-    for (_iter163 = this->records.begin(); _iter163 != this->records.end(); ++_iter163)
+    std::vector<MemberRecord> ::const_iterator _iter173;
+    for (_iter173 = this->records.begin(); _iter173 != this->records.end(); ++_iter173)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4175,29 +4579,29 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other164) {
-  kind = other164.kind;
-  sequence = other164.sequence;
-  sender = other164.sender;
-  revision = other164.revision;
-  configAgeMs = other164.configAgeMs;
-  records = other164.records;
-  probeTarget = other164.probeTarget;
-  policy = other164.policy;
-  tableDigest = other164.tableDigest;
-  __isset = other164.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other165) {
-  kind = other165.kind;
-  sequence = other165.sequence;
-  sender = other165.sender;
-  revision = other165.revision;
-  configAgeMs = other165.configAgeMs;
-  records = other165.records;
-  probeTarget = other165.probeTarget;
-  policy = other165.policy;
-  tableDigest = other165.tableDigest;
-  __isset = other165.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other174) {
+  kind = other174.kind;
+  sequence = other174.sequence;
+  sender = other174.sender;
+  revision = other174.revision;
+  configAgeMs = other174.configAgeMs;
+  records = other174.records;
+  probeTarget = other174.probeTarget;
+  policy = other174.policy;
+  tableDigest = other174.tableDigest;
+  __isset = other174.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other175) {
+  kind = other175.kind;
+  sequence = other175.sequence;
+  sender = other175.sender;
+  revision = other175.revision;
+  configAgeMs = other175.configAgeMs;
+  records = other175.records;
+  probeTarget = other175.probeTarget;
+  policy = other175.policy;
+  tableDigest = other175.tableDigest;
+  __isset = other175.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -4308,15 +4712,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other166) {
-  body = other166.body;
-  mac = other166.mac;
-  __isset = other166.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other176) {
+  body = other176.body;
+  mac = other176.mac;
+  __isset = other176.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other167) {
-  body = other167.body;
-  mac = other167.mac;
-  __isset = other167.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other177) {
+  body = other177.body;
+  mac = other177.mac;
+  __isset = other177.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -4454,19 +4858,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other168) {
-  engine = other168.engine;
-  generation = other168.generation;
-  customer = other168.customer;
-  model = other168.model;
-  __isset = other168.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other178) {
+  engine = other178.engine;
+  generation = other178.generation;
+  customer = other178.customer;
+  model = other178.model;
+  __isset = other178.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other169) {
-  engine = other169.engine;
-  generation = other169.generation;
-  customer = other169.customer;
-  model = other169.model;
-  __isset = other169.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other179) {
+  engine = other179.engine;
+  generation = other179.generation;
+  customer = other179.customer;
+  model = other179.model;
+  __isset = other179.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -4623,21 +5027,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other170) {
-  issuer = other170.issuer;
-  incarnation = other170.incarnation;
-  serial = other170.serial;
-  customer = other170.customer;
-  scope = other170.scope;
-  __isset = other170.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other171) {
-  issuer = other171.issuer;
-  incarnation = other171.incarnation;
-  serial = other171.serial;
-  customer = other171.customer;
-  scope = other171.scope;
-  __isset = other171.__isset;
+TicketBody::TicketBody(const TicketBody& other180) {
+  issuer = other180.issuer;
+  incarnation = other180.incarnation;
+  serial = other180.serial;
+  customer = other180.customer;
+  scope = other180.scope;
+  __isset = other180.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other181) {
+  issuer = other181.issuer;
+  incarnation = other181.incarnation;
+  serial = other181.serial;
+  customer = other181.customer;
+  scope = other181.scope;
+  __isset = other181.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -95,6 +95,10 @@
 
 class ColdNotice;
 
+class FragmentNotice;
+
+class SpreadNotice;
+
 class EntryNotices;
 
 class PeerMessage;
@@ -1410,8 +1414,143 @@
 
 std::ostream& operator<<(std::ostream& out, const ColdNotice& obj);
 
+typedef struct _FragmentNotice__isset {
+  _FragmentNotice__isset() : batch(false), index(false), count(false), plainSize(false), bytes(false) {}
+  bool batch :1;
+  bool index :1;
+  bool count :1;
+  bool plainSize :1;
+  bool bytes :1;
+} _FragmentNotice__isset;
+
+class FragmentNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  FragmentNotice(const FragmentNotice&);
+  FragmentNotice& operator=(const FragmentNotice&);
+  FragmentNotice() noexcept
+                 : batch(0),
+                   index(0),
+                   count(0),
+                   plainSize(0),
+                   bytes() {
+  }
+
+  virtual ~FragmentNotice() noexcept;
+  int64_t batch;
+  int32_t index;
+  int32_t count;
+  int64_t plainSize;
+  std::string bytes;
+
+  _FragmentNotice__isset __isset;
+
+  void __set_batch(const int64_t val);
+
+  void __set_index(const int32_t val);
+
+  void __set_count(const int32_t val);
+
+  void __set_plainSize(const int64_t val);
+
+  void __set_bytes(const std::string& val);
+
+  bool operator == (const FragmentNotice & rhs) const
+  {
+    if (!(batch == rhs.batch))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    if (!(plainSize == rhs.plainSize))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const FragmentNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FragmentNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FragmentNotice &a, FragmentNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const FragmentNotice& obj);
+
+typedef struct _SpreadNotice__isset {
+  _SpreadNotice__isset() : passOn(false), offset(false), first(false), last(false) {}
+  bool passOn :1;
+  bool offset :1;
+  bool first :1;
+  bool last :1;
+} _SpreadNotice__isset;
+
+class SpreadNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  SpreadNotice(const SpreadNotice&) noexcept;
+  SpreadNotice& operator=(const SpreadNotice&) noexcept;
+  SpreadNotice() noexcept
+               : passOn(0),
+                 offset(0),
+                 first(0),
+                 last(0) {
+  }
+
+  virtual ~SpreadNotice() noexcept;
+  bool passOn;
+  int64_t offset;
+  int64_t first;
+  int64_t last;
+
+  _SpreadNotice__isset __isset;
+
+  void __set_passOn(const bool val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_first(const int64_t val);
+
+  void __set_last(const int64_t val);
+
+  bool operator == (const SpreadNotice & rhs) const
+  {
+    if (!(passOn == rhs.passOn))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(first == rhs.first))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    return true;
+  }
+  bool operator != (const SpreadNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SpreadNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SpreadNotice &a, SpreadNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const SpreadNotice& obj);
+
 typedef struct _EntryNotices__isset {
-  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false), limits(false) {}
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false), limits(false), retryPermits(false), fragments(false), spread(false) {}
   bool placements :1;
   bool loads :1;
   bool stores :1;
@@ -1425,6 +1564,9 @@
   bool leavingTargets :1;
   bool coldTargets :1;
   bool limits :1;
+  bool retryPermits :1;
+  bool fragments :1;
+  bool spread :1;
 } _EntryNotices__isset;
 
 class EntryNotices : public virtual ::apache::thrift::TBase {
@@ -1451,6 +1593,9 @@
   std::vector<std::string>  leavingTargets;
   std::vector<ColdNotice>  coldTargets;
   LimitNotices limits;
+  LimitNotices retryPermits;
+  std::vector<FragmentNotice>  fragments;
+  SpreadNotice spread;
 
   _EntryNotices__isset __isset;
 
@@ -1480,6 +1625,12 @@
 
   void __set_limits(const LimitNotices& val);
 
+  void __set_retryPermits(const LimitNotices& val);
+
+  void __set_fragments(const std::vector<FragmentNotice> & val);
+
+  void __set_spread(const SpreadNotice& val);
+
   bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
@@ -1508,6 +1659,12 @@
       return false;
     if (!(limits == rhs.limits))
       return false;
+    if (!(retryPermits == rhs.retryPermits))
+      return false;
+    if (!(fragments == rhs.fragments))
+      return false;
+    if (!(spread == rhs.spread))
+      return false;
     return true;
   }
   bool operator != (const EntryNotices &rhs) const {
