Pass changes of the store on as compressed fragments along a tree

A relay sent each change to all 97 neighbours at 1 MB/s, so 460 changes a second filled its queue and were dropped, without a line; and a configuration of 200 customers is larger than the 4 KB that a notice may have.

What grows: bytes that one relay sends, with the instances of a data centre; calls, with instances times changes.

Weighed: a longer wait before catching up (a larger constant, and the configuration is confirmed later); pulling from neighbours (a round trip a hop, state for whoever asks); gossip (each copy sent several times). A tree over hashes of names needs no state, agrees well enough where views differ, and three readers send each change along trees of their own.

Change: a change is encoded, compressed as a whole and cut into fragments of 4 KB; each instance passes it to six others, who pass it on in ranges of hashes that shrink with each hop, with an offset drawn for each notice. Fragments are joined within bounds of time, number and memory. What finds the queue full is logged (notices_dropped). Values up to 128 KB after compression are passed on.

--- a/include/jaytrack/Proxy/datagrampacer.h
+++ b/include/jaytrack/Proxy/datagrampacer.h
@@ -38,6 +38,9 @@
     {
     }
 
+    // Whether a datagram of this size is always sent at once.
+    bool isSmall(std::size_t bytes) const { return bytes <= this->options.smallBytes; }
+
     // Whether a datagram of this size may be sent now. If so, deducts it from the allowance.
     bool take(std::size_t bytes);
 
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -13,10 +13,12 @@
 #include "jaytrack/Cluster/noticefanout.h"
 #include "jaytrack/Limits/limitmessage.h"
 #include "jaytrack/Proxy/datagrampacer.h"
+#include "jaytrack/Proxy/noticefragments.h"
 #include "jaytrack/Quarantine/quarantinemessage.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/engineshares.h"
 #include "jaytrack/Support/keyring.h"
+#include "jaytrack/Support/logallowance.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -144,6 +146,10 @@
     void sendToSample(const wire::EntryNotices &message);
     void sendToAssignees(std::string_view engine, wire::EntryNotices &message);
     void relayMessage(std::string_view from, wire::EntryNotices &message);
+    void sendSpread(const std::vector<SpreadTarget> &targets, wire::EntryNotices &message);
+    void passOn(std::string_view from, wire::EntryNotices &message);
+    void onFragments(std::string_view origin, wire::EntryNotices &message);
+    void logDroppedNotices();
     void receiveNext();
     void tick();
     void sendReleases();
@@ -157,6 +163,10 @@
     DatagramPacer pacer;
     asio::steady_timer paceTimer;
     std::deque<std::pair<std::string, std::string>> paced; // addresses and datagrams in the queue
+    std::size_t droppedNotices = 0; // large ones that found the queue full, not logged yet
+    LogAllowance dropLogAllowance;
+    FragmentJoiner joiner;
+    std::int64_t nextBatch;
     std::array<char, 8192> buffer{};
     Membership membership;
     bool membersChanged = false; // since the last update of peers
--- a/lib/Proxy/datagrampacer.cpp
+++ b/lib/Proxy/datagrampacer.cpp
@@ -7,7 +7,7 @@
 
 bool DatagramPacer::take(std::size_t bytes)
 {
-    if (bytes <= this->options.smallBytes)
+    if (this->isSmall(bytes))
         return true;
     const TimePoint now = this->clock.now();
     const double passed = std::chrono::duration<double>(now - this->countedAt).count();
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -23,6 +23,11 @@
 // Maximum number of queued large datagrams: enough for two changes sent to 340 instances.
 constexpr std::size_t maxPacedDatagrams = 512;
 
+constexpr std::chrono::seconds dropLogPeriod{1};
+
+// Maximum size of a fragment, so that it fits into a datagram with what is sent beside it.
+constexpr std::size_t maxFragmentBytes = 4096;
+
 // Values of at least this size are compressed if that makes them smaller. A configuration of fifty
 // routes has 12 KB and then fits into one datagram. If it did not fit or were not shared, each of
 // 87 instances would read it from the store, 85 calls for every change.
@@ -128,6 +133,22 @@
     return message;
 }
 
+wire::FragmentNotice toNotice(NoticeFragment fragment)
+{
+    wire::FragmentNotice notice;
+    notice.batch = fragment.batch;
+    notice.index = fragment.index;
+    notice.count = fragment.count;
+    notice.plainSize = fragment.plainSize;
+    notice.bytes = std::move(fragment.bytes);
+    return notice;
+}
+
+NoticeFragment fromNotice(wire::FragmentNotice notice)
+{
+    return {notice.batch, notice.index, notice.count, notice.plainSize, std::move(notice.bytes)};
+}
+
 std::string textOf(const asio::ip::udp::endpoint &endpoint)
 {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
@@ -174,6 +195,9 @@
     , timer(loop)
     , pacer(time)
     , paceTimer(loop)
+    , dropLogAllowance(time, 1, dropLogPeriod)
+    , joiner(time)
+    , nextBatch(newIncarnation())
     , membership(describeSelf(this->settings), time, seed, this->keys, *this, *this)
     , spread(this->settings.dataCentre)
     , random(seed)
@@ -204,6 +228,7 @@
     if (this->membersChanged)
         this->updatePeers();
     this->sendReleases();
+    this->logDroppedNotices();
     this->timer.expires_after(tickInterval);
     this->timer.async_wait([this](const asio::error_code &failure) {
         if (!failure)
@@ -231,15 +256,27 @@
 {
     if (this->paced.empty() && this->pacer.take(datagram.size()))
         return this->sendNow(address, datagram);
-    if (datagram.size() <= DatagramPacerOptions().smallBytes)
+    if (this->pacer.isSmall(datagram.size()))
         return this->sendNow(address, datagram);
-    if (this->paced.size() >= maxPacedDatagrams)
+    if (this->paced.size() >= maxPacedDatagrams) {
+        ++this->droppedNotices;
         return;
+    }
     this->paced.emplace_back(address, std::move(datagram));
     if (this->paced.size() == 1)
         this->sendPaced();
 }
 
+void PeerLink::logDroppedNotices()
+{
+    if (this->droppedNotices == 0 || !this->dropLogAllowance.take())
+        return;
+    logEvent(Severity::Warning, "notices_dropped",
+             {{"count", static_cast<std::int64_t>(this->droppedNotices)},
+              {"queued", static_cast<std::int64_t>(this->paced.size())}});
+    this->droppedNotices = 0;
+}
+
 void PeerLink::sendPaced()
 {
     while (!this->paced.empty() && this->pacer.take(this->paced.front().second.size())) {
@@ -421,15 +458,54 @@
 }
 
 // Values that are larger even when compressed are not shared, so instances read them directly from
-// the store: datagrams are limited in size, and each reader would send a configuration of hundreds
-// of routes to every instance.
-constexpr std::size_t maxSharedBytes = 4096;
+// the store: a small machine would send them for more than a second.
+constexpr std::size_t maxSharedBytes = 131'072;
 
 void PeerLink::shareStoreChanges(const SharedChanges &changes)
 {
+    const std::vector<SpreadTarget> targets = this->spread.spread(this->random);
     for (const SharedChanges &part : splitChanges(changes, maxSharedBytes)) {
-        wire::EntryNotices message = toNotices(part);
-        this->broadcast(message);
+        const std::string bytes = encodeMessage(toNotices(part));
+        for (NoticeFragment &fragment : fragmentsOf(bytes, this->nextBatch++, maxFragmentBytes)) {
+            wire::EntryNotices message;
+            message.fragments.push_back(toNotice(std::move(fragment)));
+            this->sendSpread(targets, message);
+        }
+    }
+}
+
+void PeerLink::sendSpread(const std::vector<SpreadTarget> &targets, wire::EntryNotices &message)
+{
+    for (const SpreadTarget &target : targets) {
+        const SpreadRange range = target.passOn.value_or(SpreadRange());
+        message.spread.passOn = target.passOn.has_value();
+        message.spread.offset = static_cast<std::int64_t>(range.offset);
+        message.spread.first = static_cast<std::int64_t>(range.first);
+        message.spread.last = static_cast<std::int64_t>(range.last);
+        this->membership.sendPolicy(target.name, encodeMessage(message));
+    }
+}
+
+void PeerLink::passOn(std::string_view from, wire::EntryNotices &message)
+{
+    if (message.origin.empty())
+        message.origin = from;
+    const SpreadRange range{static_cast<std::uint64_t>(message.spread.offset),
+                            static_cast<std::uint64_t>(message.spread.first),
+                            static_cast<std::uint64_t>(message.spread.last)};
+    this->sendSpread(this->spread.passOn(range, message.origin), message);
+}
+
+void PeerLink::onFragments(std::string_view origin, wire::EntryNotices &message)
+{
+    for (wire::FragmentNotice &notice : message.fragments) {
+        const std::optional<std::string> whole =
+                this->joiner.add(origin, fromNotice(std::move(notice)));
+        const auto joined = whole ? decodeMessage<wire::EntryNotices>(*whole) : std::nullopt;
+        if (!joined)
+            continue;
+        for (const wire::StoreNotice &store : joined->stores)
+            this->listener.onStoreFromPeer(toChanges(store));
     }
 }
 
@@ -484,9 +560,12 @@
         return;
     if (message->relay)
         this->relayMessage(from, *message);
+    if (message->spread.passOn)
+        this->passOn(from, *message);
     // Failures are counted per instance, so they are attributed to the origin, not the relay.
     const std::string_view origin =
             message->origin.empty() ? from : std::string_view(message->origin);
+    this->onFragments(origin, *message);
     for (const wire::PlacementNotice &notice : message->placements) {
         const GenerationNeed need{toTokens(notice.promptTokens), toTokens(notice.expectedTokens)};
         this->listener.onPlacedByPeer(notice.engine, need, notice.copied);
--- a/unittests/Cluster/noticefanouttest.cpp
+++ b/unittests/Cluster/noticefanouttest.cpp
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <deque>
+#include <map>
 #include <set>
 
 using namespace jaytrack;
@@ -97,3 +99,137 @@
     }
     cr_assert(relays.size() > 24, "%zu different relays", relays.size());
 }
+
+namespace {
+
+struct SpreadCase
+{
+    char name[32];
+    int dataCentres;
+    int instancesInEach;
+    int unknown; // part in a hundred of the members that each instance does not know
+    int gone;    // instances of each data centre that are down and not known to be
+    int maxHops;
+    double minReached; // part of the living instances
+};
+
+// Three readers send each change, so that one in fifty is missed by all of them at most.
+constexpr double reachedByOneReader = 0.73;
+
+SpreadCase spreadCases[] = {
+        {"small", 3, 3, 0, 0, 1, 1},
+        {"195", 6, 33, 0, 0, 3, 1},
+        {"584", 6, 97, 0, 0, 4, 1},
+        {"2000", 6, 333, 0, 0, 5, 1},
+        {"584, members unknown", 6, 97, 5, 0, 5, reachedByOneReader},
+        {"584, members down", 6, 97, 0, 2, 4, reachedByOneReader},
+};
+
+struct Delivery
+{
+    std::string to;
+    std::optional<SpreadRange> range;
+    int hops;
+};
+
+// Passes one notice of i0-0 on until nobody has to pass it on any more.
+class SpreadPlay
+{
+public:
+    explicit SpreadPlay(const SpreadCase &fleetCase)
+        : plan(fleetCase)
+        , fleet(fleetOf({fleetCase.dataCentres, fleetCase.instancesInEach, 0}))
+    {
+    }
+
+    void run()
+    {
+        std::deque<Delivery> deliveries;
+        this->add(deliveries, this->fanoutOf("i0-0").spread(this->random), 1);
+        this->received.clear();
+        while (!deliveries.empty()) {
+            const Delivery next = deliveries.front();
+            deliveries.pop_front();
+            ++this->received[next.to];
+            this->hops = std::max(this->hops, next.hops);
+            if (next.range && !this->isDown(next.to))
+                this->add(deliveries, this->fanoutOf(next.to).passOn(*next.range, "i0-0"),
+                          next.hops + 1);
+        }
+    }
+
+    std::map<std::string, int> received;
+    std::size_t maxSent = 0; // by one instance
+    int hops = 0;
+
+    bool isDown(const std::string &name) const
+    {
+        return std::stoi(name.substr(name.find('-') + 1)) >
+               this->plan.instancesInEach - 1 - this->plan.gone;
+    }
+
+    const std::vector<Member> &members() const { return this->fleet; }
+
+private:
+    NoticeFanout fanoutOf(const std::string &name)
+    {
+        std::vector<Member> known;
+        std::uniform_int_distribution<int> part(0, 99);
+        // Who passes a notice on needs to know only its own data centre.
+        const bool isOrigin = name == "i0-0";
+        for (const Member &member : this->fleet) {
+            const bool isNeeded = isOrigin || member.dataCentre == dataCentreOf(name);
+            if (isNeeded && member.name != name && part(this->random) >= this->plan.unknown)
+                known.push_back(member);
+        }
+        NoticeFanout fanout(dataCentreOf(name));
+        fanout.setPeers(known);
+        return fanout;
+    }
+
+    void add(std::deque<Delivery> &deliveries, const std::vector<SpreadTarget> &targets, int hop)
+    {
+        this->maxSent = std::max(this->maxSent, targets.size());
+        for (const SpreadTarget &target : targets)
+            deliveries.push_back({target.name, target.passOn, hop});
+    }
+
+    SpreadCase plan;
+    std::vector<Member> fleet;
+    std::mt19937_64 random{9};
+};
+
+} // namespace
+
+ParameterizedTestParameters(noticeFanout, largeNoticesReachAllOnceThroughATree)
+{
+    return cr_make_param_array(SpreadCase, spreadCases, std::size(spreadCases));
+}
+
+// Guards against an instance that has to send a change of 20 KB to each of 97 neighbours, which
+// takes it two seconds, and against notices that come back or go round where instances know
+// different members.
+ParameterizedTest(SpreadCase *param, noticeFanout, largeNoticesReachAllOnceThroughATree)
+{
+    static constexpr int notices = 20;
+    SpreadPlay play(*param);
+    double reached = 0;
+    double living = 0;
+    for (int notice = 0; notice < notices; ++notice) {
+        play.run();
+        for (const Member &member : play.members()) {
+            const int count = play.received.count(member.name) > 0 ? play.received[member.name] : 0;
+            cr_assert_leq(count, 1, "%s: %s receives it %d times", param->name, member.name.c_str(),
+                          count);
+            if (member.name == "i0-0" || play.isDown(member.name))
+                continue;
+            ++living;
+            reached += count;
+        }
+    }
+    cr_log_info("%s: %.3f reached in %d hops", param->name, reached / living, play.hops);
+    cr_assert_geq(reached / living, param->minReached, "%s: %.3f", param->name, reached / living);
+    cr_assert_leq(play.hops, param->maxHops, "%s: %d hops", param->name, play.hops);
+    const std::size_t distant = static_cast<std::size_t>(param->dataCentres) - 1;
+    cr_assert_leq(play.maxSent, distant * 3 + NoticeFanout::maxSpreadTargets);
+}
