--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -148,7 +148,7 @@
     void relayMessage(std::string_view from, wire::EntryNotices &message);
     void sendSpread(const std::vector<SpreadTarget> &targets, wire::EntryNotices &message);
     void passOn(std::string_view from, wire::EntryNotices &message);
-    void onFragments(std::string_view origin, wire::EntryNotices &message);
+    void onFragments(std::string_view origin, const wire::EntryNotices &message);
     void logDroppedNotices();
     void receiveNext();
     void tick();
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -144,9 +144,9 @@
     return notice;
 }
 
-NoticeFragment fromNotice(wire::FragmentNotice notice)
+NoticeFragment fromNotice(const wire::FragmentNotice &notice)
 {
-    return {notice.batch, notice.index, notice.count, notice.plainSize, std::move(notice.bytes)};
+    return {notice.batch, notice.index, notice.count, notice.plainSize, notice.bytes};
 }
 
 std::string textOf(const asio::ip::udp::endpoint &endpoint)
@@ -496,11 +496,10 @@
     this->sendSpread(this->spread.passOn(range, message.origin), message);
 }
 
-void PeerLink::onFragments(std::string_view origin, wire::EntryNotices &message)
+void PeerLink::onFragments(std::string_view origin, const wire::EntryNotices &message)
 {
-    for (wire::FragmentNotice &notice : message.fragments) {
-        const std::optional<std::string> whole =
-                this->joiner.add(origin, fromNotice(std::move(notice)));
+    for (const wire::FragmentNotice &notice : message.fragments) {
+        const std::optional<std::string> whole = this->joiner.add(origin, fromNotice(notice));
         const auto joined = whole ? decodeMessage<wire::EntryNotices>(*whole) : std::nullopt;
         if (!joined)
             continue;
