--- a/include/jaytrack/Proxy/noticefragments.h
+++ b/include/jaytrack/Proxy/noticefragments.h
@@ -18,6 +18,10 @@
 
 namespace jaytrack {
 
+namespace wire {
+class FragmentNotice;
+} // namespace wire
+
 struct NoticeFragment
 {
     std::int64_t batch = 0; // distinguishes what one instance sends
@@ -32,6 +36,9 @@
 std::vector<NoticeFragment> fragmentsOf(std::string_view bytes, std::int64_t batch,
                                         std::size_t maxBytes);
 
+wire::FragmentNotice toNotice(const NoticeFragment &fragment);
+NoticeFragment fromNotice(const wire::FragmentNotice &notice);
+
 struct FragmentJoinerOptions
 {
     // Fragments of a batch arrive within tenths of a second of each other.
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -14,6 +14,7 @@
 #include "jaytrack/Limits/limitmessage.h"
 #include "jaytrack/Proxy/datagrampacer.h"
 #include "jaytrack/Proxy/noticefragments.h"
+#include "jaytrack/Proxy/sharedchanges.h"
 #include "jaytrack/Quarantine/quarantinemessage.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/engineshares.h"
@@ -47,21 +48,6 @@
     std::vector<std::string> keys;  // the first key signs, all verify
 };
 
-// Changes that an instance read from the store, to be shared with the others.
-struct SharedChanges
-{
-    std::uint64_t from = 0;
-    std::uint64_t to = 0;
-    std::vector<StoreItem> items;
-    bool incomplete = false;  // an item was too large to be shared or could not be read
-    bool afterOutage = false; // removed entries may have expired while the store was unavailable
-    std::uint64_t era = 0;    // the history that the revisions belong to; 0 if none is known
-};
-
-// Splits changes into consecutive parts with at most maxBytes of encoded items each. An item that
-// is larger by itself is omitted, and its part is marked incomplete.
-std::vector<SharedChanges> splitChanges(const SharedChanges &changes, std::size_t maxBytes);
-
 // Receives the messages of other instances.
 class PeerLinkListener
 {
--- a/lib/Proxy/noticefragments.cpp
+++ b/lib/Proxy/noticefragments.cpp
@@ -2,6 +2,8 @@
 
 #include "jaytrack/Support/compression.h"
 
+#include "peer_types.h"
+
 #include <algorithm>
 
 namespace jaytrack {
@@ -25,6 +27,22 @@
     return fragments;
 }
 
+wire::FragmentNotice toNotice(const NoticeFragment &fragment)
+{
+    wire::FragmentNotice notice;
+    notice.batch = fragment.batch;
+    notice.index = fragment.index;
+    notice.count = fragment.count;
+    notice.plainSize = fragment.plainSize;
+    notice.bytes = fragment.bytes;
+    return notice;
+}
+
+NoticeFragment fromNotice(const wire::FragmentNotice &notice)
+{
+    return {notice.batch, notice.index, notice.count, notice.plainSize, notice.bytes};
+}
+
 bool FragmentJoiner::isAcceptable(const NoticeFragment &fragment) const
 {
     return fragment.count > 0 && fragment.count <= this->options.maxFragments &&
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -1,7 +1,6 @@
 #include "jaytrack/Proxy/peerlink.h"
 
 #include "jaytrack/Net/socket.h"
-#include "jaytrack/Support/compression.h"
 #include "jaytrack/Support/digest.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Wire/codec.h"
@@ -28,14 +27,6 @@
 // Maximum size of a fragment, so that it fits into a datagram with what is sent beside it.
 constexpr std::size_t maxFragmentBytes = 4096;
 
-// Values of at least this size are compressed if that makes them smaller. A configuration of fifty
-// routes has 12 KB and then fits into one datagram. If it did not fit or were not shared, each of
-// 87 instances would read it from the store, 85 calls for every change.
-constexpr std::size_t minCompressedBytes = 512;
-
-// The store's limit on the size of a value.
-constexpr std::size_t maxValueBytes = 1U << 20U;
-
 std::int64_t newIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -67,88 +58,6 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, number));
 }
 
-// A value as encoded for the peers.
-struct PackedValue
-{
-    std::string bytes;
-    std::size_t plainSize = 0; // 0 if it is not compressed
-};
-
-PackedValue pack(const std::string &value)
-{
-    if (value.size() < minCompressedBytes)
-        return {value, 0};
-    std::string packed = compressed(value);
-    if (packed.empty() || packed.size() >= value.size())
-        return {value, 0};
-    return {std::move(packed), value.size()};
-}
-
-std::optional<std::string> unpack(const wire::StoreItemNotice &item)
-{
-    if (item.plainSize == 0)
-        return item.value;
-    return decompressed(item.value, static_cast<std::size_t>(item.plainSize), maxValueBytes);
-}
-
-SharedChanges toChanges(const wire::StoreNotice &notice)
-{
-    SharedChanges changes;
-    changes.from = static_cast<std::uint64_t>(notice.fromRevision);
-    changes.to = static_cast<std::uint64_t>(notice.toRevision);
-    changes.incomplete = notice.incomplete;
-    changes.afterOutage = notice.afterOutage;
-    changes.era = static_cast<std::uint64_t>(notice.era);
-    for (const wire::StoreItemNotice &item : notice.items) {
-        std::optional<std::string> value = unpack(item);
-        // If the value cannot be decoded, the store is queried, as for an omitted item.
-        changes.incomplete = changes.incomplete || !value;
-        if (value)
-            changes.items.push_back({item.key, std::move(*value),
-                                     static_cast<std::uint64_t>(item.revision), item.deleted});
-    }
-    return changes;
-}
-
-wire::EntryNotices toNotices(const SharedChanges &changes)
-{
-    wire::StoreNotice notice;
-    notice.fromRevision = static_cast<std::int64_t>(changes.from);
-    notice.toRevision = static_cast<std::int64_t>(changes.to);
-    notice.incomplete = changes.incomplete;
-    notice.afterOutage = changes.afterOutage;
-    notice.era = static_cast<std::int64_t>(changes.era);
-    for (const StoreItem &item : changes.items) {
-        wire::StoreItemNotice shared;
-        shared.key = item.key;
-        PackedValue value = pack(item.value);
-        shared.value = std::move(value.bytes);
-        shared.plainSize = static_cast<std::int64_t>(value.plainSize);
-        shared.revision = static_cast<std::int64_t>(item.revision);
-        shared.deleted = item.deleted;
-        notice.items.push_back(std::move(shared));
-    }
-    wire::EntryNotices message;
-    message.stores.push_back(std::move(notice));
-    return message;
-}
-
-wire::FragmentNotice toNotice(NoticeFragment fragment)
-{
-    wire::FragmentNotice notice;
-    notice.batch = fragment.batch;
-    notice.index = fragment.index;
-    notice.count = fragment.count;
-    notice.plainSize = fragment.plainSize;
-    notice.bytes = std::move(fragment.bytes);
-    return notice;
-}
-
-NoticeFragment fromNotice(const wire::FragmentNotice &notice)
-{
-    return {notice.batch, notice.index, notice.count, notice.plainSize, notice.bytes};
-}
-
 std::string textOf(const asio::ip::udp::endpoint &endpoint)
 {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
@@ -156,36 +65,6 @@
 
 } // namespace
 
-std::vector<SharedChanges> splitChanges(const SharedChanges &changes, std::size_t maxBytes)
-{
-    std::vector<StoreItem> items = changes.items;
-    std::sort(items.begin(), items.end(), [](const StoreItem &left, const StoreItem &right) {
-        return left.revision < right.revision;
-    });
-    std::vector<SharedChanges> parts;
-    SharedChanges part{changes.from, changes.from, {}, false, changes.afterOutage, changes.era};
-    std::size_t bytes = 0;
-    for (StoreItem &item : items) {
-        const std::size_t whole = item.key.size() + pack(item.value).bytes.size();
-        const bool tooLarge = whole > maxBytes;
-        const std::size_t size = tooLarge ? 0 : whole;
-        if (bytes + size > maxBytes && !part.items.empty()) {
-            parts.push_back(part);
-            part = {part.to, part.to, {}, false, changes.afterOutage, changes.era};
-            bytes = 0;
-        }
-        part.to = item.revision;
-        part.incomplete = part.incomplete || tooLarge;
-        if (tooLarge)
-            continue;
-        bytes += size;
-        part.items.push_back(std::move(item));
-    }
-    part.to = changes.to;
-    parts.push_back(std::move(part));
-    return parts;
-}
-
 PeerLink::PeerLink(asio::io_context &loop, const Clock &time, PeerLinkSettings linkSettings,
                    std::uint64_t seed, EngineShares &engineShares, PeerLinkListener &linkListener)
     : settings(std::move(linkSettings))
@@ -465,10 +344,13 @@
 {
     const std::vector<SpreadTarget> targets = this->spread.spread(this->random);
     for (const SharedChanges &part : splitChanges(changes, maxSharedBytes)) {
-        const std::string bytes = encodeMessage(toNotices(part));
-        for (NoticeFragment &fragment : fragmentsOf(bytes, this->nextBatch++, maxFragmentBytes)) {
+        wire::EntryNotices changed;
+        changed.stores.push_back(toNotice(part));
+        const std::string bytes = encodeMessage(changed);
+        for (const NoticeFragment &fragment :
+             fragmentsOf(bytes, this->nextBatch++, maxFragmentBytes)) {
             wire::EntryNotices message;
-            message.fragments.push_back(toNotice(std::move(fragment)));
+            message.fragments.push_back(toNotice(fragment));
             this->sendSpread(targets, message);
         }
     }
@@ -504,7 +386,7 @@
         if (!joined)
             continue;
         for (const wire::StoreNotice &store : joined->stores)
-            this->listener.onStoreFromPeer(toChanges(store));
+            this->listener.onStoreFromPeer(fromNotice(store));
     }
 }
 
@@ -597,7 +479,7 @@
     if (!retryPermits.isEmpty())
         this->listener.onRetryPermits(from, retryPermits);
     for (const wire::StoreNotice &notice : message->stores)
-        this->listener.onStoreFromPeer(toChanges(notice));
+        this->listener.onStoreFromPeer(fromNotice(notice));
     for (const wire::FreshnessAsk &ask : message->asks)
         this->listener.onFreshnessQuery(from, ask.askedAt);
     for (const wire::FreshnessAnswer &answer : message->answers) {
--- a/unittests/Cluster/noticefanouttest.cpp
+++ b/unittests/Cluster/noticefanouttest.cpp
@@ -132,11 +132,11 @@
     int hops;
 };
 
-// Passes one notice of i0-0 on until nobody has to pass it on any more.
-class SpreadPlay
+// Simulates how one notice of i0-0 is passed on.
+class SpreadSimulation
 {
 public:
-    explicit SpreadPlay(const SpreadCase &fleetCase)
+    explicit SpreadSimulation(const SpreadCase &fleetCase)
         : plan(fleetCase)
         , fleet(fleetOf({fleetCase.dataCentres, fleetCase.instancesInEach, 0}))
     {
@@ -212,24 +212,26 @@
 ParameterizedTest(SpreadCase *param, noticeFanout, largeNoticesReachAllOnceThroughATree)
 {
     static constexpr int notices = 20;
-    SpreadPlay play(*param);
+    SpreadSimulation simulation(*param);
     double reached = 0;
     double living = 0;
     for (int notice = 0; notice < notices; ++notice) {
-        play.run();
-        for (const Member &member : play.members()) {
-            const int count = play.received.count(member.name) > 0 ? play.received[member.name] : 0;
+        simulation.run();
+        for (const Member &member : simulation.members()) {
+            const int count = simulation.received.count(member.name) > 0
+                                      ? simulation.received[member.name]
+                                      : 0;
             cr_assert_leq(count, 1, "%s: %s receives it %d times", param->name, member.name.c_str(),
                           count);
-            if (member.name == "i0-0" || play.isDown(member.name))
+            if (member.name == "i0-0" || simulation.isDown(member.name))
                 continue;
             ++living;
             reached += count;
         }
     }
-    cr_log_info("%s: %.3f reached in %d hops", param->name, reached / living, play.hops);
+    cr_log_info("%s: %.3f reached in %d hops", param->name, reached / living, simulation.hops);
     cr_assert_geq(reached / living, param->minReached, "%s: %.3f", param->name, reached / living);
-    cr_assert_leq(play.hops, param->maxHops, "%s: %d hops", param->name, play.hops);
+    cr_assert_leq(simulation.hops, param->maxHops, "%s: %d hops", param->name, simulation.hops);
     const std::size_t distant = static_cast<std::size_t>(param->dataCentres) - 1;
-    cr_assert_leq(play.maxSent, distant * 3 + NoticeFanout::maxSpreadTargets);
+    cr_assert_leq(simulation.maxSent, distant * 3 + NoticeFanout::maxSpreadTargets);
 }
--- a/unittests/Limits/retrygatetest.cpp
+++ b/unittests/Limits/retrygatetest.cpp
@@ -50,7 +50,7 @@
         {"584, all fail, busy", 584, 640, 5, 1, -1, 0},
 };
 
-// Plays the permits of a fleet on a simulated network.
+// Simulates the permits of a fleet and the network between its instances.
 class RetryFleet
 {
 public:
@@ -62,10 +62,10 @@
         this->startAll();
     }
 
-    void run(int playedSeconds)
+    void run(int simulatedSeconds)
     {
-        for (int step = 0; step < playedSeconds * stepsPerSecond; ++step)
-            this->play(step);
+        for (int step = 0; step < simulatedSeconds * stepsPerSecond; ++step)
+            this->simulate(step);
     }
 
     double grantedPart() const
@@ -166,7 +166,7 @@
         }
     }
 
-    void play(int step)
+    void simulate(int step)
     {
         const int second = step / stepsPerSecond;
         if (step % stepsPerSecond == 0) {
--- a/unittests/Platform/followertest.cpp
+++ b/unittests/Platform/followertest.cpp
@@ -226,3 +226,19 @@
         cr_assert_eq(items + large, one.sizes.size());
     }
 }
+
+// Guards against a notice with more changes than its receivers decode: six thousand targets may
+// leave the store at once.
+Test(storeFollower, manyChangesArePassedOnInPartsThatCanBeDecoded)
+{
+    static constexpr std::size_t decodedAtMost = 4096;
+    SharedChanges changes{10, 6010, {}, false};
+    for (std::uint64_t i = 0; i < 6000; ++i)
+        changes.items.push_back({"servers/" + std::to_string(i), "", 11 + i, true});
+    std::size_t items = 0;
+    for (const SharedChanges &part : splitChanges(changes, 131'072)) {
+        cr_assert_lt(part.items.size(), decodedAtMost);
+        items += part.items.size();
+    }
+    cr_assert_eq(items, 6000);
+}
--- a/unittests/Platform/stalelistingtest.cpp
+++ b/unittests/Platform/stalelistingtest.cpp
@@ -58,6 +58,28 @@
     }
 };
 
+// A follower that lists the store, reads targets from replicas, and then asks nothing by itself.
+struct ListingFollower
+{
+    explicit ListingFollower(const StoreStandin &store)
+    {
+        StoreFollowerOptions options;
+        options.store = parseEndpoint(store.address()).value();
+        options.stalePrefix = this->dialect->targetsPrefix();
+        this->follower =
+                std::make_shared<StoreFollower>(this->loop, this->clock, *this->dialect, options, 1,
+                                                this->contents, this->contents);
+        this->follower->start();
+        this->follower->setActive(false);
+    }
+
+    asio::io_context loop;
+    ManualClock clock;
+    std::unique_ptr<Dialect> dialect = makePlatformDialect();
+    Contents contents;
+    std::shared_ptr<StoreFollower> follower;
+};
+
 enum class StaleReplica {
     Current,
     Lags,
@@ -122,27 +144,18 @@
         store.put(targetKey(i), "ready");
     prepare(store, param->replica);
 
-    asio::io_context loop;
-    ManualClock clock;
-    const auto dialect = makePlatformDialect();
-    Contents contents;
-    StoreFollowerOptions options;
-    options.store = parseEndpoint(store.address()).value();
-    options.stalePrefix = dialect->targetsPrefix();
-    const auto follower =
-            std::make_shared<StoreFollower>(loop, clock, *dialect, options, 1, contents, contents);
-    follower->start();
-    follower->setActive(false);
+    ListingFollower follower(store);
+    const Contents &contents = follower.contents;
     while (contents.listings == 0)
-        loop.run_one();
+        follower.loop.run_one();
     const bool changed = param->replica != StaleReplica::Current;
     cr_assert_eq(contents.firstConfiguration, std::string(changed ? "new" : "old"),
                  "the configuration is never read from a replica");
     // A listing that had to be repeated is current.
     const bool isStale = param->replica != StaleReplica::AnswersFromOlderHistory;
-    cr_assert_eq(follower->knownRevision() == 0, isStale,
+    cr_assert_eq(follower.follower->knownRevision() == 0, isStale,
                  "changes may be missing until a watch answers");
-    loop.run_for(std::chrono::milliseconds(1600));
+    follower.loop.run_for(std::chrono::milliseconds(1600));
 
     cr_assert_eq(contents.listings, param->listings);
     std::map<std::string, std::string> expected;
@@ -155,9 +168,9 @@
         expected[targetKey(8)] = "draining";
         expected["servers/t95"] = "ready";
     }
-    contents.values.erase("settings/x");
+    follower.contents.values.erase("settings/x");
     cr_assert(contents.values == expected, "%s", param->name);
-    cr_assert_gt(follower->knownRevision(), 0);
+    cr_assert_gt(follower.follower->knownRevision(), 0);
 }
 
 // Guards against a fleet that starts together and uses up the store's rate limit with its listings.
@@ -168,19 +181,9 @@
     store.put("op/config", "c");
     for (int i = 0; i < targetCount; ++i)
         store.put(targetKey(i), "ready");
-    asio::io_context loop;
-    ManualClock clock;
-    const auto dialect = makePlatformDialect();
-    Contents contents;
-    StoreFollowerOptions options;
-    options.store = parseEndpoint(store.address()).value();
-    options.stalePrefix = dialect->targetsPrefix();
-    const auto follower =
-            std::make_shared<StoreFollower>(loop, clock, *dialect, options, 1, contents, contents);
-    follower->start();
-    follower->setActive(false);
-    loop.run_for(std::chrono::milliseconds(1600));
-    cr_assert_eq(contents.listings, 1);
+    ListingFollower follower(store);
+    follower.loop.run_for(std::chrono::milliseconds(1600));
+    cr_assert_eq(follower.contents.listings, 1);
     cr_assert_eq(store.staleCalls(), pageCount - 1);
     cr_assert_eq(store.calls(), pageCount + 1,
                  "and one watch, which brings the listing up to date");
--- a/unittests/Routing/probescheduletest.cpp
+++ b/unittests/Routing/probescheduletest.cpp
@@ -39,14 +39,29 @@
         {"reporter of an idle engine gone", 7500, 3, false, 0, true},
 };
 
+// An engine whose last reports showed no work.
+struct IdleEngine
+{
+    explicit IdleEngine(int reports)
+    {
+        TargetEntry entry;
+        entry.id = "e";
+        this->engines.onListed(entry);
+        for (int i = 0; i < reports; ++i)
+            this->engines.recordReport("e", {});
+    }
+
+    int idleReports() const { return this->engines.forecast("e").idleReports; }
+
+    ManualClock clock;
+    EngineChoice engines{clock, 1, "dc"};
+};
+
 // Counts the probes of one engine by its reporter, as the prober checks them, over this time.
 int probesWithin(std::chrono::milliseconds time, std::chrono::milliseconds placementEvery)
 {
-    ManualClock clock;
-    EngineChoice engines(clock, 1, "dc");
-    TargetEntry entry;
-    entry.id = "e";
-    engines.onListed(entry);
+    IdleEngine engine(0);
+    EngineChoice &engines = engine.engines;
     const ProbeSchedule schedule(shortest);
     int probes = 0;
     std::chrono::milliseconds sincePlacement{0};
@@ -64,7 +79,7 @@
             engines.recordRemotePlacement("e", {100, 10}, false);
             sincePlacement = 0ms;
         }
-        clock.advance(shortest);
+        engine.clock.advance(shortest);
     }
     return probes;
 }
@@ -99,36 +114,23 @@
 // due at the next check.
 Test(probeSchedule, placementEndsTheIdleInterval)
 {
-    ManualClock clock;
-    EngineChoice engines(clock, 1, "dc");
-    TargetEntry entry;
-    entry.id = "e";
-    engines.onListed(entry);
-    for (int i = 0; i < 10; ++i)
-        engines.recordReport("e", {});
-    cr_assert_eq(engines.forecast("e").idleReports, 10);
-    engines.recordRemotePlacement("e", {100, 10}, false);
-    cr_assert_eq(engines.forecast("e").idleReports, 0);
-    clock.advance(shortest);
-    const ProbeInputs inputs{engines.forecast("e").reportAge, engines.forecast("e").idleReports,
-                             true};
+    IdleEngine engine(10);
+    cr_assert_eq(engine.idleReports(), 10);
+    engine.engines.recordRemotePlacement("e", {100, 10}, false);
+    cr_assert_eq(engine.idleReports(), 0);
+    engine.clock.advance(shortest);
+    const ProbeInputs inputs{engine.engines.forecast("e").reportAge, engine.idleReports(), true};
     cr_assert(ProbeSchedule(shortest).isDue(inputs, noLimit));
     EngineLoad working;
     working.running = 1;
-    engines.recordReport("e", working);
-    cr_assert_eq(engines.forecast("e").idleReports, 0);
+    engine.engines.recordReport("e", working);
+    cr_assert_eq(engine.idleReports(), 0);
 }
 
 // Guards against an engine that is probed as seldom as an idle one while it fails.
 Test(probeSchedule, failingEngineIsNotIdle)
 {
-    ManualClock clock;
-    EngineChoice engines(clock, 1, "dc");
-    TargetEntry entry;
-    entry.id = "e";
-    engines.onListed(entry);
-    for (int i = 0; i < 10; ++i)
-        engines.recordReport("e", {});
-    engines.recordFailure("e");
-    cr_assert_eq(engines.forecast("e").idleReports, 0);
+    IdleEngine engine(10);
+    engine.engines.recordFailure("e");
+    cr_assert_eq(engine.idleReports(), 0);
 }
