--- a/include/jaytrack/Routing/probeschedule.h
+++ b/include/jaytrack/Routing/probeschedule.h
@@ -1,11 +1,11 @@
 // Decides when the load of an engine is probed again.
 //
 // Each probe costs a connection to the engine, and its report is sent to every instance that places
-// work there. Probing every engine at the same interval costs a fleet the same whether its engines
-// work or not: 5,720 engines of which one in twenty worked were probed 8,000 times a second, and 15
-// instances were told of each report. An idle engine's load is known until somebody places work
-// there, which the instances tell each other within milliseconds. Therefore the interval of an idle
-// engine doubles with each report that shows no work, and is the shortest again after a placement.
+// work there. With the same interval for every engine, a fleet of 5,720 engines pays for 8,000
+// probes a second, each sent to 15 instances, even if one engine in twenty works. An idle engine's
+// load is known until an instance places work there, which the instances tell each other within
+// milliseconds. Therefore the interval of an idle engine doubles with each report that shows no
+// work, and is the shortest again after a placement or a failure.
 #ifndef JAYTRACK_ROUTING_PROBESCHEDULE_H
 #define JAYTRACK_ROUTING_PROBESCHEDULE_H
 
