Keep the ports of targets that must refuse connections bound

Ruled out: a fault of the instance (it says what the answer was), load (no time limit is involved).

Change: the sockets stay bound without listening, so connections are refused and nobody else gets the ports; the same in crashWatch/usesTimeOfLossForEnds, which did the same. What is checked stays.

--- a/unittests/Quarantine/crashwatchtest.cpp
+++ b/unittests/Quarantine/crashwatchtest.cpp
@@ -4,6 +4,8 @@
 #include <asio.hpp>
 #include <criterion/criterion.h>
 
+#include <array>
+
 using namespace jaytrack;
 
 namespace {
@@ -18,13 +20,20 @@
     std::vector<std::string> barred;
 };
 
-// Returns an address at which no process listens.
-std::string deadAddress()
+// An address that refuses connections. Its port is bound, so that no other process gets it.
+class DeadAddress
 {
+public:
+    std::string text() const
+    {
+        return "127.0.0.1:" + std::to_string(this->socket.local_endpoint().port());
+    }
+
+private:
     asio::io_context context;
-    const asio::ip::tcp::acceptor free(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(free.local_endpoint().port());
-}
+    asio::ip::tcp::socket socket{this->context,
+                                 asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
+};
 
 } // namespace
 
@@ -41,9 +50,10 @@
     RecordingListener listener;
     CrashWatch watch(loop, clock, metrics, listener, listener);
     TimePoint sentAt = clock.now();
-    for (const char *target : {"a", "b", "c"}) {
+    const std::array<DeadAddress, 3> dead;
+    for (std::size_t i = 0; i < dead.size(); ++i) {
         clock.advance(std::chrono::milliseconds(30));
-        watch.recordUnansweredLoss(target, deadAddress(), "deadly", sentAt);
+        watch.recordUnansweredLoss("target-" + std::to_string(i), dead[i].text(), "deadly", sentAt);
         sentAt = clock.now();
     }
     clock.advance(std::chrono::milliseconds(30));
--- a/unittests/Serve/servicetest.cpp
+++ b/unittests/Serve/servicetest.cpp
@@ -327,12 +327,15 @@
     plan.services = 1;
     Site site(plan);
     Document document = site.document();
+    // Bound but not listening, so that connections are refused and no other process gets the port.
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> ended;
     for (int i = 0; i < 7; ++i) {
-        asio::io_context context;
-        const asio::ip::tcp::acceptor free(context, {asio::ip::make_address("127.0.0.1"), 0});
-        document.services[0].targets.push_back({"ended-" + std::to_string(i), "falun",
-                                                Site::addressOf(free.local_endpoint().port()),
-                                                false});
+        ended.emplace_back(context,
+                           asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        document.services[0].targets.push_back(
+                {"ended-" + std::to_string(i), "falun",
+                 Site::addressOf(ended.back().local_endpoint().port()), false});
     }
     site.publish(document);
     site.addInstance(site.configUrl());
