Decide on a retry at once instead of waiting for a permit to accrue

Seen: the check's step test on, once: limitTold/sumOfInstancesHolds, case "failing ones, which are repeated": refused requests where the other target had room. Its log: four requests end with the same 500 at 04.795 s, four are sent in the same millisecond at 05.062 and again at 05.328, where three are refused with 202: the target that fails everything is held to fewer at a time.

Failed requests waited up to 100 ms for a permit; all that wait for one service have the same back-off and continue together, and their callers with them. Class: whoever waits for the same moment arrives together. It also held a failure back that could be told at once.

Change: the owner's answer decides; nothing waits until a permit accrues.

--- a/include/jaytrack/Limits/retrygate.h
+++ b/include/jaytrack/Limits/retrygate.h
@@ -35,9 +35,6 @@
     // 1.5 times as much, which with the instances' own shares still is not more than the slack.
     static constexpr double sharedSlackPart = 0.2;
 
-    // The longest time for which a failed request waits for a permit.
-    static constexpr std::chrono::milliseconds maxPermitWait{100};
-
     // The parameter expectedOthers is the number of other instances in the settings.
     RetryGate(asio::io_context &loop, const Clock &time, std::string ownName,
               std::size_t expectedOthers, RetryBound retryBound, std::uint64_t seed,
@@ -48,9 +45,10 @@
     // Records the arrival of a caller's request for a service.
     void earn(std::string_view service) { this->budget.earn(service); }
 
-    // Takes one retry to the service. Calls the callback once, immediately or from the event loop,
-    // with whether the retry was granted.
-    void take(std::string_view service, std::function<void(bool)> callback);
+    // Takes one retry to the service. Calls the callback once, immediately or from the event loop
+    // after the owner's answer, with whether the retry was granted. A request does not wait until a
+    // permit accrues: those that wait would all continue at the same moment.
+    void take(std::string_view service, const std::function<void(bool)> &callback);
 
     void onMessage(std::string_view from, const LimitMessage &message);
     void tick() { this->permits.tick(); }
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -172,7 +172,7 @@
                            const std::function<void(const TargetEntry &)> &send);
 
     // Requests a retry from the budget that all instances share. Calls proceed with whether it was
-    // granted, immediately or within RetryGate::maxPermitWait, unless the request ends before.
+    // granted, immediately or after another instance's answer, unless the request ends before.
     void requestRetry(const std::function<void(bool)> &proceed);
 
     // Whether a retry has been requested and not decided yet.
--- a/lib/Limits/retrygate.cpp
+++ b/lib/Limits/retrygate.cpp
@@ -35,7 +35,7 @@
     this->permits.setInstances(others);
 }
 
-void RetryGate::take(std::string_view service, std::function<void(bool)> callback)
+void RetryGate::take(std::string_view service, const std::function<void(bool)> &callback)
 {
     if (this->budget.take(service))
         return callback(true);
@@ -43,7 +43,9 @@
     if (perSecond <= 0)
         return callback(false);
     this->permits.recordLimit(service, perSecond);
-    this->permits.requestWithin(service, maxPermitWait, std::move(callback));
+    const auto decided = [callback](const Permit &permit) { callback(permit.granted); };
+    if (const auto permit = this->permits.request(service, decided))
+        decided(*permit);
 }
 
 void RetryGate::onMessage(std::string_view from, const LimitMessage &message)
--- a/unittests/Limits/retrygatetest.cpp
+++ b/unittests/Limits/retrygatetest.cpp
@@ -123,13 +123,6 @@
         LimitMessage content;
     };
 
-    struct Waiting
-    {
-        TimePoint next;
-        TimePoint deadline;
-        int node;
-    };
-
     struct Second
     {
         int requests = 0;
@@ -145,7 +138,6 @@
     void startAll()
     {
         this->messages.clear();
-        this->waiting.clear();
         this->nodes.clear();
         for (int i = 0; i < this->fleet.instances; ++i)
             this->nodes.push_back(std::make_unique<Node>(*this, i));
@@ -177,7 +169,6 @@
                 this->discover();
         }
         this->deliver();
-        this->askAgain();
         if (step % stepsPerTick == 0) {
             for (const auto &node : this->nodes)
                 node->permits.tick();
@@ -213,37 +204,22 @@
             if (budget.take(service))
                 this->grant();
             else
-                this->ask({this->clock.now(), this->clock.now() + RetryGate::maxPermitWait, node});
+                this->ask(node);
         }
     }
 
-    void ask(const Waiting &request)
+    void ask(int node)
     {
-        TargetLimits &permits = this->nodes[static_cast<std::size_t>(request.node)]->permits;
+        TargetLimits &permits = this->nodes[static_cast<std::size_t>(node)]->permits;
         permits.recordLimit(service, RetryGate::permitsPerSecond(this->bound));
-        const auto decided = [this, request](const Permit &permit) {
+        const auto decided = [this](const Permit &permit) {
             if (permit.granted)
-                return this->grant();
-            if (this->clock.now() + permit.wait <= request.deadline)
-                this->waiting.push_back(
-                        {this->clock.now() + permit.wait, request.deadline, request.node});
+                this->grant();
         };
         if (const auto permit = permits.request(service, decided))
             decided(*permit);
     }
 
-    void askAgain()
-    {
-        const std::vector<Waiting> all = std::move(this->waiting);
-        this->waiting.clear();
-        for (const Waiting &request : all) {
-            if (request.next <= this->clock.now())
-                this->ask(request);
-            else
-                this->waiting.push_back(request);
-        }
-    }
-
     void grant()
     {
         ++this->granted;
@@ -256,7 +232,6 @@
     std::mt19937_64 random{5};
     std::vector<std::unique_ptr<Node>> nodes;
     std::deque<Message> messages;
-    std::vector<Waiting> waiting;
     std::vector<Second> seconds;
     bool viewsKnown = false;
     int needed = 0;
