--- a/include/jaytrack/Net/targetcall.h
+++ b/include/jaytrack/Net/targetcall.h
@@ -41,6 +41,7 @@
 {
 public:
     virtual ~TargetCallListener() = default;
+    virtual void onConnected() {} // the connection is open; the request is sent next
     virtual void onAnswerHead(MessageHead head) = 0;
     virtual void onAnswerBody(std::string_view bytes) = 0;
     virtual void onCallEnd(const TargetCallEnd &end) = 0; // the last call; not made after cancel()
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -9,6 +9,7 @@
 #include "jaytrack/Policy/targethealth.h"
 #include "jaytrack/Proxy/entrytuning.h"
 #include "jaytrack/Proxy/selfreports.h"
+#include "jaytrack/Proxy/targetcalls.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Routing/admission.h"
 #include "jaytrack/Routing/coldtargets.h"
@@ -47,6 +48,7 @@
 struct ExchangeContext
 {
     asio::io_context &loop;
+    TargetCalls &calls;
     const Clock &clock;
     const Dialect &dialect;
     Metrics &metrics;
@@ -150,6 +152,12 @@
     // Whether the route and the customer allow the target's region.
     bool isAllowedAt(const TargetEntry &target) const;
 
+    // Describes a call to the target on behalf of this request.
+    CallContext callContext(const TargetEntry &target) const
+    {
+        return {target.id, this->facts().attemptId};
+    }
+
     // Time for which this instance must not send to the target, because the target asked for a
     // pause, is cold, or has a rate limit that is exhausted.
     Duration remainingPause(const TargetEntry &target, double rate) const;
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -3,8 +3,8 @@
 #ifndef JAYTRACK_PROXY_LOADPROBER_H
 #define JAYTRACK_PROXY_LOADPROBER_H
 
-#include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Proxy/selfreports.h"
+#include "jaytrack/Proxy/targetcalls.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/probeschedule.h"
 #include "jaytrack/Routing/targetdirectory.h"
@@ -40,9 +40,9 @@
 class LoadProber final
 {
 public:
-    LoadProber(asio::io_context &loop, const Clock &time, const Dialect &platform,
-               EngineChoice &engineChoice, LoadSharing &loadSharing, SelfReports &reports,
-               LimitGate &gate, std::mt19937_64 &source,
+    LoadProber(asio::io_context &loop, TargetCalls &targetCalls, const Clock &time,
+               const Dialect &platform, EngineChoice &engineChoice, LoadSharing &loadSharing,
+               SelfReports &reports, LimitGate &gate, std::mt19937_64 &source,
                std::chrono::milliseconds timeBetweenProbes);
 
     // Probes the engine from now on, if this instance places work there.
@@ -57,6 +57,7 @@
     class Probe;
 
     asio::io_context &context;
+    TargetCalls &calls;
     const Clock &clock;
     const Dialect &dialect;
     EngineChoice &engines;
--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -67,6 +67,8 @@
 {
     this->timer.cancel();
     prepareSocket(this->socket);
+    if (const auto to = this->listener.lock())
+        to->onConnected();
     this->outgoing = formatRequest(this->request);
     this->request.body.clear();
     this->request.headers.clear();
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -35,6 +35,7 @@
     , serviceEndpoint(*this)
     , random(std::random_device{}())
     , listingLogAllowance(time, maxListingLines, listingLogPeriod)
+    , calls(this->loop, time, this->metrics)
     , directory(*this)
     , health(time, this->random())
     , engines(time, this->random(), entrySettings.dataCentre, entrySettings.tuning.engines)
@@ -53,23 +54,33 @@
     , limitGate(this->loop, time, entrySettings.name, configuredPeerCount(entrySettings),
                 this->random(), *this, this->metrics)
     , selfReports(platform, this->directory, this->pauses, this->cold, this->limitGate, *this)
-    , prober(this->loop, time, platform, this->engines, *this, this->selfReports, this->limitGate,
-             this->random, entrySettings.tuning.probeInterval)
+    , prober(this->loop, this->calls, time, platform, this->engines, *this, this->selfReports,
+             this->limitGate, this->random, entrySettings.tuning.probeInterval)
     , crashes(this->loop, time, this->metrics, *this, *this)
     , startup(
               this->loop, time, [this] { return this->hasInitialData(); },
               [this](std::shared_ptr<CallerConnection> connection, CallerRequest request) {
                   this->serve(std::move(connection), std::move(request));
               })
-    , context{this->loop,      time,
-              platform,        this->metrics,
-              this->directory, this->health,
-              this->engines,   this->shares,
-              this->retries,   this->settings.regions,
-              this->random,    *this,
-              this->crashes,   this->selfReports,
-              this->pauses,    this->cold,
-              this->limitGate, this->settings.tuning.streams,
+    , context{this->loop,
+              this->calls,
+              time,
+              platform,
+              this->metrics,
+              this->directory,
+              this->health,
+              this->engines,
+              this->shares,
+              this->retries,
+              this->settings.regions,
+              this->random,
+              *this,
+              this->crashes,
+              this->selfReports,
+              this->pauses,
+              this->cold,
+              this->limitGate,
+              this->settings.tuning.streams,
               this->open}
     , callers(this->loop, time, *this)
     , readiness(this->loop, time, this->serviceEndpoint)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -12,6 +12,7 @@
 #include "jaytrack/Proxy/startupqueue.h"
 #include "jaytrack/Proxy/storefeeds.h"
 #include "jaytrack/Proxy/storesharing.h"
+#include "jaytrack/Proxy/targetcalls.h"
 #include "jaytrack/Support/metrics.h"
 
 #include <asio/signal_set.hpp>
@@ -186,6 +187,7 @@
     Metrics metrics;
     std::mt19937_64 random;
     LogAllowance listingLogAllowance; // rate limit of log lines about single targets
+    TargetCalls calls;
     TargetDirectory directory;
     TargetHealth health;
     EngineChoice engines;
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -116,8 +116,8 @@
         request.connectTimeout = answerTimeout;
         this->status = 0;
         this->body.clear();
-        this->call =
-                TargetCall::start(this->prober.context, std::move(request), this->weak_from_this());
+        this->call = this->prober.calls.start(std::move(request), {this->target.id, {}},
+                                              this->weak_from_this());
         this->timer.expires_after(answerTimeout);
         this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
             const auto self = weak.lock();
@@ -152,17 +152,18 @@
     TargetEntry target;
     asio::steady_timer timer;
     TimePoint addedAt;
-    std::shared_ptr<TargetCall> call;
+    std::shared_ptr<RoutedCall> call;
     int status = 0;
     std::string body;
     bool stopped = false;
 };
 
-LoadProber::LoadProber(asio::io_context &loop, const Clock &time, const Dialect &platform,
-                       EngineChoice &engineChoice, LoadSharing &loadSharing, SelfReports &reports,
-                       LimitGate &gate, std::mt19937_64 &source,
-                       std::chrono::milliseconds timeBetweenProbes)
+LoadProber::LoadProber(asio::io_context &loop, TargetCalls &targetCalls, const Clock &time,
+                       const Dialect &platform, EngineChoice &engineChoice,
+                       LoadSharing &loadSharing, SelfReports &reports, LimitGate &gate,
+                       std::mt19937_64 &source, std::chrono::milliseconds timeBetweenProbes)
     : context(loop)
+    , calls(targetCalls)
     , clock(time)
     , dialect(platform)
     , engines(engineChoice)
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -95,8 +95,8 @@
         outgoing.connectTimeout = std::clamp(this->timeLeft() / 3, std::chrono::milliseconds(50),
                                              std::chrono::milliseconds(500));
         const auto self = std::static_pointer_cast<PlainExchange>(this->shared_from_this());
-        this->call = TargetCall::start(this->context.loop, std::move(outgoing),
-                                       std::weak_ptr<TargetCallListener>(self));
+        this->call = this->context.calls.start(std::move(outgoing), this->callContext(entry),
+                                               std::weak_ptr<TargetCallListener>(self));
         this->watchAttempt();
     }
 
@@ -247,7 +247,7 @@
     }
 
     asio::steady_timer attemptTimer;
-    std::shared_ptr<TargetCall> call;
+    std::shared_ptr<RoutedCall> call;
     TargetEntry target;
     TimePoint sentAt;
     MessageHead answer;
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -161,8 +161,8 @@
         this->reservations.reserveForPrompt(target.id, this->need);
     leg->openedAt = this->context.clock.now();
     this->context.cold.recordSend(target.id);
-    leg->call = TargetCall::start(this->context.loop,
-                                  this->makeRequest(target, orders, endpoint.value()), leg);
+    leg->call = this->context.calls.start(this->makeRequest(target, orders, endpoint.value()),
+                                          this->callContext(target), leg);
     return leg;
 }
 
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -33,7 +33,7 @@
     std::weak_ptr<StreamExchange> owner;
     TargetEntry target;
     bool resumed;
-    std::shared_ptr<TargetCall> call;
+    std::shared_ptr<RoutedCall> call;
     MessageHead head;
     std::string plainBody;
     SseSplitter events;
@@ -57,7 +57,7 @@
     void onCallEnd(const TargetCallEnd &end) override;
 
     std::weak_ptr<StreamExchange> owner;
-    std::shared_ptr<TargetCall> call;
+    std::shared_ptr<RoutedCall> call;
     std::string source; // id of the engine that holds the run
     TargetEntry destination;
     int status = 0;
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -343,7 +343,8 @@
     request.headers.push_back({"Content-Type", "application/json"});
     request.body =
             this->context.dialect.encodeMove(this->facts().attemptId, destination.address, false);
-    this->move->call = TargetCall::start(this->context.loop, std::move(request), this->move);
+    this->move->call = this->context.calls.start(
+            std::move(request), this->callContext(this->current->target), this->move);
     this->moveTimer.expires_after(copyTimeout);
     this->moveTimer.async_wait([self = this->self()](const asio::error_code &failure) {
         if (failure || !self->move || self->isFinished())
