Call targets through another instance where this one has lost its links to them

Cause: an instance had one way to a target, its own link, and no notion of whether that link or the target is at fault. Class: a failure of the observer taken for a failure of the observed. Ruled out: engines avoided by all because of the cut instances' reports (the others were served); stale load reports as the main cause (72 of 104 refusals there are connect_timeout). TargetReach believes a link to be lost only when another instance reached the target, and the links to a service when that happened with two targets in a row; calls then go through others at once, background calls find out when links are back. RelayPeers leaves out instances that could not help. Admission, permits, retries and deadline stay with the instance that has the caller; what is passed on is never passed on again; a loss between the two counts as sent.

--- a/include/jaytrack/Net/targetcall.h
+++ b/include/jaytrack/Net/targetcall.h
@@ -66,6 +66,10 @@
 
     bool bytesSent() const { return this->sent; }
 
+    // Returns the request of a call that ended before any byte was sent, so that it can be sent
+    // another way.
+    TargetRequest takeUnsent();
+
 private:
     void connect();
     void send();
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -149,14 +149,11 @@
     // Usable targets that this request has not been sent to yet.
     std::vector<const TargetEntry *> untriedTargets() const;
 
-    // Whether the route and the customer allow the target's region.
-    bool isAllowedAt(const TargetEntry &target) const;
+    // Whether the route and the customer allow the region of the data centre.
+    bool isAllowedIn(std::string_view dataCentre) const;
 
     // Describes a call to the target on behalf of this request.
-    CallContext callContext(const TargetEntry &target) const
-    {
-        return {target.id, this->facts().attemptId};
-    }
+    CallContext callContext(const TargetEntry &target, bool isNewWork) const;
 
     // Time for which this instance must not send to the target, because the target asked for a
     // pause, is cold, or has a rate limit that is exhausted.
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -18,6 +18,7 @@
 #include "jaytrack/Quarantine/quarantinemessage.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/engineshares.h"
+#include "jaytrack/Routing/relaypeers.h"
 #include "jaytrack/Support/keyring.h"
 #include "jaytrack/Support/logallowance.h"
 
@@ -68,6 +69,9 @@
     virtual void onLimitNews(std::string_view peer, const LimitMessage &news) = 0;
     virtual void onRetryPermits(std::string_view peer, const LimitMessage &message) = 0;
     virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
+
+    // The instances that may call targets for this one, which listen at their peer addresses.
+    virtual void onRelayPeersChanged(std::vector<RelayPeer> others) = 0;
 };
 
 class PeerLink final : public PeerTransport, public MembershipListener
--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -4,6 +4,8 @@
 
 #include <asio/write.hpp>
 
+#include <cassert>
+
 namespace jaytrack {
 
 namespace {
@@ -166,6 +168,12 @@
     this->socket.close(ignored);
 }
 
+TargetRequest TargetCall::takeUnsent()
+{
+    assert(this->ended && !this->sent && "a request that may have arrived must not be reused");
+    return std::move(this->request);
+}
+
 void TargetCall::setPaused(bool pause)
 {
     this->paused = pause;
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -35,8 +35,10 @@
     , serviceEndpoint(*this)
     , random(std::random_device{}())
     , listingLogAllowance(time, maxListingLines, listingLogPeriod)
-    , calls(this->loop, time, this->metrics)
+    , calls(this->loop, time, this->metrics, entrySettings.dataCentre, entrySettings.peerKeys,
+            this->random())
     , directory(*this)
+    , relays(this->calls, time, this->metrics, this->directory, *this)
     , health(time, this->random())
     , engines(time, this->random(), entrySettings.dataCentre, entrySettings.tuning.engines)
     , shares(entrySettings.name)
@@ -126,7 +128,11 @@
     link.keys = this->settings.peerKeys;
     this->peers = std::make_unique<PeerLink>(this->loop, this->clock, std::move(link),
                                              this->random(), this->shares, *this);
-    return this->peers->open();
+    const auto relayAddress = parseEndpoint(this->settings.peers);
+    if (!relayAddress)
+        return relayAddress.error();
+    const Result<void> opened = this->relays.listen(relayAddress.value());
+    return opened ? this->peers->open() : opened;
 }
 
 Result<void> EntryInstance::Parts::followStore()
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -121,6 +121,7 @@
     this->engines.onRemoved(entry.id);
     this->shares.onRemoved(entry.id);
     this->health.forget(entry.id);
+    this->calls.forget(entry.id);
     this->prober.remove(entry.id);
     const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
     for (const auto &exchange : served)
@@ -138,6 +139,7 @@
     this->engines.forget(ended.id);
     this->shares.onRemoved(ended.id);
     this->health.forget(ended.id);
+    this->calls.forget(ended.id);
     this->limitGate.forget(ended.id);
     this->prober.remove(ended.id);
     const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -9,6 +9,7 @@
 #include "jaytrack/Proxy/exchange.h"
 #include "jaytrack/Proxy/loadprober.h"
 #include "jaytrack/Proxy/peerlink.h"
+#include "jaytrack/Proxy/relayserver.h"
 #include "jaytrack/Proxy/startupqueue.h"
 #include "jaytrack/Proxy/storefeeds.h"
 #include "jaytrack/Proxy/storesharing.h"
@@ -120,6 +121,11 @@
 
     void onPeersChanged(const std::vector<std::string> &names) override;
 
+    void onRelayPeersChanged(std::vector<RelayPeer> others) override
+    {
+        this->calls.setPeers(std::move(others));
+    }
+
     // PlacementNotices
 
     void announcePlaced(std::string_view engine, const GenerationNeed &need, bool copied) override;
@@ -189,6 +195,7 @@
     LogAllowance listingLogAllowance; // rate limit of log lines about single targets
     TargetCalls calls;
     TargetDirectory directory;
+    RelayServer relays;
     TargetHealth health;
     EngineChoice engines;
     EngineShares shares;
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -139,22 +139,38 @@
 std::vector<const TargetEntry *> Exchange::allowedTargets() const
 {
     std::vector<const TargetEntry *> targets = this->context.directory.usable(this->serviceName);
-    std::erase_if(targets, [this](const TargetEntry *entry) { return !this->isAllowedAt(*entry); });
+    std::erase_if(targets, [this](const TargetEntry *entry) {
+        return !this->isAllowedIn(entry->dataCentre);
+    });
     return targets;
 }
 
-bool Exchange::isAllowedAt(const TargetEntry &target) const
+bool Exchange::isAllowedIn(std::string_view dataCentre) const
 {
     const KeyHolder *holder = this->admitted.admission.holder;
     if (this->route().regions.empty() && (holder == nullptr || holder->regions.empty()))
         return true;
-    const auto found = this->context.regions.find(target.dataCentre);
+    const auto found = this->context.regions.find(dataCentre);
     const std::string_view region =
             found == this->context.regions.end() ? std::string_view() : found->second;
     return allowsRegion(this->route().regions, region) &&
            (holder == nullptr || allowsRegion(holder->regions, region));
 }
 
+CallContext Exchange::callContext(const TargetEntry &target, bool isNewWork) const
+{
+    CallContext about;
+    about.target = target.id;
+    about.service = target.service;
+    about.attemptId = this->facts().attemptId;
+    about.isNewWork = isNewWork;
+    about.mayPass = [weak = this->weak_from_this()](std::string_view dataCentre) {
+        const auto self = weak.lock();
+        return self && self->isAllowedIn(dataCentre);
+    };
+    return about;
+}
+
 Duration Exchange::remainingPause(const TargetEntry &target, double rate) const
 {
     return std::max({this->context.pauses.remaining(target.id),
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -116,7 +116,12 @@
         request.connectTimeout = answerTimeout;
         this->status = 0;
         this->body.clear();
-        this->call = this->prober.calls.start(std::move(request), {this->target.id, {}},
+        CallContext about;
+        about.target = this->target.id;
+        about.service = this->target.service;
+        about.purpose = CallPurpose::Background;
+        about.isNewWork = false;
+        this->call = this->prober.calls.start(std::move(request), std::move(about),
                                               this->weak_from_this());
         this->timer.expires_after(answerTimeout);
         this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -53,6 +53,17 @@
     return asio::ip::udp::endpoint(parsed.value().address(), parsed.value().port());
 }
 
+std::vector<RelayPeer> relayPeersAmong(const std::vector<Member> &members)
+{
+    std::vector<RelayPeer> peers;
+    peers.reserve(members.size());
+    for (const Member &member : members) {
+        if (member.acceptsWork())
+            peers.push_back({member.name, member.dataCentre, member.peerAddress});
+    }
+    return peers;
+}
+
 std::uint32_t toTokens(std::int64_t number)
 {
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, number));
@@ -198,6 +209,7 @@
     names.reserve(others.size());
     for (const Member &member : others)
         names.push_back(member.name);
+    this->listener.onRelayPeersChanged(relayPeersAmong(others));
     // A member that restarted may have moved to another data centre.
     this->spread.setPeers(others);
     if (names == this->peers)
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -95,7 +95,7 @@
         outgoing.connectTimeout = std::clamp(this->timeLeft() / 3, std::chrono::milliseconds(50),
                                              std::chrono::milliseconds(500));
         const auto self = std::static_pointer_cast<PlainExchange>(this->shared_from_this());
-        this->call = this->context.calls.start(std::move(outgoing), this->callContext(entry),
+        this->call = this->context.calls.start(std::move(outgoing), this->callContext(entry, true),
                                                std::weak_ptr<TargetCallListener>(self));
         this->watchAttempt();
     }
--- /dev/null
+++ b/lib/Proxy/relayserver.cpp
@@ -0,0 +1,204 @@
+#include "jaytrack/Proxy/relayserver.h"
+
+#include "jaytrack/Net/socket.h"
+#include "jaytrack/Proxy/exchange.h"
+#include "jaytrack/Support/log.h"
+#include "jaytrack/Support/metrics.h"
+
+#include <algorithm>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr int badRequestStatus = 400;
+constexpr int unavailableStatus = 503;
+constexpr int badGatewayStatus = 502;
+
+// Maximum bytes buffered for an instance that reads slowly before reading from the target is
+// paused.
+constexpr std::size_t maxUnsentBytes = 128U << 10U;
+
+// Time for the bytes already written to a broken answer to be sent.
+constexpr std::chrono::milliseconds abortTimeout{1000};
+
+// The headers of an order come beside the caller's.
+constexpr std::size_t orderHeaderBytes = 2048;
+
+} // namespace
+
+// One request of another instance and the call to the target.
+class RelayServer::Relay final : public CallerListener,
+                                 public TargetCallListener,
+                                 public std::enable_shared_from_this<Relay>
+{
+public:
+    Relay(RelayServer &owner, std::shared_ptr<CallerConnection> connection,
+          const TargetEntry &target)
+        : server(owner)
+        , asker(std::move(connection))
+        , targetId(target.id)
+        , service(target.service)
+    {
+    }
+
+    void start(TargetRequest request)
+    {
+        this->server.open.insert(this->shared_from_this());
+        this->asker->attach(this->shared_from_this());
+        this->isHead = request.method == "HEAD";
+        this->call = TargetCall::start(this->server.calls.loop(), std::move(request),
+                                       this->weak_from_this());
+    }
+
+    // Reports to an instance that is told nothing yet that this one ends.
+    void onCallerGone() override
+    {
+        this->call->cancel();
+        this->finish("caller_left");
+    }
+
+    void onCallerWritable() override
+    {
+        if (this->asker->pendingBytes() < maxUnsentBytes / 2)
+            this->call->setPaused(false);
+    }
+
+    void onConnected() override
+    {
+        this->server.calls.recordConnected(this->targetId, this->service);
+    }
+
+    void onAnswerHead(MessageHead head) override
+    {
+        const std::vector<HttpHeader> headers = withoutRelayHeaders(answerHeaders(head.headers));
+        this->begun = true;
+        if (this->isHead)
+            this->asker->respond(head.status, headers, {});
+        else
+            this->asker->begin(head.status, headers);
+    }
+
+    void onAnswerBody(std::string_view bytes) override
+    {
+        this->asker->write(bytes);
+        if (this->asker->pendingBytes() > maxUnsentBytes)
+            this->call->setPaused(true);
+    }
+
+    void onCallEnd(const TargetCallEnd &end) override
+    {
+        if (!this->begun)
+            this->reportFailure(end);
+        else if (!this->isHead && end.whole)
+            this->asker->finish();
+        else if (!this->isHead)
+            this->asker->abort(abortTimeout);
+        this->finish(end.reason);
+    }
+
+private:
+    void reportFailure(const TargetCallEnd &end)
+    {
+        RelayFailure failure{std::string(end.reason), end.bytesSent, end.lostConnection};
+        if (!end.bytesSent)
+            failure.reason = relayMissedTarget;
+        this->asker->respond(end.bytesSent ? badGatewayStatus : unavailableStatus,
+                             encodeFailure(failure), {});
+    }
+
+    void finish(std::string_view outcome)
+    {
+        logEvent(Severity::Info, "call_for_peer_ended",
+                 {{"target", this->targetId}, {"outcome", outcome}});
+        this->server.metrics.count("jaytrack_calls_for_peers_total{outcome=\"" +
+                                   std::string(outcome) + "\"}");
+        this->server.open.erase(this->shared_from_this());
+    }
+
+    RelayServer &server;
+    std::shared_ptr<CallerConnection> asker;
+    std::string targetId;
+    std::string service;
+    std::shared_ptr<TargetCall> call;
+    bool isHead = false;
+    bool begun = false;
+};
+
+RelayServer::RelayServer(TargetCalls &targetCalls, const Clock &time, Metrics &counters,
+                         const TargetDirectory &targets, CallerHandler &budget)
+    : calls(targetCalls)
+    , metrics(counters)
+    , directory(targets)
+    , instance(budget)
+    , server(targetCalls.loop(), time, *this)
+{
+}
+
+Result<void> RelayServer::listen(const asio::ip::tcp::endpoint &endpoint)
+{
+    return this->server.listen(endpoint);
+}
+
+ConnectionLimits RelayServer::connectionLimits() const
+{
+    ConnectionLimits limits = this->instance.connectionLimits();
+    limits.headerBytes += orderHeaderBytes;
+    return limits;
+}
+
+void RelayServer::onRejectedRequest(int status, std::string_view reason)
+{
+    logEvent(Severity::Warning, "call_for_peer_unreadable",
+             {{"status", status}, {"reason", reason}});
+}
+
+// Returns why the call cannot be made for the other instance; empty if it can.
+std::string_view RelayServer::refusalReason(const RelayOrder &order,
+                                            const TargetEntry *target) const
+{
+    if (this->stopping())
+        return relayIsStopping;
+    if (target == nullptr)
+        return "unknown_target";
+    const bool isClosed = target->leaving || this->directory.isOutOfUse(target->dataCentre);
+    if (order.isNewWork && isClosed)
+        return "target_leaving";
+    return this->calls.isLost(order.target, target->service) ? relayHasNoLinks : std::string_view();
+}
+
+void RelayServer::refuse(CallerConnection &connection, std::string_view target,
+                         std::string_view reason)
+{
+    logEvent(Severity::Info, "call_for_peer_refused", {{"target", target}, {"reason", reason}});
+    this->metrics.count("jaytrack_calls_for_peers_total{outcome=\"refused\"}");
+    connection.respond(unavailableStatus, encodeFailure({std::string(reason), false, false}), {});
+}
+
+void RelayServer::onRequest(std::shared_ptr<CallerConnection> connection, CallerRequest request)
+{
+    const KeyRing *keys = this->calls.fleetKeys();
+    const auto order = keys != nullptr ? decodeOrder(request.head, *keys) : std::nullopt;
+    if (!order) {
+        this->onRejectedRequest(badRequestStatus, "not_signed");
+        return connection->respond(badRequestStatus, {}, {});
+    }
+    const TargetEntry *target = this->directory.find(order->target);
+    const std::string_view reason = this->refusalReason(*order, target);
+    if (!reason.empty())
+        return this->refuse(*connection, order->target, reason);
+    const auto endpoint = parseEndpoint(target->address);
+    if (!endpoint)
+        return this->refuse(*connection, order->target, relayMissedTarget);
+    TargetRequest outgoing;
+    outgoing.endpoint = endpoint.value();
+    outgoing.method = request.head.method;
+    outgoing.target = request.head.target;
+    outgoing.headers = withoutRelayHeaders(withoutHopByHop(request.head.headers));
+    outgoing.body = std::move(request.body);
+    outgoing.connectTimeout = order->connectTimeout;
+    const auto relay = std::make_shared<Relay>(*this, std::move(connection), *target);
+    relay->start(std::move(outgoing));
+}
+
+} // namespace jaytrack
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -162,7 +162,7 @@
     leg->openedAt = this->context.clock.now();
     this->context.cold.recordSend(target.id);
     leg->call = this->context.calls.start(this->makeRequest(target, orders, endpoint.value()),
-                                          this->callContext(target), leg);
+                                          this->callContext(target, true), leg);
     return leg;
 }
 
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -344,7 +344,7 @@
     request.body =
             this->context.dialect.encodeMove(this->facts().attemptId, destination.address, false);
     this->move->call = this->context.calls.start(
-            std::move(request), this->callContext(this->current->target), this->move);
+            std::move(request), this->callContext(this->current->target, false), this->move);
     this->moveTimer.expires_after(copyTimeout);
     this->moveTimer.async_wait([self = this->self()](const asio::error_code &failure) {
         if (failure || !self->move || self->isFinished())
--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Proxy/targetcalls.cpp
@@ -1,73 +1,270 @@
 #include "jaytrack/Proxy/targetcalls.h"
 
+#include "jaytrack/Net/socket.h"
+#include "jaytrack/Proxy/relaymessage.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Support/metrics.h"
 
+#include <algorithm>
+
 namespace jaytrack {
 
-TargetCalls::TargetCalls(asio::io_context &loop, const Clock &time, Metrics &counters)
+namespace {
+
+// Time for at least so many attempts to connect, where the first instances asked cannot help.
+constexpr int minAttempts = 3;
+
+std::chrono::milliseconds inMillis(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
+} // namespace
+
+TargetCalls::TargetCalls(asio::io_context &loop, const Clock &time, Metrics &counters,
+                         const std::string &ownDataCentre, std::vector<std::string> fleetKeys,
+                         std::uint64_t seed)
     : context(loop)
     , clock(time)
     , metrics(counters)
-    , connectedAt(time.now())
+    , reach(time)
+    , peers(time, ownDataCentre, seed)
 {
+    if (!fleetKeys.empty())
+        this->keys.emplace(std::move(fleetKeys));
 }
 
 std::shared_ptr<RoutedCall> TargetCalls::start(TargetRequest request, CallContext about,
                                                std::weak_ptr<TargetCallListener> listener)
 {
-    auto call = std::make_shared<RoutedCall>(*this, std::move(about), std::move(listener));
-    call->start(std::move(request));
+    auto call = std::make_shared<RoutedCall>(*this, std::move(request), std::move(about),
+                                             std::move(listener));
+    call->start();
     return call;
 }
 
-void TargetCalls::recordConnected()
+void TargetCalls::recordConnected(std::string_view target, std::string_view service)
 {
-    this->connectedAt = this->clock.now();
-    this->metrics.count("jaytrack_target_calls_total{outcome=\"connected\"}");
+    this->count("connected");
+    if (!this->reach.recordConnected(target, service))
+        return;
+    const Duration lost = this->clock.now() - this->cutOffSince[std::string(service)];
+    logEvent(Severity::Info, "links_regained",
+             {{"service", service}, {"target", target}, {"lost_ms", toMillis(lost)}});
+    this->metrics.count("jaytrack_links_regained_total");
+}
+
+void TargetCalls::recordReachedByPeer(const CallContext &about, std::string_view peer)
+{
+    if (!this->reach.recordReachedByPeer(about.target, about.service))
+        return;
+    this->cutOffSince[about.service] = this->clock.now();
+    logEvent(Severity::Warning, "links_lost",
+             {{"service", about.service},
+              {"target", about.target},
+              {"reached_by", peer},
+              {"connected_ms_ago", toMillis(this->reach.sinceConnected())}});
+    this->metrics.count("jaytrack_links_lost_total");
 }
 
 // The time since the last connection to any target tells a target that is down from links of this
 // instance that are lost.
 void TargetCalls::recordFailure(const CallContext &about, std::string_view reason)
 {
-    this->metrics.count("jaytrack_target_calls_total{outcome=\"direct_failed\"}");
+    this->count("direct_failed");
     logEvent(Severity::Info, "target_not_reached",
              {{"id", about.attemptId},
               {"target", about.target},
               {"reason", reason},
-              {"connected_ms_ago", toMillis(this->clock.now() - this->connectedAt)}});
+              {"connected_ms_ago", toMillis(this->reach.sinceConnected())}});
+}
+
+void TargetCalls::count(std::string_view outcome)
+{
+    this->metrics.count("jaytrack_target_calls_total{outcome=\"" + std::string(outcome) + "\"}");
 }
 
-RoutedCall::RoutedCall(TargetCalls &owner, CallContext context,
+RoutedCall::RoutedCall(TargetCalls &owner, TargetRequest outgoing, CallContext context,
                        std::weak_ptr<TargetCallListener> to)
     : calls(owner)
+    , request(std::move(outgoing))
     , about(std::move(context))
     , listener(std::move(to))
+    , connectTimeout(this->request.connectTimeout)
+    , lastStart(owner.clock.now() +
+                std::max<Duration>(this->connectTimeout, minAttempts * owner.connectPatience()))
+{
+}
+
+void RoutedCall::start()
+{
+    const CallPath path =
+            this->calls.reach.choose(this->about.target, this->about.service, this->about.purpose);
+    if (path == CallPath::Direct || !this->callThroughPeer())
+        this->callDirectly();
+}
+
+// While another instance may be asked, this one does not wait for the whole time-out.
+void RoutedCall::callDirectly()
+{
+    this->directTried = true;
+    this->peer.clear();
+    const bool hasOtherWay =
+            this->calls.reach.mayAskPeers(this->about.target) &&
+            this->calls.peers.choose(this->triedPeers, this->about.mayPass) != nullptr;
+    this->request.connectTimeout =
+            hasOtherWay ? std::min(this->connectTimeout, inMillis(this->calls.connectPatience()))
+                        : this->connectTimeout;
+    this->call = TargetCall::start(this->calls.context, std::move(this->request),
+                                   this->weak_from_this());
+}
+
+bool RoutedCall::callThroughPeer()
+{
+    const auto keys = this->calls.fleetKeys();
+    if (keys == nullptr || !this->calls.reach.mayAskPeers(this->about.target))
+        return false;
+    const RelayPeer *chosen = this->calls.peers.choose(this->triedPeers, this->about.mayPass);
+    if (chosen == nullptr)
+        return false;
+    const auto endpoint = parseEndpoint(chosen->address);
+    if (!endpoint)
+        return false;
+    this->peer = chosen->name;
+    this->triedPeers.insert(chosen->name);
+    this->relayFailure.clear();
+    this->logRelay(*chosen);
+    this->call = TargetCall::start(this->calls.context, this->makeRelayRequest(endpoint.value()),
+                                   this->weak_from_this());
+    return true;
+}
+
+TargetRequest RoutedCall::makeRelayRequest(const asio::ip::tcp::endpoint &peerEndpoint) const
 {
+    TargetRequest outgoing = this->request;
+    outgoing.endpoint = peerEndpoint;
+    outgoing.connectTimeout = inMillis(this->calls.connectPatience());
+    const RelayOrder order{this->about.target, this->about.isNewWork, outgoing.connectTimeout};
+    outgoing.headers = encodeOrder(order, outgoing.method, outgoing.target, outgoing.headers,
+                                   *this->calls.fleetKeys());
+    return outgoing;
 }
 
-void RoutedCall::start(TargetRequest request)
+void RoutedCall::logRelay(const RelayPeer &chosen) const
 {
-    this->call = TargetCall::start(this->calls.context, std::move(request), this->weak_from_this());
+    this->calls.count("through_peer");
+    if (this->about.purpose == CallPurpose::Background)
+        return;
+    logEvent(Severity::Info, "call_through_peer",
+             {{"id", this->about.attemptId},
+              {"target", this->about.target},
+              {"peer", chosen.name},
+              {"peer_data_centre", chosen.dataCentre},
+              {"reason", this->directMissed ? std::string_view(this->failure) : "link_lost"},
+              {"cut_off", this->calls.reach.isCutOff(this->about.service) ? 1 : 0}});
+}
+
+void RoutedCall::cancel()
+{
+    this->listener.reset();
+    if (this->call)
+        this->call->cancel();
+}
+
+void RoutedCall::setPaused(bool paused)
+{
+    if (this->call)
+        this->call->setPaused(paused);
+}
+
+void RoutedCall::onConnected()
+{
+    if (this->peer.empty())
+        this->calls.recordConnected(this->about.target, this->about.service);
 }
 
 void RoutedCall::onAnswerHead(MessageHead head)
 {
+    if (!this->peer.empty()) {
+        if (const auto failed = decodeFailure(head)) {
+            this->relayFailure = failed->reason;
+            this->relaySent = failed->sent;
+            this->relayLost = failed->lostConnection;
+            return;
+        }
+        this->calls.peers.recordServed(this->peer);
+        if (this->directMissed)
+            this->calls.recordReachedByPeer(this->about, this->peer);
+    }
     if (const auto to = this->listener.lock())
         to->onAnswerHead(std::move(head));
 }
 
 void RoutedCall::onAnswerBody(std::string_view bytes)
 {
-    if (const auto to = this->listener.lock())
+    const auto to = this->listener.lock();
+    if (to && this->relayFailure.empty())
         to->onAnswerBody(bytes);
 }
 
 void RoutedCall::onCallEnd(const TargetCallEnd &end)
 {
-    if (!end.bytesSent)
-        this->calls.recordFailure(this->about, end.reason);
+    if (this->peer.empty())
+        this->onDirectEnd(end);
+    else
+        this->onRelayEnd(end);
+}
+
+void RoutedCall::onDirectEnd(const TargetCallEnd &end)
+{
+    if (end.bytesSent)
+        return this->forwardEnd(end);
+    this->calls.recordFailure(this->about, end.reason);
+    this->request = this->call->takeUnsent();
+    this->directMissed = true;
+    this->failure = end.reason;
+    if (this->calls.clock.now() > this->lastStart || !this->callThroughPeer())
+        this->fail(this->failure);
+}
+
+void RoutedCall::onRelayEnd(const TargetCallEnd &end)
+{
+    if (!this->relayFailure.empty() && this->relaySent)
+        return this->forwardEnd({false, true, this->relayFailure, this->relayLost});
+    if (!this->relayFailure.empty() || !end.bytesSent) {
+        if (this->relayFailure.empty())
+            this->relayFailure = end.reason;
+        if (!end.bytesSent || this->relayFailure == relayHasNoLinks ||
+            this->relayFailure == relayIsStopping)
+            this->calls.peers.recordUnable(this->peer);
+        return this->onRelayFailed();
+    }
+    if (!end.whole)
+        this->calls.peers.recordUnable(this->peer);
+    // The connection that was lost is the one to the peer, which says nothing of the target.
+    this->forwardEnd({end.whole, end.bytesSent, end.reason, false});
+}
+
+// Nothing has reached the target, so another way may be tried.
+void RoutedCall::onRelayFailed()
+{
+    this->calls.count("peer_failed");
+    if (this->relayFailure == relayMissedTarget && this->calls.peers.recordMissed(this->peer))
+        this->calls.reach.recordDown(this->about.target);
+    if (this->calls.clock.now() <= this->lastStart && this->callThroughPeer())
+        return;
+    if (!this->directTried)
+        return this->callDirectly();
+    this->fail(this->failure);
+}
+
+void RoutedCall::fail(std::string_view reason)
+{
+    this->forwardEnd({false, false, reason, false});
+}
+
+void RoutedCall::forwardEnd(const TargetCallEnd &end)
+{
     if (const auto to = this->listener.lock())
         to->onCallEnd(end);
 }
--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <random>
 #include <unistd.h>
 
 namespace jaytrack::testing {
@@ -43,9 +44,22 @@
 
 std::string freeDatagramAddress()
 {
-    asio::io_context context;
-    const asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+    // Below the ports that the system hands out, which others would take in the meantime.
+    std::uniform_int_distribution<std::uint16_t> draw(10'000, 30'000);
+    std::random_device random;
+    for (;;) {
+        const asio::ip::address here = asio::ip::make_address("127.0.0.1");
+        const std::uint16_t port = draw(random);
+        asio::io_context context;
+        asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
+        asio::ip::tcp::socket stream(context, asio::ip::tcp::v4());
+        asio::error_code failure;
+        datagrams.bind({here, port}, failure);
+        if (!failure)
+            stream.bind({here, port}, failure);
+        if (!failure)
+            return "127.0.0.1:" + std::to_string(port);
+    }
 }
 
 FixtureOptions memberOf(const std::string &name, const std::string &own, const std::string &other)
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -48,7 +48,7 @@
     int storeStatus = 0; // with which the store refuses every call at first; 0 if it does not
 };
 
-// An address that is free for datagrams between instances.
+// An address that is free for datagrams and connections between instances.
 std::string freeDatagramAddress();
 
 // Options of an instance that knows one other.
--- a/unittests/Platform/lostlinkstest.cpp
+++ b/unittests/Platform/lostlinkstest.cpp
@@ -81,7 +81,8 @@
 
 } // namespace
 
-// Guards against an instance that refuses its callers because its own links to all targets are gone.
+// Guards against an instance that refuses its callers because its own links to all targets are
+// gone.
 ParameterizedTestParameters(lostLinks, callersAreServedThroughAnotherInstance)
 {
     static LossCase cases[] = {{"safe", LinkLoss::Refused},   {"safe", LinkLoss::Silent},
@@ -100,3 +101,92 @@
     }
     cr_expect(site.runs() == requestsSent, "%s: %zu runs", one->type, site.runs());
 }
+
+// Guards against requests that are passed back and forth between instances without links, and
+// against waiting in vain when the targets are down for all.
+ParameterizedTestParameters(lostLinks, nobodyReachesTheTargets)
+{
+    static LossCase cases[] = {{"safe", LinkLoss::Refused}, {"unsafe", LinkLoss::Silent}};
+    return cr_make_param_array(LossCase, cases, std::size(cases));
+}
+
+ParameterizedTest(LossCase *one, lostLinks, nobodyReachesTheTargets)
+{
+    const std::string first = freeDatagramAddress();
+    const std::string second = freeDatagramAddress();
+    const UnreachablePort port(one->loss);
+    EntryFixture entry({routeOf(one->type)}, memberOf("first", first, second));
+    EntryFixture other({routeOf(one->type)}, memberOf("second", second, first));
+    for (EntryFixture *each : {&entry, &other})
+        each->store.put("servers/i-1", targetJson(port.address()));
+    cr_assert(entry.becomesReady() && other.becomesReady());
+    std::this_thread::sleep_for(acquaintance);
+    for (int i = 0; i < 3; ++i) {
+        const auto began = std::chrono::steady_clock::now();
+        const std::string answer = callOnce(entry.port(), requestText({})).bytes;
+        cr_expect(answer.starts_with("HTTP/1.1 503"), "%s", answer.c_str());
+        cr_expect(answer.find("not-run") != std::string::npos, "%s", answer.c_str());
+        cr_expect(std::chrono::steady_clock::now() - began < 1s);
+    }
+}
+
+// Guards against an answer that looks complete because the instance in between has ended.
+Test(lostLinks, endOfTheInstanceInBetweenBreaksTheAnswer)
+{
+    const std::string first = freeDatagramAddress();
+    const std::string second = freeDatagramAddress();
+    const ScriptedServer target([](const SeenRequest &request) -> Answer {
+        if (isReport(request))
+            return wholeAnswer(200, "", "{}");
+        return {{AnswerStep::Kind::Send, "HTTP/1.1 200 OK\r\n" + ownHeaders + "\r\nhalf", {}},
+                {AnswerStep::Kind::Close, "", 2000ms}};
+    });
+    const UnreachablePort port(LinkLoss::Refused);
+    EntryFixture cut({routeOf("unsafe")}, memberOf("cut", first, second));
+    auto sound = std::make_unique<EntryFixture>(std::vector<RouteSpec>{routeOf("unsafe")},
+                                                memberOf("sound", second, first));
+    sound->list("i-1", target);
+    cut.store.put("servers/i-1", targetJson(port.address()));
+    cr_assert(cut.becomesReady());
+    std::this_thread::sleep_for(acquaintance);
+    std::thread ender([&sound] {
+        std::this_thread::sleep_for(500ms);
+        sound.reset();
+    });
+    const std::string answer = callOnce(cut.port(), requestText({})).bytes;
+    ender.join();
+    cr_expect(answer.starts_with("HTTP/1.1 502"), "%s", answer.c_str());
+}
+
+// Guards against calls by strangers through the port that instances use among themselves.
+Test(lostLinks, refusesUnsignedCalls)
+{
+    const std::string address = freeDatagramAddress();
+    const ScriptedServer target(goodAnswer);
+    EntryFixture entry({routeOf("safe")}, memberOf("one", address, freeDatagramAddress()));
+    entry.list("i-1", target);
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    const std::string text = "GET /jobs/1 HTTP/1.1\r\nHost: x\r\nJaytrack-Relay-Target: i-1\r\n"
+                             "Connection: close\r\n\r\n";
+    cr_expect(callOnce(port, text).bytes.starts_with("HTTP/1.1 400"));
+    cr_expect(workSeen(target) == 0);
+}
+
+// Guards against new work that reaches a leaving target through an instance that knows better.
+Test(lostLinks, passesNoNewWorkToALeavingTarget)
+{
+    const std::string first = freeDatagramAddress();
+    const std::string second = freeDatagramAddress();
+    const ScriptedServer target(goodAnswer);
+    const UnreachablePort port(LinkLoss::Refused);
+    EntryFixture cut({routeOf("safe")}, memberOf("cut", first, second));
+    EntryFixture sound({routeOf("safe")}, memberOf("sound", second, first));
+    sound.list("i-1", target);
+    cut.store.put("servers/i-1", targetJson(port.address()));
+    cr_assert(cut.becomesReady());
+    std::this_thread::sleep_for(acquaintance);
+    sound.store.put("servers/i-1", targetJson(target.address(), "draining"));
+    std::this_thread::sleep_for(1500ms);
+    cr_expect(callOnce(cut.port(), requestText({})).bytes.starts_with("HTTP/1.1 503"));
+    cr_expect(workSeen(target) == 0);
+}
