Do not blame targets for links that this instance has lost

An instance without links told all others of each engine that failed it (two such reports make all avoid the engine for 2 s and more), counted its failures against targets, and, where links were reset, took targets for ended and the requests there for the cause (three ends bar a request everywhere). Change: failures to connect count and are told only where other targets or other instances speak for the own links (TargetReach::isTargetsFault); before a target that refuses connections counts as ended, it is called through another instance (CrashWatchListener::verifyEnd). Test: lostLinks/resetLinksAreNotTakenForTargetsThatEnded and the earlier ones. Not shown failing before the change by a run.

--- a/include/jaytrack/Policy/targethealth.h
+++ b/include/jaytrack/Policy/targethealth.h
@@ -48,6 +48,10 @@
     // answer; any answer counts as success.
     void ended(std::string_view target, bool failed, Duration took);
 
+    // Records the end of a request that did not reach the target for a reason that is not the
+    // target's.
+    void abandoned(std::string_view target);
+
     // Removes a target that has left. Its state is dropped when its last request ends;
     // otherwise targets that left long ago would still count in the median of their peers.
     void forget(std::string_view target);
--- a/include/jaytrack/Proxy/targetcalls.h
+++ b/include/jaytrack/Proxy/targetcalls.h
@@ -55,6 +55,12 @@
         return this->reach.isLost(target, service);
     }
 
+    // Whether a failure to connect to the target may be told to others as the target's.
+    bool isTargetsFault(std::string_view target, std::string_view service) const
+    {
+        return this->reach.isTargetsFault(target, service);
+    }
+
     // Records that a connection to the target was opened, for a request of this or of another
     // instance.
     void recordConnected(std::string_view target, std::string_view service);
@@ -95,7 +101,7 @@
     void setPaused(bool paused);
 
     // Whether some byte of the request may have reached the target.
-    bool bytesSent() const { return this->call && this->call->bytesSent(); }
+    bool bytesSent() const { return !this->failed && this->call && this->call->bytesSent(); }
 
     void onConnected() override;
     void onAnswerHead(MessageHead head) override;
@@ -126,6 +132,7 @@
     std::string relayFailure; // why the peer did not reach the target, from its answer
     bool relaySent = false;   // the peer reports that it had sent the request
     bool relayLost = false;   // the peer reports that the target closed the connection
+    bool failed = false;      // no way was found, so nothing reached the target
     bool directTried = false;
     bool directMissed = false; // this instance failed to connect in this call
     std::chrono::milliseconds connectTimeout;
--- a/include/jaytrack/Quarantine/crashwatch.h
+++ b/include/jaytrack/Quarantine/crashwatch.h
@@ -7,6 +7,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <mutex>
 
@@ -42,6 +43,14 @@
     // Called when a request is barred. The listener has to stop sending it to targets and to
     // withdraw it from a target where it waits.
     virtual void onRequestBarred(std::string_view digest) = 0;
+
+    // Called when a target that lost connections refuses new ones. The listener calls done once
+    // with whether the target has ended, rather than this instance's links to it.
+    virtual void verifyEnd(const std::string &target, std::function<void(bool ended)> done)
+    {
+        (void)target;
+        done(true);
+    }
 };
 
 // recordUnansweredLoss(), recordSafeRun() and the const functions may be called from any thread,
--- a/include/jaytrack/Routing/targetreach.h
+++ b/include/jaytrack/Routing/targetreach.h
@@ -37,6 +37,9 @@
 
     // A target that others did not reach either is not asked of them again for this long.
     Duration downMemory = std::chrono::seconds(1);
+
+    // An instance that connected to no target for this long may have lost its links.
+    Duration connectedMemory = std::chrono::seconds(1);
 };
 
 class TargetReach
@@ -70,6 +73,10 @@
     // Whether only other instances reach this target.
     bool isLost(std::string_view target, std::string_view service) const;
 
+    // Whether a failure to connect to the target is likely to be the target's, because this or
+    // another instance reached other targets at the same time.
+    bool isTargetsFault(std::string_view target, std::string_view service) const;
+
     // Time since the last connection to any target, or since the start.
     Duration sinceConnected() const { return this->clock.now() - this->connectedAt; }
 
--- a/lib/Policy/targethealth.cpp
+++ b/lib/Policy/targethealth.cpp
@@ -108,6 +108,15 @@
     this->ejectIfSlow(state);
 }
 
+void TargetHealth::abandoned(std::string_view target)
+{
+    State &state = this->stateOf(target);
+    assert(state.outstanding > 0 && "a request can end only after it began");
+    --state.outstanding;
+    if (state.gone)
+        this->forget(target);
+}
+
 void TargetHealth::forget(std::string_view target)
 {
     const auto found = this->states.find(std::string(target));
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -1,8 +1,10 @@
 // Handles changes of targets and the messages exchanged with other instances.
 #include "entryparts.h"
 
+#include "jaytrack/Net/socket.h"
 #include "jaytrack/Support/log.h"
 
+#include <utility>
 #include <vector>
 
 namespace jaytrack {
@@ -13,6 +15,59 @@
 // list lags by the same amount.
 constexpr std::chrono::milliseconds entryDelay{2200};
 
+// Any answer shows that a target lives.
+constexpr std::chrono::milliseconds verificationTimeout{300};
+
+// Finds out whether a target has ended or only this instance's links to it. Keeps itself alive
+// until it is done.
+class EndVerification final : public TargetCallListener,
+                              public std::enable_shared_from_this<EndVerification>
+{
+public:
+    EndVerification(asio::io_context &loop, std::function<void(bool)> whenDone)
+        : timer(loop)
+        , done(std::move(whenDone))
+    {
+    }
+
+    void start(TargetCalls &calls, const Dialect &dialect, const TargetEntry &target,
+               const asio::ip::tcp::endpoint &endpoint)
+    {
+        TargetRequest request;
+        request.endpoint = endpoint;
+        request.target = dialect.loadPath();
+        request.headers.push_back({"Host", target.address});
+        CallContext about;
+        about.target = target.id;
+        about.service = target.service;
+        about.purpose = CallPurpose::Background;
+        about.isNewWork = false;
+        this->call = calls.start(std::move(request), std::move(about), this->weak_from_this());
+        this->timer.expires_after(verificationTimeout);
+        this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &) {
+            self->conclude(true);
+        });
+    }
+
+    void onAnswerHead(MessageHead) override { this->conclude(false); }
+    void onAnswerBody(std::string_view) override {}
+    void onCallEnd(const TargetCallEnd &) override { this->conclude(true); }
+
+private:
+    void conclude(bool ended)
+    {
+        if (!this->done)
+            return;
+        this->timer.cancel();
+        this->call->cancel();
+        std::exchange(this->done, nullptr)(ended);
+    }
+
+    asio::steady_timer timer;
+    std::function<void(bool)> done;
+    std::shared_ptr<RoutedCall> call;
+};
+
 } // namespace
 
 void EntryInstance::Parts::onTargetListed(const TargetEntry &entry)
@@ -274,6 +329,20 @@
         exchange->onRequestBarred(digest);
 }
 
+// A target whose links to this instance were reset looks as if it had ended; the other instances
+// can tell.
+void EntryInstance::Parts::verifyEnd(const std::string &target, std::function<void(bool)> done)
+{
+    const TargetEntry *listed = this->directory.find(target);
+    const auto endpoint = listed != nullptr ? parseEndpoint(listed->address)
+                                            : Result<asio::ip::tcp::endpoint>(Error{
+                                                      ResultCode::NoTarget, "target not listed"});
+    if (!endpoint)
+        return done(true);
+    std::make_shared<EndVerification>(this->loop, std::move(done))
+            ->start(this->calls, this->dialect, *listed, endpoint.value());
+}
+
 bool EntryInstance::Parts::isMineToAsk(std::string_view engine) const
 {
     return this->shares.shouldPollLoad(engine);
@@ -298,8 +367,12 @@
 
 void EntryInstance::Parts::onNoLoad(std::string_view engine)
 {
+    const TargetEntry *listed = this->directory.find(engine);
+    if (listed == nullptr || this->calls.isLost(engine, listed->service))
+        return;
     this->engines.recordFailure(engine);
-    this->announceFailed(engine);
+    if (this->calls.isTargetsFault(engine, listed->service))
+        this->announceFailed(engine);
 }
 
 void EntryInstance::Parts::onLoad(std::string_view engine, const EngineLoad &load)
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -240,8 +240,12 @@
     {
         if (!this->call)
             return;
+        const bool linkLost = !this->call->bytesSent() &&
+                              this->context.calls.isLost(this->target.id, this->target.service);
         this->call->cancel();
         this->call.reset();
+        if (linkLost)
+            return this->context.health.abandoned(this->target.id);
         this->context.health.ended(this->target.id, failed,
                                    this->context.clock.now() - this->sentAt);
     }
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -377,8 +377,13 @@
     const TargetEntry *listed = this->context.directory.find(leg.target.id);
     if ((end.whole && !refused) || listed == nullptr || listed->leaving)
         return;
+    // Links that this instance has lost must not take the engine from the other instances.
+    const TargetCalls &calls = this->context.calls;
+    if (!end.bytesSent && calls.isLost(leg.target.id, leg.target.service))
+        return;
     this->context.engines.recordFailure(leg.target.id);
-    this->context.notices.announceFailed(leg.target.id);
+    if (end.bytesSent || calls.isTargetsFault(leg.target.id, leg.target.service))
+        this->context.notices.announceFailed(leg.target.id);
 }
 
 bool StreamExchange::reportedNotRun(const StreamLeg &leg, const TargetCallEnd &end) const
--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Proxy/targetcalls.cpp
@@ -186,10 +186,10 @@
 void RoutedCall::onAnswerHead(MessageHead head)
 {
     if (!this->peer.empty()) {
-        if (const auto failed = decodeFailure(head)) {
-            this->relayFailure = failed->reason;
-            this->relaySent = failed->sent;
-            this->relayLost = failed->lostConnection;
+        if (const auto reported = decodeFailure(head)) {
+            this->relayFailure = reported->reason;
+            this->relaySent = reported->sent;
+            this->relayLost = reported->lostConnection;
             return;
         }
         this->calls.peers.recordServed(this->peer);
@@ -260,6 +260,7 @@
 
 void RoutedCall::fail(std::string_view reason)
 {
+    this->failed = true;
     this->forwardEnd({false, false, reason, false});
 }
 
--- a/lib/Quarantine/crashwatch.cpp
+++ b/lib/Quarantine/crashwatch.cpp
@@ -87,8 +87,14 @@
         return this->onTargetChecked(target, false);
     checkListening(this->context, endpoint.value(), checkTimeout,
                    [this, kept = this->alive, target](Listening found) {
-                       if (*kept)
-                           this->onTargetChecked(target, found == Listening::Refused);
+                       if (!*kept)
+                           return;
+                       if (found != Listening::Refused)
+                           return this->onTargetChecked(target, false);
+                       this->listener.verifyEnd(target, [this, kept, target](bool ended) {
+                           if (*kept)
+                               this->onTargetChecked(target, ended);
+                       });
                    });
 }
 
--- a/lib/Routing/targetreach.cpp
+++ b/lib/Routing/targetreach.cpp
@@ -93,6 +93,13 @@
     return this->isCutOff(service) || (link != this->links.end() && link->second.lost);
 }
 
+bool TargetReach::isTargetsFault(std::string_view target, std::string_view service) const
+{
+    if (this->isLost(target, service))
+        return false;
+    return !this->mayAskPeers(target) || this->sinceConnected() < this->options.connectedMemory;
+}
+
 void TargetReach::forget(std::string_view target)
 {
     const auto link = this->links.find(target);
--- a/unittests/Platform/lostlinkstest.cpp
+++ b/unittests/Platform/lostlinkstest.cpp
@@ -190,3 +190,50 @@
     cr_expect(callOnce(cut.port(), requestText({})).bytes.starts_with("HTTP/1.1 503"));
     cr_expect(workSeen(target) == 0);
 }
+
+namespace {
+
+// Both instances see the same targets until the first one's links to them are reset.
+Answer resetOrReport(const SeenRequest &request)
+{
+    if (isReport(request))
+        return wholeAnswer(200, "", "{}");
+    return {{AnswerStep::Kind::Reset, "", 20ms}};
+}
+
+} // namespace
+
+// Guards against requests that are barred because links that were reset look like targets that
+// ended.
+Test(lostLinks, resetLinksAreNotTakenForTargetsThatEnded)
+{
+    const std::string first = freeDatagramAddress();
+    const std::string second = freeDatagramAddress();
+    RouteSpec route = routeOf("safe");
+    route.attempts = 1;
+    EntryFixture cut({route}, memberOf("cut", first, second));
+    EntryFixture sound({route}, memberOf("sound", second, first));
+    const ScriptedServer alive(goodAnswer);
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = "servers/i-" + std::to_string(i);
+        sound.store.put(id, targetJson(alive.address()));
+        // Its first connection is reset, and from then on it refuses connections.
+        auto dying = std::make_unique<ScriptedServer>(resetOrReport);
+        cut.store.put(id, targetJson(dying->address()));
+        cr_assert(cut.becomesReady() && sound.becomesReady());
+        std::this_thread::sleep_for(i == 0 ? acquaintance : 700ms);
+        std::thread caller([&cut] { callOnce(cut.port(), requestText({})); });
+        std::this_thread::sleep_for(10ms);
+        dying.reset();
+        caller.join();
+        std::this_thread::sleep_for(600ms);
+        cut.store.remove(id);
+        sound.store.remove(id);
+        std::this_thread::sleep_for(600ms);
+    }
+    sound.store.put("servers/i-last", targetJson(alive.address()));
+    cut.store.put("servers/i-last", targetJson(alive.address()));
+    std::this_thread::sleep_for(1200ms);
+    const std::string answer = callOnce(cut.port(), requestText({})).bytes;
+    cr_expect(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+}
