Keep brittle targets from crashing by refusals

Class: each instance learns of a full target by being refused, so refusals grow with the fleet. Change: Server-Brittle is read from every answer. Permits are granted by one instance as for targets that name a limit, evenly spaced, on a channel of their own.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -225,6 +225,8 @@
   14: LimitNotices retryPermits
   15: list<FragmentNotice> fragments
   16: SpreadNotice spread
+  // Limits that instances impose on brittle targets.
+  17: LimitNotices imposedLimits
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Limits/limitgate.h
+++ b/include/jaytrack/Limits/limitgate.h
@@ -48,6 +48,12 @@
     void recordLimit(std::string_view target, double perSecond);
     void recordNoLimit(std::string_view target, Duration sentAgo);
 
+    // Sets the limit of a target that names none itself, for all instances.
+    void imposeLimit(std::string_view target, double perSecond);
+
+    // Returns how long ago the target's limit was last named; nullopt if it has none.
+    std::optional<Duration> sinceNamed(std::string_view target) const;
+
     // Removes the state of a target that has terminated.
     void forget(std::string_view target);
 
--- a/include/jaytrack/Limits/limitmessage.h
+++ b/include/jaytrack/Limits/limitmessage.h
@@ -14,6 +14,10 @@
 class LimitNotices;
 } // namespace wire
 
+// Limits that targets name, and limits that instances impose on brittle targets, are accounted for
+// separately.
+enum class LimitKind { Named, Imposed };
+
 // Requests a permit for one request to a target from the instance that owns the target's limit.
 struct PermitRequest
 {
--- a/include/jaytrack/Limits/targetlimits.h
+++ b/include/jaytrack/Limits/targetlimits.h
@@ -80,6 +80,11 @@
     // Interval at which the limits that this instance owns are sent to a sample of the instances.
     // An instance that starts, or that missed a message, receives them within a few intervals.
     Duration announceInterval = std::chrono::seconds(1);
+
+    // A limit that an instance imposed grows by this factor each second and ends after the
+    // lifetime. One that the target names stays as it is.
+    double growthPerSecond = 1;
+    Duration lifetime = Duration::max();
 };
 
 // The decision whether a request may be sent to a target, and the instance that made it.
@@ -108,14 +113,17 @@
     bool recordLimit(std::string_view target, double perSecond);
     bool recordNoLimit(std::string_view target, Duration sentAgo);
 
+    // Sets the limit of a target that names none itself, and tells all instances.
+    void imposeLimit(std::string_view target, double perSecond);
+
     // Removes the state of a target that has terminated.
     void forget(std::string_view target);
 
     // Returns the limit of the target, or nullopt if it has none.
-    std::optional<double> limitOf(std::string_view target) const
-    {
-        return this->limits.find(target);
-    }
+    std::optional<double> limitOf(std::string_view target) const;
+
+    // Returns how long ago the target's limit was last named; nullopt if it has none.
+    std::optional<Duration> sinceNamed(std::string_view target) const;
 
     // Returns the time for which this instance should not request a permit for the target; zero if
     // it may request one now or needs none.
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -2,6 +2,7 @@
 #ifndef JAYTRACK_PROXY_EXCHANGE_H
 #define JAYTRACK_PROXY_EXCHANGE_H
 
+#include "jaytrack/Limits/brittlegate.h"
 #include "jaytrack/Limits/limitgate.h"
 #include "jaytrack/Limits/retrygate.h"
 #include "jaytrack/Net/callerconnection.h"
@@ -65,6 +66,7 @@
     const TargetPauses &pauses;
     ColdTargets &cold;
     LimitGate &limits;
+    BrittleGate &brittle;
     const StreamOptions &streams;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until it has been answered
@@ -171,8 +173,8 @@
     // Refuses the request because all remaining targets are paused.
     void refuseAllPaused();
 
-    // Requests a permit for the target, which may have a rate limit. Calls send if the permit is
-    // granted and the target may still be used, and starts another attempt otherwise.
+    // Requests permits for the target, which may have a rate limit or be brittle. Calls send if
+    // they are granted and the target may still be used, and starts another attempt otherwise.
     void sendWhenPermitted(const TargetEntry &target,
                            const std::function<void(const TargetEntry &)> &send);
 
@@ -219,8 +221,12 @@
     TimePoint deadline;          // time by which the final answer is due
 
 private:
-    void onPermit(const TargetEntry &target, const Permit &permit,
-                  const std::function<void(const TargetEntry &)> &send);
+    // Wraps a function so that it is called with a permit only while the request is in service.
+    std::function<void(const Permit &)>
+    whileInService(const std::function<void(const Permit &)> &decided) const;
+    void sendIfNotBrittle(const TargetEntry &target,
+                          const std::function<void(const TargetEntry &)> &send);
+    void onPermitDenied(const TargetEntry &target, const Permit &permit);
     std::chrono::milliseconds retryDelay(ResultCode code) const;
     void onCallerGone() override;
     void onDeadline();
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -66,7 +66,7 @@
     virtual void onLeavingFromPeer(std::string_view target) = 0;
     virtual void onColdFromPeer(std::string_view target, Duration left) = 0;
     virtual void onQuarantineNews(const QuarantineMessage &news) = 0;
-    virtual void onLimitNews(std::string_view peer, const LimitMessage &news) = 0;
+    virtual void onLimitNews(std::string_view peer, LimitKind kind, const LimitMessage &news) = 0;
     virtual void onRetryPermits(std::string_view peer, const LimitMessage &message) = 0;
     virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
 
@@ -107,9 +107,9 @@
     void sendQuarantineToSample(const QuarantineMessage &news);
 
     // Sends the state of targets with rate limits to one other instance, all, or a random sample.
-    void sendLimits(std::string_view peer, const LimitMessage &news);
-    void broadcastLimits(const LimitMessage &news);
-    void sendLimitsToSample(const LimitMessage &news);
+    void sendLimits(std::string_view peer, LimitKind kind, const LimitMessage &news);
+    void broadcastLimits(LimitKind kind, const LimitMessage &news);
+    void sendLimitsToSample(LimitKind kind, const LimitMessage &news);
 
     // Sends permit requests and answers for retries to one other instance.
     void sendRetryPermits(std::string_view peer, const LimitMessage &content);
--- a/include/jaytrack/Proxy/selfreports.h
+++ b/include/jaytrack/Proxy/selfreports.h
@@ -6,6 +6,7 @@
 #ifndef JAYTRACK_PROXY_SELFREPORTS_H
 #define JAYTRACK_PROXY_SELFREPORTS_H
 
+#include "jaytrack/Limits/brittlegate.h"
 #include "jaytrack/Limits/limitgate.h"
 #include "jaytrack/Net/httpparser.h"
 #include "jaytrack/Policy/targetpauses.h"
@@ -29,12 +30,14 @@
 {
 public:
     SelfReports(const Dialect &platform, TargetDirectory &targets, TargetPauses &targetPauses,
-                ColdTargets &coldTargets, LimitGate &gate, SelfReportNotices &announcer)
+                ColdTargets &coldTargets, LimitGate &gate, BrittleGate &refusals,
+                SelfReportNotices &announcer)
         : dialect(platform)
         , directory(targets)
         , pauses(targetPauses)
         , cold(coldTargets)
         , limits(gate)
+        , brittle(refusals)
         , notices(announcer)
     {
     }
@@ -52,12 +55,15 @@
 
 private:
     void recordFacts(std::string_view target, const AnswerFacts &facts);
+    void recordRefusal(std::string_view target, const MessageHead &answer,
+                       const AnswerFacts &facts);
 
     const Dialect &dialect;
     TargetDirectory &directory;
     TargetPauses &pauses;
     ColdTargets &cold;
     LimitGate &limits;
+    BrittleGate &brittle;
     SelfReportNotices &notices;
 };
 
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -67,6 +67,11 @@
     std::optional<std::chrono::milliseconds> coldFor; // the target is cold for this long
     // Requests per second that the target accepts from all instances together.
     std::optional<double> limitPerSecond;
+    // The target is brittle: it crashes if it has to refuse more than this many requests within a
+    // second because it has no room.
+    std::optional<double> toleratedRefusals;
+    bool reportsNotBrittle =
+            false; // the answer contains nothing that may be meant as that announcement
     bool reportsNoLimit =
             false; // the answer contains no limit and nothing that may be meant as one
 };
--- a/lib/Limits/limitgate.cpp
+++ b/lib/Limits/limitgate.cpp
@@ -101,6 +101,19 @@
         this->logLimitChange(target, "answer");
 }
 
+void LimitGate::imposeLimit(std::string_view target, double perSecond)
+{
+    const std::lock_guard lock(this->mutex);
+    this->limits.imposeLimit(target, perSecond);
+    this->logLimitChange(target, "refusal");
+}
+
+std::optional<Duration> LimitGate::sinceNamed(std::string_view target) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->limits.sinceNamed(target);
+}
+
 void LimitGate::forget(std::string_view target)
 {
     const std::lock_guard lock(this->mutex);
--- /dev/null
+++ b/lib/Limits/refusalcontrol.cpp
@@ -0,0 +1,105 @@
+#include "jaytrack/Limits/refusalcontrol.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr double smoothing = 0.2;
+
+// Estimates for a service that has not served a request of this instance yet.
+constexpr int unknownSlots = 4;
+constexpr double unknownSeconds = 0.1;
+
+constexpr double minSeconds = 0.001;
+
+} // namespace
+
+RefusalControl::RefusalControl(const Clock &time, RefusalControlOptions initialOptions)
+    : clock(time)
+    , options(initialOptions)
+{
+}
+
+bool RefusalControl::recordBrittle(std::string_view target, double toleratedRefusals)
+{
+    const bool known = this->isBrittle(target);
+    this->announcements.insert_or_assign(std::string(target),
+                                         Announcement{toleratedRefusals, this->clock.now()});
+    return !known;
+}
+
+bool RefusalControl::recordSound(std::string_view target, Duration sentAgo)
+{
+    const auto found = this->announcements.find(target);
+    if (found == this->announcements.end() || this->clock.now() - sentAgo <= found->second.at)
+        return false;
+    const bool known = this->isBrittle(target);
+    this->announcements.erase(found);
+    return known;
+}
+
+bool RefusalControl::isBrittle(std::string_view target) const
+{
+    const auto found = this->announcements.find(target);
+    return found != this->announcements.end() &&
+           this->clock.now() - found->second.at < this->options.memory;
+}
+
+void RefusalControl::recordServed(std::string_view service, int slots, Duration took)
+{
+    const double seconds = std::max(minSeconds, std::chrono::duration<double>(took).count());
+    const auto [found, isNew] = this->services.try_emplace(std::string(service));
+    Performance &seen = found->second;
+    seen.slots = slots;
+    seen.secondsPerRequest =
+            isNew ? seconds
+                  : seen.secondsPerRequest + smoothing * (seconds - seen.secondsPerRequest);
+}
+
+double RefusalControl::estimatedRate(std::string_view service) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end() || found->second.slots <= 0)
+        return unknownSlots / unknownSeconds;
+    return found->second.slots / found->second.secondsPerRequest;
+}
+
+double RefusalControl::decreaseFor(std::string_view target) const
+{
+    const auto found = this->announcements.find(target);
+    const double tolerated = found != this->announcements.end() ? found->second.tolerated : 1;
+    const double refusals = std::max(1.0, tolerated) * this->options.plannedRefusals;
+    return std::pow(this->options.growth, -1 / refusals);
+}
+
+double RefusalControl::rateAfterRefusal(std::string_view target, std::string_view service,
+                                        std::optional<double> inForce) const
+{
+    if (!inForce)
+        return this->options.firstShare * this->estimatedRate(service);
+    return *inForce * this->decreaseFor(target);
+}
+
+// Requests arrive evenly spaced, since a brittle target has hardly any queue.
+TargetLimitOptions RefusalControl::permitOptions(const RefusalControlOptions &options)
+{
+    TargetLimitOptions permits;
+    permits.burstPermits = 1;
+    permits.burstSeconds = 0;
+    permits.requestsPerPermit = 8;
+    permits.growthPerSecond = options.growth;
+    permits.lifetime = std::chrono::seconds(20);
+    return permits;
+}
+
+void RefusalControl::forget(std::string_view target)
+{
+    const auto found = this->announcements.find(target);
+    if (found != this->announcements.end())
+        this->announcements.erase(found);
+}
+
+} // namespace jaytrack
--- a/lib/Limits/targetlimits.cpp
+++ b/lib/Limits/targetlimits.cpp
@@ -193,6 +193,32 @@
     return true;
 }
 
+void TargetLimits::imposeLimit(std::string_view target, double perSecond)
+{
+    this->limits.recordLimit(target, perSecond);
+    this->transport.broadcastLimits({{*this->limits.stateOf(target)}, {}, {}});
+}
+
+std::optional<Duration> TargetLimits::sinceNamed(std::string_view target) const
+{
+    const auto state = this->limits.stateOf(target);
+    if (!state || !state->isLimited() || state->namedAgo > this->options.lifetime)
+        return std::nullopt;
+    return state->namedAgo;
+}
+
+std::optional<double> TargetLimits::limitOf(std::string_view target) const
+{
+    const std::optional<double> named = this->limits.find(target);
+    if (!named || this->options.lifetime == Duration::max())
+        return named;
+    const std::optional<Duration> age = this->sinceNamed(target);
+    if (!age)
+        return std::nullopt;
+    const double seconds = std::chrono::duration<double>(*age).count();
+    return *named * std::pow(this->options.growthPerSecond, seconds);
+}
+
 void TargetLimits::forget(std::string_view target)
 {
     const std::string name(target);
@@ -206,7 +232,7 @@
 Duration TargetLimits::remainingBackoff(std::string_view target) const
 {
     const auto found = this->backoffUntil.find(target);
-    if (found == this->backoffUntil.end() || !this->limits.find(target))
+    if (found == this->backoffUntil.end() || !this->limitOf(target))
         return Duration(0);
     return std::max(Duration(0), found->second - this->clock.now());
 }
@@ -223,7 +249,7 @@
 std::optional<Permit> TargetLimits::requestFromOwner(const std::string &target,
                                                      const PermitCallback &callback, int attempts)
 {
-    const std::optional<double> perSecond = this->limits.find(target);
+    const std::optional<double> perSecond = this->limitOf(target);
     if (!perSecond)
         return Permit{true, Duration(0), {}};
     const std::optional<std::string> owner = this->ownerOf(target);
@@ -249,7 +275,7 @@
 
 void TargetLimits::countSent(std::string_view target)
 {
-    const std::optional<double> perSecond = this->limits.find(target);
+    const std::optional<double> perSecond = this->limitOf(target);
     if (!perSecond)
         return;
     const std::optional<std::string> owner = this->ownerOf(target);
@@ -273,12 +299,12 @@
 {
     if (state.target.empty())
         return false;
-    const bool wasLimited = this->limits.find(state.target).has_value();
+    const bool wasLimited = this->limitOf(state.target).has_value();
     const bool limitChanged =
             this->limits.recordLimit(state.target, state.perSecond, state.namedAgo);
     if (state.endedAgo)
         this->limits.recordNoLimit(state.target, *state.endedAgo);
-    const bool isLimited = this->limits.find(state.target).has_value();
+    const bool isLimited = this->limitOf(state.target).has_value();
     return wasLimited != isLimited || (isLimited && limitChanged);
 }
 
@@ -301,7 +327,7 @@
 {
     const std::string &target = permitRequest.state.target;
     this->applyState(permitRequest.state);
-    const std::optional<double> perSecond = this->limits.find(target);
+    const std::optional<double> perSecond = this->limitOf(target);
     if (permitRequest.counted) {
         if (perSecond)
             this->bucketOf(target).charge(this->clock.now(), this->rateOf(target, *perSecond));
@@ -375,8 +401,7 @@
 {
     const TimePoint now = this->clock.now();
     std::erase_if(this->backoffUntil, [now](const auto &entry) { return entry.second <= now; });
-    std::erase_if(this->buckets,
-                  [this](const auto &entry) { return !this->limits.find(entry.first); });
+    std::erase_if(this->buckets, [this](const auto &entry) { return !this->limitOf(entry.first); });
     std::erase_if(this->peers, [now, this](const auto &entry) {
         return !this->fleet.isUp(entry.first) && entry.second.skippedUntil <= now;
     });
@@ -387,7 +412,8 @@
 {
     LimitMessage message;
     for (const std::string &target : this->limits.limited()) {
-        if (message.states.size() < maxStatesPerMessage && this->rankOf(target) == 0)
+        if (message.states.size() < maxStatesPerMessage && this->limitOf(target) &&
+            this->rankOf(target) == 0)
             message.states.push_back(*this->limits.stateOf(target));
     }
     return message;
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -53,9 +53,14 @@
     , pauses(time)
     , cold(time, entrySettings.name, entrySettings.coldBound,
            configuredPeerCount(entrySettings) > 0)
+    , namedLimits(*this, LimitKind::Named)
+    , imposedLimits(*this, LimitKind::Imposed)
     , limitGate(this->loop, time, entrySettings.name, configuredPeerCount(entrySettings),
-                this->random(), *this, this->metrics)
-    , selfReports(platform, this->directory, this->pauses, this->cold, this->limitGate, *this)
+                this->random(), this->namedLimits, this->metrics)
+    , brittle(this->loop, time, entrySettings.name, configuredPeerCount(entrySettings),
+              this->random(), this->imposedLimits, this->metrics)
+    , selfReports(platform, this->directory, this->pauses, this->cold, this->limitGate,
+                  this->brittle, *this)
     , prober(this->loop, this->calls, time, platform, this->engines, *this, this->selfReports,
              this->limitGate, this->random, entrySettings.tuning.probeInterval)
     , crashes(this->loop, time, this->metrics, *this, *this)
@@ -82,6 +87,7 @@
               this->pauses,
               this->cold,
               this->limitGate,
+              this->brittle,
               this->settings.tuning.streams,
               this->open}
     , callers(this->loop, time, *this)
--- a/lib/Proxy/entrylife.cpp
+++ b/lib/Proxy/entrylife.cpp
@@ -138,6 +138,7 @@
     this->sharing.tick();
     this->crashes.tick();
     this->limitGate.tick();
+    this->brittle.tick();
     this->retries.tick();
     this->logReadiness();
     this->logOmittedListings();
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -196,6 +196,7 @@
     this->health.forget(ended.id);
     this->calls.forget(ended.id);
     this->limitGate.forget(ended.id);
+    this->brittle.forget(ended.id);
     this->prober.remove(ended.id);
     const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
     for (const auto &exchange : served)
@@ -253,6 +254,7 @@
     this->retries.setInstances(names);
     this->cold.setInstances(names);
     this->limitGate.setInstances(names);
+    this->brittle.setInstances(names);
 }
 
 void EntryInstance::Parts::announcePlaced(std::string_view engine, const GenerationNeed &need,
@@ -298,10 +300,11 @@
         this->peers->sendQuarantineToSample(message);
 }
 
-void EntryInstance::Parts::sendLimits(std::string_view instance, const LimitMessage &message)
+void EntryInstance::Parts::LimitChannel::sendLimits(std::string_view instance,
+                                                    const LimitMessage &message)
 {
-    if (this->peers)
-        this->peers->sendLimits(instance, message);
+    if (this->parts.peers)
+        this->parts.peers->sendLimits(instance, this->kind, message);
 }
 
 void EntryInstance::Parts::sendRetryPermits(std::string_view instance, const LimitMessage &message)
@@ -310,16 +313,16 @@
         this->peers->sendRetryPermits(instance, message);
 }
 
-void EntryInstance::Parts::broadcastLimits(const LimitMessage &message)
+void EntryInstance::Parts::LimitChannel::broadcastLimits(const LimitMessage &message)
 {
-    if (this->peers)
-        this->peers->broadcastLimits(message);
+    if (this->parts.peers)
+        this->parts.peers->broadcastLimits(this->kind, message);
 }
 
-void EntryInstance::Parts::sendLimitsToSample(const LimitMessage &message)
+void EntryInstance::Parts::LimitChannel::sendLimitsToSample(const LimitMessage &message)
 {
-    if (this->peers)
-        this->peers->sendLimitsToSample(message);
+    if (this->parts.peers)
+        this->parts.peers->sendLimitsToSample(this->kind, message);
 }
 
 void EntryInstance::Parts::onRequestBarred(std::string_view digest)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -6,6 +6,7 @@
 
 #include "jaytrack/Proxy/entryinstance.h"
 
+#include "jaytrack/Limits/brittlegate.h"
 #include "jaytrack/Proxy/exchange.h"
 #include "jaytrack/Proxy/loadprober.h"
 #include "jaytrack/Proxy/peerlink.h"
@@ -27,7 +28,6 @@
                                     public PlacementNotices,
                                     public SelfReportNotices,
                                     public QuarantineTransport,
-                                    public LimitTransport,
                                     public RetryTransport,
                                     public CrashWatchListener
 {
@@ -50,6 +50,23 @@
         Parts &parts;
     };
 
+    // Carries the messages about one kind of limits.
+    struct LimitChannel final : public LimitTransport
+    {
+        LimitChannel(Parts &owner, LimitKind limitKind)
+            : parts(owner)
+            , kind(limitKind)
+        {
+        }
+
+        void sendLimits(std::string_view instance, const LimitMessage &message) override;
+        void broadcastLimits(const LimitMessage &message) override;
+        void sendLimitsToSample(const LimitMessage &message) override;
+
+        Parts &parts;
+        LimitKind kind;
+    };
+
     Parts(const EntrySettings &entrySettings, const Clock &time, const Dialect &platform);
     void applyBounds();
     Result<void> openListeners();
@@ -109,9 +126,12 @@
         this->crashes.onMessage(message);
     }
 
-    void onLimitNews(std::string_view peer, const LimitMessage &message) override
+    void onLimitNews(std::string_view peer, LimitKind kind, const LimitMessage &message) override
     {
-        this->limitGate.onMessage(peer, message);
+        if (kind == LimitKind::Named)
+            this->limitGate.onMessage(peer, message);
+        else
+            this->brittle.onMessage(peer, message);
     }
 
     void onRetryPermits(std::string_view peer, const LimitMessage &message) override
@@ -142,12 +162,6 @@
     void broadcastQuarantine(const QuarantineMessage &message) override;
     void sendQuarantineToSample(const QuarantineMessage &message) override;
 
-    // LimitTransport
-
-    void sendLimits(std::string_view instance, const LimitMessage &message) override;
-    void broadcastLimits(const LimitMessage &message) override;
-    void sendLimitsToSample(const LimitMessage &message) override;
-
     // RetryTransport
 
     void sendRetryPermits(std::string_view instance, const LimitMessage &message) override;
@@ -207,7 +221,10 @@
     StoreSharing sharing;
     TargetPauses pauses;
     ColdTargets cold;
+    LimitChannel namedLimits;
+    LimitChannel imposedLimits;
     LimitGate limitGate;
+    BrittleGate brittle;
     SelfReports selfReports;
     LoadProber prober;
     CrashWatch crashes;
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -175,7 +175,8 @@
 {
     return std::max({this->context.pauses.remaining(target.id),
                      this->context.cold.wait(target.id, rate),
-                     this->context.limits.remainingBackoff(target.id)});
+                     this->context.limits.remainingBackoff(target.id),
+                     this->context.brittle.remainingBackoff(target.id)});
 }
 
 double Exchange::coldRequestsPerSecond() const
@@ -216,32 +217,49 @@
                            "targets_want_rest");
 }
 
-void Exchange::sendWhenPermitted(const TargetEntry &target,
-                                 const std::function<void(const TargetEntry &)> &send)
+std::function<void(const Permit &)>
+Exchange::whileInService(const std::function<void(const Permit &)> &decided) const
 {
-    const std::weak_ptr<Exchange> weak = this->weak_from_this();
-    const auto later = [weak, target, send](const Permit &permit) {
+    return [weak = this->weak_from_this(), decided](const Permit &permit) {
         const auto self = weak.lock();
         if (self && !self->finished)
-            self->onPermit(target, permit, send);
+            decided(permit);
     };
-    if (const auto permit = this->context.limits.request(target.id, later))
-        this->onPermit(target, *permit, send);
 }
 
-void Exchange::onPermit(const TargetEntry &target, const Permit &permit,
-                        const std::function<void(const TargetEntry &)> &send)
+void Exchange::sendWhenPermitted(const TargetEntry &target,
+                                 const std::function<void(const TargetEntry &)> &send)
 {
-    if (!permit.granted) {
-        this->logDecision("permit_denied", {{"target", target.id},
-                                            {"keeper", permit.owner},
-                                            {"wait_ms", toMillis(permit.wait)}});
-        return this->attempt();
-    }
-    // The target may have gone out of use while the permit was requested from the limit's owner.
-    if (!this->isAllowed(target))
-        return this->attempt();
-    send(target);
+    const auto decided = this->whileInService([this, target, send](const Permit &permit) {
+        if (!permit.granted)
+            return this->onPermitDenied(target, permit);
+        this->sendIfNotBrittle(target, send);
+    });
+    if (const auto permit = this->context.limits.request(target.id, decided))
+        decided(*permit);
+}
+
+void Exchange::sendIfNotBrittle(const TargetEntry &target,
+                                const std::function<void(const TargetEntry &)> &send)
+{
+    const auto decided = this->whileInService([this, target, send](const Permit &permit) {
+        if (!permit.granted)
+            return this->onPermitDenied(target, permit);
+        // The target may have gone out of use while the permits were requested.
+        if (!this->isAllowed(target))
+            return this->attempt();
+        send(target);
+    });
+    if (const auto permit = this->context.brittle.request(target.id, decided))
+        decided(*permit);
+}
+
+void Exchange::onPermitDenied(const TargetEntry &target, const Permit &permit)
+{
+    this->logDecision(
+            "permit_denied",
+            {{"target", target.id}, {"keeper", permit.owner}, {"wait_ms", toMillis(permit.wait)}});
+    this->attempt();
 }
 
 void Exchange::requestRetry(const std::function<void(bool)> &proceed)
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -64,6 +64,11 @@
     return peers;
 }
 
+wire::LimitNotices &limitsOf(wire::EntryNotices &message, LimitKind kind)
+{
+    return kind == LimitKind::Named ? message.limits : message.imposedLimits;
+}
+
 std::uint32_t toTokens(std::int64_t number)
 {
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, number));
@@ -285,10 +290,10 @@
     this->membership.sendPolicy(sampledPeers, encodeMessage(message));
 }
 
-void PeerLink::sendLimits(std::string_view peer, const LimitMessage &news)
+void PeerLink::sendLimits(std::string_view peer, LimitKind kind, const LimitMessage &news)
 {
     wire::EntryNotices message;
-    message.limits = toNotices(news);
+    limitsOf(message, kind) = toNotices(news);
     this->membership.sendPolicy(peer, encodeMessage(message));
 }
 
@@ -299,17 +304,17 @@
     this->membership.sendPolicy(peer, encodeMessage(message));
 }
 
-void PeerLink::broadcastLimits(const LimitMessage &news)
+void PeerLink::broadcastLimits(LimitKind kind, const LimitMessage &news)
 {
     wire::EntryNotices message;
-    message.limits = toNotices(news);
+    limitsOf(message, kind) = toNotices(news);
     this->broadcast(message);
 }
 
-void PeerLink::sendLimitsToSample(const LimitMessage &news)
+void PeerLink::sendLimitsToSample(LimitKind kind, const LimitMessage &news)
 {
     wire::EntryNotices message;
-    message.limits = toNotices(news);
+    limitsOf(message, kind) = toNotices(news);
     this->sendToSample(message);
 }
 
@@ -484,9 +489,11 @@
     const QuarantineMessage quarantine = fromNotices(message->quarantine);
     if (!quarantine.isEmpty())
         this->listener.onQuarantineNews(quarantine);
-    const LimitMessage limits = fromNotices(message->limits);
-    if (!limits.isEmpty())
-        this->listener.onLimitNews(origin, limits);
+    for (const LimitKind kind : {LimitKind::Named, LimitKind::Imposed}) {
+        const LimitMessage limits = fromNotices(limitsOf(*message, kind));
+        if (!limits.isEmpty())
+            this->listener.onLimitNews(origin, kind, limits);
+    }
     const LimitMessage retryPermits = fromNotices(message->retryPermits);
     if (!retryPermits.isEmpty())
         this->listener.onRetryPermits(from, retryPermits);
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -172,8 +172,11 @@
             return this->retryOr(ResultCode::TargetFull, "refused_by_target");
         if (!sent)
             return this->retryOr(ResultCode::TargetUnreachable, end.reason);
-        if (valid && !refused)
+        if (valid && !refused) {
             this->reportSafeRun();
+            this->context.brittle.recordServed(this->target.service, this->target.slots,
+                                               this->context.clock.now() - this->sentAt);
+        }
         if (valid && this->answer.status < serverErrorStatus)
             return this->forwardAnswer(this->answer, this->body, this->target.id);
         this->uncertain = true;
--- a/lib/Proxy/selfreports.cpp
+++ b/lib/Proxy/selfreports.cpp
@@ -8,6 +8,7 @@
 
 constexpr int firstGoodStatus = 200;
 constexpr int afterGoodStatus = 300;
+constexpr int serverErrorStatus = 500;
 
 } // namespace
 
@@ -26,6 +27,20 @@
     const bool served = answer.status >= firstGoodStatus && answer.status < afterGoodStatus;
     if (served && facts.reportsNoLimit)
         this->limits.recordNoLimit(target, sentAgo);
+    if (served && facts.reportsNotBrittle)
+        this->brittle.recordSound(target, sentAgo);
+    this->recordRefusal(target, answer, facts);
+}
+
+// A target that refuses because it leaves or is cold does not do so for want of room.
+void SelfReports::recordRefusal(std::string_view target, const MessageHead &answer,
+                                const AnswerFacts &facts)
+{
+    const TargetEntry *listed = this->directory.find(target);
+    const bool isFull = facts.notExecuted && !facts.misdirected && !facts.leaving &&
+                        !facts.coldFor && answer.status >= serverErrorStatus;
+    if (isFull && listed != nullptr)
+        this->brittle.recordRefusal(target, listed->service);
 }
 
 void SelfReports::recordFacts(std::string_view target, const AnswerFacts &facts)
@@ -43,6 +58,8 @@
                   {"source", "answer"}});
         this->notices.announceCold(target, *facts.coldFor);
     }
+    if (facts.toleratedRefusals)
+        this->brittle.recordBrittle(target, *facts.toleratedRefusals);
     if (facts.limitPerSecond)
         this->limits.recordLimit(target, *facts.limitPerSecond);
     if (facts.leaving && this->directory.markLeaving(target, "told_in_answer"))
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -410,6 +410,8 @@
     if (!leg.streaming)
         return this->forwardNonStreamAnswer(leg);
     this->reportSafeRun();
+    this->context.brittle.recordServed(leg.target.service, leg.target.slots,
+                                       this->context.clock.now() - leg.openedAt);
     this->beginAnswer(leg.head);
     this->caller->finish();
     this->finish(ResultCode::Ok, okStatus, leg.target.id);
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -3821,6 +3821,10 @@
 void EntryNotices::__set_spread(const SpreadNotice& val) {
   this->spread = val;
 }
+
+void EntryNotices::__set_imposedLimits(const LimitNotices& val) {
+  this->imposedLimits = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
@@ -4097,6 +4101,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->imposedLimits.read(iprot);
+          this->__isset.imposedLimits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4258,6 +4270,10 @@
   xfer += this->spread.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("imposedLimits", ::apache::thrift::protocol::T_STRUCT, 17);
+  xfer += this->imposedLimits.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4281,6 +4297,7 @@
   swap(a.retryPermits, b.retryPermits);
   swap(a.fragments, b.fragments);
   swap(a.spread, b.spread);
+  swap(a.imposedLimits, b.imposedLimits);
   swap(a.__isset, b.__isset);
 }
 
@@ -4301,6 +4318,7 @@
   retryPermits = other165.retryPermits;
   fragments = other165.fragments;
   spread = other165.spread;
+  imposedLimits = other165.imposedLimits;
   __isset = other165.__isset;
 }
 EntryNotices& EntryNotices::operator=(const EntryNotices& other166) {
@@ -4320,6 +4338,7 @@
   retryPermits = other166.retryPermits;
   fragments = other166.fragments;
   spread = other166.spread;
+  imposedLimits = other166.imposedLimits;
   __isset = other166.__isset;
   return *this;
 }
@@ -4342,6 +4361,7 @@
   out << ", " << "retryPermits=" << to_string(retryPermits);
   out << ", " << "fragments=" << to_string(fragments);
   out << ", " << "spread=" << to_string(spread);
+  out << ", " << "imposedLimits=" << to_string(imposedLimits);
   out << ")";
 }
 
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -1550,7 +1550,7 @@
 std::ostream& operator<<(std::ostream& out, const SpreadNotice& obj);
 
 typedef struct _EntryNotices__isset {
-  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false), limits(false), retryPermits(false), fragments(false), spread(false) {}
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false), limits(false), retryPermits(false), fragments(false), spread(false), imposedLimits(false) {}
   bool placements :1;
   bool loads :1;
   bool stores :1;
@@ -1567,6 +1567,7 @@
   bool retryPermits :1;
   bool fragments :1;
   bool spread :1;
+  bool imposedLimits :1;
 } _EntryNotices__isset;
 
 class EntryNotices : public virtual ::apache::thrift::TBase {
@@ -1596,6 +1597,7 @@
   LimitNotices retryPermits;
   std::vector<FragmentNotice>  fragments;
   SpreadNotice spread;
+  LimitNotices imposedLimits;
 
   _EntryNotices__isset __isset;
 
@@ -1631,6 +1633,8 @@
 
   void __set_spread(const SpreadNotice& val);
 
+  void __set_imposedLimits(const LimitNotices& val);
+
   bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
@@ -1665,6 +1669,8 @@
       return false;
     if (!(spread == rhs.spread))
       return false;
+    if (!(imposedLimits == rhs.imposedLimits))
+      return false;
     return true;
   }
   bool operator != (const EntryNotices &rhs) const {
