Give the daemon's calls the same limits on silent connections as the entry instances'

Callers of jaytrackd would wait on a stream whose connection fell silent without a reset until they left: libcurl sets no keep-alive by itself. Class: a time-out left to a library's defaults. Test first: TCP_USER_TIMEOUT 0 before, 4000 ms after (libcurl's socket option callback sets what entry instances set).

--- a/include/jaytrack/Net/socket.h
+++ b/include/jaytrack/Net/socket.h
@@ -15,6 +15,9 @@
 // that waits on it would wait until its own deadline.
 void prepareSocket(asio::ip::tcp::socket &socket);
 
+// The same for the descriptor of a socket that another library owns.
+void prepareDescriptor(int descriptor);
+
 // Parses IP:PORT.
 Result<asio::ip::tcp::endpoint> parseEndpoint(std::string_view address);
 
--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -1,5 +1,7 @@
 #include "jaytrack/Http/client.h"
 
+#include "jaytrack/Net/socket.h"
+
 #include <asio.hpp>
 #include <curl/curl.h>
 
@@ -88,6 +90,14 @@
     return size * count;
 }
 
+// Without these options a connection that falls silent is noticed only by the call's time limit,
+// which a stream does not have.
+int onCurlSocket(void *, curl_socket_t descriptor, curlsocktype)
+{
+    prepareDescriptor(descriptor);
+    return CURL_SOCKOPT_OK;
+}
+
 // Whether a failed call established no connection, so that no byte of the request was sent. The
 // error code alone does not show this: when a reused connection breaks before the response, libcurl
 // resends the request by itself, and the error is that of the second connection.
@@ -222,7 +232,7 @@
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onCurlSocket);
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                          static_cast<long>(call.connectTimeout.count()));
         if (call.totalTimeout.count() > 0)
--- a/lib/Net/socket.cpp
+++ b/lib/Net/socket.cpp
@@ -29,7 +29,11 @@
 
 void prepareSocket(asio::ip::tcp::socket &socket)
 {
-    const int descriptor = socket.native_handle();
+    prepareDescriptor(socket.native_handle());
+}
+
+void prepareDescriptor(int descriptor)
+{
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
