Give a caller the body of a direct answer after a failed call through another instance

Cause: a call that another instance could not pass on keeps that instance's reason; when the call then went directly, the body of its answer was dropped as that instance's. Class: state of one attempt left over in the next. The test failed before (empty body) and passes. Elsewhere: the other members of an attempt (relaySent, relayLost) are read only beside that reason. A parameter of verifyEnd is passed by reference, as the linter asks.

--- a/include/jaytrack/Quarantine/crashwatch.h
+++ b/include/jaytrack/Quarantine/crashwatch.h
@@ -46,7 +46,7 @@
 
     // Called when a target that lost connections refuses new ones. The listener calls done once
     // with whether the target has ended, rather than this instance's links to it.
-    virtual void verifyEnd(const std::string &target, std::function<void(bool ended)> done)
+    virtual void verifyEnd(const std::string &target, const std::function<void(bool ended)> &done)
     {
         (void)target;
         done(true);
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -334,7 +334,8 @@
 
 // A target whose links to this instance were reset looks as if it had ended; the other instances
 // can tell.
-void EntryInstance::Parts::verifyEnd(const std::string &target, std::function<void(bool)> done)
+void EntryInstance::Parts::verifyEnd(const std::string &target,
+                                     const std::function<void(bool)> &done)
 {
     const TargetEntry *listed = this->directory.find(target);
     const auto endpoint = listed != nullptr ? parseEndpoint(listed->address)
@@ -342,7 +343,7 @@
                                                       ResultCode::NoTarget, "target not listed"});
     if (!endpoint)
         return done(true);
-    std::make_shared<EndVerification>(this->loop, std::move(done))
+    std::make_shared<EndVerification>(this->loop, done)
             ->start(this->calls, this->dialect, *listed, endpoint.value());
 }
 
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -169,7 +169,7 @@
     // CrashWatchListener
 
     void onRequestBarred(std::string_view digest) override;
-    void verifyEnd(const std::string &target, std::function<void(bool)> done) override;
+    void verifyEnd(const std::string &target, const std::function<void(bool)> &done) override;
 
     // LoadSharing
 
--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Proxy/targetcalls.cpp
@@ -109,6 +109,7 @@
 {
     this->directTried = true;
     this->peer.clear();
+    this->relayFailure.clear();
     const bool hasOtherWay =
             this->calls.reach.mayAskPeers(this->about.target) &&
             this->calls.peers.choose(this->triedPeers, this->about.mayPass) != nullptr;
--- /dev/null
+++ b/unittests/Platform/routedcalltest.cpp
@@ -0,0 +1,107 @@
+// Single calls that may go to their target directly or through another instance.
+#include "unreachableport.h"
+
+#include "platformstandin.h"
+
+#include "jaytrack/Net/socket.h"
+#include "jaytrack/Proxy/targetcalls.h"
+#include "jaytrack/Support/metrics.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+
+using namespace jaytrack;
+using namespace jaytrack::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+// What became of a call.
+class Collector final : public TargetCallListener
+{
+public:
+    void onAnswerHead(MessageHead head) override { this->status = head.status; }
+    void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
+    void onCallEnd(const TargetCallEnd &end) override { this->ends.push_back(end); }
+
+    int status = 0;
+    std::string body;
+    std::vector<TargetCallEnd> ends;
+};
+
+// Another instance that does with each call what the test says.
+struct PeerStandin
+{
+    PeerStandin()
+        : server([this](const SeenRequest &) { return this->answer(); })
+    {
+    }
+
+    Answer answer() const
+    {
+        if (this->helps)
+            return wholeAnswer(200, "", "passed on");
+        return wholeAnswer(
+                503, "Jaytrack-Relay-Failure: unreachable\r\nJaytrack-Relay-Stage: not_sent\r\n",
+                "why");
+    }
+
+    std::atomic<bool> helps{true};
+    ScriptedServer server;
+};
+
+struct CallSite
+{
+    CallSite() { this->calls.setPeers({{"peer", "dc", this->peer.server.address()}}); }
+
+    std::shared_ptr<Collector> call(const std::string &address)
+    {
+        TargetRequest request;
+        request.endpoint = parseEndpoint(address).value();
+        request.target = "/x";
+        request.connectTimeout = 500ms;
+        CallContext about;
+        about.target = "t";
+        about.service = "s";
+        auto collector = std::make_shared<Collector>();
+        const auto call = this->calls.start(std::move(request), std::move(about), collector);
+        this->loop.restart();
+        this->loop.run_for(1s);
+        return collector;
+    }
+
+    asio::io_context loop;
+    SystemClock clock;
+    Metrics metrics;
+    PeerStandin peer;
+    TargetCalls calls{this->loop, this->clock, this->metrics, "dc", {"key"}, 3};
+};
+
+} // namespace
+
+// Guards against an answer without its body after another instance had failed to pass the call on.
+Test(routedCall, directAnswerAfterAFailedRelayIsWhole)
+{
+    CallSite site;
+    const UnreachablePort port(LinkLoss::Refused);
+    const ScriptedServer target([](const SeenRequest &) { return wholeAnswer(200, "", "direct"); });
+    cr_assert(site.call(port.address())->body == "passed on");
+    site.peer.helps = false;
+    const auto seen = site.call(target.address());
+    cr_expect(seen->status == 200);
+    cr_expect(seen->body == "direct", "body: %s", seen->body.c_str());
+    cr_expect(seen->ends.size() == 1 && seen->ends.front().whole);
+}
+
+// Guards against the words of another instance that reach a caller as a target's answer.
+Test(routedCall, failureOfAPeerIsNoAnswer)
+{
+    CallSite site;
+    const UnreachablePort port(LinkLoss::Refused);
+    site.peer.helps = false;
+    const auto seen = site.call(port.address());
+    cr_expect(seen->status == 0 && seen->body.empty());
+    cr_assert(seen->ends.size() == 1);
+    cr_expect(!seen->ends.front().whole && !seen->ends.front().bytesSent);
+}
