Take nothing for a target's answer that another instance did not mark as one

Found at the read-through: what an instance answers before it knows that it is asked to pass a call on (413, 431, 408, 503 for want of memory, 400 for a wrong signature) carries none of the headers of such calls, and would have reached the caller as the target's own answer. Class: the absence of a mark taken for a meaning. Change: answers of targets are marked on that way; one without a mark means that nothing was sent, and another way is tried. The mark is taken off before the caller sees the answer. Test: routedCall/refusalOfAPeerIsNoAnswer, red before (status 413).

--- a/include/jaytrack/Proxy/relaymessage.h
+++ b/include/jaytrack/Proxy/relaymessage.h
@@ -48,6 +48,10 @@
 
 std::vector<HttpHeader> encodeFailure(const RelayFailure &failure);
 
+// Marks the headers of a target's answer, so that no refusal of the instance asked is taken for
+// one.
+std::vector<HttpHeader> markAnswered(std::span<const HttpHeader> headers);
+
 // Returns the failure that an answer reports; empty if the answer is the target's.
 std::optional<RelayFailure> decodeFailure(const MessageHead &head);
 
--- a/lib/Proxy/relaymessage.cpp
+++ b/lib/Proxy/relaymessage.cpp
@@ -25,6 +25,10 @@
 constexpr std::string_view notSent = "not_sent";
 constexpr std::string_view wasSent = "sent";
 constexpr std::string_view wasClosed = "closed";
+constexpr std::string_view wasAnswered = "answered";
+
+// An instance that cannot read a call, or has no memory for it, answers without these headers.
+constexpr std::string_view refusedUnread = "refused_unread";
 
 // Longest time that an instance tries to connect for another one.
 constexpr std::chrono::milliseconds maxConnectTimeout{2000};
@@ -95,13 +99,22 @@
     return {makeHeader(failureHeader, failure.reason), makeHeader(stageHeader, stage)};
 }
 
+std::vector<HttpHeader> markAnswered(std::span<const HttpHeader> headers)
+{
+    std::vector<HttpHeader> marked = withoutRelayHeaders(headers);
+    marked.push_back(makeHeader(stageHeader, wasAnswered));
+    return marked;
+}
+
 std::optional<RelayFailure> decodeFailure(const MessageHead &head)
 {
-    const std::string_view reason = head.header(failureHeader);
-    if (reason.empty())
-        return std::nullopt;
     const std::string_view stage = head.header(stageHeader);
-    return RelayFailure{std::string(reason), stage != notSent, stage == wasClosed};
+    if (stage == wasAnswered)
+        return std::nullopt;
+    if (stage.empty())
+        return RelayFailure{std::string(refusedUnread), false, false};
+    return RelayFailure{std::string(head.header(failureHeader)), stage != notSent,
+                        stage == wasClosed};
 }
 
 std::vector<HttpHeader> withoutRelayHeaders(std::span<const HttpHeader> headers)
--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -71,7 +71,7 @@
 
     void onAnswerHead(MessageHead head) override
     {
-        const std::vector<HttpHeader> headers = withoutRelayHeaders(answerHeaders(head.headers));
+        const std::vector<HttpHeader> headers = markAnswered(answerHeaders(head.headers));
         this->begun = true;
         if (this->isHead)
             this->asker->respond(head.status, headers, {});
--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Proxy/targetcalls.cpp
@@ -196,6 +196,7 @@
         this->calls.peers.recordServed(this->peer);
         if (this->directMissed)
             this->calls.recordReachedByPeer(this->about, this->peer);
+        head.headers = withoutRelayHeaders(head.headers);
     }
     if (const auto to = this->listener.lock())
         to->onAnswerHead(std::move(head));
--- a/unittests/Platform/routedcalltest.cpp
+++ b/unittests/Platform/routedcalltest.cpp
@@ -40,14 +40,17 @@
 
     Answer answer() const
     {
+        if (this->unreadable)
+            return wholeAnswer(413, "", "");
         if (this->helps)
-            return wholeAnswer(200, "", "passed on");
+            return wholeAnswer(200, "Jaytrack-Relay-Stage: answered\r\n", "passed on");
         return wholeAnswer(
                 503, "Jaytrack-Relay-Failure: unreachable\r\nJaytrack-Relay-Stage: not_sent\r\n",
                 "why");
     }
 
     std::atomic<bool> helps{true};
+    std::atomic<bool> unreadable{false}; // refuses calls before it knows what they are
     ScriptedServer server;
 };
 
@@ -105,3 +108,15 @@
     cr_assert(seen->ends.size() == 1);
     cr_expect(!seen->ends.front().whole && !seen->ends.front().bytesSent);
 }
+
+// Guards against a refusal of another instance's own that reaches a caller as a target's answer.
+Test(routedCall, refusalOfAPeerIsNoAnswer)
+{
+    CallSite site;
+    const UnreachablePort port(LinkLoss::Refused);
+    site.peer.unreadable = true;
+    const auto seen = site.call(port.address());
+    cr_expect(seen->status == 0);
+    cr_assert(seen->ends.size() == 1);
+    cr_expect(!seen->ends.front().whole && !seen->ends.front().bytesSent);
+}
