--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -51,7 +51,6 @@
                                        this->weak_from_this());
     }
 
-    // Reports to an instance that is told nothing yet that this one ends.
     void onCallerGone() override
     {
         this->call->cancel();
