Bound by 0.3 s how long further ways to a target are tried

Where links hang, a generation's call could have gone on seeking a way for a second and then been sent with that much too much. Now 0.3 s from the start, 0.4 s with the last attempt.

--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Proxy/targetcalls.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-// Time for at least so many attempts to connect, where the first instances asked cannot help.
-constexpr int minAttempts = 3;
+// Further ways are tried for so many attempts that take all their time. The request names the time
+// that its caller had left when it was made, so it must not be sent much later.
+constexpr int attemptsInTime = 3;
 
 std::chrono::milliseconds inMillis(Duration time)
 {
@@ -91,8 +92,7 @@
     , about(std::move(context))
     , listener(std::move(to))
     , connectTimeout(this->request.connectTimeout)
-    , lastStart(owner.clock.now() +
-                std::max<Duration>(this->connectTimeout, minAttempts * owner.connectPatience()))
+    , lastStart(owner.clock.now() + attemptsInTime * owner.connectPatience())
 {
 }
 
