Forget the announcement of a brittle target when it leaves

Cause: announcements were forgotten on a restart only, so an instance kept one for each brittle target that ever left, without bound. Ruled out: limits and buckets, which expire by time. Change: one call where the other accounts of a leaving target are dropped. A test's comment is reworded.

--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -177,6 +177,7 @@
     this->shares.onRemoved(entry.id);
     this->health.forget(entry.id);
     this->calls.forget(entry.id);
+    this->brittle.forget(entry.id);
     this->prober.remove(entry.id);
     const std::vector<std::shared_ptr<Exchange>> served(this->open.begin(), this->open.end());
     for (const auto &exchange : served)
--- a/unittests/Platform/silenttargettest.cpp
+++ b/unittests/Platform/silenttargettest.cpp
@@ -67,8 +67,8 @@
     cr_expect(workSeen(first) + workSeen(second) == 1, "it ran twice");
 }
 
-// Guards against an engine that nobody uses any more because it did not answer one load probe in
-// time.
+// Guards against an engine that gets no requests any more because it did not answer one load probe
+// in time.
 Test(silentTarget, isUsedAgain)
 {
     RouteSpec route;
