Log calls that are sent to a target known to be closed to them

Between the choice of a target and the bytes lie permits, connection attempts and other instances, and no line told whether the target was still open when the request left, nor what an instance does for another one. SendGate answers that question in the moment of sending; RoutedCall and the relay ask it when their connection is open and log sent_to_closed_target with the reason. Nothing is held back yet, so no decision changes.

Ruled out: a check in each exchange; load probes, copy orders and calls made for other instances would go round it.

--- a/include/jaytrack/Proxy/targetcalls.h
+++ b/include/jaytrack/Proxy/targetcalls.h
@@ -4,6 +4,7 @@
 
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Routing/relaypeers.h"
+#include "jaytrack/Routing/sendgate.h"
 #include "jaytrack/Routing/targetreach.h"
 #include "jaytrack/Support/keyring.h"
 
@@ -37,8 +38,8 @@
 {
 public:
     TargetCalls(asio::io_context &loop, const Clock &time, Metrics &counters,
-                const std::string &ownDataCentre, std::vector<std::string> fleetKeys,
-                std::uint64_t seed);
+                const SendGate &sendGate, const std::string &ownDataCentre,
+                std::vector<std::string> fleetKeys, std::uint64_t seed);
 
     // Starts a call. The listener is not called before this returns. The returned object must be
     // kept until the call has ended.
@@ -65,6 +66,10 @@
     // instance.
     void recordConnected(std::string_view target, std::string_view service);
 
+    // Returns why a call must not be sent to the target now, and logs that; empty if it may be.
+    std::string_view refusalToSend(std::string_view target, bool isNewWork,
+                                   std::string_view attemptId) const;
+
     asio::io_context &loop() { return this->context; }
 
     Duration connectPatience() const { return this->reach.limits().connectPatience; }
@@ -82,6 +87,7 @@
     asio::io_context &context;
     const Clock &clock;
     Metrics &metrics;
+    const SendGate &gate;
     std::optional<KeyRing> keys;
     TargetReach reach;
     RelayPeers peers;
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -35,9 +35,10 @@
     , serviceEndpoint(*this)
     , random(std::random_device{}())
     , listingLogAllowance(time, maxListingLines, listingLogPeriod)
-    , calls(this->loop, time, this->metrics, entrySettings.dataCentre, entrySettings.peerKeys,
-            this->random())
     , directory(*this)
+    , gate(this->directory)
+    , calls(this->loop, time, this->metrics, this->gate, entrySettings.dataCentre,
+            entrySettings.peerKeys, this->random())
     , relays(this->calls, time, this->metrics, this->directory, *this)
     , health(time, this->random())
     , engines(time, this->random(), entrySettings.dataCentre, entrySettings.tuning.engines)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -208,8 +208,9 @@
     Metrics metrics;
     std::mt19937_64 random;
     LogAllowance listingLogAllowance; // rate limit of log lines about single targets
-    TargetCalls calls;
     TargetDirectory directory;
+    SendGate gate;
+    TargetCalls calls;
     RelayServer relays;
     TargetHealth health;
     EngineChoice engines;
--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -34,11 +34,12 @@
 {
 public:
     Relay(RelayServer &owner, std::shared_ptr<CallerConnection> connection,
-          const TargetEntry &target)
+          const TargetEntry &target, bool newWork)
         : server(owner)
         , asker(std::move(connection))
         , targetId(target.id)
         , service(target.service)
+        , isNewWork(newWork)
     {
     }
 
@@ -66,6 +67,7 @@
     void onConnected() override
     {
         this->server.calls.recordConnected(this->targetId, this->service);
+        this->server.calls.refusalToSend(this->targetId, this->isNewWork, {});
     }
 
     void onAnswerHead(MessageHead head) override
@@ -119,6 +121,7 @@
     std::shared_ptr<CallerConnection> asker;
     std::string targetId;
     std::string service;
+    bool isNewWork;
     std::shared_ptr<TargetCall> call;
     bool isHead = false;
     bool begun = false;
@@ -196,7 +199,8 @@
     outgoing.headers = withoutRelayHeaders(withoutHopByHop(request.head.headers));
     outgoing.body = std::move(request.body);
     outgoing.connectTimeout = order->connectTimeout;
-    const auto relay = std::make_shared<Relay>(*this, std::move(connection), *target);
+    const auto relay =
+            std::make_shared<Relay>(*this, std::move(connection), *target, order->isNewWork);
     relay->start(std::move(outgoing));
 }
 
--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Proxy/targetcalls.cpp
@@ -23,11 +23,12 @@
 } // namespace
 
 TargetCalls::TargetCalls(asio::io_context &loop, const Clock &time, Metrics &counters,
-                         const std::string &ownDataCentre, std::vector<std::string> fleetKeys,
-                         std::uint64_t seed)
+                         const SendGate &sendGate, const std::string &ownDataCentre,
+                         std::vector<std::string> fleetKeys, std::uint64_t seed)
     : context(loop)
     , clock(time)
     , metrics(counters)
+    , gate(sendGate)
     , reach(time)
     , peers(time, ownDataCentre, seed)
 {
@@ -80,6 +81,16 @@
               {"connected_ms_ago", toMillis(this->reach.sinceConnected())}});
 }
 
+std::string_view TargetCalls::refusalToSend(std::string_view target, bool isNewWork,
+                                            std::string_view attemptId) const
+{
+    const std::string_view reason = this->gate.refusal(target, isNewWork);
+    if (!reason.empty())
+        logEvent(Severity::Info, "sent_to_closed_target",
+                 {{"id", attemptId}, {"target", target}, {"reason", reason}});
+    return reason;
+}
+
 void TargetCalls::count(std::string_view outcome)
 {
     this->metrics.count("jaytrack_target_calls_total{outcome=\"" + std::string(outcome) + "\"}");
@@ -182,6 +193,7 @@
 {
     if (this->peer.empty())
         this->calls.recordConnected(this->about.target, this->about.service);
+    this->calls.refusalToSend(this->about.target, this->about.isNewWork, this->about.attemptId);
 }
 
 void RoutedCall::onAnswerHead(MessageHead head)
--- /dev/null
+++ b/lib/Routing/sendgate.cpp
@@ -0,0 +1,16 @@
+#include "jaytrack/Routing/sendgate.h"
+
+namespace jaytrack {
+
+std::string_view SendGate::refusal(std::string_view target, bool isNewWork) const
+{
+    if (!isNewWork)
+        return {};
+    const TargetEntry *listed = this->directory.find(target);
+    if (listed == nullptr || listed->leaving)
+        return "target_leaving";
+    return this->directory.isOutOfUse(listed->dataCentre) ? "data_centre_out_of_use"
+                                                          : std::string_view();
+}
+
+} // namespace jaytrack
--- a/unittests/Platform/routedcalltest.cpp
+++ b/unittests/Platform/routedcalltest.cpp
@@ -10,6 +10,7 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <functional>
 
 using namespace jaytrack;
 using namespace jaytrack::testing;
@@ -54,11 +55,32 @@
     ScriptedServer server;
 };
 
+// A target's state matters to the calls alone.
+class IgnoredEvents final : public TargetDirectoryListener
+{
+public:
+    void onTargetLeaving(const TargetEntry &, std::string_view) override {}
+    void onTargetListed(const TargetEntry &) override {}
+    void onTargetRestarted(const TargetEntry &) override {}
+    void onTargetCold(const TargetEntry &) override {}
+    void onDataCentreUse(std::string_view, bool) override {}
+};
+
 struct CallSite
 {
-    CallSite() { this->calls.setPeers({{"peer", "dc", this->peer.server.address()}}); }
+    CallSite()
+    {
+        TargetEntry entry;
+        entry.id = entry.name = "t";
+        entry.service = "s";
+        entry.dataCentre = "dc";
+        this->directory.put(entry);
+        this->calls.setPeers({{"peer", "dc", this->peer.server.address()}});
+    }
 
-    std::shared_ptr<Collector> call(const std::string &address)
+    // Starts a call, lets the change come about while it is being connected, and sees it through.
+    std::shared_ptr<Collector> call(
+            const std::string &address, const std::function<void()> &change = [] {})
     {
         TargetRequest request;
         request.endpoint = parseEndpoint(address).value();
@@ -69,6 +91,7 @@
         about.service = "s";
         auto collector = std::make_shared<Collector>();
         const auto call = this->calls.start(std::move(request), std::move(about), collector);
+        change();
         this->loop.restart();
         this->loop.run_for(1s);
         return collector;
@@ -78,7 +101,10 @@
     SystemClock clock;
     Metrics metrics;
     PeerStandin peer;
-    TargetCalls calls{this->loop, this->clock, this->metrics, "dc", {"key"}, 3};
+    IgnoredEvents events;
+    TargetDirectory directory{this->events};
+    SendGate gate{this->directory};
+    TargetCalls calls{this->loop, this->clock, this->metrics, this->gate, "dc", {"key"}, 3};
 };
 
 } // namespace
