Test: a copy under way to an engine that begins to leave

The copy takes 0.6 s; 0.3 s after it was ordered its destination says that it leaves; the run goes on there all the same (run_resumed), because RunPlan drops only finished copies.

--- a/unittests/Platform/handovertest.cpp
+++ b/unittests/Platform/handovertest.cpp
@@ -160,6 +160,36 @@
     cr_assert(runsOf(out).empty());
 }
 
+// Guards against a run that goes on at an engine which began to leave while the copy was on its
+// way.
+Test(handOver, copyUnderWayToALeavingEngineIsGivenUp)
+{
+    static constexpr std::chrono::milliseconds copyTime(600);
+    ScriptedServer first([](const SeenRequest &request) -> Answer {
+        if (isRun(request))
+            return events(1, 80, std::chrono::milliseconds(25), true);
+        if (request.head.path() != "/jaytrack/kv-move")
+            return wholeAnswer(200, "", "{}");
+        Answer answer = moveAnswer(200);
+        answer.front().after = copyTime;
+        return answer;
+    });
+    ScriptedServer second([](const SeenRequest &) { return wholeAnswer(200, "", "{}"); });
+    EntryFixture entry({RouteSpec()});
+    entry.list("e1", first);
+    std::thread announcer([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        entry.store.put("servers/e2", targetJson(second.address()));
+        entry.store.put("servers/e1", targetJson(first.address(), "draining"));
+        std::this_thread::sleep_for(copyTime / 2);
+        entry.store.put("servers/e2", targetJson(second.address(), "draining"));
+    });
+    const CallerView view = callOnce(entry.port(), requestText({}), std::chrono::seconds(5));
+    announcer.join();
+    assertWhole(view.bytes, 80);
+    cr_assert(runsOf(second).empty());
+}
+
 // Symptom: a run breaks off although its engine would have finished it.
 // Events: the engine announces that it leaves; no other engine has room; the engine works on.
 Test(handOver, refusedCopiesLeaveTheRunWhereItIs)
