Drop a copy under way to an engine that begins to leave

Cause: RunPlan::engineLeaving dropped a finished copy at that engine; a copy that was still being made was used when it was complete. The same case was handled for data centres out of use and for restarted targets.

Mend: the same step, discardCopyAt, for an engine that leaves; the plan then makes another copy elsewhere. handOver/copyUnderWayToALeavingEngineIsGivenUp was red before (the run went on at the leaving engine) and passes; all 7 of handOver/* pass.

Ruled out: looking at the destination's state only when the copy is complete; the run would lose the time in which another copy can be made.

--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -29,11 +29,13 @@
 constexpr std::chrono::seconds maxSilence{1};
 
 constexpr int okStatus = 200;
+constexpr int copyInProgressStatus = 409;
 
 } // namespace
 
 void StreamExchange::onTargetLeaving(const TargetEntry &entry, std::string_view reason)
 {
+    this->discardCopyAt(entry.id);
     this->plan.engineLeaving(entry.id);
     const bool affectsCurrent = this->current && this->current->target.id == entry.id;
     if (affectsCurrent) {
