Do not blame a destination for a copy that is still under way

A copy that was dropped (destination leaving, out of use, restarted) may go on at its engine, which answers 409 to the next order. That counted as a refusal by the next destination: it was left out, and an attempt was used up, so that a run could run out of destinations within a second.

--- a/include/jaytrack/Routing/runplan.h
+++ b/include/jaytrack/Routing/runplan.h
@@ -71,6 +71,10 @@
     void copyMade(std::string_view at, ResumePoint point);
     void copyFailed(std::string_view at);
 
+    // Records that the engine still makes an earlier copy of the run, which says nothing about the
+    // destination.
+    void copyPostponed();
+
     // Records that the engine does not have the copy or refuses to use it.
     void copyRefused();
 
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -119,7 +119,7 @@
     void requestCopyPermits(const TargetEntry &source, const TargetEntry &destination);
     void ifPermitted(const std::string &target, const std::function<void(bool)> &proceed);
     void startCopy(const TargetEntry &destination);
-    void copyFailed(std::string_view destination);
+    void copyFailed(std::string_view destination, int status);
     void watchSilence();
     void schedulePlanCheck();
     void switchToNext();
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -356,10 +356,13 @@
     });
 }
 
-void StreamExchange::copyFailed(std::string_view destination)
+void StreamExchange::copyFailed(std::string_view destination, int status)
 {
     this->reservations.release(destination, 0);
-    this->plan.copyFailed(destination);
+    if (status == copyInProgressStatus)
+        this->plan.copyPostponed();
+    else
+        this->plan.copyFailed(destination);
 }
 
 void StreamExchange::moveEnded(MoveCall &ended, const TargetCallEnd &end)
@@ -379,7 +382,7 @@
         this->plan.copyMade(done->destination.id,
                             {this->current->target.address, answer.value().handle});
     else
-        this->copyFailed(done->destination.id);
+        this->copyFailed(done->destination.id, done->status);
     this->updateCopyReservation();
     this->executeNextStep();
 }
--- a/lib/Routing/runplan.cpp
+++ b/lib/Routing/runplan.cpp
@@ -32,6 +32,13 @@
     this->nextCopyAt = this->clock.now() + this->options.copyRetryDelay;
 }
 
+void RunPlan::copyPostponed()
+{
+    this->copying = false;
+    --this->copyAttempts;
+    this->nextCopyAt = this->clock.now() + this->options.copyRetryDelay;
+}
+
 void RunPlan::copyRefused()
 {
     if (!this->copy)
--- a/unittests/Routing/runplantest.cpp
+++ b/unittests/Routing/runplantest.cpp
@@ -87,6 +87,23 @@
     cr_assert_eq(attempts, RunPlanOptions().maxCopyAttempts);
 }
 
+// Guards against a destination that is given up, and attempts that are used up, because an earlier
+// copy of the run is still under way at its engine.
+Test(runPlan, copyInProgressIsNotTheDestinationsFault)
+{
+    PlanFixture run(movableOptions());
+    run.plan.eventProduced();
+    run.plan.engineLeaving("e1");
+    for (int i = 0; i < 3 * RunPlanOptions().maxCopyAttempts; ++i) {
+        cr_assert(run.step() == RunStepKind::MakeCopy);
+        run.plan.copyStarted();
+        run.plan.copyPostponed();
+        cr_assert(run.step() == RunStepKind::Wait, "the delay applies");
+        run.clock.advance(std::chrono::milliseconds(100));
+    }
+    cr_assert(run.plan.unsuitableEngines().empty());
+}
+
 // Guards against resuming a run at a copy that no longer exists, because the copy's engine leaves
 // as well or the copy is older than engines keep it.
 Test(runPlan, unavailableCopyIsNotUsed)
