Test: an instance reads what it passes on for another one

An instance passes on, for another one, an answer in which the target says that it leaves; a request of its own caller is sent there afterwards.

--- a/unittests/Platform/lostlinkstest.cpp
+++ b/unittests/Platform/lostlinkstest.cpp
@@ -3,6 +3,8 @@
 #include "entryfixture.h"
 #include "unreachableport.h"
 
+#include "jaytrack/Proxy/relaymessage.h"
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -193,6 +195,45 @@
 
 namespace {
 
+const std::string leavingHeader = "Server-Leaving: 1\r\n";
+
+std::uint16_t portOf(const std::string &address)
+{
+    return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
+// A call that another instance of the fleet asks to be passed on.
+std::string relayRequest(const std::string &target)
+{
+    const KeyRing keys({"fleet-of-the-tests"});
+    const RelayOrder order{target, true, 100ms};
+    std::string text = "GET /jobs/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
+    for (const HttpHeader &header : encodeOrder(order, "GET", "/jobs/1", {}, keys))
+        text += header.name + ": " + header.value + "\r\n";
+    return text + "\r\n";
+}
+
+} // namespace
+
+// Guards against requests to a target whose answer, passed on for another instance, said that it
+// leaves.
+Test(lostLinks, instanceInBetweenReadsWhatItPassesOn)
+{
+    const std::string address = freeDatagramAddress();
+    const ScriptedServer target([](const SeenRequest &request) {
+        return isReport(request) ? wholeAnswer(200, "", "{}")
+                                 : wholeAnswer(200, ownHeaders + leavingHeader, "good");
+    });
+    EntryFixture entry({routeOf("unsafe")}, memberOf("one", address, freeDatagramAddress()));
+    entry.list("i-1", target);
+    const std::string passedOn = callOnce(portOf(address), relayRequest("i-1")).bytes;
+    cr_assert(passedOn.find("good") != std::string::npos, "%s", passedOn.c_str());
+    cr_expect(callOnce(entry.port(), requestText({})).bytes.starts_with("HTTP/1.1 503"));
+    cr_expect(workSeen(target) == 1);
+}
+
+namespace {
+
 // Both instances see the same targets until the first one's links to them are reset.
 Answer resetOrReport(const SeenRequest &request)
 {
