Read every answer of a target where calls are made, for whomever they are made

What targets saw: requests of an instance that had passed on, for another one, an answer in which they said that they leave. The same for the answer that verifies whether a target has ended.

Cause: what an answer says of its target was read by each user of calls for itself (requests, load probes, copy orders); the relay and the verification of an end, which came later, read nothing. A notice of the other instance covers it only if that datagram arrives.

Mend: RoutedCall and the relay hand each answer's head to one listener, SelfReports::recordAnswer; the calls of it by load probes and copy orders are gone. What only an answer to a caller's request tells (no limit, not brittle, refusals) stays with the exchanges.

The verification of an end has no test of its own: it passes through RoutedCall like all others.

--- a/include/jaytrack/Proxy/selfreports.h
+++ b/include/jaytrack/Proxy/selfreports.h
@@ -42,12 +42,11 @@
     {
     }
 
-    // Records the head of a target's answer to a request of this instance's own, such as a load
-    // probe. The answer must come from the current incarnation of the target. May cause calls of
-    // onTargetLeaving().
+    // Records what the head of any answer tells of its target. The answer must come from the
+    // current incarnation of the target. May cause calls of onTargetLeaving().
     void recordAnswer(std::string_view target, const MessageHead &answer);
 
-    // Records the head of an answer to a caller's request that was sent sentAgo ago.
+    // Records what only an answer to a caller's request tells, which was sent sentAgo ago.
     void recordServedAnswer(std::string_view target, const MessageHead &answer, Duration sentAgo);
 
     // Whether the target has asked for a pause that has not ended yet.
--- a/include/jaytrack/Proxy/targetcalls.h
+++ b/include/jaytrack/Proxy/targetcalls.h
@@ -34,12 +34,22 @@
     RelayPeers::DataCentreFilter mayPass = {}; // empty if any data centre may see the request
 };
 
+// Receives the head of each answer of a target, whatever the call was for and for whichever
+// instance it was made.
+class TargetAnswerListener
+{
+public:
+    virtual ~TargetAnswerListener() = default;
+    virtual void onTargetAnswer(std::string_view target, const MessageHead &answer) = 0;
+};
+
 class TargetCalls
 {
 public:
     TargetCalls(asio::io_context &loop, const Clock &time, Metrics &counters,
-                const SendGate &sendGate, const std::string &ownDataCentre,
-                std::vector<std::string> fleetKeys, std::uint64_t seed);
+                const SendGate &sendGate, TargetAnswerListener &answerListener,
+                const std::string &ownDataCentre, std::vector<std::string> fleetKeys,
+                std::uint64_t seed);
 
     // Starts a call. The listener is not called before this returns. The returned object must be
     // kept until the call has ended.
@@ -70,6 +80,11 @@
     std::string_view refusalToSend(std::string_view target, bool isNewWork,
                                    std::string_view attemptId) const;
 
+    void recordAnswer(std::string_view target, const MessageHead &answer)
+    {
+        this->answers.onTargetAnswer(target, answer);
+    }
+
     asio::io_context &loop() { return this->context; }
 
     Duration connectPatience() const { return this->reach.limits().connectPatience; }
@@ -88,6 +103,7 @@
     const Clock &clock;
     Metrics &metrics;
     const SendGate &gate;
+    TargetAnswerListener &answers;
     std::optional<KeyRing> keys;
     TargetReach reach;
     RelayPeers peers;
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -37,7 +37,7 @@
     , listingLogAllowance(time, maxListingLines, listingLogPeriod)
     , directory(*this)
     , gate(this->directory)
-    , calls(this->loop, time, this->metrics, this->gate, entrySettings.dataCentre,
+    , calls(this->loop, time, this->metrics, this->gate, *this, entrySettings.dataCentre,
             entrySettings.peerKeys, this->random())
     , relays(this->calls, time, this->metrics, this->directory, *this)
     , health(time, this->random())
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -23,6 +23,7 @@
 
 struct EntryInstance::Parts final : public CallerHandler,
                                     public TargetDirectoryListener,
+                                    public TargetAnswerListener,
                                     public PeerLinkListener,
                                     public LoadSharing,
                                     public PlacementNotices,
@@ -102,6 +103,13 @@
     void onTargetCold(const TargetEntry &entry) override;
     void onDataCentreUse(std::string_view dataCentre, bool outOfUse) override;
 
+    // TargetAnswerListener
+
+    void onTargetAnswer(std::string_view target, const MessageHead &answer) override
+    {
+        this->selfReports.recordAnswer(target, answer);
+    }
+
     void logOmittedListings();
     const ServiceRule *serviceOf(const TargetEntry &entry) const;
     bool isEngine(const TargetEntry &entry) const;
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -133,11 +133,7 @@
         });
     }
 
-    void onAnswerHead(MessageHead head) override
-    {
-        this->status = head.status;
-        this->prober.selfReports.recordAnswer(this->target.id, head);
-    }
+    void onAnswerHead(MessageHead head) override { this->status = head.status; }
     void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
 
     void onCallEnd(const TargetCallEnd &end) override
--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -72,6 +72,7 @@
 
     void onAnswerHead(MessageHead head) override
     {
+        this->server.calls.recordAnswer(this->targetId, head);
         const std::vector<HttpHeader> headers = markAnswered(answerHeaders(head.headers));
         this->begun = true;
         if (this->isHead)
--- a/lib/Proxy/selfreports.cpp
+++ b/lib/Proxy/selfreports.cpp
@@ -23,7 +23,6 @@
                                      Duration sentAgo)
 {
     const AnswerFacts facts = this->dialect.describeAnswer(answer.status, answer.headers);
-    this->recordFacts(target, facts);
     const bool served = answer.status >= firstGoodStatus && answer.status < afterGoodStatus;
     if (served && facts.reportsNoLimit)
         this->limits.recordNoLimit(target, sentAgo);
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -58,7 +58,6 @@
 
     std::weak_ptr<StreamExchange> owner;
     std::shared_ptr<RoutedCall> call;
-    std::string source; // id of the engine that holds the run
     TargetEntry destination;
     int status = 0;
     std::string body;
@@ -86,7 +85,6 @@
     void legEvent(StreamLeg &leg, const SseEvent &event);
     void legEnded(StreamLeg &leg, const TargetCallEnd &end);
     void recordOutcome(const StreamLeg &leg, const TargetCallEnd &end);
-    void moveHead(const MoveCall &moveCall, const MessageHead &head);
     void moveEnded(MoveCall &move, const TargetCallEnd &end);
 
 protected:
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -101,13 +101,6 @@
 void MoveCall::onAnswerHead(MessageHead head)
 {
     this->status = head.status;
-    if (const auto exchange = this->owner.lock())
-        exchange->moveHead(*this, head);
-}
-
-void StreamExchange::moveHead(const MoveCall &moveCall, const MessageHead &head)
-{
-    this->context.selfReports.recordAnswer(moveCall.source, head);
 }
 
 void MoveCall::onCallEnd(const TargetCallEnd &end)
@@ -335,7 +328,6 @@
                                    {"leaving", this->plan.isLeaving() ? 1 : 0},
                                    {"events", static_cast<std::int64_t>(this->lastEvent)}});
     this->move = std::make_shared<MoveCall>(this->self());
-    this->move->source = this->current->target.id;
     this->move->destination = destination;
     TargetRequest request;
     request.endpoint = endpoint.value();
--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Proxy/targetcalls.cpp
@@ -23,12 +23,14 @@
 } // namespace
 
 TargetCalls::TargetCalls(asio::io_context &loop, const Clock &time, Metrics &counters,
-                         const SendGate &sendGate, const std::string &ownDataCentre,
-                         std::vector<std::string> fleetKeys, std::uint64_t seed)
+                         const SendGate &sendGate, TargetAnswerListener &answerListener,
+                         const std::string &ownDataCentre, std::vector<std::string> fleetKeys,
+                         std::uint64_t seed)
     : context(loop)
     , clock(time)
     , metrics(counters)
     , gate(sendGate)
+    , answers(answerListener)
     , reach(time)
     , peers(time, ownDataCentre, seed)
 {
@@ -210,6 +212,7 @@
             this->calls.recordReachedByPeer(this->about, this->peer);
         head.headers = withoutRelayHeaders(head.headers);
     }
+    this->calls.recordAnswer(this->about.target, head);
     if (const auto to = this->listener.lock())
         to->onAnswerHead(std::move(head));
 }
--- a/unittests/Platform/routedcalltest.cpp
+++ b/unittests/Platform/routedcalltest.cpp
@@ -55,10 +55,11 @@
     ScriptedServer server;
 };
 
-// A target's state matters to the calls alone.
-class IgnoredEvents final : public TargetDirectoryListener
+// What targets say of themselves, and changes of their state, matter to nobody here.
+class IgnoredEvents final : public TargetDirectoryListener, public TargetAnswerListener
 {
 public:
+    void onTargetAnswer(std::string_view, const MessageHead &) override {}
     void onTargetLeaving(const TargetEntry &, std::string_view) override {}
     void onTargetListed(const TargetEntry &) override {}
     void onTargetRestarted(const TargetEntry &) override {}
@@ -104,7 +105,8 @@
     IgnoredEvents events;
     TargetDirectory directory{this->events};
     SendGate gate{this->directory};
-    TargetCalls calls{this->loop, this->clock, this->metrics, this->gate, "dc", {"key"}, 3};
+    TargetCalls calls{this->loop,   this->clock, this->metrics, this->gate,
+                      this->events, "dc",        {"key"},       3};
 };
 
 } // namespace
