--- a/unittests/Platform/routedcalltest.cpp
+++ b/unittests/Platform/routedcalltest.cpp
@@ -8,6 +8,7 @@
 #include "jaytrack/Support/metrics.h"
 
 #include <criterion/criterion.h>
+#include <criterion/parameterized.h>
 
 #include <atomic>
 #include <functional>
@@ -148,3 +149,53 @@
     cr_assert(seen->ends.size() == 1);
     cr_expect(!seen->ends.front().whole && !seen->ends.front().bytesSent);
 }
+
+namespace {
+
+enum Change { Leaves, IsRemoved, GoesOutOfUse };
+
+struct ChangeCase
+{
+    char name[24];
+    Change change;
+    bool throughPeer;
+};
+
+void apply(Change change, TargetDirectory &directory)
+{
+    switch (change) {
+    case Leaves:
+        directory.markLeaving("t", "test");
+        return;
+    case IsRemoved:
+        return directory.remove("t", false);
+    case GoesOutOfUse:
+        return directory.updateDataCentre({"dc", 1, true});
+    }
+}
+
+} // namespace
+
+// Guards against requests that were decided before their target said that it leaves, and are sent
+// when a connection is made at last.
+ParameterizedTestParameters(routedCall, nothingIsSentToATargetThatClosedMeanwhile)
+{
+    static ChangeCase cases[] = {{"leaves", Leaves, false},
+                                 {"removed", IsRemoved, false},
+                                 {"out of use", GoesOutOfUse, false},
+                                 {"leaves, through peer", Leaves, true}};
+    return cr_make_param_array(ChangeCase, cases, std::size(cases));
+}
+
+ParameterizedTest(ChangeCase *one, routedCall, nothingIsSentToATargetThatClosedMeanwhile)
+{
+    CallSite site;
+    const UnreachablePort port(LinkLoss::Refused);
+    const ScriptedServer target([](const SeenRequest &) { return wholeAnswer(200, "", "sent"); });
+    const std::string address = one->throughPeer ? port.address() : target.address();
+    const auto seen = site.call(address, [&] { apply(one->change, site.directory); });
+    cr_expect(target.seen().empty(), "%s", one->name);
+    cr_expect(site.peer.server.seen().empty(), "%s", one->name);
+    cr_assert(seen->ends.size() == 1, "%s", one->name);
+    cr_expect(!seen->ends.front().whole && !seen->ends.front().bytesSent, "%s", one->name);
+}
