Ask once more whether a target is open when its request is about to be sent

What targets saw: a request that was chosen its target before that one said that it leaves, sent when a connection was made at last, directly or through another instance: up to a second and a half later.

Cause: the last question was put before the connection attempts. Mend: RoutedCall and the relay ask SendGate when their connection is open, and close it unsent if the target leaves, is gone, or its data centre is out of use (send_held_back). The request is then placed elsewhere like one that found no connection, without a retry of the budget, and the target is not blamed. Load probes and copy orders pass, since a leaving target has to get them.

routedCall/nothingIsSentToATargetThatClosedMeanwhile: 4 of 4 red before, pass now; lostLinks 13, answerTold 15, handOver 7, request 40, outOfUse 13 pass. The gate of the relay is read, not tested by itself.

Ruled out: recalling calls from each exchange when its target leaves; load would grow with requests, and calls made for others have no exchange.

--- a/include/jaytrack/Net/targetcall.h
+++ b/include/jaytrack/Net/targetcall.h
@@ -41,7 +41,8 @@
 {
 public:
     virtual ~TargetCallListener() = default;
-    virtual void onConnected() {} // the connection is open; the request is sent next
+    // The connection is open. The request is sent next, unless the call is cancelled here.
+    virtual void onConnected() {}
     virtual void onAnswerHead(MessageHead head) = 0;
     virtual void onAnswerBody(std::string_view bytes) = 0;
     virtual void onCallEnd(const TargetCallEnd &end) = 0; // the last call; not made after cancel()
--- a/include/jaytrack/Proxy/targetcalls.h
+++ b/include/jaytrack/Proxy/targetcalls.h
@@ -76,7 +76,8 @@
     // instance.
     void recordConnected(std::string_view target, std::string_view service);
 
-    // Returns why a call must not be sent to the target now, and logs that; empty if it may be.
+    // Returns why a call must not be sent to the target now, and logs that; empty if it may be. To
+    // be asked when the connection is open, immediately before the request is sent.
     std::string_view refusalToSend(std::string_view target, bool isNewWork,
                                    std::string_view attemptId) const;
 
--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -71,6 +71,8 @@
     prepareSocket(this->socket);
     if (const auto to = this->listener.lock())
         to->onConnected();
+    if (this->ended)
+        return;
     this->outgoing = formatRequest(this->request);
     this->request.body.clear();
     this->request.headers.clear();
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -243,16 +243,23 @@
     {
         if (!this->call)
             return;
-        const bool linkLost = !this->call->bytesSent() &&
-                              this->context.calls.isLost(this->target.id, this->target.service);
+        const bool blameless = !this->call->bytesSent() && !this->isTargetsFault();
         this->call->cancel();
         this->call.reset();
-        if (linkLost)
+        if (blameless)
             return this->context.health.abandoned(this->target.id);
         this->context.health.ended(this->target.id, failed,
                                    this->context.clock.now() - this->sentAt);
     }
 
+    // Whether a request that was not sent may count against the target: not if this instance has
+    // lost its link, or the target closed to new work meanwhile.
+    bool isTargetsFault() const
+    {
+        return !this->context.calls.isLost(this->target.id, this->target.service) &&
+               this->isAllowed(this->target);
+    }
+
     asio::steady_timer attemptTimer;
     std::shared_ptr<RoutedCall> call;
     TargetEntry target;
--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -67,7 +67,13 @@
     void onConnected() override
     {
         this->server.calls.recordConnected(this->targetId, this->service);
-        this->server.calls.refusalToSend(this->targetId, this->isNewWork, {});
+        const std::string_view refusal =
+                this->server.calls.refusalToSend(this->targetId, this->isNewWork, {});
+        if (refusal.empty())
+            return;
+        this->call->cancel();
+        this->server.refuse(*this->asker, this->targetId, refusal);
+        this->finish(refusal);
     }
 
     void onAnswerHead(MessageHead head) override
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -379,6 +379,8 @@
         return;
     // Links that this instance has lost must not take the engine from the other instances.
     const TargetCalls &calls = this->context.calls;
+    if (!end.bytesSent && this->context.directory.isOutOfUse(leg.target.dataCentre))
+        return;
     if (!end.bytesSent && calls.isLost(leg.target.id, leg.target.service))
         return;
     this->context.engines.recordFailure(leg.target.id);
--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Proxy/targetcalls.cpp
@@ -88,7 +88,7 @@
 {
     const std::string_view reason = this->gate.refusal(target, isNewWork);
     if (!reason.empty())
-        logEvent(Severity::Info, "sent_to_closed_target",
+        logEvent(Severity::Info, "send_held_back",
                  {{"id", attemptId}, {"target", target}, {"reason", reason}});
     return reason;
 }
@@ -195,7 +195,12 @@
 {
     if (this->peer.empty())
         this->calls.recordConnected(this->about.target, this->about.service);
-    this->calls.refusalToSend(this->about.target, this->about.isNewWork, this->about.attemptId);
+    const std::string_view refusal = this->calls.refusalToSend(
+            this->about.target, this->about.isNewWork, this->about.attemptId);
+    if (refusal.empty())
+        return;
+    this->call->cancel();
+    this->fail(refusal);
 }
 
 void RoutedCall::onAnswerHead(MessageHead head)
