--- a/unittests/Platform/readdutytest.cpp
+++ b/unittests/Platform/readdutytest.cpp
@@ -251,6 +251,23 @@
     cr_assert_not(later.isUsed(), "nothing has lapsed meanwhile");
 }
 
+// Guards against a target that is used for ever after it left: its removal was read beside an
+// outage, and the store turned this instance away when the time to come back was over.
+Test(targetFeed, missingTargetsGoAlsoWhereTheStoreTurnsAway)
+{
+    TargetBelief belief;
+    belief.feed.updateFreshness(belief.clock.now(), false);
+    belief.feed.onSharedChanges({belief.removal}, true);
+    belief.feed.onStoreLost("reset");
+    belief.loop.run_for(std::chrono::milliseconds(2500));
+    belief.clock.advance(std::chrono::seconds(3));
+    belief.feed.updateFreshness(belief.clock.now(), false);
+    belief.feed.onStoreRegained(std::chrono::seconds(3));
+    belief.loop.restart();
+    belief.loop.run_for(std::chrono::milliseconds(2500));
+    cr_assert_not(belief.isUsed());
+}
+
 // Symptom: a reader loses its targets when the store is back after two seconds. Cause: taking an
 // outage for being turned away, though nobody has read the store since.
 Test(targetFeed, outageOfAReaderIsOneIfNobodyElseReads)
