End the grace period of missing targets also where the store turns this instance away

What targets saw: requests long after their entry had gone. Events: entries are removed beside an outage and kept, because living targets write theirs again; the store turns this instance away when the 2.2 s are over and serves the others; when it is served again nothing looks at the kept entries any more.

Cause: the end of the period asked whether this instance's own calls fail, its return whether anybody read the store meanwhile; between the two the entries were passed over. Mend: one question, isOutage, decides both; a period that ends during another outage is begun anew when that is over.

--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -81,6 +81,15 @@
 
 private:
     void startGrace();
+    void endGrace();
+    void startOverdueGrace();
+
+    // Whether the store is unavailable to all instances, rather than to this one.
+    bool isOutage() const
+    {
+        return this->tooOld || (this->lost && this->confirmedAsOf <= this->lostAt);
+    }
+
     void apply(const std::vector<StoreItem> &items, bool keepMissing);
     bool isTarget(const StoreItem &item) const;
 
@@ -104,6 +113,7 @@
     TimePoint confirmedAsOf;
     bool tooOld = false;
     bool graceRunning = false;
+    bool graceOverdue = false; // the last grace period ended during the next outage
     TimePoint rewriteDeadline; // time by which entries missing from a restored older copy have been
                                // rewritten
 };
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -226,9 +226,11 @@
 // rejected this instance, so no entries have expired.
 void TargetFeed::onStoreRegained(Duration)
 {
+    const bool wasOutage = this->isOutage();
     this->lost = false;
-    if (this->tooOld || this->confirmedAsOf <= this->lostAt)
+    if (wasOutage)
         this->startGrace();
+    this->startOverdueGrace();
 }
 
 void TargetFeed::updateFreshness(TimePoint asOf, bool old)
@@ -239,21 +241,35 @@
     this->tooOld = old && this->loaded;
     if (before && !this->tooOld)
         this->startGrace();
+    this->startOverdueGrace();
 }
 
 void TargetFeed::startGrace()
 {
     this->graceRunning = true;
+    this->graceOverdue = false;
     this->graceTimer.expires_after(restoreGracePeriod);
     this->graceTimer.async_wait([this](const asio::error_code &failure) {
-        if (failure)
-            return;
-        this->graceRunning = false;
-        if (!this->tooOld && !this->lost)
-            this->directory.dropMissing();
+        if (!failure)
+            this->endGrace();
     });
 }
 
+// During another outage nothing tells which of the missing targets are gone.
+void TargetFeed::endGrace()
+{
+    this->graceRunning = false;
+    this->graceOverdue = this->isOutage();
+    if (!this->graceOverdue)
+        this->directory.dropMissing();
+}
+
+void TargetFeed::startOverdueGrace()
+{
+    if (this->graceOverdue && !this->graceRunning && !this->isOutage())
+        this->startGrace();
+}
+
 void StoreFeeds::onListing(const std::vector<StoreItem> &items, TimePoint asOf)
 {
     this->configuration.onListing(items, asOf);
