--- a/unittests/Platform/storeeratest.cpp
+++ b/unittests/Platform/storeeratest.cpp
@@ -123,6 +123,31 @@
     cr_assert_eq(workSeen(leaving), before);
 }
 
+// Guards against requests to a target that left by the removal of its entry, which the copy still
+// holds. A target that only lapsed is used again once it has written its entry.
+Test(storeEra, removalIsNotTakenBack)
+{
+    ScriptedServer leaving(goodAnswer);
+    ScriptedServer stays(goodAnswer);
+    EntryFixture entry({routeAt("/jobs/")});
+    entry.list("t1", leaving);
+    entry.list("t2", stays);
+    entry.store.takeCopy();
+    entry.store.remove("servers/t1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    const std::size_t before = workSeen(leaving);
+    comeBack(entry.store, [] {});
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    for (int i = 0; i < 20; ++i)
+        cr_assert_eq(statusOf(entry, "/jobs/1"), 200);
+    cr_assert_eq(workSeen(leaving), before);
+    entry.store.put("servers/t1", targetJson(leaving.address()));
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    for (int i = 0; i < 40; ++i)
+        cr_assert_eq(statusOf(entry, "/jobs/1"), 200);
+    cr_assert_gt(workSeen(leaving), before);
+}
+
 // All requests are refused for two seconds after the store's return, because the copy lacks targets
 // that started after it was made. They write themselves again; one that does not is gone then.
 Test(storeEra, targetsThatTheCopyLacksAreKeptUntilTheyAreWrittenAgain)
