Withhold removed targets that an older copy of the store lists again

What targets saw: a target that leaves by the removal of its entry, without a word before, got requests again after the store had come back from a copy that still held it; it goes on serving for seconds, so nothing fails.

Cause: what announced its leaving was remembered over the store's return, what was removed was not, because a removed entry may only have lapsed. Mend: ids of removed targets are remembered (4,096); listings of the restored store do not make them usable again, an entry that is newly written does. What is still listed after 6 s did not lapse, so its target lives and is released. targets_withheld tells how many.

Ruled out: comparing revisions (given out twice) or the counter in the entry (told only with other changes). An instance that starts just after the return cannot know; open.

--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -83,6 +83,7 @@
     void startGrace();
     void endGrace();
     void startOverdueGrace();
+    void watchForLapses();
 
     // Whether the store is unavailable to all instances, rather than to this one.
     bool isOutage() const
@@ -107,13 +108,16 @@
     TargetDirectory &directory;
     LogAllowance reports; // rate limit of log lines about unusable entries
     asio::steady_timer graceTimer;
+    asio::steady_timer lapseTimer;
     bool loaded = false;
     bool lost = false; // according to this instance's own calls
     TimePoint lostAt;
     TimePoint confirmedAsOf;
     bool tooOld = false;
     bool graceRunning = false;
-    bool graceOverdue = false; // the last grace period ended during the next outage
+    bool graceOverdue = false;   // the last grace period ended during the next outage
+    bool mayListRemoved = false; // the store was restored, and entries of targets that are gone may
+                                 // not have lapsed yet
     TimePoint rewriteDeadline; // time by which entries missing from a restored older copy have been
                                // rewritten
 };
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -94,8 +94,12 @@
 
     // Applies a complete listing, read page by page. Targets that it lacks are removed, unless it
     // was read during the grace period after an outage, when live targets are still being listed
-    // again.
-    void replaceAll(TargetListing listing, bool keepMissing);
+    // again. Where the store was restored from an older copy, entries of targets that were removed
+    // meanwhile are withheld. Returns the number of those.
+    std::size_t replaceAll(TargetListing listing, bool keepMissing, bool restoredFromCopy = false);
+
+    // Ends the withholding of entries that are still listed, so that their targets must be alive.
+    void releaseWithheld();
 
     // Applies one change. An entry of an earlier incarnation than one already listed or reported
     // under the same name is ignored, however late it is read.
@@ -144,6 +148,9 @@
 
     // Returns the incarnation with this id; null if it is no longer listed.
     const TargetEntry *find(std::string_view id) const;
+
+    // Whether the incarnation is listed and neither leaving nor withheld.
+    bool isOpen(std::string_view id) const;
     std::size_t size() const { return this->entries.size(); }
 
 private:
@@ -153,6 +160,7 @@
         bool missing = false;   // disappeared during an outage of the store; used until the grace
                                 // period ends
         bool suspended = false; // its entry was overwritten with an invalid one
+        bool withheld = false;  // removed before, and listed by an older copy of the store
     };
     using Rows = std::map<std::string, Row, std::less<>>; // by name
 
@@ -165,6 +173,7 @@
     bool isOutdated(const TargetEntry &entry) const;
     void recordStart(const std::string &name, StartTime startedAt);
     void recordLeft(const std::string &id);
+    void recordRemoved(const std::string &id);
 
     TargetDirectoryListener &listener;
     Rows entries;
@@ -177,6 +186,10 @@
     // announced that it is leaving.
     std::set<std::string, std::less<>> leftIncarnations;
     std::deque<std::string> leftOrder; // the same ids, oldest first
+    // Incarnations whose entries were removed. Unlike those that announced that they leave, they
+    // may only have lapsed, so a newly written entry makes them usable again.
+    std::set<std::string, std::less<>> removedIncarnations;
+    std::deque<std::string> removedOrder; // the same ids, oldest first; some may be listed again
 };
 
 } // namespace jaytrack
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -11,6 +11,10 @@
 // again; an entry that is still missing then belongs to a target that is gone.
 constexpr std::chrono::milliseconds restoreGracePeriod{2200};
 
+// Time after which the entry of a target that does not renew it has lapsed: three of its intervals,
+// which are 1.2 s, and some more for the removal to arrive.
+constexpr std::chrono::milliseconds lapsePeriod{6000};
+
 // Limits log lines about unusable entries per period. A faulty writer may leave thousands of them;
 // the first lines show the problem, and a metric counts all of them.
 constexpr std::size_t maxReportsPerPeriod = 20;
@@ -102,6 +106,7 @@
     , directory(targetDirectory)
     , reports(time, maxReportsPerPeriod, reportPeriod)
     , graceTimer(loop)
+    , lapseTimer(loop)
 {
 }
 
@@ -168,7 +173,11 @@
     // Apply out-of-use records first, so that targets in those data centres are not queried when
     // they are listed.
     this->directory.replaceDataCentres(records, this->clock.now() < this->rewriteDeadline);
-    this->directory.replaceAll(std::move(listing), this->inGrace());
+    const std::size_t withheld =
+            this->directory.replaceAll(std::move(listing), this->inGrace(), this->mayListRemoved);
+    if (withheld > 0)
+        logEvent(Severity::Warning, "targets_withheld",
+                 {{"count", static_cast<std::int64_t>(withheld)}, {"reason", "removed_before"}});
     this->loaded = true;
 }
 
@@ -220,6 +229,21 @@
     this->directory.forgetDataCentreRevisions();
     this->rewriteDeadline = this->clock.now() + restoreGracePeriod;
     this->startGrace();
+    this->watchForLapses();
+}
+
+// The copy may hold entries of targets that have left by the removal of their entry, and that go on
+// serving what they have.
+void TargetFeed::watchForLapses()
+{
+    this->mayListRemoved = true;
+    this->lapseTimer.expires_after(lapsePeriod);
+    this->lapseTimer.async_wait([this](const asio::error_code &failure) {
+        if (failure)
+            return;
+        this->mayListRemoved = false;
+        this->directory.releaseWithheld();
+    });
 }
 
 // If other instances read the store after this instance lost it, the store was available but
--- a/lib/Routing/sendgate.cpp
+++ b/lib/Routing/sendgate.cpp
@@ -6,9 +6,9 @@
 {
     if (!isNewWork)
         return {};
-    const TargetEntry *listed = this->directory.find(target);
-    if (listed == nullptr || listed->leaving)
+    if (!this->directory.isOpen(target))
         return "target_leaving";
+    const TargetEntry *listed = this->directory.find(target);
     return this->directory.isOutOfUse(listed->dataCentre) ? "data_centre_out_of_use"
                                                           : std::string_view();
 }
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -24,12 +24,23 @@
     return id;
 }
 
-void TargetDirectory::replaceAll(TargetListing listing, bool keepMissing)
+std::size_t TargetDirectory::replaceAll(TargetListing listing, bool keepMissing,
+                                        bool restoredFromCopy)
 {
+    std::size_t withheld = 0;
     std::set<std::string, std::less<>> present;
     for (TargetEntry &entry : listing.entries) {
         present.insert(entry.name);
+        const std::string id = entry.id;
+        const std::string name = entry.name;
+        const bool withhold = restoredFromCopy && this->removedIncarnations.count(id) > 0;
         this->put(std::move(entry));
+        const auto row = this->entries.find(name);
+        if (!withhold || row == this->entries.end())
+            continue;
+        row->second.withheld = true;
+        this->recordRemoved(id);
+        ++withheld;
     }
     for (std::string &name : listing.unusable) {
         this->suspend(name);
@@ -42,6 +53,13 @@
     }
     for (const std::string &name : absent)
         this->remove(name, keepMissing);
+    return withheld;
+}
+
+void TargetDirectory::releaseWithheld()
+{
+    for (auto &[name, row] : this->entries)
+        row.withheld = false;
 }
 
 bool TargetDirectory::isOutdated(const TargetEntry &entry) const
@@ -70,8 +88,20 @@
     this->leftOrder.pop_front();
 }
 
+void TargetDirectory::recordRemoved(const std::string &id)
+{
+    if (!this->removedIncarnations.insert(id).second)
+        return;
+    this->removedOrder.push_back(id);
+    if (this->removedOrder.size() <= maxLeftKept)
+        return;
+    this->removedIncarnations.erase(this->removedOrder.front());
+    this->removedOrder.pop_front();
+}
+
 void TargetDirectory::add(TargetEntry entry)
 {
+    this->removedIncarnations.erase(entry.id);
     entry.leaving = entry.leaving || this->leftIncarnations.count(entry.id) > 0;
     if (entry.leaving)
         this->recordLeft(entry.id);
@@ -116,6 +146,7 @@
     row.entry = std::move(entry);
     row.missing = false;
     row.suspended = false;
+    row.withheld = false;
     if (row.entry.leaving && !wasLeaving) {
         this->recordLeft(row.entry.id);
         this->listener.onTargetLeaving(row.entry, "announced");
@@ -210,6 +241,7 @@
 {
     const TargetEntry entry = std::move(row->second.entry);
     this->entries.erase(row);
+    this->recordRemoved(entry.id);
     if (!entry.leaving)
         this->listener.onTargetLeaving(entry, reason);
 }
@@ -225,7 +257,8 @@
 {
     std::vector<const TargetEntry *> found;
     for (const auto &[name, row] : this->entries) {
-        const bool eligible = row.entry.service == service && !row.entry.leaving && !row.suspended;
+        const bool eligible = row.entry.service == service && !row.entry.leaving &&
+                              !row.suspended && !row.withheld;
         if (eligible && !this->isOutOfUse(row.entry.dataCentre))
             found.push_back(&row.entry);
     }
@@ -250,6 +283,12 @@
     });
 }
 
+bool TargetDirectory::isOpen(std::string_view id) const
+{
+    const auto found = this->rowOf(id);
+    return found != this->entries.end() && !found->second.entry.leaving && !found->second.withheld;
+}
+
 const TargetEntry *TargetDirectory::find(std::string_view id) const
 {
     const auto found = this->rowOf(id);
