--- a/unittests/Serve/servicetest.cpp
+++ b/unittests/Serve/servicetest.cpp
@@ -376,3 +376,33 @@
         sendRequest();
     cr_assert_eq(busyRequests, 2, "the busy target is not used again after Retry-After has passed");
 }
+
+// Guards against a repeat at a target that was put out of service while the first target kept the
+// request waiting.
+Test(service, repeatsAskTheNewestDocumentWhoLeaves)
+{
+    using namespace jaytrack::testing;
+    using namespace std::chrono_literals;
+    const auto dieLate = [](const SeenRequest &) -> Answer {
+        return {{AnswerStep::Kind::Reset, "", 900ms}};
+    };
+    ScriptedServer first(dieLate);
+    ScriptedServer second(dieLate);
+    SitePlan plan;
+    plan.services = 0;
+    plan.instances = 0;
+    Site site(plan);
+    Document document = site.document();
+    document.services[0].targets = {{"first", "falun", first.address(), false},
+                                    {"second", "falun", second.address(), false}};
+    document.index();
+    site.publish(document);
+    site.addInstance(site.configUrl());
+    std::thread caller([&site] { site.request("GET", "/account/readings?meter=7"); });
+    cr_assert(eventually([&] { return first.seen().size() + second.seen().size() == 1; }));
+    const std::size_t other = first.seen().empty() ? 0 : 1;
+    document.services[0].targets[other].leaving = true;
+    site.publish(document);
+    caller.join();
+    cr_expect(first.seen().size() + second.seen().size() == 1);
+}
