jaytrackd: choose among the targets that the newest document keeps

What targets saw: a repeated call, or one that waited for a permit, at a target that the operators had put out of service since the call began; a call may take its service's whole timeout, a change is to be in force within 7 s.

Cause: a call keeps the document that it began with, which is right for its rules, but was asked also for who leaves. Mend: chooseTarget and the granted permit ask the newest document whether the target is leaving or gone. Generations are placed by the policy, which uses the newest document already (read, with the permit's wait of a round trip left).

--- a/include/jaytrack/Serve/context.h
+++ b/include/jaytrack/Serve/context.h
@@ -55,6 +55,7 @@
     PeerDirectory &peers;
     CrashWatch &crashes;
     LimitGate &limits;
+    const DocumentStore &documents;
     std::function<bool()> configMayBeStale; // whether the active configuration may be out of date
     std::string instanceName;
     std::int64_t incarnation = 0;
--- a/include/jaytrack/Serve/servicehandler.h
+++ b/include/jaytrack/Serve/servicehandler.h
@@ -66,6 +66,7 @@
     Duration barredFor(const Call &call) const;
     void recordAttempt(Call &call, const ServiceTarget &target, const FetchedAnswer &answer) const;
     bool mayRepeat(const CallPointer &call, const FetchedAnswer &answer);
+    bool isLeaving(const Service &service, const ServiceTarget &target) const;
     const ServiceTarget *chooseTarget(const Call &call);
     Duration shortestUnavailability(const Call &call) const;
     void settle(const CallPointer &call, const StoredAnswer &answer);
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -87,19 +87,11 @@
         , crashes(this->control, time, metrics, *this, *this)
         , limits(this->control, time, instanceSettings.name, instanceSettings.peerSeeds.size(),
                  std::random_device{}(), *this, metrics)
-        , context{settings,
-                  clock,
-                  metrics,
-                  keys,
-                  targets,
-                  placement,
-                  pauseDetector,
-                  peers,
-                  crashes,
-                  limits,
-                  [this] { return this->configMayBeStale.load(); },
-                  settings.name,
-                  incarnation}
+        , context{settings,      clock,      metrics,
+                  keys,          targets,    placement,
+                  pauseDetector, peers,      crashes,
+                  limits,        documents,  [this] { return this->configMayBeStale.load(); },
+                  settings.name, incarnation}
         , gateway(this->context, this->documents)
         , watcher(this->context, [this](std::string_view engine) { return this->isHome(engine); })
         , platform(makeHttpPlatform(this->targets, time, std::random_device{}(), settings.configUrl,
--- a/lib/Serve/servicehandler.cpp
+++ b/lib/Serve/servicehandler.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Serve/servicehandler.h"
 
 #include "jaytrack/Cluster/pausedetector.h"
+#include "jaytrack/Config/documentstore.h"
 #include "jaytrack/Config/settings.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Quarantine/requestdigest.h"
@@ -286,6 +287,22 @@
                     this->context.limits.remainingBackoff(target.name));
 }
 
+// A call keeps the document that it began with, but a target may have been put out of service
+// since.
+bool ServiceHandler::isLeaving(const Service &service, const ServiceTarget &target) const
+{
+    if (target.leaving)
+        return true;
+    const auto newest = this->context.documents.current();
+    const Service *found = newest ? newest->findService(service.name) : nullptr;
+    if (found == nullptr)
+        return false;
+    return std::none_of(found->targets.begin(), found->targets.end(),
+                        [&target](const ServiceTarget &listed) {
+                            return listed.name == target.name && !listed.leaving;
+                        });
+}
+
 const ServiceTarget *ServiceHandler::chooseTarget(const Call &call)
 {
     std::vector<const ServiceTarget *> usable;
@@ -293,7 +310,8 @@
     for (const ServiceTarget &target : call.service->targets) {
         const bool tried =
                 std::find(call.tried.begin(), call.tried.end(), target.name) != call.tried.end();
-        if (target.leaving || tried || this->unavailableFor(target) > Duration(0))
+        const bool leaving = this->isLeaving(*call.service, target);
+        if (leaving || tried || this->unavailableFor(target) > Duration(0))
             continue;
         usable.push_back(&target);
         names.push_back(target.name);
@@ -370,10 +388,12 @@
 void ServiceHandler::onPermit(const CallPointer &call, const ServiceTarget &target,
                               const Permit &permit)
 {
-    if (permit.granted)
-        return this->send(call, target);
-    logPermitDenied(call->caller.requestId, target.name, permit);
-    this->attempt(call);
+    if (!permit.granted)
+        logPermitDenied(call->caller.requestId, target.name, permit);
+    // The target may have been put out of service while the permit was requested.
+    if (!permit.granted || this->isLeaving(*call->service, target))
+        return this->attempt(call);
+    this->send(call, target);
 }
 
 void ServiceHandler::send(const CallPointer &call, const ServiceTarget &target)
