--- a/unittests/Platform/lostlinkstest.cpp
+++ b/unittests/Platform/lostlinkstest.cpp
@@ -203,10 +203,10 @@
 }
 
 // A call that another instance of the fleet asks to be passed on.
-std::string relayRequest(const std::string &target)
+std::string relayRequest(const std::string &target, bool isNewWork)
 {
     const KeyRing keys({"fleet-of-the-tests"});
-    const RelayOrder order{target, true, 100ms};
+    const RelayOrder order{target, isNewWork, 100ms};
     std::string text = "GET /jobs/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
     for (const HttpHeader &header : encodeOrder(order, "GET", "/jobs/1", {}, keys))
         text += header.name + ": " + header.value + "\r\n";
@@ -226,12 +226,29 @@
     });
     EntryFixture entry({routeOf("unsafe")}, memberOf("one", address, freeDatagramAddress()));
     entry.list("i-1", target);
-    const std::string passedOn = callOnce(portOf(address), relayRequest("i-1")).bytes;
+    const std::string passedOn = callOnce(portOf(address), relayRequest("i-1", true)).bytes;
     cr_assert(passedOn.find("good") != std::string::npos, "%s", passedOn.c_str());
     cr_expect(callOnce(entry.port(), requestText({})).bytes.starts_with("HTTP/1.1 503"));
     cr_expect(workSeen(target) == 1);
 }
 
+// Guards against runs that are lost because nobody passes the order to copy them to an engine that
+// left by the removal of its entry and still serves what it has.
+Test(lostLinks, ordersReachATargetThatIsNoLongerListed)
+{
+    const std::string address = freeDatagramAddress();
+    const ScriptedServer target(goodAnswer);
+    EntryFixture entry({routeOf("unsafe")}, memberOf("one", address, freeDatagramAddress()));
+    entry.list("i-1", target);
+    entry.store.remove("servers/i-1");
+    std::this_thread::sleep_for(1000ms);
+    const std::string order = callOnce(portOf(address), relayRequest("i-1", false)).bytes;
+    cr_expect(order.find("good") != std::string::npos, "%s", order.c_str());
+    const std::size_t before = workSeen(target);
+    callOnce(portOf(address), relayRequest("i-1", true));
+    cr_expect(workSeen(target) == before, "no new work");
+}
+
 namespace {
 
 // Both instances see the same targets until the first one's links to them are reset.
