--- a/include/jaytrack/Proxy/relayserver.h
+++ b/include/jaytrack/Proxy/relayserver.h
@@ -38,6 +38,7 @@
 private:
     class Relay;
 
+    const TargetEntry *findTarget(const RelayOrder &order) const;
     std::string_view refusalReason(const RelayOrder &order, const TargetEntry *target) const;
     void refuse(CallerConnection &connection, std::string_view target, std::string_view reason);
 
--- a/include/jaytrack/Proxy/targetcalls.h
+++ b/include/jaytrack/Proxy/targetcalls.h
@@ -47,7 +47,7 @@
 {
 public:
     TargetCalls(asio::io_context &loop, const Clock &time, Metrics &counters,
-                const SendGate &sendGate, TargetAnswerListener &answerListener,
+                const SendGate &closedTargets, TargetAnswerListener &answerListener,
                 const std::string &ownDataCentre, std::vector<std::string> fleetKeys,
                 std::uint64_t seed);
 
@@ -90,6 +90,8 @@
 
     Duration connectPatience() const { return this->reach.limits().connectPatience; }
 
+    const SendGate &gate() const { return this->sendGate; }
+
     // Null if the instance has no peers.
     const KeyRing *fleetKeys() const { return this->keys ? &*this->keys : nullptr; }
 
@@ -103,7 +105,7 @@
     asio::io_context &context;
     const Clock &clock;
     Metrics &metrics;
-    const SendGate &gate;
+    const SendGate &sendGate;
     TargetAnswerListener &answers;
     std::optional<KeyRing> keys;
     TargetReach reach;
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -149,6 +149,10 @@
     // Returns the incarnation with this id; null if it is no longer listed.
     const TargetEntry *find(std::string_view id) const;
 
+    // Returns an incarnation that was removed from the list and may still serve what it was given;
+    // null if there is none with this id.
+    const TargetEntry *findRemoved(std::string_view id) const;
+
     // Whether the incarnation is listed and neither leaving nor withheld.
     bool isOpen(std::string_view id) const;
     std::size_t size() const { return this->entries.size(); }
@@ -173,7 +177,7 @@
     bool isOutdated(const TargetEntry &entry) const;
     void recordStart(const std::string &name, StartTime startedAt);
     void recordLeft(const std::string &id);
-    void recordRemoved(const std::string &id);
+    void recordRemoved(const TargetEntry &entry);
 
     TargetDirectoryListener &listener;
     Rows entries;
@@ -186,9 +190,9 @@
     // announced that it is leaving.
     std::set<std::string, std::less<>> leftIncarnations;
     std::deque<std::string> leftOrder; // the same ids, oldest first
-    // Incarnations whose entries were removed. Unlike those that announced that they leave, they
-    // may only have lapsed, so a newly written entry makes them usable again.
-    std::set<std::string, std::less<>> removedIncarnations;
+    // Incarnations whose entries were removed, by id. Unlike those that announced that they leave,
+    // they may only have lapsed, so a newly written entry makes them usable again.
+    std::map<std::string, TargetEntry, std::less<>> removed;
     std::deque<std::string> removedOrder; // the same ids, oldest first; some may be listed again
 };
 
--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -162,6 +162,14 @@
              {{"status", status}, {"reason", reason}});
 }
 
+// A target that is no longer listed may still serve what it was given, which orders are about.
+const TargetEntry *RelayServer::findTarget(const RelayOrder &order) const
+{
+    const TargetEntry *listed = this->directory.find(order.target);
+    return listed != nullptr || order.isNewWork ? listed
+                                                : this->directory.findRemoved(order.target);
+}
+
 // Returns why the call cannot be made for the other instance; empty if it can.
 std::string_view RelayServer::refusalReason(const RelayOrder &order,
                                             const TargetEntry *target) const
@@ -170,9 +178,9 @@
         return relayIsStopping;
     if (target == nullptr)
         return "unknown_target";
-    const bool isClosed = target->leaving || this->directory.isOutOfUse(target->dataCentre);
-    if (order.isNewWork && isClosed)
-        return "target_leaving";
+    const std::string_view closed = this->calls.gate().refusal(order.target, order.isNewWork);
+    if (!closed.empty())
+        return closed;
     return this->calls.isLost(order.target, target->service) ? relayHasNoLinks : std::string_view();
 }
 
@@ -192,7 +200,7 @@
         this->onRejectedRequest(badRequestStatus, "not_signed");
         return connection->respond(badRequestStatus, {}, {});
     }
-    const TargetEntry *target = this->directory.find(order->target);
+    const TargetEntry *target = this->findTarget(*order);
     const std::string_view reason = this->refusalReason(*order, target);
     if (!reason.empty())
         return this->refuse(*connection, order->target, reason);
--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Proxy/targetcalls.cpp
@@ -23,13 +23,13 @@
 } // namespace
 
 TargetCalls::TargetCalls(asio::io_context &loop, const Clock &time, Metrics &counters,
-                         const SendGate &sendGate, TargetAnswerListener &answerListener,
+                         const SendGate &closedTargets, TargetAnswerListener &answerListener,
                          const std::string &ownDataCentre, std::vector<std::string> fleetKeys,
                          std::uint64_t seed)
     : context(loop)
     , clock(time)
     , metrics(counters)
-    , gate(sendGate)
+    , sendGate(closedTargets)
     , answers(answerListener)
     , reach(time)
     , peers(time, ownDataCentre, seed)
@@ -86,7 +86,7 @@
 std::string_view TargetCalls::refusalToSend(std::string_view target, bool isNewWork,
                                             std::string_view attemptId) const
 {
-    const std::string_view reason = this->gate.refusal(target, isNewWork);
+    const std::string_view reason = this->sendGate.refusal(target, isNewWork);
     if (!reason.empty())
         logEvent(Severity::Info, "send_held_back",
                  {{"id", attemptId}, {"target", target}, {"reason", reason}});
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -14,6 +14,9 @@
 // Maximum number of ids of incarnations that have left, which covers the same time.
 constexpr std::size_t maxLeftKept = 4096;
 
+// Maximum number of removed entries, which take some hundred bytes each and are needed for seconds.
+constexpr std::size_t maxRemovedKept = 1024;
+
 } // namespace
 
 std::string incarnationId(std::string_view name, StartTime startedAt)
@@ -33,13 +36,13 @@
         present.insert(entry.name);
         const std::string id = entry.id;
         const std::string name = entry.name;
-        const bool withhold = restoredFromCopy && this->removedIncarnations.count(id) > 0;
+        const bool withhold = restoredFromCopy && this->removed.count(id) > 0;
         this->put(std::move(entry));
         const auto row = this->entries.find(name);
         if (!withhold || row == this->entries.end())
             continue;
         row->second.withheld = true;
-        this->recordRemoved(id);
+        this->recordRemoved(row->second.entry);
         ++withheld;
     }
     for (std::string &name : listing.unusable) {
@@ -88,20 +91,20 @@
     this->leftOrder.pop_front();
 }
 
-void TargetDirectory::recordRemoved(const std::string &id)
+void TargetDirectory::recordRemoved(const TargetEntry &entry)
 {
-    if (!this->removedIncarnations.insert(id).second)
+    if (!this->removed.insert_or_assign(entry.id, entry).second)
         return;
-    this->removedOrder.push_back(id);
-    if (this->removedOrder.size() <= maxLeftKept)
+    this->removedOrder.push_back(entry.id);
+    if (this->removedOrder.size() <= maxRemovedKept)
         return;
-    this->removedIncarnations.erase(this->removedOrder.front());
+    this->removed.erase(this->removedOrder.front());
     this->removedOrder.pop_front();
 }
 
 void TargetDirectory::add(TargetEntry entry)
 {
-    this->removedIncarnations.erase(entry.id);
+    this->removed.erase(entry.id);
     entry.leaving = entry.leaving || this->leftIncarnations.count(entry.id) > 0;
     if (entry.leaving)
         this->recordLeft(entry.id);
@@ -241,7 +244,7 @@
 {
     const TargetEntry entry = std::move(row->second.entry);
     this->entries.erase(row);
-    this->recordRemoved(entry.id);
+    this->recordRemoved(entry);
     if (!entry.leaving)
         this->listener.onTargetLeaving(entry, reason);
 }
@@ -283,6 +286,12 @@
     });
 }
 
+const TargetEntry *TargetDirectory::findRemoved(std::string_view id) const
+{
+    const auto found = this->removed.find(id);
+    return found == this->removed.end() ? nullptr : &found->second;
+}
+
 bool TargetDirectory::isOpen(std::string_view id) const
 {
     const auto found = this->rowOf(id);
