--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -34,6 +34,7 @@
     std::string key;       // empty if the request has none
     std::optional<std::chrono::milliseconds> timeLeft;
     std::optional<std::uint64_t> lastEventId;
+    std::string resumedAttempt; // that brought the first event of the stream taken up; may be empty
     std::optional<GenerationFacts> generation;
 };
 
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -37,6 +37,7 @@
     std::string service;
     std::string address; // IP:PORT
     std::string dataCentre;
+    std::string softwareVersion; // of the target's program, not of a model; has no order
     int slots = 0;
     bool leaving = false;
     std::chrono::milliseconds coldFor{0}; // until it accepts its usual load
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -77,6 +77,7 @@
                  {{"target", entry.id},
                   {"service", entry.service},
                   {"address", entry.address},
+                  {"version", entry.softwareVersion},
                   {"data_centre", entry.dataCentre}});
     this->engines.onListed(entry);
     if (!this->isEngine(entry))
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -325,6 +325,8 @@
     this->reservations.reserveForCopy(destination.id, copied);
     this->logDecision("run_copy", {{"from", this->current->target.id},
                                    {"to", destination.id},
+                                   {"from_version", this->current->target.softwareVersion},
+                                   {"to_version", destination.softwareVersion},
                                    {"leaving", this->plan.isLeaving() ? 1 : 0},
                                    {"events", static_cast<std::int64_t>(this->lastEvent)}});
     this->move = std::make_shared<MoveCall>(this->self());
--- a/unittests/Platform/platformdocuments.cpp
+++ b/unittests/Platform/platformdocuments.cpp
@@ -62,6 +62,16 @@
             .dump();
 }
 
+std::string targetOfVersion(const std::string &address, const std::string &version,
+                            const std::string &state, std::int64_t born)
+{
+    json document = json::parse(targetJson(address, state));
+    document["Version"] = version;
+    if (born != 0)
+        document["born"] = born;
+    return document.dump();
+}
+
 std::string requestText(const RequestSpec &spec)
 {
     std::string text = spec.method + " " + spec.path + " HTTP/1.1\r\nHost: site.example\r\n";
--- a/unittests/Platform/platformdocuments.h
+++ b/unittests/Platform/platformdocuments.h
@@ -32,6 +32,11 @@
                        const std::string &service = "svc", const std::string &dataCentre = "dc",
                        int coldMillis = 0);
 
+// The same for a target whose software has this version; born is 0 for one that does not tell when
+// it started.
+std::string targetOfVersion(const std::string &address, const std::string &version,
+                            const std::string &state = "ready", std::int64_t born = 0);
+
 // The text of a request of the customer.
 struct RequestSpec
 {
