Keep a stream to the version of the engine that began it, within its answer

Cause: no decision knew the version; destinations and targets were chosen by room. Mend: from its first event on a stream accepts engines of one version only, for copies, hand-overs and new runs alike (Exchange::acceptsVersion, in the list from which all of them choose, and where a copy is used). Without such an engine the run stays where it is, or its stream breaks off; before the first event any version will do. A target that comes back under its name with another version is another incarnation, also if it does not tell its start.

Cost with one version: a comparison of texts a candidate. An engine that restarts at another version under its name can get a resumption in the moment before its entry arrives; open.

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -145,6 +145,9 @@
 
     bool isAllowed(const TargetEntry &target) const;
 
+    // Whether the request may run at targets with this version of their software.
+    virtual bool acceptsVersion(std::string_view) const { return true; }
+
     // Allowed targets that currently accept work.
     std::vector<const TargetEntry *> usableTargets() const;
 
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -140,7 +140,8 @@
 {
     std::vector<const TargetEntry *> targets = this->context.directory.usable(this->serviceName);
     std::erase_if(targets, [this](const TargetEntry *entry) {
-        return !this->isAllowedIn(entry->dataCentre);
+        return !this->isAllowedIn(entry->dataCentre) ||
+               !this->acceptsVersion(entry->softwareVersion);
     });
     return targets;
 }
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -194,11 +194,16 @@
     if (chosen == nullptr)
         return engines.empty() ? this->answerWithResult(this->uncertain ? ResultCode::TargetLost
                                                                         : ResultCode::NoTarget,
-                                                        this->noTargetReason())
+                                                        this->missingEngineReason())
                                : this->waitForCapacity();
     this->sendWhenPermitted(*chosen, [this](const TargetEntry &engine) { this->begin(engine); });
 }
 
+std::string_view StreamExchange::missingEngineReason() const
+{
+    return this->streamVersion ? "no_engine_of_version" : this->noTargetReason();
+}
+
 void StreamExchange::begin(const TargetEntry &engine)
 {
     this->tried.insert(engine.id);
@@ -333,6 +338,7 @@
         this->switchToNext();
     if (id)
         this->lastEvent = *id;
+    this->streamVersion = leg.target.softwareVersion;
     this->recordEventGap();
     this->beginAnswer(leg.head);
     this->caller->write(event.text);
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -92,6 +92,10 @@
     void cancelCalls() override;
     void describeEnd(std::vector<LogField> &fields) const override;
     bool hasBegunAnswer() const override { return this->answerBegun; }
+    bool acceptsVersion(std::string_view version) const override
+    {
+        return !this->streamVersion || *this->streamVersion == version;
+    }
     bool mayHaveRun() const override
     {
         return this->uncertain || (this->current && this->current->call->bytesSent());
@@ -136,6 +140,7 @@
     void waitForCapacity();
     Duration maxCapacityWait() const;
     Duration maxEngineDelay() const;
+    std::string_view missingEngineReason() const;
     std::vector<const TargetEntry *>
     assignedEngines(std::vector<const TargetEntry *> engines) const;
 
@@ -157,6 +162,9 @@
     asio::steady_timer capacityTimer;
     asio::steady_timer silenceTimer;
     std::uint64_t lastEvent = 0; // last event that was forwarded
+    // The version of the engine that began the stream, once the caller has an event of it. Events
+    // of two versions do not fit together.
+    std::optional<std::string> streamVersion;
     bool answerBegun = false;
     std::string lossReason;
     TimePoint lostAt;       // when the engine was lost after the run had begun
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -226,7 +226,7 @@
 void StreamExchange::resume(const RunStep &step)
 {
     const TargetEntry *listed = this->context.directory.find(step.target);
-    if (listed == nullptr) {
+    if (listed == nullptr || !this->acceptsVersion(listed->softwareVersion)) {
         this->plan.copyRefused();
         this->updateCopyReservation();
         return this->executeNextStep();
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -137,7 +137,9 @@
     const auto found = this->entries.find(entry.name);
     if (found == this->entries.end())
         return this->add(std::move(entry));
-    if (found->second.entry.id != entry.id) {
+    const TargetEntry &known = found->second.entry;
+    // A target that does not tell its start, and has another version than before, has restarted.
+    if (known.id != entry.id || known.softwareVersion != entry.softwareVersion) {
         this->endIncarnation(found);
         return this->add(std::move(entry));
     }
