--- a/unittests/Platform/streamversionstest.cpp
+++ b/unittests/Platform/streamversionstest.cpp
@@ -190,3 +190,146 @@
     announcer.join();
     cr_expect(served);
 }
+
+namespace {
+
+// A caller's attempt to take up a stream after its second event.
+std::string takeUpText(const std::string &id, const std::string &headers)
+{
+    RequestSpec spec;
+    spec.id = id;
+    spec.extraHeaders = headers;
+    return requestText(spec);
+}
+
+// Two events, after which the engine keeps its caller waiting.
+Answer stallingEngine(const SeenRequest &request)
+{
+    if (!isRun(request) || !request.head.header("Last-Event-Id").empty())
+        return quickEngine(request);
+    Answer answer = eventsAfter(request, 2, 5ms, false);
+    answer.back() = {AnswerStep::Kind::Hang, "", {}};
+    return answer;
+}
+
+// Begins a stream and leaves after its first events.
+void beginStream(const EntryFixture &entry, const std::string &id)
+{
+    RequestSpec spec;
+    spec.id = id;
+    const std::string bytes = callOnce(entry.port(), requestText(spec), 300ms).bytes;
+    cr_assert(bytes.find("token2\n") != std::string::npos, "%s", bytes.c_str());
+}
+
+struct TakeUpCase
+{
+    char name[40];
+    char headers[56];
+    bool hasSecondVersion;
+    bool isServed;
+};
+
+} // namespace
+
+// Guards against streams that go on at another version because a guess is taken for knowledge, and
+// against refusing callers where there is nothing to guess.
+ParameterizedTestParameters(streamVersions, takeUpNeedsARecordWhereVersionsDiffer)
+{
+    static TakeUpCase cases[] = {
+            {"known", "Last-Event-Id: 2\r\nResumes: a1\r\n", true, true},
+            {"never seen", "Last-Event-Id: 2\r\nResumes: a9\r\n", true, false},
+            {"nonsense", "Last-Event-Id: 2\r\nResumes: ,;\\ %00\r\n", true, false},
+            {"no Resumes", "Last-Event-Id: 2\r\n", true, false},
+            {"no Last-Event-Id, known", "Resumes: a1\r\n", true, true},
+            {"no Last-Event-Id, never seen", "Resumes: a9\r\n", true, false},
+            {"nothing of it", "", true, true},
+            {"one version, never seen", "Last-Event-Id: 2\r\nResumes: a9\r\n", false, true},
+            {"one version, no Resumes", "Last-Event-Id: 2\r\n", false, true}};
+    return cr_make_param_array(TakeUpCase, cases, std::size(cases));
+}
+
+ParameterizedTest(TakeUpCase *one, streamVersions, takeUpNeedsARecordWhereVersionsDiffer)
+{
+    ScriptedServer first(stallingEngine);
+    ScriptedServer newer(quickEngine);
+    EntryFixture entry({resumableRoute()});
+    entry.list("e1", first);
+    beginStream(entry, "a1");
+    if (one->hasSecondVersion) {
+        entry.store.put("servers/e2", targetOfVersion(newer.address(), "v2"));
+        std::this_thread::sleep_for(800ms);
+    }
+    const bool isKnown = std::string_view(one->headers).find("a1") != std::string_view::npos;
+    const std::string bytes = callOnce(entry.port(), takeUpText("b1", one->headers), 600ms).bytes;
+    cr_expect(bytes.starts_with(one->isServed ? "HTTP/1.1 200" : "HTTP/1.1 503"), "%s: %s",
+              one->name, bytes.c_str());
+    if (!one->isServed) {
+        cr_expect(bytes.find("not-run") != std::string::npos, "%s", one->name);
+        cr_expect(runsOf(first) + runsOf(newer) == 1, "%s: nothing runs", one->name);
+    }
+    if (isKnown)
+        cr_expect(runsOf(newer) == 0, "%s", one->name);
+}
+
+// Guards against callers who wait in vain, or get another version, when no engine of theirs is
+// left.
+Test(streamVersions, callerIsToldAtOnceThatItsVersionIsGone)
+{
+    ScriptedServer first(stallingEngine);
+    ScriptedServer newer(quickEngine);
+    EntryFixture entry({resumableRoute()});
+    entry.list("e1", first);
+    beginStream(entry, "a1");
+    entry.store.put("servers/e2", targetOfVersion(newer.address(), "v2"));
+    entry.store.put("servers/e1", targetJson(first.address(), "draining"));
+    std::this_thread::sleep_for(800ms);
+    const auto began = std::chrono::steady_clock::now();
+    const std::string bytes =
+            callOnce(entry.port(), takeUpText("b1", "Last-Event-Id: 2\r\nResumes: a1\r\n")).bytes;
+    cr_expect(bytes.starts_with("HTTP/1.1 503"), "%s", bytes.c_str());
+    cr_expect(bytes.find("not-run") != std::string::npos);
+    cr_expect(runsOf(newer) == 0 && runsOf(first) == 1);
+    cr_expect(std::chrono::steady_clock::now() - began < 3500ms);
+}
+
+// Guards against streams that end at, or are joined by, an instance that never saw the first
+// attempt: the one that served it has been killed.
+Test(streamVersions, otherInstancesKnowTheVersionOfAKilledOne)
+{
+    constexpr int streams = 5;
+    ScriptedServer old(stallingEngine);
+    std::vector<std::unique_ptr<ScriptedServer>> newer;
+    const std::string first = freeDatagramAddress();
+    const std::string second = freeDatagramAddress();
+    auto killed = std::make_unique<EntryFixture>(std::vector<RouteSpec>{resumableRoute()},
+                                                 memberOf("killed", first, second));
+    EntryFixture other({resumableRoute()}, memberOf("other", second, first));
+    for (EntryFixture *entry : {killed.get(), &other}) {
+        entry->store.put("servers/e0", targetOfVersion(old.address(), "v1"));
+        cr_assert(entry->becomesReady());
+    }
+    std::this_thread::sleep_for(1500ms);
+    for (int i = 0; i < streams; ++i)
+        beginStream(*killed, "a" + std::to_string(i));
+    for (int i = 1; i <= 3; ++i) {
+        newer.push_back(std::make_unique<ScriptedServer>(quickEngine));
+        for (EntryFixture *entry : {killed.get(), &other})
+            entry->store.put("servers/e" + std::to_string(i),
+                             targetOfVersion(newer.back()->address(), "v2"));
+    }
+    std::this_thread::sleep_for(800ms);
+    killed.reset();
+    for (int i = 0; i < streams; ++i) {
+        const std::string id = "a" + std::to_string(i);
+        const std::string bytes =
+                callOnce(other.port(),
+                         takeUpText("b" + std::to_string(i),
+                                    "Last-Event-Id: 2\r\nResumes: " + id + "\r\n"),
+                         900ms)
+                        .bytes;
+        cr_expect(isWhole(bytes), "%s: %s", id.c_str(), bytes.c_str());
+    }
+    for (const auto &engine : newer)
+        cr_expect(runsOf(*engine) == 0);
+    cr_expect(runsOf(old) == 2 * streams);
+}
