--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -202,6 +202,42 @@
   4: i64 last
 }
 
+// A stream and the version of the software of the engine that began it.
+struct StreamVersionNotice {
+  1: string stream
+  2: string version
+}
+
+// Asks at which version a stream began.
+struct StreamVersionAsk {
+  1: i64 serial
+  2: string stream
+}
+
+struct StreamVersionReply {
+  1: i64 serial
+  2: bool known
+  3: string version
+}
+
+// How long ago a target of a service with this version was listed last.
+struct ServedVersionNotice {
+  1: string serviceName
+  2: string version
+  3: i64 agoMicros
+}
+
+// What instances tell each other about the versions at which streams began.
+struct StreamVersionNotices {
+  1: list<StreamVersionNotice> records
+  2: list<StreamVersionAsk> asks
+  3: list<StreamVersionReply> replies
+  // The sender has just started and asks which services have several versions.
+  4: bool asksForServices
+  5: bool tellsServices
+  6: list<ServedVersionNotice> services
+}
+
 // What entry instances tell each other, beside who they are.
 struct EntryNotices {
   1: list<PlacementNotice> placements
@@ -227,6 +263,7 @@
   16: SpreadNotice spread
   // Limits that instances impose on brittle targets.
   17: LimitNotices imposedLimits
+  18: optional StreamVersionNotices streamVersions
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -18,6 +18,7 @@
 #include "jaytrack/Routing/engineshares.h"
 #include "jaytrack/Routing/targetdirectory.h"
 #include "jaytrack/Support/log.h"
+#include "jaytrack/Versions/streamversions.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -67,6 +68,7 @@
     ColdTargets &cold;
     LimitGate &limits;
     BrittleGate &brittle;
+    StreamVersions &streamVersions;
     const StreamOptions &streams;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until it has been answered
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Proxy/peerlink.h
@@ -21,6 +21,7 @@
 #include "jaytrack/Routing/relaypeers.h"
 #include "jaytrack/Support/keyring.h"
 #include "jaytrack/Support/logallowance.h"
+#include "jaytrack/Versions/streamversionmessage.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -68,6 +69,7 @@
     virtual void onQuarantineNews(const QuarantineMessage &news) = 0;
     virtual void onLimitNews(std::string_view peer, LimitKind kind, const LimitMessage &news) = 0;
     virtual void onRetryPermits(std::string_view peer, const LimitMessage &message) = 0;
+    virtual void onStreamVersions(std::string_view peer, const StreamVersionMessage &message) = 0;
     virtual void onPeersChanged(const std::vector<std::string> &names) = 0;
 
     // The instances that may call targets for this one, which listen at their peer addresses.
@@ -114,6 +116,9 @@
     // Sends permit requests and answers for retries to one other instance.
     void sendRetryPermits(std::string_view peer, const LimitMessage &content);
 
+    // Sends what this instance knows or asks of the versions at which streams began.
+    void sendStreamVersions(std::string_view peer, const StreamVersionMessage &content);
+
     // Sends what this instance read from the store to all others. This includes the readers, since
     // each pauses after a change.
     void shareStoreChanges(const SharedChanges &changes);
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -135,6 +135,9 @@
     // Returns the targets of a service that may receive new work.
     std::vector<const TargetEntry *> usable(std::string_view service) const;
 
+    // Returns the versions of the software of a service's targets, those that are leaving included.
+    std::set<std::string> versionsOf(std::string_view service) const;
+
     // Returns the targets of a data centre that are not known to be leaving.
     std::vector<TargetEntry> nonLeavingTargets(std::string_view dataCentre) const;
 
--- a/include/jaytrack/Support/result.h
+++ b/include/jaytrack/Support/result.h
@@ -42,6 +42,7 @@
     HeadTooLarge = 211,
     RequestTooSlow = 212,
     RequestBarred = 213,
+    VersionUnknown = 214,
     TargetLost = 301,
     TargetTimeout = 302,
     TargetRefused = 303,
--- /dev/null
+++ b/include/jaytrack/Versions/streamversions.h
@@ -0,0 +1,149 @@
+// Remembers at which version of the engines' software each stream began, for callers that take a
+// stream up at another instance.
+//
+// The instance that begins a stream knows its version, but may have been killed, restarted or cut
+// off when the caller comes back. While a service has several versions, each stream is therefore
+// told to a few other instances, its keepers, found by rendezvous hashing of its name, when its run
+// is placed and thus before the caller gets the first event. An instance that does not know a
+// stream asks those that rank highest now. When instances come or go, whoever knows a stream tells
+// it to its new keepers. While a service has one version, nothing is sent.
+#ifndef JAYTRACK_VERSIONS_STREAMVERSIONS_H
+#define JAYTRACK_VERSIONS_STREAMVERSIONS_H
+
+#include "jaytrack/Routing/instanceranking.h"
+#include "jaytrack/Versions/serviceversions.h"
+#include "jaytrack/Versions/streamversionmessage.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jaytrack {
+
+// Sends a message to another instance. Messages may be lost.
+class StreamVersionTransport
+{
+public:
+    virtual ~StreamVersionTransport() = default;
+    virtual void sendStreamVersions(std::string_view instance,
+                                    const StreamVersionMessage &message) = 0;
+};
+
+class StreamVersions
+{
+public:
+    // Instances besides the one that began a stream which know its version.
+    static constexpr std::size_t keepers = 3;
+
+    // Instances that are asked about a stream. They are more than the keepers because two instances
+    // may know different members.
+    static constexpr std::size_t asked = 5;
+
+    // Time between two rounds of questions, and from the first one until the version counts as
+    // unknown. A datagram between two data centres takes a few milliseconds.
+    static constexpr Duration askInterval = std::chrono::milliseconds(60);
+    static constexpr Duration maxSearch = std::chrono::milliseconds(300);
+
+    // The same for an instance that has just started and knows no others yet.
+    static constexpr Duration maxSearchWithoutOthers = std::chrono::milliseconds(1000);
+
+    // Maximum number of streams remembered; the oldest are forgotten first.
+    static constexpr std::size_t maxRecords = 16'384;
+
+    // Receives the version, or nothing if no instance that answers knows it.
+    using Found = std::function<void(const std::optional<std::string> &)>;
+
+    // expectsOthers tells whether the settings name other instances.
+    StreamVersions(const Clock &time, std::string ownName, bool expectsOthers,
+                   StreamVersionTransport &peerTransport);
+
+    void setInstances(std::span<const std::string> others);
+
+    // Records that a target with this version is listed. Returns whether the versions of the
+    // service's other targets have to be recorded too.
+    bool recordListed(std::string_view service, std::string_view version);
+
+    // Whether the service has had several versions lately.
+    bool isMixed(std::string_view service) const { return this->services.isMixed(service); }
+    std::vector<std::string> mixedServices() const { return this->services.mixedServices(); }
+
+    // Whether the version of a stream has to be found out before it goes on: the service has had
+    // several versions lately, or this instance has just started and does not know.
+    bool mustKnow(std::string_view service) const;
+
+    // Records that a run of the stream is being sent to an engine of this version. The last call
+    // before the first event counts.
+    void recordBegun(const std::string &stream, std::string_view service, std::string_view version);
+
+    // Records that the caller has the whole stream.
+    void recordCompleted(const std::string &stream);
+
+    // Finds the version at which a stream began. Calls the callback once, at once or from tick() or
+    // onMessage().
+    void find(const std::string &stream, const Found &found);
+
+    void onMessage(std::string_view from, const StreamVersionMessage &message);
+
+    // Must be called about every tenth of a second.
+    void tick();
+
+    std::size_t size() const { return this->records.size(); }
+
+private:
+    struct Record
+    {
+        std::string version;
+        std::string service; // empty if another instance began the stream
+        TimePoint at;
+        std::vector<std::string> told; // the keepers that were sent the record
+    };
+
+    struct Search
+    {
+        std::string stream;
+        Found found;
+        TimePoint since;
+        TimePoint askAgainAt;
+        std::size_t rounds = 0;
+        std::set<std::string, std::less<>> unaware; // instances that have no record of it
+    };
+
+    using Outgoing = std::map<std::string, StreamVersionMessage, std::less<>>; // by instance
+
+    void store(const std::string &stream, Record record);
+    void tellKeepers(const std::string &stream, Record &record, Outgoing &outgoing) const;
+    void send(Outgoing &outgoing);
+    void tellServiceRecords(std::string_view service);
+    void ask(std::int64_t serial, Search &search);
+    bool isExhausted(const Search &search) const;
+    void conclude(std::int64_t serial, const std::optional<std::string> &version);
+    void concludeAll(const std::string &stream, const std::string &version);
+    void answer(std::string_view from, const StreamVersionMessage &message);
+    void learnServices(const StreamVersionMessage &message);
+    void askForServices();
+    void dropOldRecords();
+    std::vector<std::string> others(std::string_view stream, std::size_t count) const;
+
+    const Clock &clock;
+    StreamVersionTransport &transport;
+    InstanceRanking ranking;
+    ServiceVersions services;
+    std::map<std::string, Record, std::less<>> records;
+    std::deque<std::pair<TimePoint, std::string>> recordOrder; // oldest first
+    std::map<std::int64_t, Search> searches;
+    std::int64_t nextSerial = 1;
+    bool othersExpected;
+    bool knowsServices = false; // some other instance has told which services are mixed
+    bool instancesChanged = false;
+    TimePoint askedForServicesAt;
+};
+
+} // namespace jaytrack
+
+#endif
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -70,6 +70,7 @@
               [this](std::shared_ptr<CallerConnection> connection, CallerRequest request) {
                   this->serve(std::move(connection), std::move(request));
               })
+    , streamVersions(time, entrySettings.name, configuredPeerCount(entrySettings) > 0, *this)
     , context{this->loop,
               this->calls,
               time,
@@ -89,6 +90,7 @@
               this->cold,
               this->limitGate,
               this->brittle,
+              this->streamVersions,
               this->settings.tuning.streams,
               this->open}
     , callers(this->loop, time, *this)
--- a/lib/Proxy/entrylife.cpp
+++ b/lib/Proxy/entrylife.cpp
@@ -133,13 +133,17 @@
     ++this->ticks;
     if (!this->settingsFile.empty() && this->ticks % ticksPerFileCheck == 0)
         this->checkFile();
-    if (this->ticks % ticksPerAssignmentCheck == 0)
+    if (this->ticks % ticksPerAssignmentCheck == 0) {
         this->updateProbedEngines();
+        for (const std::string &service : this->streamVersions.mixedServices())
+            this->recordListedVersions(service);
+    }
     this->sharing.tick();
     this->crashes.tick();
     this->limitGate.tick();
     this->brittle.tick();
     this->retries.tick();
+    this->streamVersions.tick();
     this->logReadiness();
     this->logOmittedListings();
     if (this->isStopping)
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -79,6 +79,7 @@
                   {"address", entry.address},
                   {"version", entry.softwareVersion},
                   {"data_centre", entry.dataCentre}});
+    this->recordVersion(entry);
     this->engines.onListed(entry);
     if (!this->isEngine(entry))
         return;
@@ -87,6 +88,24 @@
         this->prober.add(entry);
 }
 
+void EntryInstance::Parts::recordVersion(const TargetEntry &entry)
+{
+    const bool wasMixed = this->streamVersions.isMixed(entry.service);
+    if (this->streamVersions.recordListed(entry.service, entry.softwareVersion))
+        this->recordListedVersions(entry.service);
+    if (!wasMixed && this->streamVersions.isMixed(entry.service))
+        logEvent(Severity::Info, "versions_mixed",
+                 {{"service", entry.service},
+                  {"target", entry.id},
+                  {"version", entry.softwareVersion}});
+}
+
+void EntryInstance::Parts::recordListedVersions(std::string_view service)
+{
+    for (const std::string &version : this->directory.versionsOf(service))
+        this->streamVersions.recordListed(service, version);
+}
+
 void EntryInstance::Parts::logOmittedListings()
 {
     const std::size_t omitted = this->listingLogAllowance.takeSuppressedCount();
@@ -174,6 +193,7 @@
 {
     logEvent(Severity::Info, "target_leaving",
              {{"target", entry.id}, {"service", entry.service}, {"reason", reason}});
+    this->recordVersion(entry);
     this->engines.onRemoved(entry.id);
     this->shares.onRemoved(entry.id);
     this->health.forget(entry.id);
@@ -257,6 +277,7 @@
     this->cold.setInstances(names);
     this->limitGate.setInstances(names);
     this->brittle.setInstances(names);
+    this->streamVersions.setInstances(names);
 }
 
 void EntryInstance::Parts::announcePlaced(std::string_view engine, const GenerationNeed &need,
@@ -315,6 +336,13 @@
         this->peers->sendRetryPermits(instance, message);
 }
 
+void EntryInstance::Parts::sendStreamVersions(std::string_view instance,
+                                              const StreamVersionMessage &message)
+{
+    if (this->peers)
+        this->peers->sendStreamVersions(instance, message);
+}
+
 void EntryInstance::Parts::LimitChannel::broadcastLimits(const LimitMessage &message)
 {
     if (this->parts.peers)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -30,6 +30,7 @@
                                     public SelfReportNotices,
                                     public QuarantineTransport,
                                     public RetryTransport,
+                                    public StreamVersionTransport,
                                     public CrashWatchListener
 {
     // Serves the load balancer's readiness check and the metrics, which callers cannot reach.
@@ -110,6 +111,10 @@
         this->selfReports.recordAnswer(target, answer);
     }
 
+    // Records the versions of the service's targets, so that streams keep to theirs.
+    void recordVersion(const TargetEntry &entry);
+    void recordListedVersions(std::string_view service);
+
     void logOmittedListings();
     const ServiceRule *serviceOf(const TargetEntry &entry) const;
     bool isEngine(const TargetEntry &entry) const;
@@ -147,6 +152,11 @@
         this->retries.onMessage(peer, message);
     }
 
+    void onStreamVersions(std::string_view peer, const StreamVersionMessage &message) override
+    {
+        this->streamVersions.onMessage(peer, message);
+    }
+
     void onPeersChanged(const std::vector<std::string> &names) override;
 
     void onRelayPeersChanged(std::vector<RelayPeer> others) override
@@ -174,6 +184,11 @@
 
     void sendRetryPermits(std::string_view instance, const LimitMessage &message) override;
 
+    // StreamVersionTransport
+
+    void sendStreamVersions(std::string_view instance,
+                            const StreamVersionMessage &message) override;
+
     // CrashWatchListener
 
     void onRequestBarred(std::string_view digest) override;
@@ -238,6 +253,7 @@
     LoadProber prober;
     CrashWatch crashes;
     StartupQueue startup;
+    StreamVersions streamVersions;
     std::set<std::shared_ptr<Exchange>> open;
     ExchangeContext context;
     AdmissionBounds bounds;
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Proxy/peerlink.cpp
@@ -304,6 +304,13 @@
     this->membership.sendPolicy(peer, encodeMessage(message));
 }
 
+void PeerLink::sendStreamVersions(std::string_view peer, const StreamVersionMessage &content)
+{
+    wire::EntryNotices message;
+    message.__set_streamVersions(toNotices(content));
+    this->membership.sendPolicy(peer, encodeMessage(message));
+}
+
 void PeerLink::broadcastLimits(LimitKind kind, const LimitMessage &news)
 {
     wire::EntryNotices message;
@@ -497,6 +504,8 @@
     const LimitMessage retryPermits = fromNotices(message->retryPermits);
     if (!retryPermits.isEmpty())
         this->listener.onRetryPermits(from, retryPermits);
+    if (message->__isset.streamVersions)
+        this->listener.onStreamVersions(from, fromNotices(message->streamVersions));
     for (const wire::StoreNotice &notice : message->stores)
         this->listener.onStoreFromPeer(fromNotice(notice));
     for (const wire::FreshnessAsk &ask : message->asks)
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -141,6 +141,10 @@
     Duration maxCapacityWait() const;
     Duration maxEngineDelay() const;
     std::string_view missingEngineReason() const;
+    bool takesUpStream() const;
+    std::string ownStreamName() const;
+    void findVersion();
+    void onVersionFound(const std::optional<std::string> &version);
     std::vector<const TargetEntry *>
     assignedEngines(std::vector<const TargetEntry *> engines) const;
 
@@ -165,6 +169,9 @@
     // The version of the engine that began the stream, once the caller has an event of it. Events
     // of two versions do not fit together.
     std::optional<std::string> streamVersion;
+    std::string streamName;        // under which the instances know the stream; may be empty
+    bool versionSettled = false;   // the version is known, or any will do
+    bool versionRequested = false; // it is being looked for
     bool answerBegun = false;
     std::string lossReason;
     TimePoint lostAt;       // when the engine was lost after the run had begun
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -270,6 +270,16 @@
     return found;
 }
 
+std::set<std::string> TargetDirectory::versionsOf(std::string_view service) const
+{
+    std::set<std::string> versions;
+    for (const auto &[name, row] : this->entries) {
+        if (row.entry.service == service)
+            versions.insert(row.entry.softwareVersion);
+    }
+    return versions;
+}
+
 std::vector<TargetEntry> TargetDirectory::nonLeavingTargets(std::string_view dataCentre) const
 {
     std::vector<TargetEntry> found;
--- a/lib/Support/result.cpp
+++ b/lib/Support/result.cpp
@@ -60,6 +60,10 @@
         ResultCodeInfo{RC::RequestBarred, Outcome::NotRun, 503, "request_barred",
                        "targets ended one after another as they ran the same request; it is kept "
                        "from all"},
+        ResultCodeInfo{
+                RC::VersionUnknown, Outcome::NotRun, 503, "version_unknown",
+                "nobody knows which version of the engines began the stream, so it cannot go "
+                "on"},
         ResultCodeInfo{RC::TargetLost, Outcome::Unknown, 502, "target_lost",
                        "the target failed after the request had been sent"},
         ResultCodeInfo{RC::TargetTimeout, Outcome::Unknown, 504, "target_timeout",
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -3754,6 +3754,766 @@
 }
 
 
+StreamVersionNotice::~StreamVersionNotice() noexcept {
+}
+
+
+void StreamVersionNotice::__set_stream(const std::string& val) {
+  this->stream = val;
+}
+
+void StreamVersionNotice::__set_version(const std::string& val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamVersionNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamVersionNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->stream);
+          this->__isset.stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamVersionNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamVersionNotice");
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamVersionNotice &a, StreamVersionNotice &b) {
+  using ::std::swap;
+  swap(a.stream, b.stream);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+StreamVersionNotice::StreamVersionNotice(const StreamVersionNotice& other105) {
+  stream = other105.stream;
+  version = other105.version;
+  __isset = other105.__isset;
+}
+StreamVersionNotice& StreamVersionNotice::operator=(const StreamVersionNotice& other106) {
+  stream = other106.stream;
+  version = other106.version;
+  __isset = other106.__isset;
+  return *this;
+}
+void StreamVersionNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamVersionNotice(";
+  out << "stream=" << to_string(stream);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+StreamVersionAsk::~StreamVersionAsk() noexcept {
+}
+
+
+void StreamVersionAsk::__set_serial(const int64_t val) {
+  this->serial = val;
+}
+
+void StreamVersionAsk::__set_stream(const std::string& val) {
+  this->stream = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamVersionAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamVersionAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serial);
+          this->__isset.serial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->stream);
+          this->__isset.stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamVersionAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamVersionAsk");
+
+  xfer += oprot->writeFieldBegin("serial", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serial);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamVersionAsk &a, StreamVersionAsk &b) {
+  using ::std::swap;
+  swap(a.serial, b.serial);
+  swap(a.stream, b.stream);
+  swap(a.__isset, b.__isset);
+}
+
+StreamVersionAsk::StreamVersionAsk(const StreamVersionAsk& other107) {
+  serial = other107.serial;
+  stream = other107.stream;
+  __isset = other107.__isset;
+}
+StreamVersionAsk& StreamVersionAsk::operator=(const StreamVersionAsk& other108) {
+  serial = other108.serial;
+  stream = other108.stream;
+  __isset = other108.__isset;
+  return *this;
+}
+void StreamVersionAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamVersionAsk(";
+  out << "serial=" << to_string(serial);
+  out << ", " << "stream=" << to_string(stream);
+  out << ")";
+}
+
+
+StreamVersionReply::~StreamVersionReply() noexcept {
+}
+
+
+void StreamVersionReply::__set_serial(const int64_t val) {
+  this->serial = val;
+}
+
+void StreamVersionReply::__set_known(const bool val) {
+  this->known = val;
+}
+
+void StreamVersionReply::__set_version(const std::string& val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamVersionReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamVersionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serial);
+          this->__isset.serial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->known);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamVersionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamVersionReply");
+
+  xfer += oprot->writeFieldBegin("serial", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serial);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->known);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamVersionReply &a, StreamVersionReply &b) {
+  using ::std::swap;
+  swap(a.serial, b.serial);
+  swap(a.known, b.known);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+StreamVersionReply::StreamVersionReply(const StreamVersionReply& other109) {
+  serial = other109.serial;
+  known = other109.known;
+  version = other109.version;
+  __isset = other109.__isset;
+}
+StreamVersionReply& StreamVersionReply::operator=(const StreamVersionReply& other110) {
+  serial = other110.serial;
+  known = other110.known;
+  version = other110.version;
+  __isset = other110.__isset;
+  return *this;
+}
+void StreamVersionReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamVersionReply(";
+  out << "serial=" << to_string(serial);
+  out << ", " << "known=" << to_string(known);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ServedVersionNotice::~ServedVersionNotice() noexcept {
+}
+
+
+void ServedVersionNotice::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void ServedVersionNotice::__set_version(const std::string& val) {
+  this->version = val;
+}
+
+void ServedVersionNotice::__set_agoMicros(const int64_t val) {
+  this->agoMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServedVersionNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServedVersionNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agoMicros);
+          this->__isset.agoMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServedVersionNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServedVersionNotice");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agoMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->agoMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServedVersionNotice &a, ServedVersionNotice &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.version, b.version);
+  swap(a.agoMicros, b.agoMicros);
+  swap(a.__isset, b.__isset);
+}
+
+ServedVersionNotice::ServedVersionNotice(const ServedVersionNotice& other111) {
+  serviceName = other111.serviceName;
+  version = other111.version;
+  agoMicros = other111.agoMicros;
+  __isset = other111.__isset;
+}
+ServedVersionNotice& ServedVersionNotice::operator=(const ServedVersionNotice& other112) {
+  serviceName = other112.serviceName;
+  version = other112.version;
+  agoMicros = other112.agoMicros;
+  __isset = other112.__isset;
+  return *this;
+}
+void ServedVersionNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServedVersionNotice(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "agoMicros=" << to_string(agoMicros);
+  out << ")";
+}
+
+
+StreamVersionNotices::~StreamVersionNotices() noexcept {
+}
+
+
+void StreamVersionNotices::__set_records(const std::vector<StreamVersionNotice> & val) {
+  this->records = val;
+}
+
+void StreamVersionNotices::__set_asks(const std::vector<StreamVersionAsk> & val) {
+  this->asks = val;
+}
+
+void StreamVersionNotices::__set_replies(const std::vector<StreamVersionReply> & val) {
+  this->replies = val;
+}
+
+void StreamVersionNotices::__set_asksForServices(const bool val) {
+  this->asksForServices = val;
+}
+
+void StreamVersionNotices::__set_tellsServices(const bool val) {
+  this->tellsServices = val;
+}
+
+void StreamVersionNotices::__set_services(const std::vector<ServedVersionNotice> & val) {
+  this->services = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamVersionNotices& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamVersionNotices::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->records.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
+            {
+              xfer += this->records[_i117].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->asks.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
+            {
+              xfer += this->asks[_i122].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replies.clear();
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->replies.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
+            {
+              xfer += this->replies[_i127].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->asksForServices);
+          this->__isset.asksForServices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->tellsServices);
+          this->__isset.tellsServices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->services.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += this->services[_i132].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamVersionNotices::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamVersionNotices");
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<StreamVersionNotice> ::const_iterator _iter133;
+    for (_iter133 = this->records.begin(); _iter133 != this->records.end(); ++_iter133)
+    {
+      xfer += (*_iter133).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<StreamVersionAsk> ::const_iterator _iter134;
+    for (_iter134 = this->asks.begin(); _iter134 != this->asks.end(); ++_iter134)
+    {
+      xfer += (*_iter134).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
+    std::vector<StreamVersionReply> ::const_iterator _iter135;
+    for (_iter135 = this->replies.begin(); _iter135 != this->replies.end(); ++_iter135)
+    {
+      xfer += (*_iter135).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asksForServices", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->asksForServices);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tellsServices", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->tellsServices);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<ServedVersionNotice> ::const_iterator _iter136;
+    for (_iter136 = this->services.begin(); _iter136 != this->services.end(); ++_iter136)
+    {
+      xfer += (*_iter136).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamVersionNotices &a, StreamVersionNotices &b) {
+  using ::std::swap;
+  swap(a.records, b.records);
+  swap(a.asks, b.asks);
+  swap(a.replies, b.replies);
+  swap(a.asksForServices, b.asksForServices);
+  swap(a.tellsServices, b.tellsServices);
+  swap(a.services, b.services);
+  swap(a.__isset, b.__isset);
+}
+
+StreamVersionNotices::StreamVersionNotices(const StreamVersionNotices& other137) {
+  records = other137.records;
+  asks = other137.asks;
+  replies = other137.replies;
+  asksForServices = other137.asksForServices;
+  tellsServices = other137.tellsServices;
+  services = other137.services;
+  __isset = other137.__isset;
+}
+StreamVersionNotices& StreamVersionNotices::operator=(const StreamVersionNotices& other138) {
+  records = other138.records;
+  asks = other138.asks;
+  replies = other138.replies;
+  asksForServices = other138.asksForServices;
+  tellsServices = other138.tellsServices;
+  services = other138.services;
+  __isset = other138.__isset;
+  return *this;
+}
+void StreamVersionNotices::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamVersionNotices(";
+  out << "records=" << to_string(records);
+  out << ", " << "asks=" << to_string(asks);
+  out << ", " << "replies=" << to_string(replies);
+  out << ", " << "asksForServices=" << to_string(asksForServices);
+  out << ", " << "tellsServices=" << to_string(tellsServices);
+  out << ", " << "services=" << to_string(services);
+  out << ")";
+}
+
+
 EntryNotices::~EntryNotices() noexcept {
 }
 
@@ -3825,6 +4585,11 @@
 void EntryNotices::__set_imposedLimits(const LimitNotices& val) {
   this->imposedLimits = val;
 }
+
+void EntryNotices::__set_streamVersions(const StreamVersionNotices& val) {
+  this->streamVersions = val;
+__isset.streamVersions = true;
+}
 std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
@@ -3857,14 +4622,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->placements.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->placements.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->placements[_i109].read(iprot);
+              xfer += this->placements[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3877,14 +4642,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->loads.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->loads.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->loads[_i114].read(iprot);
+              xfer += this->loads[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3897,14 +4662,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->stores.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->stores.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += this->stores[_i119].read(iprot);
+              xfer += this->stores[_i153].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3917,14 +4682,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->asks.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->asks.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->asks[_i124].read(iprot);
+              xfer += this->asks[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3937,14 +4702,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->answers.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->answers.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += this->answers[_i129].read(iprot);
+              xfer += this->answers[_i163].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3957,14 +4722,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->releases.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->releases.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->releases.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->releases[_i134].read(iprot);
+              xfer += this->releases[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3977,14 +4742,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedEngines.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->failedEngines.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->failedEngines.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              xfer += iprot->readString(this->failedEngines[_i139]);
+              xfer += iprot->readString(this->failedEngines[_i173]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4021,14 +4786,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavingTargets.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->leavingTargets.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->leavingTargets.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += iprot->readString(this->leavingTargets[_i144]);
+              xfer += iprot->readString(this->leavingTargets[_i178]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4041,14 +4806,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coldTargets.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            this->coldTargets.resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->coldTargets.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
             {
-              xfer += this->coldTargets[_i149].read(iprot);
+              xfer += this->coldTargets[_i183].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4077,14 +4842,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fragments.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->fragments.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->fragments.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->fragments[_i154].read(iprot);
+              xfer += this->fragments[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4109,6 +4874,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->streamVersions.read(iprot);
+          this->__isset.streamVersions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4129,10 +4902,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter155;
-    for (_iter155 = this->placements.begin(); _iter155 != this->placements.end(); ++_iter155)
+    std::vector<PlacementNotice> ::const_iterator _iter189;
+    for (_iter189 = this->placements.begin(); _iter189 != this->placements.end(); ++_iter189)
     {
-      xfer += (*_iter155).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4141,10 +4914,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter156;
-    for (_iter156 = this->loads.begin(); _iter156 != this->loads.end(); ++_iter156)
+    std::vector<LoadNotice> ::const_iterator _iter190;
+    for (_iter190 = this->loads.begin(); _iter190 != this->loads.end(); ++_iter190)
     {
-      xfer += (*_iter156).write(oprot);
+      xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4153,10 +4926,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreNotice> ::const_iterator _iter157;
-    for (_iter157 = this->stores.begin(); _iter157 != this->stores.end(); ++_iter157)
+    std::vector<StoreNotice> ::const_iterator _iter191;
+    for (_iter191 = this->stores.begin(); _iter191 != this->stores.end(); ++_iter191)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4165,10 +4938,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<FreshnessAsk> ::const_iterator _iter158;
-    for (_iter158 = this->asks.begin(); _iter158 != this->asks.end(); ++_iter158)
+    std::vector<FreshnessAsk> ::const_iterator _iter192;
+    for (_iter192 = this->asks.begin(); _iter192 != this->asks.end(); ++_iter192)
     {
-      xfer += (*_iter158).write(oprot);
+      xfer += (*_iter192).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4177,10 +4950,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<FreshnessAnswer> ::const_iterator _iter159;
-    for (_iter159 = this->answers.begin(); _iter159 != this->answers.end(); ++_iter159)
+    std::vector<FreshnessAnswer> ::const_iterator _iter193;
+    for (_iter193 = this->answers.begin(); _iter193 != this->answers.end(); ++_iter193)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter193).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4189,10 +4962,10 @@
   xfer += oprot->writeFieldBegin("releases", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releases.size()));
-    std::vector<ReleaseNotice> ::const_iterator _iter160;
-    for (_iter160 = this->releases.begin(); _iter160 != this->releases.end(); ++_iter160)
+    std::vector<ReleaseNotice> ::const_iterator _iter194;
+    for (_iter194 = this->releases.begin(); _iter194 != this->releases.end(); ++_iter194)
     {
-      xfer += (*_iter160).write(oprot);
+      xfer += (*_iter194).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4201,10 +4974,10 @@
   xfer += oprot->writeFieldBegin("failedEngines", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedEngines.size()));
-    std::vector<std::string> ::const_iterator _iter161;
-    for (_iter161 = this->failedEngines.begin(); _iter161 != this->failedEngines.end(); ++_iter161)
+    std::vector<std::string> ::const_iterator _iter195;
+    for (_iter195 = this->failedEngines.begin(); _iter195 != this->failedEngines.end(); ++_iter195)
     {
-      xfer += oprot->writeString((*_iter161));
+      xfer += oprot->writeString((*_iter195));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4225,10 +4998,10 @@
   xfer += oprot->writeFieldBegin("leavingTargets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingTargets.size()));
-    std::vector<std::string> ::const_iterator _iter162;
-    for (_iter162 = this->leavingTargets.begin(); _iter162 != this->leavingTargets.end(); ++_iter162)
+    std::vector<std::string> ::const_iterator _iter196;
+    for (_iter196 = this->leavingTargets.begin(); _iter196 != this->leavingTargets.end(); ++_iter196)
     {
-      xfer += oprot->writeString((*_iter162));
+      xfer += oprot->writeString((*_iter196));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4237,10 +5010,10 @@
   xfer += oprot->writeFieldBegin("coldTargets", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coldTargets.size()));
-    std::vector<ColdNotice> ::const_iterator _iter163;
-    for (_iter163 = this->coldTargets.begin(); _iter163 != this->coldTargets.end(); ++_iter163)
+    std::vector<ColdNotice> ::const_iterator _iter197;
+    for (_iter197 = this->coldTargets.begin(); _iter197 != this->coldTargets.end(); ++_iter197)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4257,10 +5030,10 @@
   xfer += oprot->writeFieldBegin("fragments", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fragments.size()));
-    std::vector<FragmentNotice> ::const_iterator _iter164;
-    for (_iter164 = this->fragments.begin(); _iter164 != this->fragments.end(); ++_iter164)
+    std::vector<FragmentNotice> ::const_iterator _iter198;
+    for (_iter198 = this->fragments.begin(); _iter198 != this->fragments.end(); ++_iter198)
     {
-      xfer += (*_iter164).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4274,6 +5047,11 @@
   xfer += this->imposedLimits.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.streamVersions) {
+    xfer += oprot->writeFieldBegin("streamVersions", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->streamVersions.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4298,48 +5076,51 @@
   swap(a.fragments, b.fragments);
   swap(a.spread, b.spread);
   swap(a.imposedLimits, b.imposedLimits);
+  swap(a.streamVersions, b.streamVersions);
   swap(a.__isset, b.__isset);
 }
 
-EntryNotices::EntryNotices(const EntryNotices& other165) {
-  placements = other165.placements;
-  loads = other165.loads;
-  stores = other165.stores;
-  asks = other165.asks;
-  answers = other165.answers;
-  releases = other165.releases;
-  failedEngines = other165.failedEngines;
-  relay = other165.relay;
-  origin = other165.origin;
-  quarantine = other165.quarantine;
-  leavingTargets = other165.leavingTargets;
-  coldTargets = other165.coldTargets;
-  limits = other165.limits;
-  retryPermits = other165.retryPermits;
-  fragments = other165.fragments;
-  spread = other165.spread;
-  imposedLimits = other165.imposedLimits;
-  __isset = other165.__isset;
-}
-EntryNotices& EntryNotices::operator=(const EntryNotices& other166) {
-  placements = other166.placements;
-  loads = other166.loads;
-  stores = other166.stores;
-  asks = other166.asks;
-  answers = other166.answers;
-  releases = other166.releases;
-  failedEngines = other166.failedEngines;
-  relay = other166.relay;
-  origin = other166.origin;
-  quarantine = other166.quarantine;
-  leavingTargets = other166.leavingTargets;
-  coldTargets = other166.coldTargets;
-  limits = other166.limits;
-  retryPermits = other166.retryPermits;
-  fragments = other166.fragments;
-  spread = other166.spread;
-  imposedLimits = other166.imposedLimits;
-  __isset = other166.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other199) {
+  placements = other199.placements;
+  loads = other199.loads;
+  stores = other199.stores;
+  asks = other199.asks;
+  answers = other199.answers;
+  releases = other199.releases;
+  failedEngines = other199.failedEngines;
+  relay = other199.relay;
+  origin = other199.origin;
+  quarantine = other199.quarantine;
+  leavingTargets = other199.leavingTargets;
+  coldTargets = other199.coldTargets;
+  limits = other199.limits;
+  retryPermits = other199.retryPermits;
+  fragments = other199.fragments;
+  spread = other199.spread;
+  imposedLimits = other199.imposedLimits;
+  streamVersions = other199.streamVersions;
+  __isset = other199.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other200) {
+  placements = other200.placements;
+  loads = other200.loads;
+  stores = other200.stores;
+  asks = other200.asks;
+  answers = other200.answers;
+  releases = other200.releases;
+  failedEngines = other200.failedEngines;
+  relay = other200.relay;
+  origin = other200.origin;
+  quarantine = other200.quarantine;
+  leavingTargets = other200.leavingTargets;
+  coldTargets = other200.coldTargets;
+  limits = other200.limits;
+  retryPermits = other200.retryPermits;
+  fragments = other200.fragments;
+  spread = other200.spread;
+  imposedLimits = other200.imposedLimits;
+  streamVersions = other200.streamVersions;
+  __isset = other200.__isset;
   return *this;
 }
 void EntryNotices::printTo(std::ostream& out) const {
@@ -4362,6 +5143,7 @@
   out << ", " << "fragments=" << to_string(fragments);
   out << ", " << "spread=" << to_string(spread);
   out << ", " << "imposedLimits=" << to_string(imposedLimits);
+  out << ", " << "streamVersions="; (__isset.streamVersions ? (out << to_string(streamVersions)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4435,9 +5217,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast167;
-          xfer += iprot->readI32(ecast167);
-          this->kind = static_cast<PeerKind::type>(ecast167);
+          int32_t ecast201;
+          xfer += iprot->readI32(ecast201);
+          this->kind = static_cast<PeerKind::type>(ecast201);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4479,14 +5261,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->records.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->records.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->records[_i172].read(iprot);
+              xfer += this->records[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4559,10 +5341,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter173;
-    for (_iter173 = this->records.begin(); _iter173 != this->records.end(); ++_iter173)
+    std::vector<MemberRecord> ::const_iterator _iter207;
+    for (_iter207 = this->records.begin(); _iter207 != this->records.end(); ++_iter207)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter207).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4599,29 +5381,29 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other174) {
-  kind = other174.kind;
-  sequence = other174.sequence;
-  sender = other174.sender;
-  revision = other174.revision;
-  configAgeMs = other174.configAgeMs;
-  records = other174.records;
-  probeTarget = other174.probeTarget;
-  policy = other174.policy;
-  tableDigest = other174.tableDigest;
-  __isset = other174.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other175) {
-  kind = other175.kind;
-  sequence = other175.sequence;
-  sender = other175.sender;
-  revision = other175.revision;
-  configAgeMs = other175.configAgeMs;
-  records = other175.records;
-  probeTarget = other175.probeTarget;
-  policy = other175.policy;
-  tableDigest = other175.tableDigest;
-  __isset = other175.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other208) {
+  kind = other208.kind;
+  sequence = other208.sequence;
+  sender = other208.sender;
+  revision = other208.revision;
+  configAgeMs = other208.configAgeMs;
+  records = other208.records;
+  probeTarget = other208.probeTarget;
+  policy = other208.policy;
+  tableDigest = other208.tableDigest;
+  __isset = other208.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other209) {
+  kind = other209.kind;
+  sequence = other209.sequence;
+  sender = other209.sender;
+  revision = other209.revision;
+  configAgeMs = other209.configAgeMs;
+  records = other209.records;
+  probeTarget = other209.probeTarget;
+  policy = other209.policy;
+  tableDigest = other209.tableDigest;
+  __isset = other209.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -4732,15 +5514,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other176) {
-  body = other176.body;
-  mac = other176.mac;
-  __isset = other176.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other210) {
+  body = other210.body;
+  mac = other210.mac;
+  __isset = other210.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other177) {
-  body = other177.body;
-  mac = other177.mac;
-  __isset = other177.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other211) {
+  body = other211.body;
+  mac = other211.mac;
+  __isset = other211.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -4878,19 +5660,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other178) {
-  engine = other178.engine;
-  generation = other178.generation;
-  customer = other178.customer;
-  model = other178.model;
-  __isset = other178.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other212) {
+  engine = other212.engine;
+  generation = other212.generation;
+  customer = other212.customer;
+  model = other212.model;
+  __isset = other212.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other179) {
-  engine = other179.engine;
-  generation = other179.generation;
-  customer = other179.customer;
-  model = other179.model;
-  __isset = other179.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other213) {
+  engine = other213.engine;
+  generation = other213.generation;
+  customer = other213.customer;
+  model = other213.model;
+  __isset = other213.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -5047,21 +5829,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other180) {
-  issuer = other180.issuer;
-  incarnation = other180.incarnation;
-  serial = other180.serial;
-  customer = other180.customer;
-  scope = other180.scope;
-  __isset = other180.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other181) {
-  issuer = other181.issuer;
-  incarnation = other181.incarnation;
-  serial = other181.serial;
-  customer = other181.customer;
-  scope = other181.scope;
-  __isset = other181.__isset;
+TicketBody::TicketBody(const TicketBody& other214) {
+  issuer = other214.issuer;
+  incarnation = other214.incarnation;
+  serial = other214.serial;
+  customer = other214.customer;
+  scope = other214.scope;
+  __isset = other214.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other215) {
+  issuer = other215.issuer;
+  incarnation = other215.incarnation;
+  serial = other215.serial;
+  customer = other215.customer;
+  scope = other215.scope;
+  __isset = other215.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -99,6 +99,16 @@
 
 class SpreadNotice;
 
+class StreamVersionNotice;
+
+class StreamVersionAsk;
+
+class StreamVersionReply;
+
+class ServedVersionNotice;
+
+class StreamVersionNotices;
+
 class EntryNotices;
 
 class PeerMessage;
@@ -1549,8 +1559,296 @@
 
 std::ostream& operator<<(std::ostream& out, const SpreadNotice& obj);
 
+typedef struct _StreamVersionNotice__isset {
+  _StreamVersionNotice__isset() : stream(false), version(false) {}
+  bool stream :1;
+  bool version :1;
+} _StreamVersionNotice__isset;
+
+class StreamVersionNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamVersionNotice(const StreamVersionNotice&);
+  StreamVersionNotice& operator=(const StreamVersionNotice&);
+  StreamVersionNotice() noexcept
+                      : stream(),
+                        version() {
+  }
+
+  virtual ~StreamVersionNotice() noexcept;
+  std::string stream;
+  std::string version;
+
+  _StreamVersionNotice__isset __isset;
+
+  void __set_stream(const std::string& val);
+
+  void __set_version(const std::string& val);
+
+  bool operator == (const StreamVersionNotice & rhs) const
+  {
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamVersionNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamVersionNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamVersionNotice &a, StreamVersionNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamVersionNotice& obj);
+
+typedef struct _StreamVersionAsk__isset {
+  _StreamVersionAsk__isset() : serial(false), stream(false) {}
+  bool serial :1;
+  bool stream :1;
+} _StreamVersionAsk__isset;
+
+class StreamVersionAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamVersionAsk(const StreamVersionAsk&);
+  StreamVersionAsk& operator=(const StreamVersionAsk&);
+  StreamVersionAsk() noexcept
+                   : serial(0),
+                     stream() {
+  }
+
+  virtual ~StreamVersionAsk() noexcept;
+  int64_t serial;
+  std::string stream;
+
+  _StreamVersionAsk__isset __isset;
+
+  void __set_serial(const int64_t val);
+
+  void __set_stream(const std::string& val);
+
+  bool operator == (const StreamVersionAsk & rhs) const
+  {
+    if (!(serial == rhs.serial))
+      return false;
+    if (!(stream == rhs.stream))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamVersionAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamVersionAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamVersionAsk &a, StreamVersionAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamVersionAsk& obj);
+
+typedef struct _StreamVersionReply__isset {
+  _StreamVersionReply__isset() : serial(false), known(false), version(false) {}
+  bool serial :1;
+  bool known :1;
+  bool version :1;
+} _StreamVersionReply__isset;
+
+class StreamVersionReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamVersionReply(const StreamVersionReply&);
+  StreamVersionReply& operator=(const StreamVersionReply&);
+  StreamVersionReply() noexcept
+                     : serial(0),
+                       known(0),
+                       version() {
+  }
+
+  virtual ~StreamVersionReply() noexcept;
+  int64_t serial;
+  bool known;
+  std::string version;
+
+  _StreamVersionReply__isset __isset;
+
+  void __set_serial(const int64_t val);
+
+  void __set_known(const bool val);
+
+  void __set_version(const std::string& val);
+
+  bool operator == (const StreamVersionReply & rhs) const
+  {
+    if (!(serial == rhs.serial))
+      return false;
+    if (!(known == rhs.known))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamVersionReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamVersionReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamVersionReply &a, StreamVersionReply &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamVersionReply& obj);
+
+typedef struct _ServedVersionNotice__isset {
+  _ServedVersionNotice__isset() : serviceName(false), version(false), agoMicros(false) {}
+  bool serviceName :1;
+  bool version :1;
+  bool agoMicros :1;
+} _ServedVersionNotice__isset;
+
+class ServedVersionNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServedVersionNotice(const ServedVersionNotice&);
+  ServedVersionNotice& operator=(const ServedVersionNotice&);
+  ServedVersionNotice() noexcept
+                      : serviceName(),
+                        version(),
+                        agoMicros(0) {
+  }
+
+  virtual ~ServedVersionNotice() noexcept;
+  std::string serviceName;
+  std::string version;
+  int64_t agoMicros;
+
+  _ServedVersionNotice__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_version(const std::string& val);
+
+  void __set_agoMicros(const int64_t val);
+
+  bool operator == (const ServedVersionNotice & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(agoMicros == rhs.agoMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const ServedVersionNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServedVersionNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServedVersionNotice &a, ServedVersionNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const ServedVersionNotice& obj);
+
+typedef struct _StreamVersionNotices__isset {
+  _StreamVersionNotices__isset() : records(false), asks(false), replies(false), asksForServices(false), tellsServices(false), services(false) {}
+  bool records :1;
+  bool asks :1;
+  bool replies :1;
+  bool asksForServices :1;
+  bool tellsServices :1;
+  bool services :1;
+} _StreamVersionNotices__isset;
+
+class StreamVersionNotices : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamVersionNotices(const StreamVersionNotices&);
+  StreamVersionNotices& operator=(const StreamVersionNotices&);
+  StreamVersionNotices() noexcept
+                       : asksForServices(0),
+                         tellsServices(0) {
+  }
+
+  virtual ~StreamVersionNotices() noexcept;
+  std::vector<StreamVersionNotice>  records;
+  std::vector<StreamVersionAsk>  asks;
+  std::vector<StreamVersionReply>  replies;
+  bool asksForServices;
+  bool tellsServices;
+  std::vector<ServedVersionNotice>  services;
+
+  _StreamVersionNotices__isset __isset;
+
+  void __set_records(const std::vector<StreamVersionNotice> & val);
+
+  void __set_asks(const std::vector<StreamVersionAsk> & val);
+
+  void __set_replies(const std::vector<StreamVersionReply> & val);
+
+  void __set_asksForServices(const bool val);
+
+  void __set_tellsServices(const bool val);
+
+  void __set_services(const std::vector<ServedVersionNotice> & val);
+
+  bool operator == (const StreamVersionNotices & rhs) const
+  {
+    if (!(records == rhs.records))
+      return false;
+    if (!(asks == rhs.asks))
+      return false;
+    if (!(replies == rhs.replies))
+      return false;
+    if (!(asksForServices == rhs.asksForServices))
+      return false;
+    if (!(tellsServices == rhs.tellsServices))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamVersionNotices &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamVersionNotices & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamVersionNotices &a, StreamVersionNotices &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamVersionNotices& obj);
+
 typedef struct _EntryNotices__isset {
-  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false), limits(false), retryPermits(false), fragments(false), spread(false), imposedLimits(false) {}
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false), limits(false), retryPermits(false), fragments(false), spread(false), imposedLimits(false), streamVersions(false) {}
   bool placements :1;
   bool loads :1;
   bool stores :1;
@@ -1568,6 +1866,7 @@
   bool fragments :1;
   bool spread :1;
   bool imposedLimits :1;
+  bool streamVersions :1;
 } _EntryNotices__isset;
 
 class EntryNotices : public virtual ::apache::thrift::TBase {
@@ -1598,6 +1897,7 @@
   std::vector<FragmentNotice>  fragments;
   SpreadNotice spread;
   LimitNotices imposedLimits;
+  StreamVersionNotices streamVersions;
 
   _EntryNotices__isset __isset;
 
@@ -1635,6 +1935,8 @@
 
   void __set_imposedLimits(const LimitNotices& val);
 
+  void __set_streamVersions(const StreamVersionNotices& val);
+
   bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
@@ -1671,6 +1973,10 @@
       return false;
     if (!(imposedLimits == rhs.imposedLimits))
       return false;
+    if (__isset.streamVersions != rhs.__isset.streamVersions)
+      return false;
+    else if (__isset.streamVersions && !(streamVersions == rhs.streamVersions))
+      return false;
     return true;
   }
   bool operator != (const EntryNotices &rhs) const {
--- /dev/null
+++ b/unittests/Versions/streamversionstest.cpp
@@ -0,0 +1,365 @@
+// Fleets whose callers take streams up at instances that never saw the first attempt. The network
+// is simulated: messages take their time, and some are lost.
+#include "jaytrack/Versions/streamversions.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+using namespace jaytrack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string service = "svc";
+const std::vector<std::string> versions = {"v1", "v1.1"};
+
+constexpr std::chrono::milliseconds latency{3};
+constexpr std::chrono::milliseconds stepTime{10};
+constexpr int stepsPerTick = 10;
+constexpr std::size_t streamCount = 400;
+
+std::string nameOf(std::size_t instance)
+{
+    return "edge-" + std::to_string(instance);
+}
+
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t count)
+        : instances(count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            this->start(i);
+        this->shareMembers();
+        this->run(1s);
+    }
+
+    // Starts an instance, or starts it anew without anything that it knew.
+    void start(std::size_t index)
+    {
+        Instance &instance = this->instances[index];
+        instance.alive = true;
+        instance.port = std::make_unique<Port>(*this, nameOf(index));
+        instance.streams = std::make_unique<StreamVersions>(
+                this->clock, nameOf(index), this->instances.size() > 1, *instance.port);
+        for (const std::string &version : this->listed)
+            instance.streams->recordListed(service, version);
+    }
+
+    void kill(std::size_t index) { this->instances[index].alive = false; }
+
+    bool isAlive(std::size_t index) const { return this->instances[index].alive; }
+
+    // All living instances learn who lives.
+    void shareMembers()
+    {
+        std::vector<std::string> names;
+        for (std::size_t i = 0; i < this->instances.size(); ++i) {
+            if (this->isAlive(i))
+                names.push_back(nameOf(i));
+        }
+        for (std::size_t i = 0; i < this->instances.size(); ++i) {
+            if (!this->isAlive(i))
+                continue;
+            std::vector<std::string> others = names;
+            std::erase(others, nameOf(i));
+            this->instances[i].streams->setInstances(others);
+        }
+    }
+
+    void list(const std::string &version)
+    {
+        this->listed.push_back(version);
+        for (std::size_t i = 0; i < this->instances.size(); ++i) {
+            for (const std::string &each : this->listed) {
+                if (this->isAlive(i))
+                    this->instances[i].streams->recordListed(service, each);
+            }
+        }
+    }
+
+    StreamVersions &at(std::size_t index) { return *this->instances[index].streams; }
+
+    void run(Duration time)
+    {
+        for (Duration passed{0}; passed < time; passed += stepTime) {
+            this->clock.advance(stepTime);
+            this->deliver();
+            if (++this->steps % stepsPerTick != 0)
+                continue;
+            for (std::size_t i = 0; i < this->instances.size(); ++i) {
+                if (this->isAlive(i))
+                    this->at(i).tick();
+            }
+        }
+    }
+
+    // What an instance finds out; nothing if it stays unknown.
+    std::optional<std::string> find(std::size_t index, const std::string &stream)
+    {
+        bool done = false;
+        std::optional<std::string> result;
+        this->at(index).find(stream, [&](const std::optional<std::string> &version) {
+            done = true;
+            result = version;
+        });
+        this->run(1200ms);
+        cr_assert(done, "a search has to end");
+        return result;
+    }
+
+    double loss = 0;
+    std::size_t messages = 0;
+    ManualClock clock;
+
+private:
+    struct Message
+    {
+        TimePoint at;
+        std::string from;
+        std::string to;
+        StreamVersionMessage content;
+    };
+
+    class Port final : public StreamVersionTransport
+    {
+    public:
+        Port(Fleet &of, std::string name)
+            : fleet(of)
+            , own(std::move(name))
+        {
+        }
+
+        void sendStreamVersions(std::string_view instance,
+                                const StreamVersionMessage &message) override
+        {
+            ++this->fleet.messages;
+            std::bernoulli_distribution lost(this->fleet.loss);
+            if (!lost(this->fleet.random))
+                this->fleet.queue.push_back({this->fleet.clock.now() + latency, this->own,
+                                             std::string(instance), message});
+        }
+
+    private:
+        Fleet &fleet;
+        std::string own;
+    };
+
+    struct Instance
+    {
+        bool alive = false;
+        std::unique_ptr<Port> port;
+        std::unique_ptr<StreamVersions> streams;
+    };
+
+    void deliver()
+    {
+        while (!this->queue.empty() && this->queue.front().at <= this->clock.now()) {
+            const Message message = std::move(this->queue.front());
+            this->queue.pop_front();
+            const std::size_t to = std::stoul(message.to.substr(message.to.find('-') + 1));
+            if (this->isAlive(to))
+                this->at(to).onMessage(message.from, message.content);
+        }
+    }
+
+    std::mt19937_64 random{7};
+    std::vector<Instance> instances;
+    std::vector<std::string> listed = {versions[0]};
+    std::deque<Message> queue;
+    int steps = 0;
+};
+
+struct Stream
+{
+    std::string name;
+    std::size_t owner;
+    std::string version;
+};
+
+std::vector<Stream> beginStreams(Fleet &fleet, std::size_t instances, std::size_t versionCount)
+{
+    std::vector<Stream> streams;
+    for (std::size_t i = 0; i < streamCount; ++i) {
+        Stream stream{streamName("cust", service, "a" + std::to_string(i)), i % instances,
+                      versions[i % versionCount]};
+        if (fleet.isAlive(stream.owner)) {
+            fleet.at(stream.owner).recordBegun(stream.name, service, stream.version);
+            streams.push_back(std::move(stream));
+        }
+    }
+    fleet.run(50ms);
+    return streams;
+}
+
+enum class Trouble { OwnersKilled, HalfKilled, DataCentreKilled, AllRestartedInTurn, Lossy };
+
+struct TroubleCase
+{
+    char name[28];
+    Trouble trouble;
+    std::size_t instances;
+    bool membersKnown; // whether the living know who died before callers come back
+};
+
+void strike(Fleet &fleet, const TroubleCase &plan)
+{
+    for (std::size_t i = 0; i < plan.instances; ++i) {
+        const bool half = plan.trouble == Trouble::HalfKilled && i % 2 == 0;
+        const bool part = plan.trouble == Trouble::DataCentreKilled && i % 4 == 1;
+        const bool owner = plan.trouble == Trouble::OwnersKilled && i == 0;
+        if (half || part || owner)
+            fleet.kill(i);
+        if (plan.trouble != Trouble::AllRestartedInTurn)
+            continue;
+        fleet.kill(i);
+        fleet.shareMembers();
+        fleet.run(200ms);
+        fleet.start(i);
+        fleet.shareMembers();
+        fleet.run(200ms);
+    }
+    if (plan.membersKnown)
+        fleet.shareMembers();
+}
+
+} // namespace
+
+// Guards against a stream that goes on at another version, or nowhere, because the instance that
+// began it, and some of those that it told, are gone.
+ParameterizedTestParameters(streamVersions, areKnownToThoseThatCallersComeBackTo)
+{
+    static TroubleCase cases[] = {{"owners killed", Trouble::OwnersKilled, 7, false},
+                                  {"owners killed", Trouble::OwnersKilled, 195, false},
+                                  {"owners killed", Trouble::OwnersKilled, 584, true},
+                                  {"half killed", Trouble::HalfKilled, 7, false},
+                                  {"half killed", Trouble::HalfKilled, 7, true},
+                                  {"half killed", Trouble::HalfKilled, 195, false},
+                                  {"half killed", Trouble::HalfKilled, 584, true},
+                                  {"data centre killed", Trouble::DataCentreKilled, 73, false},
+                                  {"data centre killed", Trouble::DataCentreKilled, 584, true},
+                                  {"all restarted in turn", Trouble::AllRestartedInTurn, 7, true},
+                                  {"all restarted in turn", Trouble::AllRestartedInTurn, 73, true},
+                                  {"messages lost", Trouble::Lossy, 7, true},
+                                  {"messages lost", Trouble::Lossy, 195, true}};
+    return cr_make_param_array(TroubleCase, cases, std::size(cases));
+}
+
+ParameterizedTest(TroubleCase *plan, streamVersions, areKnownToThoseThatCallersComeBackTo)
+{
+    Fleet fleet(plan->instances);
+    fleet.list(versions[1]);
+    fleet.loss = plan->trouble == Trouble::Lossy ? 0.2 : 0;
+    const std::vector<Stream> streams = beginStreams(fleet, plan->instances, versions.size());
+    strike(fleet, *plan);
+    std::size_t asked = 0;
+    std::size_t found = 0;
+    for (std::size_t i = 0; i < streams.size(); i += 8) {
+        std::size_t back = (streams[i].owner + 1 + i) % plan->instances;
+        while (!fleet.isAlive(back) || back == streams[i].owner)
+            back = (back + 1) % plan->instances;
+        const auto version = fleet.find(back, streams[i].name);
+        cr_assert(!version || *version == streams[i].version, "%s, %zu: wrong version", plan->name,
+                  plan->instances);
+        ++asked;
+        found += version ? 1 : 0;
+    }
+    cr_expect(2 * found >= asked, "%s, %zu instances: %zu of %zu known", plan->name,
+              plan->instances, found, asked);
+}
+
+// Guards against messages while every stream can only have begun at the one version that there is.
+Test(streamVersions, costNothingWithOneVersion)
+{
+    Fleet fleet(73);
+    const std::size_t before = fleet.messages;
+    beginStreams(fleet, 73, 1);
+    fleet.run(5s);
+    cr_expect(fleet.messages == before, "%zu messages", fleet.messages - before);
+    cr_expect(!fleet.at(0).mustKnow(service));
+}
+
+// Guards against cost that grows with the fleet.
+Test(streamVersions, costTheSameForEachStreamAtAnySize)
+{
+    for (const std::size_t instances : {7U, 195U, 584U}) {
+        Fleet fleet(instances);
+        fleet.list(versions[1]);
+        fleet.run(1s);
+        const std::size_t before = fleet.messages;
+        beginStreams(fleet, instances, versions.size());
+        fleet.run(5s);
+        cr_expect(fleet.messages - before == StreamVersions::keepers * streamCount,
+                  "%zu instances: %zu messages", instances, fleet.messages - before);
+    }
+}
+
+// Guards against streams that are unknown because they began before there was a second version.
+Test(streamVersions, beganBeforeTheSecondVersionIsKnown)
+{
+    Fleet fleet(7);
+    const std::vector<Stream> streams = beginStreams(fleet, 7, 1);
+    fleet.run(2s);
+    fleet.list(versions[1]);
+    fleet.run(100ms);
+    fleet.kill(streams[0].owner);
+    for (std::size_t i = 0; i < streams.size(); i += 7)
+        cr_assert(fleet.find(1 + i % 6, streams[i].name) == streams[i].version);
+}
+
+// Guards against an instance that lets a stream go on at the only version that it sees, because it
+// started after the version that began the stream was gone.
+Test(streamVersions, instanceThatStartedLaterAsksWhatHasServed)
+{
+    Fleet fleet(7);
+    fleet.list(versions[1]);
+    const std::vector<Stream> streams = beginStreams(fleet, 7, 2);
+    fleet.kill(0);
+    fleet.shareMembers();
+    fleet.run(1s);
+    fleet.start(0);
+    cr_expect(fleet.at(0).mustKnow(service), "knows nothing yet");
+    fleet.shareMembers();
+    fleet.run(1s);
+    cr_expect(fleet.at(0).isMixed(service));
+}
+
+// Guards against a search that goes on for ever, or longer than needed, for an attempt that nobody
+// has seen, and against finding the stream of another customer or service.
+Test(streamVersions, unknownStreamsAreUnknownSoon)
+{
+    Fleet fleet(7);
+    fleet.list(versions[1]);
+    fleet.at(0).recordBegun(streamName("cust", service, "a1"), service, "v1");
+    fleet.run(100ms);
+    cr_expect(fleet.find(3, streamName("cust", service, "a1")) == "v1");
+    for (const std::string &stream :
+         {streamName("other", service, "a1"), streamName("cust", "other", "a1"),
+          streamName("cust", service, "a2"), streamName("cus", "tsvc", "a1"), std::string()})
+        cr_expect(!fleet.find(3, stream));
+    const TimePoint began = fleet.clock.now();
+    bool done = false;
+    fleet.at(3).find("forged", [&done](const auto &) { done = true; });
+    while (!done)
+        fleet.run(stepTime);
+    cr_expect(fleet.clock.now() - began <= StreamVersions::maxSearch + 100ms);
+}
+
+// Guards against records that are kept for ever, and against too many of them.
+Test(streamVersions, recordsAreForgotten)
+{
+    Fleet fleet(1);
+    StreamVersions &streams = fleet.at(0);
+    for (std::size_t i = 0; i < StreamVersions::maxRecords + 100; ++i)
+        streams.recordBegun("s" + std::to_string(i), service, "v1");
+    cr_expect(streams.size() == StreamVersions::maxRecords);
+    streams.recordCompleted("s500");
+    cr_expect(streams.size() == StreamVersions::maxRecords - 1);
+    fleet.run(ServiceVersions::maxStreamLife + 1s);
+    cr_expect(streams.size() == 0);
+}
