Process soak: targets of two versions, streams that must not join them

Targets have one of two versions by their number, so that both serve in each data centre and a replacement may have the other. Checked from what targets see: a stream that goes on after its first events does so at the version that began it. Callers of the soak do not take streams up, so tries are not covered.

--- a/unittests/Platform/platformdocuments.cpp
+++ b/unittests/Platform/platformdocuments.cpp
@@ -49,12 +49,13 @@
 }
 
 std::string targetJson(const std::string &address, const std::string &state,
-                       const std::string &service, const std::string &dataCentre, int coldMillis)
+                       const std::string &service, const std::string &dataCentre, int coldMillis,
+                       const std::string &version)
 {
     return json{{"Service", service},
                 {"Address", address},
                 {"Zone", dataCentre},
-                {"Version", "v1"},
+                {"Version", version},
                 {"Slots", 8},
                 {"State", state},
                 {"ColdLeftMs", coldMillis},
@@ -65,8 +66,7 @@
 std::string targetOfVersion(const std::string &address, const std::string &version,
                             const std::string &state, std::int64_t born)
 {
-    json document = json::parse(targetJson(address, state));
-    document["Version"] = version;
+    json document = json::parse(targetJson(address, state, "svc", "dc", 0, version));
     if (born != 0)
         document["born"] = born;
     return document.dump();
--- a/unittests/Platform/platformdocuments.h
+++ b/unittests/Platform/platformdocuments.h
@@ -30,7 +30,7 @@
 // The store's entry of a target.
 std::string targetJson(const std::string &address, const std::string &state = "ready",
                        const std::string &service = "svc", const std::string &dataCentre = "dc",
-                       int coldMillis = 0);
+                       int coldMillis = 0, const std::string &version = "v1");
 
 // The same for a target whose software has this version; born is 0 for one that does not tell when
 // it started.
--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -116,6 +116,22 @@
         this->checkLimit(id, request->second, target);
 }
 
+void Record::streamBegan(const std::string &id, const std::string &version)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto request = this->byId.find(id);
+    if (request != this->byId.end())
+        request->second.version = version;
+}
+
+void Record::streamWentOn(const std::string &id, const std::string &version)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto request = this->byId.find(id);
+    if (request != this->byId.end() && request->second.version != version)
+        this->broken("two_versions", id, request->second.version + " then " + version);
+}
+
 // The bound is on all instances together that had heard of the limit and that nothing disturbed
 // since; what disturbs the others, the keeper of the account among them, excuses nothing.
 void Record::checkLimit(const std::string &id, const Request &request, const std::string &target)
@@ -156,7 +172,12 @@
                   const std::string &instance)
 {
     const std::lock_guard lock(this->mutex);
-    Request request{work.kind, work.lasting, key, instance, std::chrono::steady_clock::now()};
+    Request request;
+    request.kind = work.kind;
+    request.lasting = work.lasting;
+    request.key = key;
+    request.instance = instance;
+    request.sentAt = std::chrono::steady_clock::now();
     this->byId.insert_or_assign(id, std::move(request));
 }
 
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -92,6 +92,10 @@
     // A run goes on at a target from its copy.
     void wentOn(const std::string &id, const std::string &target);
 
+    // A target of this version begins a stream, or goes on with one after its first events.
+    void streamBegan(const std::string &id, const std::string &version);
+    void streamWentOn(const std::string &id, const std::string &version);
+
     // A target begins to work on a request. Returns the number of this generation of it.
     int ran(const std::string &id, const std::string &target);
 
@@ -107,14 +111,15 @@
 private:
     struct Request
     {
-        WorkKind kind;
-        bool lasting;
+        WorkKind kind = WorkKind::Repeatable;
+        bool lasting = false;
         std::string key;
         std::string instance;
         SteadyTime sentAt;
         int runs = 0;
         bool refused = false; // told "not run"
         bool spoiled = false;
+        std::string version; // of the target that began the stream
     };
 
     struct Stop
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -62,6 +62,13 @@
     return this->ownId;
 }
 
+// Two versions serve side by side in each data centre, and a target that takes the place of another
+// may have either.
+std::string SoakTarget::version() const
+{
+    return std::stoi(this->id().substr(1)) / 2 % 2 == 0 ? "v1" : "v2";
+}
+
 void SoakTarget::becomes(const std::string &newId)
 {
     const std::lock_guard lock(this->mutex);
@@ -158,6 +165,10 @@
             resumed ? this->record.generationOf(attempt) : this->record.ran(attempt, this->id());
     const std::string_view after = request.head.header("Last-Event-Id");
     const int first = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
+    if (first == 1)
+        this->record.streamBegan(attempt, this->version());
+    else
+        this->record.streamWentOn(attempt, this->version());
     std::uniform_int_distribution<int> percent(0, 99);
     std::uniform_int_distribution<int> lastingGap(shortestLastingGapMs, longestLastingGapMs);
     const bool lasting = request.head.path().starts_with(lastingPrefix);
@@ -225,7 +236,7 @@
     this->record.targetStands(target.id(), target.dataCentre());
     this->store.put("servers/" + target.id(),
                     testing::targetJson(target.address(), state, target.service(),
-                                        target.dataCentre(), coldMillis));
+                                        target.dataCentre(), coldMillis, target.version()));
 }
 
 void Site::writeOutOfUse(const std::string &dataCentre)
--- a/unittests/ProcessSoak/site.h
+++ b/unittests/ProcessSoak/site.h
@@ -31,6 +31,7 @@
     std::string address() const { return this->proxy->address(); }
     const std::string &service() const { return this->serviceOf; }
     const std::string &dataCentre() const { return this->home; }
+    std::string version() const;
     void becomes(const std::string &newId);
 
     // From now on, until it becomes another one, all its answers say that it leaves.
