--- a/unittests/Platform/storeeratest.cpp
+++ b/unittests/Platform/storeeratest.cpp
@@ -174,8 +174,9 @@
 class EraRecorder final : public StoreFollowerListener, public StoreReadListener
 {
 public:
-    void onListing(const std::vector<StoreItem> &items, TimePoint) override
+    void onListing(const std::vector<StoreItem> &items, TimePoint asOf) override
     {
+        this->listedAsOf = asOf;
         ++this->listings;
         this->add(items);
     }
@@ -187,6 +188,7 @@
     void onStoreRead(std::uint64_t, std::uint64_t, const std::vector<StoreItem> &) override {}
 
     std::map<std::string, std::string> values;
+    TimePoint listedAsOf;
     int listings = 0;
     int returns = 0;
 
@@ -334,6 +336,26 @@
         cr_assert_eq(recorder.listings, 2);
 }
 
+// Guards against callers that are refused for seconds after the store's return: nothing that was
+// read before lost changes are written again confirms that keys still hold, nor does a watch that
+// began before and ends later.
+Test(storeEra, confirmsWhenLostChangesAreWrittenAgain)
+{
+    static constexpr std::chrono::milliseconds writtenAgainAfter(2200);
+    static constexpr std::chrono::milliseconds confirmedWithin(300);
+    Followers fleet(1);
+    fleet.run(std::chrono::milliseconds(800));
+    fleet.store.takeCopy();
+    fleet.store.comeBackFromCopy();
+    fleet.all[0]->updateEra(2);
+    const TimePoint returned = fleet.clock.now();
+    fleet.run(writtenAgainAfter + confirmedWithin);
+    cr_expect(fleet.recorders[0].listedAsOf - returned >= writtenAgainAfter);
+    const std::size_t calls = fleet.store.calls();
+    fleet.run(std::chrono::milliseconds(1000));
+    cr_expect(fleet.store.calls() - calls <= 1, "and goes on watching");
+}
+
 // A key works on for ever though it was taken away: the change was acknowledged and lost before it
 // came here, the instance listed the copy, and took it for a confirmation that the key holds.
 Test(storeEra, copyConfirmsNothingUntilLostChangesAreWrittenAgain)
