List the store again when what its return lost has been written again

What callers saw: up to a second of refusals (209) some seconds after the store had come back from an older copy. Cause: nothing read within 2.2 s of the return confirms a configuration, a watch sent within that time does not either, and the next one answers up to 2.4 s later, while keys are refused after 4.5 s.

The time has one name for both users, restoreTime. Found on the way: an entry that was written again after it had been withheld would be withheld anew by that listing; removalIsNotTakenBack looks for it now.

--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -55,6 +55,11 @@
                              const std::vector<StoreItem> &items) = 0;
 };
 
+// The platform restores expired entries, and writes again what the store has lost by a return from
+// an older copy, within about two seconds after the store is available again; an entry that is
+// still missing then belongs to a target that is gone.
+inline constexpr std::chrono::milliseconds restoreTime{2200};
+
 struct StoreFollowerOptions
 {
     std::string prefix; // key prefix to follow; empty for everything
@@ -153,6 +158,7 @@
 private:
     void query();
     bool belongsToKnownEra();
+    void listAfterRewrites();
     void enterEra(std::uint64_t next, std::string_view source, std::chrono::milliseconds pause);
     void queryMissing(std::string_view cause);
     void queryAfter(std::chrono::milliseconds delay);
@@ -171,6 +177,7 @@
 
     asio::io_context &context;
     asio::steady_timer timer;
+    asio::steady_timer rewriteTimer;
     const Clock &clock;
     const Dialect &dialect;
     StoreFollowerOptions options;
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-// The platform restores expired entries within about two seconds after the store is available
-// again; an entry that is still missing then belongs to a target that is gone.
-constexpr std::chrono::milliseconds restoreGracePeriod{2200};
-
 // Time after which the entry of a target that does not renew it has lapsed: three of its intervals,
 // which are 1.2 s, and some more for the removal to arrive.
 constexpr std::chrono::milliseconds lapsePeriod{6000};
@@ -84,7 +80,7 @@
 void ConfigurationFeed::onStoreRestored()
 {
     this->uncertainFrom = this->clock.now();
-    this->uncertainUntil = this->uncertainFrom + restoreGracePeriod;
+    this->uncertainUntil = this->uncertainFrom + restoreTime;
 }
 
 void ConfigurationFeed::onStoreLost(std::string_view reason)
@@ -227,7 +223,7 @@
 {
     this->metrics.count("jaytrack_store_returns_total");
     this->directory.forgetDataCentreRevisions();
-    this->rewriteDeadline = this->clock.now() + restoreGracePeriod;
+    this->rewriteDeadline = this->clock.now() + restoreTime;
     this->startGrace();
     this->watchForLapses();
 }
@@ -272,7 +268,7 @@
 {
     this->graceRunning = true;
     this->graceOverdue = false;
-    this->graceTimer.expires_after(restoreGracePeriod);
+    this->graceTimer.expires_after(restoreTime);
     this->graceTimer.async_wait([this](const asio::error_code &failure) {
         if (!failure)
             this->endGrace();
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -33,6 +33,7 @@
                              StoreReadListener &readListener)
     : context(loop)
     , timer(loop)
+    , rewriteTimer(loop)
     , clock(time)
     , dialect(platform)
     , options(std::move(followerOptions))
@@ -53,6 +54,7 @@
 {
     this->stopped = true;
     this->timer.cancel();
+    this->rewriteTimer.cancel();
     if (this->call)
         this->call->cancel();
 }
@@ -122,6 +124,24 @@
     this->startListing();
     this->listener.onStoreRestored();
     this->queryAfter(pause);
+    this->listAfterRewrites();
+}
+
+// Nothing read before lost changes are written again confirms that a configuration is the newest,
+// so an instance that reads the store lists it then, rather than when its next watches end.
+void StoreFollower::listAfterRewrites()
+{
+    this->rewriteTimer.expires_after(restoreTime);
+    this->rewriteTimer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
+        const auto self = weak.lock();
+        if (failure || !self || self->stopped || !self->active)
+            return;
+        if (self->call)
+            self->call->cancel();
+        self->timer.cancel();
+        self->startListing();
+        self->query();
+    });
 }
 
 // Whether the answer belongs to the known history. An answer to a query that was sent before this
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -143,6 +143,7 @@
         this->endIncarnation(found);
         return this->add(std::move(entry));
     }
+    this->removed.erase(entry.id);
     Row &row = found->second;
     const bool wasLeaving = row.entry.leaving;
     // An incarnation never stops leaving, so an older entry that is read late must not make it
--- a/unittests/Platform/storeeratest.cpp
+++ b/unittests/Platform/storeeratest.cpp
@@ -146,6 +146,12 @@
     for (int i = 0; i < 40; ++i)
         cr_assert_eq(statusOf(entry, "/jobs/1"), 200);
     cr_assert_gt(workSeen(leaving), before);
+    // Nor does a later listing of the restored store withhold it again.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    const std::size_t used = workSeen(leaving);
+    for (int i = 0; i < 40; ++i)
+        cr_assert_eq(statusOf(entry, "/jobs/1"), 200);
+    cr_assert_gt(workSeen(leaving), used);
 }
 
 // All requests are refused for two seconds after the store's return, because the copy lacks targets
