--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Time after which the entry of a target that does not renew it has lapsed: three of its intervals,
-// which are 1.2 s, and some more for the removal to arrive.
+// Time after which the entry of a target that does not renew it has lapsed: three renewals, which
+// are about a second apart, and some more for the removal to arrive.
 constexpr std::chrono::milliseconds lapsePeriod{6000};
 
 // Limits log lines about unusable entries per period. A faulty writer may leave thousands of them;
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -1,5 +1,6 @@
 // A request whose answer is an event stream, and the engine run that generates the events. Serving
-// is implemented in streamexchange.cpp, moving the run to other engines in streamhandover.cpp.
+// is implemented in streamexchange.cpp, taking up a stream of an earlier attempt in
+// streamtakeup.cpp, and moving the run to other engines in streamhandover.cpp.
 #ifndef JAYTRACK_LIB_PROXY_STREAMEXCHANGE_H
 #define JAYTRACK_LIB_PROXY_STREAMEXCHANGE_H
 
