Say in plain terms what the records of streams' versions do

Comments only, from the last read of the change: four used 'nobody' and 'whoever' for a missing record and its holders.

--- a/include/jaytrack/Versions/streamversionmessage.h
+++ b/include/jaytrack/Versions/streamversionmessage.h
@@ -55,8 +55,8 @@
 wire::StreamVersionNotices toNotices(const StreamVersionMessage &message);
 StreamVersionMessage fromNotices(const wire::StreamVersionNotices &notices);
 
-// Returns the name under which instances know a stream: a digest, so that nobody finds the stream
-// of another customer or service by the attempt that began it.
+// Returns the name under which instances know a stream. It is a digest that includes customer and
+// service, so a request of another customer or service does not match the record.
 std::string streamName(std::string_view customer, std::string_view service,
                        std::string_view firstAttempt);
 
--- a/include/jaytrack/Versions/streamversions.h
+++ b/include/jaytrack/Versions/streamversions.h
@@ -5,8 +5,8 @@
 // off when the caller comes back. While a service has several versions, each stream is therefore
 // told to a few other instances, its keepers, found by rendezvous hashing of its name, when its run
 // is placed and thus before the caller gets the first event. An instance that does not know a
-// stream asks those that rank highest now. When instances come or go, whoever knows a stream tells
-// it to its new keepers. While a service has one version, nothing is sent.
+// stream asks those that rank highest now. When the members change, each instance that holds a
+// record sends it to the new keepers. While a service has one version, nothing is sent.
 #ifndef JAYTRACK_VERSIONS_STREAMVERSIONS_H
 #define JAYTRACK_VERSIONS_STREAMVERSIONS_H
 
--- a/lib/Proxy/streamtakeup.cpp
+++ b/lib/Proxy/streamtakeup.cpp
@@ -23,8 +23,8 @@
     return this->facts().lastEventId.value_or(0) > 0 || !this->facts().resumedAttempt.empty();
 }
 
-// Finds out at which version a stream began that the caller takes up. A guess would join two
-// versions; so a stream whose version nobody knows is refused while there are several.
+// Looks up the version of a stream that the caller takes up. A wrong version would mix incompatible
+// events, so a stream without a record is refused while the service has several versions.
 void StreamExchange::findVersion()
 {
     if (this->versionRequested)
--- a/unittests/Versions/streamversionstest.cpp
+++ b/unittests/Versions/streamversionstest.cpp
@@ -337,8 +337,8 @@
     cr_expect(fleet.at(0).isMixed(service));
 }
 
-// Guards against a search that goes on for ever, or longer than needed, for an attempt that nobody
-// has seen, and against finding the stream of another customer or service.
+// Guards against a search that goes on for ever, or longer than needed, for an attempt without
+// a record, and against finding the stream of another customer or service.
 Test(streamVersions, unknownStreamsAreUnknownSoon)
 {
     Fleet fleet(7);
