Read the shared parts of prompts, and log them with each placement

Change: RequestFacts::sharedParts (all but the last part, case and blanks ignored, 64 at most), their digests in run_placed and request_sent as parts=.

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -78,6 +78,7 @@
 {
     CallerRequest request;
     RequestFacts facts;
+    std::vector<std::string> parts; // digests of the prompt's shared parts
     Admission admission;
     std::shared_ptr<const RoutingTable> table; // the table version that decides this request
 };
@@ -195,6 +196,9 @@
     // Identifies the request when its caller sends it again.
     const std::string &digest() const;
 
+    // Digests of the parts of its prompt that other requests may share.
+    const std::vector<std::string> &parts() const { return this->admitted.parts; }
+
     // Builds the request to send to the target; fills in the deadline, target name and customer of
     // orders.
     TargetRequest makeRequest(const TargetEntry &target, ForwardOptions orders,
--- a/include/jaytrack/Quarantine/requestdigest.h
+++ b/include/jaytrack/Quarantine/requestdigest.h
@@ -3,8 +3,10 @@
 #ifndef JAYTRACK_QUARANTINE_REQUESTDIGEST_H
 #define JAYTRACK_QUARANTINE_REQUESTDIGEST_H
 
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jaytrack {
 
@@ -22,6 +24,17 @@
 // digest, so it may be written to logs.
 std::string requestDigest(const RequestContent &content);
 
+// Identifies a part of a prompt that several requests share. Returns 64 bits of SHA-256 as 16
+// hexadecimal digits, so an id of any length that a caller sends takes little memory.
+std::string partDigest(std::string_view id);
+
+// Returns the digests of the parts, each once, in the same order.
+std::vector<std::string> partDigests(std::span<const std::string> ids);
+
+// Returns the digests as they are written to logs, separated by commas; the first few if there are
+// many.
+std::string describeParts(std::span<const std::string> digests);
+
 } // namespace jaytrack
 
 #endif
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -36,6 +36,10 @@
     std::optional<std::uint64_t> lastEventId;
     std::string resumedAttempt; // that brought the first event of the stream taken up; may be empty
     std::optional<GenerationFacts> generation;
+
+    // Ids of the parts of the prompt that other requests may share, in order. The last part belongs
+    // to the request itself or its session and is left out.
+    std::vector<std::string> sharedParts;
 };
 
 // The point from which a run is resumed at another engine.
--- a/lib/Proxy/entryrequests.cpp
+++ b/lib/Proxy/entryrequests.cpp
@@ -1,6 +1,7 @@
 // Handles requests of callers, readiness checks and metrics requests.
 #include "entryparts.h"
 
+#include "jaytrack/Quarantine/requestdigest.h"
 #include "jaytrack/Support/log.h"
 
 #include <algorithm>
@@ -65,6 +66,7 @@
     AdmittedRequest admitted;
     admitted.table = this->configuration.table();
     admitted.facts = this->dialect.describe(request.head.headers);
+    admitted.parts = partDigests(admitted.facts.sharedParts);
     admitted.request = std::move(request);
     const MessageHead &head = admitted.request.head;
     AdmissionInputs inputs;
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Proxy/exchange.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Quarantine/requestdigest.h"
 #include "jaytrack/Support/metrics.h"
 
 #include <algorithm>
@@ -89,6 +90,7 @@
                           {{"target", entry.id},
                            {"address", entry.address},
                            {"digest", this->digest()},
+                           {"parts", describeParts(this->parts())},
                            {"try", this->sends + 1},
                            {"left_ms", static_cast<std::int64_t>(this->timeLeft().count())}});
         TargetRequest outgoing = this->makeRequest(entry, {}, endpoint.value());
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -1,6 +1,7 @@
 #include "streamexchange.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Quarantine/requestdigest.h"
 #include "jaytrack/Support/metrics.h"
 
 #include <algorithm>
@@ -150,6 +151,7 @@
              {"address", target.address},
              {"version", target.softwareVersion},
              {"digest", this->digest()},
+             {"parts", describeParts(this->parts())},
              {"resumes", this->facts().resumedAttempt},
              {"after_event", static_cast<std::int64_t>(this->lastEvent)},
              {"prompt_tokens", this->need.promptTokens},
--- a/lib/Quarantine/requestdigest.cpp
+++ b/lib/Quarantine/requestdigest.cpp
@@ -2,11 +2,15 @@
 
 #include "jaytrack/Support/digest.h"
 
+#include <algorithm>
+
 namespace jaytrack {
 
 namespace {
 
 constexpr std::size_t digestLength = 32;
+constexpr std::size_t partDigestLength = 16;
+constexpr std::size_t maxPartsInLogs = 8;
 
 } // namespace
 
@@ -26,4 +30,29 @@
     return sha256Hex(text).substr(0, digestLength);
 }
 
+std::string partDigest(std::string_view id)
+{
+    return sha256Hex("part\n" + std::string(id)).substr(0, partDigestLength);
+}
+
+std::vector<std::string> partDigests(std::span<const std::string> ids)
+{
+    std::vector<std::string> digests;
+    digests.reserve(ids.size());
+    for (const std::string &id : ids) {
+        std::string digest = partDigest(id);
+        if (std::find(digests.begin(), digests.end(), digest) == digests.end())
+            digests.push_back(std::move(digest));
+    }
+    return digests;
+}
+
+std::string describeParts(std::span<const std::string> digests)
+{
+    std::string text;
+    for (const std::string &digest : digests.first(std::min(digests.size(), maxPartsInLogs)))
+        text += (text.empty() ? "" : ",") + digest;
+    return text;
+}
+
 } // namespace jaytrack
--- a/unittests/Platform/dialecttest.cpp
+++ b/unittests/Platform/dialecttest.cpp
@@ -39,6 +39,59 @@
     cr_assert(facts.generation->expectedOutputTokens == 55U);
 }
 
+namespace {
+
+struct PartsCase
+{
+    char name[24];
+    char list[64];
+    char second[16]; // another header of the same name; empty for none
+    char shared[32];
+};
+
+} // namespace
+
+// Guards against a part of a prompt that is not recognised, or a request's own part taken for one
+// that others share, where callers write the list in other ways.
+ParameterizedTestParameters(platformDialect, sharedPartsAreAllButTheLast)
+{
+    static PartsCase cases[] = {
+            {"usual", "5c1e07a2:800,91bd3f06:410,e4402b7d:250", "", "5c1e07a2 91bd3f06"},
+            {"none", "", "", ""},
+            {"its own only", "aa:1", "", ""},
+            {"capitals and blanks", " AA:1 , bb:2, cc:3", "", "aa bb"},
+            {"without tokens", "aa,bb,cc", "", "aa bb"},
+            {"without ids", ":1,aa:1,,bb:2,:3", "", "aa"},
+            {"in two headers", "aa:1,bb:1", "cc:1", "aa bb"}};
+    return cr_make_param_array(PartsCase, cases, std::size(cases));
+}
+
+ParameterizedTest(PartsCase *param, platformDialect, sharedPartsAreAllButTheLast)
+{
+    const auto dialect = makePlatformDialect();
+    std::vector<HttpHeader> headers = {{"X-Prefix-Hash", param->list}};
+    if (param->second[0] != '\0')
+        headers.push_back({"x-prefix-hash", param->second});
+    std::string shared;
+    for (const std::string &id : dialect->describe(headers).sharedParts)
+        shared += (shared.empty() ? "" : " ") + id;
+    cr_assert_eq(shared, std::string(param->shared), "%s: [%s]", param->name, shared.c_str());
+}
+
+// Guards against lists without end that take the memory of an instance.
+Test(platformDialect, sharedPartsAreBounded)
+{
+    const auto dialect = makePlatformDialect();
+    std::string list;
+    for (int i = 0; i < 5000; ++i)
+        list += std::to_string(i) + ":1,";
+    const std::vector<HttpHeader> headers = {{"X-Prefix-Hash", list}};
+    const std::vector<std::string> shared = dialect->describe(headers).sharedParts;
+    cr_assert_eq(shared.size(), 64);
+    cr_assert_eq(shared.front(), std::string("0"));
+    cr_assert_eq(shared.back(), std::string("4998"));
+}
+
 // What a caller sets of the instance's own headers must never reach an engine.
 Test(platformDialect, callersOwnOrdersAreDropped)
 {
