--- a/lib/Serve/gateway.cpp
+++ b/lib/Serve/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "jaytrack/Cluster/pausedetector.h"
 #include "jaytrack/Config/settings.h"
+#include "jaytrack/Quarantine/requestdigest.h"
 #include "jaytrack/Support/digest.h"
 #include "jaytrack/Support/metrics.h"
 
@@ -68,6 +69,15 @@
     return true;
 }
 
+// Returns digests of the messages that other requests may share, which are all but the last.
+std::vector<std::string> sharedParts(const json &messages)
+{
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i + 1 < messages.size(); ++i)
+        ids.push_back(messages[i].dump(-1, ' ', false, json::error_handler_t::replace));
+    return partDigests(ids);
+}
+
 bool setTextSize(const json &body, GenerationRequest &placementRequest)
 {
     static constexpr std::size_t prefixBytes = 1024;
@@ -94,6 +104,8 @@
     spec.placementRequest.model = body["model"].get<std::string>();
     if (spec.chat && !setChatSize(body, spec.placementRequest))
         return Error{ResultCode::BadRequest, "messages must be a non-empty array"};
+    if (spec.chat)
+        spec.parts = sharedParts(body["messages"]);
     if (!spec.chat && !setTextSize(body, spec.placementRequest))
         return Error{ResultCode::BadRequest, "prompt must be a string"};
     if (body.contains("stream") && !body["stream"].is_boolean())
--- a/unittests/Serve/crashingrequesttest.cpp
+++ b/unittests/Serve/crashingrequesttest.cpp
@@ -86,6 +86,18 @@
                                   instance);
     }
 
+    // A conversation of these messages, of which the last is the request's own.
+    FetchedAnswer converse(const std::vector<std::string> &contents, std::size_t instance)
+    {
+        nlohmann::json messages = nlohmann::json::array();
+        for (const std::string &content : contents)
+            messages.push_back({{"role", "user"}, {"content", content}});
+        const nlohmann::json body = {
+                {"model", "pattern"}, {"stream", false}, {"messages", messages}};
+        return this->site.request("POST", "/v1/chat/completions", body.dump(), {}, weaverKey,
+                                  instance);
+    }
+
     FetchedAnswer requestReading(const std::string &meter, std::size_t instance)
     {
         return this->site.request("GET", "/account/readings?meter=" + meter, "", {}, weaverKey,
@@ -149,6 +161,30 @@
                      "%s: a harmless request is not served", param->name);
 }
 
+// Guards against conversations that share one message crashing one engine after the other, because
+// each of them is new to what is known of requests that crash engines.
+Test(crashingRequest, conversationsThatShareACrashingMessageAreBarred)
+{
+    CrashingSite crashing(12);
+    const std::string style = "house style";
+    cr_assert_eq(crashing.converse({style, "harmless"}, 0).end.status, 200);
+    cr_assert_eq(crashing.converse({style, "harmless"}, 1).end.status, 200);
+    FetchedAnswer last;
+    int served = 0;
+    for (int i = 0; i < 8; ++i) {
+        const std::string own = "question " + std::to_string(i);
+        const auto instance = static_cast<std::size_t>(i % 2);
+        last = crashing.converse({style, "deadly", own}, instance);
+        served += crashing.converse({style, own}, instance).end.status == 200 ? 1 : 0;
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    // The users accept five ends of targets for one part of prompts.
+    cr_assert_leq(crashing.endedTargets(), 5, "%zu targets ended", crashing.endedTargets());
+    cr_assert_eq(last.end.status, 503);
+    cr_assert_eq(codeOf(last), std::string_view("213"));
+    cr_assert_eq(served, 8, "%d of 8 sound conversations were served", served);
+}
+
 // Guards against the outcome "not run" for a request that reached a target. The request is sent on
 // a reused connection and the target crashes. If the HTTP client then retries by itself on a new
 // connection, which is refused, it reports only that it could not connect.
