A stream that ends with its connection before any event is not whole

What callers would see: a whole, empty stream, where the engine had crashed before the first event. Cause: an answer without a length or chunks ends with its connection, an engine that crashes closes its connections in order, and only an end inside an event was taken for a break. An instance that passes the call on gave such a stream an end of its own. Change: such a stream counts as lost if it has brought no event; it is begun anew where that is allowed. Evidence: unframedAnswer/* failed before in 2 of 14 cases ("before any event"), lostLinks/streamCutBeforeItsFirstEventIsNotWhole without the change of the instance that passes on; all pass. The other twelve cases passed before: plain and streamed, ended in order, inside an event or a character, by a reset, of an older version of HTTP.

--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -22,6 +22,8 @@
 // Time for the bytes already written to a broken answer to be sent.
 constexpr std::chrono::milliseconds abortTimeout{1000};
 
+constexpr std::string_view eventStreamType = "text/event-stream";
+
 // The headers of an order come beside the caller's.
 constexpr std::size_t orderHeaderBytes = 2048;
 
@@ -81,6 +83,8 @@
     void onAnswerHead(MessageHead head) override
     {
         this->server.calls.recordAnswer(this->target.id, head);
+        this->mustHaveBody =
+                !head.framed && head.header("Content-Type").starts_with(eventStreamType);
         const std::vector<HttpHeader> headers = markAnswered(answerHeaders(head.headers));
         this->begun = true;
         if (this->isHead)
@@ -91,6 +95,7 @@
 
     void onAnswerBody(std::string_view bytes) override
     {
+        this->mustHaveBody = false;
         this->asker->write(bytes);
         if (this->asker->pendingBytes() > maxUnsentBytes)
             this->call->setPaused(true);
@@ -100,7 +105,7 @@
     {
         if (!this->begun)
             this->reportFailure(end);
-        else if (!this->isHead && end.whole)
+        else if (!this->isHead && end.whole && !this->mustHaveBody)
             this->asker->finish();
         else if (!this->isHead)
             this->asker->abort(abortTimeout);
@@ -134,6 +139,7 @@
     std::shared_ptr<TargetCall> call;
     bool isHead = false;
     bool begun = false;
+    bool mustHaveBody = false; // an event stream that has no mark of its end and no event yet
 };
 
 RelayServer::RelayServer(TargetCalls &targetCalls, const Clock &time, Metrics &counters,
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -443,7 +443,7 @@
         return this->onNextLost(end.whole ? "refused_by_engine" : end.reason);
     if (this->current.get() != &leg)
         return;
-    if (!end.whole || leg.events.hasPartialEvent())
+    if (!end.whole || leg.endsEarly())
         return this->onCurrentLost(end.whole ? "event_cut" : end.reason);
     if (!leg.streaming)
         return this->forwardNonStreamAnswer(leg);
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -31,6 +31,15 @@
     void onAnswerBody(std::string_view bytes) override;
     void onCallEnd(const TargetCallEnd &end) override;
 
+    // Whether a stream whose connection ended in order is not whole: it ended inside an event, or,
+    // where only the connection marks the end, before any event. An engine that crashes closes its
+    // connections in order, too.
+    bool endsEarly() const
+    {
+        const bool hasNoEvent = this->streaming && !this->head.framed && !this->firstEventAt;
+        return this->events.hasPartialEvent() || hasNoEvent;
+    }
+
     std::weak_ptr<StreamExchange> owner;
     TargetEntry target;
     bool resumed;
--- a/unittests/Platform/lostlinkstest.cpp
+++ b/unittests/Platform/lostlinkstest.cpp
@@ -27,6 +27,11 @@
 {
     if (isReport(request))
         return wholeAnswer(200, "", "{}");
+    if (type == "cut") // a stream whose engine ends before the first event
+        return {{AnswerStep::Kind::Send,
+                 "HTTP/1.1 200 OK\r\n" + ownHeaders + "Content-Type: text/event-stream\r\n\r\n",
+                 {}},
+                {AnswerStep::Kind::Close, "", 20ms}};
     if (type != "stream")
         return wholeAnswer(200, ownHeaders, "good");
     return {{AnswerStep::Kind::Send, streamHead(ownHeaders), {}},
@@ -38,7 +43,7 @@
 RouteSpec routeOf(const std::string &type)
 {
     RouteSpec route;
-    route.type = type;
+    route.type = type == "cut" ? "stream" : type;
     route.attempts = type == "safe" ? 3 : 1;
     return route;
 }
@@ -314,3 +319,13 @@
     const std::string answer = callOnce(cut.port(), requestText({})).bytes;
     cr_expect(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
 }
+
+// Guards against a stream that looks whole because the instance that passed the call on gave it an
+// end, while its engine had closed the connection before the first event.
+Test(lostLinks, streamCutBeforeItsFirstEventIsNotWhole)
+{
+    CutSite site("cut", LinkLoss::Refused);
+    const CallerView view = callOnce(site.cut->port(), requestText({}));
+    cr_assert_gt(site.runs(), 0);
+    cr_assert(!view.bytes.ends_with("\r\n0\r\n\r\n"), "%s", view.bytes.c_str());
+}
