Close new connections unread while the instance cannot carry more

What callers would see: while the balancer hands most new connections to one instance, that instance reads all of them and answers late, or refuses what it has read, while the others are idle; only an unread request meets another instance at its next try. Cause: connections were accepted and read without asking anything. Change: AcceptGate decides before the first byte, by how late the event loop runs its tick (twice in a row, so that one stall or the rest of a quota does not count), the memory of requests being read, and descriptors. A part is always read, and readiness does not change, so that the flood does not move on through the fleet.

--- a/include/jaytrack/Net/callerconnection.h
+++ b/include/jaytrack/Net/callerconnection.h
@@ -67,6 +67,14 @@
 
     virtual ConnectionLimits connectionLimits() const = 0;
 
+    // Whether a new connection may be read, beside those that are open. If not, it is closed
+    // unread, so that its caller tries another instance.
+    virtual bool mayRead(std::size_t openConnections)
+    {
+        (void)openConnections;
+        return true;
+    }
+
     // Whether responses should ask callers to open a new connection because this instance is
     // stopping.
     virtual bool stopping() const = 0;
@@ -186,13 +194,15 @@
 private:
     void accept();
     void adopt(asio::ip::tcp::socket accepted);
+    void forgetClosed();
 
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer pause;
     const Clock &clock;
     CallerHandler &handler;
     std::vector<std::weak_ptr<CallerConnection>> connections;
-    std::size_t cleanupThreshold = 64;
+    static constexpr std::size_t minCleanupThreshold = 64;
+    std::size_t cleanupThreshold = minCleanupThreshold;
 };
 
 } // namespace jaytrack
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -448,18 +448,32 @@
             });
 }
 
+// A socket that is closed with unread bytes resets the connection, which tells the caller that its
+// request was not read.
 void CallerServer::adopt(asio::ip::tcp::socket accepted)
 {
+    this->forgetClosed();
+    if (!this->handler.mayRead(this->connections.size())) {
+        asio::error_code ignored; // the connection ends in any case
+        accepted.close(ignored);
+        return;
+    }
     const auto connection =
             std::make_shared<CallerConnection>(std::move(accepted), this->clock, this->handler);
-    if (this->connections.size() >= this->cleanupThreshold) {
-        std::erase_if(this->connections, [](const auto &weak) { return weak.expired(); });
-        this->cleanupThreshold = std::max<std::size_t>(64, this->connections.size() * 2);
-    }
     this->connections.push_back(connection);
     connection->start();
 }
 
+// Keeps at most a quarter more entries than there are open connections.
+void CallerServer::forgetClosed()
+{
+    if (this->connections.size() < this->cleanupThreshold)
+        return;
+    std::erase_if(this->connections, [](const auto &weak) { return weak.expired(); });
+    this->cleanupThreshold =
+            std::max(minCleanupThreshold, this->connections.size() + this->connections.size() / 4);
+}
+
 // Closing the acceptor resets the connections that wait to be accepted, and the requests already
 // sent on them are lost. After a stall of the process, these can be many, so they are accepted
 // first.
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -98,6 +98,7 @@
     , metricsServer(this->loop, time, this->serviceEndpoint)
     , signals(this->loop)
     , timer(this->loop)
+    , acceptGate(entrySettings.descriptors)
 {
     this->applyBounds();
 }
--- a/lib/Proxy/entrylife.cpp
+++ b/lib/Proxy/entrylife.cpp
@@ -123,8 +123,30 @@
     this->reload("file_changed");
 }
 
+// The delay of the tick is that of all that the event loop has to do.
+void EntryInstance::Parts::recordLoopDelay()
+{
+    const TimePoint now = this->clock.now();
+    if (this->tickDueAt != TimePoint())
+        this->acceptGate.recordLoopDelay(std::max(Duration(0), now - this->tickDueAt));
+    this->tickDueAt = now + tickInterval;
+}
+
+void EntryInstance::Parts::logClosedUnread()
+{
+    for (const auto &[reason, count] : this->closedUnread)
+        logEvent(Severity::Warning, "connections_closed_unread",
+                 {{"reason", reason},
+                  {"count", static_cast<std::int64_t>(count)},
+                  {"loop_delay_ms", toMillis(this->acceptGate.loopDelay())},
+                  {"connections", static_cast<std::int64_t>(this->callers.backlog().connections)},
+                  {"in_service", static_cast<std::int64_t>(this->open.size())}});
+    this->closedUnread.clear();
+}
+
 void EntryInstance::Parts::tick()
 {
+    this->recordLoopDelay();
     this->timer.expires_after(tickInterval);
     this->timer.async_wait([this](const asio::error_code &failure) {
         if (!failure)
@@ -135,6 +157,7 @@
         this->checkFile();
     if (this->ticks % ticksPerAssignmentCheck == 0) {
         this->updateProbedEngines();
+        this->logClosedUnread();
         for (const std::string &service : this->streamVersions.mixedServices())
             this->recordListedVersions(service);
     }
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -7,6 +7,7 @@
 #include "jaytrack/Proxy/entryinstance.h"
 
 #include "jaytrack/Limits/brittlegate.h"
+#include "jaytrack/Net/acceptgate.h"
 #include "jaytrack/Proxy/exchange.h"
 #include "jaytrack/Proxy/loadprober.h"
 #include "jaytrack/Proxy/peerlink.h"
@@ -90,6 +91,7 @@
                 const AdmissionInputs &inputs);
     void onRejectedRequest(int status, std::string_view reason) override;
     ConnectionLimits connectionLimits() const override;
+    bool mayRead(std::size_t openConnections) override;
 
     bool stopping() const override { return this->isStopping; }
 
@@ -221,6 +223,8 @@
     void tick();
     void continueStop();
     void logReadiness();
+    void recordLoopDelay();
+    void logClosedUnread();
 
     EntrySettings settings;
     const Clock &clock;
@@ -267,6 +271,9 @@
     std::string settingsFile;
     std::string settingsText;
     std::size_t reserved = 0;
+    AcceptGate acceptGate;
+    TimePoint tickDueAt;
+    std::map<std::string, std::size_t, std::less<>> closedUnread; // by reason, since the last line
     int ticks = 0;
     std::uint64_t probedAssignment = 0; // version of the assignment of engines that the prober has
     bool isStopping = false;
--- a/lib/Proxy/entryrequests.cpp
+++ b/lib/Proxy/entryrequests.cpp
@@ -146,6 +146,24 @@
     return {limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout};
 }
 
+// An instance that stops reads what has reached it: nobody else does.
+bool EntryInstance::Parts::mayRead(std::size_t openConnections)
+{
+    if (this->isStopping)
+        return true;
+    std::uniform_real_distribution<double> draw(0, 1);
+    const AcceptLoad load{openConnections, this->reserved,
+                          this->settings.memoryBytes / memoryShareDivisor};
+    const AcceptDecision decision = this->acceptGate.decide(load, draw(this->random));
+    if (decision == AcceptDecision::Read)
+        return true;
+    const std::string_view reason = nameOf(decision);
+    this->metrics.count("jaytrack_connections_closed_unread_total{reason=\"" + std::string(reason) +
+                        "\"}");
+    ++this->closedUnread[std::string(reason)];
+    return false;
+}
+
 bool EntryInstance::Parts::reserveMemory(std::size_t bytes)
 {
     if (this->reserved + bytes > this->settings.memoryBytes / memoryShareDivisor)
--- a/unittests/Net/callerservertest.cpp
+++ b/unittests/Net/callerservertest.cpp
@@ -25,8 +25,10 @@
 public:
     void onRequest(std::shared_ptr<CallerConnection> connection, CallerRequest) override
     {
+        ++this->requests;
         connection->respond(200, {}, this->body);
     }
+    bool mayRead(std::size_t) override { return this->reads; }
     void onRejectedRequest(int status, std::string_view) override { this->rejectedStatus = status; }
     ConnectionLimits connectionLimits() const override { return this->limits; }
     bool stopping() const override { return false; }
@@ -34,6 +36,8 @@
     void releaseMemory(std::size_t) override {}
 
     std::string body = "the answer";
+    bool reads = true;
+    int requests = 0;
     ConnectionLimits limits;
     int rejectedStatus = 0;
 };
@@ -96,6 +100,27 @@
     cr_assert(received.ends_with("the answer"), "%s", received.c_str());
 }
 
+// Guards against a request that is read where it cannot be served: its caller would not try another
+// instance. Connections that are open go on being served.
+Test(callerServer, connectionThatMayNotBeReadIsClosedUnread)
+{
+    ServerFixture fixture;
+    fixture.handler.reads = false;
+    asio::ip::tcp::socket second(fixture.callerLoop);
+    second.connect({asio::ip::make_address("127.0.0.1"), fixture.server.port()});
+    asio::write(second, asio::buffer(request));
+    std::this_thread::sleep_for(arrivalDelay);
+    fixture.loop.run_for(arrivalDelay);
+    std::array<char, 64> buffer{};
+    asio::error_code failure;
+    cr_assert_eq(second.read_some(asio::buffer(buffer), failure), 0);
+    cr_assert(failure == asio::error::connection_reset, "%s", failure.message().c_str());
+    cr_assert_eq(fixture.handler.requests, 0);
+    fixture.write(request);
+    const std::string received = fixture.readFor(milliseconds(200));
+    cr_assert(received.ends_with("the answer"), "%s", received.c_str());
+}
+
 Test(callerServer, idleConnectionIsClosed)
 {
     ServerFixture fixture;
