--- a/unittests/ProcessSoak/caller.cpp
+++ b/unittests/ProcessSoak/caller.cpp
@@ -38,6 +38,13 @@
     spec.id = id;
     spec.key = key;
     spec.keepOpen = true;
+    spec.body = "prompt of " + id;
+    spec.extraHeaders = "X-Prefix-Hash: 5a:80,";
+    if (!work.deadlyPart.empty())
+        spec.extraHeaders += work.deadlyPart + ":50,";
+    spec.extraHeaders += "1:100\r\n";
+    if (!work.deadlyPart.empty())
+        spec.extraHeaders += std::string(deadlyPartName) + ": " + work.deadlyPart + "\r\n";
     return testing::requestText(spec);
 }
 
--- a/unittests/ProcessSoak/faultproxy.cpp
+++ b/unittests/ProcessSoak/faultproxy.cpp
@@ -112,6 +112,7 @@
 FaultProxy::FaultProxy(asio::io_context &loop, std::uint16_t toPort)
     : context(loop)
     , acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0})
+    , own(this->acceptor.local_endpoint())
     , target(asio::ip::make_address("127.0.0.1"), toPort)
 {
     this->accept();
@@ -138,12 +139,26 @@
 {
     asio::post(this->context, [this, wanted] {
         this->fault = wanted;
-        if (wanted != LinkFault::Reset)
+        asio::error_code ignored; // it is down already
+        if (wanted == LinkFault::Down)
+            this->acceptor.close(ignored);
+        else if (!this->acceptor.is_open())
+            this->listenAgain();
+        if (wanted != LinkFault::Reset && wanted != LinkFault::Down)
             return;
         const auto open = this->links;
         for (const auto &link : open)
-            link->end(true);
+            link->end(wanted == LinkFault::Reset);
     });
 }
 
+void FaultProxy::listenAgain()
+{
+    this->acceptor.open(this->own.protocol());
+    this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    this->acceptor.bind(this->own);
+    this->acceptor.listen();
+    this->accept();
+}
+
 } // namespace jaytrack::soak
--- a/unittests/ProcessSoak/faultproxy.h
+++ b/unittests/ProcessSoak/faultproxy.h
@@ -17,7 +17,8 @@
     Delay,       // each read is passed on later
     Silence,     // nothing passes, nothing is closed
     SilenceBack, // only what comes back is held
-    Reset        // open connections and new ones are reset
+    Reset,       // open connections and new ones are reset
+    Down         // open connections are closed in order, and nobody listens
 };
 
 class FaultProxy
@@ -26,7 +27,7 @@
     // Passes on to the port of this machine. Runs on the context's thread.
     FaultProxy(asio::io_context &context, std::uint16_t toPort);
 
-    std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+    std::uint16_t port() const { return this->own.port(); }
     std::string address() const { return "127.0.0.1:" + std::to_string(this->port()); }
 
     // May be called from any thread.
@@ -36,9 +37,11 @@
     class Link;
 
     void accept();
+    void listenAgain();
 
     asio::io_context &context;
     asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::endpoint own;
     asio::ip::tcp::endpoint target;
     LinkFault fault = LinkFault::None;
     std::set<std::shared_ptr<Link>> links;
--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -162,6 +162,25 @@
                      "target=" + target + " got=" + std::to_string(limited.arrivals.size()));
 }
 
+void Record::endedUnderPart(const std::string &id, const std::string &part)
+{
+    const std::lock_guard lock(this->mutex);
+    const SteadyTime now = std::chrono::steady_clock::now();
+    PartEnds &ends = this->partEnds[part];
+    ++this->counts["ended_under_part"];
+    this->disturbedUntil["targets"] =
+            std::max(this->disturbedUntil["targets"], now + std::chrono::seconds(4));
+    if (++ends.ends == endsUnderPart)
+        ends.fifthAt = now;
+    const Request &request = this->byId.at(id);
+    if (ends.ends <= endsUnderPart || request.sentAt <= ends.fifthAt + partBound + slack)
+        return;
+    const bool judged = this->calm(request.instance, ends.fifthAt - slack);
+    ++this->counts[judged ? "part_judged" : "part_excused"];
+    if (judged && ++ends.late > lateUnderPart)
+        this->broken("deadly_part_sent_on", id, "ends=" + std::to_string(ends.ends));
+}
+
 void Record::stopOrdered(const std::string &instance, std::chrono::milliseconds takesFor)
 {
     const std::lock_guard lock(this->mutex);
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -20,7 +20,8 @@
 struct Work
 {
     WorkKind kind = WorkKind::Repeatable;
-    bool lasting = false; // a stream that may outlast the taking of connections at a stop
+    bool lasting = false;        // a stream that may outlast the taking of connections at a stop
+    std::string deadlyPart = {}; // of its prompt, under which targets end; empty for none
 };
 
 // How an answer ended for its caller.
@@ -54,6 +55,12 @@
     static constexpr std::chrono::milliseconds limitBinds{3000};
     static constexpr std::chrono::milliseconds limitHeard{500};
 
+    // Requests with a part under which five targets ended that may reach targets later than the
+    // bound after the fifth end.
+    static constexpr std::size_t endsUnderPart = 5;
+    static constexpr std::size_t lateUnderPart = 3;
+    static constexpr std::chrono::milliseconds partBound{3000};
+
     // A stopping instance takes connections for 3 s, and the last answers leave it before its grace
     // of 6 s is over; both without what this machine may add.
     static constexpr std::chrono::milliseconds stopTakesFor{2800};
@@ -73,6 +80,9 @@
     void targetLimited(const std::string &target, double perSecond);
     void targetFree(const std::string &target);
 
+    // A target ends under a request with this part.
+    void endedUnderPart(const std::string &id, const std::string &part);
+
     // A planned stop, of an instance that answers whoever connects to it within the time given.
     void stopOrdered(const std::string &instance, std::chrono::milliseconds takesFor);
 
@@ -135,6 +145,13 @@
         std::deque<SteadyTime> arrivals; // in the last second
     };
 
+    struct PartEnds
+    {
+        std::size_t ends = 0;
+        SteadyTime fifthAt;
+        std::size_t late = 0;
+    };
+
     struct Limited
     {
         double perSecond;
@@ -163,6 +180,7 @@
     std::map<std::string, SteadyTime> outOfUse; // since when, by data centre
     std::map<std::string, ColdTime> coldTargets;
     std::map<std::string, Limited> limitedTargets;
+    std::map<std::string, PartEnds> partEnds;
     // By instance and target, when an answer that passed there first said that the target leaves.
     std::map<std::pair<std::string, std::string>, SteadyTime> toldLeaving;
     std::map<std::string, Stop> stops;
@@ -170,6 +188,9 @@
     std::vector<std::string> found;
 };
 
+// The header by which a target is told that a part of the prompt ends it.
+constexpr const char *deadlyPartName = "X-Soak-Deadly";
+
 // Before the path of a stream that is made to last, and the time limit of one.
 constexpr const char *lastingPrefix = "/lasting";
 constexpr std::chrono::milliseconds lastingLimit{8000};
--- a/unittests/ProcessSoak/scenario.cpp
+++ b/unittests/ProcessSoak/scenario.cpp
@@ -125,7 +125,13 @@
 {
     if (lasting)
         return {draws() % 2 == 0 ? WorkKind::OnceStream : WorkKind::RepeatableStream, true};
-    return {static_cast<WorkKind>(draws() % 4), false};
+    Work work{static_cast<WorkKind>(draws() % 4), false};
+    const int part = this->deadlyPart;
+    const bool isStream =
+            work.kind == WorkKind::OnceStream || work.kind == WorkKind::RepeatableStream;
+    if (part > 0 && isStream && draws() % 2 == 0)
+        work.deadlyPart = "dead" + std::to_string(part);
+    return work;
 }
 
 void Scenario::callFrom(int caller)
@@ -359,6 +365,27 @@
     this->later(this->drawTime(5000, 9000), [this, target] { this->site.setLimit(target, 0); });
 }
 
+// Many requests, none alike, share a part under which targets end.
+void Scenario::sendDeadlyPart()
+{
+    if (this->deadlyPart > 0)
+        return;
+    this->deadlyPart = ++this->deadlyParts;
+    this->later(this->drawTime(4000, 8000), [this] { this->deadlyPart = 0; });
+}
+
+void Scenario::bringBackEnded()
+{
+    for (std::size_t i = 0; i < this->site.targets.size(); ++i) {
+        if (!this->site.targets[i]->takeEnd())
+            continue;
+        this->later(this->drawTime(300, 1500), [this, i] {
+            this->site.replaceTarget(i);
+            this->site.targets[i]->setFault(LinkFault::None);
+        });
+    }
+}
+
 void Scenario::injectFault()
 {
     struct Kind
@@ -366,7 +393,7 @@
         const char *name;
         void (Scenario::*inject)();
     };
-    static constexpr std::array<Kind, 17> kinds = {
+    static constexpr std::array<Kind, 18> kinds = {
             {{"stop_held", &Scenario::stopInstanceHeld},
              {"stop", &Scenario::stopInstance},
              {"kill", &Scenario::killInstance},
@@ -383,7 +410,8 @@
              {"target_leaves", &Scenario::leaveTarget},
              {"data_centre_out", &Scenario::putDataCentreOutOfUse},
              {"target_cold", &Scenario::makeTargetCold},
-             {"target_limited", &Scenario::limitTarget}}};
+             {"target_limited", &Scenario::limitTarget},
+             {"deadly_part", &Scenario::sendDeadlyPart}}};
     const Kind &kind = this->stopsOnly() ? kinds.front() : kinds[this->random() % kinds.size()];
     ++this->faults[kind.name];
     (this->*kind.inject)();
@@ -407,6 +435,7 @@
             action();
         }
         this->restartEnded();
+        this->bringBackEnded();
         std::this_thread::sleep_for(milliseconds(5));
     }
 }
@@ -414,6 +443,7 @@
 // Ends what is still planned at once, and starts again whatever is down.
 void Scenario::heal()
 {
+    this->bringBackEnded();
     for (const auto &[time, action] : this->planned)
         action();
     this->planned.clear();
--- a/unittests/ProcessSoak/scenario.h
+++ b/unittests/ProcessSoak/scenario.h
@@ -87,6 +87,8 @@
     void putDataCentreOutOfUse();
     void makeTargetCold();
     void limitTarget();
+    void sendDeadlyPart();
+    void bringBackEnded();
 
     Member &someMember();
     bool orderStop(Member &member);
@@ -107,6 +109,8 @@
     std::atomic<bool> calling{false};
     std::vector<std::thread> callers;
     std::vector<bool> targetLeaving;
+    std::atomic<int> deadlyPart{0}; // number of the part that some requests have now; 0 for none
+    int deadlyParts = 0;
     bool dataCentreIsOut = false;
 };
 
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -156,8 +156,21 @@
     return answer;
 }
 
+// Ends as a process does: its connections are closed in order, and nobody listens any more.
+Answer SoakTarget::endUnder(const std::string &part, const std::string &attempt)
+{
+    this->record.ran(attempt, this->id());
+    this->record.endedUnderPart(attempt, part);
+    this->proxy->setFault(LinkFault::Down);
+    this->ended = true;
+    return {{AnswerStep::Kind::Hang, "", {}}};
+}
+
 Answer SoakTarget::stream(const SeenRequest &request, const std::string &attempt)
 {
+    const std::string part(request.head.header(deadlyPartName));
+    if (!part.empty())
+        return this->endUnder(part, attempt);
     const bool resumed = !request.head.header("Kv-From").empty();
     if (resumed)
         this->record.wentOn(attempt, this->id());
--- a/unittests/ProcessSoak/site.h
+++ b/unittests/ProcessSoak/site.h
@@ -10,6 +10,7 @@
 #include "platformstandin.h"
 
 #include <array>
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -43,10 +44,14 @@
     double limit() const;
     void setFault(LinkFault fault) { this->proxy->setFault(fault); }
 
+    // Whether it has ended under a request since this was asked last.
+    bool takeEnd() { return this->ended.exchange(false); }
+
 private:
     testing::Answer answer(const testing::SeenRequest &request);
     testing::Answer run(const testing::SeenRequest &request, const std::string &attempt);
     testing::Answer stream(const testing::SeenRequest &request, const std::string &attempt);
+    testing::Answer endUnder(const std::string &part, const std::string &attempt);
     std::string ownWords() const;
     void noteWords(const std::string &attempt) const;
 
@@ -56,6 +61,7 @@
     mutable std::mutex mutex;
     std::string ownId;
     bool leaving = false;
+    std::atomic<bool> ended{false};
     double perSecond = 0;   // the limit that it names; 0 for none
     std::mt19937_64 random; // used by the server's thread alone
     testing::ScriptedServer server;
