--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -35,6 +35,10 @@
     // Changes read by another instance. If afterOutage is set, removed entries may be restored.
     virtual void onSharedChanges(const std::vector<StoreItem> &items, bool afterOutage) = 0;
 
+    // Returns the keys of the items that are known to be in the store, as far as the listener keeps
+    // them. A listing that lacks one of them shows that it was deleted.
+    virtual std::vector<std::string> storedKeys() const { return {}; }
+
     virtual void onStoreLost(std::string_view reason) = 0;
     virtual void onStoreRegained(Duration away) = 0;
 
