Share what a listing after a loss of the store's history has changed

Cause: the readers list the store after its history is gone, but a listing was not shared; every other instance heard of a newer revision, asked the store from its own, was refused as well and listed all of it for itself. 31 pages of 584 instances take longer than an answer may, so that none ended. Change: a reader compares its listing with what it knew and shares the difference, deleted items included, like any other change. An instance that gets updates from others waits before it lists for itself, by a delay drawn over the whole fleet, keeps what it knows meanwhile, and lists only if it is still behind. Ruled out by reading: a failed page does not begin the listing again. A store that returns from an older copy is still listed by each instance.

--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Proxy/storefeeds.h
@@ -67,6 +67,7 @@
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
     void onStoreRestored() override;
+    std::vector<std::string> storedKeys() const override;
 
     // Records the time as of which the data was last confirmed, by this or another instance, and
     // whether that is too long ago. If so, the store is considered unavailable. An instance that
@@ -139,6 +140,7 @@
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
     void onStoreRestored() override;
+    std::vector<std::string> storedKeys() const override { return this->targets.storedKeys(); }
 
 private:
     ConfigurationFeed &configuration;
--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Proxy/storefollower.h
@@ -53,8 +53,9 @@
 public:
     virtual ~StoreReadListener() = default;
 
-    // All changes after revision from, up to and including revision to. A listing is not shared:
-    // items is empty and both revisions are the same.
+    // All changes after revision from, up to and including revision to. Of the first listing, and
+    // of one after the store was restored, nothing is shared: items is empty and both revisions are
+    // the same.
     virtual void onStoreRead(std::uint64_t from, std::uint64_t to,
                              const std::vector<StoreItem> &items) = 0;
 };
@@ -103,7 +104,8 @@
     // After the store was restored from an older copy, every instance must list it again, since
     // changes passed on by others do not show which entries are gone. Instances that get updates
     // from others spread their listings to at most a hundred calls a second and use their current
-    // data meanwhile.
+    // data meanwhile. They do the same where the store has lost its history, and mostly get the
+    // missing changes from an instance that has listed it by then.
     std::chrono::milliseconds relistDelayPerInstance{10};
     std::chrono::milliseconds maxRelistDelay{2000};
 
@@ -172,7 +174,10 @@
     void onTimeout();
     void failed(std::string_view reason);
     void succeeded();
+    void onHistoryGone();
+    std::chrono::milliseconds drawRelistDelay();
     void startListing();
+    std::vector<StoreItem> changesInListing(const std::vector<StoreItem> &whole) const;
     ReadFreshness pageFreshness() const;
     void applyPage();
     void addToListing(StorePage &page);
@@ -201,6 +206,8 @@
     TimePoint eraSince; // when this instance learnt of it
     std::size_t instances = 1;
     bool listing = true;
+    std::uint64_t revisionBeforeListing = 0; // 0 if there was none of the same history
+    std::optional<TimePoint> relistAt;       // the watch was refused; lists then if still behind
     std::string pageAfter;
     std::vector<StoreItem> listed;
     bool mayListStale = true; // until the first listing is complete or has to be repeated
--- a/include/jaytrack/Routing/datacentreuse.h
+++ b/include/jaytrack/Routing/datacentreuse.h
@@ -44,6 +44,7 @@
     void forgetRevisions();
 
     bool isOutOfUse(std::string_view dataCentre) const;
+    std::vector<std::string_view> namesOutOfUse() const;
 
 private:
     struct State
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -161,6 +161,14 @@
     bool isOpen(std::string_view id) const;
     std::size_t size() const { return this->entries.size(); }
 
+    // Returns the names under which targets are listed.
+    std::vector<std::string_view> names() const;
+
+    std::vector<std::string_view> dataCentresOutOfUse() const
+    {
+        return this->dataCentres.namesOutOfUse();
+    }
+
 private:
     struct Row
     {
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Proxy/storefeeds.cpp
@@ -111,6 +111,16 @@
     return std::string(key.substr(this->dialect.targetsPrefix().size()));
 }
 
+std::vector<std::string> TargetFeed::storedKeys() const
+{
+    std::vector<std::string> keys;
+    for (const std::string_view name : this->directory.names())
+        keys.push_back(std::string(this->dialect.targetsPrefix()) + std::string(name));
+    for (const std::string_view dataCentre : this->directory.dataCentresOutOfUse())
+        keys.push_back(std::string(this->dialect.outOfUsePrefix()) + std::string(dataCentre));
+    return keys;
+}
+
 bool TargetFeed::isTarget(const StoreItem &item) const
 {
     return item.key.starts_with(this->dialect.targetsPrefix());
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Proxy/storefollower.cpp
@@ -3,6 +3,7 @@
 #include "jaytrack/Support/log.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace jaytrack {
@@ -90,17 +91,39 @@
         return true;
     if (announced < this->era)
         return false;
-    std::chrono::milliseconds pause{0};
-    if (this->receivesUpdates && !this->active) {
-        const auto share = this->options.relistDelayPerInstance * static_cast<int>(this->instances);
-        const auto maxDelay = std::min(share, this->options.maxRelistDelay);
-        std::uniform_int_distribution<std::int64_t> draw(0, maxDelay.count());
-        pause = std::chrono::milliseconds(draw(this->random));
-    }
-    this->enterEra(announced, "peer", pause);
+    const bool canWait = this->receivesUpdates && !this->active;
+    this->enterEra(announced, "peer",
+                   canWait ? this->drawRelistDelay() : std::chrono::milliseconds(0));
     return true;
 }
 
+std::chrono::milliseconds StoreFollower::drawRelistDelay()
+{
+    const auto share = this->options.relistDelayPerInstance * static_cast<int>(this->instances);
+    const auto maxDelay = std::min(share, this->options.maxRelistDelay);
+    std::uniform_int_distribution<std::int64_t> draw(0, maxDelay.count());
+    return std::chrono::milliseconds(draw(this->random));
+}
+
+// What is known stays valid and goes on being updated by others, who list the store as well.
+void StoreFollower::onHistoryGone()
+{
+    const bool canWait = this->receivesUpdates && !this->active;
+    const std::chrono::milliseconds pause =
+            canWait ? this->drawRelistDelay() : std::chrono::milliseconds(0);
+    logEvent(Severity::Warning, "store_history_gone",
+             {{"revision", static_cast<std::int64_t>(this->revision)},
+              {"lists_after_ms", static_cast<std::int64_t>(pause.count())}});
+    if (canWait) {
+        this->waiting = false;
+        this->failures = 0;
+        this->relistAt = this->clock.now() + pause;
+        return;
+    }
+    this->startListing();
+    this->queryAfter(std::chrono::milliseconds(0));
+}
+
 // The known revisions belong to a history that no longer exists. If the follower continued from
 // them, the store would not report changes that it made under the same revision numbers.
 void StoreFollower::enterEra(std::uint64_t next, std::string_view source,
@@ -174,9 +197,13 @@
 // necessary, so all of it is read as current.
 void StoreFollower::startListing()
 {
+    // A listing that is begun again still follows the one before it.
+    if (!this->listing || this->revision == 0)
+        this->revisionBeforeListing = this->listedStale ? 0 : this->revision;
     this->listing = true;
     this->mayListStale = false;
     this->listedStale = false;
+    this->relistAt.reset();
     this->pageAfter.clear();
     this->listed.clear();
 }
@@ -191,6 +218,14 @@
 void StoreFollower::tick()
 {
     const bool behind = this->announcedRevision > this->revision && !this->listing;
+    if (this->relistAt) {
+        if (!behind)
+            this->relistAt.reset();
+        if (!behind || this->waiting || this->stopped || this->clock.now() < *this->relistAt)
+            return;
+        this->startListing();
+        return this->query();
+    }
     if (behind && !this->waiting && !this->stopped &&
         this->clock.now() - this->behindSince > this->sharedChangeWait)
         this->queryMissing("behind");
@@ -225,7 +260,7 @@
         this->revision = to;
         return;
     }
-    if (incomplete && !this->waiting && !this->stopped)
+    if (incomplete && !this->waiting && !this->stopped && !this->relistAt)
         return this->queryMissing("incomplete");
     this->catchUp(to);
 }
@@ -303,12 +338,8 @@
         return this->failed(end.reason);
     if (!this->belongsToKnownEra())
         return;
-    if (!this->listing && this->status == historyGoneStatus) {
-        logEvent(Severity::Warning, "store_history_gone",
-                 {{"revision", static_cast<std::int64_t>(this->revision)}});
-        this->startListing();
-        return this->queryAfter(std::chrono::milliseconds(0));
-    }
+    if (!this->listing && this->status == historyGoneStatus)
+        return this->onHistoryGone();
     if (this->status != okStatus)
         return this->failed("status_" + std::to_string(this->status));
     if (this->listing)
@@ -398,11 +429,35 @@
               {"revision", static_cast<std::int64_t>(this->revision)},
               {"stale", this->listedStale ? 1 : 0},
               {"took_ms", toMillis(this->clock.now() - this->listingStartedAt)}});
+    const bool follows =
+            this->revisionBeforeListing > 0 && this->revisionBeforeListing <= this->revision;
+    const std::vector<StoreItem> changes =
+            follows ? this->changesInListing(whole) : std::vector<StoreItem>();
     this->listener.onListing(whole, this->listingStartedAt);
-    this->reads.onStoreRead(this->revision, this->revision, {});
+    this->reads.onStoreRead(follows ? this->revisionBeforeListing : this->revision, this->revision,
+                            changes);
     this->queryAfter(std::chrono::milliseconds(0));
 }
 
+// Returns how the listing differs from what was known before, so that other instances need not list
+// the store themselves. Must be called before the listener gets the listing.
+std::vector<StoreItem> StoreFollower::changesInListing(const std::vector<StoreItem> &whole) const
+{
+    std::vector<StoreItem> changes;
+    std::unordered_set<std::string_view> keys;
+    keys.reserve(whole.size());
+    for (const StoreItem &item : whole) {
+        keys.insert(item.key);
+        if (item.revision > this->revisionBeforeListing)
+            changes.push_back(item);
+    }
+    for (std::string &key : this->listener.storedKeys()) {
+        if (keys.count(key) == 0)
+            changes.push_back({std::move(key), {}, this->revision, true});
+    }
+    return changes;
+}
+
 void StoreFollower::applyChanges()
 {
     Result<StorePage> decoded = this->dialect.decodeChanges(this->body);
--- a/lib/Routing/datacentreuse.cpp
+++ b/lib/Routing/datacentreuse.cpp
@@ -64,4 +64,14 @@
     return found != this->states.end() && found->second.outOfUse;
 }
 
+std::vector<std::string_view> DataCentreUse::namesOutOfUse() const
+{
+    std::vector<std::string_view> names;
+    for (const auto &[name, state] : this->states) {
+        if (state.outOfUse)
+            names.push_back(name);
+    }
+    return names;
+}
+
 } // namespace jaytrack
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -259,6 +259,15 @@
     this->listener.onTargetRestarted(entry);
 }
 
+std::vector<std::string_view> TargetDirectory::names() const
+{
+    std::vector<std::string_view> names;
+    names.reserve(this->entries.size());
+    for (const auto &[name, row] : this->entries)
+        names.push_back(name);
+    return names;
+}
+
 std::vector<const TargetEntry *> TargetDirectory::usable(std::string_view service) const
 {
     std::vector<const TargetEntry *> found;
