Part the store, the peers' datagrams and the calls to targets from lib/Proxy

lib/Proxy held four concerns. Store (following the platform's store and who reads it for whom), Peers (datagrams between instances) and Calls (to targets, directly or through another instance) are libraries of their own now; Proxy keeps requests in service, probes and the instance. Files moved, includes, guards and quotations of scripts follow; no logic changed.

--- a/include/jaytrack/Proxy/relaymessage.h
+++ b/include/jaytrack/Calls/relaymessage.h
@@ -1,7 +1,7 @@
 // The headers with which one instance asks another one to call a target, and the headers of the
 // answer that tell how that went.
-#ifndef JAYTRACK_PROXY_RELAYMESSAGE_H
-#define JAYTRACK_PROXY_RELAYMESSAGE_H
+#ifndef JAYTRACK_CALLS_RELAYMESSAGE_H
+#define JAYTRACK_CALLS_RELAYMESSAGE_H
 
 #include "jaytrack/Net/httpparser.h"
 #include "jaytrack/Support/keyring.h"
--- a/include/jaytrack/Proxy/targetcalls.h
+++ b/include/jaytrack/Calls/targetcalls.h
@@ -1,6 +1,6 @@
 // Calls targets directly or, where this instance has no link to them, through another instance.
-#ifndef JAYTRACK_PROXY_TARGETCALLS_H
-#define JAYTRACK_PROXY_TARGETCALLS_H
+#ifndef JAYTRACK_CALLS_TARGETCALLS_H
+#define JAYTRACK_CALLS_TARGETCALLS_H
 
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Routing/relaypeers.h"
--- a/include/jaytrack/Proxy/datagrampacer.h
+++ b/include/jaytrack/Peers/datagrampacer.h
@@ -3,8 +3,8 @@
 // A configuration of 5 KB is sent to 37 instances at once, and each relay sends it to 32 more.
 // Without pacing, these 190 KB overflow the queue of a 20 Mbit/s link: 168 of 195 instances did not
 // receive the configuration and queried the store, which made 168 calls for one change.
-#ifndef JAYTRACK_PROXY_DATAGRAMPACER_H
-#define JAYTRACK_PROXY_DATAGRAMPACER_H
+#ifndef JAYTRACK_PEERS_DATAGRAMPACER_H
+#define JAYTRACK_PEERS_DATAGRAMPACER_H
 
 #include "jaytrack/Support/clock.h"
 
--- a/include/jaytrack/Proxy/noticefragments.h
+++ b/include/jaytrack/Peers/noticefragments.h
@@ -3,8 +3,8 @@
 // A configuration of a large fleet has hundreds of customers with random keys and does not fit into
 // a datagram even if it is compressed. If it were not passed on, each of 584 instances would read
 // it from the store, 584 calls for every change.
-#ifndef JAYTRACK_PROXY_NOTICEFRAGMENTS_H
-#define JAYTRACK_PROXY_NOTICEFRAGMENTS_H
+#ifndef JAYTRACK_PEERS_NOTICEFRAGMENTS_H
+#define JAYTRACK_PEERS_NOTICEFRAGMENTS_H
 
 #include "jaytrack/Support/clock.h"
 
--- a/include/jaytrack/Proxy/peerlink.h
+++ b/include/jaytrack/Peers/peerlink.h
@@ -6,15 +6,15 @@
 // of three thousand tokens delays the first token of the next by half a second. A placement notice
 // takes two milliseconds. Correctness does not depend on notices: if one is lost, the instance has
 // only the load reports.
-#ifndef JAYTRACK_PROXY_PEERLINK_H
-#define JAYTRACK_PROXY_PEERLINK_H
+#ifndef JAYTRACK_PEERS_PEERLINK_H
+#define JAYTRACK_PEERS_PEERLINK_H
 
 #include "jaytrack/Cluster/membership.h"
 #include "jaytrack/Cluster/noticefanout.h"
 #include "jaytrack/Limits/limitmessage.h"
-#include "jaytrack/Proxy/datagrampacer.h"
-#include "jaytrack/Proxy/noticefragments.h"
-#include "jaytrack/Proxy/sharedchanges.h"
+#include "jaytrack/Peers/datagrampacer.h"
+#include "jaytrack/Peers/noticefragments.h"
+#include "jaytrack/Peers/sharedchanges.h"
 #include "jaytrack/Quarantine/quarantinemessage.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/engineshares.h"
--- a/include/jaytrack/Proxy/sharedchanges.h
+++ b/include/jaytrack/Peers/sharedchanges.h
@@ -1,6 +1,6 @@
 // Changes of the store that one instance reads and sends to the others.
-#ifndef JAYTRACK_PROXY_SHAREDCHANGES_H
-#define JAYTRACK_PROXY_SHAREDCHANGES_H
+#ifndef JAYTRACK_PEERS_SHAREDCHANGES_H
+#define JAYTRACK_PEERS_SHAREDCHANGES_H
 
 #include "jaytrack/Routing/targetdirectory.h"
 
--- a/include/jaytrack/Proxy/entrytuning.h
+++ b/include/jaytrack/Proxy/entrytuning.h
@@ -4,8 +4,8 @@
 #ifndef JAYTRACK_PROXY_ENTRYTUNING_H
 #define JAYTRACK_PROXY_ENTRYTUNING_H
 
-#include "jaytrack/Proxy/readduty.h"
 #include "jaytrack/Routing/enginechoice.h"
+#include "jaytrack/Store/readduty.h"
 #include "jaytrack/Support/tomlreader.h"
 
 #include <chrono>
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -2,6 +2,7 @@
 #ifndef JAYTRACK_PROXY_EXCHANGE_H
 #define JAYTRACK_PROXY_EXCHANGE_H
 
+#include "jaytrack/Calls/targetcalls.h"
 #include "jaytrack/Limits/brittlegate.h"
 #include "jaytrack/Limits/limitgate.h"
 #include "jaytrack/Limits/retrygate.h"
@@ -10,7 +11,6 @@
 #include "jaytrack/Policy/targethealth.h"
 #include "jaytrack/Proxy/entrytuning.h"
 #include "jaytrack/Proxy/selfreports.h"
-#include "jaytrack/Proxy/targetcalls.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Routing/admission.h"
 #include "jaytrack/Routing/coldtargets.h"
--- a/include/jaytrack/Proxy/loadprober.h
+++ b/include/jaytrack/Proxy/loadprober.h
@@ -3,8 +3,8 @@
 #ifndef JAYTRACK_PROXY_LOADPROBER_H
 #define JAYTRACK_PROXY_LOADPROBER_H
 
+#include "jaytrack/Calls/targetcalls.h"
 #include "jaytrack/Proxy/selfreports.h"
-#include "jaytrack/Proxy/targetcalls.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/probeschedule.h"
 #include "jaytrack/Routing/targetdirectory.h"
--- a/include/jaytrack/Proxy/relayserver.h
+++ b/include/jaytrack/Proxy/relayserver.h
@@ -6,9 +6,9 @@
 #ifndef JAYTRACK_PROXY_RELAYSERVER_H
 #define JAYTRACK_PROXY_RELAYSERVER_H
 
+#include "jaytrack/Calls/relaymessage.h"
+#include "jaytrack/Calls/targetcalls.h"
 #include "jaytrack/Net/callerconnection.h"
-#include "jaytrack/Proxy/relaymessage.h"
-#include "jaytrack/Proxy/targetcalls.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Routing/dialect.h"
 #include "jaytrack/Routing/targetdirectory.h"
--- a/include/jaytrack/Proxy/readduty.h
+++ b/include/jaytrack/Store/readduty.h
@@ -6,8 +6,8 @@
 // calls a second to a store that may be down. Instead, a few randomly chosen instances read, and
 // the choice is repeated periodically. They are as likely to reach the store as all would be, and
 // pass on what they read to the others.
-#ifndef JAYTRACK_PROXY_READDUTY_H
-#define JAYTRACK_PROXY_READDUTY_H
+#ifndef JAYTRACK_STORE_READDUTY_H
+#define JAYTRACK_STORE_READDUTY_H
 
 #include "jaytrack/Support/clock.h"
 
--- a/include/jaytrack/Proxy/storefeeds.h
+++ b/include/jaytrack/Store/storefeeds.h
@@ -1,9 +1,9 @@
 // Applies what is read from the store to the configuration and the target directory of an instance.
-#ifndef JAYTRACK_PROXY_STOREFEEDS_H
-#define JAYTRACK_PROXY_STOREFEEDS_H
+#ifndef JAYTRACK_STORE_STOREFEEDS_H
+#define JAYTRACK_STORE_STOREFEEDS_H
 
-#include "jaytrack/Proxy/storefollower.h"
 #include "jaytrack/Routing/targetdirectory.h"
+#include "jaytrack/Store/storefollower.h"
 #include "jaytrack/Support/logallowance.h"
 
 #include <algorithm>
--- a/include/jaytrack/Proxy/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -1,7 +1,7 @@
 // Follows one part of the platform's store: lists it completely, then watches for changes, and
 // lists it again whenever a change may have been missed.
-#ifndef JAYTRACK_PROXY_STOREFOLLOWER_H
-#define JAYTRACK_PROXY_STOREFOLLOWER_H
+#ifndef JAYTRACK_STORE_STOREFOLLOWER_H
+#define JAYTRACK_STORE_STOREFOLLOWER_H
 
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Routing/dialect.h"
--- a/include/jaytrack/Proxy/storesharing.h
+++ b/include/jaytrack/Store/storesharing.h
@@ -1,13 +1,13 @@
 // Keeps instances that do not read the store up to date. Instances that read send changes to the
 // others; every other instance queries one of them a few times a second for the age of its data, to
 // confirm that its own data is still current. ReadDuty decides which instances read.
-#ifndef JAYTRACK_PROXY_STORESHARING_H
-#define JAYTRACK_PROXY_STORESHARING_H
+#ifndef JAYTRACK_STORE_STORESHARING_H
+#define JAYTRACK_STORE_STORESHARING_H
 
-#include "jaytrack/Proxy/peerlink.h"
-#include "jaytrack/Proxy/readduty.h"
-#include "jaytrack/Proxy/storefeeds.h"
-#include "jaytrack/Proxy/storefollower.h"
+#include "jaytrack/Peers/peerlink.h"
+#include "jaytrack/Store/readduty.h"
+#include "jaytrack/Store/storefeeds.h"
+#include "jaytrack/Store/storefollower.h"
 
 #include <memory>
 #include <random>
--- a/lib/Proxy/relaymessage.cpp
+++ b/lib/Calls/relaymessage.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/relaymessage.h"
+#include "jaytrack/Calls/relaymessage.h"
 
 #include "jaytrack/Support/digest.h"
 
--- a/lib/Proxy/targetcalls.cpp
+++ b/lib/Calls/targetcalls.cpp
@@ -1,7 +1,7 @@
-#include "jaytrack/Proxy/targetcalls.h"
+#include "jaytrack/Calls/targetcalls.h"
 
+#include "jaytrack/Calls/relaymessage.h"
 #include "jaytrack/Net/socket.h"
-#include "jaytrack/Proxy/relaymessage.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Support/metrics.h"
 
--- a/lib/Proxy/noticefragments.cpp
+++ b/lib/Peers/noticefragments.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/noticefragments.h"
+#include "jaytrack/Peers/noticefragments.h"
 
 #include "jaytrack/Support/compression.h"
 
--- a/lib/Proxy/peerlink.cpp
+++ b/lib/Peers/peerlink.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/peerlink.h"
+#include "jaytrack/Peers/peerlink.h"
 
 #include "jaytrack/Net/socket.h"
 #include "jaytrack/Support/digest.h"
--- a/lib/Proxy/sharedchanges.cpp
+++ b/lib/Peers/sharedchanges.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/sharedchanges.h"
+#include "jaytrack/Peers/sharedchanges.h"
 
 #include "jaytrack/Support/compression.h"
 
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -6,16 +6,16 @@
 
 #include "jaytrack/Proxy/entryinstance.h"
 
+#include "jaytrack/Calls/targetcalls.h"
 #include "jaytrack/Limits/brittlegate.h"
 #include "jaytrack/Net/acceptgate.h"
+#include "jaytrack/Peers/peerlink.h"
 #include "jaytrack/Proxy/exchange.h"
 #include "jaytrack/Proxy/loadprober.h"
-#include "jaytrack/Proxy/peerlink.h"
 #include "jaytrack/Proxy/relayserver.h"
 #include "jaytrack/Proxy/startupqueue.h"
-#include "jaytrack/Proxy/storefeeds.h"
-#include "jaytrack/Proxy/storesharing.h"
-#include "jaytrack/Proxy/targetcalls.h"
+#include "jaytrack/Store/storefeeds.h"
+#include "jaytrack/Store/storesharing.h"
 #include "jaytrack/Support/metrics.h"
 
 #include <asio/signal_set.hpp>
--- a/lib/Proxy/readduty.cpp
+++ b/lib/Store/readduty.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/readduty.h"
+#include "jaytrack/Store/readduty.h"
 
 #include "jaytrack/Support/digest.h"
 
--- a/lib/Proxy/storefeeds.cpp
+++ b/lib/Store/storefeeds.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/storefeeds.h"
+#include "jaytrack/Store/storefeeds.h"
 
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Support/metrics.h"
--- a/lib/Proxy/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/storefollower.h"
+#include "jaytrack/Store/storefollower.h"
 
 #include "jaytrack/Support/log.h"
 
--- a/lib/Proxy/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/storesharing.h"
+#include "jaytrack/Store/storesharing.h"
 
 #include "jaytrack/Support/log.h"
 
--- a/unittests/Platform/datagrampacertest.cpp
+++ b/unittests/Platform/datagrampacertest.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/datagrampacer.h"
+#include "jaytrack/Peers/datagrampacer.h"
 
 #include <criterion/criterion.h>
 
--- a/unittests/Platform/followertest.cpp
+++ b/unittests/Platform/followertest.cpp
@@ -3,8 +3,8 @@
 #include "platformstandin.h"
 
 #include "jaytrack/Net/socket.h"
-#include "jaytrack/Proxy/peerlink.h"
-#include "jaytrack/Proxy/storefollower.h"
+#include "jaytrack/Peers/peerlink.h"
+#include "jaytrack/Store/storefollower.h"
 
 #include <criterion/criterion.h>
 
--- a/unittests/Platform/losthistorytest.cpp
+++ b/unittests/Platform/losthistorytest.cpp
@@ -4,7 +4,7 @@
 #include "platformstandin.h"
 
 #include "jaytrack/Net/socket.h"
-#include "jaytrack/Proxy/storefollower.h"
+#include "jaytrack/Store/storefollower.h"
 
 #include <asio/post.hpp>
 #include <criterion/criterion.h>
--- a/unittests/Platform/lostlinkstest.cpp
+++ b/unittests/Platform/lostlinkstest.cpp
@@ -3,7 +3,7 @@
 #include "entryfixture.h"
 #include "unreachableport.h"
 
-#include "jaytrack/Proxy/relaymessage.h"
+#include "jaytrack/Calls/relaymessage.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
--- a/unittests/Platform/noticefragmentstest.cpp
+++ b/unittests/Platform/noticefragmentstest.cpp
@@ -1,4 +1,4 @@
-#include "jaytrack/Proxy/noticefragments.h"
+#include "jaytrack/Peers/noticefragments.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
--- a/unittests/Platform/readdutytest.cpp
+++ b/unittests/Platform/readdutytest.cpp
@@ -1,8 +1,8 @@
 // Who reads the store, in calm times and in its bad hours, and what the others believe meanwhile.
 #include "platformdialect.h"
 
-#include "jaytrack/Proxy/readduty.h"
-#include "jaytrack/Proxy/storefeeds.h"
+#include "jaytrack/Store/readduty.h"
+#include "jaytrack/Store/storefeeds.h"
 #include "jaytrack/Support/metrics.h"
 
 #include <criterion/criterion.h>
--- a/unittests/Platform/routedcalltest.cpp
+++ b/unittests/Platform/routedcalltest.cpp
@@ -3,8 +3,8 @@
 
 #include "platformstandin.h"
 
+#include "jaytrack/Calls/targetcalls.h"
 #include "jaytrack/Net/socket.h"
-#include "jaytrack/Proxy/targetcalls.h"
 #include "jaytrack/Support/metrics.h"
 
 #include <criterion/criterion.h>
--- a/unittests/Platform/stalelistingtest.cpp
+++ b/unittests/Platform/stalelistingtest.cpp
@@ -3,7 +3,7 @@
 #include "platformstandin.h"
 
 #include "jaytrack/Net/socket.h"
-#include "jaytrack/Proxy/storefollower.h"
+#include "jaytrack/Store/storefollower.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
--- a/unittests/Platform/storeeratest.cpp
+++ b/unittests/Platform/storeeratest.cpp
@@ -3,8 +3,8 @@
 #include "entryfixture.h"
 
 #include "jaytrack/Net/socket.h"
-#include "jaytrack/Proxy/storefeeds.h"
-#include "jaytrack/Proxy/storefollower.h"
+#include "jaytrack/Store/storefeeds.h"
+#include "jaytrack/Store/storefollower.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
