--- a/lib/Quarantine/crashevidence.cpp
+++ b/lib/Quarantine/crashevidence.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace jaytrack {
 
@@ -35,7 +36,10 @@
     std::string_view digest;
     std::string_view software;
 
-    auto operator<=>(const PartAtSoftware &) const = default;
+    bool operator<(const PartAtSoftware &other) const
+    {
+        return std::tie(this->digest, this->software) < std::tie(other.digest, other.software);
+    }
 };
 using EvidenceByPart = std::map<PartAtSoftware, PartEvidence>;
 
