--- a/unittests/Platform/crashingparttest.cpp
+++ b/unittests/Platform/crashingparttest.cpp
@@ -1,6 +1,6 @@
 // Parts of prompts under which targets end. Requests that share such a part have nothing else in
 // common; sound requests share their customer and all other parts.
-#include "entryfixture.h"
+#include "fragiletargets.h"
 
 #include <boost/algorithm/string/case_conv.hpp>
 #include <criterion/criterion.h>
@@ -16,8 +16,6 @@
 // A part that ends each target that begins to work on it, unless it is the last of its prompt.
 constexpr std::string_view deadlyPart = "dead";
 
-const std::string ownHeaders = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
-
 bool isDeadly(const SeenRequest &request)
 {
     return std::any_of(
@@ -30,57 +28,6 @@
             });
 }
 
-// Ends soon after it began a deadly request; all others it answers at the end of that time.
-Answer fragileAnswer(const SeenRequest &request)
-{
-    static constexpr std::chrono::milliseconds workTime{60};
-    if (isReport(request))
-        return wholeAnswer(200, "", "{}");
-    if (isDeadly(request))
-        return {{AnswerStep::Kind::Die, "", workTime / 2}};
-    Answer answer = {{AnswerStep::Kind::Send, streamHead(ownHeaders), workTime}};
-    answer.push_back(chunkStep(eventText(1, "token1")));
-    answer.push_back({AnswerStep::Kind::Send, "0\r\n\r\n", {}});
-    return answer;
-}
-
-class FragileTargets
-{
-public:
-    explicit FragileTargets(std::size_t count)
-    {
-        for (std::size_t i = 0; i < count; ++i)
-            this->targets.push_back(std::make_unique<ScriptedServer>(fragileAnswer));
-    }
-
-    void listAt(EntryFixture &entry) const
-    {
-        for (std::size_t i = 0; i < this->targets.size(); ++i)
-            entry.store.put("servers/t" + std::to_string(i),
-                            targetJson(this->targets[i]->address()));
-    }
-
-    std::size_t dead() const
-    {
-        return static_cast<std::size_t>(
-                std::count_if(this->targets.begin(), this->targets.end(),
-                              [](const auto &target) { return target->isDead(); }));
-    }
-
-    std::size_t deadlySends() const
-    {
-        std::size_t count = 0;
-        for (const auto &target : this->targets) {
-            const std::vector<SeenRequest> seen = target->seen();
-            count += static_cast<std::size_t>(std::count_if(seen.begin(), seen.end(), isDeadly));
-        }
-        return count;
-    }
-
-private:
-    std::vector<std::unique_ptr<ScriptedServer>> targets;
-};
-
 // A request that is like no other one, with this list of parts.
 std::string sendList(const EntryFixture &entry, const std::string &list)
 {
@@ -152,7 +99,7 @@
 
 ParameterizedTest(PartCase *param, crashingPart, endsNoMoreTargetsOnceItIsKnown)
 {
-    const FragileTargets targets(12);
+    const FragileTargets targets(12, isDeadly);
     EntryFixture entry({routeOf(param->type, param->resumable)});
     targets.listAt(entry);
     cr_assert(servesSoon(entry));
@@ -176,7 +123,7 @@
 // starts again having forgotten it.
 Test(crashingPart, isKnownToOtherInstancesAndAfterARestart)
 {
-    const FragileTargets targets(12);
+    const FragileTargets targets(12, isDeadly);
     const std::string firstAddress = freeDatagramAddress();
     const std::string secondAddress = freeDatagramAddress();
     const std::vector<RouteSpec> routes = {routeOf("stream", true)};
@@ -213,7 +160,7 @@
 // each time, and thereby has the shared part barred.
 Test(crashingPart, partThatRunsWellForOthersIsNotBarred)
 {
-    const FragileTargets targets(12);
+    const FragileTargets targets(12, isDeadly);
     EntryFixture entry({routeOf("stream", false)});
     targets.listAt(entry);
     cr_assert(servesSoon(entry));
--- a/unittests/Platform/crashingrequesttest.cpp
+++ b/unittests/Platform/crashingrequesttest.cpp
@@ -1,6 +1,6 @@
 // Requests under which targets end. A target that begins to run the deadly one ends with all that
 // it works on; others must neither be given the same request again nor be kept from other requests.
-#include "entryfixture.h"
+#include "fragiletargets.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -14,61 +14,12 @@
 namespace {
 
 const std::string deadlyBody = "deadly";
-const std::string ownHeaders = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
 
-// Ends soon after it began the deadly request; all others it answers at the end of that time.
-Answer fragileAnswer(const SeenRequest &request)
+bool isDeadly(const SeenRequest &request)
 {
-    static constexpr std::chrono::milliseconds workTime{60};
-    if (isReport(request))
-        return wholeAnswer(200, "", "{}");
-    if (request.body == deadlyBody)
-        return {{AnswerStep::Kind::Die, "", workTime / 2}};
-    Answer answer = {{AnswerStep::Kind::Send, streamHead(ownHeaders), workTime}};
-    answer.push_back(chunkStep(eventText(1, "token1")));
-    answer.push_back({AnswerStep::Kind::Send, "0\r\n\r\n", {}});
-    return answer;
+    return request.body == deadlyBody;
 }
 
-// Targets of one service that the store lists from the start.
-class FragileTargets
-{
-public:
-    explicit FragileTargets(std::size_t count)
-    {
-        for (std::size_t i = 0; i < count; ++i)
-            this->targets.push_back(std::make_unique<ScriptedServer>(fragileAnswer));
-    }
-
-    void listAt(EntryFixture &entry) const
-    {
-        for (std::size_t i = 0; i < this->targets.size(); ++i)
-            entry.store.put("servers/t" + std::to_string(i),
-                            targetJson(this->targets[i]->address()));
-    }
-
-    std::size_t dead() const
-    {
-        return static_cast<std::size_t>(
-                std::count_if(this->targets.begin(), this->targets.end(),
-                              [](const auto &target) { return target->isDead(); }));
-    }
-
-    // How often the deadly request reached a target.
-    std::size_t deadlySends() const
-    {
-        std::size_t count = 0;
-        for (const auto &target : this->targets) {
-            for (const SeenRequest &request : target->seen())
-                count += request.body == deadlyBody ? 1 : 0;
-        }
-        return count;
-    }
-
-private:
-    std::vector<std::unique_ptr<ScriptedServer>> targets;
-};
-
 std::string send(const EntryFixture &entry, const std::string &body)
 {
     RequestSpec spec;
@@ -130,7 +81,7 @@
 
 ParameterizedTest(KindCase *param, crashingRequest, endsNoMoreTargetsOnceItIsKnown)
 {
-    const FragileTargets targets(8);
+    const FragileTargets targets(8, isDeadly);
     EntryFixture entry({routeOf(param->type, param->resumable)});
     targets.listAt(entry);
     cr_assert(servesSoon(entry));
@@ -165,7 +116,7 @@
 // known to all, also to those that were not there when it was told.
 Test(crashingRequest, isKnownToOtherInstancesAndAfterARestart)
 {
-    const FragileTargets targets(12);
+    const FragileTargets targets(12, isDeadly);
     const std::string firstAddress = freeDatagramAddress();
     const std::string secondAddress = freeDatagramAddress();
     const std::vector<RouteSpec> routes = {routeOf("stream", false)};
@@ -199,7 +150,7 @@
 // again beside the deadly one: it stands at as many ends. It must be served, not barred.
 Test(crashingRequest, whatStoodBesideItIsServed)
 {
-    const FragileTargets targets(10);
+    const FragileTargets targets(10, isDeadly);
     RouteSpec route = routeOf("safe", false);
     route.attempts = 3;
     EntryFixture entry({route});
--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -175,7 +175,7 @@
     const Request &request = this->byId.at(id);
     if (ends.ends <= endsUnderPart || request.sentAt <= ends.fifthAt + partBound + slack)
         return;
-    const bool judged = this->calm(request.instance, ends.fifthAt - slack);
+    const bool judged = this->calm(request.instance, request.sentAt);
     ++this->counts[judged ? "part_judged" : "part_excused"];
     if (judged && ++ends.late > lateUnderPart)
         this->broken("deadly_part_sent_on", id, "ends=" + std::to_string(ends.ends));
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -56,7 +56,7 @@
     static constexpr std::chrono::milliseconds limitHeard{500};
 
     // Requests with a part under which five targets ended that may reach targets later than the
-    // bound after the fifth end.
+    // bound after the fifth end, from instances that have been undisturbed for some seconds.
     static constexpr std::size_t endsUnderPart = 5;
     static constexpr std::size_t lateUnderPart = 3;
     static constexpr std::chrono::milliseconds partBound{3000};
