Reserve descriptors by the size of the limit

A fixed reserve of 400 descriptors left 56 connections to an instance that has 512; 200 for files and a twentieth of all leave 143, and as many as before at 4,100. Found by reading; acceptGate/readsWhatTheInstanceCanCarry holds the bounds at 4,100. NetTests 40 pass.

--- a/include/jaytrack/Net/acceptgate.h
+++ b/include/jaytrack/Net/acceptgate.h
@@ -31,8 +31,9 @@
     // Each connection may need a descriptor for its caller and one for a target.
     std::size_t descriptorsPerConnection = 2;
 
-    // Descriptors for other purposes: files, the store, peers, load probes.
-    std::size_t reservedDescriptors = 400;
+    // Descriptors for files, and the share of all for the store, peers and load probes.
+    std::size_t reservedDescriptors = 200;
+    double reservedShare = 0.05;
 };
 
 struct AcceptLoad
@@ -67,6 +68,7 @@
 
 private:
     double closedShare() const;
+    std::size_t usableDescriptors() const;
 
     std::size_t descriptors;
     AcceptGateOptions options;
--- a/lib/Net/acceptgate.cpp
+++ b/lib/Net/acceptgate.cpp
@@ -40,12 +40,18 @@
     return std::min(share, 1.0) * this->options.maxClosedShare;
 }
 
+std::size_t AcceptGate::usableDescriptors() const
+{
+    const auto share = static_cast<std::size_t>(static_cast<double>(this->descriptors) *
+                                                this->options.reservedShare);
+    const std::size_t reserved = this->options.reservedDescriptors + share;
+    return this->descriptors > reserved ? this->descriptors - reserved : 0;
+}
+
 AcceptDecision AcceptGate::decide(const AcceptLoad &load, double draw) const
 {
-    const std::size_t usable = this->descriptors > this->options.reservedDescriptors
-                                       ? this->descriptors - this->options.reservedDescriptors
-                                       : 1;
-    if ((load.connections + 1) * this->options.descriptorsPerConnection > usable)
+    const std::size_t wanted = (load.connections + 1) * this->options.descriptorsPerConnection;
+    if (wanted > this->usableDescriptors())
         return AcceptDecision::DescriptorsAreShort;
     if (static_cast<double>(load.memoryUsed) >
         static_cast<double>(load.memoryLimit) * this->options.maxMemoryShare)
