Ask once for each version of the targets' software whether a request is barred

For ten minutes after any end of a target each attempt of a request asked for every target of its service whether it is barred there, and again whether it is suspected: at 5,720 engines some ten thousand locks and look-ups an attempt (computed, not measured). Change: nothing is asked while nothing is barred or awaits a verdict, and else once for each version. Found by reading; crashing*/* and QuarantineTests pass (15 and 64).

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -88,6 +88,7 @@
 RequestIdentity identityOf(const AdmittedRequest &admitted);
 
 // Names the software that a target runs, for which crashing requests are judged.
+std::string softwareOf(std::string_view service, std::string_view version);
 std::string softwareOf(const TargetEntry &target);
 
 // Common part of plain and streaming requests: target selection, the deadline, and the final
--- a/include/jaytrack/Quarantine/crashquarantine.h
+++ b/include/jaytrack/Quarantine/crashquarantine.h
@@ -151,6 +151,10 @@
     // the verdict is due.
     Duration suspectedFor(const RequestIdentity &request, std::string_view software) const;
 
+    // Whether some request or part may be barred, and whether a verdict on some end is due.
+    bool hasBars() const { return !this->bars.empty(); }
+    bool awaitsVerdict() const;
+
     // Returns true if no request is suspected or barred, so that requests need not be checked.
     bool isIdle() const { return this->ends.empty() && this->bars.empty(); }
 
--- a/include/jaytrack/Quarantine/crashwatch.h
+++ b/include/jaytrack/Quarantine/crashwatch.h
@@ -91,6 +91,8 @@
     bool isBarred(std::string_view digest) const;
 
     // See CrashQuarantine.
+    bool hasBars() const;
+    bool awaitsVerdict() const;
     Duration barredFor(const RequestIdentity &request) const;
     Duration barredAt(const RequestIdentity &request, std::string_view software) const;
     bool hasUnknownPart(const RequestIdentity &request, std::string_view software) const;
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -81,9 +81,14 @@
     return std::chrono::milliseconds(delay(random));
 }
 
+std::string softwareOf(std::string_view service, std::string_view version)
+{
+    return std::string(service) + "/" + std::string(version);
+}
+
 std::string softwareOf(const TargetEntry &target)
 {
-    return target.service + "/" + target.softwareVersion;
+    return softwareOf(target.service, target.softwareVersion);
 }
 
 RequestIdentity identityOf(const AdmittedRequest &admitted)
@@ -145,9 +150,18 @@
 std::vector<const TargetEntry *> Exchange::allowedTargets() const
 {
     std::vector<const TargetEntry *> targets = this->context.directory.usable(this->serviceName);
-    std::erase_if(targets, [this](const TargetEntry *entry) {
-        return !this->isAllowedIn(entry->dataCentre) ||
-               !this->acceptsVersion(entry->softwareVersion) || this->isBarredAt(*entry);
+    // A fleet has thousands of targets and few versions of their software.
+    const bool mayBeBarred = this->context.crashes.hasBars();
+    std::map<std::string_view, bool> barred; // by version
+    std::erase_if(targets, [&](const TargetEntry *entry) {
+        if (!this->isAllowedIn(entry->dataCentre) || !this->acceptsVersion(entry->softwareVersion))
+            return true;
+        if (!mayBeBarred)
+            return false;
+        const auto [known, isNew] = barred.try_emplace(entry->softwareVersion, false);
+        if (isNew)
+            known->second = this->isBarredAt(*entry);
+        return known->second;
     });
     return targets;
 }
@@ -378,16 +392,12 @@
 
 Duration Exchange::suspectedFor() const
 {
-    if (this->parts().empty() || this->context.crashes.isIdle())
+    if (this->parts().empty() || !this->context.crashes.awaitsVerdict())
         return Duration(0);
     Duration longest{0};
-    std::string_view version;
-    for (const TargetEntry *target : this->allowedTargets()) {
-        if (longest > Duration(0) && target->softwareVersion == version)
-            continue;
-        version = target->softwareVersion;
-        longest = std::max(
-                longest, this->context.crashes.suspectedFor(this->identity(), softwareOf(*target)));
+    for (const std::string &version : this->context.directory.versionsOf(this->serviceName)) {
+        const std::string software = softwareOf(this->serviceName, version);
+        longest = std::max(longest, this->context.crashes.suspectedFor(this->identity(), software));
     }
     return longest;
 }
--- a/lib/Quarantine/crashquarantine.cpp
+++ b/lib/Quarantine/crashquarantine.cpp
@@ -347,13 +347,17 @@
     });
 }
 
+bool CrashQuarantine::awaitsVerdict() const
+{
+    return !this->ends.empty() && this->ends.back().endedAt + suspicionDuration > this->clock.now();
+}
+
 Duration CrashQuarantine::suspectedFor(const RequestIdentity &request,
                                        std::string_view software) const
 {
-    const TimePoint now = this->clock.now();
-    if (request.parts.empty() || this->ends.empty() ||
-        this->ends.back().endedAt + suspicionDuration <= now)
+    if (request.parts.empty() || !this->awaitsVerdict())
         return Duration(0);
+    const TimePoint now = this->clock.now();
     std::map<std::string_view, std::size_t> endsOfPart;
     TimePoint lastEnd;
     for (const RecordedEnd &end : this->ends) {
--- a/lib/Quarantine/crashwatch.cpp
+++ b/lib/Quarantine/crashwatch.cpp
@@ -310,6 +310,18 @@
     return this->quarantine.isIdle();
 }
 
+bool CrashWatch::hasBars() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->quarantine.hasBars();
+}
+
+bool CrashWatch::awaitsVerdict() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->quarantine.awaitsVerdict();
+}
+
 bool CrashWatch::isBarred(std::string_view digest) const
 {
     const std::lock_guard lock(this->mutex);
