Process soak: instances that know each other

All instances of the soak had one address and ports of their own, so each took itself for its only peer: no log holds a peers_changed line. Change: one port, an address of the loopback range for each.

--- a/unittests/ProcessSoak/instanceprocess.cpp
+++ b/unittests/ProcessSoak/instanceprocess.cpp
@@ -67,8 +67,8 @@
     file << "name = \"" << this->plan.name
          << "\"\ndata_centre = \"dc\"\n[listen]\ncallers = " << here(this->plan.callers)
          << "readiness = " << here(this->plan.readiness) << "[store]\naddress = \""
-         << this->plan.storeAddress << "\"\n[peers]\nlisten = " << here(this->plan.peers)
-         << "seed_hosts = [";
+         << this->plan.storeAddress << "\"\n[peers]\nlisten = \"" << this->plan.peers
+         << "\"\nseed_hosts = [";
     for (std::size_t i = 0; i < this->plan.seeds.size(); ++i)
         file << (i > 0 ? ", " : "") << "\"" << this->plan.seeds[i] << "\"";
     file << "]\nkeys = [\"process-soak-fleet-key\"]\n[bounds]\ndrain_grace_s = 6\n";
--- a/unittests/ProcessSoak/instanceprocess.h
+++ b/unittests/ProcessSoak/instanceprocess.h
@@ -23,7 +23,7 @@
     std::vector<std::string> seeds; // IP:PORT of all instances' peers
     std::uint16_t callers = 0;
     std::uint16_t readiness = 0;
-    std::uint16_t peers = 0;
+    std::string peers; // IP:PORT
 };
 
 class InstanceProcess
--- a/unittests/ProcessSoak/scenario.cpp
+++ b/unittests/ProcessSoak/scenario.cpp
@@ -62,9 +62,11 @@
 {
     std::vector<InstancePlan> plans(static_cast<std::size_t>(this->options.instances));
     std::vector<std::string> seeds;
-    for (InstancePlan &plan : plans) {
-        plan.peers = freePort();
-        seeds.push_back("127.0.0.1:" + std::to_string(plan.peers));
+    // All instances of a fleet have the same peers' port, so each needs an address of its own.
+    const std::string peersPort = std::to_string(freePort());
+    for (std::size_t i = 0; i < plans.size(); ++i) {
+        plans[i].peers = "127.0.0." + std::to_string(i + 2) + ":" + peersPort;
+        seeds.push_back(plans[i].peers);
     }
     for (std::size_t i = 0; i < plans.size(); ++i) {
         InstancePlan &plan = plans[i];
