Conclude on a part also while no answer comes to its end

What callers would see: targets that go on ending under a part for seconds, where such requests are most of what comes. Change: an answer that begins is enough to tell that the targets do not end whatever they run; what clears a part is a whole answer, or a second of one, as before.

--- a/include/jaytrack/Quarantine/crashevidence.h
+++ b/include/jaytrack/Quarantine/crashevidence.h
@@ -110,8 +110,8 @@
                                                 const EvidenceContext &context);
 
 // Returns the part that the evidence suffices to bar, if there is one. Nothing is concluded before
-// some request has run well since the first of the ends, because otherwise the targets may be
-// ending whatever they run.
+// some target has begun to answer a request since the first of the ends, because otherwise the
+// targets may be ending whatever they run.
 std::optional<CrashVerdict> findCrashingPart(std::span<const RecordedEnd *const> ends,
                                              const EvidenceContext &context);
 
--- a/include/jaytrack/Quarantine/crashquarantine.h
+++ b/include/jaytrack/Quarantine/crashquarantine.h
@@ -111,6 +111,10 @@
     // well since the suspect was sent are left out.
     void describeParts(TargetEnd &end) const;
 
+    // Records that a target has begun to answer some request, so that targets with this software do
+    // not end whatever they run.
+    void recordAnswerBegun(std::string_view software, TimePoint beganAt);
+
     // Clears a request and its parts. Returns what was suspected or barred.
     Cleared recordSafeRun(const SafeRun &run);
 
--- a/include/jaytrack/Quarantine/crashwatch.h
+++ b/include/jaytrack/Quarantine/crashwatch.h
@@ -78,6 +78,9 @@
     // Records that a connection has just been lost.
     void recordUnansweredLoss(const LostRequest &lost);
 
+    // Records that a target has just begun to answer some request.
+    void recordAnswerBegun(std::string_view software);
+
     // Records that a target has answered the request or has worked on it for long enough.
     void recordSafeRun(const SafeRun &run);
 
--- a/include/jaytrack/Quarantine/soundparts.h
+++ b/include/jaytrack/Quarantine/soundparts.h
@@ -43,13 +43,13 @@
 
     void record(std::string_view software, std::string_view part, TimePoint beganAt);
 
-    // Records that some request ran well, whatever its parts.
+    // Records that a target began to answer some request, whatever its parts.
     void recordRun(std::string_view software, TimePoint beganAt);
 
     // Returns when the part ran well last; empty if that is not known.
     std::optional<TimePoint> lastRun(std::string_view software, std::string_view part) const;
 
-    // Returns when any request ran well last; empty if that is not known.
+    // Returns when a target began to answer any request last; empty if that is not known.
     std::optional<TimePoint> lastRunOfAny(std::string_view software) const;
 
     // Whether the part is known to run well with other software than this.
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -385,8 +385,10 @@
 void StreamExchange::recordProgress(StreamLeg &leg) const
 {
     const TimePoint now = this->context.clock.now();
-    if (!leg.firstEventAt)
+    if (!leg.firstEventAt) {
         leg.firstEventAt = now;
+        this->context.crashes.recordAnswerBegun(softwareOf(leg.target));
+    }
     if (leg.proven || now - *leg.firstEventAt < minProvenRunTime)
         return;
     leg.proven = true;
--- a/lib/Quarantine/crashevidence.cpp
+++ b/lib/Quarantine/crashevidence.cpp
@@ -132,9 +132,9 @@
     if (context.wasBarred(part.digest))
         return true;
     const EvidenceOptions &options = context.options;
-    const auto lastRun = context.soundParts.lastRunOfAny(part.software);
-    const bool othersRanWell = lastRun && *lastRun >= evidence.firstEnd;
-    if (!othersRanWell || evidence.requests.size() < options.requestsToBarPart ||
+    const auto lastAnswer = context.soundParts.lastRunOfAny(part.software);
+    const bool othersAreAnswered = lastAnswer && *lastAnswer >= evidence.firstEnd;
+    if (!othersAreAnswered || evidence.requests.size() < options.requestsToBarPart ||
         evidence.ends < options.endsToBarPart)
         return false;
     if (evidence.ends >= options.endsToBarDoubtfulPart)
--- a/lib/Quarantine/crashquarantine.cpp
+++ b/lib/Quarantine/crashquarantine.cpp
@@ -133,15 +133,21 @@
     return true;
 }
 
-Cleared CrashQuarantine::recordSafeRun(const SafeRun &run)
+// Ends may have been waiting for this to be evaluated.
+void CrashQuarantine::recordAnswerBegun(std::string_view software, TimePoint beganAt)
 {
-    Cleared cleared;
     const bool isFirstSinceEnd =
             !this->ends.empty() &&
-            this->soundParts.lastRunOfAny(run.software) < std::optional(this->ends.back().endedAt);
+            this->soundParts.lastRunOfAny(software) < std::optional(this->ends.back().endedAt);
     if (isFirstSinceEnd)
         this->evaluateAt = std::min(this->evaluateAt, this->clock.now());
-    this->soundParts.recordRun(run.software, run.beganAt);
+    this->soundParts.recordRun(software, beganAt);
+}
+
+Cleared CrashQuarantine::recordSafeRun(const SafeRun &run)
+{
+    Cleared cleared;
+    this->recordAnswerBegun(run.software, run.beganAt);
     if (!run.request.digest.empty())
         cleared.request = this->clearRequest(run.request.digest);
     for (const std::string &part : run.request.parts) {
--- a/lib/Quarantine/crashwatch.cpp
+++ b/lib/Quarantine/crashwatch.cpp
@@ -148,6 +148,12 @@
         this->transport.broadcastQuarantine(message);
 }
 
+void CrashWatch::recordAnswerBegun(std::string_view software)
+{
+    const std::lock_guard lock(this->mutex);
+    this->quarantine.recordAnswerBegun(software, this->clock.now());
+}
+
 void CrashWatch::recordSafeRun(const SafeRun &run)
 {
     Cleared cleared;
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -425,8 +425,10 @@
 {
     const TimePoint now = this->context.clock.now();
     this->record.longestStall = std::max(this->record.longestStall, now - this->lastEventAt);
-    if (this->record.tokens == 0)
+    if (this->record.tokens == 0) {
         this->record.firstByte = now - this->startedAt;
+        this->context.crashes.recordAnswerBegun(this->spec.placementRequest.model);
+    }
     this->lastEventAt = now;
 }
 
--- a/unittests/Quarantine/crashquarantinetest.cpp
+++ b/unittests/Quarantine/crashquarantinetest.cpp
@@ -441,6 +441,27 @@
                  barredDigests(quarantine).c_str());
 }
 
+// Guards against no verdict while so many targets end that no answer comes to its end.
+Test(crashQuarantine, barsAPartAlsoWhereAnswersBeginAndNoneEnds)
+{
+    ManualClock clock;
+    clock.advance(std::chrono::hours(1));
+    CrashQuarantine quarantine(clock);
+    const PartEvent ends[] = {
+            {0, "t1", "p:f,x a:f"}, {0, "t2", "q:f,x b:f"}, {0, "t3", "r:f,x c:f"}};
+    quarantine.recordSafeRun({{"", {"f"}}, "s/1", clock.now()});
+    for (const PartEvent &end : ends) {
+        clock.advance(std::chrono::milliseconds(200));
+        apply(quarantine, end, clock.now());
+    }
+    clock.advance(CrashQuarantineOptions().settleTime);
+    quarantine.evaluate();
+    cr_assert_eq(barredDigests(quarantine), std::string(""));
+    quarantine.recordAnswerBegun("s/1", clock.now());
+    quarantine.evaluate();
+    cr_assert_eq(barredDigests(quarantine), std::string("x"));
+}
+
 // Guards against refusing a part at engines of a version that runs it well, because it crashes
 // those of another one.
 Test(crashQuarantine, partIsBarredOnlyWhereItIsNotKnownToRunWell)
--- a/unittests/Quarantine/partfleet.cpp
+++ b/unittests/Quarantine/partfleet.cpp
@@ -117,6 +117,8 @@
     if (request->deadly && this->engines[engine].software == "s/2")
         return this->endEngine(engine, true);
     const TimePoint beganAt = this->clock.now();
+    this->instances[request->instance].quarantine->recordAnswerBegun(this->engines[engine].software,
+                                                                     beganAt);
     this->at(beganAt + milliseconds(60),
              [this, request, engine, beganAt] { this->complete(request, engine, beganAt); });
 }
--- a/unittests/Quarantine/partfleettest.cpp
+++ b/unittests/Quarantine/partfleettest.cpp
@@ -62,6 +62,7 @@
              changed(small, [](PartFleetPlan &plan) { plan.oneVersionOnly = true; })},
             {"7, many deadly ones",
              changed(small, [](PartFleetPlan &plan) { plan.deadlyPerSecond = 12; })},
+            {"7, far more deadly ones than sound ones", fleetOf(7, 18, 6, 40)},
             {"7, few deadly ones",
              changed(small, [](PartFleetPlan &plan) { plan.deadlyPerSecond = 1; })},
             {"195 instances", fleetOf(195, 300, 60, 6)},
