Tests: a server that has ended keeps its port, a store answers only what it is asked

Cause, traced: a target that ends gives its port back, the store of a test beside it gets it, and the instance that still probes that target asks this store for a load report, which it took for a watch without a revision, or counted as a call. Change: an ended server keeps its port without listening; a store refuses and does not count other paths. Nothing loosened. Platform, Serve and Support tests pass whole beside the same load.

--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -203,6 +203,10 @@
     }
     asio::error_code ignored;
     this->acceptor.close(ignored);
+    // Whoever still asks this address must not reach a server of another test.
+    this->acceptor.open(asio::ip::tcp::v4(), ignored);
+    this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), ignored);
+    this->acceptor.bind({asio::ip::make_address("127.0.0.1"), this->port}, ignored);
     for (const std::weak_ptr<Connection> &weak : this->connections) {
         if (const auto open = weak.lock())
             open->end();
@@ -321,6 +325,9 @@
 
 Answer StoreStandin::answer(const SeenRequest &request)
 {
+    // An instance of another test may ask a target that had this port before.
+    if (!request.head.path().starts_with("/jaytrack/kv-"))
+        return wholeAnswer(404, "", "");
     const std::lock_guard lock(this->mutex);
     ++this->callCount;
     if (this->failure != 0)
