--- a/lib/Proxy/entryrequests.cpp
+++ b/lib/Proxy/entryrequests.cpp
@@ -146,7 +146,7 @@
     return {limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout};
 }
 
-// An instance that stops reads what has reached it: nobody else does.
+// A stopping instance reads all connections that have reached it, so that none is lost.
 bool EntryInstance::Parts::mayRead(std::size_t openConnections)
 {
     if (this->isStopping)
--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -203,7 +203,7 @@
     }
     asio::error_code ignored;
     this->acceptor.close(ignored);
-    // Whoever still asks this address must not reach a server of another test.
+    // Keeps the port, so that later calls to this address reach no server of another test.
     this->acceptor.open(asio::ip::tcp::v4(), ignored);
     this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), ignored);
     this->acceptor.bind({asio::ip::make_address("127.0.0.1"), this->port}, ignored);
--- a/unittests/ProcessSoak/faultproxy.h
+++ b/unittests/ProcessSoak/faultproxy.h
@@ -18,7 +18,7 @@
     Silence,     // nothing passes, nothing is closed
     SilenceBack, // only what comes back is held
     Reset,       // open connections and new ones are reset
-    Down         // open connections are closed in order, and nobody listens
+    Down         // open connections are closed in order, new ones are refused
 };
 
 class FaultProxy
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -156,7 +156,7 @@
     return answer;
 }
 
-// Ends as a process does: its connections are closed in order, and nobody listens any more.
+// Ends as a process does: its connections are closed in order, new ones are refused.
 Answer SoakTarget::endUnder(const std::string &part, const std::string &attempt)
 {
     this->record.ran(attempt, this->id());
