Brittle targets: permits are granted shortly before they accrue

Cause: the bucket of a brittle target holds one permit, so that requests arrive evenly; one that accrues while no instance requests it is lost, and a request that comes a moment too early is refused. Change: a permit that accrues within 25 ms is granted in advance; the instance sends the request when it accrues, less half of the time that the answer took (LimitGate waits, TargetLimits says how long). An instance that gets none asks again when the next one can be granted. Limits that targets name grant as before (no time in advance).

--- a/include/jaytrack/Limits/limitgate.h
+++ b/include/jaytrack/Limits/limitgate.h
@@ -64,7 +64,8 @@
     Duration remainingBackoff(std::string_view target) const;
 
     // Requests a permit for one request to the target, as TargetLimits::request() does. The
-    // callback is called from the event loop's thread.
+    // callback is called from the event loop's thread, when the request may be sent if the permit
+    // is granted.
     std::optional<Permit> request(std::string_view target, PermitCallback callback);
 
     // Requests a permit repeatedly until it is granted or the time-out would pass. Calls the
@@ -84,9 +85,11 @@
 private:
     struct RetriedRequest;
 
+    void answer(const PermitCallback &callback, const Permit &permit);
     void tryRequest(const std::shared_ptr<RetriedRequest> &request);
     void onPermit(const std::shared_ptr<RetriedRequest> &request, const Permit &permit);
     void runCallbacks();
+    void scheduleExpiryCheckFromLoop();
     void scheduleExpiryCheck();
     void countPermit(const Permit &permit);
     void logLimitChange(std::string_view target, std::string_view source) const;
--- a/include/jaytrack/Limits/permitbucket.h
+++ b/include/jaytrack/Limits/permitbucket.h
@@ -8,6 +8,7 @@
 #include "jaytrack/Support/clock.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,8 +30,9 @@
     {
     }
 
-    // Takes one permit. Returns false if less than one is available.
-    bool tryTake(TimePoint now, const Rate &rate);
+    // Takes a permit that accrues within the given time, in advance. Returns the time until then,
+    // which is zero if one is available now, or nullopt if there is none.
+    std::optional<Duration> tryTake(TimePoint now, const Rate &rate, Duration within);
 
     // Charges a request that is sent without a permit. The balance may become negative, so that
     // later requests wait for it.
--- a/include/jaytrack/Limits/targetlimits.h
+++ b/include/jaytrack/Limits/targetlimits.h
@@ -77,6 +77,10 @@
     Duration minBackoff = std::chrono::milliseconds(10);
     Duration noOwnerBackoff = std::chrono::milliseconds(200);
 
+    // A permit may be granted this long before it accrues. Otherwise one that accrues while no
+    // instance requests it is lost if the bucket is full.
+    Duration maxReservation{0};
+
     // Interval at which the limits that this instance owns are sent to a sample of the instances.
     // An instance that starts, or that missed a message, receives them within a few intervals.
     Duration announceInterval = std::chrono::seconds(1);
@@ -91,7 +95,7 @@
 struct Permit
 {
     bool granted = false;
-    Duration wait{0};  // until the next permit should be requested
+    Duration wait{0};  // until the request may be sent, or until another permit should be requested
     std::string owner; // empty if no owner is known
 };
 
@@ -183,6 +187,7 @@
     bool applyState(const AdvertisedLimits::State &state);
     void onPermitRequest(std::string_view from, const PermitRequest &permitRequest);
     void onPermitAnswer(std::string_view from, const PermitAnswer &answer);
+    Duration ageOfAnswer(const PendingRequest &pendingRequest) const;
     void onMissingAnswer(const PendingRequest &pendingRequest);
     void expirePending();
     void removeIdle();
--- a/lib/Limits/limitgate.cpp
+++ b/lib/Limits/limitgate.cpp
@@ -137,23 +137,40 @@
     this->metrics.count(permit.granted ? this->grantedMetric : this->deniedMetric);
 }
 
+// Calls the callback when the permit has accrued.
+void LimitGate::answer(const PermitCallback &callback, const Permit &permit)
+{
+    if (!permit.granted || permit.wait <= Duration(0))
+        return callback(permit);
+    const auto accrual = std::make_shared<asio::steady_timer>(this->context, permit.wait);
+    accrual->async_wait([accrual, kept = this->alive, callback,
+                         owner = permit.owner](const asio::error_code &failure) {
+        if (!failure && *kept)
+            callback({true, Duration(0), owner});
+    });
+}
+
 std::optional<Permit> LimitGate::request(std::string_view target, PermitCallback callback)
 {
     const std::lock_guard lock(this->mutex);
     if (!this->limits.limitOf(target))
         return Permit{true, Duration(0), {}};
-    std::optional<Permit> permit = this->limits.request(
-            target, [this, callback = std::move(callback)](const Permit &decided) {
-                this->pendingCallbacks.emplace_back([callback, decided] { callback(decided); });
-                this->countPermit(decided);
-            });
-    if (permit) {
-        this->countPermit(*permit);
-        return permit;
+    const auto decided = [this, callback](const Permit &permit) {
+        this->countPermit(permit);
+        this->pendingCallbacks.emplace_back(
+                [this, callback, permit] { this->answer(callback, permit); });
+    };
+    const std::optional<Permit> permit = this->limits.request(target, decided);
+    if (!permit) {
+        this->scheduleExpiryCheckFromLoop();
+        return std::nullopt;
     }
-    asio::post(this->context, [this, kept = this->alive] {
+    this->countPermit(*permit);
+    if (!permit->granted || permit->wait <= Duration(0))
+        return permit;
+    asio::post(this->context, [this, kept = this->alive, callback, granted = *permit] {
         if (*kept)
-            this->scheduleExpiryCheck();
+            this->answer(callback, granted);
     });
     return std::nullopt;
 }
@@ -216,6 +233,14 @@
         callback();
 }
 
+void LimitGate::scheduleExpiryCheckFromLoop()
+{
+    asio::post(this->context, [this, kept = this->alive] {
+        if (*kept)
+            this->scheduleExpiryCheck();
+    });
+}
+
 void LimitGate::scheduleExpiryCheck()
 {
     if (this->isExpiryCheckScheduled)
--- a/lib/Limits/permitbucket.cpp
+++ b/lib/Limits/permitbucket.cpp
@@ -27,13 +27,14 @@
     this->refilledAt = now;
 }
 
-bool PermitBucket::tryTake(TimePoint now, const Rate &rate)
+std::optional<Duration> PermitBucket::tryTake(TimePoint now, const Rate &rate, Duration within)
 {
     this->refill(now, rate);
-    if (this->permits < 1)
-        return false;
+    const Duration wait = this->timeToNextPermit(now, rate);
+    if (this->permits < 1 && (rate.perSecond <= 0 || wait > within))
+        return std::nullopt;
     this->permits -= 1;
-    return true;
+    return wait;
 }
 
 void PermitBucket::charge(TimePoint now, const Rate &rate)
--- a/lib/Limits/refusalcontrol.cpp
+++ b/lib/Limits/refusalcontrol.cpp
@@ -90,6 +90,7 @@
     permits.burstPermits = 1;
     permits.burstSeconds = 0;
     permits.requestsPerPermit = 8;
+    permits.maxReservation = std::chrono::milliseconds(25);
     permits.growthPerSecond = options.growth;
     permits.lifetime = std::chrono::seconds(20);
     return permits;
--- a/lib/Limits/targetlimits.cpp
+++ b/lib/Limits/targetlimits.cpp
@@ -155,8 +155,8 @@
     const PermitBucket::Rate rate = this->rateOf(target, perSecond);
     PermitBucket &bucket = this->bucketOf(target);
     const std::size_t requesters = bucket.recordRequester(now, requester);
-    if (bucket.tryTake(now, rate))
-        return {true, Duration(0), this->self};
+    if (const auto wait = bucket.tryTake(now, rate, this->options.maxReservation))
+        return {true, *wait, this->self};
     return {false, this->backoffFor(bucket, rate, requesters), this->self};
 }
 
@@ -170,7 +170,8 @@
     const double maxDelay = std::chrono::duration<double>(this->options.maxBackoff).count();
     std::uniform_real_distribution<double> jitter(0, std::min(2 * mean, maxDelay));
     const std::chrono::duration<double> delay(jitter(this->random));
-    const Duration backoff = bucket.timeToNextPermit(this->clock.now(), rate) +
+    const Duration backoff = bucket.timeToNextPermit(this->clock.now(), rate) -
+                             this->options.maxReservation +
                              std::chrono::duration_cast<Duration>(delay);
     return std::clamp(backoff, this->options.minBackoff, this->options.maxBackoff);
 }
@@ -356,6 +357,12 @@
     this->transport.sendLimits(from, {{}, {}, {std::move(answer)}});
 }
 
+// Returns how long ago the owner decided, as far as its answer took as long as the request.
+Duration TargetLimits::ageOfAnswer(const PendingRequest &pendingRequest) const
+{
+    return (this->clock.now() - pendingRequest.sentAt) / 2;
+}
+
 void TargetLimits::onPermitAnswer(std::string_view from, const PermitAnswer &answer)
 {
     const auto found = this->pending.find(answer.serial);
@@ -367,7 +374,9 @@
     this->peers.erase(pendingRequest.owner);
     this->answeredAt.insert_or_assign(pendingRequest.owner, this->clock.now());
     if (answer.isOwnerReady) {
-        const Permit permit{answer.granted, answer.wait, pendingRequest.owner};
+        Permit permit{answer.granted, answer.wait, pendingRequest.owner};
+        if (permit.granted)
+            permit.wait = std::max(Duration(0), permit.wait - this->ageOfAnswer(pendingRequest));
         return pendingRequest.callback(this->recordDecision(pendingRequest.target, permit));
     }
     this->skipOwner(pendingRequest.owner);
--- a/unittests/Limits/brittlefleet.cpp
+++ b/unittests/Limits/brittlefleet.cpp
@@ -82,7 +82,7 @@
         const std::size_t target = open[this->fleet.random() % open.size()];
         const auto decided = [this, target, attempts](const Permit &permit) {
             if (permit.granted)
-                this->fleet.onSent(*this, target);
+                this->fleet.sendAfter(permit.wait, {this->index, target});
             else
                 this->place(attempts - 1);
         };
@@ -165,6 +165,22 @@
         this->nodes[this->random() % this->nodes.size()]->place(2);
 }
 
+void BrittleFleet::sendAfter(Duration wait, const Request &request)
+{
+    this->delayedRequests.emplace(this->clock.now() + wait, request);
+    this->sendDelayed();
+}
+
+void BrittleFleet::sendDelayed()
+{
+    while (!this->delayedRequests.empty() &&
+           this->delayedRequests.begin()->first <= this->clock.now()) {
+        const Request request = this->delayedRequests.begin()->second;
+        this->delayedRequests.erase(this->delayedRequests.begin());
+        this->onSent(*this->nodes[request.from], request.target);
+    }
+}
+
 void BrittleFleet::onSent(Node &node, std::size_t index)
 {
     Target &target = this->targets[index];
@@ -204,6 +220,7 @@
     for (int steps = 0; this->clock.now() < end; ++steps) {
         this->clock.advance(stepTime);
         this->deliver();
+        this->sendDelayed();
         for (const auto &node : this->nodes) {
             const bool isExpiring = steps % stepsPerExpiry == 0 && node->limits.nextDeadline();
             if (isExpiring || steps % stepsPerTick == 0)
--- a/unittests/Limits/brittlefleet.h
+++ b/unittests/Limits/brittlefleet.h
@@ -7,6 +7,7 @@
 #include "jaytrack/Limits/targetlimits.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -54,6 +55,12 @@
         std::size_t served = 0;
     };
 
+    struct Request
+    {
+        std::size_t from;
+        std::size_t target;
+    };
+
     struct InFlightMessage
     {
         TimePoint due;
@@ -67,6 +74,8 @@
     void deliver();
     void arrive(double load);
     void post(std::size_t from, std::string_view to, const LimitMessage &content);
+    void sendAfter(Duration wait, const Request &request);
+    void sendDelayed();
     void onSent(Node &node, std::size_t target);
     void onRefused(Node &node, std::size_t target);
 
@@ -75,7 +84,8 @@
     std::mt19937_64 random{7};
     std::vector<std::unique_ptr<Node>> nodes;
     std::vector<Target> targets;
-    std::deque<InFlightMessage> messages; // ordered by due time
+    std::deque<InFlightMessage> messages;              // ordered by due time
+    std::multimap<TimePoint, Request> delayedRequests; // by when they are sent
     TimePoint overloadedFrom;
 };
 
--- a/unittests/Limits/targetlimitstest.cpp
+++ b/unittests/Limits/targetlimitstest.cpp
@@ -149,6 +149,36 @@
     cr_expect_not(own.limits.nextDeadline().has_value());
 }
 
+// Guards against permits that are lost because no instance requests one in the moment they accrue.
+Test(targetLimits, permitsAreGrantedBeforeTheyAccrue)
+{
+    TargetLimitOptions options;
+    options.maxReservation = 700ms;
+    SingleInstance own(2, options);
+    const auto first = own.request();
+    cr_assert(first->granted);
+    cr_expect(first->wait == 500ms, "a new bucket is empty");
+    cr_expect_not(own.request()->granted, "the next one accrues in a second");
+    own.advance(500ms);
+    const auto second = own.request();
+    cr_assert(second->granted);
+    cr_expect(second->wait == 500ms, "the one that accrues now is granted already");
+}
+
+// Guards against a request that waits for its permit longer than the owner meant, by the time that
+// its answer took.
+Test(targetLimits, timeOfTheAnswerCountsForTheWait)
+{
+    SettledInstance own({"other"}, 2);
+    const std::string target = own.requestFromOther();
+    own.clock.advance(10ms);
+    LimitMessage message;
+    message.answers.push_back({1, true, 20ms, true, {target, 2, Duration(0), std::nullopt}});
+    own.limits.onMessage("other", message);
+    cr_assert(own.decision && own.decision->granted);
+    cr_expect(own.decision->wait == 15ms, "the answer took half of 10 ms");
+}
+
 // Guards against a second owner that grants permits too, because messages of a first one that is
 // reachable were lost.
 Test(targetLimits, lostAnswersOfAReachableOwnerDoNotChangeTheOwner)
