--- a/include/jaytrack/Limits/brittlegate.h
+++ b/include/jaytrack/Limits/brittlegate.h
@@ -48,9 +48,10 @@
     }
 
     // Requests a permit for one request to the target, as TargetLimits::request() does.
-    std::optional<Permit> request(std::string_view target, LimitGate::PermitCallback callback)
+    std::optional<Permit> request(std::string_view target,
+                                  const LimitGate::PermitCallback &callback)
     {
-        return this->permits.request(target, std::move(callback));
+        return this->permits.request(target, callback);
     }
 
 private:
--- a/include/jaytrack/Limits/limitgate.h
+++ b/include/jaytrack/Limits/limitgate.h
@@ -66,7 +66,7 @@
     // Requests a permit for one request to the target, as TargetLimits::request() does. The
     // callback is called from the event loop's thread, when the request may be sent if the permit
     // is granted.
-    std::optional<Permit> request(std::string_view target, PermitCallback callback);
+    std::optional<Permit> request(std::string_view target, const PermitCallback &callback);
 
     // Requests a permit repeatedly until it is granted or the time-out would pass. Calls the
     // callback once, immediately or from the event loop's thread, with whether the request may be
--- a/lib/Limits/limitgate.cpp
+++ b/lib/Limits/limitgate.cpp
@@ -150,7 +150,7 @@
     });
 }
 
-std::optional<Permit> LimitGate::request(std::string_view target, PermitCallback callback)
+std::optional<Permit> LimitGate::request(std::string_view target, const PermitCallback &callback)
 {
     const std::lock_guard lock(this->mutex);
     if (!this->limits.limitOf(target))
@@ -160,7 +160,7 @@
         this->pendingCallbacks.emplace_back(
                 [this, callback, permit] { this->answer(callback, permit); });
     };
-    const std::optional<Permit> permit = this->limits.request(target, decided);
+    std::optional<Permit> permit = this->limits.request(target, decided);
     if (!permit) {
         this->scheduleExpiryCheckFromLoop();
         return std::nullopt;
