--- a/include/jaytrack/Limits/limitmessage.h
+++ b/include/jaytrack/Limits/limitmessage.h
@@ -30,7 +30,7 @@
 {
     std::int64_t serial = 0;
     bool granted = false;
-    Duration wait{0};              // until the requester should retry
+    Duration wait{0};              // as in Permit
     bool isOwnerReady = true;      // false while the sender is settling and grants no permits
     AdvertisedLimits::State state; // the sender's record of the target
 };
--- a/include/jaytrack/Limits/targetlimits.h
+++ b/include/jaytrack/Limits/targetlimits.h
@@ -95,7 +95,7 @@
 struct Permit
 {
     bool granted = false;
-    Duration wait{0};  // until the request may be sent, or until another permit should be requested
+    Duration wait{0};  // if granted, until the request may be sent; else until the next attempt
     std::string owner; // empty if no owner is known
 };
 
--- a/lib/Limits/targetlimits.cpp
+++ b/lib/Limits/targetlimits.cpp
@@ -287,8 +287,8 @@
     this->transport.sendLimits(*owner, {{}, {{0, *this->limits.stateOf(target), true}}, {}});
 }
 
-// Returns whether the owner is to be skipped. One that has answered a later request is reachable: a
-// message was lost.
+// Returns whether the owner is to be skipped. One that has answered since the request was sent is
+// reachable: a message was lost.
 bool TargetLimits::countMiss(const PendingRequest &pendingRequest)
 {
     const auto answered = this->answeredAt.find(pendingRequest.owner);
