Store sharing: messages go through an interface

What an instance tells the others about the store went to PeerLink directly, so that a fleet of them could not be put together in a test without sockets and members. StoreTransport is the seam, implemented by EntryInstance::Parts like the transports of retries, limits and stream versions.

--- a/include/jaytrack/Store/storesharing.h
+++ b/include/jaytrack/Store/storesharing.h
@@ -4,7 +4,7 @@
 #ifndef JAYTRACK_STORE_STORESHARING_H
 #define JAYTRACK_STORE_STORESHARING_H
 
-#include "jaytrack/Peers/peerlink.h"
+#include "jaytrack/Peers/sharedchanges.h"
 #include "jaytrack/Store/readduty.h"
 #include "jaytrack/Store/storefeeds.h"
 #include "jaytrack/Store/storefollower.h"
@@ -16,6 +16,20 @@
 
 namespace jaytrack {
 
+// Carries the messages of StoreSharing to other instances. They may be lost, and are dropped for
+// instances that are not known.
+class StoreTransport
+{
+public:
+    virtual ~StoreTransport() = default;
+
+    // Sends what this instance read from the store to all others.
+    virtual void shareStoreChanges(const SharedChanges &changes) = 0;
+    virtual void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) = 0;
+    virtual void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt,
+                                     Duration age, std::uint64_t era, std::uint64_t revision) = 0;
+};
+
 class StoreSharing final : public StoreReadListener
 {
 public:
@@ -24,10 +38,10 @@
 
     StoreSharing(const Clock &time, std::string ownName, ReadDutyOptions dutyOptions,
                  std::mt19937_64 &source, ConfigurationFeed &configurationFeed,
-                 TargetFeed &targetFeed);
+                 TargetFeed &targetFeed, StoreTransport &storeTransport);
 
-    // Sets the peers and the follower; called once, before the first tick.
-    void attach(PeerLink &peerLink, std::shared_ptr<StoreFollower> storeFollower);
+    // Sets the follower; called once, before the first tick.
+    void attach(std::shared_ptr<StoreFollower> storeFollower);
 
     void tick();
 
@@ -46,7 +60,7 @@
     ReadDuty duty;
     ConfigurationFeed &configuration;
     TargetFeed &targets;
-    PeerLink *peers = nullptr;
+    StoreTransport &transport;
     std::shared_ptr<StoreFollower> follower;
     bool reading = true;
     TimePoint nextQuery;
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -50,7 +50,7 @@
     , targets(this->loop, time, platform, this->metrics, this->directory)
     , feeds(this->configuration, this->targets)
     , sharing(time, entrySettings.name, entrySettings.tuning.sharing, this->random,
-              this->configuration, this->targets)
+              this->configuration, this->targets, *this)
     , pauses(time)
     , cold(time, entrySettings.name, entrySettings.coldBound,
            configuredPeerCount(entrySettings) > 0)
@@ -158,7 +158,7 @@
             std::make_shared<StoreFollower>(this->loop, this->clock, this->dialect, everything,
                                             this->random(), this->feeds, this->sharing);
     if (this->peers)
-        this->sharing.attach(*this->peers, this->follower);
+        this->sharing.attach(this->follower);
     this->follower->start();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -336,6 +336,26 @@
         this->peers->sendRetryPermits(instance, message);
 }
 
+void EntryInstance::Parts::shareStoreChanges(const SharedChanges &changes)
+{
+    if (this->peers)
+        this->peers->shareStoreChanges(changes);
+}
+
+void EntryInstance::Parts::sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt)
+{
+    if (this->peers)
+        this->peers->sendFreshnessQuery(instance, requestedAt);
+}
+
+void EntryInstance::Parts::sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt,
+                                               Duration age, std::uint64_t era,
+                                               std::uint64_t revision)
+{
+    if (this->peers)
+        this->peers->sendFreshnessAnswer(instance, requestedAt, age, era, revision);
+}
+
 void EntryInstance::Parts::sendStreamVersions(std::string_view instance,
                                               const StreamVersionMessage &message)
 {
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -31,6 +31,7 @@
                                     public SelfReportNotices,
                                     public QuarantineTransport,
                                     public RetryTransport,
+                                    public StoreTransport,
                                     public StreamVersionTransport,
                                     public CrashWatchListener
 {
@@ -186,6 +187,13 @@
 
     void sendRetryPermits(std::string_view instance, const LimitMessage &message) override;
 
+    // StoreTransport
+
+    void shareStoreChanges(const SharedChanges &changes) override;
+    void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) override;
+    void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt, Duration age,
+                             std::uint64_t era, std::uint64_t revision) override;
+
     // StreamVersionTransport
 
     void sendStreamVersions(std::string_view instance,
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -14,17 +14,17 @@
 
 StoreSharing::StoreSharing(const Clock &time, std::string ownName, ReadDutyOptions dutyOptions,
                            std::mt19937_64 &source, ConfigurationFeed &configurationFeed,
-                           TargetFeed &targetFeed)
+                           TargetFeed &targetFeed, StoreTransport &storeTransport)
     : clock(time)
     , duty(time, std::move(ownName), dutyOptions, source)
     , configuration(configurationFeed)
     , targets(targetFeed)
+    , transport(storeTransport)
 {
 }
 
-void StoreSharing::attach(PeerLink &peerLink, std::shared_ptr<StoreFollower> storeFollower)
+void StoreSharing::attach(std::shared_ptr<StoreFollower> storeFollower)
 {
-    this->peers = &peerLink;
     this->follower = std::move(storeFollower);
 }
 
@@ -67,14 +67,14 @@
     if (queriedPeer.empty())
         return;
     this->nextQuery = now + queryInterval;
-    this->peers->sendFreshnessQuery(queriedPeer, now.time_since_epoch().count());
+    this->transport.sendFreshnessQuery(queriedPeer, now.time_since_epoch().count());
 }
 
 void StoreSharing::onStoreRead(std::uint64_t from, std::uint64_t to,
                                const std::vector<StoreItem> &items)
 {
-    if (this->peers != nullptr && this->duty.sharesReads())
-        this->peers->shareStoreChanges(
+    if (this->follower != nullptr && this->duty.sharesReads())
+        this->transport.shareStoreChanges(
                 {from, to, items, false, this->targets.inGrace(), this->follower->knownEra()});
 }
 
@@ -89,8 +89,9 @@
 {
     if (this->follower == nullptr || this->follower->knownRevision() == 0)
         return;
-    this->peers->sendFreshnessAnswer(peer, requestedAt, this->configuration.age(),
-                                     this->follower->knownEra(), this->follower->knownRevision());
+    this->transport.sendFreshnessAnswer(peer, requestedAt, this->configuration.age(),
+                                        this->follower->knownEra(),
+                                        this->follower->knownRevision());
 }
 
 // The peer answered after the query was sent, and its data had the reported age at that time.
