Tests: a fleet that starts at once before a full store (red)

The stand-in of the store serves one call after the other, also those that nobody waits for any more, as a store with a rate and a link of its own does; 240 instances start at once, 600 targets in pages of 20, 5 ms a call: all listings together take 36 s.

--- /dev/null
+++ b/unittests/Platform/commonstartfleet.cpp
@@ -0,0 +1,180 @@
+#include "commonstartfleet.h"
+
+#include "platformdocuments.h"
+
+#include "jaytrack/Net/socket.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+
+namespace jaytrack::testing {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{100};
+
+// What an instance knows of the others after a common start: nobody, then the seeds, then those
+// that the seeds had heard of, then all.
+struct Discovery
+{
+    std::chrono::milliseconds after;
+    std::size_t inAHundred;
+    std::size_t least;
+};
+
+constexpr Discovery discoveries[] = {
+        {std::chrono::milliseconds(100), 0, 3},
+        {std::chrono::milliseconds(400), 50, 3},
+        {std::chrono::milliseconds(2000), 97, 3},
+        {std::chrono::milliseconds(3500), 100, 3},
+};
+
+std::string nameOf(std::size_t index)
+{
+    return "instance-" + std::to_string(index);
+}
+
+StoreFollowerOptions followerOptions(const std::string &store, const Dialect &dialect)
+{
+    StoreFollowerOptions options;
+    options.store = parseEndpoint(store).value();
+    options.stalePrefix = dialect.targetsPrefix();
+    options.gap = std::chrono::milliseconds(400);
+    return options;
+}
+
+} // namespace
+
+StartingInstance::StartingInstance(CommonStartFleet &of, asio::io_context &loop, const Clock &time,
+                                   const std::string &ownName, std::uint64_t seed,
+                                   const std::string &store)
+    : name(ownName)
+    , fleet(of)
+    , random(seed)
+    , configuration(time, *this->dialect)
+    , targets(loop, time, *this->dialect, this->metrics, this->directory)
+    , sharing(time, ownName, {}, this->random, this->configuration, this->targets, *this)
+    , follower(std::make_shared<StoreFollower>(loop, time, *this->dialect,
+                                               followerOptions(store, *this->dialect), seed,
+                                               this->feeds, this->sharing))
+{
+    this->sharing.attach(this->follower);
+}
+
+void StartingInstance::shareStoreChanges(const SharedChanges &changes)
+{
+    this->fleet.deliverToAll(
+            *this, [changes](StartingInstance &to) { to.sharing.onStoreFromPeer(changes); });
+}
+
+void StartingInstance::sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt)
+{
+    this->fleet.deliver(instance, [from = this->name, requestedAt](StartingInstance &to) {
+        to.sharing.onFreshnessQuery(from, requestedAt);
+    });
+}
+
+void StartingInstance::sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt,
+                                           Duration age, std::uint64_t era, std::uint64_t revision)
+{
+    this->fleet.deliver(instance, [=, from = this->name](StartingInstance &to) {
+        to.sharing.onFreshnessAnswer(from, requestedAt, age, era, revision);
+    });
+}
+
+CommonStartFleet::CommonStartFleet(const CommonStartPlan &startPlan)
+    : plan(startPlan)
+{
+    this->store.put("op/config", configurationJson(1, {RouteSpec()}).dump());
+    for (int i = 0; i < this->plan.targets; ++i)
+        this->store.put("servers/t" + std::to_string(i), targetJson("127.0.0.1:9"));
+    this->store.limitPages(this->plan.pageItems);
+    this->store.limitCapacity(this->plan.timePerCall);
+    const auto refused = this->plan.instances * static_cast<std::size_t>(this->plan.refused) / 100;
+    for (std::size_t i = 0; i < this->plan.instances; ++i)
+        this->instances.push_back(std::make_unique<StartingInstance>(
+                *this, this->loop, this->clock, nameOf(i), i,
+                i < refused ? this->unreachable.address() : this->store.address()));
+    for (const auto &instance : this->instances)
+        instance->start();
+}
+
+void CommonStartFleet::deliver(std::string_view to, std::function<void(StartingInstance &)> message)
+{
+    const auto found = std::find_if(this->instances.begin(), this->instances.end(),
+                                    [to](const auto &one) { return one->name == to; });
+    StartingInstance *receiver = found->get();
+    asio::post(this->loop, [receiver, message = std::move(message)] { message(*receiver); });
+}
+
+void CommonStartFleet::deliverToAll(const StartingInstance &from,
+                                    const std::function<void(StartingInstance &)> &message)
+{
+    for (const auto &one : this->instances) {
+        if (one.get() != &from)
+            this->deliver(one->name, message);
+    }
+}
+
+std::size_t CommonStartFleet::knownPeers() const
+{
+    std::size_t count = 0;
+    for (const Discovery &step : discoveries) {
+        if (this->passed >= step.after)
+            count = std::max(step.least, this->plan.instances * step.inAHundred / 100);
+    }
+    return std::min(count, this->plan.instances);
+}
+
+void CommonStartFleet::discover()
+{
+    const std::size_t count = this->knownPeers();
+    if (count == this->known)
+        return;
+    this->known = count;
+    for (const auto &one : this->instances) {
+        std::vector<std::string> others;
+        for (std::size_t i = 0; i < count; ++i) {
+            if (nameOf(i) != one->name)
+                others.push_back(nameOf(i));
+        }
+        one->setPeers(others);
+    }
+}
+
+void CommonStartFleet::runFor(std::chrono::milliseconds time)
+{
+    for (std::chrono::milliseconds end = this->passed + time; this->passed < end;) {
+        this->loop.restart();
+        this->loop.run_for(tickInterval);
+        this->passed += tickInterval;
+        this->discover();
+        for (const auto &one : this->instances)
+            one->tick();
+    }
+}
+
+std::size_t CommonStartFleet::serving() const
+{
+    return static_cast<std::size_t>(std::count_if(this->instances.begin(), this->instances.end(),
+                                                  [](const auto &one) { return one->hasData(); }));
+}
+
+std::chrono::milliseconds CommonStartFleet::timeUntilServing(std::size_t inAHundred,
+                                                             std::chrono::milliseconds limit)
+{
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto elapsed = [startedAt] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - startedAt);
+    };
+    while (this->serving() * 100 < inAHundred * this->instances.size()) {
+        if (elapsed() >= limit)
+            return limit;
+        this->runFor(tickInterval);
+    }
+    return elapsed();
+}
+
+} // namespace jaytrack::testing
--- /dev/null
+++ b/unittests/Platform/commonstartfleet.h
@@ -0,0 +1,111 @@
+// A fleet whose instances all start at the same moment before one store: what each of them holds,
+// reads and passes on. Messages between instances take no time; what they know of each other grows
+// as it does in a large fleet that starts.
+#ifndef JAYTRACK_TESTS_COMMONSTARTFLEET_H
+#define JAYTRACK_TESTS_COMMONSTARTFLEET_H
+
+#include "platformdialect.h"
+#include "platformstandin.h"
+#include "unreachableport.h"
+
+#include "jaytrack/Store/storesharing.h"
+#include "jaytrack/Support/metrics.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jaytrack::testing {
+
+class CommonStartFleet;
+
+// What one instance knows of the store, and how it gets to know it.
+class StartingInstance final : public StoreTransport, public TargetDirectoryListener
+{
+public:
+    StartingInstance(CommonStartFleet &of, asio::io_context &loop, const Clock &time,
+                     const std::string &ownName, std::uint64_t seed, const std::string &store);
+
+    void start() { this->follower->start(); }
+    void tick() { this->sharing.tick(); }
+    void setPeers(const std::vector<std::string> &names) { this->sharing.onPeersChanged(names); }
+
+    // Whether it can serve callers.
+    bool hasData() const { return this->configuration.table() && this->targets.isLoaded(); }
+    std::size_t targetCount() const { return this->directory.size(); }
+
+    void shareStoreChanges(const SharedChanges &changes) override;
+    void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) override;
+    void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt, Duration age,
+                             std::uint64_t era, std::uint64_t revision) override;
+
+    void onTargetLeaving(const TargetEntry &, std::string_view) override {}
+    void onTargetListed(const TargetEntry &) override {}
+    void onTargetRestarted(const TargetEntry &) override {}
+    void onTargetCold(const TargetEntry &) override {}
+    void onDataCentreUse(std::string_view, bool) override {}
+
+    const std::string name;
+
+private:
+    CommonStartFleet &fleet;
+    std::unique_ptr<Dialect> dialect = makePlatformDialect();
+    std::mt19937_64 random;
+    Metrics metrics;
+    TargetDirectory directory{*this};
+    ConfigurationFeed configuration;
+    TargetFeed targets;
+    StoreFeeds feeds{this->configuration, this->targets};
+    StoreSharing sharing;
+    std::shared_ptr<StoreFollower> follower;
+};
+
+struct CommonStartPlan
+{
+    std::size_t instances = 0;
+    int targets = 600;
+    std::size_t pageItems = 20;
+    std::chrono::microseconds timePerCall{5000}; // that the store takes for each call
+    int refused = 0; // instances in a hundred whose calls to the store all fail
+};
+
+class CommonStartFleet
+{
+public:
+    explicit CommonStartFleet(const CommonStartPlan &startPlan);
+
+    // Starts all instances and returns how long it took until this many in a hundred had data; the
+    // limit if they had not by then.
+    std::chrono::milliseconds timeUntilServing(std::size_t inAHundred,
+                                               std::chrono::milliseconds limit);
+
+    // Runs the fleet for some time.
+    void runFor(std::chrono::milliseconds time);
+
+    std::size_t serving() const;
+
+    // Calls a function of another instance, which gets the message with the next turn of the loop.
+    void deliver(std::string_view to, std::function<void(StartingInstance &)> message);
+    void deliverToAll(const StartingInstance &from,
+                      const std::function<void(StartingInstance &)> &message);
+
+    StoreStandin store;
+
+private:
+    void discover();
+    std::size_t knownPeers() const;
+
+    CommonStartPlan plan;
+    UnreachablePort unreachable{LinkLoss::Refused};
+    asio::io_context loop; // outlives the instances and their calls
+    SystemClock clock;
+    std::chrono::milliseconds passed{0};
+    std::size_t known = 0;
+
+public:
+    std::vector<std::unique_ptr<StartingInstance>> instances;
+};
+
+} // namespace jaytrack::testing
+
+#endif
--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -277,6 +277,12 @@
     this->pageItems = count;
 }
 
+void StoreStandin::limitCapacity(std::chrono::microseconds perCall)
+{
+    const std::lock_guard lock(this->mutex);
+    this->timePerCall = perCall;
+}
+
 void StoreStandin::freezeReplica()
 {
     const std::lock_guard lock(this->mutex);
@@ -330,6 +336,20 @@
         return wholeAnswer(404, "", "");
     const std::lock_guard lock(this->mutex);
     ++this->callCount;
+    Answer answered = this->answerNow(request);
+    answered.front().after += this->reserveTime();
+    return answered;
+}
+
+std::chrono::microseconds StoreStandin::reserveTime()
+{
+    const auto now = std::chrono::steady_clock::now();
+    this->busyUntil = std::max(this->busyUntil, now) + this->timePerCall;
+    return std::chrono::duration_cast<std::chrono::microseconds>(this->busyUntil - now);
+}
+
+Answer StoreStandin::answerNow(const SeenRequest &request)
+{
     if (this->failure != 0)
         return wholeAnswer(this->failure, this->eraHeader(), "");
     if (request.head.path() == "/jaytrack/kv-range")
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -38,7 +38,7 @@
 
     Kind kind = Kind::Send;
     std::string bytes;
-    std::chrono::milliseconds after{0};
+    std::chrono::microseconds after{0};
     std::function<Answer()> again = {};
 };
 
@@ -101,6 +101,10 @@
     // Answers with at most this many items a page.
     void limitPages(std::size_t items);
 
+    // Serves one call after the other, each for this long, also those that nobody waits for any
+    // more: what the rate and the bandwidth of a store allow.
+    void limitCapacity(std::chrono::microseconds perCall);
+
     // Answers reads that may be stale with what is stored now, however it changes.
     void freezeReplica();
     std::size_t staleCalls() const;
@@ -134,6 +138,8 @@
     };
 
     Answer answer(const SeenRequest &request);
+    Answer answerNow(const SeenRequest &request);
+    std::chrono::microseconds reserveTime();
     Answer range(const std::string &target);
     static Answer page(const std::string &headers, const std::string &target, const Items &from,
                        std::uint64_t at, std::size_t maxItems);
@@ -152,6 +158,8 @@
     Items items;
     std::optional<Replica> replica; // none: stale reads are current
     std::size_t pageItems = 500;
+    std::chrono::microseconds timePerCall{0};
+    std::chrono::steady_clock::time_point busyUntil; // with the calls received so far
     int failure = 0;
     std::size_t callCount = 0;
     std::size_t staleCallCount = 0;
