--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -184,6 +184,42 @@
   6: i64 era
 }
 
+// A target as an instance that holds the store's entries knows it.
+struct TargetNotice {
+  1: string name
+  2: i64 startedAtMillis
+  3: string serviceName
+  4: string address
+  5: string dataCentre
+  6: string softwareVersion
+  7: i32 slots
+  8: bool leaving
+  9: i64 coldMillis
+}
+
+// A data centre that is out of use, and the revision of that order.
+struct DataCentreNotice {
+  1: string dataCentre
+  2: i64 revision
+}
+
+// All that an instance holds of the store.
+struct StoreSnapshotNotice {
+  1: i64 era
+  2: i64 revision
+  3: StoreItemNotice configuration
+  4: list<TargetNotice> targets
+  5: list<string> unusableTargets
+  6: list<DataCentreNotice> outOfUse
+}
+
+// A compressed message.
+struct PackedNotice {
+  // Bytes of the message before it was compressed.
+  1: i64 plainSize
+  2: binary bytes
+}
+
 // Asks how old an instance's knowledge of the store is. The moment is the asker's and comes back with
 // the answer, so that an answer that was held up on its way never counts as fresh.
 struct FreshnessAsk {
--- a/include/jaytrack/Peers/peerlink.h
+++ b/include/jaytrack/Peers/peerlink.h
@@ -126,6 +126,13 @@
     void sendFreshnessAnswer(std::string_view peer, std::int64_t requestedAt, Duration age,
                              std::uint64_t era, std::uint64_t revision);
 
+    // Returns the name of another instance at random, mostly of the own data centre; empty if none
+    // is known.
+    std::string randomInstance();
+
+    // Returns the address of an instance, IP:PORT; empty if it is not known.
+    std::string addressOf(std::string_view instance) const;
+
     // Announces that this instance is about to exit.
     void depart();
 
--- a/include/jaytrack/Proxy/relayserver.h
+++ b/include/jaytrack/Proxy/relayserver.h
@@ -1,4 +1,5 @@
-// Calls targets for other instances that have lost their links to them.
+// Calls targets for other instances that have lost their links to them, and passes their requests
+// for snapshots of the store on to the server of those.
 //
 // Requests are passed on as they come and are never passed to a third instance, so two instances
 // cannot pass a request back and forth. Admission, permits, quotas and retries are the business of
@@ -12,6 +13,7 @@
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Routing/dialect.h"
 #include "jaytrack/Routing/targetdirectory.h"
+#include "jaytrack/Store/snapshotserver.h"
 
 #include <memory>
 #include <set>
@@ -24,7 +26,7 @@
     // The budget provides the limits and the memory of the instance's requests.
     RelayServer(TargetCalls &targetCalls, const Clock &time, Metrics &counters,
                 const TargetDirectory &targets, CallerHandler &budget, const Dialect &platform,
-                const CrashWatch &crashWatch);
+                const CrashWatch &crashWatch, SnapshotServer &snapshotServer);
 
     // Fails if the address cannot be bound.
     Result<void> listen(const asio::ip::tcp::endpoint &endpoint);
@@ -54,6 +56,7 @@
     CallerHandler &instance;
     const Dialect &dialect;
     const CrashWatch &crashes;
+    SnapshotServer &snapshots;
     CallerServer server;
     std::set<std::shared_ptr<Relay>> open;
 };
--- a/include/jaytrack/Routing/datacentreuse.h
+++ b/include/jaytrack/Routing/datacentreuse.h
@@ -46,6 +46,9 @@
     bool isOutOfUse(std::string_view dataCentre) const;
     std::vector<std::string_view> namesOutOfUse() const;
 
+    // Returns the records of all data centres that are out of use.
+    std::vector<DataCentreRecord> recordsOutOfUse() const;
+
 private:
     struct State
     {
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -161,6 +161,9 @@
     bool isOpen(std::string_view id) const;
     std::size_t size() const { return this->entries.size(); }
 
+    // Returns all that the store lists as far as it is known, without what has disappeared from it.
+    TargetListing listing() const;
+
     // Returns the names under which targets are listed.
     std::vector<std::string_view> names() const;
 
@@ -169,6 +172,11 @@
         return this->dataCentres.namesOutOfUse();
     }
 
+    std::vector<DataCentreRecord> recordsOutOfUse() const
+    {
+        return this->dataCentres.recordsOutOfUse();
+    }
+
 private:
     struct Row
     {
--- /dev/null
+++ b/include/jaytrack/Store/listingturn.h
@@ -0,0 +1,79 @@
+// Decides when an instance that holds nothing of the store lists the whole of it by itself.
+//
+// After a loss of power all instances of a fleet start at the same moment. If each of 584 listed
+// 6,002 targets in 31 pages, that would take more than a gigabyte of a store whose link carries an
+// eighth of that in a second: answers come later than they are waited for, are asked for again, and
+// no listing ever ends. Instead a few instances list the store, and all others get from one another
+// what those have listed. As long as nobody has listed it, more join in, since the store may refuse
+// some.
+#ifndef JAYTRACK_STORE_LISTINGTURN_H
+#define JAYTRACK_STORE_LISTINGTURN_H
+
+#include "jaytrack/Support/clock.h"
+
+#include <cstddef>
+#include <random>
+#include <string_view>
+
+namespace jaytrack {
+
+struct ListingTurnOptions
+{
+    // Longest time for which an instance that has started waits to hear of the others. Of 584
+    // instances that start together most know the others by then.
+    Duration peerDiscoveryTime = std::chrono::milliseconds(1500);
+
+    // An instance that has learnt of no further ones for this long knows most of them.
+    Duration settleTime = std::chrono::milliseconds(300);
+
+    // Interval between draws, which is more than a listing by a small machine takes, and the
+    // expected number of instances that begin to list with the first of them, beside the readers.
+    // It doubles with each draw.
+    Duration drawInterval = std::chrono::milliseconds(2000);
+    std::size_t firstDrawn = 4;
+
+    // An instance that no other one answers for this long has nobody to get the targets from.
+    Duration peerAnswerTimeout = std::chrono::milliseconds(1000);
+};
+
+// Why an instance lists the store by itself.
+enum class ListingCause { None, Alone, Unanswered, Reader, Drawn };
+
+std::string_view toString(ListingCause cause);
+
+class ListingTurn
+{
+public:
+    ListingTurn(const Clock &time, ListingTurnOptions turnOptions, std::mt19937_64 &source);
+
+    // Sets the number of other instances that are up, and whether this one is a reader.
+    void setPeers(std::size_t others, bool isReader);
+
+    // Records that another instance answered, whether it holds anything or not.
+    void answered() { this->answeredAt = this->clock.now(); }
+
+    // Returns why this instance lists the store now; None if it waits for others to do so. A turn
+    // that has begun does not end.
+    ListingCause cause();
+
+private:
+    bool awaitsPeers(TimePoint now) const;
+    ListingCause decide(TimePoint now);
+    bool isDrawn(TimePoint now);
+
+    const Clock &clock;
+    ListingTurnOptions options;
+    std::mt19937_64 &random;
+    std::size_t peers = 0;
+    bool reader = false;
+    ListingCause current = ListingCause::None;
+    std::size_t drawn;
+    TimePoint startedAt;
+    TimePoint peersChangedAt;
+    TimePoint answeredAt;
+    TimePoint nextDraw;
+};
+
+} // namespace jaytrack
+
+#endif
--- a/include/jaytrack/Store/storefeeds.h
+++ b/include/jaytrack/Store/storefeeds.h
@@ -4,6 +4,7 @@
 
 #include "jaytrack/Routing/targetdirectory.h"
 #include "jaytrack/Store/storefollower.h"
+#include "jaytrack/Store/storesnapshot.h"
 #include "jaytrack/Support/logallowance.h"
 
 #include <algorithm>
@@ -31,6 +32,12 @@
     void onStoreRegained(Duration away) override;
     void onStoreRestored() override;
 
+    // Applies the configuration that another instance held, and was the newest at asOf.
+    void onSnapshot(const StoreSnapshot &snapshot, TimePoint asOf);
+
+    // Returns the item of the table in force as the store holds it; null while there is none.
+    const StoreItem *item() const { return this->activeTable ? &this->activeItem : nullptr; }
+
     // Records that the table in force was the newest at asOf.
     void confirm(TimePoint asOf);
 
@@ -48,6 +55,7 @@
     const Clock &clock;
     const Dialect &dialect;
     std::shared_ptr<const RoutingTable> activeTable;
+    StoreItem activeItem;
     TimePoint confirmedAt;
     // Between these times the store may lack a newer table that it had acknowledged.
     TimePoint uncertainFrom;
@@ -69,6 +77,12 @@
     void onStoreRestored() override;
     std::vector<std::string> storedKeys() const override;
 
+    // Applies the targets that another instance held.
+    void onSnapshot(const StoreSnapshot &snapshot);
+
+    // Adds all that this instance holds.
+    void addTo(StoreSnapshot &snapshot) const;
+
     // Records the time as of which the data was last confirmed, by this or another instance, and
     // whether that is too long ago. If so, the store is considered unavailable. An instance that
     // gets its updates from others makes no calls that would show this, and would remove entries
@@ -93,6 +107,7 @@
     }
 
     void apply(const std::vector<StoreItem> &items, bool keepMissing);
+    void applyListing(TargetListing listing, std::span<const DataCentreRecord> records);
     bool isTarget(const StoreItem &item) const;
 
     // Decodes a data-centre-out-of-use record; empty if the item is something else.
--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -128,6 +128,10 @@
     // An inactive follower makes no calls of its own and relies on applyShared().
     void setActive(bool wanted);
 
+    // Whether an inactive follower that has not listed the store yet stops after the first page,
+    // which is all of a small store, and waits for adoptSnapshot().
+    void setAwaitsSnapshot(bool wanted) { this->awaitsSnapshot = wanted; }
+
     // Whether other instances read the store and send updates to this one.
     void setReceivesUpdates(bool byOthers) { this->receivesUpdates = byOthers; }
 
@@ -143,6 +147,13 @@
     // wait for shared changes, the store is queried.
     void catchUp(std::uint64_t to);
 
+    // Takes over all that another instance held at this revision, which the listener has got
+    // already. Only for a follower that has not listed the store yet.
+    void adoptSnapshot(std::uint64_t snapshotEra, std::uint64_t at);
+
+    // Whether this instance has ever held all items of the store.
+    bool hasListed() const { return this->everListed; }
+
     // Records the store history (era) that another instance refers to. Returns false if it is older
     // than the known one, so that its data is no longer valid. A newer era makes this instance list
     // the store again. 0 means that the other instance does not know the number.
@@ -162,11 +173,24 @@
     }
 
 private:
+    // Changes that arrived from others before the listing was complete.
+    struct EarlyChanges
+    {
+        std::uint64_t from = 0;
+        std::uint64_t to = 0;
+        std::vector<StoreItem> items;
+        bool incomplete = false;
+        bool afterOutage = false;
+    };
+
     void query();
     bool belongsToKnownEra();
     void listAfterRewrites();
     void enterEra(std::uint64_t next, std::string_view source, std::chrono::milliseconds pause);
     void queryMissing(std::string_view cause);
+    std::chrono::milliseconds answerTimeout() const;
+    void keepEarlyChanges(EarlyChanges changes);
+    void applyEarlyChanges();
     void queryAfter(std::chrono::milliseconds delay);
     void onAnswerHead(MessageHead head) override;
     void onAnswerBody(std::string_view bytes) override;
@@ -214,6 +238,10 @@
     bool listedStale = false; // the last listing may lack changes that no watch has reported yet
     std::uint64_t revision = 0;
     int failures = 0;
+    int unanswered = 0; // calls in a row whose answers did not arrive in time
+    bool everListed = false;
+    bool awaitsSnapshot = false;
+    std::vector<EarlyChanges> earlyChanges; // oldest first
     bool lost = false;
     bool stopped = false;
     bool active = true;
--- a/include/jaytrack/Store/storesharing.h
+++ b/include/jaytrack/Store/storesharing.h
@@ -1,11 +1,16 @@
 // Keeps instances that do not read the store up to date. Instances that read send changes to the
 // others; every other instance queries one of them a few times a second for the age of its data, to
 // confirm that its own data is still current. ReadDuty decides which instances read.
+//
+// An instance that has just started gets what another one holds as a whole. ListingTurn decides
+// which instances list the store themselves where none holds anything yet.
 #ifndef JAYTRACK_STORE_STORESHARING_H
 #define JAYTRACK_STORE_STORESHARING_H
 
 #include "jaytrack/Peers/sharedchanges.h"
+#include "jaytrack/Store/listingturn.h"
 #include "jaytrack/Store/readduty.h"
+#include "jaytrack/Store/snapshotserver.h"
 #include "jaytrack/Store/storefeeds.h"
 #include "jaytrack/Store/storefollower.h"
 
@@ -28,14 +33,24 @@
     virtual void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) = 0;
     virtual void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt,
                                      Duration age, std::uint64_t era, std::uint64_t revision) = 0;
+
+    // Returns the name of another instance, mostly of the own data centre; empty if none is known.
+    virtual std::string randomInstance() = 0;
+
+    // Requests a snapshot; StoreSharing::onSnapshot() gets it, or nothing.
+    virtual void requestSnapshot(std::string_view instance) = 0;
 };
 
-class StoreSharing final : public StoreReadListener
+class StoreSharing final : public StoreReadListener, public SnapshotSource
 {
 public:
     // Interval at which an instance that does not read queries one that does.
     static constexpr std::chrono::milliseconds queryInterval{300};
 
+    // Interval at which an instance without data looks for one that has some. With each, the number
+    // of those that have some may double.
+    static constexpr std::chrono::milliseconds searchInterval{200};
+
     StoreSharing(const Clock &time, std::string ownName, ReadDutyOptions dutyOptions,
                  std::mt19937_64 &source, ConfigurationFeed &configurationFeed,
                  TargetFeed &targetFeed, StoreTransport &storeTransport);
@@ -52,18 +67,46 @@
     void onFreshnessQuery(std::string_view peer, std::int64_t requestedAt);
     void onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt, Duration age,
                            std::uint64_t era, std::uint64_t revision);
+    void onSnapshot(const std::optional<StoreSnapshot> &snapshot);
+    std::optional<PackedSnapshot> packedSnapshot() override;
 
 private:
+    // A snapshot as it is sent. It is made anew at most a few times a second, however many
+    // instances ask for it.
+    struct CachedSnapshot
+    {
+        std::shared_ptr<const std::string> bytes;
+        std::uint64_t era = 0;
+        std::uint64_t revision = 0;
+        TimePoint madeAt;
+        TimePoint usedAt;
+        TimePoint confirmedAsOf;
+    };
+
+    bool shouldRead(Duration age);
+    void logListingCause(ListingCause cause);
     void queryFreshness(Duration age);
+    void searchSnapshot();
+    void requestSnapshot(std::string_view peer);
+    CachedSnapshot makeSnapshot(const StoreItem &item) const;
+    bool isCurrent(const CachedSnapshot &snapshot) const;
+    bool isOutdated(const CachedSnapshot &snapshot) const;
+    void dropOldSnapshot();
 
     const Clock &clock;
     ReadDuty duty;
+    ListingTurn turn;
     ConfigurationFeed &configuration;
     TargetFeed &targets;
     StoreTransport &transport;
     std::shared_ptr<StoreFollower> follower;
     bool reading = true;
     TimePoint nextQuery;
+    std::size_t peerCount = 0;
+    TimePoint startedAt;
+    ListingCause loggedCause = ListingCause::None;
+    std::optional<TimePoint> snapshotRequestedAt; // while one is on its way
+    std::optional<CachedSnapshot> cached;
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Wire/codec.h
+++ b/include/jaytrack/Wire/codec.h
@@ -23,12 +23,12 @@
 }
 
 // Returns nothing if the bytes are not a valid message. All input from other processes is decoded
-// here, so every exception of the library is treated as malformed input rather than as a crash.
+// here, so every exception of the library is treated as malformed input rather than as a crash. No
+// list may have more than maxElements.
 template <typename Message>
-std::optional<Message> decodeMessage(std::string_view bytes)
+std::optional<Message> decodeMessage(std::string_view bytes, int maxElements = 4096)
 {
     using namespace apache::thrift;
-    static constexpr int maxElements = 4096;
     try {
         const auto buffer = std::make_shared<transport::TMemoryBuffer>(
                 reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data())),
--- a/lib/Peers/peerlink.cpp
+++ b/lib/Peers/peerlink.cpp
@@ -436,6 +436,22 @@
     this->membership.sendPolicy(peer, encodeMessage(message));
 }
 
+// The data centre's own instances may all have nothing to tell.
+std::string PeerLink::randomInstance()
+{
+    static constexpr std::uint64_t distantPicks = 4; // one pick in so many
+    const std::vector<std::string> &near = this->spread.neighbours();
+    const bool picksNear = !near.empty() && this->random() % distantPicks != 0;
+    const std::vector<std::string> &among = picksNear ? near : this->peers;
+    return among.empty() ? std::string() : among[this->random() % among.size()];
+}
+
+std::string PeerLink::addressOf(std::string_view instance) const
+{
+    const Member *member = this->membership.find(instance);
+    return member == nullptr ? std::string() : member->peerAddress;
+}
+
 void PeerLink::broadcast(wire::EntryNotices &message)
 {
     const NoticeFanout::Recipients recipients = this->spread.recipients(this->random);
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -39,7 +39,8 @@
     , gate(this->directory)
     , calls(this->loop, time, this->metrics, this->gate, *this, entrySettings.dataCentre,
             entrySettings.peerKeys, this->random())
-    , relays(this->calls, time, this->metrics, this->directory, *this, platform, this->crashes)
+    , relays(this->calls, time, this->metrics, this->directory, *this, platform, this->crashes,
+             this->snapshots)
     , health(time, this->random())
     , engines(time, this->random(), entrySettings.dataCentre, entrySettings.tuning.engines)
     , shares(entrySettings.name)
@@ -51,6 +52,7 @@
     , feeds(this->configuration, this->targets)
     , sharing(time, entrySettings.name, entrySettings.tuning.sharing, this->random,
               this->configuration, this->targets, *this)
+    , snapshots(this->calls.fleetKeys(), this->sharing, this->metrics)
     , pauses(time)
     , cold(time, entrySettings.name, entrySettings.coldBound,
            configuredPeerCount(entrySettings) > 0)
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -2,6 +2,7 @@
 #include "entryparts.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Store/snapshotfetch.h"
 #include "jaytrack/Support/log.h"
 
 #include <utility>
@@ -356,6 +357,23 @@
         this->peers->sendFreshnessAnswer(instance, requestedAt, age, era, revision);
 }
 
+std::string EntryInstance::Parts::randomInstance()
+{
+    return this->peers ? this->peers->randomInstance() : std::string();
+}
+
+void EntryInstance::Parts::requestSnapshot(std::string_view instance)
+{
+    const KeyRing *keys = this->calls.fleetKeys();
+    const auto endpoint = parseEndpoint(this->peers ? this->peers->addressOf(instance) : "");
+    if (!endpoint || keys == nullptr)
+        return this->sharing.onSnapshot(std::nullopt);
+    SnapshotFetch::start(this->loop, endpoint.value(), *keys, this->random(),
+                         [this](const std::optional<StoreSnapshot> &snapshot) {
+                             this->sharing.onSnapshot(snapshot);
+                         });
+}
+
 void EntryInstance::Parts::sendStreamVersions(std::string_view instance,
                                               const StreamVersionMessage &message)
 {
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -193,6 +193,8 @@
     void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) override;
     void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt, Duration age,
                              std::uint64_t era, std::uint64_t revision) override;
+    std::string randomInstance() override;
+    void requestSnapshot(std::string_view instance) override;
 
     // StreamVersionTransport
 
@@ -255,6 +257,7 @@
     TargetFeed targets;
     StoreFeeds feeds;
     StoreSharing sharing;
+    SnapshotServer snapshots;
     TargetPauses pauses;
     ColdTargets cold;
     LimitChannel namedLimits;
--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -144,13 +144,15 @@
 
 RelayServer::RelayServer(TargetCalls &targetCalls, const Clock &time, Metrics &counters,
                          const TargetDirectory &targets, CallerHandler &budget,
-                         const Dialect &platform, const CrashWatch &crashWatch)
+                         const Dialect &platform, const CrashWatch &crashWatch,
+                         SnapshotServer &snapshotServer)
     : calls(targetCalls)
     , metrics(counters)
     , directory(targets)
     , instance(budget)
     , dialect(platform)
     , crashes(crashWatch)
+    , snapshots(snapshotServer)
     , server(targetCalls.loop(), time, *this)
 {
 }
@@ -211,6 +213,8 @@
 
 void RelayServer::onRequest(std::shared_ptr<CallerConnection> connection, CallerRequest request)
 {
+    if (SnapshotServer::isFor(request.head))
+        return this->snapshots.serve(connection, request.head);
     const KeyRing *keys = this->calls.fleetKeys();
     const auto order = keys != nullptr ? decodeOrder(request.head, *keys) : std::nullopt;
     if (!order) {
--- a/lib/Routing/datacentreuse.cpp
+++ b/lib/Routing/datacentreuse.cpp
@@ -74,4 +74,14 @@
     return names;
 }
 
+std::vector<DataCentreRecord> DataCentreUse::recordsOutOfUse() const
+{
+    std::vector<DataCentreRecord> records;
+    for (const auto &[name, state] : this->states) {
+        if (state.outOfUse)
+            records.push_back({name, state.revision, true});
+    }
+    return records;
+}
+
 } // namespace jaytrack
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -259,6 +259,21 @@
     this->listener.onTargetRestarted(entry);
 }
 
+TargetListing TargetDirectory::listing() const
+{
+    TargetListing listing;
+    listing.entries.reserve(this->entries.size());
+    for (const auto &[name, row] : this->entries) {
+        if (row.missing)
+            continue;
+        if (row.suspended)
+            listing.unusable.push_back(name);
+        else
+            listing.entries.push_back(row.entry);
+    }
+    return listing;
+}
+
 std::vector<std::string_view> TargetDirectory::names() const
 {
     std::vector<std::string_view> names;
--- /dev/null
+++ b/lib/Store/listingturn.cpp
@@ -0,0 +1,79 @@
+#include "jaytrack/Store/listingturn.h"
+
+namespace jaytrack {
+
+std::string_view toString(ListingCause cause)
+{
+    switch (cause) {
+    case ListingCause::None:
+        return "none";
+    case ListingCause::Alone:
+        return "alone";
+    case ListingCause::Unanswered:
+        return "unanswered";
+    case ListingCause::Reader:
+        return "reader";
+    case ListingCause::Drawn:
+        return "drawn";
+    }
+    return "none";
+}
+
+ListingTurn::ListingTurn(const Clock &time, ListingTurnOptions turnOptions, std::mt19937_64 &source)
+    : clock(time)
+    , options(turnOptions)
+    , random(source)
+    , drawn(turnOptions.firstDrawn)
+    , startedAt(time.now())
+    , peersChangedAt(time.now())
+    , answeredAt(time.now())
+{
+}
+
+void ListingTurn::setPeers(std::size_t others, bool isReader)
+{
+    this->peers = others;
+    this->reader = isReader;
+    this->peersChangedAt = this->clock.now();
+}
+
+// An instance that knows a few of many others would take itself for a reader.
+bool ListingTurn::awaitsPeers(TimePoint now) const
+{
+    if (now - this->startedAt >= this->options.peerDiscoveryTime)
+        return false;
+    return this->peers == 0 || now - this->peersChangedAt < this->options.settleTime;
+}
+
+ListingCause ListingTurn::cause()
+{
+    if (this->current == ListingCause::None)
+        this->current = this->decide(this->clock.now());
+    return this->current;
+}
+
+ListingCause ListingTurn::decide(TimePoint now)
+{
+    if (this->awaitsPeers(now))
+        return ListingCause::None;
+    if (this->peers == 0)
+        return ListingCause::Alone;
+    if (this->reader)
+        return ListingCause::Reader;
+    if (now - this->answeredAt > this->options.peerAnswerTimeout)
+        return ListingCause::Unanswered;
+    return this->isDrawn(now) ? ListingCause::Drawn : ListingCause::None;
+}
+
+bool ListingTurn::isDrawn(TimePoint now)
+{
+    if (now < this->nextDraw)
+        return false;
+    this->nextDraw = now + this->options.drawInterval;
+    const std::size_t expected = this->drawn;
+    this->drawn *= 2;
+    const std::size_t fleet = this->peers + 1;
+    return std::uniform_int_distribution<std::size_t>(1, fleet)(this->random) <= expected;
+}
+
+} // namespace jaytrack
--- a/lib/Store/storefeeds.cpp
+++ b/lib/Store/storefeeds.cpp
@@ -37,6 +37,12 @@
     this->onChanges(items, TimePoint());
 }
 
+void ConfigurationFeed::onSnapshot(const StoreSnapshot &snapshot, TimePoint asOf)
+{
+    this->applyItem(snapshot.configuration);
+    this->confirm(asOf);
+}
+
 void ConfigurationFeed::applyItem(const StoreItem &item)
 {
     Result<RoutingTable> decoded = this->dialect.decodeConfiguration(item.value);
@@ -59,6 +65,7 @@
     if (version == before)
         return;
     this->activeTable = std::make_shared<const RoutingTable>(std::move(decoded.value()));
+    this->activeItem = item;
     logEvent(Severity::Info, "config_in_force",
              {{"version", static_cast<std::int64_t>(version)},
               {"before", static_cast<std::int64_t>(before)},
@@ -176,6 +183,22 @@
         else
             listing.unusable.push_back(this->nameOf(item.key));
     }
+    this->applyListing(std::move(listing), records);
+}
+
+void TargetFeed::onSnapshot(const StoreSnapshot &snapshot)
+{
+    this->applyListing(snapshot.targets, snapshot.outOfUse);
+}
+
+void TargetFeed::addTo(StoreSnapshot &snapshot) const
+{
+    snapshot.targets = this->directory.listing();
+    snapshot.outOfUse = this->directory.recordsOutOfUse();
+}
+
+void TargetFeed::applyListing(TargetListing listing, std::span<const DataCentreRecord> records)
+{
     // Apply out-of-use records first, so that targets in those data centres are not queried when
     // they are listed.
     this->directory.replaceDataCentres(records, this->clock.now() < this->rewriteDeadline);
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -3,6 +3,7 @@
 #include "jaytrack/Support/log.h"
 
 #include <algorithm>
+#include <cassert>
 #include <unordered_set>
 #include <utility>
 
@@ -16,6 +17,14 @@
 // Time allowed for an answer beyond the requested wait. The store normally answers within
 // milliseconds, and up to 60 times slower when it is overloaded.
 constexpr std::chrono::milliseconds answerMargin{700};
+
+// The time allowed for a page of a listing doubles with each that was not answered in time. If it
+// did not, a fleet whose pages take longer than that would ask for them for ever.
+constexpr int maxTimeoutDoublings = 2;
+
+// Maximum number of changes kept while a snapshot is on its way; more than arrive in seconds.
+constexpr std::size_t maxEarlyChanges = 64;
+
 constexpr std::chrono::milliseconds maxConnectTime{500};
 
 // Initial back-off between failed calls, which doubles with each failure. It is short because most
@@ -144,6 +153,7 @@
     this->timer.cancel();
     this->revision = 0;
     this->announcedRevision = 0;
+    this->earlyChanges.clear();
     this->startListing();
     this->listener.onStoreRestored();
     this->queryAfter(pause);
@@ -245,6 +255,8 @@
                                 const std::vector<StoreItem> &items, bool incomplete,
                                 bool afterOutage)
 {
+    if (this->listing && !this->everListed)
+        return this->keepEarlyChanges({from, to, items, incomplete, afterOutage});
     if (this->listing || to <= this->revision)
         return;
     std::vector<StoreItem> fresh;
@@ -265,13 +277,55 @@
     this->catchUp(to);
 }
 
+// If too many arrive, those kept would leave a gap, which costs a call to the store as well.
+void StoreFollower::keepEarlyChanges(EarlyChanges changes)
+{
+    if (this->earlyChanges.size() >= maxEarlyChanges)
+        this->earlyChanges.clear();
+    this->earlyChanges.push_back(std::move(changes));
+}
+
+void StoreFollower::applyEarlyChanges()
+{
+    for (const EarlyChanges &early : std::exchange(this->earlyChanges, {}))
+        this->applyShared(early.from, early.to, early.items, early.incomplete, early.afterOutage);
+}
+
+void StoreFollower::adoptSnapshot(std::uint64_t snapshotEra, std::uint64_t at)
+{
+    assert(!this->everListed && "a snapshot would take back what is known");
+    if (this->call)
+        this->call->cancel();
+    this->timer.cancel();
+    if (this->era == 0)
+        this->era = snapshotEra;
+    this->everListed = true;
+    this->listing = false;
+    this->mayListStale = false;
+    this->listedStale = false;
+    this->pageAfter.clear();
+    this->listed = {};
+    this->revision = at;
+    this->failures = 0;
+    this->waiting = false;
+    this->applyEarlyChanges();
+    if (this->active && !this->waiting)
+        this->query();
+}
+
+std::chrono::milliseconds StoreFollower::answerTimeout() const
+{
+    if (!this->listing)
+        return answerMargin + this->requestedWait;
+    return answerMargin * (1 << std::min(this->unanswered, maxTimeoutDoublings));
+}
+
 void StoreFollower::query()
 {
     this->waiting = true;
     TargetRequest request;
     request.endpoint = this->options.store;
     request.connectTimeout = maxConnectTime;
-    std::chrono::milliseconds bound = answerMargin;
     if (this->listing) {
         this->queryFreshness = this->pageFreshness();
         request.target = this->dialect.rangeTarget(this->options.prefix, this->pageAfter,
@@ -281,7 +335,6 @@
         this->requestedWait = this->options.wait + std::chrono::milliseconds(jitter(this->random));
         request.target = this->dialect.watchTarget(this->options.prefix, this->revision,
                                                    this->requestedWait);
-        bound += this->requestedWait;
     }
     request.headers.push_back({"Host", this->options.store.address().to_string()});
     this->status = 0;
@@ -291,7 +344,7 @@
     if (this->listing && this->pageAfter.empty())
         this->listingStartedAt = this->querySentAt;
     this->call = TargetCall::start(this->context, std::move(request), this->weak_from_this());
-    this->timer.expires_after(bound);
+    this->timer.expires_after(this->answerTimeout());
     this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
         const auto self = weak.lock();
         if (!failure && self)
@@ -305,7 +358,9 @@
     // An inactive follower makes no further calls once it has a complete and current listing, but
     // still retries a failed call.
     const bool isCurrent = !this->listing && !this->listedStale;
-    if (this->stopped || (!this->active && isCurrent && this->failures == 0))
+    const bool isSpared = this->awaitsSnapshot && !this->everListed && !this->pageAfter.empty();
+    const bool rests = isSpared || (isCurrent && this->failures == 0);
+    if (this->stopped || (!this->active && rests))
         return;
     this->waiting = true;
     if (delay.count() == 0)
@@ -352,6 +407,7 @@
 {
     if (this->call)
         this->call->cancel();
+    ++this->unanswered;
     this->failed("no_answer");
 }
 
@@ -362,8 +418,10 @@
         this->lost = true;
         this->listener.onStoreLost(reason);
     }
-    // Other instances only send changes, so an instance without a listing cannot rely on them.
-    const bool canWait = this->receivesUpdates && !this->listing;
+    // Other instances only send changes, so an instance without a listing cannot rely on them
+    // unless it is to get a snapshot.
+    const bool getsSnapshot = this->awaitsSnapshot && !this->everListed && !this->active;
+    const bool canWait = this->receivesUpdates && (!this->listing || getsSnapshot);
     const std::chrono::milliseconds maxDelay =
             canWait ? this->options.maxBackoffWithUpdates : this->options.maxBackoff;
     auto backoff = firstBackoff * (1 << std::min(this->failures - 1, maxDoublings));
@@ -380,6 +438,7 @@
         this->listener.onStoreRegained(now - this->lastAnswer);
     }
     this->failures = 0;
+    this->unanswered = 0;
     this->lastAnswer = now;
 }
 
@@ -420,6 +479,7 @@
 void StoreFollower::completeListing()
 {
     this->listing = false;
+    this->everListed = true;
     this->mayListStale = false;
     this->pageAfter.clear();
     const std::vector<StoreItem> whole = std::move(this->listed);
@@ -436,6 +496,7 @@
     this->listener.onListing(whole, this->listingStartedAt);
     this->reads.onStoreRead(follows ? this->revisionBeforeListing : this->revision, this->revision,
                             changes);
+    this->applyEarlyChanges();
     this->queryAfter(std::chrono::milliseconds(0));
 }
 
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -10,6 +10,14 @@
 // 1.2 s, plus a pause of 0.2 s.
 constexpr std::chrono::milliseconds maxReaderAge{1400};
 
+// The age that an instance without data reports.
+constexpr std::chrono::hours unknownAge{24};
+
+// A snapshot is made anew if it is older than this and the store has changed, and dropped if nobody
+// has asked for one lately.
+constexpr std::chrono::milliseconds maxSnapshotAge{500};
+constexpr std::chrono::milliseconds snapshotRetention{2000};
+
 } // namespace
 
 StoreSharing::StoreSharing(const Clock &time, std::string ownName, ReadDutyOptions dutyOptions,
@@ -17,20 +25,25 @@
                            TargetFeed &targetFeed, StoreTransport &storeTransport)
     : clock(time)
     , duty(time, std::move(ownName), dutyOptions, source)
+    , turn(time, {}, source)
     , configuration(configurationFeed)
     , targets(targetFeed)
     , transport(storeTransport)
+    , startedAt(time.now())
 {
 }
 
 void StoreSharing::attach(std::shared_ptr<StoreFollower> storeFollower)
 {
     this->follower = std::move(storeFollower);
+    this->follower->setAwaitsSnapshot(true);
 }
 
 void StoreSharing::onPeersChanged(const std::vector<std::string> &names)
 {
     this->duty.setPeers(names);
+    this->turn.setPeers(names.size(), this->duty.isReader());
+    this->peerCount = names.size();
     if (this->follower == nullptr)
         return;
     this->follower->setReceivesUpdates(!this->duty.isReader());
@@ -44,7 +57,7 @@
     this->follower->tick();
     const Duration age = this->configuration.age();
     this->targets.updateFreshness(this->configuration.confirmedAsOf(), this->duty.showsOutage(age));
-    const bool read = this->duty.reads(age);
+    const bool read = this->shouldRead(age);
     if (read != this->reading) {
         this->reading = read;
         logEvent(Severity::Info, read ? "store_reading" : "store_shared",
@@ -53,7 +66,121 @@
                   {"revision", static_cast<std::int64_t>(this->follower->knownRevision())}});
         this->follower->setActive(read);
     }
-    this->queryFreshness(age);
+    if (this->follower->hasListed())
+        this->queryFreshness(age);
+    else
+        this->searchSnapshot();
+    this->dropOldSnapshot();
+}
+
+bool StoreSharing::shouldRead(Duration age)
+{
+    if (this->follower->hasListed())
+        return this->duty.reads(age);
+    const ListingCause cause = this->turn.cause();
+    this->logListingCause(cause);
+    return cause != ListingCause::None;
+}
+
+void StoreSharing::logListingCause(ListingCause cause)
+{
+    if (cause == this->loggedCause)
+        return;
+    this->loggedCause = cause;
+    logEvent(Severity::Info, "store_listing",
+             {{"cause", toString(cause)},
+              {"peers", static_cast<std::int64_t>(this->peerCount)},
+              {"started_ms_ago", toMillis(this->clock.now() - this->startedAt)}});
+}
+
+// Asks others at random, so that the questions spread over all that hold something, and their
+// number grows with each that is answered.
+void StoreSharing::searchSnapshot()
+{
+    const TimePoint now = this->clock.now();
+    if (this->snapshotRequestedAt || now < this->nextQuery)
+        return;
+    const std::string queriedPeer = this->transport.randomInstance();
+    if (queriedPeer.empty())
+        return;
+    this->nextQuery = now + searchInterval;
+    this->transport.sendFreshnessQuery(queriedPeer, now.time_since_epoch().count());
+}
+
+void StoreSharing::requestSnapshot(std::string_view peer)
+{
+    if (this->snapshotRequestedAt)
+        return;
+    this->snapshotRequestedAt = this->clock.now();
+    this->transport.requestSnapshot(peer);
+}
+
+void StoreSharing::onSnapshot(const std::optional<StoreSnapshot> &snapshot)
+{
+    const auto requestedAt = std::exchange(this->snapshotRequestedAt, std::nullopt);
+    const bool isWanted = snapshot && requestedAt && !this->follower->hasListed();
+    if (!isWanted || !this->follower->updateEra(snapshot->era))
+        return;
+    this->configuration.onSnapshot(*snapshot, *requestedAt - snapshot->age);
+    if (!this->configuration.table())
+        return;
+    logEvent(Severity::Info, "store_received",
+             {{"targets", static_cast<std::int64_t>(snapshot->targets.entries.size())},
+              {"revision", static_cast<std::int64_t>(snapshot->revision)},
+              {"age_ms", toMillis(snapshot->age)},
+              {"took_ms", toMillis(this->clock.now() - *requestedAt)},
+              {"started_ms_ago", toMillis(this->clock.now() - this->startedAt)}});
+    this->targets.onSnapshot(*snapshot);
+    this->follower->adoptSnapshot(snapshot->era, snapshot->revision);
+}
+
+std::optional<PackedSnapshot> StoreSharing::packedSnapshot()
+{
+    const StoreItem *item = this->configuration.item();
+    if (this->follower == nullptr || this->follower->knownRevision() == 0 || item == nullptr)
+        return std::nullopt;
+    const TimePoint now = this->clock.now();
+    if (!this->cached || this->isOutdated(*this->cached))
+        this->cached = this->makeSnapshot(*item);
+    if (this->isCurrent(*this->cached))
+        this->cached->confirmedAsOf = this->configuration.confirmedAsOf();
+    this->cached->usedAt = now;
+    return PackedSnapshot{this->cached->bytes, now - this->cached->confirmedAsOf};
+}
+
+StoreSharing::CachedSnapshot StoreSharing::makeSnapshot(const StoreItem &item) const
+{
+    StoreSnapshot snapshot;
+    snapshot.era = this->follower->knownEra();
+    snapshot.revision = this->follower->knownRevision();
+    snapshot.configuration = item;
+    this->targets.addTo(snapshot);
+    CachedSnapshot made;
+    made.bytes = std::make_shared<const std::string>(packSnapshot(snapshot));
+    made.era = snapshot.era;
+    made.revision = snapshot.revision;
+    made.madeAt = this->clock.now();
+    made.confirmedAsOf = this->configuration.confirmedAsOf();
+    return made;
+}
+
+bool StoreSharing::isCurrent(const CachedSnapshot &snapshot) const
+{
+    return snapshot.era == this->follower->knownEra() &&
+           snapshot.revision == this->follower->knownRevision();
+}
+
+bool StoreSharing::isOutdated(const CachedSnapshot &snapshot) const
+{
+    if (snapshot.era != this->follower->knownEra())
+        return true;
+    return !this->isCurrent(snapshot) && this->clock.now() - snapshot.madeAt > maxSnapshotAge;
+}
+
+void StoreSharing::dropOldSnapshot()
+{
+    if (this->cached && this->clock.now() - this->cached->usedAt > snapshotRetention)
+        this->cached.reset();
 }
 
 void StoreSharing::queryFreshness(Duration age)
@@ -87,11 +214,13 @@
 
 void StoreSharing::onFreshnessQuery(std::string_view peer, std::int64_t requestedAt)
 {
-    if (this->follower == nullptr || this->follower->knownRevision() == 0)
+    if (this->follower == nullptr)
         return;
-    this->transport.sendFreshnessAnswer(peer, requestedAt, this->configuration.age(),
-                                        this->follower->knownEra(),
-                                        this->follower->knownRevision());
+    // An answer without data still shows the other instance that it is not alone.
+    const std::uint64_t revision = this->follower->knownRevision();
+    const Duration age = revision > 0 ? this->configuration.age() : Duration(unknownAge);
+    this->transport.sendFreshnessAnswer(peer, requestedAt, age, this->follower->knownEra(),
+                                        revision);
 }
 
 // The peer answered after the query was sent, and its data had the reported age at that time.
@@ -101,12 +230,15 @@
                                      std::uint64_t era, std::uint64_t revision)
 {
     this->duty.answered(peer, age);
+    this->turn.answered();
     const TimePoint sentAt{Duration(requestedAt)};
     if (this->follower == nullptr || sentAt > this->clock.now() || age < Duration(0))
         return;
     // Revisions of different store histories cannot be compared.
-    if (!this->follower->updateEra(era))
+    if (revision == 0 || !this->follower->updateEra(era))
         return;
+    if (!this->follower->hasListed())
+        return this->requestSnapshot(peer);
     if (revision > this->follower->knownRevision())
         return this->follower->catchUp(revision);
     this->configuration.confirm(sentAt - age);
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -3498,6 +3498,734 @@
 }
 
 
+TargetNotice::~TargetNotice() noexcept {
+}
+
+
+void TargetNotice::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void TargetNotice::__set_startedAtMillis(const int64_t val) {
+  this->startedAtMillis = val;
+}
+
+void TargetNotice::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void TargetNotice::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void TargetNotice::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void TargetNotice::__set_softwareVersion(const std::string& val) {
+  this->softwareVersion = val;
+}
+
+void TargetNotice::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void TargetNotice::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void TargetNotice::__set_coldMillis(const int64_t val) {
+  this->coldMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMillis);
+          this->__isset.startedAtMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->softwareVersion);
+          this->__isset.softwareVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->coldMillis);
+          this->__isset.coldMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetNotice");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAtMillis", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedAtMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("softwareVersion", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->softwareVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldMillis", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->coldMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetNotice &a, TargetNotice &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.startedAtMillis, b.startedAtMillis);
+  swap(a.serviceName, b.serviceName);
+  swap(a.address, b.address);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.softwareVersion, b.softwareVersion);
+  swap(a.slots, b.slots);
+  swap(a.leaving, b.leaving);
+  swap(a.coldMillis, b.coldMillis);
+  swap(a.__isset, b.__isset);
+}
+
+TargetNotice::TargetNotice(const TargetNotice& other117) {
+  name = other117.name;
+  startedAtMillis = other117.startedAtMillis;
+  serviceName = other117.serviceName;
+  address = other117.address;
+  dataCentre = other117.dataCentre;
+  softwareVersion = other117.softwareVersion;
+  slots = other117.slots;
+  leaving = other117.leaving;
+  coldMillis = other117.coldMillis;
+  __isset = other117.__isset;
+}
+TargetNotice& TargetNotice::operator=(const TargetNotice& other118) {
+  name = other118.name;
+  startedAtMillis = other118.startedAtMillis;
+  serviceName = other118.serviceName;
+  address = other118.address;
+  dataCentre = other118.dataCentre;
+  softwareVersion = other118.softwareVersion;
+  slots = other118.slots;
+  leaving = other118.leaving;
+  coldMillis = other118.coldMillis;
+  __isset = other118.__isset;
+  return *this;
+}
+void TargetNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetNotice(";
+  out << "name=" << to_string(name);
+  out << ", " << "startedAtMillis=" << to_string(startedAtMillis);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "softwareVersion=" << to_string(softwareVersion);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "coldMillis=" << to_string(coldMillis);
+  out << ")";
+}
+
+
+DataCentreNotice::~DataCentreNotice() noexcept {
+}
+
+
+void DataCentreNotice::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void DataCentreNotice::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const DataCentreNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DataCentreNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DataCentreNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DataCentreNotice");
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DataCentreNotice &a, DataCentreNotice &b) {
+  using ::std::swap;
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+DataCentreNotice::DataCentreNotice(const DataCentreNotice& other119) {
+  dataCentre = other119.dataCentre;
+  revision = other119.revision;
+  __isset = other119.__isset;
+}
+DataCentreNotice& DataCentreNotice::operator=(const DataCentreNotice& other120) {
+  dataCentre = other120.dataCentre;
+  revision = other120.revision;
+  __isset = other120.__isset;
+  return *this;
+}
+void DataCentreNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DataCentreNotice(";
+  out << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+StoreSnapshotNotice::~StoreSnapshotNotice() noexcept {
+}
+
+
+void StoreSnapshotNotice::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void StoreSnapshotNotice::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void StoreSnapshotNotice::__set_configuration(const StoreItemNotice& val) {
+  this->configuration = val;
+}
+
+void StoreSnapshotNotice::__set_targets(const std::vector<TargetNotice> & val) {
+  this->targets = val;
+}
+
+void StoreSnapshotNotice::__set_unusableTargets(const std::vector<std::string> & val) {
+  this->unusableTargets = val;
+}
+
+void StoreSnapshotNotice::__set_outOfUse(const std::vector<DataCentreNotice> & val) {
+  this->outOfUse = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreSnapshotNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreSnapshotNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration.read(iprot);
+          this->__isset.configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->targets.clear();
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->targets.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
+            {
+              xfer += this->targets[_i125].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unusableTargets.clear();
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->unusableTargets.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
+            {
+              xfer += iprot->readString(this->unusableTargets[_i130]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unusableTargets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->outOfUse.clear();
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->outOfUse.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
+            {
+              xfer += this->outOfUse[_i135].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.outOfUse = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreSnapshotNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreSnapshotNotice");
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->configuration.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
+    std::vector<TargetNotice> ::const_iterator _iter136;
+    for (_iter136 = this->targets.begin(); _iter136 != this->targets.end(); ++_iter136)
+    {
+      xfer += (*_iter136).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unusableTargets", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unusableTargets.size()));
+    std::vector<std::string> ::const_iterator _iter137;
+    for (_iter137 = this->unusableTargets.begin(); _iter137 != this->unusableTargets.end(); ++_iter137)
+    {
+      xfer += oprot->writeString((*_iter137));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outOfUse", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outOfUse.size()));
+    std::vector<DataCentreNotice> ::const_iterator _iter138;
+    for (_iter138 = this->outOfUse.begin(); _iter138 != this->outOfUse.end(); ++_iter138)
+    {
+      xfer += (*_iter138).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreSnapshotNotice &a, StoreSnapshotNotice &b) {
+  using ::std::swap;
+  swap(a.era, b.era);
+  swap(a.revision, b.revision);
+  swap(a.configuration, b.configuration);
+  swap(a.targets, b.targets);
+  swap(a.unusableTargets, b.unusableTargets);
+  swap(a.outOfUse, b.outOfUse);
+  swap(a.__isset, b.__isset);
+}
+
+StoreSnapshotNotice::StoreSnapshotNotice(const StoreSnapshotNotice& other139) {
+  era = other139.era;
+  revision = other139.revision;
+  configuration = other139.configuration;
+  targets = other139.targets;
+  unusableTargets = other139.unusableTargets;
+  outOfUse = other139.outOfUse;
+  __isset = other139.__isset;
+}
+StoreSnapshotNotice& StoreSnapshotNotice::operator=(const StoreSnapshotNotice& other140) {
+  era = other140.era;
+  revision = other140.revision;
+  configuration = other140.configuration;
+  targets = other140.targets;
+  unusableTargets = other140.unusableTargets;
+  outOfUse = other140.outOfUse;
+  __isset = other140.__isset;
+  return *this;
+}
+void StoreSnapshotNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreSnapshotNotice(";
+  out << "era=" << to_string(era);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "configuration=" << to_string(configuration);
+  out << ", " << "targets=" << to_string(targets);
+  out << ", " << "unusableTargets=" << to_string(unusableTargets);
+  out << ", " << "outOfUse=" << to_string(outOfUse);
+  out << ")";
+}
+
+
+PackedNotice::~PackedNotice() noexcept {
+}
+
+
+void PackedNotice::__set_plainSize(const int64_t val) {
+  this->plainSize = val;
+}
+
+void PackedNotice::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const PackedNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PackedNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->plainSize);
+          this->__isset.plainSize = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PackedNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PackedNotice");
+
+  xfer += oprot->writeFieldBegin("plainSize", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->plainSize);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PackedNotice &a, PackedNotice &b) {
+  using ::std::swap;
+  swap(a.plainSize, b.plainSize);
+  swap(a.bytes, b.bytes);
+  swap(a.__isset, b.__isset);
+}
+
+PackedNotice::PackedNotice(const PackedNotice& other141) {
+  plainSize = other141.plainSize;
+  bytes = other141.bytes;
+  __isset = other141.__isset;
+}
+PackedNotice& PackedNotice::operator=(const PackedNotice& other142) {
+  plainSize = other142.plainSize;
+  bytes = other142.bytes;
+  __isset = other142.__isset;
+  return *this;
+}
+void PackedNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PackedNotice(";
+  out << "plainSize=" << to_string(plainSize);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ")";
+}
+
+
 FreshnessAsk::~FreshnessAsk() noexcept {
 }
 
@@ -3573,13 +4301,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAsk::FreshnessAsk(const FreshnessAsk& other117) noexcept {
-  askedAt = other117.askedAt;
-  __isset = other117.__isset;
+FreshnessAsk::FreshnessAsk(const FreshnessAsk& other143) noexcept {
+  askedAt = other143.askedAt;
+  __isset = other143.__isset;
 }
-FreshnessAsk& FreshnessAsk::operator=(const FreshnessAsk& other118) noexcept {
-  askedAt = other118.askedAt;
-  __isset = other118.__isset;
+FreshnessAsk& FreshnessAsk::operator=(const FreshnessAsk& other144) noexcept {
+  askedAt = other144.askedAt;
+  __isset = other144.__isset;
   return *this;
 }
 void FreshnessAsk::printTo(std::ostream& out) const {
@@ -3716,19 +4444,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other119) noexcept {
-  askedAt = other119.askedAt;
-  ageMicros = other119.ageMicros;
-  revision = other119.revision;
-  era = other119.era;
-  __isset = other119.__isset;
+FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other145) noexcept {
+  askedAt = other145.askedAt;
+  ageMicros = other145.ageMicros;
+  revision = other145.revision;
+  era = other145.era;
+  __isset = other145.__isset;
 }
-FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other120) noexcept {
-  askedAt = other120.askedAt;
-  ageMicros = other120.ageMicros;
-  revision = other120.revision;
-  era = other120.era;
-  __isset = other120.__isset;
+FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other146) noexcept {
+  askedAt = other146.askedAt;
+  ageMicros = other146.ageMicros;
+  revision = other146.revision;
+  era = other146.era;
+  __isset = other146.__isset;
   return *this;
 }
 void FreshnessAnswer::printTo(std::ostream& out) const {
@@ -3834,15 +4562,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ColdNotice::ColdNotice(const ColdNotice& other121) {
-  target = other121.target;
-  leftMicros = other121.leftMicros;
-  __isset = other121.__isset;
+ColdNotice::ColdNotice(const ColdNotice& other147) {
+  target = other147.target;
+  leftMicros = other147.leftMicros;
+  __isset = other147.__isset;
 }
-ColdNotice& ColdNotice::operator=(const ColdNotice& other122) {
-  target = other122.target;
-  leftMicros = other122.leftMicros;
-  __isset = other122.__isset;
+ColdNotice& ColdNotice::operator=(const ColdNotice& other148) {
+  target = other148.target;
+  leftMicros = other148.leftMicros;
+  __isset = other148.__isset;
   return *this;
 }
 void ColdNotice::printTo(std::ostream& out) const {
@@ -3997,21 +4725,21 @@
   swap(a.__isset, b.__isset);
 }
 
-FragmentNotice::FragmentNotice(const FragmentNotice& other123) {
-  batch = other123.batch;
-  index = other123.index;
-  count = other123.count;
-  plainSize = other123.plainSize;
-  bytes = other123.bytes;
-  __isset = other123.__isset;
-}
-FragmentNotice& FragmentNotice::operator=(const FragmentNotice& other124) {
-  batch = other124.batch;
-  index = other124.index;
-  count = other124.count;
-  plainSize = other124.plainSize;
-  bytes = other124.bytes;
-  __isset = other124.__isset;
+FragmentNotice::FragmentNotice(const FragmentNotice& other149) {
+  batch = other149.batch;
+  index = other149.index;
+  count = other149.count;
+  plainSize = other149.plainSize;
+  bytes = other149.bytes;
+  __isset = other149.__isset;
+}
+FragmentNotice& FragmentNotice::operator=(const FragmentNotice& other150) {
+  batch = other150.batch;
+  index = other150.index;
+  count = other150.count;
+  plainSize = other150.plainSize;
+  bytes = other150.bytes;
+  __isset = other150.__isset;
   return *this;
 }
 void FragmentNotice::printTo(std::ostream& out) const {
@@ -4152,19 +4880,19 @@
   swap(a.__isset, b.__isset);
 }
 
-SpreadNotice::SpreadNotice(const SpreadNotice& other125) noexcept {
-  passOn = other125.passOn;
-  offset = other125.offset;
-  first = other125.first;
-  last = other125.last;
-  __isset = other125.__isset;
+SpreadNotice::SpreadNotice(const SpreadNotice& other151) noexcept {
+  passOn = other151.passOn;
+  offset = other151.offset;
+  first = other151.first;
+  last = other151.last;
+  __isset = other151.__isset;
 }
-SpreadNotice& SpreadNotice::operator=(const SpreadNotice& other126) noexcept {
-  passOn = other126.passOn;
-  offset = other126.offset;
-  first = other126.first;
-  last = other126.last;
-  __isset = other126.__isset;
+SpreadNotice& SpreadNotice::operator=(const SpreadNotice& other152) noexcept {
+  passOn = other152.passOn;
+  offset = other152.offset;
+  first = other152.first;
+  last = other152.last;
+  __isset = other152.__isset;
   return *this;
 }
 void SpreadNotice::printTo(std::ostream& out) const {
@@ -4270,15 +4998,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamVersionNotice::StreamVersionNotice(const StreamVersionNotice& other127) {
-  stream = other127.stream;
-  version = other127.version;
-  __isset = other127.__isset;
+StreamVersionNotice::StreamVersionNotice(const StreamVersionNotice& other153) {
+  stream = other153.stream;
+  version = other153.version;
+  __isset = other153.__isset;
 }
-StreamVersionNotice& StreamVersionNotice::operator=(const StreamVersionNotice& other128) {
-  stream = other128.stream;
-  version = other128.version;
-  __isset = other128.__isset;
+StreamVersionNotice& StreamVersionNotice::operator=(const StreamVersionNotice& other154) {
+  stream = other154.stream;
+  version = other154.version;
+  __isset = other154.__isset;
   return *this;
 }
 void StreamVersionNotice::printTo(std::ostream& out) const {
@@ -4382,15 +5110,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamVersionAsk::StreamVersionAsk(const StreamVersionAsk& other129) {
-  serial = other129.serial;
-  stream = other129.stream;
-  __isset = other129.__isset;
+StreamVersionAsk::StreamVersionAsk(const StreamVersionAsk& other155) {
+  serial = other155.serial;
+  stream = other155.stream;
+  __isset = other155.__isset;
 }
-StreamVersionAsk& StreamVersionAsk::operator=(const StreamVersionAsk& other130) {
-  serial = other130.serial;
-  stream = other130.stream;
-  __isset = other130.__isset;
+StreamVersionAsk& StreamVersionAsk::operator=(const StreamVersionAsk& other156) {
+  serial = other156.serial;
+  stream = other156.stream;
+  __isset = other156.__isset;
   return *this;
 }
 void StreamVersionAsk::printTo(std::ostream& out) const {
@@ -4511,17 +5239,17 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamVersionReply::StreamVersionReply(const StreamVersionReply& other131) {
-  serial = other131.serial;
-  known = other131.known;
-  version = other131.version;
-  __isset = other131.__isset;
+StreamVersionReply::StreamVersionReply(const StreamVersionReply& other157) {
+  serial = other157.serial;
+  known = other157.known;
+  version = other157.version;
+  __isset = other157.__isset;
 }
-StreamVersionReply& StreamVersionReply::operator=(const StreamVersionReply& other132) {
-  serial = other132.serial;
-  known = other132.known;
-  version = other132.version;
-  __isset = other132.__isset;
+StreamVersionReply& StreamVersionReply::operator=(const StreamVersionReply& other158) {
+  serial = other158.serial;
+  known = other158.known;
+  version = other158.version;
+  __isset = other158.__isset;
   return *this;
 }
 void StreamVersionReply::printTo(std::ostream& out) const {
@@ -4643,17 +5371,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ServedVersionNotice::ServedVersionNotice(const ServedVersionNotice& other133) {
-  serviceName = other133.serviceName;
-  version = other133.version;
-  agoMicros = other133.agoMicros;
-  __isset = other133.__isset;
+ServedVersionNotice::ServedVersionNotice(const ServedVersionNotice& other159) {
+  serviceName = other159.serviceName;
+  version = other159.version;
+  agoMicros = other159.agoMicros;
+  __isset = other159.__isset;
 }
-ServedVersionNotice& ServedVersionNotice::operator=(const ServedVersionNotice& other134) {
-  serviceName = other134.serviceName;
-  version = other134.version;
-  agoMicros = other134.agoMicros;
-  __isset = other134.__isset;
+ServedVersionNotice& ServedVersionNotice::operator=(const ServedVersionNotice& other160) {
+  serviceName = other160.serviceName;
+  version = other160.version;
+  agoMicros = other160.agoMicros;
+  __isset = other160.__isset;
   return *this;
 }
 void ServedVersionNotice::printTo(std::ostream& out) const {
@@ -4725,14 +5453,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->records.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->records.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += this->records[_i139].read(iprot);
+              xfer += this->records[_i165].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4745,14 +5473,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->asks.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->asks.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->asks[_i144].read(iprot);
+              xfer += this->asks[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4765,14 +5493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            this->replies.resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->replies.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += this->replies[_i149].read(iprot);
+              xfer += this->replies[_i175].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4801,14 +5529,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->services.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->services.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->services[_i154].read(iprot);
+              xfer += this->services[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4837,10 +5565,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StreamVersionNotice> ::const_iterator _iter155;
-    for (_iter155 = this->records.begin(); _iter155 != this->records.end(); ++_iter155)
+    std::vector<StreamVersionNotice> ::const_iterator _iter181;
+    for (_iter181 = this->records.begin(); _iter181 != this->records.end(); ++_iter181)
     {
-      xfer += (*_iter155).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4849,10 +5577,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<StreamVersionAsk> ::const_iterator _iter156;
-    for (_iter156 = this->asks.begin(); _iter156 != this->asks.end(); ++_iter156)
+    std::vector<StreamVersionAsk> ::const_iterator _iter182;
+    for (_iter182 = this->asks.begin(); _iter182 != this->asks.end(); ++_iter182)
     {
-      xfer += (*_iter156).write(oprot);
+      xfer += (*_iter182).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4861,10 +5589,10 @@
   xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-    std::vector<StreamVersionReply> ::const_iterator _iter157;
-    for (_iter157 = this->replies.begin(); _iter157 != this->replies.end(); ++_iter157)
+    std::vector<StreamVersionReply> ::const_iterator _iter183;
+    for (_iter183 = this->replies.begin(); _iter183 != this->replies.end(); ++_iter183)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4881,10 +5609,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServedVersionNotice> ::const_iterator _iter158;
-    for (_iter158 = this->services.begin(); _iter158 != this->services.end(); ++_iter158)
+    std::vector<ServedVersionNotice> ::const_iterator _iter184;
+    for (_iter184 = this->services.begin(); _iter184 != this->services.end(); ++_iter184)
     {
-      xfer += (*_iter158).write(oprot);
+      xfer += (*_iter184).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4906,23 +5634,23 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamVersionNotices::StreamVersionNotices(const StreamVersionNotices& other159) {
-  records = other159.records;
-  asks = other159.asks;
-  replies = other159.replies;
-  asksForServices = other159.asksForServices;
-  tellsServices = other159.tellsServices;
-  services = other159.services;
-  __isset = other159.__isset;
-}
-StreamVersionNotices& StreamVersionNotices::operator=(const StreamVersionNotices& other160) {
-  records = other160.records;
-  asks = other160.asks;
-  replies = other160.replies;
-  asksForServices = other160.asksForServices;
-  tellsServices = other160.tellsServices;
-  services = other160.services;
-  __isset = other160.__isset;
+StreamVersionNotices::StreamVersionNotices(const StreamVersionNotices& other185) {
+  records = other185.records;
+  asks = other185.asks;
+  replies = other185.replies;
+  asksForServices = other185.asksForServices;
+  tellsServices = other185.tellsServices;
+  services = other185.services;
+  __isset = other185.__isset;
+}
+StreamVersionNotices& StreamVersionNotices::operator=(const StreamVersionNotices& other186) {
+  records = other186.records;
+  asks = other186.asks;
+  replies = other186.replies;
+  asksForServices = other186.asksForServices;
+  tellsServices = other186.tellsServices;
+  services = other186.services;
+  __isset = other186.__isset;
   return *this;
 }
 void StreamVersionNotices::printTo(std::ostream& out) const {
@@ -5046,14 +5774,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size161;
-            ::apache::thrift::protocol::TType _etype164;
-            xfer += iprot->readListBegin(_etype164, _size161);
-            this->placements.resize(_size161);
-            uint32_t _i165;
-            for (_i165 = 0; _i165 < _size161; ++_i165)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->placements.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += this->placements[_i165].read(iprot);
+              xfer += this->placements[_i191].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5066,14 +5794,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->loads.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->loads.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->loads[_i170].read(iprot);
+              xfer += this->loads[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5086,14 +5814,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->stores.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->stores.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
             {
-              xfer += this->stores[_i175].read(iprot);
+              xfer += this->stores[_i201].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5106,14 +5834,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->asks.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->asks.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->asks[_i180].read(iprot);
+              xfer += this->asks[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5126,14 +5854,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _etype184;
-            xfer += iprot->readListBegin(_etype184, _size181);
-            this->answers.resize(_size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->answers.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
             {
-              xfer += this->answers[_i185].read(iprot);
+              xfer += this->answers[_i211].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5146,14 +5874,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->releases.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->releases.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->releases.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += this->releases[_i190].read(iprot);
+              xfer += this->releases[_i216].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5166,14 +5894,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedEngines.clear();
-            uint32_t _size191;
-            ::apache::thrift::protocol::TType _etype194;
-            xfer += iprot->readListBegin(_etype194, _size191);
-            this->failedEngines.resize(_size191);
-            uint32_t _i195;
-            for (_i195 = 0; _i195 < _size191; ++_i195)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->failedEngines.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += iprot->readString(this->failedEngines[_i195]);
+              xfer += iprot->readString(this->failedEngines[_i221]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5210,14 +5938,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavingTargets.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->leavingTargets.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->leavingTargets.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += iprot->readString(this->leavingTargets[_i200]);
+              xfer += iprot->readString(this->leavingTargets[_i226]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5230,14 +5958,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coldTargets.clear();
-            uint32_t _size201;
-            ::apache::thrift::protocol::TType _etype204;
-            xfer += iprot->readListBegin(_etype204, _size201);
-            this->coldTargets.resize(_size201);
-            uint32_t _i205;
-            for (_i205 = 0; _i205 < _size201; ++_i205)
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readListBegin(_etype230, _size227);
+            this->coldTargets.resize(_size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
             {
-              xfer += this->coldTargets[_i205].read(iprot);
+              xfer += this->coldTargets[_i231].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5266,14 +5994,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fragments.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->fragments.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->fragments.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->fragments[_i210].read(iprot);
+              xfer += this->fragments[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5326,10 +6054,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter211;
-    for (_iter211 = this->placements.begin(); _iter211 != this->placements.end(); ++_iter211)
+    std::vector<PlacementNotice> ::const_iterator _iter237;
+    for (_iter237 = this->placements.begin(); _iter237 != this->placements.end(); ++_iter237)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter237).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5338,10 +6066,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter212;
-    for (_iter212 = this->loads.begin(); _iter212 != this->loads.end(); ++_iter212)
+    std::vector<LoadNotice> ::const_iterator _iter238;
+    for (_iter238 = this->loads.begin(); _iter238 != this->loads.end(); ++_iter238)
     {
-      xfer += (*_iter212).write(oprot);
+      xfer += (*_iter238).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5350,10 +6078,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreNotice> ::const_iterator _iter213;
-    for (_iter213 = this->stores.begin(); _iter213 != this->stores.end(); ++_iter213)
+    std::vector<StoreNotice> ::const_iterator _iter239;
+    for (_iter239 = this->stores.begin(); _iter239 != this->stores.end(); ++_iter239)
     {
-      xfer += (*_iter213).write(oprot);
+      xfer += (*_iter239).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5362,10 +6090,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<FreshnessAsk> ::const_iterator _iter214;
-    for (_iter214 = this->asks.begin(); _iter214 != this->asks.end(); ++_iter214)
+    std::vector<FreshnessAsk> ::const_iterator _iter240;
+    for (_iter240 = this->asks.begin(); _iter240 != this->asks.end(); ++_iter240)
     {
-      xfer += (*_iter214).write(oprot);
+      xfer += (*_iter240).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5374,10 +6102,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<FreshnessAnswer> ::const_iterator _iter215;
-    for (_iter215 = this->answers.begin(); _iter215 != this->answers.end(); ++_iter215)
+    std::vector<FreshnessAnswer> ::const_iterator _iter241;
+    for (_iter241 = this->answers.begin(); _iter241 != this->answers.end(); ++_iter241)
     {
-      xfer += (*_iter215).write(oprot);
+      xfer += (*_iter241).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5386,10 +6114,10 @@
   xfer += oprot->writeFieldBegin("releases", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releases.size()));
-    std::vector<ReleaseNotice> ::const_iterator _iter216;
-    for (_iter216 = this->releases.begin(); _iter216 != this->releases.end(); ++_iter216)
+    std::vector<ReleaseNotice> ::const_iterator _iter242;
+    for (_iter242 = this->releases.begin(); _iter242 != this->releases.end(); ++_iter242)
     {
-      xfer += (*_iter216).write(oprot);
+      xfer += (*_iter242).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5398,10 +6126,10 @@
   xfer += oprot->writeFieldBegin("failedEngines", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedEngines.size()));
-    std::vector<std::string> ::const_iterator _iter217;
-    for (_iter217 = this->failedEngines.begin(); _iter217 != this->failedEngines.end(); ++_iter217)
+    std::vector<std::string> ::const_iterator _iter243;
+    for (_iter243 = this->failedEngines.begin(); _iter243 != this->failedEngines.end(); ++_iter243)
     {
-      xfer += oprot->writeString((*_iter217));
+      xfer += oprot->writeString((*_iter243));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5422,10 +6150,10 @@
   xfer += oprot->writeFieldBegin("leavingTargets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingTargets.size()));
-    std::vector<std::string> ::const_iterator _iter218;
-    for (_iter218 = this->leavingTargets.begin(); _iter218 != this->leavingTargets.end(); ++_iter218)
+    std::vector<std::string> ::const_iterator _iter244;
+    for (_iter244 = this->leavingTargets.begin(); _iter244 != this->leavingTargets.end(); ++_iter244)
     {
-      xfer += oprot->writeString((*_iter218));
+      xfer += oprot->writeString((*_iter244));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5434,10 +6162,10 @@
   xfer += oprot->writeFieldBegin("coldTargets", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coldTargets.size()));
-    std::vector<ColdNotice> ::const_iterator _iter219;
-    for (_iter219 = this->coldTargets.begin(); _iter219 != this->coldTargets.end(); ++_iter219)
+    std::vector<ColdNotice> ::const_iterator _iter245;
+    for (_iter245 = this->coldTargets.begin(); _iter245 != this->coldTargets.end(); ++_iter245)
     {
-      xfer += (*_iter219).write(oprot);
+      xfer += (*_iter245).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5454,10 +6182,10 @@
   xfer += oprot->writeFieldBegin("fragments", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fragments.size()));
-    std::vector<FragmentNotice> ::const_iterator _iter220;
-    for (_iter220 = this->fragments.begin(); _iter220 != this->fragments.end(); ++_iter220)
+    std::vector<FragmentNotice> ::const_iterator _iter246;
+    for (_iter246 = this->fragments.begin(); _iter246 != this->fragments.end(); ++_iter246)
     {
-      xfer += (*_iter220).write(oprot);
+      xfer += (*_iter246).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5504,47 +6232,47 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryNotices::EntryNotices(const EntryNotices& other221) {
-  placements = other221.placements;
-  loads = other221.loads;
-  stores = other221.stores;
-  asks = other221.asks;
-  answers = other221.answers;
-  releases = other221.releases;
-  failedEngines = other221.failedEngines;
-  relay = other221.relay;
-  origin = other221.origin;
-  quarantine = other221.quarantine;
-  leavingTargets = other221.leavingTargets;
-  coldTargets = other221.coldTargets;
-  limits = other221.limits;
-  retryPermits = other221.retryPermits;
-  fragments = other221.fragments;
-  spread = other221.spread;
-  imposedLimits = other221.imposedLimits;
-  streamVersions = other221.streamVersions;
-  __isset = other221.__isset;
-}
-EntryNotices& EntryNotices::operator=(const EntryNotices& other222) {
-  placements = other222.placements;
-  loads = other222.loads;
-  stores = other222.stores;
-  asks = other222.asks;
-  answers = other222.answers;
-  releases = other222.releases;
-  failedEngines = other222.failedEngines;
-  relay = other222.relay;
-  origin = other222.origin;
-  quarantine = other222.quarantine;
-  leavingTargets = other222.leavingTargets;
-  coldTargets = other222.coldTargets;
-  limits = other222.limits;
-  retryPermits = other222.retryPermits;
-  fragments = other222.fragments;
-  spread = other222.spread;
-  imposedLimits = other222.imposedLimits;
-  streamVersions = other222.streamVersions;
-  __isset = other222.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other247) {
+  placements = other247.placements;
+  loads = other247.loads;
+  stores = other247.stores;
+  asks = other247.asks;
+  answers = other247.answers;
+  releases = other247.releases;
+  failedEngines = other247.failedEngines;
+  relay = other247.relay;
+  origin = other247.origin;
+  quarantine = other247.quarantine;
+  leavingTargets = other247.leavingTargets;
+  coldTargets = other247.coldTargets;
+  limits = other247.limits;
+  retryPermits = other247.retryPermits;
+  fragments = other247.fragments;
+  spread = other247.spread;
+  imposedLimits = other247.imposedLimits;
+  streamVersions = other247.streamVersions;
+  __isset = other247.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other248) {
+  placements = other248.placements;
+  loads = other248.loads;
+  stores = other248.stores;
+  asks = other248.asks;
+  answers = other248.answers;
+  releases = other248.releases;
+  failedEngines = other248.failedEngines;
+  relay = other248.relay;
+  origin = other248.origin;
+  quarantine = other248.quarantine;
+  leavingTargets = other248.leavingTargets;
+  coldTargets = other248.coldTargets;
+  limits = other248.limits;
+  retryPermits = other248.retryPermits;
+  fragments = other248.fragments;
+  spread = other248.spread;
+  imposedLimits = other248.imposedLimits;
+  streamVersions = other248.streamVersions;
+  __isset = other248.__isset;
   return *this;
 }
 void EntryNotices::printTo(std::ostream& out) const {
@@ -5641,9 +6369,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast223;
-          xfer += iprot->readI32(ecast223);
-          this->kind = static_cast<PeerKind::type>(ecast223);
+          int32_t ecast249;
+          xfer += iprot->readI32(ecast249);
+          this->kind = static_cast<PeerKind::type>(ecast249);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5685,14 +6413,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->records.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->records.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
             {
-              xfer += this->records[_i228].read(iprot);
+              xfer += this->records[_i254].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5765,10 +6493,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter229;
-    for (_iter229 = this->records.begin(); _iter229 != this->records.end(); ++_iter229)
+    std::vector<MemberRecord> ::const_iterator _iter255;
+    for (_iter255 = this->records.begin(); _iter255 != this->records.end(); ++_iter255)
     {
-      xfer += (*_iter229).write(oprot);
+      xfer += (*_iter255).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5805,29 +6533,29 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other230) {
-  kind = other230.kind;
-  sequence = other230.sequence;
-  sender = other230.sender;
-  revision = other230.revision;
-  configAgeMs = other230.configAgeMs;
-  records = other230.records;
-  probeTarget = other230.probeTarget;
-  policy = other230.policy;
-  tableDigest = other230.tableDigest;
-  __isset = other230.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other231) {
-  kind = other231.kind;
-  sequence = other231.sequence;
-  sender = other231.sender;
-  revision = other231.revision;
-  configAgeMs = other231.configAgeMs;
-  records = other231.records;
-  probeTarget = other231.probeTarget;
-  policy = other231.policy;
-  tableDigest = other231.tableDigest;
-  __isset = other231.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other256) {
+  kind = other256.kind;
+  sequence = other256.sequence;
+  sender = other256.sender;
+  revision = other256.revision;
+  configAgeMs = other256.configAgeMs;
+  records = other256.records;
+  probeTarget = other256.probeTarget;
+  policy = other256.policy;
+  tableDigest = other256.tableDigest;
+  __isset = other256.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other257) {
+  kind = other257.kind;
+  sequence = other257.sequence;
+  sender = other257.sender;
+  revision = other257.revision;
+  configAgeMs = other257.configAgeMs;
+  records = other257.records;
+  probeTarget = other257.probeTarget;
+  policy = other257.policy;
+  tableDigest = other257.tableDigest;
+  __isset = other257.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -5938,15 +6666,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other232) {
-  body = other232.body;
-  mac = other232.mac;
-  __isset = other232.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other258) {
+  body = other258.body;
+  mac = other258.mac;
+  __isset = other258.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other233) {
-  body = other233.body;
-  mac = other233.mac;
-  __isset = other233.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other259) {
+  body = other259.body;
+  mac = other259.mac;
+  __isset = other259.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -6084,19 +6812,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other234) {
-  engine = other234.engine;
-  generation = other234.generation;
-  customer = other234.customer;
-  model = other234.model;
-  __isset = other234.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other260) {
+  engine = other260.engine;
+  generation = other260.generation;
+  customer = other260.customer;
+  model = other260.model;
+  __isset = other260.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other235) {
-  engine = other235.engine;
-  generation = other235.generation;
-  customer = other235.customer;
-  model = other235.model;
-  __isset = other235.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other261) {
+  engine = other261.engine;
+  generation = other261.generation;
+  customer = other261.customer;
+  model = other261.model;
+  __isset = other261.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -6253,21 +6981,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other236) {
-  issuer = other236.issuer;
-  incarnation = other236.incarnation;
-  serial = other236.serial;
-  customer = other236.customer;
-  scope = other236.scope;
-  __isset = other236.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other237) {
-  issuer = other237.issuer;
-  incarnation = other237.incarnation;
-  serial = other237.serial;
-  customer = other237.customer;
-  scope = other237.scope;
-  __isset = other237.__isset;
+TicketBody::TicketBody(const TicketBody& other262) {
+  issuer = other262.issuer;
+  incarnation = other262.incarnation;
+  serial = other262.serial;
+  customer = other262.customer;
+  scope = other262.scope;
+  __isset = other262.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other263) {
+  issuer = other263.issuer;
+  incarnation = other263.incarnation;
+  serial = other263.serial;
+  customer = other263.customer;
+  scope = other263.scope;
+  __isset = other263.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -93,6 +93,14 @@
 
 class StoreNotice;
 
+class TargetNotice;
+
+class DataCentreNotice;
+
+class StoreSnapshotNotice;
+
+class PackedNotice;
+
 class FreshnessAsk;
 
 class FreshnessAnswer;
@@ -1417,6 +1425,279 @@
 
 std::ostream& operator<<(std::ostream& out, const StoreNotice& obj);
 
+typedef struct _TargetNotice__isset {
+  _TargetNotice__isset() : name(false), startedAtMillis(false), serviceName(false), address(false), dataCentre(false), softwareVersion(false), slots(false), leaving(false), coldMillis(false) {}
+  bool name :1;
+  bool startedAtMillis :1;
+  bool serviceName :1;
+  bool address :1;
+  bool dataCentre :1;
+  bool softwareVersion :1;
+  bool slots :1;
+  bool leaving :1;
+  bool coldMillis :1;
+} _TargetNotice__isset;
+
+class TargetNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetNotice(const TargetNotice&);
+  TargetNotice& operator=(const TargetNotice&);
+  TargetNotice() noexcept
+               : name(),
+                 startedAtMillis(0),
+                 serviceName(),
+                 address(),
+                 dataCentre(),
+                 softwareVersion(),
+                 slots(0),
+                 leaving(0),
+                 coldMillis(0) {
+  }
+
+  virtual ~TargetNotice() noexcept;
+  std::string name;
+  int64_t startedAtMillis;
+  std::string serviceName;
+  std::string address;
+  std::string dataCentre;
+  std::string softwareVersion;
+  int32_t slots;
+  bool leaving;
+  int64_t coldMillis;
+
+  _TargetNotice__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_startedAtMillis(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_softwareVersion(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_leaving(const bool val);
+
+  void __set_coldMillis(const int64_t val);
+
+  bool operator == (const TargetNotice & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(startedAtMillis == rhs.startedAtMillis))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(softwareVersion == rhs.softwareVersion))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(coldMillis == rhs.coldMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetNotice &a, TargetNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetNotice& obj);
+
+typedef struct _DataCentreNotice__isset {
+  _DataCentreNotice__isset() : dataCentre(false), revision(false) {}
+  bool dataCentre :1;
+  bool revision :1;
+} _DataCentreNotice__isset;
+
+class DataCentreNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  DataCentreNotice(const DataCentreNotice&);
+  DataCentreNotice& operator=(const DataCentreNotice&);
+  DataCentreNotice() noexcept
+                   : dataCentre(),
+                     revision(0) {
+  }
+
+  virtual ~DataCentreNotice() noexcept;
+  std::string dataCentre;
+  int64_t revision;
+
+  _DataCentreNotice__isset __isset;
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const DataCentreNotice & rhs) const
+  {
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const DataCentreNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DataCentreNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DataCentreNotice &a, DataCentreNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const DataCentreNotice& obj);
+
+typedef struct _StoreSnapshotNotice__isset {
+  _StoreSnapshotNotice__isset() : era(false), revision(false), configuration(false), targets(false), unusableTargets(false), outOfUse(false) {}
+  bool era :1;
+  bool revision :1;
+  bool configuration :1;
+  bool targets :1;
+  bool unusableTargets :1;
+  bool outOfUse :1;
+} _StoreSnapshotNotice__isset;
+
+class StoreSnapshotNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreSnapshotNotice(const StoreSnapshotNotice&);
+  StoreSnapshotNotice& operator=(const StoreSnapshotNotice&);
+  StoreSnapshotNotice() noexcept
+                      : era(0),
+                        revision(0) {
+  }
+
+  virtual ~StoreSnapshotNotice() noexcept;
+  int64_t era;
+  int64_t revision;
+  StoreItemNotice configuration;
+  std::vector<TargetNotice>  targets;
+  std::vector<std::string>  unusableTargets;
+  std::vector<DataCentreNotice>  outOfUse;
+
+  _StoreSnapshotNotice__isset __isset;
+
+  void __set_era(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_configuration(const StoreItemNotice& val);
+
+  void __set_targets(const std::vector<TargetNotice> & val);
+
+  void __set_unusableTargets(const std::vector<std::string> & val);
+
+  void __set_outOfUse(const std::vector<DataCentreNotice> & val);
+
+  bool operator == (const StoreSnapshotNotice & rhs) const
+  {
+    if (!(era == rhs.era))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(configuration == rhs.configuration))
+      return false;
+    if (!(targets == rhs.targets))
+      return false;
+    if (!(unusableTargets == rhs.unusableTargets))
+      return false;
+    if (!(outOfUse == rhs.outOfUse))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreSnapshotNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreSnapshotNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreSnapshotNotice &a, StoreSnapshotNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreSnapshotNotice& obj);
+
+typedef struct _PackedNotice__isset {
+  _PackedNotice__isset() : plainSize(false), bytes(false) {}
+  bool plainSize :1;
+  bool bytes :1;
+} _PackedNotice__isset;
+
+class PackedNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  PackedNotice(const PackedNotice&);
+  PackedNotice& operator=(const PackedNotice&);
+  PackedNotice() noexcept
+               : plainSize(0),
+                 bytes() {
+  }
+
+  virtual ~PackedNotice() noexcept;
+  int64_t plainSize;
+  std::string bytes;
+
+  _PackedNotice__isset __isset;
+
+  void __set_plainSize(const int64_t val);
+
+  void __set_bytes(const std::string& val);
+
+  bool operator == (const PackedNotice & rhs) const
+  {
+    if (!(plainSize == rhs.plainSize))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const PackedNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PackedNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PackedNotice &a, PackedNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const PackedNotice& obj);
+
 typedef struct _FreshnessAsk__isset {
   _FreshnessAsk__isset() : askedAt(false) {}
   bool askedAt :1;
--- a/unittests/Platform/commonstartfleet.cpp
+++ b/unittests/Platform/commonstartfleet.cpp
@@ -83,6 +83,25 @@
     });
 }
 
+std::string StartingInstance::randomInstance()
+{
+    return this->fleet.randomInstance(*this, this->random);
+}
+
+// Packs and unpacks as a transfer does.
+void StartingInstance::requestSnapshot(std::string_view instance)
+{
+    this->fleet.deliver(instance, [from = this->name](StartingInstance &to) {
+        const std::optional<PackedSnapshot> packed = to.sharing.packedSnapshot();
+        to.fleet.deliver(from, [packed](StartingInstance &asker) {
+            auto snapshot = packed ? unpackSnapshot(*packed->bytes) : std::nullopt;
+            if (snapshot)
+                snapshot->age = packed->age;
+            asker.sharing.onSnapshot(snapshot);
+        });
+    });
+}
+
 CommonStartFleet::CommonStartFleet(const CommonStartPlan &startPlan)
     : plan(startPlan)
 {
@@ -100,6 +119,15 @@
         instance->start();
 }
 
+std::string CommonStartFleet::randomInstance(const StartingInstance &except,
+                                             std::mt19937_64 &random) const
+{
+    if (this->known == 0)
+        return {};
+    const std::string picked = nameOf(random() % this->known);
+    return picked == except.name ? std::string() : picked;
+}
+
 void CommonStartFleet::deliver(std::string_view to, std::function<void(StartingInstance &)> message)
 {
     const auto found = std::find_if(this->instances.begin(), this->instances.end(),
--- a/unittests/Platform/commonstartfleet.h
+++ b/unittests/Platform/commonstartfleet.h
@@ -38,6 +38,8 @@
     void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) override;
     void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt, Duration age,
                              std::uint64_t era, std::uint64_t revision) override;
+    std::string randomInstance() override;
+    void requestSnapshot(std::string_view instance) override;
 
     void onTargetLeaving(const TargetEntry &, std::string_view) override {}
     void onTargetListed(const TargetEntry &) override {}
@@ -85,6 +87,9 @@
     std::size_t serving() const;
 
     // Calls a function of another instance, which gets the message with the next turn of the loop.
+    // Returns the name of another instance that is known; empty if none is.
+    std::string randomInstance(const StartingInstance &except, std::mt19937_64 &random) const;
+
     void deliver(std::string_view to, std::function<void(StartingInstance &)> message);
     void deliverToAll(const StartingInstance &from,
                       const std::function<void(StartingInstance &)> &message);
--- a/unittests/Platform/sendgatetest.cpp
+++ b/unittests/Platform/sendgatetest.cpp
@@ -18,11 +18,13 @@
 
 } // namespace
 
-// Guards against a new way to targets that does not ask the gate. The calls of storefollower.cpp go
+// Guards against a new way to targets that does not ask the gate. The calls of snapshotfetch.cpp go
+// to other instances, those of storefollower.cpp
 // to the platform's store.
 Test(sendGate, isPassedByAllCallsToTargets)
 {
-    const std::set<std::string> known = {"relayserver.cpp", "storefollower.cpp", "targetcalls.cpp"};
+    const std::set<std::string> known = {"relayserver.cpp", "snapshotfetch.cpp",
+                                         "storefollower.cpp", "targetcalls.cpp"};
     std::set<std::string> found;
     for (const char *folder : {"lib/Proxy", "lib/Calls", "lib/Store", "lib/Peers", "lib/Routing",
                                "lib/Limits", "lib/Quarantine", "lib/Versions"}) {
