Who lists is decided when most of the others are known; a model of a start at 7 to 1,000 instances

Cause: an instance that had learnt of no further ones for 0.3 s took the fleet for known. Where members are discovered in steps it then knew a few of many, took itself for a reader and was drawn from too few. Change: the wait is the time of discovery, 1.5 s, whatever was learnt meanwhile. Store away for five seconds, fifty times slower, refusing a third or nine of ten, slow and refusing: each within the 18 s, five seeds, four sizes (commonStart/modelledFleetsAreServedInTime).

--- a/include/jaytrack/Store/listingturn.h
+++ b/include/jaytrack/Store/listingturn.h
@@ -19,13 +19,10 @@
 
 struct ListingTurnOptions
 {
-    // Longest time for which an instance that has started waits to hear of the others. Of 584
-    // instances that start together most know the others by then.
+    // Time for which an instance that has started waits to hear of the others. Sooner it knows a
+    // few of them only, would take itself for a reader, and would be drawn from too few.
     Duration peerDiscoveryTime = std::chrono::milliseconds(1500);
 
-    // An instance that has learnt of no further ones for this long knows most of them.
-    Duration settleTime = std::chrono::milliseconds(300);
-
     // Interval between draws, which is more than a listing by a small machine takes, and the
     // expected number of instances that begin to list with the first of them, beside the readers.
     // It doubles with each draw.
@@ -57,7 +54,6 @@
     ListingCause cause();
 
 private:
-    bool awaitsPeers(TimePoint now) const;
     ListingCause decide(TimePoint now);
     bool isDrawn(TimePoint now);
 
@@ -69,7 +65,6 @@
     ListingCause current = ListingCause::None;
     std::size_t drawn;
     TimePoint startedAt;
-    TimePoint peersChangedAt;
     TimePoint answeredAt;
     TimePoint nextDraw;
 };
--- a/lib/Store/listingturn.cpp
+++ b/lib/Store/listingturn.cpp
@@ -25,7 +25,6 @@
     , random(source)
     , drawn(turnOptions.firstDrawn)
     , startedAt(time.now())
-    , peersChangedAt(time.now())
     , answeredAt(time.now())
 {
 }
@@ -34,15 +33,6 @@
 {
     this->peers = others;
     this->reader = isReader;
-    this->peersChangedAt = this->clock.now();
-}
-
-// An instance that knows a few of many others would take itself for a reader.
-bool ListingTurn::awaitsPeers(TimePoint now) const
-{
-    if (now - this->startedAt >= this->options.peerDiscoveryTime)
-        return false;
-    return this->peers == 0 || now - this->peersChangedAt < this->options.settleTime;
 }
 
 ListingCause ListingTurn::cause()
@@ -54,7 +44,7 @@
 
 ListingCause ListingTurn::decide(TimePoint now)
 {
-    if (this->awaitsPeers(now))
+    if (now - this->startedAt < this->options.peerDiscoveryTime)
         return ListingCause::None;
     if (this->peers == 0)
         return ListingCause::Alone;
--- a/unittests/Platform/commonstarttest.cpp
+++ b/unittests/Platform/commonstarttest.cpp
@@ -1,10 +1,14 @@
 // Fleets whose instances all start at the same moment before a store that is full, as after a loss
 // of power: no instance has anything to share, and the callers of all are waiting.
 #include "commonstartfleet.h"
+#include "commonstartmodel.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <cstdio>
+#include <vector>
+
 using namespace jaytrack;
 using namespace jaytrack::testing;
 using namespace std::chrono_literals;
@@ -14,6 +18,9 @@
 // Time within which service is back, as the sites with the least of it ask for it.
 constexpr std::chrono::milliseconds recoveryTime{12'000};
 
+// The same on the sheet of the whole fleet.
+constexpr std::chrono::milliseconds fleetRecoveryTime{18'000};
+
 struct StartCase
 {
     char name[48];
@@ -27,8 +34,72 @@
         {"the store refuses nine of ten", 240, 90},
 };
 
+// What is wrong with the store when a modelled fleet starts.
+struct ModelCase
+{
+    char name[48];
+    int awayMillis;
+    int latencyMillis;
+    int refused; // in a hundred
+};
+
+ModelCase modelCases[] = {
+        {"store in order", 0, 4, 0},
+        {"store away for five seconds", 5000, 4, 0},
+        {"store fifty times slower", 0, 200, 0},
+        {"store refuses a third", 0, 4, 33},
+        {"store refuses nine of ten", 0, 4, 90},
+        {"store slow, refuses nine of ten", 0, 200, 90},
+};
+
+constexpr std::size_t modelSizes[] = {7, 195, 584, 1000};
+constexpr std::uint64_t modelSeeds = 5;
+
+CommonStartModelResult runModel(const ModelCase &store, std::size_t instances, std::uint64_t seed)
+{
+    CommonStartModelPlan plan;
+    plan.instances = instances;
+    plan.storeAwayFor = std::chrono::milliseconds(store.awayMillis);
+    plan.storeLatency = std::chrono::milliseconds(store.latencyMillis);
+    plan.refused = static_cast<std::size_t>(store.refused);
+    plan.seed = seed;
+    const std::chrono::milliseconds limit = plan.storeAwayFor + fleetRecoveryTime;
+    const CommonStartModelResult result = runCommonStart(plan, limit);
+    std::printf("%s instances=%zu seed=%llu first_ms=%lld half_ms=%lld nine_tenths_ms=%lld "
+                "calls=%zu listers=%zu megabytes=%.0f\n",
+                store.name, instances, static_cast<unsigned long long>(seed),
+                static_cast<long long>(result.first.count()),
+                static_cast<long long>(result.half.count()),
+                static_cast<long long>(result.nineTenths.count()), result.calls, result.listers,
+                result.storeBytes / 1e6);
+    cr_assert_lt(result.nineTenths.count(), limit.count(), "%s: %zu instances", store.name,
+                 instances);
+    return result;
+}
+
 } // namespace
 
+ParameterizedTestParameters(commonStart, modelledFleetsAreServedInTime)
+{
+    return cr_make_param_array(ModelCase, modelCases, std::size(modelCases));
+}
+
+// Guards against a cost of a start for each instance that grows with the fleet, or a fleet whose
+// size keeps it from being served in time.
+ParameterizedTest(ModelCase *store, commonStart, modelledFleetsAreServedInTime)
+{
+    for (std::uint64_t seed = 1; seed <= modelSeeds; ++seed) {
+        std::vector<double> callsOfEach;
+        for (const std::size_t instances : modelSizes) {
+            const CommonStartModelResult result = runModel(*store, instances, seed);
+            callsOfEach.push_back(static_cast<double>(result.calls) /
+                                  static_cast<double>(instances));
+        }
+        cr_assert_leq(callsOfEach.back(), callsOfEach.front(), "%s, seed %llu: calls of each",
+                      store->name, static_cast<unsigned long long>(seed));
+    }
+}
+
 ParameterizedTestParameters(commonStart, isServedWithinTheRecoveryTime)
 {
     return cr_make_param_array(StartCase, startCases, std::size(startCases));
