--- a/unittests/Platform/followertest.cpp
+++ b/unittests/Platform/followertest.cpp
@@ -69,8 +69,83 @@
     std::shared_ptr<StoreFollower> follower;
 };
 
+// A follower that has just started and is to get from another instance what does not fit into the
+// first page.
+struct StartingFollower
+{
+    explicit StartingFollower(int items)
+    {
+        for (int i = 0; i < items; ++i)
+            this->store.put("servers/t" + std::to_string(i), "ready");
+        this->store.limitPages(1);
+        StoreFollowerOptions options;
+        options.store = parseEndpoint(this->store.address()).value();
+        this->follower =
+                std::make_shared<StoreFollower>(this->loop, this->clock, *this->dialect, options, 1,
+                                                this->recorder, this->recorder);
+        this->follower->setAwaitsSnapshot(true);
+        this->follower->start();
+        this->follower->setActive(false);
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        this->loop.restart();
+        this->loop.run_for(time);
+    }
+
+    StoreStandin store;
+    asio::io_context loop;
+    SystemClock clock;
+    std::unique_ptr<Dialect> dialect = makePlatformDialect();
+    Recorder recorder;
+    std::shared_ptr<StoreFollower> follower;
+};
+
 } // namespace
 
+Test(storeFollower, firstPageIsAllThatAWaitingFollowerReads)
+{
+    StartingFollower waiting(3);
+    waiting.runFor(std::chrono::milliseconds(300));
+    cr_assert_eq(waiting.store.calls(), 1U);
+    cr_assert_not(waiting.follower->hasListed());
+    StartingFollower small(1);
+    small.runFor(std::chrono::milliseconds(300));
+    cr_assert(small.follower->hasListed(), "a store of one page is known with it");
+    waiting.follower->setActive(true);
+    waiting.runFor(std::chrono::milliseconds(300));
+    cr_assert(waiting.follower->hasListed(), "its turn to list has come");
+}
+
+// Guards against changes that are lost because they arrive while a snapshot is on its way, so that
+// each instance that starts asks the store for them.
+Test(storeFollower, changesThatComeBeforeTheSnapshotAreApplied)
+{
+    StartingFollower own(3);
+    own.runFor(std::chrono::milliseconds(300));
+    own.follower->applyShared(10, 11, {itemOf("b", 11)}, false);
+    own.follower->applyShared(11, 13, {itemOf("c", 13)}, false);
+    own.follower->adoptSnapshot(own.follower->knownEra(), 10);
+    cr_assert_eq(own.follower->knownRevision(), 13U);
+    const std::vector<std::string> expected = {"b", "c"};
+    cr_assert(own.recorder.keys == expected);
+    own.runFor(std::chrono::milliseconds(300));
+    cr_assert_eq(own.store.calls(), 1U, "nothing is asked for again");
+}
+
+// Guards against a page that is asked for again and again, since each answer takes longer than it
+// is waited for.
+Test(storeFollower, slowPagesAreWaitedForLonger)
+{
+    StartingFollower own(1);
+    own.store.limitCapacity(std::chrono::milliseconds(800));
+    own.runFor(std::chrono::milliseconds(100));
+    own.follower->setActive(true);
+    own.runFor(std::chrono::milliseconds(6000));
+    cr_assert(own.follower->hasListed());
+}
+
 Test(storeFollower, changesOfOthersAreTakenOnceAndInOrder)
 {
     Follower own;
