Tests: a fleet that starts at once discovers its members by the clock

Cause, by reading: the fleet of the test counted its turns as 0.1 s each for what instances know of one another, while ListingTurn decides by the clock; where turns take longer, all 240 decide when they know three others. The test was wrong, not the bound: the clock serves both now. 300 targets in pages of 10 instead of 600 in pages of 20: the same pages, calls and time a call for half the work of the test's own thread.

--- a/unittests/Platform/commonstartfleet.cpp
+++ b/unittests/Platform/commonstartfleet.cpp
@@ -115,6 +115,7 @@
         this->instances.push_back(std::make_unique<StartingInstance>(
                 *this, this->loop, this->clock, nameOf(i), i,
                 i < refused ? this->unreachable.address() : this->store.address()));
+    this->startedAt = this->clock.now();
     for (const auto &instance : this->instances)
         instance->start();
 }
@@ -149,7 +150,7 @@
 {
     std::size_t count = 0;
     for (const Discovery &step : discoveries) {
-        if (this->passed >= step.after)
+        if (this->clock.now() - this->startedAt >= step.after)
             count = std::max(step.least, this->plan.instances * step.inAHundred / 100);
     }
     return std::min(count, this->plan.instances);
@@ -173,10 +174,9 @@
 
 void CommonStartFleet::runFor(std::chrono::milliseconds time)
 {
-    for (std::chrono::milliseconds end = this->passed + time; this->passed < end;) {
+    for (const TimePoint end = this->clock.now() + time; this->clock.now() < end;) {
         this->loop.restart();
         this->loop.run_for(tickInterval);
-        this->passed += tickInterval;
         this->discover();
         for (const auto &one : this->instances)
             one->tick();
@@ -192,10 +192,10 @@
 std::chrono::milliseconds CommonStartFleet::timeUntilServing(std::size_t inAHundred,
                                                              std::chrono::milliseconds limit)
 {
-    const auto startedAt = std::chrono::steady_clock::now();
-    const auto elapsed = [startedAt] {
+    const auto begunAt = std::chrono::steady_clock::now();
+    const auto elapsed = [begunAt] {
         return std::chrono::duration_cast<std::chrono::milliseconds>(
-                std::chrono::steady_clock::now() - startedAt);
+                std::chrono::steady_clock::now() - begunAt);
     };
     while (this->serving() * 100 < inAHundred * this->instances.size()) {
         if (elapsed() >= limit)
--- a/unittests/Platform/commonstartfleet.h
+++ b/unittests/Platform/commonstartfleet.h
@@ -65,8 +65,8 @@
 struct CommonStartPlan
 {
     std::size_t instances = 0;
-    int targets = 600;
-    std::size_t pageItems = 20;
+    int targets = 300;
+    std::size_t pageItems = 10;
     std::chrono::microseconds timePerCall{5000}; // that the store takes for each call
     int refused = 0; // instances in a hundred whose calls to the store all fail
 };
@@ -104,7 +104,7 @@
     UnreachablePort unreachable{LinkLoss::Refused};
     asio::io_context loop; // outlives the instances and their calls
     SystemClock clock;
-    std::chrono::milliseconds passed{0};
+    TimePoint startedAt; // what is known of the others grows by the clock that they decide by
     std::size_t known = 0;
 
 public:
