--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -4,6 +4,7 @@
 #define JAYTRACK_STORE_STOREFOLLOWER_H
 
 #include "jaytrack/Net/targetcall.h"
+#include "jaytrack/Peers/sharedchanges.h"
 #include "jaytrack/Routing/dialect.h"
 #include "jaytrack/Support/clock.h"
 
@@ -173,23 +174,13 @@
     }
 
 private:
-    // Changes that arrived from others before the listing was complete.
-    struct EarlyChanges
-    {
-        std::uint64_t from = 0;
-        std::uint64_t to = 0;
-        std::vector<StoreItem> items;
-        bool incomplete = false;
-        bool afterOutage = false;
-    };
-
     void query();
     bool belongsToKnownEra();
     void listAfterRewrites();
     void enterEra(std::uint64_t next, std::string_view source, std::chrono::milliseconds pause);
     void queryMissing(std::string_view cause);
     std::chrono::milliseconds answerTimeout() const;
-    void keepEarlyChanges(EarlyChanges changes);
+    void keepEarlyChanges(SharedChanges changes);
     void applyEarlyChanges();
     void queryAfter(std::chrono::milliseconds delay);
     void onAnswerHead(MessageHead head) override;
@@ -241,7 +232,7 @@
     int unanswered = 0; // calls in a row whose answers did not arrive in time
     bool everListed = false;
     bool awaitsSnapshot = false;
-    std::vector<EarlyChanges> earlyChanges; // oldest first
+    std::vector<SharedChanges> earlyChanges; // received before the first listing, oldest first
     bool lost = false;
     bool stopped = false;
     bool active = true;
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -278,7 +278,7 @@
 }
 
 // If too many arrive, those kept would leave a gap, which costs a call to the store as well.
-void StoreFollower::keepEarlyChanges(EarlyChanges changes)
+void StoreFollower::keepEarlyChanges(SharedChanges changes)
 {
     if (this->earlyChanges.size() >= maxEarlyChanges)
         this->earlyChanges.clear();
@@ -287,7 +287,7 @@
 
 void StoreFollower::applyEarlyChanges()
 {
-    for (const EarlyChanges &early : std::exchange(this->earlyChanges, {}))
+    for (const SharedChanges &early : std::exchange(this->earlyChanges, {}))
         this->applyShared(early.from, early.to, early.items, early.incomplete, early.afterOutage);
 }
 
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -118,6 +118,9 @@
 void StoreSharing::onSnapshot(const std::optional<StoreSnapshot> &snapshot)
 {
     const auto requestedAt = std::exchange(this->snapshotRequestedAt, std::nullopt);
+    if (!snapshot)
+        logEvent(Severity::Info, "store_not_received",
+                 {{"started_ms_ago", toMillis(this->clock.now() - this->startedAt)}});
     const bool isWanted = snapshot && requestedAt && !this->follower->hasListed();
     if (!isWanted || !this->follower->updateEra(snapshot->era))
         return;
