--- a/unittests/Platform/commonstartfleet.h
+++ b/unittests/Platform/commonstartfleet.h
@@ -34,6 +34,12 @@
     bool hasData() const { return this->configuration.table() && this->targets.isLoaded(); }
     std::size_t targetCount() const { return this->directory.size(); }
 
+    // Whether it holds all of the store as it is in this era.
+    bool holdsHistory(std::uint64_t era) const
+    {
+        return this->follower->knownEra() == era && this->follower->knownRevision() > 0;
+    }
+
     void shareStoreChanges(const SharedChanges &changes) override;
     void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) override;
     void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt, Duration age,
