A restored store is listed by a few instances, as at a common start

What callers would see: after the store's return from an older copy, instances of a large fleet refuse their callers, since nothing confirms their configuration any more, and go on using targets that are gone. Changes that arrive meanwhile are used at once, because they may tell that a target leaves, and again after the listing. A listing under way is not begun again when rewrites are over.

Ruled out: passing on changes alone, which do not tell what is gone (docs/design/store-era.md).

--- a/include/jaytrack/Store/listingturn.h
+++ b/include/jaytrack/Store/listingturn.h
@@ -1,6 +1,7 @@
-// Decides when an instance that holds nothing of the store lists the whole of it by itself.
+// Decides when an instance that has no listing of the store lists the whole of it by itself.
 //
-// After a loss of power all instances of a fleet start at the same moment. If each of 584 listed
+// After a loss of power all instances of a fleet start at the same moment, and after the store was
+// restored from an older copy all of them need another listing. If each of 584 listed
 // 6,002 targets in 31 pages, that would take more than a gigabyte of a store whose link carries an
 // eighth of that in a second: answers come later than they are waited for, are asked for again, and
 // no listing ever ends. Instead a few instances list the store, and all others get from one another
@@ -43,6 +44,9 @@
 public:
     ListingTurn(const Clock &time, ListingTurnOptions turnOptions, std::mt19937_64 &source);
 
+    // Begins anew, since another listing is needed. The others are known by now.
+    void restart();
+
     // Sets the number of other instances that are up, and whether this one is a reader.
     void setPeers(std::size_t others, bool isReader);
 
@@ -64,7 +68,7 @@
     bool reader = false;
     ListingCause current = ListingCause::None;
     std::size_t drawn;
-    TimePoint startedAt;
+    TimePoint decidesFrom;
     TimePoint answeredAt;
     TimePoint nextDraw;
 };
--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -102,11 +102,12 @@
     std::chrono::milliseconds maxBackoff{250};
     std::chrono::milliseconds maxBackoffWithUpdates{1500};
 
-    // After the store was restored from an older copy, every instance must list it again, since
+    // After the store was restored from an older copy, every instance needs a whole listing, since
     // changes passed on by others do not show which entries are gone. Instances that get updates
-    // from others spread their listings to at most a hundred calls a second and use their current
-    // data meanwhile. They do the same where the store has lost its history, and mostly get the
-    // missing changes from an instance that has listed it by then.
+    // from others spread their calls to at most a hundred a second and use their current data
+    // meanwhile; of a store with several pages they get a snapshot from one that has listed it.
+    // They do the same where the store has lost its history, and mostly get the missing changes
+    // from an instance that has listed it by then.
     std::chrono::milliseconds relistDelayPerInstance{10};
     std::chrono::milliseconds maxRelistDelay{2000};
 
@@ -129,8 +130,8 @@
     // An inactive follower makes no calls of its own and relies on applyShared().
     void setActive(bool wanted);
 
-    // Whether an inactive follower that has not listed the store yet stops after the first page,
-    // which is all of a small store, and waits for adoptSnapshot().
+    // Whether an inactive follower that has no listing of the current era stops after the first
+    // page, which is all of a small store, and waits for adoptSnapshot().
     void setAwaitsSnapshot(bool wanted) { this->awaitsSnapshot = wanted; }
 
     // Whether other instances read the store and send updates to this one.
@@ -149,11 +150,11 @@
     void catchUp(std::uint64_t to);
 
     // Takes over all that another instance held at this revision, which the listener has got
-    // already. Only for a follower that has not listed the store yet.
+    // already. Only for a follower that has no listing of the current era.
     void adoptSnapshot(std::uint64_t snapshotEra, std::uint64_t at);
 
-    // Whether this instance has ever held all items of the store.
-    bool hasListed() const { return this->everListed; }
+    // Whether this instance has held all items of the store in the current era.
+    bool hasListed() const { return this->listedInEra; }
 
     // Records the store history (era) that another instance refers to. Returns false if it is older
     // than the known one, so that its data is no longer valid. A newer era makes this instance list
@@ -230,9 +231,10 @@
     std::uint64_t revision = 0;
     int failures = 0;
     int unanswered = 0; // calls in a row whose answers did not arrive in time
-    bool everListed = false;
+    bool listedInEra = false;
+    bool holdsData = false; // of the current era or an earlier one
     bool awaitsSnapshot = false;
-    std::vector<SharedChanges> earlyChanges; // received before the first listing, oldest first
+    std::vector<SharedChanges> earlyChanges; // received before the era's listing, oldest first
     bool lost = false;
     bool stopped = false;
     bool active = true;
--- a/include/jaytrack/Store/storesharing.h
+++ b/include/jaytrack/Store/storesharing.h
@@ -2,8 +2,9 @@
 // others; every other instance queries one of them a few times a second for the age of its data, to
 // confirm that its own data is still current. ReadDuty decides which instances read.
 //
-// An instance that has just started gets what another one holds as a whole. ListingTurn decides
-// which instances list the store themselves where none holds anything yet.
+// An instance that has just started, or learns that the store was restored from an older copy, gets
+// what another one holds as a whole. ListingTurn decides which instances list the store themselves
+// where none has done so yet.
 #ifndef JAYTRACK_STORE_STORESHARING_H
 #define JAYTRACK_STORE_STORESHARING_H
 
@@ -83,6 +84,7 @@
         TimePoint confirmedAsOf;
     };
 
+    void noticeRestoredStore();
     bool shouldRead(Duration age);
     void logListingCause(ListingCause cause);
     void queryFreshness(Duration age);
@@ -101,9 +103,10 @@
     StoreTransport &transport;
     std::shared_ptr<StoreFollower> follower;
     bool reading = true;
+    bool hadListing = false; // at the last tick
     TimePoint nextQuery;
     std::size_t peerCount = 0;
-    TimePoint startedAt;
+    TimePoint neededSince; // a listing: since the start, or the store's return
     ListingCause loggedCause = ListingCause::None;
     std::optional<TimePoint> snapshotRequestedAt; // while one is on its way
     std::optional<CachedSnapshot> cached;
--- a/lib/Store/listingturn.cpp
+++ b/lib/Store/listingturn.cpp
@@ -24,11 +24,20 @@
     , options(turnOptions)
     , random(source)
     , drawn(turnOptions.firstDrawn)
-    , startedAt(time.now())
+    , decidesFrom(time.now() + turnOptions.peerDiscoveryTime)
     , answeredAt(time.now())
 {
 }
 
+void ListingTurn::restart()
+{
+    this->current = ListingCause::None;
+    this->drawn = this->options.firstDrawn;
+    this->decidesFrom = this->clock.now();
+    this->answeredAt = this->clock.now();
+    this->nextDraw = this->clock.now();
+}
+
 void ListingTurn::setPeers(std::size_t others, bool isReader)
 {
     this->peers = others;
@@ -44,7 +53,7 @@
 
 ListingCause ListingTurn::decide(TimePoint now)
 {
-    if (now - this->startedAt < this->options.peerDiscoveryTime)
+    if (now < this->decidesFrom)
         return ListingCause::None;
     if (this->peers == 0)
         return ListingCause::Alone;
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -153,6 +153,7 @@
     this->timer.cancel();
     this->revision = 0;
     this->announcedRevision = 0;
+    this->listedInEra = false;
     this->earlyChanges.clear();
     this->startListing();
     this->listener.onStoreRestored();
@@ -169,6 +170,10 @@
         const auto self = weak.lock();
         if (failure || !self || self->stopped || !self->active)
             return;
+        // A listing that is still under way must not begin again: with a slow store it would never
+        // end.
+        if (!self->listedInEra)
+            return;
         if (self->call)
             self->call->cancel();
         self->timer.cancel();
@@ -255,8 +260,12 @@
                                 const std::vector<StoreItem> &items, bool incomplete,
                                 bool afterOutage)
 {
-    if (this->listing && !this->everListed)
+    if (this->listing && !this->listedInEra) {
+        // They may tell that a target leaves, which must not wait for a listing.
+        if (this->holdsData)
+            this->listener.onSharedChanges(items, afterOutage);
         return this->keepEarlyChanges({from, to, items, incomplete, afterOutage});
+    }
     if (this->listing || to <= this->revision)
         return;
     std::vector<StoreItem> fresh;
@@ -293,13 +302,14 @@
 
 void StoreFollower::adoptSnapshot(std::uint64_t snapshotEra, std::uint64_t at)
 {
-    assert(!this->everListed && "a snapshot would take back what is known");
+    assert(!this->listedInEra && "a snapshot would take back what is known");
     if (this->call)
         this->call->cancel();
     this->timer.cancel();
     if (this->era == 0)
         this->era = snapshotEra;
-    this->everListed = true;
+    this->listedInEra = true;
+    this->holdsData = true;
     this->listing = false;
     this->mayListStale = false;
     this->listedStale = false;
@@ -358,7 +368,7 @@
     // An inactive follower makes no further calls once it has a complete and current listing, but
     // still retries a failed call.
     const bool isCurrent = !this->listing && !this->listedStale;
-    const bool isSpared = this->awaitsSnapshot && !this->everListed && !this->pageAfter.empty();
+    const bool isSpared = this->awaitsSnapshot && !this->listedInEra && !this->pageAfter.empty();
     const bool rests = isSpared || (isCurrent && this->failures == 0);
     if (this->stopped || (!this->active && rests))
         return;
@@ -420,7 +430,7 @@
     }
     // Other instances only send changes, so an instance without a listing cannot rely on them
     // unless it is to get a snapshot.
-    const bool getsSnapshot = this->awaitsSnapshot && !this->everListed && !this->active;
+    const bool getsSnapshot = this->awaitsSnapshot && !this->listedInEra && !this->active;
     const bool canWait = this->receivesUpdates && (!this->listing || getsSnapshot);
     const std::chrono::milliseconds maxDelay =
             canWait ? this->options.maxBackoffWithUpdates : this->options.maxBackoff;
@@ -479,7 +489,8 @@
 void StoreFollower::completeListing()
 {
     this->listing = false;
-    this->everListed = true;
+    this->listedInEra = true;
+    this->holdsData = true;
     this->mayListStale = false;
     this->pageAfter.clear();
     const std::vector<StoreItem> whole = std::move(this->listed);
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -29,7 +29,7 @@
     , configuration(configurationFeed)
     , targets(targetFeed)
     , transport(storeTransport)
-    , startedAt(time.now())
+    , neededSince(time.now())
 {
 }
 
@@ -55,6 +55,7 @@
     if (this->follower == nullptr)
         return;
     this->follower->tick();
+    this->noticeRestoredStore();
     const Duration age = this->configuration.age();
     this->targets.updateFreshness(this->configuration.confirmedAsOf(), this->duty.showsOutage(age));
     const bool read = this->shouldRead(age);
@@ -73,6 +74,17 @@
     this->dropOldSnapshot();
 }
 
+void StoreSharing::noticeRestoredStore()
+{
+    const bool hasListing = this->follower->hasListed();
+    if (this->hadListing && !hasListing) {
+        this->turn.restart();
+        this->loggedCause = ListingCause::None;
+        this->neededSince = this->clock.now();
+    }
+    this->hadListing = hasListing;
+}
+
 bool StoreSharing::shouldRead(Duration age)
 {
     if (this->follower->hasListed())
@@ -84,13 +96,13 @@
 
 void StoreSharing::logListingCause(ListingCause cause)
 {
-    if (cause == this->loggedCause)
+    if (cause == this->loggedCause || cause == ListingCause::None)
         return;
     this->loggedCause = cause;
     logEvent(Severity::Info, "store_listing",
              {{"cause", toString(cause)},
               {"peers", static_cast<std::int64_t>(this->peerCount)},
-              {"started_ms_ago", toMillis(this->clock.now() - this->startedAt)}});
+              {"waited_ms", toMillis(this->clock.now() - this->neededSince)}});
 }
 
 // Asks others at random, so that the questions spread over all that hold something, and their
@@ -120,7 +132,7 @@
     const auto requestedAt = std::exchange(this->snapshotRequestedAt, std::nullopt);
     if (!snapshot)
         logEvent(Severity::Info, "store_not_received",
-                 {{"started_ms_ago", toMillis(this->clock.now() - this->startedAt)}});
+                 {{"waited_ms", toMillis(this->clock.now() - this->neededSince)}});
     const bool isWanted = snapshot && requestedAt && !this->follower->hasListed();
     if (!isWanted || !this->follower->updateEra(snapshot->era))
         return;
@@ -132,7 +144,7 @@
               {"revision", static_cast<std::int64_t>(snapshot->revision)},
               {"age_ms", toMillis(snapshot->age)},
               {"took_ms", toMillis(this->clock.now() - *requestedAt)},
-              {"started_ms_ago", toMillis(this->clock.now() - this->startedAt)}});
+              {"waited_ms", toMillis(this->clock.now() - this->neededSince)}});
     this->targets.onSnapshot(*snapshot);
     this->follower->adoptSnapshot(snapshot->era, snapshot->revision);
 }
