The time in which a restored store confirms nothing is not taken for an outage

After the store's return from an older copy nothing confirms a configuration for 2.2 s, so its age passes 4 s, which counted as an outage of the store: targets that the copy lacks and that were not written again were used for another grace period. The time until the end of the rewrites counts as contact now: the store has just answered. If it goes away again in that time, an instance that gets its data from others notices 2.2 s later than before.

--- a/include/jaytrack/Store/storefeeds.h
+++ b/include/jaytrack/Store/storefeeds.h
@@ -49,6 +49,10 @@
     // Time since the moment at which the table is known to have been the newest.
     Duration age() const { return this->clock.now() - this->confirmedAt; }
 
+    // Time since the store is known to have been available. Less than age() after it was restored
+    // from an older copy, when it is available but confirms nothing yet.
+    Duration timeSinceContact() const;
+
 private:
     void applyItem(const StoreItem &item);
 
--- a/lib/Store/storefeeds.cpp
+++ b/lib/Store/storefeeds.cpp
@@ -3,6 +3,8 @@
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Support/metrics.h"
 
+#include <algorithm>
+
 namespace jaytrack {
 
 namespace {
@@ -81,6 +83,12 @@
         this->confirmedAt = std::max(this->confirmedAt, asOf);
 }
 
+Duration ConfigurationFeed::timeSinceContact() const
+{
+    const TimePoint now = this->clock.now();
+    return now - std::max(this->confirmedAt, std::min(now, this->uncertainUntil));
+}
+
 // A key may have been revoked by an acknowledged change that is not in the restored copy and never
 // reached this instance. Until that change is written again, the store cannot confirm that the
 // configuration in force is current.
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -57,7 +57,8 @@
     this->follower->tick();
     this->noticeRestoredStore();
     const Duration age = this->configuration.age();
-    this->targets.updateFreshness(this->configuration.confirmedAsOf(), this->duty.showsOutage(age));
+    this->targets.updateFreshness(this->configuration.confirmedAsOf(),
+                                  this->duty.showsOutage(this->configuration.timeSinceContact()));
     const bool read = this->shouldRead(age);
     if (read != this->reading) {
         this->reading = read;
--- a/unittests/Platform/storeeratest.cpp
+++ b/unittests/Platform/storeeratest.cpp
@@ -381,3 +381,23 @@
     feed.confirm(clock.now());
     cr_assert_eq(feed.age(), Duration(0), "what was lost is written again by now");
 }
+
+// Guards against a return that is taken for another outage, since nothing is confirmed for a while:
+// targets that were not written again were used for seconds more than the platform allows.
+Test(storeEra, returnIsNotTakenForAnOutage)
+{
+    ManualClock clock;
+    clock.advance(std::chrono::hours(1));
+    const auto dialect = makePlatformDialect();
+    ConfigurationFeed feed(clock, *dialect);
+    feed.confirm(clock.now());
+    clock.advance(std::chrono::milliseconds(2500));
+    cr_assert_eq(feed.timeSinceContact(), feed.age());
+    feed.onStoreRestored();
+    clock.advance(restoreTime);
+    cr_assert_eq(feed.age(), Duration(std::chrono::milliseconds(2500) + restoreTime));
+    cr_assert_eq(feed.timeSinceContact(), Duration(0));
+    clock.advance(std::chrono::milliseconds(1000));
+    cr_assert_eq(feed.timeSinceContact(), Duration(std::chrono::milliseconds(1000)),
+                 "silence after that is one");
+}
