--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -150,11 +150,15 @@
     void catchUp(std::uint64_t to);
 
     // Takes over all that another instance held at this revision, which the listener has got
-    // already. Only for a follower that has no listing of the current era.
+    // already. Only if hasListed() is false and holdsNewer() as well.
     void adoptSnapshot(std::uint64_t snapshotEra, std::uint64_t at);
 
-    // Whether this instance has held all items of the store in the current era.
-    bool hasListed() const { return this->listedInEra; }
+    // Whether this instance holds all items of the store in the current era, and does not fail to
+    // list them again.
+    bool hasListed() const { return this->listedInEra && !(this->listing && this->lost); }
+
+    // Whether this instance knew more than what the store held at this revision of the current era.
+    bool holdsNewer(std::uint64_t at) const { return this->revisionBeforeListing > at; }
 
     // Records the store history (era) that another instance refers to. Returns false if it is older
     // than the known one, so that its data is no longer valid. A newer era makes this instance list
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -172,7 +172,7 @@
             return;
         // A listing that is still under way must not begin again: with a slow store it would never
         // end.
-        if (!self->listedInEra)
+        if (!self->listedInEra || self->lost)
             return;
         if (self->call)
             self->call->cancel();
@@ -260,13 +260,13 @@
                                 const std::vector<StoreItem> &items, bool incomplete,
                                 bool afterOutage)
 {
-    if (this->listing && !this->listedInEra) {
+    if (this->listing) {
         // They may tell that a target leaves, which must not wait for a listing.
         if (this->holdsData)
             this->listener.onSharedChanges(items, afterOutage);
         return this->keepEarlyChanges({from, to, items, incomplete, afterOutage});
     }
-    if (this->listing || to <= this->revision)
+    if (to <= this->revision)
         return;
     std::vector<StoreItem> fresh;
     for (const StoreItem &item : items) {
@@ -302,7 +302,8 @@
 
 void StoreFollower::adoptSnapshot(std::uint64_t snapshotEra, std::uint64_t at)
 {
-    assert(!this->listedInEra && "a snapshot would take back what is known");
+    assert(!this->hasListed() && !this->holdsNewer(at) &&
+           "a snapshot would take back what is known");
     if (this->call)
         this->call->cancel();
     this->timer.cancel();
@@ -368,7 +369,7 @@
     // An inactive follower makes no further calls once it has a complete and current listing, but
     // still retries a failed call.
     const bool isCurrent = !this->listing && !this->listedStale;
-    const bool isSpared = this->awaitsSnapshot && !this->listedInEra && !this->pageAfter.empty();
+    const bool isSpared = this->awaitsSnapshot && !this->hasListed() && !this->pageAfter.empty();
     const bool rests = isSpared || (isCurrent && this->failures == 0);
     if (this->stopped || (!this->active && rests))
         return;
@@ -430,7 +431,7 @@
     }
     // Other instances only send changes, so an instance without a listing cannot rely on them
     // unless it is to get a snapshot.
-    const bool getsSnapshot = this->awaitsSnapshot && !this->listedInEra && !this->active;
+    const bool getsSnapshot = this->awaitsSnapshot && !this->hasListed() && !this->active;
     const bool canWait = this->receivesUpdates && (!this->listing || getsSnapshot);
     const std::chrono::milliseconds maxDelay =
             canWait ? this->options.maxBackoffWithUpdates : this->options.maxBackoff;
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -135,7 +135,8 @@
         logEvent(Severity::Info, "store_not_received",
                  {{"waited_ms", toMillis(this->clock.now() - this->neededSince)}});
     const bool isWanted = snapshot && requestedAt && !this->follower->hasListed();
-    if (!isWanted || !this->follower->updateEra(snapshot->era))
+    if (!isWanted || !this->follower->updateEra(snapshot->era) ||
+        this->follower->holdsNewer(snapshot->revision))
         return;
     this->configuration.onSnapshot(*snapshot, *requestedAt - snapshot->age);
     if (!this->configuration.table())
@@ -253,8 +254,11 @@
     // Revisions of different store histories cannot be compared.
     if (revision == 0 || !this->follower->updateEra(era))
         return;
-    if (!this->follower->hasListed())
-        return this->requestSnapshot(peer);
+    if (!this->follower->hasListed()) {
+        if (!this->follower->holdsNewer(revision))
+            this->requestSnapshot(peer);
+        return;
+    }
     if (revision > this->follower->knownRevision())
         return this->follower->catchUp(revision);
     this->configuration.confirm(sentAt - age);
--- a/unittests/Platform/followertest.cpp
+++ b/unittests/Platform/followertest.cpp
@@ -146,6 +146,35 @@
     cr_assert(own.follower->hasListed());
 }
 
+// Guards against an instance that the store refuses while it lists again: it ignored what others
+// told, and nothing confirmed its configuration any more.
+Test(storeFollower, refusedListingIsReplacedByASnapshot)
+{
+    constexpr std::chrono::milliseconds timePerPage{200};
+    constexpr std::chrono::milliseconds listingTime{1200};
+    StartingFollower own(3);
+    own.follower->setActive(true);
+    own.runFor(std::chrono::milliseconds(300));
+    own.store.takeCopy();
+    own.store.comeBackFromCopy();
+    cr_assert(own.follower->updateEra(own.store.currentEra()));
+    own.store.limitCapacity(timePerPage);
+    own.runFor(listingTime);
+    const std::uint64_t known = own.follower->knownRevision();
+    cr_assert_gt(known, 0U);
+    own.runFor(restoreTime - listingTime + timePerPage);
+    own.store.failWith(503);
+    own.runFor(std::chrono::milliseconds(1000));
+    cr_assert_not(own.follower->hasListed(), "it looks for a snapshot");
+    own.follower->applyShared(known, known + 1, {itemOf("leaving", known + 1)}, false);
+    cr_assert_eq(own.recorder.keys.back(), std::string("leaving"));
+    cr_assert(own.follower->holdsNewer(known - 1), "an older snapshot takes something back");
+    cr_assert_not(own.follower->holdsNewer(known));
+    own.follower->adoptSnapshot(own.follower->knownEra(), known);
+    cr_assert(own.follower->hasListed());
+    cr_assert_eq(own.follower->knownRevision(), known + 1);
+}
+
 Test(storeFollower, changesOfOthersAreTakenOnceAndInOrder)
 {
     Follower own;
