Tests: a target that is listed after the start is waited for

Cause: the instance is ready with the store's first listing; the test put its target afterwards and called at once, so that the call could come before the target was known and was refused with 201 (code in the log). The test waits until the instance asks the target for its load now. Nothing else of it changes; one of answerTold did the same. The others that list a target late wait half a second or more for something else.

--- a/unittests/Platform/answertoldtest.cpp
+++ b/unittests/Platform/answertoldtest.cpp
@@ -139,8 +139,7 @@
     RouteSpec route;
     route.type = "unsafe";
     EntryFixture entry({route});
-    entry.store.put("servers/t1", targetAt(target, 1000));
-    cr_assert(entry.becomesReady());
+    entry.list("t1", target, targetAt(target, 1000));
     const auto becomes = [&entry](const std::string &status) {
         for (int i = 0; i < 40; ++i) {
             if (send(entry).starts_with("HTTP/1.1 " + status))
--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -146,7 +146,14 @@
 // the target is known; how long that takes depends on when the list was read last.
 void EntryFixture::list(const std::string &id, const ScriptedServer &target)
 {
-    this->store.put("servers/" + id, targetJson(target.address()));
+    this->list(id, target, targetJson(target.address()));
+}
+
+// That the instance is ready tells nothing of a target that was listed after it had started.
+void EntryFixture::list(const std::string &id, const ScriptedServer &target,
+                        const std::string &entry)
+{
+    this->store.put("servers/" + id, entry);
     cr_assert(this->becomesReady());
     const auto asked = [&target] {
         const auto seen = target.seen();
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -75,6 +75,7 @@
 
     // Lists a target and waits until the instance can use it.
     void list(const std::string &id, const ScriptedServer &target);
+    void list(const std::string &id, const ScriptedServer &target, const std::string &entry);
 
     // Whether the instance says that it is ready within the time given.
     bool becomesReady(std::chrono::milliseconds within = std::chrono::milliseconds(3000));
--- a/unittests/Platform/streamversionstest.cpp
+++ b/unittests/Platform/streamversionstest.cpp
@@ -154,9 +154,8 @@
                                                                 : quickEngine(request);
         });
         EntryFixture entry({resumableRoute()});
-        entry.store.put("servers/e1",
-                        targetOfVersion(engine.address(), "v1", "ready", born == 0 ? 0 : 1000));
-        cr_assert(entry.becomesReady());
+        entry.list("e1", engine,
+                   targetOfVersion(engine.address(), "v1", "ready", born == 0 ? 0 : 1000));
         std::thread announcer([&] {
             std::this_thread::sleep_for(30ms);
             entry.store.put("servers/e1", targetOfVersion(engine.address(), "v2", "ready", born));
