--- a/unittests/Platform/commonstartmodel.cpp
+++ b/unittests/Platform/commonstartmodel.cpp
@@ -127,7 +127,7 @@
         const Duration passed = this->clock.now() - this->startedAt;
         double share = 0;
         for (const Discovery &step : discoveries) {
-            if (passed >= step.after)
+            if (passed >= step.after * this->plan.discoveryDelay)
                 share = step.share;
         }
         const auto count = static_cast<std::size_t>(share * this->plan.instances);
--- a/unittests/Platform/commonstartmodel.h
+++ b/unittests/Platform/commonstartmodel.h
@@ -22,6 +22,7 @@
     std::chrono::milliseconds storeLatency{4};
     std::chrono::milliseconds storeAwayFor{0}; // from the start on, calls are not answered
     std::size_t refused = 0;                   // instances in a hundred that the store turns away
+    int discoveryDelay = 1;                    // times as long to find the others as usual
     double linkBytesPerSecond = 2.5e6;
     std::chrono::milliseconds pageWork{12}; // to decode a page
     double snapshotBytes = 250'000;
--- a/unittests/Platform/commonstarttest.cpp
+++ b/unittests/Platform/commonstarttest.cpp
@@ -41,6 +41,7 @@
     int awayMillis;
     int latencyMillis;
     int refused; // in a hundred
+    int discoveryDelay = 1;
 };
 
 ModelCase modelCases[] = {
@@ -50,6 +51,7 @@
         {"store refuses a third", 0, 4, 33},
         {"store refuses nine of ten", 0, 4, 90},
         {"store slow, refuses nine of ten", 0, 200, 90},
+        {"others are found three times as slowly", 0, 4, 0, 3},
 };
 
 constexpr std::size_t modelSizes[] = {7, 195, 584, 1000};
@@ -62,6 +64,7 @@
     plan.storeAwayFor = std::chrono::milliseconds(store.awayMillis);
     plan.storeLatency = std::chrono::milliseconds(store.latencyMillis);
     plan.refused = static_cast<std::size_t>(store.refused);
+    plan.discoveryDelay = store.discoveryDelay;
     plan.seed = seed;
     const std::chrono::milliseconds limit = plan.storeAwayFor + fleetRecoveryTime;
     const CommonStartModelResult result = runCommonStart(plan, limit);
