Seeds of a fleet that starts at once send what their links carry

Each of N newcomers asked one of three seeds for N records, twice a second: 3.8 MB a second from each at 584 (computed), of which a link of 20 Mbit/s carries 2.5. An instance sends 125 tables a second at most now, a request gets a twelfth of what is left, and parts are drawn at random; one request of three goes to a seed, the others to random members, every 0.3 s instead of 0.5 s.

membershipSize/seedsSendWhatTheirLinksCarry: red before with 1.29 and 1.36 MB in the first two seconds at 340 instances, 1 MB allowed; green now, as are the other 34 cases of ClusterTests.

--- a/include/jaytrack/Cluster/membership.h
+++ b/include/jaytrack/Cluster/membership.h
@@ -96,13 +96,18 @@
     // the same table; after that the interval doubles up to the maximum. Gossip alone carries
     // six records per message, most of them already known: 195 instances that started together
     // took 36 s to discover each other.
-    Duration minTableInterval = std::chrono::milliseconds(500);
+    Duration minTableInterval = std::chrono::milliseconds(300);
     Duration maxTableInterval = std::chrono::seconds(8);
 
     // Maximum number of records in one table message. At about 80 bytes each they take 4 KB,
     // which fits into the receive buffer of any receiver.
     std::size_t recordsPerTable = 48;
 
+    // Maximum number of table messages that an instance sends in a second, which take a fifth of a
+    // link of 20 Mbit/s. After a simultaneous start every instance requests a table of N records
+    // from one of three addresses, and again half a second later.
+    std::size_t tablesPerSecond = 125;
+
     // A member that started less than this long ago requests tables at the start interval and
     // announces itself to each member that it discovers. Members that do not know it yet drop
     // its messages.
@@ -220,6 +225,8 @@
     std::int64_t tableDigest() const;
     void requestTable();
     void onTableRequest(std::string_view from, const wire::PeerMessage &message);
+    std::vector<const Member *> tableFor(std::string_view requester) const;
+    std::size_t takeTables(std::size_t wanted);
     void onTable(const wire::PeerMessage &message);
     bool isStarting() const;
     void announceToNewMembers();
@@ -251,10 +258,12 @@
     std::vector<std::string> unannounced;
     TimePoint startedAt;
     TimePoint nextTableRequestAt;
+    TimePoint tableSpanStart;
+    std::size_t tablesLeft = 0; // that may be sent in this span
     Duration tableInterval;
     bool tableConfirmed = false; // a member had the same table since this member started
     // Send the next table request to a suggested address rather than to a member.
-    bool useSuggestionNext = true;
+    std::size_t tableRequests = 0;
     bool membersDirty = false; // changed since the last call of the listener
     std::vector<std::string> probeOrder;
     std::size_t probeTurn = 0;
--- a/unittests/Cluster/membershipsizetest.cpp
+++ b/unittests/Cluster/membershipsizetest.cpp
@@ -69,6 +69,26 @@
               minKnownMembers(fixture), fixture.peers.size());
 }
 
+// Guards against three known addresses that each send the records of the whole fleet to a third of
+// it, which their links do not carry: what matters is dropped with it, and others wait behind it.
+Test(membershipSize, seedsSendWhatTheirLinksCarry)
+{
+    // A fifth of a link of 20 Mbit/s, and as much for everything else.
+    constexpr std::uint64_t bytesPerSecond = 1'000'000;
+    MembershipFixture fixture;
+    for (int i = 0; i < 340; ++i)
+        addMember(fixture, i);
+    for (int second = 1; second <= discoveryTimeout.count(); ++second) {
+        const std::uint64_t before = fixture.peers[0]->membership.counts().sentBytes;
+        fixture.run(std::chrono::seconds(1));
+        const std::uint64_t sent = fixture.peers[0]->membership.counts().sentBytes - before;
+        cr_expect(sent <= bytesPerSecond, "%llu bytes in second %d",
+                  static_cast<unsigned long long>(sent), second);
+    }
+    cr_expect(minKnownMembers(fixture) == fixture.peers.size(), "%zu of %zu known",
+              minKnownMembers(fixture), fixture.peers.size());
+}
+
 // Guards against the same slow discovery when two of the three known addresses are down.
 Test(membershipSize, oneLiveSeedIsEnough)
 {
