--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -185,6 +185,7 @@
     void enterEra(std::uint64_t next, std::string_view source, std::chrono::milliseconds pause);
     void queryMissing(std::string_view cause);
     std::chrono::milliseconds answerTimeout() const;
+    void useEarlyChanges(const std::vector<StoreItem> &items, bool afterOutage);
     void keepEarlyChanges(SharedChanges changes);
     void applyEarlyChanges();
     void queryAfter(std::chrono::milliseconds delay);
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <unordered_set>
 #include <utility>
 
@@ -261,9 +262,8 @@
                                 bool afterOutage)
 {
     if (this->listing) {
-        // They may tell that a target leaves, which must not wait for a listing.
-        if (this->holdsData)
-            this->listener.onSharedChanges(items, afterOutage);
+        if (this->holdsData && !this->hasListed())
+            this->useEarlyChanges(items, afterOutage);
         return this->keepEarlyChanges({from, to, items, incomplete, afterOutage});
     }
     if (to <= this->revision)
@@ -286,6 +286,19 @@
     this->catchUp(to);
 }
 
+// Changes of known items may tell that a target leaves, which must not wait for a listing. New
+// items wait for it: one that the listing does not contain yet would be taken for removed.
+void StoreFollower::useEarlyChanges(const std::vector<StoreItem> &items, bool afterOutage)
+{
+    const std::vector<std::string> keys = this->listener.storedKeys();
+    std::unordered_set<std::string_view> known(keys.begin(), keys.end());
+    known.insert(this->dialect.configurationKey());
+    std::vector<StoreItem> usable;
+    std::copy_if(items.begin(), items.end(), std::back_inserter(usable),
+                 [&known](const StoreItem &item) { return known.count(item.key) > 0; });
+    this->listener.onSharedChanges(usable, afterOutage);
+}
+
 // If too many arrive, those kept would leave a gap, which costs a call to the store as well.
 void StoreFollower::keepEarlyChanges(SharedChanges changes)
 {
--- a/unittests/Platform/followertest.cpp
+++ b/unittests/Platform/followertest.cpp
@@ -26,6 +26,8 @@
     void onStoreRestored() override { ++this->returned; }
     void onStoreRead(std::uint64_t, std::uint64_t, const std::vector<StoreItem> &) override {}
 
+    std::vector<std::string> storedKeys() const override { return this->keys; }
+
     std::vector<std::string> keys;
     int lost = 0;
     int regained = 0;
@@ -166,13 +168,18 @@
     own.store.failWith(503);
     own.runFor(std::chrono::milliseconds(1000));
     cr_assert_not(own.follower->hasListed(), "it looks for a snapshot");
-    own.follower->applyShared(known, known + 1, {itemOf("leaving", known + 1)}, false);
-    cr_assert_eq(own.recorder.keys.back(), std::string("leaving"));
+    const std::size_t heard = own.recorder.keys.size();
+    const std::vector<StoreItem> changes = {itemOf("new", known + 1),
+                                            itemOf("servers/t1", known + 1)};
+    own.follower->applyShared(known, known + 1, changes, false);
+    cr_assert_eq(own.recorder.keys.size(), heard + 1, "the new one waits for the listing");
+    cr_assert_eq(own.recorder.keys.back(), std::string("servers/t1"));
     cr_assert(own.follower->holdsNewer(known - 1), "an older snapshot takes something back");
     cr_assert_not(own.follower->holdsNewer(known));
     own.follower->adoptSnapshot(own.follower->knownEra(), known);
     cr_assert(own.follower->hasListed());
     cr_assert_eq(own.follower->knownRevision(), known + 1);
+    cr_assert_eq(own.recorder.keys.size(), heard + 1 + changes.size());
 }
 
 Test(storeFollower, changesOfOthersAreTakenOnceAndInOrder)
