A lowered limit of a brittle target lets its queue drain

Three permits are withheld with each lowering now. That leaves room for 0.1 N planned refusals a second instead of 0.06 N and growth of 10 % instead of 5 %.

--- a/include/jaytrack/Limits/refusalcontrol.h
+++ b/include/jaytrack/Limits/refusalcontrol.h
@@ -24,11 +24,11 @@
     double firstShare = 0.8;
 
     // Factor by which the rate grows in a second.
-    double growth = 1.05;
+    double growth = 1.10;
 
     // The rate is lowered so much by a refusal that this fraction of the refusals that the target
     // tolerates keeps it constant.
-    double plannedRefusals = 0.06;
+    double plannedRefusals = 0.10;
 
     // A target that has not announced it for this long is no longer brittle.
     Duration memory = std::chrono::seconds(10);
--- a/include/jaytrack/Limits/targetlimits.h
+++ b/include/jaytrack/Limits/targetlimits.h
@@ -81,6 +81,10 @@
     // instance requests it is lost if the bucket is full.
     Duration maxReservation{0};
 
+    // Permits that are withheld each time the limit is lowered, so that what the target has queued
+    // drains before it gets more.
+    int permitsPerDecrease = 0;
+
     // Interval at which the limits that this instance owns are sent to a sample of the instances.
     // An instance that starts, or that missed a message, receives them within a few intervals.
     Duration announceInterval = std::chrono::seconds(1);
@@ -185,6 +189,7 @@
     bool countMiss(const PendingRequest &pendingRequest);
     void skipOwner(const std::string &owner);
     bool applyState(const AdvertisedLimits::State &state);
+    void chargeDecrease(std::string_view target, std::optional<double> before);
     void onPermitRequest(std::string_view from, const PermitRequest &permitRequest);
     void onPermitAnswer(std::string_view from, const PermitAnswer &answer);
     Duration ageOfAnswer(const PendingRequest &pendingRequest) const;
--- a/lib/Limits/refusalcontrol.cpp
+++ b/lib/Limits/refusalcontrol.cpp
@@ -88,6 +88,7 @@
 {
     TargetLimitOptions permits;
     permits.burstPermits = 1;
+    permits.permitsPerDecrease = 3;
     permits.burstSeconds = 0;
     permits.requestsPerPermit = 8;
     permits.maxReservation = std::chrono::milliseconds(25);
--- a/lib/Limits/targetlimits.cpp
+++ b/lib/Limits/targetlimits.cpp
@@ -196,10 +196,24 @@
 
 void TargetLimits::imposeLimit(std::string_view target, double perSecond)
 {
+    const std::optional<double> before = this->limits.find(target);
     this->limits.recordLimit(target, perSecond);
+    this->chargeDecrease(target, before);
     this->transport.broadcastLimits({{*this->limits.stateOf(target)}, {}, {}});
 }
 
+// A target whose limit was lowered is full. Without a pause, the next permits are granted while its
+// queue drains, and each of the refusals that follow lowers the limit again.
+void TargetLimits::chargeDecrease(std::string_view target, std::optional<double> before)
+{
+    const std::optional<double> after = this->limits.find(target);
+    const std::optional<double> now = this->limitOf(target);
+    if (!after || !now || (before && *after >= *before))
+        return;
+    for (int i = 0; i < this->options.permitsPerDecrease; ++i)
+        this->bucketOf(target).charge(this->clock.now(), this->rateOf(target, *now));
+}
+
 std::optional<Duration> TargetLimits::sinceNamed(std::string_view target) const
 {
     const auto state = this->limits.stateOf(target);
@@ -311,8 +325,10 @@
     if (state.target.empty())
         return false;
     const bool wasLimited = this->limitOf(state.target).has_value();
+    const std::optional<double> before = this->limits.find(state.target);
     const bool limitChanged =
             this->limits.recordLimit(state.target, state.perSecond, state.namedAgo);
+    this->chargeDecrease(state.target, before);
     if (state.endedAgo)
         this->limits.recordNoLimit(state.target, *state.endedAgo);
     const bool isLimited = this->limitOf(state.target).has_value();
