Tests: the instances of each test share a key of their own

All tests used one key and the same names of instances, and run side by side: an instance that probes the port of one that ended reaches whatever test got that port next, and is taken for a member there. That would give the symptom of the known red targetLimit/holdsOverAllInstances (two instances that each grant the whole limit); it is not shown to have been its cause, so the entry stays.

--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -108,7 +108,8 @@
     settings.drainGrace = this->options.drainGrace;
     settings.peers = this->options.peers;
     settings.peerSeeds = this->options.peerSeeds;
-    settings.peerKeys = {"fleet-of-the-tests"};
+    // Tests run side by side, and a port that one of them gave back may be another one's next.
+    settings.peerKeys = {"fleet-of-the-test-" + std::to_string(getpid())};
     const Clock &time = this->options.clock != nullptr ? *this->options.clock : this->clock;
     this->instance = std::make_unique<EntryInstance>(settings, time, *this->dialect);
     cr_assert(this->instance->open().has_value());
--- a/unittests/Serve/site.h
+++ b/unittests/Serve/site.h
@@ -17,10 +17,18 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace jaytrack::test {
 
+// The key that the instances of one test share. Tests run side by side, and a port that one of them
+// gave back may be another one's next.
+inline std::string fleetKeyOfTest()
+{
+    return "the key of the test's fleet, process " + std::to_string(getpid());
+}
+
 inline const std::string weaverKey = "key-of-the-weavers";
 inline const std::string dyerKey = "key-of-the-dyers";
 
@@ -141,7 +149,7 @@
         settings.callers = {"127.0.0.1", 0};
         settings.peers = {"127.0.0.1", 0};
         settings.operators = {"127.0.0.1", 0};
-        settings.peerKeys = {"the key of the test's fleet"};
+        settings.peerKeys = {fleetKeyOfTest()};
         settings.configUrl = url;
         settings.abandonGrace = std::chrono::milliseconds(400);
         settings.readyDelay = std::chrono::milliseconds(300);
--- a/unittests/Serve/streamtest.cpp
+++ b/unittests/Serve/streamtest.cpp
@@ -259,7 +259,7 @@
     settings.name = "alone";
     settings.callers = {"127.0.0.1", 0};
     settings.peers = {"127.0.0.1", 0};
-    settings.peerKeys = {"the key of the test's fleet"};
+    settings.peerKeys = {fleetKeyOfTest()};
     settings.configUrl = "http://127.0.0.1:1/";
     site.instances.push_back(std::move(Instance::start(settings, site.clock).value()));
     std::this_thread::sleep_for(std::chrono::seconds(2));
