--- a/include/jaytrack/Store/storesharing.h
+++ b/include/jaytrack/Store/storesharing.h
@@ -11,6 +11,7 @@
 #include "jaytrack/Peers/sharedchanges.h"
 #include "jaytrack/Store/listingturn.h"
 #include "jaytrack/Store/readduty.h"
+#include "jaytrack/Store/snapshotcache.h"
 #include "jaytrack/Store/snapshotserver.h"
 #include "jaytrack/Store/storefeeds.h"
 #include "jaytrack/Store/storefollower.h"
@@ -72,28 +73,13 @@
     std::optional<PackedSnapshot> packedSnapshot() override;
 
 private:
-    // A snapshot as it is sent. It is made anew at most a few times a second, however many
-    // instances ask for it.
-    struct CachedSnapshot
-    {
-        std::shared_ptr<const std::string> bytes;
-        std::uint64_t era = 0;
-        std::uint64_t revision = 0;
-        TimePoint madeAt;
-        TimePoint usedAt;
-        TimePoint confirmedAsOf;
-    };
-
     void noticeRestoredStore();
     bool shouldRead(Duration age);
     void logListingCause(ListingCause cause);
     void queryFreshness(Duration age);
     void searchSnapshot();
     void requestSnapshot(std::string_view peer);
-    CachedSnapshot makeSnapshot(const StoreItem &item) const;
-    bool isCurrent(const CachedSnapshot &snapshot) const;
-    bool isOutdated(const CachedSnapshot &snapshot) const;
-    void dropOldSnapshot();
+    StoreSnapshot makeSnapshot() const;
 
     const Clock &clock;
     ReadDuty duty;
@@ -109,7 +95,7 @@
     TimePoint neededSince; // a listing: since the start, or the store's return
     ListingCause loggedCause = ListingCause::None;
     std::optional<TimePoint> snapshotRequestedAt; // while one is on its way
-    std::optional<CachedSnapshot> cached;
+    SnapshotCache snapshots;
 };
 
 } // namespace jaytrack
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -13,11 +13,6 @@
 // The age that an instance without data reports.
 constexpr std::chrono::hours unknownAge{24};
 
-// A snapshot is made anew if it is older than this and the store has changed, and dropped if nobody
-// has asked for one lately.
-constexpr std::chrono::milliseconds maxSnapshotAge{500};
-constexpr std::chrono::milliseconds snapshotRetention{2000};
-
 } // namespace
 
 StoreSharing::StoreSharing(const Clock &time, std::string ownName, ReadDutyOptions dutyOptions,
@@ -30,6 +25,7 @@
     , targets(targetFeed)
     , transport(storeTransport)
     , neededSince(time.now())
+    , snapshots(time)
 {
 }
 
@@ -72,7 +68,7 @@
         this->queryFreshness(age);
     else
         this->searchSnapshot();
-    this->dropOldSnapshot();
+    this->snapshots.dropIfUnused();
 }
 
 void StoreSharing::noticeRestoredStore()
@@ -153,51 +149,22 @@
 
 std::optional<PackedSnapshot> StoreSharing::packedSnapshot()
 {
-    const StoreItem *item = this->configuration.item();
-    if (this->follower == nullptr || this->follower->knownRevision() == 0 || item == nullptr)
+    const bool holdsStore = this->follower != nullptr && this->follower->knownRevision() > 0;
+    if (!holdsStore || this->configuration.item() == nullptr)
         return std::nullopt;
-    const TimePoint now = this->clock.now();
-    if (!this->cached || this->isOutdated(*this->cached))
-        this->cached = this->makeSnapshot(*item);
-    if (this->isCurrent(*this->cached))
-        this->cached->confirmedAsOf = this->configuration.confirmedAsOf();
-    this->cached->usedAt = now;
-    return PackedSnapshot{this->cached->bytes, now - this->cached->confirmedAsOf};
+    const HeldState held = {this->follower->knownEra(), this->follower->knownRevision(),
+                            this->configuration.confirmedAsOf()};
+    return this->snapshots.get(held, [this] { return this->makeSnapshot(); });
 }
 
-StoreSharing::CachedSnapshot StoreSharing::makeSnapshot(const StoreItem &item) const
+StoreSnapshot StoreSharing::makeSnapshot() const
 {
     StoreSnapshot snapshot;
     snapshot.era = this->follower->knownEra();
     snapshot.revision = this->follower->knownRevision();
-    snapshot.configuration = item;
+    snapshot.configuration = *this->configuration.item();
     this->targets.addTo(snapshot);
-    CachedSnapshot made;
-    made.bytes = std::make_shared<const std::string>(packSnapshot(snapshot));
-    made.era = snapshot.era;
-    made.revision = snapshot.revision;
-    made.madeAt = this->clock.now();
-    made.confirmedAsOf = this->configuration.confirmedAsOf();
-    return made;
-}
-
-bool StoreSharing::isCurrent(const CachedSnapshot &snapshot) const
-{
-    return snapshot.era == this->follower->knownEra() &&
-           snapshot.revision == this->follower->knownRevision();
-}
-
-bool StoreSharing::isOutdated(const CachedSnapshot &snapshot) const
-{
-    if (snapshot.era != this->follower->knownEra())
-        return true;
-    return !this->isCurrent(snapshot) && this->clock.now() - snapshot.madeAt > maxSnapshotAge;
-}
-
-void StoreSharing::dropOldSnapshot()
-{
-    if (this->cached && this->clock.now() - this->cached->usedAt > snapshotRetention)
-        this->cached.reset();
+    return snapshot;
 }
 
 void StoreSharing::queryFreshness(Duration age)
--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -42,6 +42,11 @@
     this->changed.notify_all();
 }
 
+std::string fleetKeyOfTest()
+{
+    return "fleet-of-the-test-" + std::to_string(getpid());
+}
+
 std::string freeDatagramAddress()
 {
     // Below the ports that the system hands out, which others would take in the meantime.
@@ -108,8 +113,7 @@
     settings.drainGrace = this->options.drainGrace;
     settings.peers = this->options.peers;
     settings.peerSeeds = this->options.peerSeeds;
-    // Tests run side by side, and a port that one of them gave back may be another one's next.
-    settings.peerKeys = {"fleet-of-the-test-" + std::to_string(getpid())};
+    settings.peerKeys = {fleetKeyOfTest()};
     const Clock &time = this->options.clock != nullptr ? *this->options.clock : this->clock;
     this->instance = std::make_unique<EntryInstance>(settings, time, *this->dialect);
     cr_assert(this->instance->open().has_value());
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -48,6 +48,10 @@
     int storeStatus = 0; // with which the store refuses every call at first; 0 if it does not
 };
 
+// The key that the instances of one test share. Tests run side by side, and a port that one of them
+// gave back may be another one's next.
+std::string fleetKeyOfTest();
+
 // An address that is free for datagrams and connections between instances.
 std::string freeDatagramAddress();
 
--- a/unittests/Platform/lostlinkstest.cpp
+++ b/unittests/Platform/lostlinkstest.cpp
@@ -223,7 +223,7 @@
 // A call that another instance of the fleet asks to be passed on.
 std::string relayRequest(const std::string &target, bool isNewWork)
 {
-    const KeyRing keys({"fleet-of-the-tests"});
+    const KeyRing keys({fleetKeyOfTest()});
     const RelayOrder order{target, isNewWork, 100ms};
     std::string text = "GET /jobs/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
     for (const HttpHeader &header : encodeOrder(order, "GET", "/jobs/1", {}, keys))
--- a/unittests/Platform/snapshottest.cpp
+++ b/unittests/Platform/snapshottest.cpp
@@ -38,7 +38,7 @@
 
 KeyRing fleetKeys()
 {
-    return KeyRing({"fleet-of-the-tests"});
+    return KeyRing({fleetKeyOfTest()});
 }
 
 KeyRing otherKeys()
