--- a/include/jaytrack/Store/storesharing.h
+++ b/include/jaytrack/Store/storesharing.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jaytrack {
@@ -79,6 +80,7 @@
     void queryFreshness(Duration age);
     void searchSnapshot();
     void requestSnapshot(std::string_view peer);
+    std::string_view reasonToIgnore(const std::optional<StoreSnapshot> &snapshot);
     StoreSnapshot makeSnapshot() const;
 
     const Clock &clock;
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -124,16 +124,30 @@
     this->transport.requestSnapshot(peer);
 }
 
+// Returns why a snapshot is not taken; empty if it is.
+std::string_view StoreSharing::reasonToIgnore(const std::optional<StoreSnapshot> &snapshot)
+{
+    if (!snapshot)
+        return "not_given";
+    if (this->follower->hasListed())
+        return "listed_meanwhile";
+    if (!this->follower->updateEra(snapshot->era))
+        return "older_era";
+    return this->follower->holdsNewer(snapshot->revision) ? "older_revision" : "";
+}
+
 void StoreSharing::onSnapshot(const std::optional<StoreSnapshot> &snapshot)
 {
     const auto requestedAt = std::exchange(this->snapshotRequestedAt, std::nullopt);
-    if (!snapshot)
+    if (!requestedAt)
+        return;
+    const std::string_view reason = this->reasonToIgnore(snapshot);
+    if (!reason.empty()) {
         logEvent(Severity::Info, "store_not_received",
-                 {{"waited_ms", toMillis(this->clock.now() - this->neededSince)}});
-    const bool isWanted = snapshot && requestedAt && !this->follower->hasListed();
-    if (!isWanted || !this->follower->updateEra(snapshot->era) ||
-        this->follower->holdsNewer(snapshot->revision))
+                 {{"reason", reason},
+                  {"waited_ms", toMillis(this->clock.now() - this->neededSince)}});
         return;
+    }
     this->configuration.onSnapshot(*snapshot, *requestedAt - snapshot->age);
     if (!this->configuration.table())
         return;
