Tests: targets of lostLinks/resetLinksAreNotTakenForTargetsThatEnded stand in the stores before the start

The targets stand in the stores before the members meet; each call goes on to whichever target is left, until all four have reset a connection and refuse more.

--- a/unittests/Platform/lostlinkstest.cpp
+++ b/unittests/Platform/lostlinkstest.cpp
@@ -8,6 +8,7 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <map>
 #include <memory>
 
 using namespace jaytrack;
@@ -283,36 +284,58 @@
     return {{AnswerStep::Kind::Reset, "", 20ms}};
 }
 
+// Returns the target that has begun to work; empty if none has within some time.
+std::string awaitWork(const std::map<std::string, std::unique_ptr<ScriptedServer>> &targets)
+{
+    for (int i = 0; i < 100; ++i) {
+        for (const auto &[id, target] : targets) {
+            if (workSeen(*target) > 0)
+                return id;
+        }
+        std::this_thread::sleep_for(2ms);
+    }
+    return {};
+}
+
 } // namespace
 
 // Guards against requests that are barred because links that were reset look like targets that
 // ended.
 Test(lostLinks, resetLinksAreNotTakenForTargetsThatEnded)
 {
+    constexpr int maxCalls = 40;
     const std::string first = freeDatagramAddress();
     const std::string second = freeDatagramAddress();
     RouteSpec route = routeOf("safe");
     route.attempts = 1;
-    EntryFixture cut({route}, memberOf("cut", first, second));
-    EntryFixture sound({route}, memberOf("sound", second, first));
     const ScriptedServer alive(goodAnswer);
+    // Each resets its first connection, and refuses connections from then on.
+    std::map<std::string, std::unique_ptr<ScriptedServer>> dying;
+    std::map<std::string, std::string> seenByCut;
+    std::map<std::string, std::string> seenBySound;
     for (int i = 0; i < 4; ++i) {
-        const std::string id = "servers/i-" + std::to_string(i);
-        sound.store.put(id, targetJson(alive.address()));
-        // Its first connection is reset, and from then on it refuses connections.
-        auto dying = std::make_unique<ScriptedServer>(resetOrReport);
-        cut.store.put(id, targetJson(dying->address()));
-        cr_assert(cut.becomesReady() && sound.becomesReady());
-        std::this_thread::sleep_for(i == 0 ? acquaintance : 700ms);
+        const std::string id = "i-" + std::to_string(i);
+        dying[id] = std::make_unique<ScriptedServer>(resetOrReport);
+        seenByCut[id] = dying[id]->address();
+        seenBySound[id] = alive.address();
+    }
+    EntryFixture cut({route}, memberWith("cut", first, second, seenByCut));
+    EntryFixture sound({route}, memberWith("sound", second, first, seenBySound));
+    cr_assert(cut.becomesReady() && sound.becomesReady());
+    std::this_thread::sleep_for(acquaintance);
+    for (int i = 0; i < maxCalls && !dying.empty(); ++i) {
         std::thread caller([&cut] { callOnce(cut.port(), requestText({})); });
-        std::this_thread::sleep_for(10ms);
-        dying.reset();
+        const std::string hit = awaitWork(dying);
+        dying.erase(hit);
         caller.join();
+        if (hit.empty())
+            continue;
         std::this_thread::sleep_for(600ms);
-        cut.store.remove(id);
-        sound.store.remove(id);
+        cut.store.remove("servers/" + hit);
+        sound.store.remove("servers/" + hit);
         std::this_thread::sleep_for(600ms);
     }
+    cr_assert(dying.empty(), "%zu targets got no request", dying.size());
     sound.store.put("servers/i-last", targetJson(alive.address()));
     cut.store.put("servers/i-last", targetJson(alive.address()));
     std::this_thread::sleep_for(1200ms);
