An order to stop that comes while the process ends does not kill it

Cause, by the log and by hand: the instance's signal set is destroyed when it has ended, which restores the default action, while the process still waits for its log to be written; the next SIGTERM kills it. On-call sees a crash and misses the last lines. The handlers stay until the process is gone now. jaytrackd sets its own and keeps them. No deterministic test in the tree: the soak's fixture for single programs runs jaytrackd only.

--- a/tools/jaytrack-entry/main.cpp
+++ b/tools/jaytrack-entry/main.cpp
@@ -6,9 +6,13 @@
 #include "jaytrack/Support/commandline.h"
 #include "jaytrack/Support/log.h"
 
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 
 namespace {
 
@@ -23,6 +27,16 @@
     return named == nullptr ? std::string() : std::string(named);
 }
 
+// Keeps the handlers of these signals until the process is gone. The instance takes its own away
+// when it ends, and an order to stop that came after that would kill the process: it would look
+// like a crash, and its last log lines would be lost.
+void handleSignalsUntilExit()
+{
+    static asio::io_context *const context = std::make_unique<asio::io_context>().release();
+    [[maybe_unused]] static asio::signal_set *const signals =
+            std::make_unique<asio::signal_set>(*context, SIGTERM, SIGINT, SIGHUP).release();
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -64,5 +78,6 @@
         return jaytrack::ExitFailed;
     }
     instance.run(file);
+    handleSignalsUntilExit();
     return jaytrack::ExitGood;
 }
