--- a/include/jaytrack/Store/listingturn.h
+++ b/include/jaytrack/Store/listingturn.h
@@ -30,8 +30,11 @@
     Duration drawInterval = std::chrono::milliseconds(2000);
     std::size_t firstDrawn = 4;
 
-    // An instance that no other one answers for this long has nobody to get the targets from.
+    // An instance that no other one answers for this long, and after this many questions, has
+    // nobody to get the targets from. One that is held up asks less, and must not take itself for
+    // cut off.
     Duration peerAnswerTimeout = std::chrono::milliseconds(1000);
+    int minUnansweredQueries = 4;
 };
 
 // Why an instance lists the store by itself.
@@ -50,8 +53,11 @@
     // Sets the number of other instances that are up, and whether this one is a reader.
     void setPeers(std::size_t others, bool isReader);
 
+    // Records that another instance was asked what it holds.
+    void asked() { ++this->unansweredQueries; }
+
     // Records that another instance answered, whether it holds anything or not.
-    void answered() { this->answeredAt = this->clock.now(); }
+    void answered();
 
     // Returns why this instance lists the store now; None if it waits for others to do so. A turn
     // that has begun does not end.
@@ -59,6 +65,7 @@
 
 private:
     ListingCause decide(TimePoint now);
+    bool isUnanswered(TimePoint now) const;
     bool isDrawn(TimePoint now);
 
     const Clock &clock;
@@ -70,6 +77,7 @@
     std::size_t drawn;
     TimePoint decidesFrom;
     TimePoint answeredAt;
+    int unansweredQueries = 0;
     TimePoint nextDraw;
 };
 
--- a/lib/Store/listingturn.cpp
+++ b/lib/Store/listingturn.cpp
@@ -34,10 +34,16 @@
     this->current = ListingCause::None;
     this->drawn = this->options.firstDrawn;
     this->decidesFrom = this->clock.now();
-    this->answeredAt = this->clock.now();
+    this->answered();
     this->nextDraw = this->clock.now();
 }
 
+void ListingTurn::answered()
+{
+    this->answeredAt = this->clock.now();
+    this->unansweredQueries = 0;
+}
+
 void ListingTurn::setPeers(std::size_t others, bool isReader)
 {
     this->peers = others;
@@ -59,11 +65,17 @@
         return ListingCause::Alone;
     if (this->reader)
         return ListingCause::Reader;
-    if (now - this->answeredAt > this->options.peerAnswerTimeout)
+    if (this->isUnanswered(now))
         return ListingCause::Unanswered;
     return this->isDrawn(now) ? ListingCause::Drawn : ListingCause::None;
 }
 
+bool ListingTurn::isUnanswered(TimePoint now) const
+{
+    return now - this->answeredAt > this->options.peerAnswerTimeout &&
+           this->unansweredQueries >= this->options.minUnansweredQueries;
+}
+
 bool ListingTurn::isDrawn(TimePoint now)
 {
     if (now < this->nextDraw)
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -113,6 +113,7 @@
     if (queriedPeer.empty())
         return;
     this->nextQuery = now + searchInterval;
+    this->turn.asked();
     this->transport.sendFreshnessQuery(queriedPeer, now.time_since_epoch().count());
 }
 
