--- a/include/jaytrack/Cluster/membership.h
+++ b/include/jaytrack/Cluster/membership.h
@@ -104,8 +104,8 @@
     std::size_t recordsPerTable = 48;
 
     // Maximum number of table messages that an instance sends in a second, which take a fifth of a
-    // link of 20 Mbit/s. After a simultaneous start every instance requests a table of N records
-    // from one of three addresses, and again half a second later.
+    // link of 20 Mbit/s. After a simultaneous start every instance requests tables of all
+    // members, at first from one of three addresses.
     std::size_t tablesPerSecond = 125;
 
     // A member that started less than this long ago requests tables at the start interval and
--- a/include/jaytrack/Store/listingturn.h
+++ b/include/jaytrack/Store/listingturn.h
@@ -5,7 +5,7 @@
 // 6,002 targets in 31 pages, that would take more than a gigabyte of a store whose link carries an
 // eighth of that in a second: answers come later than they are waited for, are asked for again, and
 // no listing ever ends. Instead a few instances list the store, and all others get from one another
-// what those have listed. As long as nobody has listed it, more join in, since the store may refuse
+// what those have listed. Until one of them has done so, more are drawn, since the store may refuse
 // some.
 #ifndef JAYTRACK_STORE_LISTINGTURN_H
 #define JAYTRACK_STORE_LISTINGTURN_H
@@ -20,8 +20,8 @@
 
 struct ListingTurnOptions
 {
-    // Time for which an instance that has started waits to hear of the others. Sooner it knows a
-    // few of them only, would take itself for a reader, and would be drawn from too few.
+    // Time for which an instance that has started waits until it knows most of the others. Before,
+    // it would count as a reader, and would be drawn from too few.
     Duration peerDiscoveryTime = std::chrono::milliseconds(1500);
 
     // Interval between draws, which is more than a listing by a small machine takes, and the
@@ -30,9 +30,9 @@
     Duration drawInterval = std::chrono::milliseconds(2000);
     std::size_t firstDrawn = 4;
 
-    // An instance that no other one answers for this long, and after this many questions, has
-    // nobody to get the targets from. One that is held up asks less, and must not take itself for
-    // cut off.
+    // An instance that gets no answer for this long, and to this many queries, cannot get the
+    // targets from another one. The second condition excludes an instance whose own event loop is
+    // delayed: it sends fewer queries, and reads their answers late.
     Duration peerAnswerTimeout = std::chrono::milliseconds(1000);
     int minUnansweredQueries = 4;
 };
--- a/include/jaytrack/Store/snapshotserver.h
+++ b/include/jaytrack/Store/snapshotserver.h
@@ -1,4 +1,4 @@
-// Serves snapshots of the store to instances that have just started.
+// Serves snapshots of the store to instances that have no listing of its current era.
 #ifndef JAYTRACK_STORE_SNAPSHOTSERVER_H
 #define JAYTRACK_STORE_SNAPSHOTSERVER_H
 
--- a/lib/Store/snapshotcache.cpp
+++ b/lib/Store/snapshotcache.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-// A snapshot is made anew if it is older than this and the store has changed, and dropped if nobody
-// has asked for one lately.
+// A snapshot is made again if it is older than this and the store has changed, and dropped if none
+// has been requested for a while.
 constexpr std::chrono::milliseconds maxSnapshotAge{500};
 constexpr std::chrono::milliseconds snapshotRetention{2000};
 
