Engines are placed by their measured speed

Change: the instance that polls an engine works out the time between two events of its runs from successive load reports and passes it on with the load. It scales the reading time, and the expected run time is a part of the cost.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -159,6 +159,8 @@
   5: i64 memoryTokens
   6: bool leaving
   7: i64 firstWaitingTokens
+  // Mean time between two events of a run there; 0 if it is not known.
+  8: i64 eventIntervalMicros
 }
 
 // One item of the platform's store as it was read, or its removal.
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -90,6 +90,13 @@
     std::uint64_t revision = 0; // revision of the whole store when the page was read
 };
 
+// How far one run of an engine has come.
+struct RunProgress
+{
+    std::string run; // id of the attempt that it serves
+    std::uint32_t events = 0;
+};
+
 // An engine's own report of its load, which is some hundred milliseconds old.
 struct EngineLoad
 {
@@ -100,6 +107,9 @@
     std::uint32_t memoryTokens = 0;
     bool leaving = false;
     StartTime startedAt = unknownStart; // of the reporting incarnation
+    std::vector<RunProgress> runs;      // known only to the instance that polled the engine
+    // Mean time between two events of a run, over several reports; zero if it is not known.
+    Duration eventInterval{0};
 };
 
 // How recent the data of a read has to be. Reads that may be stale are answered by any replica of
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -10,6 +10,7 @@
 #define JAYTRACK_ROUTING_ENGINECHOICE_H
 
 #include "jaytrack/Routing/dialect.h"
+#include "jaytrack/Routing/enginespeeds.h"
 #include "jaytrack/Support/clock.h"
 
 #include <map>
@@ -53,9 +54,13 @@
     // Cost of one second of delay until the first token, relative to the whole memory of an engine.
     double delayWeight = 1.0;
 
-    // The same for a run that is evacuated. The tokens that its copy lacks are read after the
-    // prompts already waiting there, and a pause of a fifth of a second makes the whole stream
-    // late, whereas a first token may take more than a second.
+    // Cost of one second that a generation is expected to run, relative to the whole memory of an
+    // engine. A slower engine keeps its caller waiting and holds memory for longer.
+    double runTimeWeight = 0.15;
+
+    // The same as delayWeight for a run that is evacuated. The tokens that its copy lacks are read
+    // after the prompts already waiting there, and a pause of a fifth of a second makes the whole
+    // stream late, whereas a first token may take more than a second.
     double evacuationDelayWeight = 3.0;
 
     // Whether short urgent generations also leave the evacuation reserve free.
@@ -238,8 +243,11 @@
     double memoryOf(const EngineState &state) const;
     bool isIdle(const EngineState &state) const;
     Duration delayOf(const EngineState &state) const;
-    Duration readingTime(std::uint32_t tokens) const;
-    void addPrompt(EngineState &state, std::uint32_t tokens);
+    Duration readingTime(std::uint32_t tokens, double slowness) const;
+    double slownessOf(std::string_view id, const EngineState &state) const;
+    double runSeconds(const TargetEntry &entry, const EngineTraits &traits,
+                      const GenerationNeed &need) const;
+    void addPrompt(std::string_view id, EngineState &state, std::uint32_t tokens);
     // Criteria of a choice besides the engines' load.
     struct Preference
     {
@@ -251,6 +259,7 @@
                 Duration::max(); // engines that would read the prompt later are rejected
         double jitter = 0;
         double delayWeight = 1;
+        bool readsPrompt = true; // false for a copy
     };
 
     const TargetEntry *cheapest(std::vector<const TargetEntry *> eligible,
@@ -272,7 +281,8 @@
     std::mt19937_64 random;
     std::string home;
     EngineChoiceOptions options;
-    double readingSpeed; // learnt, in prompt tokens per millisecond
+    double readingSpeed; // of an engine of median speed, learnt, in prompt tokens per millisecond
+    EngineSpeeds speeds;
     std::map<std::string, EngineState, std::less<>> states;
     std::vector<Departure> departures;
     Shortage shortage;
--- a/lib/Peers/peerlink.cpp
+++ b/lib/Peers/peerlink.cpp
@@ -355,6 +355,8 @@
     notice.memoryTokens = load.memoryTokens;
     notice.leaving = load.leaving;
     notice.firstWaitingTokens = load.firstWaitingTokens;
+    notice.eventIntervalMicros =
+            std::chrono::duration_cast<std::chrono::microseconds>(load.eventInterval).count();
     wire::EntryNotices message;
     message.loads.push_back(std::move(notice));
     this->sendToAssignees(engine, message);
@@ -503,6 +505,8 @@
         load.memoryTokens = toTokens(notice.memoryTokens);
         load.leaving = notice.leaving;
         load.firstWaitingTokens = toTokens(notice.firstWaitingTokens);
+        load.eventInterval =
+                std::chrono::microseconds(std::max<std::int64_t>(0, notice.eventIntervalMicros));
         this->listener.onLoadFromPeer(notice.engine, load);
     }
     for (const std::string &target : message->leavingTargets)
--- a/lib/Proxy/entrytuning.cpp
+++ b/lib/Proxy/entrytuning.cpp
@@ -32,6 +32,7 @@
     readFraction(table, "new_run_share", options.newRunShare);
     readFraction(table, "urgent_share", options.urgentShare);
     options.delayWeight = table.number("weight_of_delay", 0, maxWeight, options.delayWeight);
+    options.runTimeWeight = table.number("weight_of_run_time", 0, maxWeight, options.runTimeWeight);
     options.evacuationDelayWeight =
             table.number("refuge_weight_of_delay", 0, maxWeight, options.evacuationDelayWeight);
     options.urgentKeepsEvacuationReserve =
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -21,6 +21,7 @@
         , target(std::move(engine))
         , timer(owner.context)
         , addedAt(owner.clock.now())
+        , eventIntervals(owner.clock)
     {
     }
 
@@ -141,11 +142,12 @@
         if (this->stopped)
             return;
         this->probeAfter(this->limitInterval());
-        const Result<EngineLoad> load = this->prober.dialect.decodeLoad(this->body);
+        Result<EngineLoad> load = this->prober.dialect.decodeLoad(this->body);
         if (!end.whole || this->status != okStatus || !load) {
             this->prober.sharing.onNoLoad(this->target.id);
             return;
         }
+        load.value().eventInterval = this->eventIntervals.record(load.value().runs);
         this->prober.sharing.onLoad(this->target.id, load.value());
     }
 
@@ -153,6 +155,7 @@
     TargetEntry target;
     asio::steady_timer timer;
     TimePoint addedAt;
+    EventIntervalMeter eventIntervals;
     std::shared_ptr<RoutedCall> call;
     int status = 0;
     std::string body;
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -50,10 +50,12 @@
     if (state.listed)
         this->departures.push_back({state.service, this->memoryOf(state), this->clock.now()});
     this->states.erase(found);
+    this->speeds.forget(id);
 }
 
 void EngineChoice::forget(std::string_view id)
 {
+    this->speeds.forget(id);
     const auto found = this->states.find(id);
     if (found != this->states.end())
         this->states.erase(found);
@@ -90,6 +92,7 @@
     found->second.reportedAt = this->clock.now();
     found->second.everReported = true;
     found->second.leaving = found->second.leaving || load.leaving;
+    this->speeds.record(found->second.service, id, load.eventInterval);
     // Changes made before the moment that the report describes are included in it.
     const TimePoint snapshotTime = found->second.reportedAt - reportLag;
     std::erase_if(found->second.changes,
@@ -146,16 +149,33 @@
     found->second.timesAvoided = 0;
 }
 
-Duration EngineChoice::readingTime(std::uint32_t tokens) const
+// Reading a prompt and generating take the same steps, so an engine that is slow in one is slow in
+// the other.
+Duration EngineChoice::readingTime(std::uint32_t tokens, double slowness) const
 {
     return std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(tokens / this->readingSpeed));
+            std::chrono::duration<double, std::milli>(tokens * slowness / this->readingSpeed));
 }
 
-void EngineChoice::addPrompt(EngineState &state, std::uint32_t tokens)
+double EngineChoice::slownessOf(std::string_view id, const EngineState &state) const
 {
-    state.promptsReadBy =
-            std::max(state.promptsReadBy, this->clock.now()) + this->readingTime(tokens);
+    return this->speeds.slowness(state.service, id);
+}
+
+// Returns how long the generation is expected to take after its first token, in seconds.
+double EngineChoice::runSeconds(const TargetEntry &entry, const EngineTraits &traits,
+                                const GenerationNeed &need) const
+{
+    const double events = static_cast<double>(need.outputTokens) /
+                          std::max<std::uint32_t>(1, traits.tokensPerEvent);
+    const Duration interval = this->speeds.eventInterval(entry.service, entry.id);
+    return events * std::chrono::duration<double>(interval).count();
+}
+
+void EngineChoice::addPrompt(std::string_view id, EngineState &state, std::uint32_t tokens)
+{
+    const Duration time = this->readingTime(tokens, this->slownessOf(id, state));
+    state.promptsReadBy = std::max(state.promptsReadBy, this->clock.now()) + time;
 }
 
 void EngineChoice::addChange(EngineState &state, double tokens)
@@ -172,7 +192,7 @@
     state.pendingPrompts.insert_or_assign(std::string(run),
                                           PendingPrompt{need.promptTokens, now, alone});
     this->addChange(state, need.promptTokens);
-    this->addPrompt(state, need.promptTokens);
+    this->addPrompt(id, state, need.promptTokens);
 }
 
 void EngineChoice::recordCopy(std::string_view id, const GenerationNeed &need)
@@ -216,7 +236,7 @@
     EngineState &state = this->stateForNotice(id);
     this->addChange(state, need.promptTokens);
     if (!copied)
-        this->addPrompt(state, need.promptTokens);
+        this->addPrompt(id, state, need.promptTokens);
 }
 
 void EngineChoice::recordRemoteRelease(std::string_view id, std::uint32_t tokens)
@@ -238,7 +258,8 @@
         return;
     const double elapsedMs =
             std::chrono::duration<double, std::milli>(this->clock.now() - read.since).count();
-    const double speed = std::clamp(read.promptTokens / std::max(elapsedMs, 1.0), minReadingSpeed,
+    const double ownSpeed = read.promptTokens / std::max(elapsedMs, 1.0);
+    const double speed = std::clamp(ownSpeed * this->slownessOf(id, state->second), minReadingSpeed,
                                     maxReadingSpeed);
     this->readingSpeed += learningRate * (speed - this->readingSpeed);
 }
@@ -305,8 +326,14 @@
     const EngineState &state = this->states[entry.id];
     const double memory =
             (this->memoryOf(state) + need.promptTokens + need.outputTokens / 2.0) / capacity;
-    const double delay = std::chrono::duration<double>(this->delayOf(state)).count();
-    const double cost = memory + preference.delayWeight * delay;
+    const Duration ownReading =
+            this->readingTime(need.promptTokens, this->slownessOf(entry.id, state));
+    const Duration untilFirstToken =
+            this->delayOf(state) + (preference.readsPrompt ? ownReading : Duration(0));
+    const double delay = std::chrono::duration<double>(untilFirstToken).count();
+    const double runTime = this->runSeconds(entry, traits, need);
+    const double cost =
+            memory + preference.delayWeight * delay + this->options.runTimeWeight * runTime;
     const bool isRemote = entry.dataCentre != preference.dataCentre;
     return isRemote ? cost + preference.remotePenalty : cost;
 }
@@ -329,8 +356,9 @@
         }
         // A prompt whose own reading takes most of the available time needs an engine that reads no
         // other prompt, but it must not be rejected everywhere because of its length.
-        const Duration own =
-                std::min(this->readingTime(need.promptTokens), preference.maxDelay / 2);
+        const Duration reading =
+                this->readingTime(need.promptTokens, this->slownessOf(eligible[i]->id, state));
+        const Duration own = std::min(reading, preference.maxDelay / 2);
         if (this->delayOf(state) > preference.maxDelay - own) {
             ++this->shortage.slow;
             continue;
@@ -389,7 +417,8 @@
                                 unlimitedMemory,
                                 Duration::max(),
                                 this->options.evacuationCostJitter,
-                                this->options.evacuationDelayWeight};
+                                this->options.evacuationDelayWeight,
+                                false};
     return this->cheapest(this->eligibleAmong(engines, others), traits, need, preference);
 }
 
--- /dev/null
+++ b/lib/Routing/enginespeeds.cpp
@@ -0,0 +1,102 @@
+#include "jaytrack/Routing/enginespeeds.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace jaytrack {
+
+namespace {
+
+// After this time an observation counts a third as much. Reports describe whole engine snapshots,
+// so the progress between two of them is uncertain by the time of one snapshot, half a second.
+constexpr std::chrono::duration<double> observationDecay{3.0};
+
+// A mean over fewer events says more about the report's timing than about the engine.
+constexpr double minEvents = 12;
+
+} // namespace
+
+Duration EventIntervalMeter::record(std::span<const RunProgress> runs)
+{
+    const TimePoint now = this->clock.now();
+    const std::chrono::duration<double> elapsed = now - this->lastReportAt;
+    const double kept = this->lastEvents.empty() ? 1 : std::exp(-elapsed / observationDecay);
+    this->runSeconds *= kept;
+    this->events *= kept;
+    std::map<std::string, std::uint32_t> progress;
+    for (const RunProgress &run : runs) {
+        // Before its first event a run waits or its prompt is read.
+        if (run.events == 0)
+            continue;
+        progress.emplace(run.run, run.events);
+        const auto before = this->lastEvents.find(run.run);
+        if (before == this->lastEvents.end() || run.events < before->second)
+            continue;
+        this->runSeconds += elapsed.count();
+        this->events += run.events - before->second;
+    }
+    this->lastEvents = std::move(progress);
+    this->lastReportAt = now;
+    if (this->events < minEvents)
+        return Duration(0);
+    return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(this->runSeconds / this->events));
+}
+
+void EngineSpeeds::record(std::string_view service, std::string_view engine, Duration eventInterval)
+{
+    if (eventInterval <= Duration(0))
+        return;
+    Service &group = this->services[std::string(service)];
+    group.intervals.insert_or_assign(std::string(engine), eventInterval);
+    updateMedian(group);
+}
+
+void EngineSpeeds::forget(std::string_view engine)
+{
+    for (auto &[name, service] : this->services) {
+        const auto found = service.intervals.find(engine);
+        if (found == service.intervals.end())
+            continue;
+        service.intervals.erase(found);
+        updateMedian(service);
+    }
+}
+
+void EngineSpeeds::updateMedian(Service &service)
+{
+    std::vector<Duration> intervals;
+    intervals.reserve(service.intervals.size());
+    for (const auto &[engine, interval] : service.intervals)
+        intervals.push_back(interval);
+    if (intervals.empty()) {
+        service.median = Duration(0);
+        return;
+    }
+    const auto middle = intervals.begin() + static_cast<std::ptrdiff_t>(intervals.size() / 2);
+    std::nth_element(intervals.begin(), middle, intervals.end());
+    service.median = *middle;
+}
+
+Duration EngineSpeeds::eventInterval(std::string_view service, std::string_view engine) const
+{
+    const auto group = this->services.find(service);
+    if (group == this->services.end())
+        return Duration(0);
+    const auto found = group->second.intervals.find(engine);
+    return found == group->second.intervals.end() ? group->second.median : found->second;
+}
+
+double EngineSpeeds::slowness(std::string_view service, std::string_view engine) const
+{
+    const auto group = this->services.find(service);
+    if (group == this->services.end() || group->second.median <= Duration(0))
+        return 1;
+    const auto found = group->second.intervals.find(engine);
+    if (found == group->second.intervals.end())
+        return 1;
+    return std::chrono::duration<double>(found->second) / group->second.median;
+}
+
+} // namespace jaytrack
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -2933,6 +2933,10 @@
 void LoadNotice::__set_firstWaitingTokens(const int64_t val) {
   this->firstWaitingTokens = val;
 }
+
+void LoadNotice::__set_eventIntervalMicros(const int64_t val) {
+  this->eventIntervalMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadNotice& obj)
 {
   obj.printTo(out);
@@ -3017,6 +3021,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->eventIntervalMicros);
+          this->__isset.eventIntervalMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3062,6 +3074,10 @@
   xfer += oprot->writeI64(this->firstWaitingTokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("eventIntervalMicros", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->eventIntervalMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3076,6 +3092,7 @@
   swap(a.memoryTokens, b.memoryTokens);
   swap(a.leaving, b.leaving);
   swap(a.firstWaitingTokens, b.firstWaitingTokens);
+  swap(a.eventIntervalMicros, b.eventIntervalMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -3087,6 +3104,7 @@
   memoryTokens = other105.memoryTokens;
   leaving = other105.leaving;
   firstWaitingTokens = other105.firstWaitingTokens;
+  eventIntervalMicros = other105.eventIntervalMicros;
   __isset = other105.__isset;
 }
 LoadNotice& LoadNotice::operator=(const LoadNotice& other106) {
@@ -3097,6 +3115,7 @@
   memoryTokens = other106.memoryTokens;
   leaving = other106.leaving;
   firstWaitingTokens = other106.firstWaitingTokens;
+  eventIntervalMicros = other106.eventIntervalMicros;
   __isset = other106.__isset;
   return *this;
 }
@@ -3110,6 +3129,7 @@
   out << ", " << "memoryTokens=" << to_string(memoryTokens);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "firstWaitingTokens=" << to_string(firstWaitingTokens);
+  out << ", " << "eventIntervalMicros=" << to_string(eventIntervalMicros);
   out << ")";
 }
 
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -1193,7 +1193,7 @@
 std::ostream& operator<<(std::ostream& out, const ReleaseNotice& obj);
 
 typedef struct _LoadNotice__isset {
-  _LoadNotice__isset() : engine(false), waiting(false), running(false), memoryInUse(false), memoryTokens(false), leaving(false), firstWaitingTokens(false) {}
+  _LoadNotice__isset() : engine(false), waiting(false), running(false), memoryInUse(false), memoryTokens(false), leaving(false), firstWaitingTokens(false), eventIntervalMicros(false) {}
   bool engine :1;
   bool waiting :1;
   bool running :1;
@@ -1201,6 +1201,7 @@
   bool memoryTokens :1;
   bool leaving :1;
   bool firstWaitingTokens :1;
+  bool eventIntervalMicros :1;
 } _LoadNotice__isset;
 
 class LoadNotice : public virtual ::apache::thrift::TBase {
@@ -1215,7 +1216,8 @@
                memoryInUse(0),
                memoryTokens(0),
                leaving(0),
-               firstWaitingTokens(0) {
+               firstWaitingTokens(0),
+               eventIntervalMicros(0) {
   }
 
   virtual ~LoadNotice() noexcept;
@@ -1226,6 +1228,7 @@
   int64_t memoryTokens;
   bool leaving;
   int64_t firstWaitingTokens;
+  int64_t eventIntervalMicros;
 
   _LoadNotice__isset __isset;
 
@@ -1243,6 +1246,8 @@
 
   void __set_firstWaitingTokens(const int64_t val);
 
+  void __set_eventIntervalMicros(const int64_t val);
+
   bool operator == (const LoadNotice & rhs) const
   {
     if (!(engine == rhs.engine))
@@ -1259,6 +1264,8 @@
       return false;
     if (!(firstWaitingTokens == rhs.firstWaitingTokens))
       return false;
+    if (!(eventIntervalMicros == rhs.eventIntervalMicros))
+      return false;
     return true;
   }
   bool operator != (const LoadNotice &rhs) const {
