Long generations avoid engines of speeds that make generations pause

Cause: the pauses that are left are those of slow engines that read a prompt beside the run; which speed is too slow depends on how much the engines' speed fluctuates. Change: instances tell each other whether a long generation paused for longer than its route allows; the share by bands of slowness is a part of the cost of an engine.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -297,6 +297,13 @@
   6: list<ServedVersionNotice> services
 }
 
+// How a generation went at one engine.
+struct PauseNotice {
+  1: string engine
+  // Whether it paused there for longer than its route allows.
+  2: bool pausedTooLong
+}
+
 // What entry instances tell each other, beside who they are.
 struct EntryNotices {
   1: list<PlacementNotice> placements
@@ -323,6 +330,7 @@
   // Limits that instances impose on brittle targets.
   17: LimitNotices imposedLimits
   18: optional StreamVersionNotices streamVersions
+  19: list<PauseNotice> pauses
 }
 
 // One datagram between two instances.
--- a/include/jaytrack/Peers/peerlink.h
+++ b/include/jaytrack/Peers/peerlink.h
@@ -58,6 +58,9 @@
     virtual void onPlacedByPeer(std::string_view engine, const GenerationNeed &need,
                                 bool copied) = 0;
     virtual void onReleasedByPeer(std::string_view engine, std::uint32_t tokens) = 0;
+
+    // A generation of another instance ended its run at the engine.
+    virtual void onPausesFromPeer(std::string_view engine, bool pausedTooLong) = 0;
     virtual void onFailedForPeer(std::string_view engine, std::string_view peer) = 0;
     virtual void onLoadFromPeer(std::string_view engine, const EngineLoad &load) = 0;
     virtual void onStoreFromPeer(const SharedChanges &changes) = 0;
@@ -92,6 +95,10 @@
     // batched and sent a few times a second.
     void announceReleased(std::string_view engine, std::uint32_t tokens);
 
+    // Announces whether a generation of this instance paused for too long at an engine. These
+    // notices are sent with the releases.
+    void announcePauses(std::string_view engine, bool pausedTooLong);
+
     // Announces that an engine failed a generation or a load probe of this instance.
     void announceFailed(std::string_view engine);
 
@@ -155,6 +162,7 @@
     void receiveNext();
     void tick();
     void sendReleases();
+    void takePauses(std::string_view engine, wire::EntryNotices &message);
 
     PeerLinkSettings settings;
     KeyRing keys;
@@ -178,6 +186,7 @@
     EngineShares &shares;
     std::map<std::string, std::uint32_t, std::less<>>
             releases; // tokens by engine, not announced yet
+    std::map<std::string, std::vector<bool>, std::less<>> pauses; // by engine, not announced yet
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -43,6 +43,7 @@
     virtual void announcePlaced(std::string_view engine, const GenerationNeed &need,
                                 bool copied) = 0;
     virtual void announceReleased(std::string_view engine, std::uint32_t tokens) = 0;
+    virtual void announcePauses(std::string_view engine, bool pausedTooLong) = 0;
     virtual void announceFailed(std::string_view engine) = 0;
 };
 
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -11,6 +11,7 @@
 
 #include "jaytrack/Routing/dialect.h"
 #include "jaytrack/Routing/enginespeeds.h"
+#include "jaytrack/Routing/pauserisk.h"
 #include "jaytrack/Support/clock.h"
 
 #include <map>
@@ -58,6 +59,11 @@
     // engine. A slower engine keeps its caller waiting and holds memory for longer.
     double runTimeWeight = 0.15;
 
+    // Cost of a pause that is certain to be longer than the route allows, relative to the whole
+    // memory of an engine. Beyond 1, an engine that causes such pauses is only used if all others
+    // are full. Short generations end before the next prompt arrives and are not affected.
+    double pauseRiskWeight = 3.0;
+
     // The same as delayWeight for a run that is evacuated. The tokens that its copy lacks are read
     // after the prompts already waiting there, and a pause of a fifth of a second makes the whole
     // stream late, whereas a first token may take more than a second.
@@ -137,6 +143,10 @@
     // Records that a generation of this instance received its first event from the engine.
     void recordSuccess(std::string_view id);
 
+    // Records that a generation of this or another instance ended its run at the engine, and
+    // whether it paused there for longer than its route allows.
+    void recordPauses(std::string_view id, bool pausedTooLong);
+
     // Records that this instance sends a prompt to an engine, which has to read it.
     void recordStart(std::string_view id, std::string_view run, const GenerationNeed &need);
 
@@ -245,6 +255,7 @@
     Duration delayOf(const EngineState &state) const;
     Duration readingTime(std::uint32_t tokens, double slowness) const;
     double slownessOf(std::string_view id, const EngineState &state) const;
+    double pauseRisk(const TargetEntry &entry) const;
     double runSeconds(const TargetEntry &entry, const EngineTraits &traits,
                       const GenerationNeed &need) const;
     void addPrompt(std::string_view id, EngineState &state, std::uint32_t tokens);
@@ -283,6 +294,7 @@
     EngineChoiceOptions options;
     double readingSpeed; // of an engine of median speed, learnt, in prompt tokens per millisecond
     EngineSpeeds speeds;
+    std::map<std::string, PauseRisk, std::less<>> pauseRisks; // by service
     std::map<std::string, EngineState, std::less<>> states;
     std::vector<Departure> departures;
     Shortage shortage;
--- a/include/jaytrack/Routing/enginespeeds.h
+++ b/include/jaytrack/Routing/enginespeeds.h
@@ -11,6 +11,7 @@
 #include "jaytrack/Support/clock.h"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -52,8 +53,9 @@
     // known yet, and zero if none is.
     Duration eventInterval(std::string_view service, std::string_view engine) const;
 
-    // Returns the engine's event interval divided by the service's median; 1 if it is not known.
-    double slowness(std::string_view service, std::string_view engine) const;
+    // Returns the engine's event interval divided by the service's median; empty if it is not
+    // known.
+    std::optional<double> slowness(std::string_view service, std::string_view engine) const;
 
 private:
     struct Service
--- a/lib/Peers/peerlink.cpp
+++ b/lib/Peers/peerlink.cpp
@@ -244,6 +244,11 @@
     this->releases[std::string(engine)] += tokens;
 }
 
+void PeerLink::announcePauses(std::string_view engine, bool pausedTooLong)
+{
+    this->pauses[std::string(engine)].push_back(pausedTooLong);
+}
+
 void PeerLink::announceFailed(std::string_view engine)
 {
     wire::EntryNotices message;
@@ -325,6 +330,22 @@
     this->sendToSample(message);
 }
 
+// Moves the pauses at the engine into the message. A run that ends releases memory in the same
+// tick, so every engine with pauses has a release.
+void PeerLink::takePauses(std::string_view engine, wire::EntryNotices &message)
+{
+    const auto found = this->pauses.find(engine);
+    if (found == this->pauses.end())
+        return;
+    for (const bool pausedTooLong : found->second) {
+        wire::PauseNotice notice;
+        notice.engine = engine;
+        notice.pausedTooLong = pausedTooLong;
+        message.pauses.push_back(std::move(notice));
+    }
+    this->pauses.erase(found);
+}
+
 // Sends a single message if all instances receive notices for every engine, otherwise one per
 // engine.
 void PeerLink::sendReleases()
@@ -335,12 +356,15 @@
         notice.engine = engine;
         notice.tokens = tokens;
         message.releases.push_back(std::move(notice));
+        this->takePauses(engine, message);
         if (this->shares.usesAllEngines())
             continue;
         this->sendToAssignees(engine, message);
         message.releases.clear();
+        message.pauses.clear();
     }
     this->releases.clear();
+    this->pauses.clear();
     if (!message.releases.empty())
         this->broadcast(message);
 }
@@ -495,6 +519,8 @@
     }
     for (const wire::ReleaseNotice &notice : message->releases)
         this->listener.onReleasedByPeer(notice.engine, toTokens(notice.tokens));
+    for (const wire::PauseNotice &notice : message->pauses)
+        this->listener.onPausesFromPeer(notice.engine, notice.pausedTooLong);
     for (const std::string &engine : message->failedEngines)
         this->listener.onFailedForPeer(engine, origin);
     for (const wire::LoadNotice &notice : message->loads) {
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -237,6 +237,11 @@
     this->engines.recordRemoteRelease(engine, tokens);
 }
 
+void EntryInstance::Parts::onPausesFromPeer(std::string_view engine, bool pausedTooLong)
+{
+    this->engines.recordPauses(engine, pausedTooLong);
+}
+
 void EntryInstance::Parts::onFailedForPeer(std::string_view engine, std::string_view peer)
 {
     this->engines.recordRemoteFailure(engine, peer);
@@ -294,6 +299,12 @@
         this->peers->announceReleased(engine, tokens);
 }
 
+void EntryInstance::Parts::announcePauses(std::string_view engine, bool pausedTooLong)
+{
+    if (this->peers)
+        this->peers->announcePauses(engine, pausedTooLong);
+}
+
 void EntryInstance::Parts::announceFailed(std::string_view engine)
 {
     if (this->peers)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -128,6 +128,7 @@
 
     void onPlacedByPeer(std::string_view engine, const GenerationNeed &need, bool copied) override;
     void onReleasedByPeer(std::string_view engine, std::uint32_t tokens) override;
+    void onPausesFromPeer(std::string_view engine, bool pausedTooLong) override;
     void onFailedForPeer(std::string_view engine, std::string_view peer) override;
     void onLoadFromPeer(std::string_view engine, const EngineLoad &load) override;
     void onStoreFromPeer(const SharedChanges &changes) override;
@@ -171,6 +172,7 @@
 
     void announcePlaced(std::string_view engine, const GenerationNeed &need, bool copied) override;
     void announceReleased(std::string_view engine, std::uint32_t tokens) override;
+    void announcePauses(std::string_view engine, bool pausedTooLong) override;
     void announceFailed(std::string_view engine) override;
 
     // SelfReportNotices
--- a/lib/Proxy/entrytuning.cpp
+++ b/lib/Proxy/entrytuning.cpp
@@ -33,6 +33,8 @@
     readFraction(table, "urgent_share", options.urgentShare);
     options.delayWeight = table.number("weight_of_delay", 0, maxWeight, options.delayWeight);
     options.runTimeWeight = table.number("weight_of_run_time", 0, maxWeight, options.runTimeWeight);
+    options.pauseRiskWeight =
+            table.number("weight_of_pause_risk", 0, maxWeight, options.pauseRiskWeight);
     options.evacuationDelayWeight =
             table.number("refuge_weight_of_delay", 0, maxWeight, options.evacuationDelayWeight);
     options.urgentKeepsEvacuationReserve =
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -300,12 +300,26 @@
     return events * std::max<std::uint32_t>(1, this->traits.tokensPerEvent);
 }
 
+// Lets all instances learn from the generation which engines make generations pause. A run of a few
+// events says nothing about the engine.
+void StreamExchange::reportPauses(const StreamLeg &leg) const
+{
+    static constexpr std::uint64_t minEvents = 16;
+    const bool hasLimit = this->route().longestPause.count() > 0;
+    if (!hasLimit || this->lastEvent - this->eventsBeforeLeg < minEvents)
+        return;
+    this->context.engines.recordPauses(leg.target.id, leg.pausedTooLong);
+    this->context.notices.announcePauses(leg.target.id, leg.pausedTooLong);
+}
+
 void StreamExchange::closeLeg(std::shared_ptr<StreamLeg> &leg)
 {
     if (!leg)
         return;
     leg->call->cancel();
     const bool running = leg == this->current;
+    if (running)
+        this->reportPauses(*leg);
     this->reservations.release(leg->target.id,
                                running ? this->tokensSince(this->eventsBeforeLeg) : 0);
     leg.reset();
@@ -367,7 +381,7 @@
     if (id)
         this->lastEvent = *id;
     this->streamVersion = leg.target.softwareVersion;
-    this->recordEventGap();
+    this->recordEventGap(leg);
     this->beginAnswer(leg.head);
     this->caller->write(event.text);
     this->recordProgress(leg);
@@ -395,9 +409,12 @@
     this->reportSafeRun(leg.target, *leg.firstEventAt);
 }
 
-void StreamExchange::recordEventGap()
+void StreamExchange::recordEventGap(StreamLeg &leg)
 {
     const TimePoint now = this->context.clock.now();
+    const Duration allowed = this->route().longestPause;
+    if (leg.firstEventAt && allowed > Duration(0) && now - this->lastEventAt > allowed)
+        leg.pausedTooLong = true;
     if (!this->answerBegun) {
         this->firstEventAfter = now - this->request().arrived;
     } else if (now - this->lastEventAt > this->longestPause) {
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -50,6 +50,7 @@
     bool streaming = false; // the engine answers with an event stream
     TimePoint openedAt;
     std::optional<TimePoint> firstEventAt;
+    bool pausedTooLong = false; // between two of its events, for longer than the route allows
     bool proven = false; // the engine ran long enough that the run is not blamed for a crash
 };
 
@@ -148,7 +149,8 @@
     void forwardNonStreamAnswer(StreamLeg &leg);
     void refuseAfterEngine();
     bool reportedNotRun(const StreamLeg &leg, const TargetCallEnd &end) const;
-    void recordEventGap();
+    void recordEventGap(StreamLeg &leg);
+    void reportPauses(const StreamLeg &leg) const;
     void recordProgress(StreamLeg &leg) const;
     void beginAnswer(const MessageHead &head);
     void onLegStarted(const StreamLeg &leg);
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -159,7 +159,25 @@
 
 double EngineChoice::slownessOf(std::string_view id, const EngineState &state) const
 {
-    return this->speeds.slowness(state.service, id);
+    return this->speeds.slowness(state.service, id).value_or(1);
+}
+
+void EngineChoice::recordPauses(std::string_view id, bool pausedTooLong)
+{
+    const auto found = this->states.find(id);
+    if (found == this->states.end())
+        return;
+    const std::string &service = found->second.service;
+    if (const auto slowness = this->speeds.slowness(service, id))
+        this->pauseRisks.try_emplace(service, this->clock)
+                .first->second.record(*slowness, pausedTooLong);
+}
+
+double EngineChoice::pauseRisk(const TargetEntry &entry) const
+{
+    const auto risk = this->pauseRisks.find(entry.service);
+    const auto slowness = this->speeds.slowness(entry.service, entry.id);
+    return risk == this->pauseRisks.end() || !slowness ? 0 : risk->second.risk(*slowness);
 }
 
 // Returns how long the generation is expected to take after its first token, in seconds.
@@ -332,8 +350,10 @@
             this->delayOf(state) + (preference.readsPrompt ? ownReading : Duration(0));
     const double delay = std::chrono::duration<double>(untilFirstToken).count();
     const double runTime = this->runSeconds(entry, traits, need);
-    const double cost =
-            memory + preference.delayWeight * delay + this->options.runTimeWeight * runTime;
+    const double risk = this->isShort(need) ? 0 : this->pauseRisk(entry);
+    const double cost = memory + preference.delayWeight * delay +
+                        this->options.runTimeWeight * runTime +
+                        this->options.pauseRiskWeight * risk;
     const bool isRemote = entry.dataCentre != preference.dataCentre;
     return isRemote ? cost + preference.remotePenalty : cost;
 }
--- a/lib/Routing/enginespeeds.cpp
+++ b/lib/Routing/enginespeeds.cpp
@@ -88,14 +88,15 @@
     return found == group->second.intervals.end() ? group->second.median : found->second;
 }
 
-double EngineSpeeds::slowness(std::string_view service, std::string_view engine) const
+std::optional<double> EngineSpeeds::slowness(std::string_view service,
+                                             std::string_view engine) const
 {
     const auto group = this->services.find(service);
     if (group == this->services.end() || group->second.median <= Duration(0))
-        return 1;
+        return std::nullopt;
     const auto found = group->second.intervals.find(engine);
     if (found == group->second.intervals.end())
-        return 1;
+        return std::nullopt;
     return std::chrono::duration<double>(found->second) / group->second.median;
 }
 
--- /dev/null
+++ b/lib/Routing/pauserisk.cpp
@@ -0,0 +1,47 @@
+#include "jaytrack/Routing/pauserisk.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jaytrack {
+
+namespace {
+
+// After this time an observation counts a third as much: several lives of a run, so that a burst
+// of prompts that has passed is forgotten.
+constexpr std::chrono::duration<double> observationDecay{30.0};
+
+// Generations without a pause that are assumed beforehand, so that a single one decides nothing.
+constexpr double priorGenerations = 4;
+
+} // namespace
+
+std::size_t PauseRisk::bandOf(double slowness)
+{
+    const double band = std::clamp(slowness / bandWidth, 0.0, static_cast<double>(bandCount - 1));
+    return static_cast<std::size_t>(band);
+}
+
+double PauseRisk::keptPart(const Band &band) const
+{
+    const std::chrono::duration<double> elapsed = this->clock.now() - band.updatedAt;
+    return std::exp(-elapsed / observationDecay);
+}
+
+void PauseRisk::record(double slowness, bool paused)
+{
+    Band &band = this->bands[bandOf(slowness)];
+    const double kept = this->keptPart(band);
+    band.generations = band.generations * kept + 1;
+    band.paused = band.paused * kept + (paused ? 1 : 0);
+    band.updatedAt = this->clock.now();
+}
+
+double PauseRisk::risk(double slowness) const
+{
+    const Band &band = this->bands[bandOf(slowness)];
+    const double kept = this->keptPart(band);
+    return band.paused * kept / (band.generations * kept + priorGenerations);
+}
+
+} // namespace jaytrack
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -5686,6 +5686,118 @@
 }
 
 
+PauseNotice::~PauseNotice() noexcept {
+}
+
+
+void PauseNotice::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void PauseNotice::__set_pausedTooLong(const bool val) {
+  this->pausedTooLong = val;
+}
+std::ostream& operator<<(std::ostream& out, const PauseNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PauseNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pausedTooLong);
+          this->__isset.pausedTooLong = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PauseNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PauseNotice");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pausedTooLong", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->pausedTooLong);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PauseNotice &a, PauseNotice &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.pausedTooLong, b.pausedTooLong);
+  swap(a.__isset, b.__isset);
+}
+
+PauseNotice::PauseNotice(const PauseNotice& other187) {
+  engine = other187.engine;
+  pausedTooLong = other187.pausedTooLong;
+  __isset = other187.__isset;
+}
+PauseNotice& PauseNotice::operator=(const PauseNotice& other188) {
+  engine = other188.engine;
+  pausedTooLong = other188.pausedTooLong;
+  __isset = other188.__isset;
+  return *this;
+}
+void PauseNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PauseNotice(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "pausedTooLong=" << to_string(pausedTooLong);
+  out << ")";
+}
+
+
 EntryNotices::~EntryNotices() noexcept {
 }
 
@@ -5762,6 +5874,10 @@
   this->streamVersions = val;
 __isset.streamVersions = true;
 }
+
+void EntryNotices::__set_pauses(const std::vector<PauseNotice> & val) {
+  this->pauses = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryNotices& obj)
 {
   obj.printTo(out);
@@ -5794,14 +5910,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size187;
-            ::apache::thrift::protocol::TType _etype190;
-            xfer += iprot->readListBegin(_etype190, _size187);
-            this->placements.resize(_size187);
-            uint32_t _i191;
-            for (_i191 = 0; _i191 < _size187; ++_i191)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->placements.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += this->placements[_i191].read(iprot);
+              xfer += this->placements[_i193].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5814,14 +5930,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->loads.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->loads.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->loads[_i196].read(iprot);
+              xfer += this->loads[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5834,14 +5950,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stores.clear();
-            uint32_t _size197;
-            ::apache::thrift::protocol::TType _etype200;
-            xfer += iprot->readListBegin(_etype200, _size197);
-            this->stores.resize(_size197);
-            uint32_t _i201;
-            for (_i201 = 0; _i201 < _size197; ++_i201)
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->stores.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
             {
-              xfer += this->stores[_i201].read(iprot);
+              xfer += this->stores[_i203].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5854,14 +5970,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->asks.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->asks.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->asks[_i206].read(iprot);
+              xfer += this->asks[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5874,14 +5990,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size207;
-            ::apache::thrift::protocol::TType _etype210;
-            xfer += iprot->readListBegin(_etype210, _size207);
-            this->answers.resize(_size207);
-            uint32_t _i211;
-            for (_i211 = 0; _i211 < _size207; ++_i211)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->answers.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += this->answers[_i211].read(iprot);
+              xfer += this->answers[_i213].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5894,14 +6010,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->releases.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->releases.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->releases.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->releases[_i216].read(iprot);
+              xfer += this->releases[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5914,14 +6030,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedEngines.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->failedEngines.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _etype222;
+            xfer += iprot->readListBegin(_etype222, _size219);
+            this->failedEngines.resize(_size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
             {
-              xfer += iprot->readString(this->failedEngines[_i221]);
+              xfer += iprot->readString(this->failedEngines[_i223]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5958,14 +6074,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavingTargets.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->leavingTargets.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->leavingTargets.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += iprot->readString(this->leavingTargets[_i226]);
+              xfer += iprot->readString(this->leavingTargets[_i228]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5978,14 +6094,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coldTargets.clear();
-            uint32_t _size227;
-            ::apache::thrift::protocol::TType _etype230;
-            xfer += iprot->readListBegin(_etype230, _size227);
-            this->coldTargets.resize(_size227);
-            uint32_t _i231;
-            for (_i231 = 0; _i231 < _size227; ++_i231)
+            uint32_t _size229;
+            ::apache::thrift::protocol::TType _etype232;
+            xfer += iprot->readListBegin(_etype232, _size229);
+            this->coldTargets.resize(_size229);
+            uint32_t _i233;
+            for (_i233 = 0; _i233 < _size229; ++_i233)
             {
-              xfer += this->coldTargets[_i231].read(iprot);
+              xfer += this->coldTargets[_i233].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6014,14 +6130,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fragments.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->fragments.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->fragments.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += this->fragments[_i236].read(iprot);
+              xfer += this->fragments[_i238].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6054,6 +6170,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pauses.clear();
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->pauses.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
+            {
+              xfer += this->pauses[_i243].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pauses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6074,10 +6210,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<PlacementNotice> ::const_iterator _iter237;
-    for (_iter237 = this->placements.begin(); _iter237 != this->placements.end(); ++_iter237)
+    std::vector<PlacementNotice> ::const_iterator _iter244;
+    for (_iter244 = this->placements.begin(); _iter244 != this->placements.end(); ++_iter244)
     {
-      xfer += (*_iter237).write(oprot);
+      xfer += (*_iter244).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6086,10 +6222,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter238;
-    for (_iter238 = this->loads.begin(); _iter238 != this->loads.end(); ++_iter238)
+    std::vector<LoadNotice> ::const_iterator _iter245;
+    for (_iter245 = this->loads.begin(); _iter245 != this->loads.end(); ++_iter245)
     {
-      xfer += (*_iter238).write(oprot);
+      xfer += (*_iter245).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6098,10 +6234,10 @@
   xfer += oprot->writeFieldBegin("stores", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stores.size()));
-    std::vector<StoreNotice> ::const_iterator _iter239;
-    for (_iter239 = this->stores.begin(); _iter239 != this->stores.end(); ++_iter239)
+    std::vector<StoreNotice> ::const_iterator _iter246;
+    for (_iter246 = this->stores.begin(); _iter246 != this->stores.end(); ++_iter246)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter246).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6110,10 +6246,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<FreshnessAsk> ::const_iterator _iter240;
-    for (_iter240 = this->asks.begin(); _iter240 != this->asks.end(); ++_iter240)
+    std::vector<FreshnessAsk> ::const_iterator _iter247;
+    for (_iter247 = this->asks.begin(); _iter247 != this->asks.end(); ++_iter247)
     {
-      xfer += (*_iter240).write(oprot);
+      xfer += (*_iter247).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6122,10 +6258,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<FreshnessAnswer> ::const_iterator _iter241;
-    for (_iter241 = this->answers.begin(); _iter241 != this->answers.end(); ++_iter241)
+    std::vector<FreshnessAnswer> ::const_iterator _iter248;
+    for (_iter248 = this->answers.begin(); _iter248 != this->answers.end(); ++_iter248)
     {
-      xfer += (*_iter241).write(oprot);
+      xfer += (*_iter248).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6134,10 +6270,10 @@
   xfer += oprot->writeFieldBegin("releases", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->releases.size()));
-    std::vector<ReleaseNotice> ::const_iterator _iter242;
-    for (_iter242 = this->releases.begin(); _iter242 != this->releases.end(); ++_iter242)
+    std::vector<ReleaseNotice> ::const_iterator _iter249;
+    for (_iter249 = this->releases.begin(); _iter249 != this->releases.end(); ++_iter249)
     {
-      xfer += (*_iter242).write(oprot);
+      xfer += (*_iter249).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6146,10 +6282,10 @@
   xfer += oprot->writeFieldBegin("failedEngines", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedEngines.size()));
-    std::vector<std::string> ::const_iterator _iter243;
-    for (_iter243 = this->failedEngines.begin(); _iter243 != this->failedEngines.end(); ++_iter243)
+    std::vector<std::string> ::const_iterator _iter250;
+    for (_iter250 = this->failedEngines.begin(); _iter250 != this->failedEngines.end(); ++_iter250)
     {
-      xfer += oprot->writeString((*_iter243));
+      xfer += oprot->writeString((*_iter250));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6170,10 +6306,10 @@
   xfer += oprot->writeFieldBegin("leavingTargets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingTargets.size()));
-    std::vector<std::string> ::const_iterator _iter244;
-    for (_iter244 = this->leavingTargets.begin(); _iter244 != this->leavingTargets.end(); ++_iter244)
+    std::vector<std::string> ::const_iterator _iter251;
+    for (_iter251 = this->leavingTargets.begin(); _iter251 != this->leavingTargets.end(); ++_iter251)
     {
-      xfer += oprot->writeString((*_iter244));
+      xfer += oprot->writeString((*_iter251));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6182,10 +6318,10 @@
   xfer += oprot->writeFieldBegin("coldTargets", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coldTargets.size()));
-    std::vector<ColdNotice> ::const_iterator _iter245;
-    for (_iter245 = this->coldTargets.begin(); _iter245 != this->coldTargets.end(); ++_iter245)
+    std::vector<ColdNotice> ::const_iterator _iter252;
+    for (_iter252 = this->coldTargets.begin(); _iter252 != this->coldTargets.end(); ++_iter252)
     {
-      xfer += (*_iter245).write(oprot);
+      xfer += (*_iter252).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6202,10 +6338,10 @@
   xfer += oprot->writeFieldBegin("fragments", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fragments.size()));
-    std::vector<FragmentNotice> ::const_iterator _iter246;
-    for (_iter246 = this->fragments.begin(); _iter246 != this->fragments.end(); ++_iter246)
+    std::vector<FragmentNotice> ::const_iterator _iter253;
+    for (_iter253 = this->fragments.begin(); _iter253 != this->fragments.end(); ++_iter253)
     {
-      xfer += (*_iter246).write(oprot);
+      xfer += (*_iter253).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6224,6 +6360,18 @@
     xfer += this->streamVersions.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("pauses", ::apache::thrift::protocol::T_LIST, 19);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pauses.size()));
+    std::vector<PauseNotice> ::const_iterator _iter254;
+    for (_iter254 = this->pauses.begin(); _iter254 != this->pauses.end(); ++_iter254)
+    {
+      xfer += (*_iter254).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6249,50 +6397,53 @@
   swap(a.spread, b.spread);
   swap(a.imposedLimits, b.imposedLimits);
   swap(a.streamVersions, b.streamVersions);
+  swap(a.pauses, b.pauses);
   swap(a.__isset, b.__isset);
 }
 
-EntryNotices::EntryNotices(const EntryNotices& other247) {
-  placements = other247.placements;
-  loads = other247.loads;
-  stores = other247.stores;
-  asks = other247.asks;
-  answers = other247.answers;
-  releases = other247.releases;
-  failedEngines = other247.failedEngines;
-  relay = other247.relay;
-  origin = other247.origin;
-  quarantine = other247.quarantine;
-  leavingTargets = other247.leavingTargets;
-  coldTargets = other247.coldTargets;
-  limits = other247.limits;
-  retryPermits = other247.retryPermits;
-  fragments = other247.fragments;
-  spread = other247.spread;
-  imposedLimits = other247.imposedLimits;
-  streamVersions = other247.streamVersions;
-  __isset = other247.__isset;
-}
-EntryNotices& EntryNotices::operator=(const EntryNotices& other248) {
-  placements = other248.placements;
-  loads = other248.loads;
-  stores = other248.stores;
-  asks = other248.asks;
-  answers = other248.answers;
-  releases = other248.releases;
-  failedEngines = other248.failedEngines;
-  relay = other248.relay;
-  origin = other248.origin;
-  quarantine = other248.quarantine;
-  leavingTargets = other248.leavingTargets;
-  coldTargets = other248.coldTargets;
-  limits = other248.limits;
-  retryPermits = other248.retryPermits;
-  fragments = other248.fragments;
-  spread = other248.spread;
-  imposedLimits = other248.imposedLimits;
-  streamVersions = other248.streamVersions;
-  __isset = other248.__isset;
+EntryNotices::EntryNotices(const EntryNotices& other255) {
+  placements = other255.placements;
+  loads = other255.loads;
+  stores = other255.stores;
+  asks = other255.asks;
+  answers = other255.answers;
+  releases = other255.releases;
+  failedEngines = other255.failedEngines;
+  relay = other255.relay;
+  origin = other255.origin;
+  quarantine = other255.quarantine;
+  leavingTargets = other255.leavingTargets;
+  coldTargets = other255.coldTargets;
+  limits = other255.limits;
+  retryPermits = other255.retryPermits;
+  fragments = other255.fragments;
+  spread = other255.spread;
+  imposedLimits = other255.imposedLimits;
+  streamVersions = other255.streamVersions;
+  pauses = other255.pauses;
+  __isset = other255.__isset;
+}
+EntryNotices& EntryNotices::operator=(const EntryNotices& other256) {
+  placements = other256.placements;
+  loads = other256.loads;
+  stores = other256.stores;
+  asks = other256.asks;
+  answers = other256.answers;
+  releases = other256.releases;
+  failedEngines = other256.failedEngines;
+  relay = other256.relay;
+  origin = other256.origin;
+  quarantine = other256.quarantine;
+  leavingTargets = other256.leavingTargets;
+  coldTargets = other256.coldTargets;
+  limits = other256.limits;
+  retryPermits = other256.retryPermits;
+  fragments = other256.fragments;
+  spread = other256.spread;
+  imposedLimits = other256.imposedLimits;
+  streamVersions = other256.streamVersions;
+  pauses = other256.pauses;
+  __isset = other256.__isset;
   return *this;
 }
 void EntryNotices::printTo(std::ostream& out) const {
@@ -6316,6 +6467,7 @@
   out << ", " << "spread=" << to_string(spread);
   out << ", " << "imposedLimits=" << to_string(imposedLimits);
   out << ", " << "streamVersions="; (__isset.streamVersions ? (out << to_string(streamVersions)) : (out << "<null>"));
+  out << ", " << "pauses=" << to_string(pauses);
   out << ")";
 }
 
@@ -6389,9 +6541,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast249;
-          xfer += iprot->readI32(ecast249);
-          this->kind = static_cast<PeerKind::type>(ecast249);
+          int32_t ecast257;
+          xfer += iprot->readI32(ecast257);
+          this->kind = static_cast<PeerKind::type>(ecast257);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6433,14 +6585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size250;
-            ::apache::thrift::protocol::TType _etype253;
-            xfer += iprot->readListBegin(_etype253, _size250);
-            this->records.resize(_size250);
-            uint32_t _i254;
-            for (_i254 = 0; _i254 < _size250; ++_i254)
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->records.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
             {
-              xfer += this->records[_i254].read(iprot);
+              xfer += this->records[_i262].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6513,10 +6665,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter255;
-    for (_iter255 = this->records.begin(); _iter255 != this->records.end(); ++_iter255)
+    std::vector<MemberRecord> ::const_iterator _iter263;
+    for (_iter263 = this->records.begin(); _iter263 != this->records.end(); ++_iter263)
     {
-      xfer += (*_iter255).write(oprot);
+      xfer += (*_iter263).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6553,29 +6705,29 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other256) {
-  kind = other256.kind;
-  sequence = other256.sequence;
-  sender = other256.sender;
-  revision = other256.revision;
-  configAgeMs = other256.configAgeMs;
-  records = other256.records;
-  probeTarget = other256.probeTarget;
-  policy = other256.policy;
-  tableDigest = other256.tableDigest;
-  __isset = other256.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other257) {
-  kind = other257.kind;
-  sequence = other257.sequence;
-  sender = other257.sender;
-  revision = other257.revision;
-  configAgeMs = other257.configAgeMs;
-  records = other257.records;
-  probeTarget = other257.probeTarget;
-  policy = other257.policy;
-  tableDigest = other257.tableDigest;
-  __isset = other257.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other264) {
+  kind = other264.kind;
+  sequence = other264.sequence;
+  sender = other264.sender;
+  revision = other264.revision;
+  configAgeMs = other264.configAgeMs;
+  records = other264.records;
+  probeTarget = other264.probeTarget;
+  policy = other264.policy;
+  tableDigest = other264.tableDigest;
+  __isset = other264.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other265) {
+  kind = other265.kind;
+  sequence = other265.sequence;
+  sender = other265.sender;
+  revision = other265.revision;
+  configAgeMs = other265.configAgeMs;
+  records = other265.records;
+  probeTarget = other265.probeTarget;
+  policy = other265.policy;
+  tableDigest = other265.tableDigest;
+  __isset = other265.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -6686,15 +6838,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SealedMessage::SealedMessage(const SealedMessage& other258) {
-  body = other258.body;
-  mac = other258.mac;
-  __isset = other258.__isset;
+SealedMessage::SealedMessage(const SealedMessage& other266) {
+  body = other266.body;
+  mac = other266.mac;
+  __isset = other266.__isset;
 }
-SealedMessage& SealedMessage::operator=(const SealedMessage& other259) {
-  body = other259.body;
-  mac = other259.mac;
-  __isset = other259.__isset;
+SealedMessage& SealedMessage::operator=(const SealedMessage& other267) {
+  body = other267.body;
+  mac = other267.mac;
+  __isset = other267.__isset;
   return *this;
 }
 void SealedMessage::printTo(std::ostream& out) const {
@@ -6832,19 +6984,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamHandleBody::StreamHandleBody(const StreamHandleBody& other260) {
-  engine = other260.engine;
-  generation = other260.generation;
-  customer = other260.customer;
-  model = other260.model;
-  __isset = other260.__isset;
+StreamHandleBody::StreamHandleBody(const StreamHandleBody& other268) {
+  engine = other268.engine;
+  generation = other268.generation;
+  customer = other268.customer;
+  model = other268.model;
+  __isset = other268.__isset;
 }
-StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other261) {
-  engine = other261.engine;
-  generation = other261.generation;
-  customer = other261.customer;
-  model = other261.model;
-  __isset = other261.__isset;
+StreamHandleBody& StreamHandleBody::operator=(const StreamHandleBody& other269) {
+  engine = other269.engine;
+  generation = other269.generation;
+  customer = other269.customer;
+  model = other269.model;
+  __isset = other269.__isset;
   return *this;
 }
 void StreamHandleBody::printTo(std::ostream& out) const {
@@ -7001,21 +7153,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TicketBody::TicketBody(const TicketBody& other262) {
-  issuer = other262.issuer;
-  incarnation = other262.incarnation;
-  serial = other262.serial;
-  customer = other262.customer;
-  scope = other262.scope;
-  __isset = other262.__isset;
-}
-TicketBody& TicketBody::operator=(const TicketBody& other263) {
-  issuer = other263.issuer;
-  incarnation = other263.incarnation;
-  serial = other263.serial;
-  customer = other263.customer;
-  scope = other263.scope;
-  __isset = other263.__isset;
+TicketBody::TicketBody(const TicketBody& other270) {
+  issuer = other270.issuer;
+  incarnation = other270.incarnation;
+  serial = other270.serial;
+  customer = other270.customer;
+  scope = other270.scope;
+  __isset = other270.__isset;
+}
+TicketBody& TicketBody::operator=(const TicketBody& other271) {
+  issuer = other271.issuer;
+  incarnation = other271.incarnation;
+  serial = other271.serial;
+  customer = other271.customer;
+  scope = other271.scope;
+  __isset = other271.__isset;
   return *this;
 }
 void TicketBody::printTo(std::ostream& out) const {
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -121,6 +121,8 @@
 
 class StreamVersionNotices;
 
+class PauseNotice;
+
 class EntryNotices;
 
 class PeerMessage;
@@ -2285,8 +2287,58 @@
 
 std::ostream& operator<<(std::ostream& out, const StreamVersionNotices& obj);
 
+typedef struct _PauseNotice__isset {
+  _PauseNotice__isset() : engine(false), pausedTooLong(false) {}
+  bool engine :1;
+  bool pausedTooLong :1;
+} _PauseNotice__isset;
+
+class PauseNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  PauseNotice(const PauseNotice&);
+  PauseNotice& operator=(const PauseNotice&);
+  PauseNotice() noexcept
+              : engine(),
+                pausedTooLong(0) {
+  }
+
+  virtual ~PauseNotice() noexcept;
+  std::string engine;
+  bool pausedTooLong;
+
+  _PauseNotice__isset __isset;
+
+  void __set_engine(const std::string& val);
+
+  void __set_pausedTooLong(const bool val);
+
+  bool operator == (const PauseNotice & rhs) const
+  {
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(pausedTooLong == rhs.pausedTooLong))
+      return false;
+    return true;
+  }
+  bool operator != (const PauseNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PauseNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PauseNotice &a, PauseNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const PauseNotice& obj);
+
 typedef struct _EntryNotices__isset {
-  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false), limits(false), retryPermits(false), fragments(false), spread(false), imposedLimits(false), streamVersions(false) {}
+  _EntryNotices__isset() : placements(false), loads(false), stores(false), asks(false), answers(false), releases(false), failedEngines(false), relay(false), origin(false), quarantine(false), leavingTargets(false), coldTargets(false), limits(false), retryPermits(false), fragments(false), spread(false), imposedLimits(false), streamVersions(false), pauses(false) {}
   bool placements :1;
   bool loads :1;
   bool stores :1;
@@ -2305,6 +2357,7 @@
   bool spread :1;
   bool imposedLimits :1;
   bool streamVersions :1;
+  bool pauses :1;
 } _EntryNotices__isset;
 
 class EntryNotices : public virtual ::apache::thrift::TBase {
@@ -2336,6 +2389,7 @@
   SpreadNotice spread;
   LimitNotices imposedLimits;
   StreamVersionNotices streamVersions;
+  std::vector<PauseNotice>  pauses;
 
   _EntryNotices__isset __isset;
 
@@ -2375,6 +2429,8 @@
 
   void __set_streamVersions(const StreamVersionNotices& val);
 
+  void __set_pauses(const std::vector<PauseNotice> & val);
+
   bool operator == (const EntryNotices & rhs) const
   {
     if (!(placements == rhs.placements))
@@ -2415,6 +2471,8 @@
       return false;
     else if (__isset.streamVersions && !(streamVersions == rhs.streamVersions))
       return false;
+    if (!(pauses == rhs.pauses))
+      return false;
     return true;
   }
   bool operator != (const EntryNotices &rhs) const {
