Copies go to engines with room first; the reserve follows the rate of departures

New generations took the room between two departures. Change: engines that have room by forecast are preferred in any data centre; the reserve adds what is expected to leave, from the rate of the last ten seconds, in a class of its own.

--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -9,6 +9,7 @@
 #ifndef JAYTRACK_ROUTING_ENGINECHOICE_H
 #define JAYTRACK_ROUTING_ENGINECHOICE_H
 
+#include "jaytrack/Routing/departurereserve.h"
 #include "jaytrack/Routing/dialect.h"
 #include "jaytrack/Routing/enginespeeds.h"
 #include "jaytrack/Routing/pauserisk.h"
@@ -95,13 +96,13 @@
     // per step, at steps of 11 ms in a batch of six that shares the engine with prompts.
     double growthPerRun = 90;
 
-    // Runs of a leaving engine look for memory at other engines for about this long. During this
-    // time new generations leave that memory free: a caller that is refused can retry, but a run
-    // that finds no memory is lost together with all its output.
-    Duration evacuationTime = std::chrono::milliseconds(1500);
+    // Memory that new generations leave free for the runs of leaving engines.
+    DepartureReserveOptions reserve;
 
-    // The largest part of an engine's memory that new generations leave free for such runs.
-    double maxEvacuationReserve = 0.15;
+    // Part of an engine's memory up to which evacuated runs are sent there as long as another
+    // engine has room. A full engine refuses the copy, and an attempt costs a tenth of the time
+    // that a shutdown leaves.
+    double evacuationShare = 0.97;
 
     // Notices of other instances about an engine that is not listed are kept for this long.
     // Listings reach the instances within a second of each other.
@@ -236,14 +237,6 @@
                              // notice about it
     };
 
-    // The memory of an engine that has left and whose runs need memory elsewhere.
-    struct Departure
-    {
-        std::string service;
-        double tokens;
-        TimePoint at;
-    };
-
     void noteFailure(EngineState &state, std::string_view instance);
     double evacuationReserve(std::span<const TargetEntry *const> engines,
                              const EngineTraits &traits);
@@ -296,7 +289,7 @@
     EngineSpeeds speeds;
     std::map<std::string, PauseRisk, std::less<>> pauseRisks; // by service
     std::map<std::string, EngineState, std::less<>> states;
-    std::vector<Departure> departures;
+    DepartureReserve reserve;
     Shortage shortage;
 };
 
--- a/lib/Proxy/entrytuning.cpp
+++ b/lib/Proxy/entrytuning.cpp
@@ -42,8 +42,11 @@
     readFraction(table, "refuge_blur", options.evacuationCostJitter);
     readFraction(table, "distant_handicap", options.remotePenalty);
     readFraction(table, "distant_copy_handicap", options.remoteCopyPenalty);
-    readFraction(table, "most_refuge_share", options.maxEvacuationReserve);
-    readDuration(table, "refuge_time_ms", options.evacuationTime);
+    readFraction(table, "most_refuge_share", options.reserve.maxShare);
+    readFraction(table, "evacuation_share", options.evacuationShare);
+    options.reserve.expectsDepartures =
+            table.flag("expects_departures", options.reserve.expectsDepartures);
+    readDuration(table, "refuge_time_ms", options.reserve.evacuationTime);
     readCount(table, "failures_to_avoid", options.failuresToAvoid);
     readDuration(table, "avoid_ms", options.avoidFor);
 }
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -133,6 +133,7 @@
     void startAnew();
     void startAnewAfter(Duration pause);
     void resume(const RunStep &step);
+    GenerationNeed needOfCopy() const;
     void makeCopy();
     void requestCopyPermits(const TargetEntry &source, const TargetEntry &destination);
     void ifPermitted(const std::string &target, const std::function<void(bool)> &proceed);
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -282,6 +282,16 @@
     return this->assignedEngines(free.empty() ? std::move(open) : std::move(free));
 }
 
+// Returns what a copy of the run needs of an engine. It includes the tokens generated so far.
+GenerationNeed StreamExchange::needOfCopy() const
+{
+    const std::uint32_t generated = this->tokensSince(0);
+    GenerationNeed copied = this->need;
+    copied.promptTokens += generated;
+    copied.outputTokens -= std::min(copied.outputTokens, generated);
+    return copied;
+}
+
 void StreamExchange::makeCopy()
 {
     if (!this->current || this->move || this->copyPermitsPending)
@@ -291,7 +301,7 @@
         return;
     const std::vector<const TargetEntry *> engines = this->copyDestinations();
     const TargetEntry *chosen = this->context.engines.chooseEvacuationTarget(
-            engines, this->traits, this->need, this->current->target,
+            engines, this->traits, this->needOfCopy(), this->current->target,
             this->plan.unsuitableEngines());
     if (chosen != nullptr)
         this->requestCopyPermits(this->current->target, *chosen);
@@ -335,11 +345,7 @@
     assert(endpoint && "the current leg was opened with this address, so it must parse");
     this->plan.copyStarted();
     this->permittedEngine = destination.id;
-    // The copy includes the tokens generated so far.
-    GenerationNeed copied = this->need;
-    copied.promptTokens +=
-            static_cast<std::uint32_t>(this->lastEvent) * this->traits.tokensPerEvent;
-    this->reservations.reserveForCopy(destination.id, copied);
+    this->reservations.reserveForCopy(destination.id, this->needOfCopy());
     this->logDecision("run_copy", {{"from", this->current->target.id},
                                    {"to", destination.id},
                                    {"from_version", this->current->target.softwareVersion},
--- /dev/null
+++ b/lib/Routing/departurereserve.cpp
@@ -0,0 +1,64 @@
+#include "jaytrack/Routing/departurereserve.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jaytrack {
+
+namespace {
+
+// Time over which the rate of departures is averaged: long enough for several shutdowns of a fleet
+// whose engines are replaced every few seconds, and short enough that the reserve is gone half a
+// minute after the last one.
+constexpr std::chrono::duration<double> rateWindow{10.0};
+
+} // namespace
+
+void DepartureReserve::decayRate(Service &service) const
+{
+    const TimePoint now = this->clock.now();
+    const std::chrono::duration<double> elapsed = now - service.updatedAt;
+    service.tokensPerSecond *= std::exp(-elapsed / rateWindow);
+    service.updatedAt = now;
+}
+
+void DepartureReserve::record(std::string_view service, double tokens)
+{
+    Service &state = this->services[std::string(service)];
+    this->decayRate(state);
+    state.tokensPerSecond += tokens / rateWindow.count();
+    state.recent.push_back({tokens, this->clock.now()});
+}
+
+// Returns the memory of the engines that have just left, less an allowance for the runs that have
+// moved already.
+double DepartureReserve::recentTokens(Service &service) const
+{
+    const TimePoint now = this->clock.now();
+    const Duration time = this->options.evacuationTime;
+    std::erase_if(service.recent,
+                  [now, time](const Departure &one) { return now - one.at >= time; });
+    double tokens = 0;
+    for (const Departure &one : service.recent) {
+        const double passed = std::chrono::duration<double>(now - one.at) / time;
+        tokens += one.tokens * (1 - passed);
+    }
+    return tokens;
+}
+
+double DepartureReserve::share(std::string_view service, double capacity)
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end() || capacity <= 0)
+        return 0;
+    Service &state = found->second;
+    double tokens = this->recentTokens(state);
+    if (this->options.expectsDepartures) {
+        this->decayRate(state);
+        const std::chrono::duration<double> time = this->options.evacuationTime;
+        tokens = std::max(tokens, state.tokensPerSecond * time.count());
+    }
+    return std::min(this->options.maxShare, tokens / capacity);
+}
+
+} // namespace jaytrack
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -30,6 +30,7 @@
     , home(std::move(homeDataCentre))
     , options(initialOptions)
     , readingSpeed(initialOptions.promptTokensPerMilli)
+    , reserve(time, initialOptions.reserve)
 {
 }
 
@@ -48,7 +49,7 @@
         return;
     const EngineState &state = found->second;
     if (state.listed)
-        this->departures.push_back({state.service, this->memoryOf(state), this->clock.now()});
+        this->reserve.record(state.service, this->memoryOf(state));
     this->states.erase(found);
     this->speeds.forget(id);
 }
@@ -61,26 +62,14 @@
         this->states.erase(found);
 }
 
-// Returns the part of each engine's memory that the runs of engines which have just left will take,
-// less an allowance for those that have moved already.
+// Returns the part of each engine's memory that new generations leave free.
 double EngineChoice::evacuationReserve(std::span<const TargetEntry *const> engines,
                                        const EngineTraits &traits)
 {
-    const TimePoint now = this->clock.now();
-    const Duration time = this->options.evacuationTime;
-    std::erase_if(this->departures,
-                  [now, time](const Departure &one) { return now - one.at >= time; });
-    if (this->departures.empty() || engines.empty())
+    if (engines.empty())
         return 0;
-    double tokens = 0;
-    for (const Departure &one : this->departures) {
-        const double passed = std::chrono::duration<double>(now - one.at) / time;
-        if (one.service == engines.front()->service)
-            tokens += one.tokens * (1 - passed);
-    }
-    const double totalMemory =
-            static_cast<double>(engines.size()) * std::max(1U, traits.memoryTokens);
-    return std::min(this->options.maxEvacuationReserve, tokens / totalMemory);
+    const double capacity = static_cast<double>(engines.size()) * std::max(1U, traits.memoryTokens);
+    return this->reserve.share(engines.front()->service, capacity);
 }
 
 void EngineChoice::recordReport(std::string_view id, const EngineLoad &load)
@@ -430,16 +419,22 @@
 {
     std::set<std::string> others = avoid;
     others.insert(running.id);
+    const std::vector<const TargetEntry *> eligible = this->eligibleAmong(engines, others);
     // Every engine is compared, because the run's own data centre has only a few.
-    const Preference preference{running.dataCentre,
-                                this->options.remoteCopyPenalty,
-                                engines.size(),
-                                unlimitedMemory,
-                                Duration::max(),
-                                this->options.evacuationCostJitter,
-                                this->options.evacuationDelayWeight,
-                                false};
-    return this->cheapest(this->eligibleAmong(engines, others), traits, need, preference);
+    Preference preference{running.dataCentre,
+                          this->options.remoteCopyPenalty,
+                          engines.size(),
+                          this->options.evacuationShare,
+                          Duration::max(),
+                          this->options.evacuationCostJitter,
+                          this->options.evacuationDelayWeight,
+                          false};
+    const TargetEntry *withRoom = this->cheapest(eligible, traits, need, preference);
+    if (withRoom != nullptr)
+        return withRoom;
+    // The forecast may be wrong, and the run is lost anyway if it stays.
+    preference.maxMemory = unlimitedMemory;
+    return this->cheapest(eligible, traits, need, preference);
 }
 
 } // namespace jaytrack
