Unknown engines count as slow; departures seen and expected are added

Change: an engine that is not known counts with the upper quartile of its service; 16 engines are compared; copies are sent up to 0.9 of the memory first.

--- a/include/jaytrack/Routing/departurereserve.h
+++ b/include/jaytrack/Routing/departurereserve.h
@@ -22,7 +22,8 @@
     // Runs of an engine that shuts down look for memory for about this long.
     Duration evacuationTime = std::chrono::milliseconds(1500);
 
-    // The largest part of the memory of all engines that is kept free.
+    // The largest part of the memory of all engines that is kept free for the runs of engines that
+    // have just left, and again for those that are expected to leave next.
     double maxShare = 0.15;
 
     // Whether memory is kept free for departures that are expected from the rate of earlier ones.
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -38,7 +38,7 @@
     // Number of engines compared for each generation. Notices between instances take milliseconds,
     // so two instances rarely choose the same engine at the same moment; comparing a few candidates
     // is enough to spread those that do.
-    std::size_t candidates = 6;
+    std::size_t candidates = 16;
 
     // Part of an engine's memory up to which new generations are admitted. The rest is reserved for
     // the growth of running generations, for the runs of leaving engines (a sixth of all engines at
@@ -58,7 +58,7 @@
 
     // Cost of one second that a generation is expected to run, relative to the whole memory of an
     // engine. A slower engine keeps its caller waiting and holds memory for longer.
-    double runTimeWeight = 0.15;
+    double runTimeWeight = 0.1;
 
     // Cost of a pause that is certain to be longer than the route allows, relative to the whole
     // memory of an engine. Beyond 1, an engine that causes such pauses is only used if all others
@@ -102,7 +102,7 @@
     // Part of an engine's memory up to which evacuated runs are sent there as long as another
     // engine has room. A full engine refuses the copy, and an attempt costs a tenth of the time
     // that a shutdown leaves.
-    double evacuationShare = 0.97;
+    double evacuationShare = 0.9;
 
     // Notices of other instances about an engine that is not listed are kept for this long.
     // Listings reach the instances within a second of each other.
--- a/include/jaytrack/Routing/enginespeeds.h
+++ b/include/jaytrack/Routing/enginespeeds.h
@@ -11,7 +11,6 @@
 #include "jaytrack/Support/clock.h"
 
 #include <map>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -49,22 +48,26 @@
 
     void forget(std::string_view engine);
 
-    // Returns the time between two events at the engine: the service's median if this engine is not
-    // known yet, and zero if none is.
+    // Returns the time between two events of a run at the engine; zero if no engine of the service
+    // is known. An engine that is not known yet counts as one of the slowest quarter: it has just
+    // started and looks idle, and a long generation placed there by mistake stays slow to its end.
     Duration eventInterval(std::string_view service, std::string_view engine) const;
 
-    // Returns the engine's event interval divided by the service's median; empty if it is not
-    // known.
-    std::optional<double> slowness(std::string_view service, std::string_view engine) const;
+    // Returns the engine's event interval divided by the service's median; 1 if no engine of the
+    // service is known.
+    double slowness(std::string_view service, std::string_view engine) const;
+
+    bool isKnown(std::string_view service, std::string_view engine) const;
 
 private:
     struct Service
     {
         std::map<std::string, Duration, std::less<>> intervals; // by engine
         Duration median{0};
+        Duration upperQuartile{0};
     };
 
-    static void updateMedian(Service &service);
+    static void updateQuantiles(Service &service);
 
     std::map<std::string, Service, std::less<>> services;
 };
--- a/lib/Routing/departurereserve.cpp
+++ b/lib/Routing/departurereserve.cpp
@@ -52,13 +52,13 @@
     if (found == this->services.end() || capacity <= 0)
         return 0;
     Service &state = found->second;
-    double tokens = this->recentTokens(state);
-    if (this->options.expectsDepartures) {
-        this->decayRate(state);
-        const std::chrono::duration<double> time = this->options.evacuationTime;
-        tokens = std::max(tokens, state.tokensPerSecond * time.count());
-    }
-    return std::min(this->options.maxShare, tokens / capacity);
+    const double recent = std::min(this->options.maxShare, this->recentTokens(state) / capacity);
+    if (!this->options.expectsDepartures)
+        return recent;
+    this->decayRate(state);
+    const std::chrono::duration<double> time = this->options.evacuationTime;
+    const double expected = state.tokensPerSecond * time.count() / capacity;
+    return recent + std::min(this->options.maxShare, expected);
 }
 
 } // namespace jaytrack
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -148,7 +148,7 @@
 
 double EngineChoice::slownessOf(std::string_view id, const EngineState &state) const
 {
-    return this->speeds.slowness(state.service, id).value_or(1);
+    return this->speeds.slowness(state.service, id);
 }
 
 void EngineChoice::recordPauses(std::string_view id, bool pausedTooLong)
@@ -157,16 +157,18 @@
     if (found == this->states.end())
         return;
     const std::string &service = found->second.service;
-    if (const auto slowness = this->speeds.slowness(service, id))
-        this->pauseRisks.try_emplace(service, this->clock)
-                .first->second.record(*slowness, pausedTooLong);
+    if (!this->speeds.isKnown(service, id))
+        return;
+    PauseRisk &risk = this->pauseRisks.try_emplace(service, this->clock).first->second;
+    risk.record(this->speeds.slowness(service, id), pausedTooLong);
 }
 
 double EngineChoice::pauseRisk(const TargetEntry &entry) const
 {
     const auto risk = this->pauseRisks.find(entry.service);
-    const auto slowness = this->speeds.slowness(entry.service, entry.id);
-    return risk == this->pauseRisks.end() || !slowness ? 0 : risk->second.risk(*slowness);
+    if (risk == this->pauseRisks.end())
+        return 0;
+    return risk->second.risk(this->speeds.slowness(entry.service, entry.id));
 }
 
 // Returns how long the generation is expected to take after its first token, in seconds.
--- a/lib/Routing/enginespeeds.cpp
+++ b/lib/Routing/enginespeeds.cpp
@@ -50,7 +50,7 @@
         return;
     Service &group = this->services[std::string(service)];
     group.intervals.insert_or_assign(std::string(engine), eventInterval);
-    updateMedian(group);
+    updateQuantiles(group);
 }
 
 void EngineSpeeds::forget(std::string_view engine)
@@ -60,11 +60,11 @@
         if (found == service.intervals.end())
             continue;
         service.intervals.erase(found);
-        updateMedian(service);
+        updateQuantiles(service);
     }
 }
 
-void EngineSpeeds::updateMedian(Service &service)
+void EngineSpeeds::updateQuantiles(Service &service)
 {
     std::vector<Duration> intervals;
     intervals.reserve(service.intervals.size());
@@ -72,11 +72,18 @@
         intervals.push_back(interval);
     if (intervals.empty()) {
         service.median = Duration(0);
+        service.upperQuartile = Duration(0);
         return;
     }
-    const auto middle = intervals.begin() + static_cast<std::ptrdiff_t>(intervals.size() / 2);
-    std::nth_element(intervals.begin(), middle, intervals.end());
-    service.median = *middle;
+    std::sort(intervals.begin(), intervals.end());
+    service.median = intervals[intervals.size() / 2];
+    service.upperQuartile = intervals[intervals.size() * 3 / 4];
+}
+
+bool EngineSpeeds::isKnown(std::string_view service, std::string_view engine) const
+{
+    const auto group = this->services.find(service);
+    return group != this->services.end() && group->second.intervals.count(engine) > 0;
 }
 
 Duration EngineSpeeds::eventInterval(std::string_view service, std::string_view engine) const
@@ -85,19 +92,16 @@
     if (group == this->services.end())
         return Duration(0);
     const auto found = group->second.intervals.find(engine);
-    return found == group->second.intervals.end() ? group->second.median : found->second;
+    return found == group->second.intervals.end() ? group->second.upperQuartile : found->second;
 }
 
-std::optional<double> EngineSpeeds::slowness(std::string_view service,
-                                             std::string_view engine) const
+double EngineSpeeds::slowness(std::string_view service, std::string_view engine) const
 {
     const auto group = this->services.find(service);
     if (group == this->services.end() || group->second.median <= Duration(0))
-        return std::nullopt;
-    const auto found = group->second.intervals.find(engine);
-    if (found == group->second.intervals.end())
-        return std::nullopt;
-    return std::chrono::duration<double>(found->second) / group->second.median;
+        return 1;
+    return std::chrono::duration<double>(this->eventInterval(service, engine)) /
+           group->second.median;
 }
 
 } // namespace jaytrack
