New generations fill up to 0.84 of engines' memory

Cause: reading and memory are both short in a burst; more runs at an engine make all of them slower. Change: 0.84 instead of 0.88, less the reserve.

--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -44,7 +44,7 @@
     // the growth of running generations, for the runs of leaving engines (a sixth of all engines at
     // a time), and for the prompts of short generations: if long generations may fill 0.92 of
     // engines that hold six of them, half of the largest tenth of the short ones is refused.
-    double newRunShare = 0.88;
+    double newRunShare = 0.84;
 
     // The same for short urgent generations. They release their memory within half a second, before
     // the generations running there have grown into it.
