Logs and a counter for the speed of engines, pauses and the reserve

Cause: an operator could not see why an engine was chosen or how much memory was kept free. Change: run_placed names event_interval_ms and pause_risk_percent, request_ended memory_reserve_percent, and jaytrack_generations_paused_too_long_total counts runs.

--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -176,8 +176,9 @@
     // Why the last choice found no engine, for the log.
     struct Shortage
     {
-        int full = 0; // engines without enough memory
-        int slow = 0; // engines with enough memory that would read the prompt too late
+        int full = 0;       // engines without enough memory
+        int slow = 0;       // engines with enough memory that would read the prompt too late
+        double reserve = 0; // part of each engine's memory kept free for runs of leaving engines
     };
     const Shortage &lastShortage() const { return this->shortage; }
 
@@ -195,8 +196,10 @@
     {
         double memoryTokens = 0;
         Duration reportAge{0};
-        Duration delay{0};   // until all prompts waiting there have been read
-        int idleReports = 0; // consecutive reports without work; 0 if work was placed since
+        Duration delay{0};         // until all prompts waiting there have been read
+        int idleReports = 0;       // consecutive reports without work; 0 if work was placed since
+        Duration eventInterval{0}; // expected between two events of a run
+        double pauseRisk = 0;      // that a generation pauses for longer than its route allows
     };
     Forecast forecast(std::string_view id) const;
 
@@ -248,7 +251,7 @@
     Duration delayOf(const EngineState &state) const;
     Duration readingTime(std::uint32_t tokens, double slowness) const;
     double slownessOf(std::string_view id, const EngineState &state) const;
-    double pauseRisk(const TargetEntry &entry) const;
+    double pauseRisk(std::string_view service, std::string_view id) const;
     double runSeconds(const TargetEntry &entry, const EngineTraits &traits,
                       const GenerationNeed &need) const;
     void addPrompt(std::string_view id, EngineState &state, std::uint32_t tokens);
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -36,6 +36,12 @@
     return number;
 }
 
+std::int64_t toPercent(double part)
+{
+    static constexpr double whole = 100;
+    return static_cast<std::int64_t>(part * whole);
+}
+
 EngineTraits engineTraits(const ServiceRule *service)
 {
     return service != nullptr && service->engine ? *service->engine : EngineTraits();
@@ -92,6 +98,7 @@
     if (this->shortage.full + this->shortage.slow > 0) {
         fields.emplace_back("engines_full", this->shortage.full);
         fields.emplace_back("engines_slow", this->shortage.slow);
+        fields.emplace_back("memory_reserve_percent", toPercent(this->shortage.reserve));
     }
     fields.emplace_back("events", static_cast<std::int64_t>(this->lastEvent));
     fields.emplace_back("first_event_ms", toMillis(this->firstEventAfter));
@@ -148,22 +155,23 @@
     orders.priority =
             holder != nullptr && holder->priority ? *holder->priority : this->route().priority;
     auto leg = std::make_shared<StreamLeg>(this->self(), target, orders.resume.has_value());
-    this->logDecision(
-            orders.resume ? "run_resumed" : "run_placed",
-            {{"target", target.id},
-             {"address", target.address},
-             {"version", target.softwareVersion},
-             {"digest", this->digest()},
-             {"parts", describeParts(this->parts())},
-             {"resumes", this->facts().resumedAttempt},
-             {"after_event", static_cast<std::int64_t>(this->lastEvent)},
-             {"prompt_tokens", this->need.promptTokens},
-             {"expected_tokens", this->need.outputTokens},
-             {"forecast_tokens",
-              static_cast<std::int64_t>(this->context.engines.forecast(target.id).memoryTokens)},
-             {"report_age_ms", toMillis(this->context.engines.forecast(target.id).reportAge)},
-             {"forecast_delay_ms", toMillis(this->context.engines.forecast(target.id).delay)},
-             {"left_ms", static_cast<std::int64_t>(this->timeLeft().count())}});
+    const EngineChoice::Forecast forecast = this->context.engines.forecast(target.id);
+    this->logDecision(orders.resume ? "run_resumed" : "run_placed",
+                      {{"target", target.id},
+                       {"address", target.address},
+                       {"version", target.softwareVersion},
+                       {"digest", this->digest()},
+                       {"parts", describeParts(this->parts())},
+                       {"resumes", this->facts().resumedAttempt},
+                       {"after_event", static_cast<std::int64_t>(this->lastEvent)},
+                       {"prompt_tokens", this->need.promptTokens},
+                       {"expected_tokens", this->need.outputTokens},
+                       {"forecast_tokens", static_cast<std::int64_t>(forecast.memoryTokens)},
+                       {"report_age_ms", toMillis(forecast.reportAge)},
+                       {"forecast_delay_ms", toMillis(forecast.delay)},
+                       {"event_interval_ms", toMillis(forecast.eventInterval)},
+                       {"pause_risk_percent", toPercent(forecast.pauseRisk)},
+                       {"left_ms", static_cast<std::int64_t>(this->timeLeft().count())}});
     // Memory for a copy was reserved when the copy was started.
     if (!orders.resume)
         this->reservations.reserveForPrompt(target.id, this->need);
@@ -308,6 +316,8 @@
     const bool hasLimit = this->route().longestPause.count() > 0;
     if (!hasLimit || this->lastEvent - this->eventsBeforeLeg < minEvents)
         return;
+    if (leg.pausedTooLong)
+        this->context.metrics.count("jaytrack_generations_paused_too_long_total");
     this->context.engines.recordPauses(leg.target.id, leg.pausedTooLong);
     this->context.notices.announcePauses(leg.target.id, leg.pausedTooLong);
 }
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -163,12 +163,12 @@
     risk.record(this->speeds.slowness(service, id), pausedTooLong);
 }
 
-double EngineChoice::pauseRisk(const TargetEntry &entry) const
+double EngineChoice::pauseRisk(std::string_view service, std::string_view id) const
 {
-    const auto risk = this->pauseRisks.find(entry.service);
+    const auto risk = this->pauseRisks.find(service);
     if (risk == this->pauseRisks.end())
         return 0;
-    return risk->second.risk(this->speeds.slowness(entry.service, entry.id));
+    return risk->second.risk(this->speeds.slowness(service, id));
 }
 
 // Returns how long the generation is expected to take after its first token, in seconds.
@@ -311,9 +311,14 @@
     if (found == this->states.end())
         return {};
     const EngineState &state = found->second;
-    return {this->memoryOf(state),
-            state.everReported ? this->clock.now() - state.reportedAt : Duration(-1),
-            this->delayOf(state), this->isIdle(state) ? state.idleReports : 0};
+    Forecast forecast;
+    forecast.memoryTokens = this->memoryOf(state);
+    forecast.reportAge = state.everReported ? this->clock.now() - state.reportedAt : Duration(-1);
+    forecast.delay = this->delayOf(state);
+    forecast.idleReports = this->isIdle(state) ? state.idleReports : 0;
+    forecast.eventInterval = this->speeds.eventInterval(state.service, id);
+    forecast.pauseRisk = this->pauseRisk(state.service, id);
+    return forecast;
 }
 
 bool EngineChoice::isAvoided(const TargetEntry &entry)
@@ -341,7 +346,7 @@
             this->delayOf(state) + (preference.readsPrompt ? ownReading : Duration(0));
     const double delay = std::chrono::duration<double>(untilFirstToken).count();
     const double runTime = this->runSeconds(entry, traits, need);
-    const double risk = this->isShort(need) ? 0 : this->pauseRisk(entry);
+    const double risk = this->isShort(need) ? 0 : this->pauseRisk(entry.service, entry.id);
     const double cost = memory + preference.delayWeight * delay +
                         this->options.runTimeWeight * runTime +
                         this->options.pauseRiskWeight * risk;
@@ -406,11 +411,15 @@
     const bool isUrgent = this->isShort(need);
     const double maxShare = isUrgent ? this->options.urgentShare : this->options.newRunShare;
     const bool keepsReserve = !isUrgent || this->options.urgentKeepsEvacuationReserve;
-    const double share = maxShare - (keepsReserve ? this->evacuationReserve(engines, traits) : 0);
+    const double kept = keepsReserve ? this->evacuationReserve(engines, traits) : 0;
+    const double share = maxShare - kept;
     const Preference preference{
             this->home, this->options.remotePenalty, this->options.candidates, share, need.maxDelay,
             0,          this->options.delayWeight};
-    return this->cheapest(this->eligibleAmong(engines, avoid), traits, need, preference);
+    const TargetEntry *chosen =
+            this->cheapest(this->eligibleAmong(engines, avoid), traits, need, preference);
+    this->shortage.reserve = kept;
+    return chosen;
 }
 
 const TargetEntry *EngineChoice::chooseEvacuationTarget(std::span<const TargetEntry *const> engines,
