--- a/unittests/Routing/enginechoicetest.cpp
+++ b/unittests/Routing/enginechoicetest.cpp
@@ -1,4 +1,6 @@
 // Checks the placement of generations under load and when engines leave or fail.
+#include "engines.h"
+
 #include "jaytrack/Routing/enginechoice.h"
 
 #include <criterion/criterion.h>
@@ -8,31 +10,12 @@
 #include <memory>
 
 using namespace jaytrack;
+using namespace jaytrack::testing;
 
 namespace {
 
 constexpr std::uint32_t memoryTokens = 30'000;
 
-std::vector<TargetEntry> makeEngines(int count, int perDataCentre)
-{
-    std::vector<TargetEntry> engines;
-    for (int i = 0; i < count; ++i) {
-        TargetEntry entry;
-        entry.id = "e" + std::to_string(i);
-        entry.dataCentre = "dc" + std::to_string(i / perDataCentre);
-        engines.push_back(entry);
-    }
-    return engines;
-}
-
-std::vector<const TargetEntry *> pointers(const std::vector<TargetEntry> &engines)
-{
-    std::vector<const TargetEntry *> list;
-    for (const TargetEntry &entry : engines)
-        list.push_back(&entry);
-    return list;
-}
-
 EngineTraits makeTraits()
 {
     EngineTraits traits;
@@ -40,13 +23,6 @@
     return traits;
 }
 
-EngineLoad loadOf(std::uint32_t tokens)
-{
-    EngineLoad load;
-    load.memoryInUse = tokens;
-    return load;
-}
-
 // Several instances that use the same engines and may exchange notices.
 class InstanceGroup
 {
