Event intervals are announced after three report intervals

Cause: the first interval was announced as soon as twelve events had been seen, which six runs make between two reports. Change: 1.5 s must have been observed as well. Earlier observations count less only when newer ones are made; before, a report without runs reduced them too.

--- a/include/jaytrack/Routing/enginespeeds.h
+++ b/include/jaytrack/Routing/enginespeeds.h
@@ -35,8 +35,9 @@
     const Clock &clock;
     std::map<std::string, std::uint32_t> lastEvents; // by run
     TimePoint lastReportAt;
-    double runSeconds = 0; // summed over the runs; older ones count less
-    double events = 0;     // made in that time
+    double runSeconds = 0;      // summed over the runs; older ones count less
+    double events = 0;          // made in that time
+    double observedSeconds = 0; // between reports with the same run; older ones count less
 };
 
 class EngineSpeeds
--- a/lib/Routing/enginespeeds.cpp
+++ b/lib/Routing/enginespeeds.cpp
@@ -15,15 +15,19 @@
 // A mean over fewer events says more about the report's timing than about the engine.
 constexpr double minEvents = 12;
 
+// The same for a shorter time, however many runs there are, because they share the timing. With
+// snapshots of half a second and reports 0.7 s apart, two intervals would be wrong by up to 0.4;
+// three, which count as 1.7 s, are wrong by at most 0.25.
+constexpr double minObservedSeconds = 1.5;
+
 } // namespace
 
 Duration EventIntervalMeter::record(std::span<const RunProgress> runs)
 {
     const TimePoint now = this->clock.now();
     const std::chrono::duration<double> elapsed = now - this->lastReportAt;
-    const double kept = this->lastEvents.empty() ? 1 : std::exp(-elapsed / observationDecay);
-    this->runSeconds *= kept;
-    this->events *= kept;
+    double newRunSeconds = 0;
+    double newEvents = 0;
     std::map<std::string, std::uint32_t> progress;
     for (const RunProgress &run : runs) {
         // Before its first event a run waits or its prompt is read.
@@ -33,12 +37,19 @@
         const auto before = this->lastEvents.find(run.run);
         if (before == this->lastEvents.end() || run.events < before->second)
             continue;
-        this->runSeconds += elapsed.count();
-        this->events += run.events - before->second;
+        newRunSeconds += elapsed.count();
+        newEvents += run.events - before->second;
+    }
+    // Without a new observation the earlier ones still hold.
+    if (newRunSeconds > 0) {
+        const double kept = std::exp(-elapsed / observationDecay);
+        this->runSeconds = this->runSeconds * kept + newRunSeconds;
+        this->events = this->events * kept + newEvents;
+        this->observedSeconds = this->observedSeconds * kept + elapsed.count();
     }
     this->lastEvents = std::move(progress);
     this->lastReportAt = now;
-    if (this->events < minEvents)
+    if (this->events < minEvents || this->observedSeconds < minObservedSeconds)
         return Duration(0);
     return std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(this->runSeconds / this->events));
