Late load notices about removed engines no longer record a speed

Cause: a release notice about a removed engine creates a state without a listing, and a load notice that followed recorded its speed under the empty service, where it stayed for ever: memory that grows with each replaced engine, and for a service without a name a wrong median. Change: speeds are recorded for listed engines only. Result: lateNoticesAboutRemovedEnginesDoNotChangeSpeeds failed and passes. placementtest.cpp also covers three speeds, even use of equal engines, pauses, and evacuation to full and distant engines; placement/*: 21 of 21 pass.

--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -81,7 +81,9 @@
     found->second.reportedAt = this->clock.now();
     found->second.everReported = true;
     found->second.leaving = found->second.leaving || load.leaving;
-    this->speeds.record(found->second.service, id, load.eventInterval);
+    // Notices about an engine may arrive after its removal; its speed would be kept for ever.
+    if (found->second.listed)
+        this->speeds.record(found->second.service, id, load.eventInterval);
     // Changes made before the moment that the report describes are included in it.
     const TimePoint snapshotTime = found->second.reportedAt - reportLag;
     std::erase_if(found->second.changes,
