--- a/lib/Routing/pauserisk.cpp
+++ b/lib/Routing/pauserisk.cpp
@@ -12,8 +12,7 @@
 constexpr std::chrono::duration<double> observationDecay{30.0};
 
 // Generations without a pause that are assumed beforehand, so that a single one decides nothing: it
-// costs 0.18 of an engine's memory, whereas engines of neighbouring speed groups differ by a third
-// in run time. With 4 it cost 0.6 and kept all long generations off the band.
+// costs less than the longer run time at an engine of the next slower group.
 constexpr double priorGenerations = 16;
 
 } // namespace
