limits: correct first rates that were estimated without the service's time

Cause: an instance that is refused before it has served a request of the service estimates 0.8 * 4 slots / 0.1 s = 32 requests a second. In the plan of 195 instances before 6 targets of 30 ms (200 a second each), the trace shows that five of six targets get this estimate within 0.25 s of the start, and a growth of 10 % a second takes 19 s from there to the capacity.

Change: RefusalControl remembers the targets whose first rate it estimated without the time. Once the instance serves a request of the service, it scales the rate in force, at most to the first rate of a known service. BrittleGate and the simulation impose it.

--- a/include/jaytrack/Limits/brittlegate.h
+++ b/include/jaytrack/Limits/brittlegate.h
@@ -31,10 +31,7 @@
     void recordSound(std::string_view target, Duration sentAgo);
 
     // Records how long a request took that a target of the service served.
-    void recordServed(std::string_view service, int slots, Duration took)
-    {
-        this->control.recordServed(service, slots, took);
-    }
+    void recordServed(std::string_view service, int slots, Duration took);
 
     // Records that the target had no room for a request. Has no effect unless it is brittle.
     void recordRefusal(std::string_view target, std::string_view service);
--- a/include/jaytrack/Limits/refusalcontrol.h
+++ b/include/jaytrack/Limits/refusalcontrol.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jaytrack {
 
@@ -49,13 +50,19 @@
 
     bool isBrittle(std::string_view target) const;
 
-    // Records how long a request took that a target of the service served.
-    void recordServed(std::string_view service, int slots, Duration took);
+    // Records how long a request took that a target of the service served. Returns the targets
+    // whose first rate was estimated before that time was known, once each: the caller should
+    // replace their rate by correctedRate().
+    std::vector<std::string> recordServed(std::string_view service, int slots, Duration took);
 
     // Returns the rate from now on, after the target has refused a request: below the one in force,
     // if there is one.
     double rateAfterRefusal(std::string_view target, std::string_view service,
-                            std::optional<double> inForce) const;
+                            std::optional<double> inForce);
+
+    // Returns the rate that replaces the one in force, which goes back to an estimate without the
+    // service's time. It is never below the one in force.
+    double correctedRate(std::string_view service, double inForce) const;
 
     // Returns the options under which permits for requests to brittle targets are granted.
     static TargetLimitOptions permitOptions(const RefusalControlOptions &options = {});
@@ -82,6 +89,7 @@
     RefusalControlOptions options;
     std::map<std::string, Announcement, std::less<>> announcements; // by target
     std::map<std::string, Performance, std::less<>> services;
+    std::map<std::string, std::string, std::less<>> uncorrected; // service by target
 };
 
 } // namespace jaytrack
--- a/lib/Limits/brittlegate.cpp
+++ b/lib/Limits/brittlegate.cpp
@@ -29,6 +29,18 @@
     this->permits.recordNoLimit(target, sentAgo);
 }
 
+void BrittleGate::recordServed(std::string_view service, int slots, Duration took)
+{
+    for (const std::string &target : this->control.recordServed(service, slots, took)) {
+        const std::optional<double> inForce = this->permits.limitOf(target);
+        if (!inForce)
+            continue;
+        const double rate = this->control.correctedRate(service, *inForce);
+        if (rate > *inForce)
+            this->permits.imposeLimit(target, rate);
+    }
+}
+
 void BrittleGate::recordRefusal(std::string_view target, std::string_view service)
 {
     if (!this->control.isBrittle(target))
--- a/lib/Limits/refusalcontrol.cpp
+++ b/lib/Limits/refusalcontrol.cpp
@@ -48,7 +48,8 @@
            this->clock.now() - found->second.at < this->options.memory;
 }
 
-void RefusalControl::recordServed(std::string_view service, int slots, Duration took)
+std::vector<std::string> RefusalControl::recordServed(std::string_view service, int slots,
+                                                      Duration took)
 {
     const double seconds = std::max(minSeconds, std::chrono::duration<double>(took).count());
     const auto [found, isNew] = this->services.try_emplace(std::string(service));
@@ -57,6 +58,14 @@
     seen.secondsPerRequest =
             isNew ? seconds
                   : seen.secondsPerRequest + smoothing * (seconds - seen.secondsPerRequest);
+    std::vector<std::string> targets;
+    std::erase_if(this->uncorrected, [&targets, service](const auto &entry) {
+        if (entry.second != service)
+            return false;
+        targets.push_back(entry.first);
+        return true;
+    });
+    return targets;
 }
 
 double RefusalControl::estimatedRate(std::string_view service) const
@@ -76,11 +85,22 @@
 }
 
 double RefusalControl::rateAfterRefusal(std::string_view target, std::string_view service,
-                                        std::optional<double> inForce) const
+                                        std::optional<double> inForce)
 {
-    if (!inForce)
-        return this->options.firstShare * this->estimatedRate(service);
-    return *inForce * this->decreaseFor(target);
+    if (inForce)
+        return *inForce * this->decreaseFor(target);
+    if (!this->services.contains(service))
+        this->uncorrected.insert_or_assign(std::string(target), std::string(service));
+    return this->options.firstShare * this->estimatedRate(service);
+}
+
+// The rate may have been lowered since by refusals, so it is scaled. It has grown too, and several
+// instances may correct it, so it does not exceed the first rate of a service that is known.
+double RefusalControl::correctedRate(std::string_view service, double inForce) const
+{
+    const double estimated = this->estimatedRate(service);
+    const double scaled = inForce * estimated / (unknownSlots / unknownSeconds);
+    return std::max(inForce, std::min(scaled, this->options.firstShare * estimated));
 }
 
 // Requests arrive evenly spaced, since a brittle target has hardly any queue.
@@ -102,6 +122,9 @@
     const auto found = this->announcements.find(target);
     if (found != this->announcements.end())
         this->announcements.erase(found);
+    const auto rate = this->uncorrected.find(target);
+    if (rate != this->uncorrected.end())
+        this->uncorrected.erase(rate);
 }
 
 } // namespace jaytrack
--- a/unittests/Limits/brittlefleet.cpp
+++ b/unittests/Limits/brittlefleet.cpp
@@ -92,6 +92,18 @@
             decided(*permit);
     }
 
+    void onServed(Duration took)
+    {
+        for (const std::string &target : this->control.recordServed(service, slots, took)) {
+            const std::optional<double> inForce = this->limits.limitOf(target);
+            if (!inForce)
+                continue;
+            const double rate = this->control.correctedRate(service, *inForce);
+            if (rate > *inForce)
+                this->limits.imposeLimit(target, rate);
+        }
+    }
+
     void onRefused(std::size_t target)
     {
         const std::string name = targetName(target);
@@ -193,7 +205,7 @@
     const bool waits = target.busyUntil.size() >= slots;
     const Duration took = this->plan.workTime * (waits ? 2 : 1);
     target.busyUntil.push_back(now + took);
-    node.control.recordServed(service, slots, took);
+    node.onServed(took);
     if (now >= this->overloadedFrom)
         ++target.served;
 }
--- a/unittests/Limits/brittletest.cpp
+++ b/unittests/Limits/brittletest.cpp
@@ -78,6 +78,23 @@
     cr_expect(!control.isBrittle("t"));
 }
 
+// Guards against a rate that stays at the estimate for an unknown service once its time is known.
+Test(brittle, rateIsCorrectedOnceTheTimeIsKnown)
+{
+    ManualClock clock;
+    RefusalControl control(clock);
+    const double first = control.rateAfterRefusal("t", "s", std::nullopt);
+    cr_expect(control.recordServed("another", 6, 30ms).empty());
+    cr_expect_eq(control.recordServed("s", 6, 30ms), std::vector<std::string>{"t"});
+    cr_expect(control.recordServed("s", 6, 30ms).empty(), "it is corrected once");
+    const double corrected = control.correctedRate("s", first);
+    cr_expect(corrected > 100 && corrected < 200, "six slots of 30 ms serve 200 a second");
+    cr_expect(control.correctedRate("s", first / 2) < corrected, "refusals since then count");
+    cr_expect_eq(control.correctedRate("s", corrected), corrected);
+    control.rateAfterRefusal("t2", "s", std::nullopt);
+    cr_expect(control.recordServed("s", 6, 30ms).empty(), "the time was known");
+}
+
 // Guards against a rate that does not follow the refusals that a target tolerates.
 Test(brittle, targetsThatTolerateLessAreSparedMore)
 {
