limits: send unanswered permit requests of brittle targets once more

Cause: in the plan that loses a fifth of the messages, the trace shows requests at even intervals from the owner, interleaved with those that a second owner grants to instances that skip the first one after two consecutive misses: 109 of some 520 requests of a target. A permit whose answer is lost is lost too.

Change: for brittle targets, a request that is unanswered for 15 ms is sent once more under its serial, and the owner repeats the permit that it granted. An owner is skipped after four misses instead of two. Limits that targets name are unaffected.

--- a/include/jaytrack/Limits/permitbucket.h
+++ b/include/jaytrack/Limits/permitbucket.h
@@ -7,6 +7,7 @@
 
 #include "jaytrack/Support/clock.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -45,13 +46,27 @@
     // within the last 3 s.
     std::size_t recordRequester(TimePoint now, std::string_view instance);
 
+    // Records the permit of the instance's request, so that the answer can be repeated if it is
+    // lost. Only the last one of each instance is kept.
+    void recordGrant(std::string_view instance, std::int64_t serial, TimePoint accruesAt);
+
+    // Returns when the permit that the request got accrues, or nullopt if none is recorded.
+    std::optional<TimePoint> grantOf(std::string_view instance, std::int64_t serial) const;
+
 private:
+    struct Requester
+    {
+        TimePoint at;
+        std::int64_t grantedSerial = 0; // 0 if none
+        TimePoint accruesAt;
+    };
+
     double permitsAt(TimePoint now, const Rate &rate) const;
     void refill(TimePoint now, const Rate &rate);
 
     TimePoint refilledAt;
     double permits = 0;
-    std::map<std::string, TimePoint, std::less<>> requesters;
+    std::map<std::string, Requester, std::less<>> requesters;
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Limits/targetlimits.h
+++ b/include/jaytrack/Limits/targetlimits.h
@@ -59,6 +59,10 @@
     // 100 ms.
     Duration answerTimeout = std::chrono::milliseconds(50);
 
+    // A permit request that is unanswered for this long is sent once more, since a message may have
+    // been lost. The owner repeats its decision.
+    Duration resendTimeout = Duration::max();
+
     // An owner that left this many consecutive permit requests unanswered is skipped for skipTime,
     // because it has terminated or is unreachable.
     int missesToSkip = 2;
@@ -154,6 +158,7 @@
     void tick();
 
     // Returns the deadline of the oldest pending permit request, or nullopt if none is pending.
+    // Requests are sent again before it.
     std::optional<TimePoint> nextDeadline() const;
 
 private:
@@ -164,6 +169,7 @@
         PermitCallback callback;
         TimePoint sentAt;
         int attempts = 1; // number of owners tried
+        std::optional<TimePoint> resentAt = std::nullopt;
     };
 
     struct Peer
@@ -180,7 +186,8 @@
     double fleetShare() const;
     PermitBucket::Rate rateOf(std::string_view target, double perSecond);
     PermitBucket &bucketOf(std::string_view target);
-    Permit decide(std::string_view requester, std::string_view target, double perSecond);
+    Permit decide(std::string_view requester, std::string_view target, double perSecond,
+                  std::int64_t serial = 0);
     Duration backoffFor(const PermitBucket &bucket, const PermitBucket::Rate &rate,
                         std::size_t requesters);
     std::optional<Permit> requestFromOwner(const std::string &target,
@@ -194,6 +201,7 @@
     void onPermitAnswer(std::string_view from, const PermitAnswer &answer);
     Duration ageOfAnswer(const PendingRequest &pendingRequest) const;
     void onMissingAnswer(const PendingRequest &pendingRequest);
+    void resendPending();
     void expirePending();
     void removeIdle();
     LimitMessage ownedLimits();
--- a/lib/Limits/permitbucket.cpp
+++ b/lib/Limits/permitbucket.cpp
@@ -55,10 +55,27 @@
 std::size_t PermitBucket::recordRequester(TimePoint now, std::string_view instance)
 {
     std::erase_if(this->requesters, [now](const auto &requester) {
-        return requester.second < now - requesterRetention;
+        return requester.second.at < now - requesterRetention;
     });
-    this->requesters.insert_or_assign(std::string(instance), now);
+    this->requesters.try_emplace(std::string(instance)).first->second.at = now;
     return this->requesters.size();
 }
 
+void PermitBucket::recordGrant(std::string_view instance, std::int64_t serial, TimePoint accruesAt)
+{
+    const auto found = this->requesters.find(instance);
+    if (found == this->requesters.end())
+        return;
+    found->second.grantedSerial = serial;
+    found->second.accruesAt = accruesAt;
+}
+
+std::optional<TimePoint> PermitBucket::grantOf(std::string_view instance, std::int64_t serial) const
+{
+    const auto found = this->requesters.find(instance);
+    if (found == this->requesters.end() || serial == 0 || found->second.grantedSerial != serial)
+        return std::nullopt;
+    return found->second.accruesAt;
+}
+
 } // namespace jaytrack
--- a/lib/Limits/refusalcontrol.cpp
+++ b/lib/Limits/refusalcontrol.cpp
@@ -112,6 +112,11 @@
     permits.burstSeconds = 0;
     permits.requestsPerPermit = 8;
     permits.maxReservation = std::chrono::milliseconds(25);
+    // Two consecutive round trips are often lost where a fifth of the messages are. An instance
+    // that skips the owner then gets permits from another, which are not spaced with those of the
+    // first.
+    permits.missesToSkip = 4;
+    permits.resendTimeout = std::chrono::milliseconds(15);
     permits.growthPerSecond = options.growth;
     permits.lifetime = std::chrono::seconds(20);
     return permits;
--- a/lib/Limits/targetlimits.cpp
+++ b/lib/Limits/targetlimits.cpp
@@ -149,14 +149,20 @@
     return this->buckets.try_emplace(std::string(target), this->clock.now()).first->second;
 }
 
-Permit TargetLimits::decide(std::string_view requester, std::string_view target, double perSecond)
+Permit TargetLimits::decide(std::string_view requester, std::string_view target, double perSecond,
+                            std::int64_t serial)
 {
     const TimePoint now = this->clock.now();
     const PermitBucket::Rate rate = this->rateOf(target, perSecond);
     PermitBucket &bucket = this->bucketOf(target);
     const std::size_t requesters = bucket.recordRequester(now, requester);
-    if (const auto wait = bucket.tryTake(now, rate, this->options.maxReservation))
+    if (const auto accruesAt = bucket.grantOf(requester, serial))
+        return {true, std::max(Duration(0), *accruesAt - now), this->self};
+    if (const auto wait = bucket.tryTake(now, rate, this->options.maxReservation)) {
+        if (this->options.resendTimeout != Duration::max())
+            bucket.recordGrant(requester, serial, now + *wait);
         return {true, *wait, this->self};
+    }
     return {false, this->backoffFor(bucket, rate, requesters), this->self};
 }
 
@@ -364,8 +370,9 @@
     answer.serial = permitRequest.serial;
     answer.isOwnerReady = this->isSettled();
     if (answer.isOwnerReady) {
-        const Permit permit = perSecond ? this->decide(from, target, *perSecond)
-                                        : Permit{true, Duration(0), this->self};
+        const Permit permit = perSecond
+                                      ? this->decide(from, target, *perSecond, permitRequest.serial)
+                                      : Permit{true, Duration(0), this->self};
         answer.granted = permit.granted;
         answer.wait = permit.wait;
     }
@@ -376,7 +383,7 @@
 // Returns how long ago the owner decided, as far as its answer took as long as the request.
 Duration TargetLimits::ageOfAnswer(const PendingRequest &pendingRequest) const
 {
-    return (this->clock.now() - pendingRequest.sentAt) / 2;
+    return (this->clock.now() - pendingRequest.resentAt.value_or(pendingRequest.sentAt)) / 2;
 }
 
 void TargetLimits::onPermitAnswer(std::string_view from, const PermitAnswer &answer)
@@ -421,6 +428,22 @@
     return this->pending.begin()->second.sentAt + this->options.answerTimeout;
 }
 
+void TargetLimits::resendPending()
+{
+    if (this->options.resendTimeout == Duration::max())
+        return;
+    const TimePoint now = this->clock.now();
+    for (auto &[serial, pendingRequest] : this->pending) {
+        if (now - pendingRequest.sentAt < this->options.resendTimeout)
+            return;
+        const auto state = this->limits.stateOf(pendingRequest.target);
+        if (pendingRequest.resentAt || !state)
+            continue;
+        pendingRequest.resentAt = now;
+        this->transport.sendLimits(pendingRequest.owner, {{}, {{serial, *state, false}}, {}});
+    }
+}
+
 void TargetLimits::expirePending()
 {
     const TimePoint now = this->clock.now();
@@ -463,6 +486,7 @@
 {
     this->detectStall();
     this->expirePending();
+    this->resendPending();
     const TimePoint now = this->clock.now();
     if (now - this->announcedAt < this->options.announceInterval)
         return;
--- a/unittests/Limits/targetlimitstest.cpp
+++ b/unittests/Limits/targetlimitstest.cpp
@@ -124,6 +124,44 @@
     cr_expect_eq(granted, 2, "the bucket has to store two permits, but granted %d", granted);
 }
 
+// Guards against a lost answer that costs a permit, and against one request that gets two permits.
+Test(targetLimits, repeatedRequestGetsTheSamePermit)
+{
+    TargetLimitOptions options;
+    options.resendTimeout = 15ms;
+    SingleInstance own(2, options);
+    own.request();
+    own.advance(500ms);
+    const AdvertisedLimits::State state{"t", 2, 1s, std::nullopt};
+    own.transport.messages.clear();
+    own.limits.onMessage("other", {{}, {{1, state, false}}, {}});
+    own.limits.onMessage("other", {{}, {{1, state, false}}, {}});
+    own.limits.onMessage("other", {{}, {{2, state, false}}, {}});
+    cr_assert_eq(own.transport.messages.size(), 3);
+    cr_expect(own.transport.messages[0].second.answers.front().granted);
+    cr_expect(own.transport.messages[1].second.answers.front().granted);
+    cr_expect_not(own.transport.messages[2].second.answers.front().granted);
+}
+
+// Guards against requests that are not sent again, or again and again.
+Test(targetLimits, unansweredRequestIsSentOnceMore)
+{
+    TargetLimitOptions options;
+    options.resendTimeout = 15ms;
+    SettledInstance own({"other"}, 2, options);
+    own.requestFromOther();
+    own.transport.messages.clear();
+    own.clock.advance(10ms);
+    own.limits.tick();
+    cr_expect_eq(own.transport.messages.size(), 0);
+    for (int i = 0; i < 3; ++i) {
+        own.clock.advance(10ms);
+        own.limits.tick();
+    }
+    cr_assert_eq(own.transport.messages.size(), 1);
+    cr_expect_eq(own.transport.messages.front().second.requests.size(), 1);
+}
+
 // Guards against never detecting that a target with a limit near zero has recovered.
 Test(targetLimits, limitNearZeroStillAllowsRequests)
 {
