Runs with event counts beyond 32 bits are left out of load reports

Cause: a count of 2^32 + 5 was truncated to 5 instead of being treated as unreadable, and a wrong speed would be computed from it.

--- a/unittests/Platform/dialecttest.cpp
+++ b/unittests/Platform/dialecttest.cpp
@@ -459,6 +459,51 @@
     cr_assert_not(makePlatformDialect()->decodeLoad(param->text).has_value(), "%s", param->name);
 }
 
+namespace {
+
+struct RunsCase
+{
+    char name[24];
+    char text[160];
+    char runs[32]; // ids and events of those that are read
+};
+
+} // namespace
+
+// Guards against losing an engine's whole load report because of one of its runs, and against
+// wrong speeds computed from numbers that are not counts of events.
+ParameterizedTestParameters(platformDialect, unreadableRunsAreLeftOut)
+{
+    static RunsCase cases[] = {
+            {"well-formed", R"({"Runs":[["a",3100,17,0],["b",2600,0,2]]})", "a:17 b:0"},
+            {"missing", R"({"Running":2})", ""},
+            {"empty", R"({"Runs":[]})", ""},
+            {"null", R"({"Runs":null})", ""},
+            {"an object", R"({"Runs":{"a":[3100,17,0]}})", ""},
+            {"text", R"({"Runs":"a"})", ""},
+            {"too short", R"({"Runs":[["a",3100,17,0],["b",2600],[],["c",1,5,0]]})", "a:17 c:5"},
+            {"not lists", R"({"Runs":[7,null,"a",{"b":1},["c",1,5,0]]})", "c:5"},
+            {"id is a number", R"({"Runs":[[4,3100,17,0],["c",1,5,0]]})", "c:5"},
+            {"events are text", R"({"Runs":[["a",3100,"17",0],["c",1,5,0]]})", "c:5"},
+            {"events are negative", R"({"Runs":[["a",3100,-1,0],["c",1,5,0]]})", "c:5"},
+            {"events are fractions", R"({"Runs":[["a",3100,1.5,0],["c",1,5,0]]})", "c:5"},
+            {"beyond 32 bits", R"({"Runs":[["a",3100,4294967301,0],["c",1,5,0]]})", "c:5"},
+            {"beyond 64 bits", R"({"Runs":[["a",1,18446744073709551616,0],["c",1,5,0]]})", "c:5"},
+            {"huge", R"({"Runs":[["a",3100,1e300,0],["c",1,5,0]]})", "c:5"},
+            {"huge tokens", R"({"Runs":[["a",1e300,17,0],["c",1,5,0]]})", "a:17 c:5"}};
+    return cr_make_param_array(RunsCase, cases, std::size(cases));
+}
+
+ParameterizedTest(RunsCase *param, platformDialect, unreadableRunsAreLeftOut)
+{
+    const auto load = makePlatformDialect()->decodeLoad(param->text);
+    cr_assert(load.has_value(), "%s", param->name);
+    std::string runs;
+    for (const RunProgress &run : load.value().runs)
+        runs += (runs.empty() ? "" : " ") + run.run + ":" + std::to_string(run.events);
+    cr_assert_eq(runs, std::string(param->runs), "%s: [%s]", param->name, runs.c_str());
+}
+
 Test(platformDialect, storeAnswersAreDecoded)
 {
     const auto dialect = makePlatformDialect();
