Bound the slowness of an engine and the event interval in notices

Cause: an interval in a notice was converted to nanoseconds unchecked, which overflows for the largest values, and prompt times computed from an absurd interval overflow too or keep an engine unused for minutes. Change: slowness is limited to 0.1 to 10, the interval in a notice to a minute. The limit in PeerLink is compiled but has no test.

--- a/lib/Peers/peerlink.cpp
+++ b/lib/Peers/peerlink.cpp
@@ -69,6 +69,9 @@
     return kind == LimitKind::Named ? message.limits : message.imposedLimits;
 }
 
+// A longer time between two events is an error, and the largest ones would overflow a Duration.
+constexpr std::chrono::microseconds maxEventInterval = std::chrono::minutes(1);
+
 std::uint32_t toTokens(std::int64_t number)
 {
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, number));
@@ -531,8 +534,8 @@
         load.memoryTokens = toTokens(notice.memoryTokens);
         load.leaving = notice.leaving;
         load.firstWaitingTokens = toTokens(notice.firstWaitingTokens);
-        load.eventInterval =
-                std::chrono::microseconds(std::max<std::int64_t>(0, notice.eventIntervalMicros));
+        load.eventInterval = std::chrono::microseconds(
+                std::clamp<std::int64_t>(notice.eventIntervalMicros, 0, maxEventInterval.count()));
         this->listener.onLoadFromPeer(notice.engine, load);
     }
     for (const std::string &target : message->leavingTargets)
--- a/lib/Routing/enginespeeds.cpp
+++ b/lib/Routing/enginespeeds.cpp
@@ -20,6 +20,12 @@
 // three, which count as 1.7 s, are wrong by at most 0.25.
 constexpr double minObservedSeconds = 1.5;
 
+// Bounds of the slowness. Engines that differ by 2.7 and become 2.5 times slower for a while differ
+// by 7; a larger figure is an error, and the times computed from it would overflow or keep the
+// engine unused for minutes.
+constexpr double minSlowness = 0.1;
+constexpr double maxSlowness = 10;
+
 } // namespace
 
 Duration EventIntervalMeter::record(std::span<const RunProgress> runs)
@@ -111,8 +117,9 @@
     const auto group = this->services.find(service);
     if (group == this->services.end() || group->second.median <= Duration(0))
         return 1;
-    return std::chrono::duration<double>(this->eventInterval(service, engine)) /
-           group->second.median;
+    const double slowness = std::chrono::duration<double>(this->eventInterval(service, engine)) /
+                            group->second.median;
+    return std::clamp(slowness, minSlowness, maxSlowness);
 }
 
 } // namespace jaytrack
--- a/unittests/Routing/enginespeedstest.cpp
+++ b/unittests/Routing/enginespeedstest.cpp
@@ -196,6 +196,8 @@
                                  {"removed from median", {30, 40, 80, 80}, "e3", "e0", 30, 0.75},
                                  {"zero is ignored", {0, 40, 50, 60}, "", "e0", 60, 1.2},
                                  {"negative is ignored", {-5, 40, 50, 60}, "", "e0", 60, 1.2},
+                                 {"far too slow", {40, 40, 40, 4'000'000}, "", "e3", 4'000'000, 10},
+                                 {"far too fast", {1000, 1000, 1000, 1}, "", "e3", 1, 0.1},
                                  {"none known", {0, 0, 0, 0}, "", "e0", 0, 1},
                                  {"last one removed", {30, 0, 0, 0}, "e0", "e0", 0, 1}};
     return cr_make_param_array(SpeedsCase, cases, std::size(cases));
