Bound the interim responses of a target

A target that sends 1xx responses without end kept a call open until the caller's deadline, an hour for routes without a time limit. TargetCall now ends the call as garbled after 256 of them.

--- a/include/jaytrack/Net/targetcall.h
+++ b/include/jaytrack/Net/targetcall.h
@@ -94,6 +94,7 @@
     bool reading = false;
     bool interim = false; // the response being read is a 1xx, which another one follows
     bool answered = false;
+    int interimAnswers = 0; // complete 1xx responses received
 };
 
 // Formats a request with a body of known length.
--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t maxAnswerHeadBytes = 32U << 10U;
 constexpr int firstFinalStatus = 200;
 
+// More than any server sends before its answer; a target that sends interim responses without end
+// would otherwise occupy the call until its deadline.
+constexpr int maxInterimAnswers = 256;
+
 } // namespace
 
 std::string formatRequest(const TargetRequest &request)
@@ -123,7 +127,9 @@
         if (fed.state == ParseState::MessageEnded) {
             if (this->answered)
                 return this->end(true, "complete");
-            continue; // an interim response
+            if (++this->interimAnswers > maxInterimAnswers)
+                return this->end(false, "garbled");
+            continue;
         }
         if (fed.state != ParseState::NeedsMore)
             return this->end(false, "garbled");
