Bound the time and bytes of event streams without events

An event that arrives in small pieces was searched and copied from its start for each piece: a stream without a blank line, sent in chunks of a few bytes, occupied the event loop for more than 20 seconds before the size limit of 1 MB ended it. The search now continues where it stopped. Comments, blank lines and unknown fields were skipped without end; more than 1 MB of them between two events now counts as garbled.

The new table test failed in five of nine cases before, two of them by its time limit of 20 s; now all pass.

--- a/include/jaytrack/Stream/sse.h
+++ b/include/jaytrack/Stream/sse.h
@@ -26,6 +26,10 @@
     // Maximum size of an event. A stream with a larger one is treated as garbled.
     static constexpr std::size_t maxEventBytes = 1U << 20U;
 
+    // Maximum size of the comments and other blocks without an event between two events. At one
+    // comment a second, which keeps connections open, it lasts for a day.
+    static constexpr std::size_t maxSkippedBytes = 1U << 20U;
+
     // Processes the next bytes and calls onEvent for each complete event. If the callback returns
     // false, splitting ends. Returns false if the stream is garbled or the callback ended it.
     bool feed(std::string_view bytes, const std::function<bool(const SseEvent &)> &onEvent);
@@ -34,7 +38,12 @@
     bool hasPartialEvent() const { return !this->pending.empty(); }
 
 private:
+    std::size_t completeEventLength(std::string_view text);
+
     std::string pending;
+    std::size_t lineStart = 0;    // of the line in pending that has not ended
+    std::size_t searched = 0;     // bytes of pending that were searched for the end of that line
+    std::size_t skippedBytes = 0; // since the last event
 };
 
 // Returns the text of one event. Data with several lines gets one data field for each line.
--- a/lib/Stream/sse.cpp
+++ b/lib/Stream/sse.cpp
@@ -23,28 +23,13 @@
     return true;
 }
 
-// Returns the length of the first complete event in the text, including its blank line, or zero if
-// there is none.
-std::size_t completeEventLength(std::string_view text)
-{
-    std::size_t start = 0;
-    while (start < text.size()) {
-        const std::size_t end = text.find('\n', start);
-        if (end == std::string_view::npos)
-            return 0;
-        if (stripCarriageReturn(text.substr(start, end - start)).empty())
-            return end + 1;
-        start = end + 1;
-    }
-    return 0;
-}
-
 // Parses one event. Data over several lines is joined with line feeds, as the format requires; the
 // result is stored in the buffer `joined`, to which the event refers.
 SseEvent parseEvent(std::string_view block, std::string &joined)
 {
     SseEvent event;
     bool hasData = false;
+    bool isJoined = false;
     while (!block.empty()) {
         const std::size_t end = block.find('\n');
         const std::string_view line = stripCarriageReturn(block.substr(0, end));
@@ -56,7 +41,11 @@
             event.name = value;
         } else if (parseField(line, "data", value)) {
             if (hasData) {
-                joined = std::string(event.data) + "\n" + std::string(value);
+                if (!isJoined)
+                    joined = event.data;
+                isJoined = true;
+                joined += '\n';
+                joined += value;
                 event.data = joined;
             } else {
                 event.data = value;
@@ -69,28 +58,57 @@
 
 } // namespace
 
+// Returns the length of the first complete event in the text, including its blank line, or zero if
+// there is none. A search continues where the previous one of the same event ended, so that the
+// cost of an event does not depend on the pieces in which it arrives.
+std::size_t SseSplitter::completeEventLength(std::string_view text)
+{
+    for (;;) {
+        const std::size_t end = text.find('\n', this->searched);
+        if (end == std::string_view::npos) {
+            this->searched = text.size();
+            return 0;
+        }
+        const std::string_view line = text.substr(this->lineStart, end - this->lineStart);
+        this->lineStart = end + 1;
+        this->searched = end + 1;
+        if (stripCarriageReturn(line).empty())
+            return end + 1;
+    }
+}
+
 bool SseSplitter::feed(std::string_view bytes, const std::function<bool(const SseEvent &)> &onEvent)
 {
     std::string_view text = bytes;
-    if (!this->pending.empty()) {
+    const bool continues = !this->pending.empty();
+    if (continues) {
         this->pending += bytes;
         text = this->pending;
     }
     std::string joined;
     bool shouldContinue = true;
+    bool hasEnded = false; // an event, or a block that is none
     while (shouldContinue) {
-        const std::size_t length = completeEventLength(text);
+        const std::size_t length = this->completeEventLength(text);
         if (length == 0)
             break;
+        hasEnded = true;
+        this->lineStart = 0;
+        this->searched = 0;
         SseEvent event = parseEvent(text.substr(0, length), joined);
         event.text = text.substr(0, length);
         text.remove_prefix(length);
-        if (!event.data.empty() || !event.id.empty() || !event.name.empty())
+        const bool isEvent = !event.data.empty() || !event.id.empty() || !event.name.empty();
+        this->skippedBytes = isEvent ? 0 : this->skippedBytes + length;
+        if (isEvent)
             shouldContinue = onEvent(event);
     }
-    std::string rest(text);
-    this->pending = std::move(rest);
-    return shouldContinue && this->pending.size() <= maxEventBytes;
+    if (hasEnded || !continues) {
+        std::string rest(text);
+        this->pending = std::move(rest);
+    }
+    return shouldContinue && this->pending.size() <= maxEventBytes &&
+           this->skippedBytes <= maxSkippedBytes;
 }
 
 std::string formatSseEvent(const SseEvent &event)
--- a/unittests/Stream/ssetest.cpp
+++ b/unittests/Stream/ssetest.cpp
@@ -67,6 +67,45 @@
     cr_assert(!splitter.feed(large, ignore));
 }
 
+struct EndlessStreamCase
+{
+    char name[24];
+    char start[16];
+    char repeated[32];
+    std::size_t piece; // bytes fed at once
+    bool accepted;     // whether any length of it is accepted
+};
+
+// Guards against a stream that goes on for good without an event, or whose cost grows with the
+// square of its size: then one event of the maximum size would occupy the event loop for minutes.
+ParameterizedTestParameters(sse, limitsBytesWithoutEvent)
+{
+    static EndlessStreamCase cases[] = {
+            {"line", "data: ", "xxxxxxxx", 4096, false},
+            {"line in single bytes", "data: ", "x", 1, false},
+            {"lines in small pieces", "", "data:\n", 6, false},
+            {"comments", "", ": comment\n", 4096, false},
+            {"comments as events", "", ": comment\n\n", 4096, false},
+            {"blank lines", "", "\n", 4096, false},
+            {"unknown fields", "", "other: a\n\n", 4096, false},
+            {"events", "", "data: a\n\n", 4096, true},
+            {"comments and events", "", ": comment\n\ndata: a\n\n", 4096, true},
+    };
+    return cr_make_param_array(EndlessStreamCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EndlessStreamCase *param, sse, limitsBytesWithoutEvent, .timeout = 20)
+{
+    std::string bytes;
+    while (bytes.size() < param->piece)
+        bytes += param->repeated;
+    SseSplitter splitter;
+    bool good = splitter.feed(param->start, [](const SseEvent &) { return true; });
+    for (std::size_t fed = 0; good && fed < 4 * SseSplitter::maxEventBytes; fed += bytes.size())
+        good = splitter.feed(bytes, [](const SseEvent &) { return true; });
+    cr_assert_eq(good, param->accepted, "%s", param->name);
+}
+
 Test(sse, formattedEventCanBeSplit)
 {
     const std::string text = formatSseEvent({"7", "error", "a\nb"});
