End HTTP client calls whose answer has no end

The client of jaytrackd kept every header, interim response and trailer it received, and read a body above the caller's limit until the time limit of the call, if it had one. It now ends the call once the head and the trailers together exceed 64 KB or the body exceeds the limit of fetchLater(). The call is reported as not whole, with bytes sent.

--- a/include/jaytrack/Http/client.h
+++ b/include/jaytrack/Http/client.h
@@ -21,6 +21,7 @@
     std::string body;
     std::chrono::milliseconds connectTimeout{500};
     std::chrono::milliseconds totalTimeout{0}; // 0 means no limit
+    std::size_t maxBodyBytes = 0; // of the response, above which the call fails; 0 means no limit
     // Whether the request may be sent twice. False forces a new connection: when a reused
     // connection breaks before the first byte of the response, libcurl silently resends the
     // request, which would run a non-idempotent request twice.
--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -23,6 +23,10 @@
 
 namespace {
 
+// Maximum size of everything in a response that is not its body: the head, the interim responses
+// before it and the trailers. libcurl 7.88 does not limit their number.
+constexpr std::size_t maxHeadBytes = 64U << 10U;
+
 struct CurlGlobal
 {
     CurlGlobal() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -38,6 +42,9 @@
     std::shared_ptr<HttpCallListener> listener;
     std::vector<HttpHeader> received;
     bool headersTold = false;
+    std::size_t headBytes = 0;
+    std::size_t bodyBytes = 0;
+    bool tooLarge = false;
 
     Transfer() = default;
     Transfer(const Transfer &) = delete;
@@ -69,6 +76,11 @@
 {
     auto *transfer = static_cast<Transfer *>(context);
     std::string_view line(data, size * count);
+    transfer->headBytes += line.size();
+    if (transfer->headBytes > maxHeadBytes) {
+        transfer->tooLarge = true;
+        return 0;
+    }
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
         line.remove_suffix(1);
     const std::size_t colon = line.find(':');
@@ -84,9 +96,15 @@
 std::size_t onCurlData(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
+    const std::size_t limit = transfer->call.maxBodyBytes;
+    if (limit > 0 && transfer->bodyBytes + size * count > limit) {
+        transfer->tooLarge = true;
+        return 0;
+    }
     transfer->deliverHeaders();
     if (!transfer->listener->onData({data, size * count}))
         return CURL_WRITEFUNC_PAUSE;
+    transfer->bodyBytes += size * count;
     return size * count;
 }
 
@@ -342,7 +360,8 @@
         end.maySentBytes = code == CURLE_OK || !failedBeforeSending(code, easy);
         end.status = transfer->status();
         if (code != CURLE_OK)
-            end.error = curl_easy_strerror(code);
+            end.error = transfer->tooLarge ? "the answer is larger than the limit"
+                                           : curl_easy_strerror(code);
         if (end.status != 0)
             transfer->deliverHeaders();
         transfer->listener->onEnd(end);
@@ -400,9 +419,8 @@
 class Collector final : public HttpCallListener
 {
 public:
-    Collector(std::size_t bound, std::function<void(FetchedAnswer)> done)
-        : maxBytes(bound)
-        , whenDone(std::move(done))
+    explicit Collector(std::function<void(FetchedAnswer)> done)
+        : whenDone(std::move(done))
     {
     }
 
@@ -413,26 +431,17 @@
 
     bool onData(std::string_view data) override
     {
-        if (this->answer.body.size() + data.size() > this->maxBytes)
-            this->tooLarge = true;
-        else
-            this->answer.body += data;
+        this->answer.body += data;
         return true;
     }
 
     void onEnd(const HttpCallEnd &end) override
     {
         this->answer.end = end;
-        if (this->tooLarge) {
-            this->answer.end.whole = false;
-            this->answer.end.error = "the answer is larger than the limit";
-        }
         this->whenDone(std::move(this->answer));
     }
 
 private:
-    std::size_t maxBytes;
-    bool tooLarge = false;
     std::function<void(FetchedAnswer)> whenDone;
     FetchedAnswer answer;
 };
@@ -442,7 +451,8 @@
 void fetchLater(HttpClient &client, HttpCall call, std::size_t maxBytes,
                 std::function<void(FetchedAnswer)> done)
 {
-    client.start(std::move(call), std::make_shared<Collector>(maxBytes, std::move(done)));
+    call.maxBodyBytes = maxBytes;
+    client.start(std::move(call), std::make_shared<Collector>(std::move(done)));
 }
 
 FetchedAnswer fetch(HttpClient &client, HttpCall call)
