Pauses caused by slow callers are not reported; old departures are dropped when recorded

Cause (review): an instance stops reading from an engine while its caller reads slowly, and told all others that the engine pauses; departures were dropped only when a long generation asked for the reserve, so they piled up in a service with short ones only. Change: such a run is not reported; departures are dropped when one is recorded, too. Result: found by reading; no test of its own.

--- a/include/jaytrack/Routing/departurereserve.h
+++ b/include/jaytrack/Routing/departurereserve.h
@@ -62,6 +62,7 @@
     };
 
     void decayRate(Service &service) const;
+    void dropOld(Service &service) const;
     double recentTokens(Service &service) const;
 
     const Clock &clock;
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -309,12 +309,13 @@
 }
 
 // Lets all instances learn from the generation which engines make generations pause. A run of a few
-// events says nothing about the engine.
+// events says nothing about the engine, and neither does one that waited for its caller.
 void StreamExchange::reportPauses(const StreamLeg &leg) const
 {
     static constexpr std::uint64_t minEvents = 16;
     const bool hasLimit = this->route().longestPause.count() > 0;
-    if (!hasLimit || this->lastEvent - this->eventsBeforeLeg < minEvents)
+    const bool isLong = this->lastEvent - this->eventsBeforeLeg >= minEvents;
+    if (!hasLimit || !isLong || leg.waitedForCaller)
         return;
     if (leg.pausedTooLong)
         this->context.metrics.count("jaytrack_generations_paused_too_long_total");
@@ -397,8 +398,10 @@
     this->recordProgress(leg);
     this->context.engines.firstToken(leg.target.id, this->facts().attemptId);
     this->context.engines.recordSuccess(leg.target.id);
-    if (this->caller->pendingBytes() > maxPendingBytes)
+    if (this->caller->pendingBytes() > maxPendingBytes) {
         leg.call->setPaused(true);
+        leg.waitedForCaller = true;
+    }
     this->plan.eventProduced();
     if (this->plan.isLeaving())
         this->executeNextStep();
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -50,7 +50,8 @@
     bool streaming = false; // the engine answers with an event stream
     TimePoint openedAt;
     std::optional<TimePoint> firstEventAt;
-    bool pausedTooLong = false; // between two of its events, for longer than the route allows
+    bool pausedTooLong = false;   // between two of its events, for longer than the route allows
+    bool waitedForCaller = false; // reading was paused because the caller read slowly
     bool proven = false; // the engine ran long enough that the run is not blamed for a crash
 };
 
--- a/lib/Routing/departurereserve.cpp
+++ b/lib/Routing/departurereserve.cpp
@@ -26,18 +26,24 @@
 {
     Service &state = this->services[std::string(service)];
     this->decayRate(state);
+    this->dropOld(state);
     state.tokensPerSecond += tokens / rateWindow.count();
     state.recent.push_back({tokens, this->clock.now()});
 }
 
+void DepartureReserve::dropOld(Service &service) const
+{
+    const TimePoint oldest = this->clock.now() - this->options.evacuationTime;
+    std::erase_if(service.recent, [oldest](const Departure &one) { return one.at <= oldest; });
+}
+
 // Returns the memory of the engines that have just left, less an allowance for the runs that have
 // moved already.
 double DepartureReserve::recentTokens(Service &service) const
 {
+    this->dropOld(service);
     const TimePoint now = this->clock.now();
     const Duration time = this->options.evacuationTime;
-    std::erase_if(service.recent,
-                  [now, time](const Departure &one) { return now - one.at >= time; });
     double tokens = 0;
     for (const Departure &one : service.recent) {
         const double passed = std::chrono::duration<double>(now - one.at) / time;
