Bound the answers that the entry instance keeps

Load reports, answers to copy orders and store answers were appended to a string until their time limit, and an engine's answer that is no stream was read until the caller's deadline and passed on cut off. They are now limited to 1 MB, 64 KB, 64 MB and 256 KB; above that the call is aborted and counts as a failure of the target. A single answer above 8 MB did not count as one and was not repeated even if the request may run again; now both hold.

The limits of load reports, copy orders and store answers have no test yet.

--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -10,6 +10,10 @@
 constexpr std::chrono::milliseconds answerTimeout{400};
 constexpr int okStatus = 200;
 
+// Maximum size of a load report. A report lists the runs of its engine, at about a hundred bytes
+// each.
+constexpr std::size_t maxReportBytes = 1U << 20U;
+
 } // namespace
 
 class LoadProber::Probe final : public TargetCallListener,
@@ -135,7 +139,16 @@
     }
 
     void onAnswerHead(MessageHead head) override { this->status = head.status; }
-    void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
+
+    void onAnswerBody(std::string_view bytes) override
+    {
+        if (this->body.size() + bytes.size() <= maxReportBytes) {
+            this->body += bytes;
+            return;
+        }
+        this->call->cancel();
+        this->onCallEnd({false, true, "answer_too_large"});
+    }
 
     void onCallEnd(const TargetCallEnd &end) override
     {
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -16,7 +16,7 @@
 constexpr int attemptTimeoutObjectives = 2;
 constexpr std::chrono::milliseconds minAttemptTimeout{250};
 
-// Larger answers are not buffered and fail the request; plain services answer with a few kilobytes.
+// Larger answers are not buffered and fail the attempt; plain services answer with a few kilobytes.
 constexpr std::size_t maxAnswerBytes = 8U << 20U;
 
 constexpr int serverErrorStatus = 500;
@@ -156,9 +156,12 @@
     void onAnswerBody(std::string_view bytes) override
     {
         if (this->body.size() + bytes.size() > maxAnswerBytes) {
+            this->attemptTimer.cancel();
+            ++this->sends;
+            ++this->runs;
             this->uncertain = true;
-            this->endCall(false);
-            return this->answerWithResult(ResultCode::TargetGarbled, "answer_too_large");
+            this->endCall(true);
+            return this->retryOr(ResultCode::TargetGarbled, "answer_too_large");
         }
         this->body += bytes;
     }
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-// Maximum body size kept of an answer that is not a stream, such as an error from the engine.
+// Maximum body size of an answer that is not a stream, such as an error from the engine. The engine
+// counts as failing if it sends more.
 constexpr std::size_t maxNonStreamBodyBytes = 256U << 10U;
 
 // A run is not blamed for a crash of its engine once the engine has worked for this long after the
@@ -121,8 +122,11 @@
     if (!exchange)
         return;
     if (!this->streaming) {
-        if (this->plainBody.size() + bytes.size() <= maxNonStreamBodyBytes)
-            this->plainBody += bytes;
+        if (this->plainBody.size() + bytes.size() > maxNonStreamBodyBytes) {
+            this->call->cancel();
+            return exchange->legEnded(*this, {false, true, "answer_too_large"});
+        }
+        this->plainBody += bytes;
         return;
     }
     const bool good = this->events.feed(bytes, [this, &exchange](const SseEvent &event) {
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -65,7 +65,7 @@
     }
 
     void onAnswerHead(MessageHead head) override;
-    void onAnswerBody(std::string_view bytes) override { this->body += bytes; }
+    void onAnswerBody(std::string_view bytes) override;
     void onCallEnd(const TargetCallEnd &end) override;
 
     std::weak_ptr<StreamExchange> owner;
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -28,6 +28,12 @@
 // continues.
 constexpr std::chrono::seconds maxSilence{1};
 
+// Maximum size of the answer to a copy order, which consists of a handle.
+constexpr std::size_t maxMoveAnswerBytes = 64U << 10U;
+
+// Reason of calls that ended because the answer broke the protocol, as TargetCall reports it.
+constexpr std::string_view garbledReason = "garbled";
+
 constexpr int okStatus = 200;
 constexpr int copyInProgressStatus = 409;
 
@@ -103,6 +109,16 @@
     this->status = head.status;
 }
 
+void MoveCall::onAnswerBody(std::string_view bytes)
+{
+    if (this->body.size() + bytes.size() <= maxMoveAnswerBytes) {
+        this->body += bytes;
+        return;
+    }
+    this->call->cancel();
+    this->onCallEnd({false, true, garbledReason});
+}
+
 void MoveCall::onCallEnd(const TargetCallEnd &end)
 {
     if (const auto exchange = this->owner.lock())
@@ -395,6 +411,8 @@
                                      {"status", done->status},
                                      {"reason", end.reason},
                                      {"leaving", this->plan.isLeaving() ? 1 : 0}});
+    if (end.reason == garbledReason && this->current)
+        this->recordOutcome(*this->current, end);
     if (good)
         this->plan.copyMade(done->destination.id,
                             {this->current->target.address, answer.value().handle});
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// Maximum size of an answer of the store; more than any page of a listing.
+constexpr std::size_t maxAnswerBytes = 64U << 20U;
+
 constexpr int okStatus = 200;
 constexpr int historyGoneStatus = 410;
 
@@ -405,7 +408,14 @@
 
 void StoreFollower::onAnswerBody(std::string_view bytes)
 {
-    this->body += bytes;
+    if (this->body.size() + bytes.size() <= maxAnswerBytes) {
+        this->body += bytes;
+        return;
+    }
+    this->call->cancel();
+    this->timer.cancel();
+    this->body.clear();
+    this->failed("answer_too_large");
 }
 
 void StoreFollower::onCallEnd(const TargetCallEnd &end)
--- /dev/null
+++ b/unittests/Platform/endlessanswertest.cpp
@@ -0,0 +1,134 @@
+// Targets whose answers do not end.
+#include "entryfixture.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <atomic>
+
+using namespace jaytrack;
+using namespace jaytrack::testing;
+
+namespace {
+
+constexpr std::size_t pieceBytes = 64U << 10U;
+
+struct EndlessCase
+{
+    char name[32];
+    char type[8];
+    char start[96];
+    char repeated[40];
+};
+
+// The start and then the repeated text until the connection is closed.
+Answer endlessAnswer(const std::string &start, const std::string &repeated)
+{
+    std::string piece;
+    while (piece.size() < pieceBytes)
+        piece += repeated;
+    AnswerStep again{AnswerStep::Kind::LookAgain, "", {}, {}};
+    again.again = [repeated] { return endlessAnswer("", repeated); };
+    return {{AnswerStep::Kind::Send, start + piece, {}}, again};
+}
+
+Answer goodAnswerOf(const std::string &type)
+{
+    if (type != "stream")
+        return wholeAnswer(200, "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n", "good");
+    return {{AnswerStep::Kind::Send, streamHead("X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n"), {}},
+            chunkStep(eventText(1, "good")),
+            {AnswerStep::Kind::Send, "0\r\n\r\n", {}}};
+}
+
+} // namespace
+
+// Guards against a call that lasts as long as the bytes of its target, a request that runs twice or
+// is reported as not run although it may have run, and a target that goes on being used.
+ParameterizedTestParameters(endlessTarget, failsItsRequest)
+{
+    static EndlessCase cases[] = {
+            {"head", "unsafe", "HTTP/1.1 200 OK\r\nA: ", "aaaaaaaa"},
+            {"interim answers", "unsafe", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"body", "unsafe", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
+            {"body, may be repeated", "safe", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
+            {"head of a stream", "stream", "HTTP/1.1 200 OK\r\nA: ", "aaaaaaaa"},
+            {"event", "stream", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
+            {"comments", "stream", "HTTP/1.1 200 OK\r\n\r\n", ": comment\n\n"},
+            {"error of an engine", "stream", "HTTP/1.1 500 Error\r\n\r\n", "aaaaaaaa"},
+            {"refusal of an engine", "stream", "HTTP/1.1 503 Busy\r\n\r\n", "aaaaaaaa"},
+    };
+    return cr_make_param_array(EndlessCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EndlessCase *param, endlessTarget, failsItsRequest)
+{
+    const std::string type = param->type;
+    std::atomic<int> runs{0};
+    const auto script = [&](const SeenRequest &request) -> Answer {
+        if (isReport(request))
+            return wholeAnswer(200, "", "{}");
+        return runs++ == 0 ? endlessAnswer(param->start, param->repeated) : goodAnswerOf(type);
+    };
+    ScriptedServer first(script);
+    ScriptedServer second(script);
+    RouteSpec route;
+    route.type = param->type;
+    route.attempts = 2;
+    EntryFixture entry({route});
+    entry.list("e1", first);
+    entry.list("e2", second);
+    const std::string answer = callOnce(entry.port(), requestText({})).bytes.substr(0, 400);
+    if (type == "safe") {
+        cr_assert(answer.starts_with("HTTP/1.1 200"), "%s: %s", param->name, answer.c_str());
+        return;
+    }
+    cr_expect(answer.starts_with("HTTP/1.1 502"), "%s: %s", param->name, answer.c_str());
+    cr_expect(answer.find("Jaytrack-Outcome: unknown") != std::string::npos, "%s: %s", param->name,
+              answer.c_str());
+    cr_expect_eq(runs.load(), 1, "%s: it ran twice", param->name);
+    const ScriptedServer &endless = workSeen(first) > 0 ? first : second;
+    callOnce(entry.port(), requestText({}));
+    cr_expect(type != "stream" || workSeen(endless) == 1, "%s: the engine is used", param->name);
+}
+
+struct LongCase
+{
+    char name[16];
+    char type[8];
+};
+
+// Guards against bounds that end long answers of sound targets.
+ParameterizedTestParameters(endlessTarget, longAnswersPass)
+{
+    static LongCase cases[] = {{"body", "unsafe"}, {"stream", "stream"}};
+    return cr_make_param_array(LongCase, cases, std::size(cases));
+}
+
+ParameterizedTest(LongCase *param, endlessTarget, longAnswersPass)
+{
+    static constexpr int events = 6000;
+    const std::string text(1000, 'a');
+    const bool stream = std::string(param->type) == "stream";
+    const auto script = [&](const SeenRequest &request) -> Answer {
+        if (isReport(request))
+            return wholeAnswer(200, "", "{}");
+        std::string body;
+        for (int i = 1; i <= events; ++i)
+            body += eventText(i, text);
+        const std::string own = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
+        if (!stream)
+            return wholeAnswer(200, own, body);
+        return {{AnswerStep::Kind::Send, streamHead(own), {}},
+                chunkStep(body),
+                {AnswerStep::Kind::Send, "0\r\n\r\n", {}}};
+    };
+    ScriptedServer target(script);
+    RouteSpec route;
+    route.type = param->type;
+    EntryFixture entry({route});
+    entry.list("e1", target);
+    const std::string answer = callOnce(entry.port(), requestText({})).bytes;
+    cr_expect(answer.starts_with("HTTP/1.1 200"), "%s", param->name);
+    cr_expect_gt(answer.size(), events * text.size(), "%s", param->name);
+}
