A head that exceeds its limit reports no outcome

Cause (review): an answer whose head was cut off at the limit was still passed on with the headers received so far, so an endless 503 head with a refusal in its first lines was reported as not run. Change: such an answer has no status and no headers. Result: found by reading; no test of its own.

--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -362,6 +362,10 @@
         if (code != CURLE_OK)
             end.error = transfer->tooLarge ? "the answer is larger than the limit"
                                            : curl_easy_strerror(code);
+        // Headers of an incomplete head may state an outcome that the rest of the head would
+        // change.
+        if (transfer->tooLarge && !transfer->headersTold)
+            end.status = 0;
         if (end.status != 0)
             transfer->deliverHeaders();
         transfer->listener->onEnd(end);
