Corrections of the review; memory for expected departures is off by default

Cause: a reader of the whole change found comments that did not agree with the code, a head taken for incomplete by the size of the first chunk, and pauses dropped where nothing was released. Change: as said; the option stays, off.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -297,7 +297,7 @@
   6: list<ServedVersionNotice> services
 }
 
-// How a generation went at one engine.
+// The end of a run of at least 16 events at one engine, with or without a long pause.
 struct PauseNotice {
   1: string engine
   // Whether it paused there for longer than its route allows.
--- a/include/jaytrack/Limits/refusalcontrol.h
+++ b/include/jaytrack/Limits/refusalcontrol.h
@@ -56,12 +56,13 @@
     std::vector<std::string> recordServed(std::string_view service, int slots, Duration took);
 
     // Returns the rate from now on, after the target has refused a request: below the one in force,
-    // if there is one.
+    // if there is one. Records the target for a later correction if the service's time is not
+    // known.
     double rateAfterRefusal(std::string_view target, std::string_view service,
                             std::optional<double> inForce);
 
-    // Returns the rate that replaces the one in force, which goes back to an estimate without the
-    // service's time. It is never below the one in force.
+    // Returns the corrected rate of a target whose first rate was estimated before the service's
+    // time was known. It is never below inForce.
     double correctedRate(std::string_view service, double inForce) const;
 
     // Returns the options under which permits for requests to brittle targets are granted.
@@ -89,7 +90,7 @@
     RefusalControlOptions options;
     std::map<std::string, Announcement, std::less<>> announcements; // by target
     std::map<std::string, Performance, std::less<>> services;
-    std::map<std::string, std::string, std::less<>> uncorrected; // service by target
+    std::map<std::string, std::string, std::less<>> estimatedTargets; // service by target
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Limits/targetlimits.h
+++ b/include/jaytrack/Limits/targetlimits.h
@@ -60,7 +60,8 @@
     Duration answerTimeout = std::chrono::milliseconds(50);
 
     // A permit request that is unanswered for this long is sent once more, since a message may have
-    // been lost. The owner repeats its decision.
+    // been lost. The owner repeats the last permit that it granted; a denied request is decided
+    // again.
     Duration resendTimeout = Duration::max();
 
     // An owner that left this many consecutive permit requests unanswered is skipped for skipTime,
--- a/include/jaytrack/Peers/peerlink.h
+++ b/include/jaytrack/Peers/peerlink.h
@@ -59,7 +59,8 @@
                                 bool copied) = 0;
     virtual void onReleasedByPeer(std::string_view engine, std::uint32_t tokens) = 0;
 
-    // A generation of another instance ended its run at the engine.
+    // A run of another instance ended at the engine; pausedTooLong tells whether two of its events
+    // were further apart than its route allows.
     virtual void onPausesFromPeer(std::string_view engine, bool pausedTooLong) = 0;
     virtual void onFailedForPeer(std::string_view engine, std::string_view peer) = 0;
     virtual void onLoadFromPeer(std::string_view engine, const EngineLoad &load) = 0;
--- a/include/jaytrack/Routing/departurereserve.h
+++ b/include/jaytrack/Routing/departurereserve.h
@@ -27,7 +27,7 @@
     double maxShare = 0.15;
 
     // Whether memory is kept free for departures that are expected from the rate of earlier ones.
-    bool expectsDepartures = true;
+    bool expectsDepartures = false;
 };
 
 class DepartureReserve
--- a/include/jaytrack/Routing/enginechoice.h
+++ b/include/jaytrack/Routing/enginechoice.h
@@ -36,14 +36,14 @@
 struct EngineChoiceOptions
 {
     // Number of engines compared for each generation. Notices between instances take milliseconds,
-    // so two instances rarely choose the same engine at the same moment; comparing a few candidates
-    // is enough to spread those that do.
+    // so two instances rarely choose the same engine at the same moment; comparing some of the
+    // engines is enough to spread those that do.
     std::size_t candidates = 16;
 
-    // Part of an engine's memory up to which new generations are admitted. The rest is reserved for
-    // the growth of running generations, for the runs of leaving engines (a sixth of all engines at
-    // a time), and for the prompts of short generations: if long generations may fill 0.92 of
-    // engines that hold six of them, half of the largest tenth of the short ones is refused.
+    // Part of an engine's memory up to which new generations are admitted; the reserve for leaving
+    // engines lowers it further. The rest is for the growth of running generations and for the
+    // prompts of short ones: if long generations may fill 0.92 of engines that hold six of them,
+    // half of the largest tenth of the short ones is refused.
     double newRunShare = 0.84;
 
     // The same for short urgent generations. They release their memory within half a second, before
@@ -61,8 +61,8 @@
     double runTimeWeight = 0.1;
 
     // Cost of a pause that is certain to be longer than the route allows, relative to the whole
-    // memory of an engine. Beyond 1, an engine that causes such pauses is only used if all others
-    // are full. Short generations end before the next prompt arrives and are not affected.
+    // memory of an engine. Above 1 it outweighs any difference in memory use. Short generations are
+    // not charged, because they end before the next prompt arrives.
     double pauseRiskWeight = 3.0;
 
     // The same as delayWeight for a run that is evacuated. The tokens that its copy lacks are read
@@ -173,7 +173,8 @@
                               const EngineTraits &traits, const GenerationNeed &need,
                               const std::set<std::string> &avoid);
 
-    // Why the last choice found no engine, for the log.
+    // Result of the last choice, for the log: the compared engines that were rejected, and the
+    // reserve that was applied, which is zero for short generations.
     struct Shortage
     {
         int full = 0;       // engines without enough memory
--- a/include/jaytrack/Routing/enginespeeds.h
+++ b/include/jaytrack/Routing/enginespeeds.h
@@ -50,8 +50,9 @@
     void forget(std::string_view engine);
 
     // Returns the time between two events of a run at the engine; zero if no engine of the service
-    // is known. An engine that is not known yet counts as one of the slowest quarter: it has just
-    // started and looks idle, and a long generation placed there by mistake stays slow to its end.
+    // is known. An engine that is not known yet gets the upper quartile of its service: it has
+    // just started and looks idle, and a long generation placed there by mistake stays slow to its
+    // end.
     Duration eventInterval(std::string_view service, std::string_view engine) const;
 
     // Returns the engine's event interval divided by the service's median; 1 if no engine of the
--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -42,6 +42,7 @@
     std::shared_ptr<HttpCallListener> listener;
     std::vector<HttpHeader> received;
     bool headersTold = false;
+    bool headComplete = false;
     std::size_t headBytes = 0;
     std::size_t bodyBytes = 0;
     bool tooLarge = false;
@@ -83,6 +84,11 @@
     }
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
         line.remove_suffix(1);
+    // The head of an interim response is followed by another one.
+    if (line.starts_with("HTTP/"))
+        transfer->headComplete = false;
+    if (line.empty())
+        transfer->headComplete = true;
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
         return size * count;
@@ -364,7 +370,7 @@
                                            : curl_easy_strerror(code);
         // Headers of an incomplete head may state an outcome that the rest of the head would
         // change.
-        if (transfer->tooLarge && !transfer->headersTold)
+        if (transfer->tooLarge && !transfer->headComplete)
             end.status = 0;
         if (end.status != 0)
             transfer->deliverHeaders();
--- a/lib/Limits/refusalcontrol.cpp
+++ b/lib/Limits/refusalcontrol.cpp
@@ -59,7 +59,7 @@
             isNew ? seconds
                   : seen.secondsPerRequest + smoothing * (seconds - seen.secondsPerRequest);
     std::vector<std::string> targets;
-    std::erase_if(this->uncorrected, [&targets, service](const auto &entry) {
+    std::erase_if(this->estimatedTargets, [&targets, service](const auto &entry) {
         if (entry.second != service)
             return false;
         targets.push_back(entry.first);
@@ -90,7 +90,7 @@
     if (inForce)
         return *inForce * this->decreaseFor(target);
     if (!this->services.contains(service))
-        this->uncorrected.insert_or_assign(std::string(target), std::string(service));
+        this->estimatedTargets.insert_or_assign(std::string(target), std::string(service));
     return this->options.firstShare * this->estimatedRate(service);
 }
 
@@ -127,9 +127,9 @@
     const auto found = this->announcements.find(target);
     if (found != this->announcements.end())
         this->announcements.erase(found);
-    const auto rate = this->uncorrected.find(target);
-    if (rate != this->uncorrected.end())
-        this->uncorrected.erase(rate);
+    const auto rate = this->estimatedTargets.find(target);
+    if (rate != this->estimatedTargets.end())
+        this->estimatedTargets.erase(rate);
 }
 
 } // namespace jaytrack
--- a/lib/Peers/peerlink.cpp
+++ b/lib/Peers/peerlink.cpp
@@ -333,8 +333,7 @@
     this->sendToSample(message);
 }
 
-// Moves the pauses at the engine into the message. A run that ends releases memory in the same
-// tick, so every engine with pauses has a release.
+// Moves the pauses at the engine into the message.
 void PeerLink::takePauses(std::string_view engine, wire::EntryNotices &message)
 {
     const auto found = this->pauses.find(engine);
@@ -367,8 +366,16 @@
         message.pauses.clear();
     }
     this->releases.clear();
-    this->pauses.clear();
-    if (!message.releases.empty())
+    // Pauses at engines where nothing was released.
+    while (!this->pauses.empty()) {
+        const std::string engine = this->pauses.begin()->first;
+        this->takePauses(engine, message);
+        if (this->shares.usesAllEngines())
+            continue;
+        this->sendToAssignees(engine, message);
+        message.pauses.clear();
+    }
+    if (!message.releases.empty() || !message.pauses.empty())
         this->broadcast(message);
 }
 
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <iterator>
 
 namespace jaytrack {
@@ -40,7 +41,7 @@
 std::int64_t toPercent(double part)
 {
     static constexpr double whole = 100;
-    return static_cast<std::int64_t>(part * whole);
+    return std::lround(part * whole);
 }
 
 EngineTraits engineTraits(const ServiceRule *service)
@@ -312,8 +313,9 @@
     return events * std::max<std::uint32_t>(1, this->traits.tokensPerEvent);
 }
 
-// Lets all instances learn from the generation which engines make generations pause. A run of a few
-// events says nothing about the engine, and neither does one that waited for its caller.
+// Reports to all instances whether the run paused for too long at its engine. Runs of few events
+// are left out, and so are those whose caller read too slowly, because neither shows the engine's
+// speed.
 void StreamExchange::reportPauses(const StreamLeg &leg) const
 {
     static constexpr std::uint64_t minEvents = 16;
--- a/lib/Routing/departurereserve.cpp
+++ b/lib/Routing/departurereserve.cpp
@@ -37,8 +37,8 @@
     std::erase_if(service.recent, [oldest](const Departure &one) { return one.at <= oldest; });
 }
 
-// Returns the memory of the engines that have just left, less an allowance for the runs that have
-// moved already.
+// Returns the memory that the runs of recently departed engines still need. It decreases linearly
+// to zero over the evacuation time, as the runs move.
 double DepartureReserve::recentTokens(Service &service) const
 {
     this->dropOld(service);
--- a/lib/Routing/enginechoice.cpp
+++ b/lib/Routing/enginechoice.cpp
@@ -81,7 +81,8 @@
     found->second.reportedAt = this->clock.now();
     found->second.everReported = true;
     found->second.leaving = found->second.leaving || load.leaving;
-    // Notices about an engine may arrive after its removal; its speed would be kept for ever.
+    // A late notice about a removed engine must not record a speed, because nothing would remove it
+    // again.
     if (found->second.listed)
         this->speeds.record(found->second.service, id, load.eventInterval);
     // Changes made before the moment that the report describes are included in it.
--- a/lib/Routing/enginespeeds.cpp
+++ b/lib/Routing/enginespeeds.cpp
@@ -12,12 +12,13 @@
 // so the progress between two of them is uncertain by the time of one snapshot, half a second.
 constexpr std::chrono::duration<double> observationDecay{3.0};
 
-// A mean over fewer events says more about the report's timing than about the engine.
+// Minimum number of events for a mean. With fewer, the error caused by the timing of the reports
+// dominates.
 constexpr double minEvents = 12;
 
-// The same for a shorter time, however many runs there are, because they share the timing. With
-// snapshots of half a second and reports 0.7 s apart, two intervals would be wrong by up to 0.4;
-// three, which count as 1.7 s, are wrong by at most 0.25.
+// Minimum observed time for a mean. All runs of an engine share the error of the report times, so
+// more runs do not reduce it: with snapshots every 0.5 s and reports every 0.7 s, two intervals are
+// wrong by up to 0.4, and three, which count as 1.7 s, by at most 0.25.
 constexpr double minObservedSeconds = 1.5;
 
 // Bounds of the slowness. Engines that differ by 2.7 and become 2.5 times slower for a while differ
--- a/lib/Routing/pauserisk.cpp
+++ b/lib/Routing/pauserisk.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-// After this time an observation counts a third as much: several lives of a run, so that a burst
-// of prompts that has passed is forgotten.
+// After this time an observation weighs 1/e. It spans several generations, and the effect of a
+// burst of prompts fades within minutes.
 constexpr std::chrono::duration<double> observationDecay{30.0};
 
-// Generations without a pause that are assumed beforehand, so that a single one decides nothing: it
-// costs less than the longer run time at an engine of the next slower group.
+// Assumed number of earlier generations without a pause. It keeps the risk after a single pause
+// below 0.06, which costs less than the longer run time at an engine of the next slower group.
 constexpr double priorGenerations = 16;
 
 } // namespace
