Tests: two tests of placement state the share of memory that they were written for

Cause: new generations now fill 0.84 of an engine's memory instead of 0.88, and two tests have figures that lie between the two; the check found both (memoryReleasedSinceReportIsAvailable, longGenerationsUseSlowEnginesLast). Change: they set 0.88; what they check is unchanged.

--- a/unittests/Routing/enginechoicetest.cpp
+++ b/unittests/Routing/enginechoicetest.cpp
@@ -320,7 +320,9 @@
     const auto list = pointers(engines);
     const GenerationNeed need{3000, 400};
     ManualClock clock;
-    EngineChoice choice(clock, 1, "dc0");
+    EngineChoiceOptions options;
+    options.newRunShare = 0.88; // the released memory makes room for one generation below it
+    EngineChoice choice(clock, 1, "dc0", options);
     choice.onListed(engines[0]);
     choice.recordStart("e0", "own", need);
     clock.advance(std::chrono::seconds(1));
--- a/unittests/Routing/placementtest.cpp
+++ b/unittests/Routing/placementtest.cpp
@@ -94,9 +94,17 @@
     }
 
     ManualClock clock;
-    EngineChoice choice{clock, 5, "dc0"};
+    EngineChoice choice{clock, 5, "dc0", options()};
 
 private:
+    // Half-full engines have room for three long generations each.
+    static EngineChoiceOptions options()
+    {
+        EngineChoiceOptions options;
+        options.newRunShare = 0.88;
+        return options;
+    }
+
     std::array<double, groupCount> slowness;
     std::vector<TargetEntry> engines;
     std::vector<const TargetEntry *> list;
