--- a/include/jaytrack/Routing/departurereserve.h
+++ b/include/jaytrack/Routing/departurereserve.h
@@ -2,9 +2,8 @@
 // shutting down.
 //
 // A caller that is refused can retry, but a run that finds no memory elsewhere is lost with all its
-// output. Where engines are replaced all the time, the memory must be free before the next ones
-// announce their shutdown: runs have two seconds to move, and a full engine has room again only
-// when a generation of ten seconds ends.
+// output. The reserve covers the engines that have just announced their shutdown and, as an option,
+// those that are expected to do so next.
 #ifndef JAYTRACK_ROUTING_DEPARTURERESERVE_H
 #define JAYTRACK_ROUTING_DEPARTURERESERVE_H
 
