jaytrackd: only new tokens are progress of a stream

Cause: any bytes of an engine renewed the time of silence, so one that sent comments or tokens that had been received before held a stream for hours, until 1 MB of comments had come. Change: progress is recorded when a token passes; the stall and the first token in the log follow. The stand-in engine can send comments only.

--- a/include/jaytrack/Standin/servers.h
+++ b/include/jaytrack/Standin/servers.h
@@ -27,6 +27,7 @@
 {
     double slowFactor = 1.0;            // multiplies the duration of each step
     bool stalled = false;               // accepts requests and decodes, but sends nothing
+    bool comments = false;              // sends comments instead of tokens
     bool duplicates = false;            // sends each frame twice
     std::uint32_t closeAfterTokens = 0; // closes each stream once after this many tokens; 0: never
     std::chrono::milliseconds answerLate{0};
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -379,7 +379,6 @@
     }
     if (this->pauseIfBufferFull())
         return false;
-    this->recordProgress();
     std::string out;
     Signal signal = Signal::None;
     const bool good = splitter.feed(data, [&](const SseEvent &event) {
@@ -421,6 +420,8 @@
     }
 }
 
+// Only new tokens count as progress. An engine that sends nothing but comments or tokens that were
+// received before is as useless to the caller as a silent one.
 void GenerationCall::recordProgress()
 {
     const TimePoint now = this->context.clock.now();
@@ -458,6 +459,7 @@
     case FrameVerdict::Pass:
         break;
     }
+    this->recordProgress();
     ++this->record.tokens;
     if (!this->spec.wantsStream)
         return this->collect(event.data) ? Signal::None : Signal::Garbled;
@@ -724,7 +726,7 @@
         this->lastEventAt = now;
     if (now - this->lastEventAt > this->model->silenceTimeout) {
         this->onAttemptLost(true, {ResultCode::TargetTimeout,
-                                   "the engine sent no data within the silence time-out",
+                                   "the engine sent no new token within the silence time-out",
                                    {}});
         return;
     }
--- a/lib/Standin/engineserver.cpp
+++ b/lib/Standin/engineserver.cpp
@@ -280,6 +280,8 @@
         const std::shared_ptr<Reader> reader = generation.reader;
         if (!reader || this->faults.stalled)
             return;
+        if (this->faults.comments)
+            return this->send(reader, ": working\n\n");
         if (reader->lost.load()) {
             generation.reader.reset();
             return;
@@ -414,6 +416,7 @@
             return;
         this->leaving = order.value("leaving", this->leaving);
         this->faults.stalled = order.value("stalled", this->faults.stalled);
+        this->faults.comments = order.value("comments", this->faults.comments);
         this->faults.duplicates = order.value("duplicates", this->faults.duplicates);
         this->faults.slowFactor = order.value("slow", this->faults.slowFactor);
         this->faults.closeAfterTokens = order.value("close_after", this->faults.closeAfterTokens);
--- a/tools/jaytrack-standin/main.cpp
+++ b/tools/jaytrack-standin/main.cpp
@@ -66,7 +66,9 @@
             "close-after", po::value(&engine.faults.closeAfterTokens)->default_value(0),
             "fault: end each stream once after this many tokens")(
             "duplicates", po::bool_switch(&engine.faults.duplicates), "fault: send frames twice")(
-            "stalled", po::bool_switch(&engine.faults.stalled), "fault: send nothing");
+            "stalled", po::bool_switch(&engine.faults.stalled),
+            "fault: send nothing")("comments", po::bool_switch(&engine.faults.comments),
+                                   "fault: send comments instead of tokens");
     po::variables_map values;
     int exitCode = jaytrack::ExitGood;
     if (!jaytrack::parseCommandLine(argc, argv, options, "jaytrack-standin engine [options]",
--- a/unittests/Serve/streamtest.cpp
+++ b/unittests/Serve/streamtest.cpp
@@ -176,6 +176,22 @@
     cr_assert_eq(slow.indexes(), upTo(length));
 }
 
+// Guards against a stream that lasts as long as its engine keeps sending bytes. The engine sends
+// comments and never a token; each comment was taken for progress.
+Test(stream, commentsDoNotKeepAStreamAlive)
+{
+    SitePlan plan;
+    plan.engines = 1;
+    plan.repeatable = false;
+    plan.engineResumes = false;
+    plan.engineFaults.comments = true;
+    Site site(plan);
+    StreamReader reader(site, site.base() + chat, "", Site::prompt(20'000, true));
+    cr_assert(eventually([&] { return reader.ended(); }));
+    cr_assert_not(reader.whole());
+    cr_assert_eq(reader.header("Jaytrack-Outcome"), std::string("unknown"));
+}
+
 // Guards against engines that keep generating after the caller left and did not return. The
 // generation must be cancelled, but not before the caller's time to resume has passed.
 Test(stream, cancelsGenerationOfAbsentCaller)
