Copies of runs: log what was forecast and how long they took

Cause: run_copy did not say what the destination was believed to hold, so a refusal could not be told from a wrong forecast. Change: copied_tokens, forecast_tokens and report_age_ms in run_copy, took_ms in run_copied, counters of copies made and failed.

--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -71,6 +71,7 @@
     std::weak_ptr<StreamExchange> owner;
     std::shared_ptr<RoutedCall> call;
     TargetEntry destination;
+    TimePoint startedAt;
     int status = 0;
     std::string body;
 };
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -361,15 +361,22 @@
     assert(endpoint && "the current leg was opened with this address, so it must parse");
     this->plan.copyStarted();
     this->permittedEngine = destination.id;
-    this->reservations.reserveForCopy(destination.id, this->needOfCopy());
-    this->logDecision("run_copy", {{"from", this->current->target.id},
-                                   {"to", destination.id},
-                                   {"from_version", this->current->target.softwareVersion},
-                                   {"to_version", destination.softwareVersion},
-                                   {"leaving", this->plan.isLeaving() ? 1 : 0},
-                                   {"events", static_cast<std::int64_t>(this->lastEvent)}});
+    const GenerationNeed needed = this->needOfCopy();
+    const EngineChoice::Forecast forecast = this->context.engines.forecast(destination.id);
+    this->reservations.reserveForCopy(destination.id, needed);
+    this->logDecision("run_copy",
+                      {{"from", this->current->target.id},
+                       {"to", destination.id},
+                       {"from_version", this->current->target.softwareVersion},
+                       {"to_version", destination.softwareVersion},
+                       {"leaving", this->plan.isLeaving() ? 1 : 0},
+                       {"events", static_cast<std::int64_t>(this->lastEvent)},
+                       {"copied_tokens", needed.promptTokens},
+                       {"forecast_tokens", static_cast<std::int64_t>(forecast.memoryTokens)},
+                       {"report_age_ms", toMillis(forecast.reportAge)}});
     this->move = std::make_shared<MoveCall>(this->self());
     this->move->destination = destination;
+    this->move->startedAt = this->context.clock.now();
     TargetRequest request;
     request.endpoint = endpoint.value();
     request.method = "POST";
@@ -407,12 +414,16 @@
     this->moveTimer.cancel();
     const Result<MoveAnswer> answer = this->context.dialect.decodeMove(done->body);
     const bool good = end.whole && done->status == okStatus && answer && this->current;
-    this->logDecision("run_copied", {{"to", done->destination.id},
-                                     {"status", done->status},
-                                     {"reason", end.reason},
-                                     {"leaving", this->plan.isLeaving() ? 1 : 0}});
+    this->logDecision("run_copied",
+                      {{"to", done->destination.id},
+                       {"status", done->status},
+                       {"reason", end.reason},
+                       {"took_ms", toMillis(this->context.clock.now() - done->startedAt)},
+                       {"leaving", this->plan.isLeaving() ? 1 : 0}});
     if (end.reason == garbledReason && this->current)
         this->recordOutcome(*this->current, end);
+    this->context.metrics.count(good ? "jaytrack_run_copies_made_total"
+                                     : "jaytrack_run_copies_failed_total");
     if (good)
         this->plan.copyMade(done->destination.id,
                             {this->current->target.address, answer.value().handle});
