Expected departures count again when memory is kept free

Change: expects_departures is on by default. One test of the reserve for engines that have just left states that it is off there; what it checks is unchanged, and the expected part has its own tests.

--- a/include/jaytrack/Routing/departurereserve.h
+++ b/include/jaytrack/Routing/departurereserve.h
@@ -26,7 +26,7 @@
     double maxShare = 0.15;
 
     // Whether memory is kept free for departures that are expected from the rate of earlier ones.
-    bool expectsDepartures = false;
+    bool expectsDepartures = true;
 };
 
 class DepartureReserve
--- a/unittests/Routing/enginechoicetest.cpp
+++ b/unittests/Routing/enginechoicetest.cpp
@@ -380,7 +380,10 @@
                                                         &engines[3]};
     const GenerationNeed need{3000, 400};
     ManualClock clock;
-    EngineChoice choice(clock, 1, "dc0");
+    // Without the reserve for expected departures, which lasts for longer.
+    EngineChoiceOptions options;
+    options.reserve.expectsDepartures = false;
+    EngineChoice choice(clock, 1, "dc0", options);
     for (const TargetEntry &entry : engines) {
         choice.onListed(entry);
         choice.recordReport(entry.id, loadOf(22'000));
