Last read: one check of bounded bodies, one place that corrects a rate

Cause (read of the whole change): six listeners repeated the check of a body's bound and four places spelt the reasons of broken answers; the test fleet of brittle targets had a copy of what BrittleGate decides; the stand-in that sends comments went on after its reader was lost, without a bound on unsent bytes; a comment called the expected departures an option that has to be switched on. Change: appendWithin() and named reasons in Net, correctedRate() says whether a rate is corrected at all, so that both callers only impose it; two more expectations in its test. No limit, bound or decision changes.

--- a/include/jaytrack/Limits/refusalcontrol.h
+++ b/include/jaytrack/Limits/refusalcontrol.h
@@ -62,8 +62,9 @@
                             std::optional<double> inForce);
 
     // Returns the corrected rate of a target whose first rate was estimated before the service's
-    // time was known. It is never below inForce.
-    double correctedRate(std::string_view service, double inForce) const;
+    // time was known; nullopt if none is in force or it is high enough.
+    std::optional<double> correctedRate(std::string_view service,
+                                        std::optional<double> inForce) const;
 
     // Returns the options under which permits for requests to brittle targets are granted.
     static TargetLimitOptions permitOptions(const RefusalControlOptions &options = {});
--- a/include/jaytrack/Net/targetcall.h
+++ b/include/jaytrack/Net/targetcall.h
@@ -36,6 +36,15 @@
     bool lostConnection = false; // the connection ended before the response did
 };
 
+// Reasons of calls that ended because of the response: it broke the protocol, or its body was
+// larger than the receiver accepts.
+inline constexpr std::string_view garbledReason = "garbled";
+inline constexpr std::string_view tooLargeReason = "answer_too_large";
+
+// Appends bytes of a body unless it would exceed the limit. Returns false in that case; the call
+// has to be ended then, because a body may have no end.
+bool appendWithin(std::string &body, std::string_view bytes, std::size_t maxBytes);
+
 // Receives one response.
 class TargetCallListener
 {
--- a/include/jaytrack/Routing/departurereserve.h
+++ b/include/jaytrack/Routing/departurereserve.h
@@ -2,8 +2,8 @@
 // shutting down.
 //
 // A caller that is refused can retry, but a run that finds no memory elsewhere is lost with all its
-// output. The reserve covers the engines that have just announced their shutdown and, as an option,
-// those that are expected to do so next.
+// output. The reserve covers the engines that have just announced their shutdown and, unless
+// switched off, those that are expected to do so next.
 #ifndef JAYTRACK_ROUTING_DEPARTURERESERVE_H
 #define JAYTRACK_ROUTING_DEPARTURERESERVE_H
 
--- a/lib/Limits/brittlegate.cpp
+++ b/lib/Limits/brittlegate.cpp
@@ -32,12 +32,9 @@
 void BrittleGate::recordServed(std::string_view service, int slots, Duration took)
 {
     for (const std::string &target : this->control.recordServed(service, slots, took)) {
-        const std::optional<double> inForce = this->permits.limitOf(target);
-        if (!inForce)
-            continue;
-        const double rate = this->control.correctedRate(service, *inForce);
-        if (rate > *inForce)
-            this->permits.imposeLimit(target, rate);
+        const auto rate = this->control.correctedRate(service, this->permits.limitOf(target));
+        if (rate)
+            this->permits.imposeLimit(target, *rate);
     }
 }
 
--- a/lib/Limits/refusalcontrol.cpp
+++ b/lib/Limits/refusalcontrol.cpp
@@ -96,11 +96,15 @@
 
 // The rate may have been lowered since by refusals, so it is scaled. It has grown too, and several
 // instances may correct it, so it does not exceed the first rate of a service that is known.
-double RefusalControl::correctedRate(std::string_view service, double inForce) const
+std::optional<double> RefusalControl::correctedRate(std::string_view service,
+                                                    std::optional<double> inForce) const
 {
+    if (!inForce)
+        return std::nullopt;
     const double estimated = this->estimatedRate(service);
-    const double scaled = inForce * estimated / (unknownSlots / unknownSeconds);
-    return std::max(inForce, std::min(scaled, this->options.firstShare * estimated));
+    const double scaled = *inForce * estimated / (unknownSlots / unknownSeconds);
+    const double rate = std::min(scaled, this->options.firstShare * estimated);
+    return rate > *inForce ? std::optional(rate) : std::nullopt;
 }
 
 // Requests arrive evenly spaced, since a brittle target has hardly any queue.
--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -31,6 +31,14 @@
     return text;
 }
 
+bool appendWithin(std::string &body, std::string_view bytes, std::size_t maxBytes)
+{
+    if (body.size() + bytes.size() > maxBytes)
+        return false;
+    body += bytes;
+    return true;
+}
+
 std::shared_ptr<TargetCall> TargetCall::start(asio::io_context &context, TargetRequest request,
                                               std::weak_ptr<TargetCallListener> listener)
 {
@@ -128,11 +136,11 @@
             if (this->answered)
                 return this->end(true, "complete");
             if (++this->interimAnswers > maxInterimAnswers)
-                return this->end(false, "garbled");
+                return this->end(false, garbledReason);
             continue;
         }
         if (fed.state != ParseState::NeedsMore)
-            return this->end(false, "garbled");
+            return this->end(false, garbledReason);
     }
     this->read();
 }
--- a/lib/Proxy/loadprober.cpp
+++ b/lib/Proxy/loadprober.cpp
@@ -142,12 +142,10 @@
 
     void onAnswerBody(std::string_view bytes) override
     {
-        if (this->body.size() + bytes.size() <= maxReportBytes) {
-            this->body += bytes;
+        if (appendWithin(this->body, bytes, maxReportBytes))
             return;
-        }
         this->call->cancel();
-        this->onCallEnd({false, true, "answer_too_large"});
+        this->onCallEnd({false, true, tooLargeReason});
     }
 
     void onCallEnd(const TargetCallEnd &end) override
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -155,15 +155,14 @@
 
     void onAnswerBody(std::string_view bytes) override
     {
-        if (this->body.size() + bytes.size() > maxAnswerBytes) {
-            this->attemptTimer.cancel();
-            ++this->sends;
-            ++this->runs;
-            this->uncertain = true;
-            this->endCall(true);
-            return this->retryOr(ResultCode::TargetGarbled, "answer_too_large");
-        }
-        this->body += bytes;
+        if (appendWithin(this->body, bytes, maxAnswerBytes))
+            return;
+        this->attemptTimer.cancel();
+        ++this->sends;
+        ++this->runs;
+        this->uncertain = true;
+        this->endCall(true);
+        this->retryOr(ResultCode::TargetGarbled, tooLargeReason);
     }
 
     void onCallEnd(const TargetCallEnd &end) override
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -123,12 +123,10 @@
     if (!exchange)
         return;
     if (!this->streaming) {
-        if (this->plainBody.size() + bytes.size() > maxNonStreamBodyBytes) {
-            this->call->cancel();
-            return exchange->legEnded(*this, {false, true, "answer_too_large"});
-        }
-        this->plainBody += bytes;
-        return;
+        if (appendWithin(this->plainBody, bytes, maxNonStreamBodyBytes))
+            return;
+        this->call->cancel();
+        return exchange->legEnded(*this, {false, true, tooLargeReason});
     }
     const bool good = this->events.feed(bytes, [this, &exchange](const SseEvent &event) {
         exchange->legEvent(*this, event);
@@ -136,7 +134,7 @@
     });
     if (!good) {
         this->call->cancel();
-        exchange->legEnded(*this, {false, true, "garbled"});
+        exchange->legEnded(*this, {false, true, garbledReason});
     }
 }
 
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -31,9 +31,6 @@
 // Maximum size of the answer to a copy order, which consists of a handle.
 constexpr std::size_t maxMoveAnswerBytes = 64U << 10U;
 
-// Reason of calls that ended because the answer broke the protocol, as TargetCall reports it.
-constexpr std::string_view garbledReason = "garbled";
-
 constexpr int okStatus = 200;
 constexpr int copyInProgressStatus = 409;
 
@@ -111,12 +108,10 @@
 
 void MoveCall::onAnswerBody(std::string_view bytes)
 {
-    if (this->body.size() + bytes.size() <= maxMoveAnswerBytes) {
-        this->body += bytes;
+    if (appendWithin(this->body, bytes, maxMoveAnswerBytes))
         return;
-    }
     this->call->cancel();
-    this->onCallEnd({false, true, garbledReason});
+    this->onCallEnd({false, true, tooLargeReason});
 }
 
 void MoveCall::onCallEnd(const TargetCallEnd &end)
@@ -420,7 +415,8 @@
                        {"reason", end.reason},
                        {"took_ms", toMillis(this->context.clock.now() - done->startedAt)},
                        {"leaving", this->plan.isLeaving() ? 1 : 0}});
-    if (end.reason == garbledReason && this->current)
+    const bool isBroken = end.reason == garbledReason || end.reason == tooLargeReason;
+    if (isBroken && this->current)
         this->recordOutcome(*this->current, end);
     this->context.metrics.count(good ? "jaytrack_run_copies_made_total"
                                      : "jaytrack_run_copies_failed_total");
--- a/lib/Standin/engineserver.cpp
+++ b/lib/Standin/engineserver.cpp
@@ -280,12 +280,15 @@
         const std::shared_ptr<Reader> reader = generation.reader;
         if (!reader || this->faults.stalled)
             return;
-        if (this->faults.comments)
-            return this->send(reader, ": working\n\n");
         if (reader->lost.load()) {
             generation.reader.reset();
             return;
         }
+        if (this->faults.comments) {
+            if (reader->unsent.load() < unsentLimit)
+                this->send(reader, ": working\n\n");
+            return;
+        }
         std::string out;
         while (reader->next < generation.produced &&
                reader->unsent.load() + out.size() < unsentLimit) {
--- a/lib/Store/snapshotfetch.cpp
+++ b/lib/Store/snapshotfetch.cpp
@@ -58,9 +58,8 @@
 
 void SnapshotFetch::onAnswerBody(std::string_view bytes)
 {
-    if (this->body.size() + bytes.size() > maxBodyBytes)
+    if (!appendWithin(this->body, bytes, maxBodyBytes))
         return this->conclude(std::nullopt);
-    this->body += bytes;
     this->awaitProgress();
 }
 
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -408,14 +408,12 @@
 
 void StoreFollower::onAnswerBody(std::string_view bytes)
 {
-    if (this->body.size() + bytes.size() <= maxAnswerBytes) {
-        this->body += bytes;
+    if (appendWithin(this->body, bytes, maxAnswerBytes))
         return;
-    }
     this->call->cancel();
     this->timer.cancel();
     this->body.clear();
-    this->failed("answer_too_large");
+    this->failed(tooLargeReason);
 }
 
 void StoreFollower::onCallEnd(const TargetCallEnd &end)
--- a/unittests/Limits/brittlefleet.cpp
+++ b/unittests/Limits/brittlefleet.cpp
@@ -95,12 +95,9 @@
     void onServed(Duration took)
     {
         for (const std::string &target : this->control.recordServed(service, slots, took)) {
-            const std::optional<double> inForce = this->limits.limitOf(target);
-            if (!inForce)
-                continue;
-            const double rate = this->control.correctedRate(service, *inForce);
-            if (rate > *inForce)
-                this->limits.imposeLimit(target, rate);
+            const auto rate = this->control.correctedRate(service, this->limits.limitOf(target));
+            if (rate)
+                this->limits.imposeLimit(target, *rate);
         }
     }
 
--- a/unittests/Limits/brittletest.cpp
+++ b/unittests/Limits/brittletest.cpp
@@ -87,10 +87,13 @@
     cr_expect(control.recordServed("another", 6, 30ms).empty());
     cr_expect_eq(control.recordServed("s", 6, 30ms), std::vector<std::string>{"t"});
     cr_expect(control.recordServed("s", 6, 30ms).empty(), "it is corrected once");
-    const double corrected = control.correctedRate("s", first);
+    cr_assert(control.correctedRate("s", first));
+    const double corrected = *control.correctedRate("s", first);
     cr_expect(corrected > 100 && corrected < 200, "six slots of 30 ms serve 200 a second");
-    cr_expect(control.correctedRate("s", first / 2) < corrected, "refusals since then count");
-    cr_expect_eq(control.correctedRate("s", corrected), corrected);
+    cr_assert(control.correctedRate("s", first / 2));
+    cr_expect(*control.correctedRate("s", first / 2) < corrected, "refusals since then count");
+    cr_expect_not(control.correctedRate("s", corrected), "the rate is high enough");
+    cr_expect_not(control.correctedRate("s", std::nullopt), "no rate is in force");
     control.rateAfterRefusal("t2", "s", std::nullopt);
     cr_expect(control.recordServed("s", 6, 30ms).empty(), "the time was known");
 }
--- a/unittests/Serve/endlessanswertest.cpp
+++ b/unittests/Serve/endlessanswertest.cpp
@@ -71,7 +71,8 @@
     fetchLater(*client, std::move(call), maxBodyBytes,
                [&](FetchedAnswer answer) { promise.set_value(std::move(answer)); });
     const FetchedAnswer answer = promise.get_future().get();
-    // An idle connection is not read, so whoever sends on it blocks until the client gives it up.
+    // The client does not read idle connections, so the server's writes block until the client
+    // closes its own.
     if (answer.end.whole)
         client.reset();
     server.join();
