--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -23,6 +23,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -691,14 +692,26 @@
     return set == nullptr || std::string(set) != "0";
 }
 
-inline std::string temporaryFolder()
+// Removed at the end, with the settings and logs in it, unless KEEP is set.
+class TemporaryFolder
 {
-    char pattern[] = "/tmp/review-XXXXXX";
-    const char *made = ::mkdtemp(pattern);
-    if (made == nullptr)
-        std::exit(2);
-    return made;
-}
+public:
+    TemporaryFolder()
+    {
+        char pattern[] = "/tmp/review-XXXXXX";
+        const char *made = ::mkdtemp(pattern);
+        if (made == nullptr)
+            std::exit(2);
+        this->path = made;
+    }
+    ~TemporaryFolder()
+    {
+        std::error_code ignored;
+        if (std::getenv("KEEP") == nullptr)
+            std::filesystem::remove_all(this->path, ignored);
+    }
+    std::string path;
+};
 
 // Finds five ports in a row that are free on all of these addresses.
 inline int freeBase(const std::vector<std::string> &ips)
--- a/review/kit/konto.h
+++ b/review/kit/konto.h
@@ -97,10 +97,11 @@
 class Clients
 {
 public:
-    Clients(Entry &to, double intervalMs, Record &seen)
+    Clients(Entry &to, double intervalMs, Record &seen, std::string mark = "0")
         : entry(to)
         , interval(intervalMs)
         , record(seen)
+        , label(std::move(mark))
     {
         this->thread = std::thread([this] { this->run(); });
     }
@@ -133,7 +134,7 @@
             next += this->interval;
             if (this->paused)
                 continue;
-            const std::string id = this->entry.name + "-" + std::to_string(i);
+            const std::string id = this->entry.name + "-" + this->label + "x" + std::to_string(i);
             this->requests.emplace_back([this, id] { this->send(id); });
         }
     }
@@ -153,6 +154,7 @@
 
     double interval;
     Record &record;
+    std::string label;
     std::atomic<bool> ended{false};
     std::thread thread;
     std::vector<std::thread> requests;
