--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -388,6 +388,34 @@
     double put(const std::string &key, const std::string &value) { return this->write(key, value, false); }
     double remove(const std::string &key) { return this->write(key, {}, true); }
 
+    // Remembers what is stored now.
+    void takeCopy()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->copiedItems = this->items;
+        this->copiedRevision = this->revision;
+    }
+    // Answers nobody until it comes back; waiting watches are cut.
+    void goAway()
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            this->away = true;
+        }
+        this->changed.notify_all();
+    }
+    // Comes back as it was when the copy was taken: revisions go back and are given out again, and
+    // all answers tell the next era.
+    void comeBackFromCopy()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->items = this->copiedItems;
+        this->revision = this->copiedRevision;
+        std::erase_if(this->history, [this](const Change &change) { return change.revision > this->revision; });
+        ++this->era;
+        this->away = false;
+    }
+
 private:
     struct Change
     {
@@ -428,6 +456,10 @@
         const std::string path = request.target.substr(0, request.target.find('?'));
         const std::string prefix = queryValue(request.target, "Prefix");
         std::unique_lock lock(this->mutex);
+        if (this->away)
+            return;
+        const std::string headers =
+                "Content-Type: application/json\r\nStore-Era: " + std::to_string(this->era) + "\r\n";
         std::string list;
         const auto add = [&list](const Change &change) { list += (list.empty() ? "" : ",") + item(change); };
         if (path == "/jaytrack/kv-range") {
@@ -439,15 +471,22 @@
             const std::string body = "{\"Entries\":[" + list + "],\"HasMore\":false,\"At\":" +
                                      std::to_string(this->revision) + "}";
             lock.unlock();
-            connection.send(answer(200, body, "Content-Type: application/json\r\n"));
+            connection.send(answer(200, body, headers));
         } else if (path == "/jaytrack/kv-watch") {
             const uint64_t after = std::strtoull(queryValue(request.target, "After").c_str(), nullptr, 10);
             const int wait = std::atoi(queryValue(request.target, "WaitMs").c_str());
             const auto until = Clock::now() + std::chrono::milliseconds(wait);
+            if (after > this->revision) {
+                lock.unlock();
+                connection.send(answer(410, "{}", headers));
+                return;
+            }
             const auto news = [&] {
-                return this->ended || (!this->history.empty() && this->history.back().revision > after);
+                return this->ended || this->away || (!this->history.empty() && this->history.back().revision > after);
             };
             this->changed.wait_until(lock, until, news);
+            if (this->away)
+                return;
             for (const Change &change : this->history) {
                 if (change.revision > after && change.key.rfind(prefix, 0) == 0)
                     add(change);
@@ -455,7 +494,7 @@
             const std::string body =
                     "{\"events\":[" + list + "],\"At\":" + std::to_string(this->revision) + "}";
             lock.unlock();
-            connection.send(answer(200, body, "Content-Type: application/json\r\n"));
+            connection.send(answer(200, body, headers));
         } else {
             lock.unlock();
             connection.send(answer(404, "{}"));
@@ -465,8 +504,12 @@
     std::mutex mutex;
     std::condition_variable changed;
     bool ended = false;
+    bool away = false;
+    uint64_t era = 1;
     uint64_t revision = 1;
+    uint64_t copiedRevision = 1;
     std::map<std::string, Change> items;
+    std::map<std::string, Change> copiedItems;
     std::vector<Change> history;
     Server server;
 };
@@ -481,6 +524,30 @@
 
 // ---- Entry processes ----
 
+// Processes that run, so that they end whenever the script does.
+inline std::atomic<pid_t> running[32];
+
+inline void killAll()
+{
+    for (auto &pid : running) {
+        if (pid > 0)
+            ::kill(pid, SIGKILL);
+    }
+}
+
+// Ends the script with 2 when it is told to end, or after the longest time that a script may take.
+inline void installGuards()
+{
+    const auto end = [](int) {
+        killAll();
+        ::_exit(2);
+    };
+    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGALRM})
+        ::signal(number, end);
+    std::atexit(killAll);
+    ::alarm(118);
+}
+
 // An entry machine with an address of its own. The settings are those that deploy/entry.toml.in
 // renders to, with the bounds of the site named in claim.txt.
 class Entry
@@ -510,6 +577,7 @@
     {
         if (this->pid <= 0)
             return;
+        this->forget();
         ::kill(this->pid, SIGCONT);
         ::kill(this->pid, SIGKILL);
         ::waitpid(this->pid, nullptr, 0);
@@ -537,6 +605,11 @@
             std::exit(2);
         }
         posix_spawn_file_actions_destroy(&files);
+        for (auto &slot : running) {
+            pid_t free = 0;
+            if (slot.compare_exchange_strong(free, this->pid))
+                break;
+        }
     }
     void signal(int number)
     {
@@ -544,6 +617,7 @@
             ::kill(this->pid, number);
         if (number == SIGKILL && this->pid > 0) {
             ::waitpid(this->pid, nullptr, 0);
+            this->forget();
             this->pid = -1;
         }
     }
@@ -553,22 +627,12 @@
         int status = 0;
         if (this->pid <= 0 || ::waitpid(this->pid, &status, WNOHANG) != this->pid)
             return {};
+        this->forget();
         this->pid = -1;
         return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                                    : "exit " + std::to_string(WEXITSTATUS(status));
     }
     bool runs() const { return this->pid > 0; }
-    // Value of a field in /proc/PID/status, in kB.
-    long memoryKb(const std::string &field) const
-    {
-        std::ifstream file("/proc/" + std::to_string(this->pid) + "/status");
-        std::string line;
-        while (std::getline(file, line)) {
-            if (line.rfind(field + ":", 0) == 0)
-                return std::atol(line.c_str() + field.size() + 1);
-        }
-        return 0;
-    }
     // Whether the process says in its last line on that matter that it reads the store as one of
     // the readers of the fleet. Used to choose what to disturb, not to judge.
     bool isReader() const
@@ -589,6 +653,14 @@
     std::string ip;
 
 private:
+    void forget()
+    {
+        for (auto &slot : running) {
+            pid_t own = this->pid;
+            slot.compare_exchange_strong(own, 0);
+        }
+    }
+
     int base;
     std::string directory;
     pid_t pid = -1;
@@ -602,6 +674,7 @@
     bool complete = false;
     bool connected = false;
     Message message;
+    std::string bytes; // all that came
     double sentAt = 0;
     double endedAt = 0;
 };
@@ -674,6 +747,7 @@
     }
     ::close(fd);
     reply.endedAt = now();
+    reply.bytes = std::move(bytes);
     return reply;
 }
 
--- a/review/kit/konto.h
+++ b/review/kit/konto.h
@@ -11,16 +11,15 @@
 constexpr double stableMs = 3000; // Bounds.StableMs
 constexpr double workMs = 30;     // mean work of pay-order and meter-read
 
-inline std::string kontoConfig(int version, const std::string &extraRoute = {})
+inline std::string kontoConfig(int version, const std::string &keys = "\"k1\"")
 {
     return "{\"Version\":" + std::to_string(version) +
            ",\"Routes\":[{\"Name\":\"pay\",\"Host\":\"site.example\",\"Prefix\":\"/pay/\",\"Type\":"
            "\"unsafe\",\"TimeoutMs\":1000,\"SloMs\":150,\"Priority\":2,\"Service\":\"konto\","
-           "\"MaxAttempts\":1,\"Public\":false}" +
-           extraRoute +
-           "],\"Services\":[{\"Name\":\"konto\",\"HealthPath\":\"/healthz\",\"MaxConns\":100}],"
+           "\"MaxAttempts\":1,\"Public\":false}],\"Services\":[{\"Name\":\"konto\",\"HealthPath\":\"/healthz\",\"MaxConns\":100}],"
            "\"Limits\":{\"MaxHeaderBytes\":8192,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":2000,"
-           "\"IdleTimeoutMs\":5000},\"Tenants\":[{\"Name\":\"cust\",\"ApiKeys\":[\"k1\"]}]}";
+           "\"IdleTimeoutMs\":5000},\"Tenants\":[{\"Name\":\"cust\",\"ApiKeys\":[" +
+           keys + "]}]}";
 }
 
 // A plain server. Rejects requests meant for another one with 421, runs the others.
--- a/review/kit/model.h
+++ b/review/kit/model.h
@@ -52,19 +52,26 @@
         bool resumed = false; // goes on from a copy
     };
 
-    ModelServer(std::string name, bool dropsOnClose, int eventsOfAStream, Record &seen)
+    ModelServer(std::string name, bool dropsOnClose, int eventsOfAStream, Record &seen, std::string software = "v1",
+                long long bornAt = 0, int port = 0)
         : id(std::move(name))
+        , version(std::move(software))
+        , born(bornAt)
         , drops(dropsOnClose)
         , eventsInAll(eventsOfAStream)
         , record(seen)
-        , server("127.0.0.3", [this](Connection &c, const Message &m) { this->serve(c, m); })
+        , server("127.0.0.3", [this](Connection &c, const Message &m) { this->serve(c, m); }, port)
     {
     }
     std::string text() const { return this->server.text(); }
+    int port() const { return std::atoi(this->text().substr(this->text().rfind(':') + 1).c_str()); }
     std::string entry(const std::string &state, int seq) const
     {
         std::string text = serverEntry("vev-llm", this->text(), state, seq);
         text.replace(text.find("\"Slots\":6"), 9, "\"Slots\":24");
+        text.replace(text.find("\"v1\""), 4, "\"" + this->version + "\"");
+        if (this->born != 0)
+            text.insert(1, "\"born\":" + std::to_string(this->born) + ",");
         return text;
     }
     void exit()
@@ -80,6 +87,8 @@
     }
 
     std::string id;
+    std::string version; // of its software
+    long long born;      // Unix millisecond of its start; 0 if it doesn't say
     std::atomic<bool> full{false}; // of requests of others
 
 private:
@@ -100,7 +109,8 @@
     {
         const std::lock_guard lock(this->mutex);
         connection.send(answer(200,
-                               "{\"Phase\":\"both\",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}],"
+                               "{" + (this->born != 0 ? "\"born\":" + std::to_string(this->born) + "," : std::string()) +
+                                       "\"Phase\":\"both\",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}],"
                                "\"Busy\":false,\"Seq\":1,\"Waiting\":" +
                                        std::string(this->full ? "20" : "0") + ",\"Running\":" +
                                        std::to_string(this->full ? 24 : this->active) + ",\"KvInUse\":" +
@@ -165,7 +175,7 @@
                 break;
             ++event;
             if (open && (connection.peerClosed() ||
-                         !connection.send(chunk("id: " + std::to_string(event) + "\ndata: t" +
+                         !connection.send(chunk("id: " + std::to_string(event) + "\ndata: " + this->version + " t" +
                                                 std::to_string(event) + "\n\n")))) {
                 open = false;
                 this->record.line("server %s: the connection of %s closed at event %d; it %s", this->id.c_str(),
