--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/bin/jaytrack-entry ] && [ -x target/review/case-5 ] || exit 2
+target/review/case-5
