A run that has gone on elsewhere is stopped at the engine that it left

Cause: the end of a connection was taken for the end of the run. The case's record shows the closed connection and the engine going on, and no copy order with "Last", which stops a run first. Ruled out: a connection that stays open, an order that is lost.

The copy that comes of it is dropped. The same where a run is begun anew after a broken stream and where the answer to a resumption broke. Engines to which an order is under way are not chosen for the run.

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -10,6 +10,7 @@
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Policy/targethealth.h"
 #include "jaytrack/Proxy/entrytuning.h"
+#include "jaytrack/Proxy/runstops.h"
 #include "jaytrack/Proxy/selfreports.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Routing/admission.h"
@@ -70,6 +71,7 @@
     LimitGate &limits;
     BrittleGate &brittle;
     StreamVersions &streamVersions;
+    RunStops &runStops;
     const StreamOptions &streams;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until it has been answered
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -167,6 +167,10 @@
     virtual std::string encodeMove(std::string_view attemptId, std::string_view destination,
                                    bool last) const = 0;
     virtual Result<MoveAnswer> decodeMove(std::string_view body) const = 0;
+
+    // Returns the path of a copy at its source, by which it can be dropped; empty if no path can
+    // name it.
+    virtual std::string copyPath(std::string_view handle) const = 0;
 };
 
 } // namespace jaytrack
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -73,6 +73,7 @@
                   this->serve(std::move(connection), std::move(request));
               })
     , streamVersions(time, entrySettings.name, configuredPeerCount(entrySettings) > 0, *this)
+    , runStops(this->loop, this->calls, time, platform, this->limitGate, this->metrics)
     , context{this->loop,
               this->calls,
               time,
@@ -93,6 +94,7 @@
               this->limitGate,
               this->brittle,
               this->streamVersions,
+              this->runStops,
               this->settings.tuning.streams,
               this->open}
     , callers(this->loop, time, *this)
--- a/lib/Proxy/entrylife.cpp
+++ b/lib/Proxy/entrylife.cpp
@@ -186,7 +186,8 @@
     if (this->callers.isListening())
         return this->callers.stopListening();
     this->callers.closeIdle();
-    if (this->open.empty() && this->relays.isIdle() && this->callers.backlog().connections == 0)
+    if (this->open.empty() && this->relays.isIdle() && this->runStops.isIdle() &&
+        this->callers.backlog().connections == 0)
         this->exitNow();
 }
 
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -13,6 +13,7 @@
 #include "jaytrack/Proxy/exchange.h"
 #include "jaytrack/Proxy/loadprober.h"
 #include "jaytrack/Proxy/relayserver.h"
+#include "jaytrack/Proxy/runstops.h"
 #include "jaytrack/Proxy/startupqueue.h"
 #include "jaytrack/Store/storefeeds.h"
 #include "jaytrack/Store/storesharing.h"
@@ -271,6 +272,7 @@
     CrashWatch crashes;
     StartupQueue startup;
     StreamVersions streamVersions;
+    RunStops runStops;
     std::set<std::shared_ptr<Exchange>> open;
     ExchangeContext context;
     AdmissionBounds bounds;
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -157,7 +157,7 @@
     const KeyHolder *holder = this->admitted.admission.holder;
     orders.priority =
             holder != nullptr && holder->priority ? *holder->priority : this->route().priority;
-    auto leg = std::make_shared<StreamLeg>(this->self(), target, orders.resume.has_value());
+    auto leg = std::make_shared<StreamLeg>(this->self(), target, orders.resume);
     const EngineChoice::Forecast forecast = this->context.engines.forecast(target.id);
     this->logDecision(orders.resume ? "run_resumed" : "run_placed",
                       {{"target", target.id},
@@ -182,6 +182,9 @@
         this->context.streamVersions.recordBegun(this->streamName, this->serviceName,
                                                  target.softwareVersion);
     leg->openedAt = this->context.clock.now();
+    std::erase_if(this->abandoned,
+                  [&target](const TargetEntry &engine) { return engine.id == target.id; });
+    this->context.runStops.withdraw(this->facts().attemptId, target.id);
     this->context.cold.recordSend(target.id);
     leg->call = this->context.calls.start(this->makeRequest(target, orders, endpoint.value()),
                                           this->callContext(target, true), leg);
@@ -207,7 +210,9 @@
         return;
     if (!this->versionSettled)
         return this->findVersion();
-    const std::vector<const TargetEntry *> engines = this->assignedEngines(this->untriedTargets());
+    std::vector<const TargetEntry *> untried = this->untriedTargets();
+    this->eraseEnginesBeingStopped(untried);
+    const std::vector<const TargetEntry *> engines = this->assignedEngines(std::move(untried));
     const std::optional<Duration> rest = this->shortestPause();
     if (engines.empty() && rest)
         return *rest > this->maxCapacityWait() ? this->refuseAllPaused() : this->waitForCapacity();
@@ -296,6 +301,7 @@
     this->eventsBeforeLeg = this->lastEvent;
     this->plan.placed(leg.target.id);
     this->updateCopyReservation();
+    this->stopAbandonedRuns(leg);
     // The engine may have announced its shutdown while the run was being sent to it.
     const TargetEntry *listed = this->context.directory.find(leg.target.id);
     if (listed != nullptr && !listed->leaving)
@@ -476,7 +482,8 @@
     if (end.lostConnection && end.bytesSent && !leg.proven)
         this->reportLostUnanswered(leg.target, leg.openedAt);
     if (this->next.get() == &leg)
-        return this->onNextLost(end.whole ? "refused_by_engine" : end.reason);
+        return this->onNextLost(end.whole ? "refused_by_engine" : end.reason,
+                                end.bytesSent && !end.whole);
     if (this->current.get() != &leg)
         return;
     if (!end.whole || leg.endsEarly())
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -20,10 +20,12 @@
 class StreamLeg final : public TargetCallListener
 {
 public:
-    StreamLeg(std::weak_ptr<StreamExchange> exchange, TargetEntry engine, bool resumes)
+    StreamLeg(std::weak_ptr<StreamExchange> exchange, TargetEntry engine,
+              const std::optional<ResumePoint> &resume)
         : owner(std::move(exchange))
         , target(std::move(engine))
-        , resumed(resumes)
+        , resumed(resume.has_value())
+        , usedHandle(resume ? resume->handle : std::string())
     {
     }
 
@@ -43,6 +45,7 @@
     std::weak_ptr<StreamExchange> owner;
     TargetEntry target;
     bool resumed;
+    std::string usedHandle; // of the copy with which the run was resumed here
     std::shared_ptr<RoutedCall> call;
     MessageHead head;
     std::string plainBody;
@@ -145,10 +148,13 @@
     void schedulePlanCheck();
     void switchToNext();
     void closeLeg(std::shared_ptr<StreamLeg> &leg);
+    void abandonRun(const StreamLeg &leg);
+    void stopAbandonedRuns(const StreamLeg &leg);
+    void eraseEnginesBeingStopped(std::vector<const TargetEntry *> &engines) const;
     void cancelMove();
     std::uint32_t tokensSince(std::uint64_t event) const;
     void onCurrentLost(std::string_view reason);
-    void onNextLost(std::string_view reason);
+    void onNextLost(std::string_view reason, bool mayRun);
     void forwardNonStreamAnswer(StreamLeg &leg);
     void refuseAfterEngine();
     bool reportedNotRun(const StreamLeg &leg, const TargetCallEnd &end) const;
@@ -176,6 +182,7 @@
     std::shared_ptr<StreamLeg> current;
     std::shared_ptr<StreamLeg> next; // replaces current when it takes over the run
     std::shared_ptr<MoveCall> move;
+    std::vector<TargetEntry> abandoned; // may work on the run after their connection was closed
     EngineReservations reservations;
     RunPlan plan;
     bool copyPermitsPending = false; // permits of rate-limited engines have been requested
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -10,10 +10,18 @@
 
 namespace {
 
-// Limits how long two engines may work on the same run: the old connection is closed this long
-// after the new one was opened, or as soon as the new engine has taken over the run.
+// The old connection is closed this long after the new one was opened, or as soon as the new engine
+// has taken over the run.
 constexpr std::chrono::milliseconds maxOverlap{250};
 
+// Two engines may work on the same run for this long at most.
+constexpr std::chrono::milliseconds maxDuplicateWork{400};
+
+// Time for an order to stop a run to reach the engine.
+constexpr std::chrono::milliseconds minOrderTime{50};
+
+static_assert(maxOverlap + RunStops::closeGrace + minOrderTime <= maxDuplicateWork);
+
 // Interval at which the plan of a run is re-evaluated while its engine is shutting down. It allows
 // several checks during the pause after a refused copy.
 constexpr std::chrono::milliseconds planCheckInterval{40};
@@ -82,7 +90,7 @@
 {
     this->discardCopyAt(ended.id);
     if (this->next && this->next->target.id == ended.id)
-        return this->onNextLost("engine_restarted");
+        return this->onNextLost("engine_restarted", false);
     if (this->current && this->current->target.id == ended.id)
         this->watchSilence();
 }
@@ -143,12 +151,38 @@
     this->move.reset();
 }
 
+// Records that the engine may go on with the run although its connection is closed.
+void StreamExchange::abandonRun(const StreamLeg &leg)
+{
+    this->abandoned.push_back(leg.target);
+}
+
+// Has the run stopped at all engines that it has left for this one. Two engines would work on it
+// otherwise, and the callers of the engine left would compete with a run that nobody reads.
+void StreamExchange::stopAbandonedRuns(const StreamLeg &leg)
+{
+    for (TargetEntry &engine : this->abandoned)
+        this->context.runStops.order(
+                {this->facts().attemptId, std::move(engine), leg.target.address, leg.usedHandle});
+    this->abandoned.clear();
+}
+
+// A run that began where an earlier one of it is being stopped would be stopped as well.
+void StreamExchange::eraseEnginesBeingStopped(std::vector<const TargetEntry *> &engines) const
+{
+    std::erase_if(engines, [this](const TargetEntry *engine) {
+        return this->context.runStops.isPending(this->facts().attemptId, engine->id);
+    });
+}
+
 // Closes the connection to the old engine, because the new engine has taken over the run.
 void StreamExchange::switchToNext()
 {
     this->overlapTimer.cancel();
     // From here on the run has begun, even if the connection to the new engine fails.
     this->uncertain = true;
+    if (this->current && this->current->call->bytesSent())
+        this->abandonRun(*this->current);
     this->closeLeg(this->current);
     this->current = std::move(this->next);
     this->next.reset();
@@ -168,6 +202,8 @@
         this->verdictDueAt = this->context.clock.now() + verdictDelay;
     if (this->next)
         return this->switchToNext();
+    if (sent)
+        this->abandonRun(*this->current);
     this->closeLeg(this->current);
     if (!sent && !this->uncertain)
         return this->attempt();
@@ -179,11 +215,15 @@
     this->executeNextStep();
 }
 
-void StreamExchange::onNextLost(std::string_view reason)
+void StreamExchange::onNextLost(std::string_view reason, bool mayRun)
 {
     this->logDecision("resume_failed", {{"target", this->next->target.id}, {"reason", reason}});
     this->overlapTimer.cancel();
+    if (mayRun)
+        this->abandonRun(*this->next);
     this->closeLeg(this->next);
+    if (this->current)
+        this->stopAbandonedRuns(*this->current);
     this->plan.copyRefused();
     this->updateCopyReservation();
     this->executeNextStep();
@@ -276,7 +316,7 @@
         // If nothing was sent to the new engine, only the old one works on the run.
         if (self->next->call->bytesSent())
             return self->switchToNext();
-        self->onNextLost("not_reached");
+        self->onNextLost("not_reached", false);
     });
 }
 
@@ -286,6 +326,7 @@
 std::vector<const TargetEntry *> StreamExchange::copyDestinations() const
 {
     std::vector<const TargetEntry *> open = this->usableTargets();
+    this->eraseEnginesBeingStopped(open);
     std::vector<const TargetEntry *> free = open;
     std::erase_if(free, [this](const TargetEntry *engine) {
         return this->context.cold.isCold(engine->id) || this->context.limits.limitOf(engine->id);
