A run that waits for room to begin anew is placed once

Cause: the plan says "start anew" as long as a lost run is not placed, and executeNextStep() runs each time any engine leaves. Nothing knew that an attempt was already waiting for capacity, so a second one was made, and the timer of the first placed the run again.

Change: a run that is being begun anew is marked until it is placed; startAnew() does nothing meanwhile.

--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -299,6 +299,7 @@
 void StreamExchange::onLegStarted(const StreamLeg &leg)
 {
     this->eventsBeforeLeg = this->lastEvent;
+    this->beginsAnew = false;
     this->plan.placed(leg.target.id);
     this->updateCopyReservation();
     this->stopAbandonedRuns(leg);
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -206,6 +206,7 @@
     TimePoint lostAt;       // when the engine was lost after the run had begun
     TimePoint verdictDueAt; // when it is known whether the lost engine crashed because of the run
     bool uncertain = false; // some engine may have worked on the request before the current leg
+    bool beginsAnew = false; // the lost run is to be placed again, and may be waiting for capacity
     int handovers = 0;
     TimePoint lastEventAt;
     Duration firstEventAfter{-1};             // measured from the arrival of the request
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -260,6 +260,9 @@
 
 void StreamExchange::startAnew()
 {
+    // An attempt that waits continues by itself. A second one would place the run twice.
+    if (this->beginsAnew)
+        return;
     if (this->runs >= this->route().maxAttempts)
         return this->answerWithResult(ResultCode::TargetLost, this->lossReason);
     if (this->finishIfBarred())
@@ -270,6 +273,7 @@
     this->requestRetry([this](bool granted) {
         if (!granted)
             return this->answerWithResult(ResultCode::TargetLost, this->lossReason);
+        this->beginsAnew = true;
         this->attempt();
     });
 }
--- a/unittests/Platform/handovertest.cpp
+++ b/unittests/Platform/handovertest.cpp
@@ -286,6 +286,58 @@
     cr_assert_eq(lastOrdersTo(first), 0);
 }
 
+// Guards against a run that is placed at two engines, because another engine leaves while the run
+// waits for room.
+Test(handOver, waitingRunIsPlacedOnce)
+{
+    static const std::string full =
+            R"({"Waiting":20,"Running":24,"KvInUse":34000,"KvSize":34232,"Next":0})";
+    ScriptedServer first([](const SeenRequest &request) -> Answer {
+        if (!isRun(request))
+            return wholeAnswer(200, "", "{}");
+        Answer answer = events(1, 2, std::chrono::milliseconds(5), false);
+        answer.back() = {AnswerStep::Kind::Reset, "", std::chrono::milliseconds(1500)};
+        return answer;
+    });
+    ScriptedServer busy([](const SeenRequest &request) -> Answer {
+        if (isReport(request))
+            return wholeAnswer(200, "Content-Type: application/json\r\n", full);
+        return wholeAnswer(503, ownHeaders + "X-Not-Executed: 1\r\n", "");
+    });
+    const auto free = [](const SeenRequest &request) -> Answer {
+        if (!isRun(request))
+            return wholeAnswer(200, "", "{}");
+        return events(3, 30, std::chrono::milliseconds(10), true);
+    };
+    ScriptedServer third(free);
+    ScriptedServer fourth(free);
+    RouteSpec route;
+    route.resumable = true;
+    route.attempts = 3;
+    route.objectiveMs = 4000;
+    route.timeoutMs = 8000;
+    EntryFixture entry({route});
+    entry.list("e1", first);
+    std::thread announcer([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        entry.store.put("servers/e2", targetJson(busy.address()));
+        // The changes after this one are read together when the reader's pause is over.
+        std::this_thread::sleep_for(std::chrono::milliseconds(1700));
+        entry.store.put("servers/e2", targetJson(busy.address(), "ready", "svc", "dc-2"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        entry.store.put("servers/e3", targetJson(third.address()));
+        entry.store.put("servers/e4", targetJson(fourth.address()));
+        entry.store.put("servers/e2", targetJson(busy.address(), "draining"));
+    });
+    RequestSpec request;
+    request.deadlineMs = 8000;
+    const CallerView view = callOnce(entry.port(), requestText(request), std::chrono::seconds(8));
+    announcer.join();
+    assertWhole(view.bytes, 30);
+    cr_assert_eq(runsOf(third).size() + runsOf(fourth).size(), 1, "%zu and %zu runs",
+                 runsOf(third).size(), runsOf(fourth).size());
+}
+
 // Symptom: a draft breaks off in the middle.
 // Events: its engine announces that it leaves; the run is copied to another engine and goes on
 // there after the last event that the caller has.
