Instances read the store themselves when no reader answers their questions

Cause: the three instances that read the store were lost at once, and the only sign of that was the age of the data above 2.8 s. Where the store changes often, data is 0.1 s old when the readers are lost, so 2.7 s pass. Ruled out: not being drawn (at seven instances all may read), not passing on.

Change: an instance to whose questions no reader has answered for 0.3 of the bound on changes may read; after the first unanswered one it asks all readers and an arbitrary peer. The bound comes from the settings: the smaller of configuration_ms and the new leaving_ms. The number that reads is drawn as before.

--- a/include/jaytrack/Proxy/entrysettings.h
+++ b/include/jaytrack/Proxy/entrysettings.h
@@ -37,6 +37,8 @@
     std::chrono::milliseconds keyFreshness{5000};
     // A configuration change takes effect within this time at instances that can reach the store.
     std::chrono::milliseconds configurationDelay{2000};
+    // A target that leaves gets no new work later than this after the store has recorded it.
+    std::chrono::milliseconds leavingDelay{2000};
     // Time between SIGTERM and the forced exit.
     std::chrono::seconds drainGrace{8};
     // Maximum retries to a service, over all instances, as a fraction of its requests in a window.
--- a/include/jaytrack/Store/readduty.h
+++ b/include/jaytrack/Store/readduty.h
@@ -11,7 +11,9 @@
 
 #include "jaytrack/Support/clock.h"
 
+#include <algorithm>
 #include <cstddef>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -22,6 +24,9 @@
 
 struct ReadDutyOptions
 {
+    // Every instance must know a change within this time. Several waits are fractions of it.
+    Duration changeBound = std::chrono::milliseconds(2000);
+
     // Readers in the whole fleet. Each pauses after a change before it reads again. Three rarely
     // pause at the same time, and any two may be disconnected.
     std::size_t readers = 3;
@@ -31,6 +36,17 @@
     // and is queried by the others every 0.3 s, so ages up to 2.7 s are normal.
     Duration maxAge = std::chrono::milliseconds(2800);
 
+    // Interval between two freshness queries of an instance that does not read, as a fraction of
+    // changeBound, and its upper bound.
+    double queryIntervalFraction = 0.15;
+    Duration maxQueryInterval = std::chrono::milliseconds(300);
+
+    // Fraction of changeBound after which an instance to whose queries no reader has answered may
+    // read the store itself: long enough for a query to one reader and a second one to all.
+    // Together with the interval of queries it leaves half of the bound to read the change and pass
+    // it on.
+    double readerSilenceFraction = 0.3;
+
     // Minimum time for which such an instance keeps reading, so that single lost datagrams do not
     // make it switch back and forth. An instance that was not chosen draws again after this time.
     Duration minReadTime = std::chrono::milliseconds(3000);
@@ -68,9 +84,23 @@
     // Sets the names of the other live instances.
     void setPeers(std::span<const std::string> others);
 
+    // Records that a freshness query was sent to a peer.
+    void queried(std::string_view peer);
+
     // Records that a peer answered a freshness query, with the age of its data.
     void answered(std::string_view peer, Duration age);
 
+    // Records that this process was paused until now. What others sent meanwhile says nothing about
+    // them.
+    void resumed();
+
+    // Returns the interval between two freshness queries.
+    Duration queryInterval() const
+    {
+        return std::min(this->options.maxQueryInterval,
+                        this->fractionOfBound(this->options.queryIntervalFraction));
+    }
+
     // Whether this instance reads the store now, given the age of its data.
     bool reads(Duration age);
 
@@ -89,7 +119,21 @@
     // queried alternately, because a randomly chosen instance may have newer data.
     std::string choosePeerToQuery(Duration age);
 
+    // Returns the peers to query for freshness now: one, or all readers and another peer if the last
+    // query to a reader was not answered.
+    std::vector<std::string> choosePeersToQuery(Duration age);
+
+    // Whether the readers have not answered for so long that none of them may be alive. They are
+    // the first to know of a change, so the age of the local data would show it too late.
+    bool readersAreSilent() const;
+
 private:
+    bool isReaderName(std::string_view peer) const;
+    Duration fractionOfBound(double fraction) const
+    {
+        return std::chrono::duration_cast<Duration>(this->options.changeBound * fraction);
+    }
+    bool mayReadersBeLost(Duration age) const;
     bool drawsToRead();
     bool awaitsPeers() const;
     bool isOld(Duration age) const;
@@ -107,7 +151,8 @@
     TimePoint chosenUntil;
     TimePoint nextDraw;
     TimePoint answeredAt;
-    std::string lastFreshReader; // the last reader that answered with recent data
+    std::optional<TimePoint> unansweredSince; // first query to a reader since one answered
+    std::string lastFreshReader;              // the last reader that answered with recent data
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Store/storesharing.h
+++ b/include/jaytrack/Store/storesharing.h
@@ -47,9 +47,6 @@
 class StoreSharing final : public StoreReadListener, public SnapshotSource
 {
 public:
-    // Interval at which an instance that does not read queries one that does.
-    static constexpr std::chrono::milliseconds queryInterval{300};
-
     // Interval at which an instance without data looks for one that has some. With each, the number
     // of those that have some may double.
     static constexpr std::chrono::milliseconds searchInterval{200};
--- a/lib/Proxy/entrysettings.cpp
+++ b/lib/Proxy/entrysettings.cpp
@@ -113,6 +113,7 @@
     settings.keyFreshness = readMillis(bounds, "key_freshness_ms", settings.keyFreshness);
     settings.configurationDelay =
             readMillis(bounds, "configuration_ms", settings.configurationDelay);
+    settings.leavingDelay = readMillis(bounds, "leaving_ms", settings.leavingDelay);
     settings.drainGrace = readSeconds(bounds, "drain_grace_s", settings.drainGrace);
     settings.retryRatio = bounds.number("retry_ratio", 0, 1, settings.retryRatio);
     settings.retryWindow = readSeconds(bounds, "retry_window_s", settings.retryWindow);
@@ -137,6 +138,8 @@
         TomlTable tuning = root.table("tuning");
         settings.tuning = readEntryTuning(tuning);
     }
+    settings.tuning.sharing.changeBound =
+            std::min(settings.configurationDelay, settings.leavingDelay);
     root.finish();
     return settings;
 }
--- a/lib/Store/readduty.cpp
+++ b/lib/Store/readduty.cpp
@@ -3,6 +3,7 @@
 #include "jaytrack/Support/digest.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jaytrack {
 
@@ -22,6 +23,7 @@
 void ReadDuty::setPeers(std::span<const std::string> others)
 {
     const bool wasReader = this->reader && !this->awaitsPeers();
+    const std::vector<std::string> before = std::exchange(this->readers, {});
     this->peers.assign(others.begin(), others.end());
     this->lastFreshReader.clear();
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
@@ -31,13 +33,14 @@
     std::sort(ranked.rbegin(), ranked.rend());
     ranked.resize(std::min(ranked.size(), this->options.readers));
     this->reader = false;
-    this->readers.clear();
     for (auto &[rank, who] : ranked) {
         if (who == this->name)
             this->reader = true;
         else
             this->readers.push_back(std::move(who));
     }
+    if (this->readers != before)
+        this->unansweredSince.reset();
     // A former reader keeps reading until the new readers have had time to send it updates.
     if (wasReader && !this->reader)
         this->readUntil = this->clock.now() + this->options.handoverTime;
@@ -50,11 +53,28 @@
         return false;
     if (this->reader)
         this->readUntil = now + this->options.minReadTime;
-    else if (age > this->options.maxAge && now >= this->readUntil && this->drawsToRead())
+    else if (this->mayReadersBeLost(age) && now >= this->readUntil && this->drawsToRead())
         this->readUntil = this->chosenUntil = now + this->options.minReadTime;
     return now < this->readUntil;
 }
 
+bool ReadDuty::mayReadersBeLost(Duration age) const
+{
+    return age > this->options.maxAge || this->readersAreSilent();
+}
+
+bool ReadDuty::readersAreSilent() const
+{
+    return this->unansweredSince &&
+           this->clock.now() - *this->unansweredSince >
+                   this->fractionOfBound(this->options.readerSilenceFraction);
+}
+
+void ReadDuty::resumed()
+{
+    this->unansweredSince.reset();
+}
+
 bool ReadDuty::awaitsPeers() const
 {
     return this->peers.empty() &&
@@ -74,11 +94,24 @@
            this->options.readersWhenStale;
 }
 
+bool ReadDuty::isReaderName(std::string_view peer) const
+{
+    return std::find(this->readers.begin(), this->readers.end(), peer) != this->readers.end();
+}
+
+void ReadDuty::queried(std::string_view peer)
+{
+    if (!this->unansweredSince && this->isReaderName(peer))
+        this->unansweredSince = this->clock.now();
+}
+
+// A reader whose data is older than that does not reach the store.
 void ReadDuty::answered(std::string_view peer, Duration age)
 {
     this->answeredAt = this->clock.now();
-    const bool isReader =
-            std::find(this->readers.begin(), this->readers.end(), peer) != this->readers.end();
+    const bool isReader = this->isReaderName(peer);
+    if (isReader && age <= this->options.maxAge)
+        this->unansweredSince.reset();
     if (isReader && !this->isOld(age))
         this->lastFreshReader = peer;
     else if (this->lastFreshReader == peer)
@@ -100,4 +133,19 @@
     return among.empty() ? std::string() : among[this->random() % among.size()];
 }
 
+// The arbitrary peer tells that this instance is not cut off, and may know one that has taken over.
+std::vector<std::string> ReadDuty::choosePeersToQuery(Duration age)
+{
+    std::vector<std::string> chosen;
+    if (this->unansweredSince && !this->peers.empty()) {
+        chosen = this->readers;
+        chosen.push_back(this->peers[this->random() % this->peers.size()]);
+        return chosen;
+    }
+    std::string one = this->choosePeerToQuery(age);
+    if (!one.empty())
+        chosen.push_back(std::move(one));
+    return chosen;
+}
+
 } // namespace jaytrack
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -189,11 +189,14 @@
     const bool isConfirmedByStore = this->duty.isReader() && age < maxReaderAge;
     if (isConfirmedByStore || now < this->nextQuery)
         return;
-    const std::string queriedPeer = this->duty.choosePeerToQuery(age);
-    if (queriedPeer.empty())
+    const std::vector<std::string> queriedPeers = this->duty.choosePeersToQuery(age);
+    if (queriedPeers.empty())
         return;
-    this->nextQuery = now + queryInterval;
-    this->transport.sendFreshnessQuery(queriedPeer, now.time_since_epoch().count());
+    this->nextQuery = now + this->duty.queryInterval();
+    for (const std::string &peer : queriedPeers) {
+        this->duty.queried(peer);
+        this->transport.sendFreshnessQuery(peer, now.time_since_epoch().count());
+    }
 }
 
 void StoreSharing::onStoreRead(std::uint64_t from, std::uint64_t to,
--- a/unittests/Platform/readdutytest.cpp
+++ b/unittests/Platform/readdutytest.cpp
@@ -8,7 +8,10 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <algorithm>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 using namespace jaytrack;
@@ -113,6 +116,217 @@
     return cr_make_param_array(ReadCase, cases, std::size(cases));
 }
 
+// How the three readers of a fleet are lost.
+enum class ReaderLoss { Together, OneAfterTheOther };
+
+struct ReaderLossCase
+{
+    int instances;
+    ReaderLoss loss;
+    bool busyStore;  // changes confirm the data of the readers several times a second
+    int percentLost; // of the messages between instances
+    std::chrono::milliseconds bound;
+};
+
+// Plays a fleet whose readers are lost just before the store records a change: what each instance
+// asks and reads, in steps of ten milliseconds. Membership does not drop the lost ones meanwhile.
+class ReaderLossPlay
+{
+public:
+    explicit ReaderLossPlay(const ReaderLossCase &readerLoss)
+        : loss(readerLoss)
+    {
+        this->clock.advance(std::chrono::hours(1));
+        ReadDutyOptions options;
+        options.changeBound = readerLoss.bound;
+        for (int i = 0; i < readerLoss.instances; ++i) {
+            this->duties.push_back(
+                    std::make_unique<ReadDuty>(this->clock, nameOf(i), options, this->random));
+            std::vector<std::string> others;
+            for (int other = 0; other < readerLoss.instances; ++other) {
+                if (other != i)
+                    others.push_back(nameOf(other));
+            }
+            this->duties.back()->setPeers(others);
+            this->states.push_back({});
+            this->states.back().phase = static_cast<int>(this->random() % 10);
+            this->states.back().confirmedAt = this->clock.now();
+            this->index[nameOf(i)] = i;
+        }
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        for (std::chrono::milliseconds passed{0}; passed < time; passed += step) {
+            ++this->steps;
+            this->clock.advance(step);
+            for (std::size_t i = 0; i < this->states.size(); ++i) {
+                if (this->states[i].alive && (this->steps + this->states[i].phase) % 10 == 0)
+                    this->tick(static_cast<int>(i));
+            }
+        }
+    }
+
+    // Ends the readers, and has the store record a change right after the last one.
+    void loseReaders()
+    {
+        for (std::size_t i = 0; i < this->duties.size(); ++i) {
+            if (!this->duties[i]->isReader())
+                continue;
+            if (this->loss.loss == ReaderLoss::OneAfterTheOther)
+                this->run(std::chrono::milliseconds(400));
+            this->states[i].alive = false;
+        }
+        this->changedAt = this->clock.now();
+    }
+
+    // Returns how long the last instance took to know the change.
+    Duration latest() const
+    {
+        Duration latest{0};
+        for (const State &state : this->states) {
+            if (state.alive)
+                latest = std::max(latest,
+                                  state.knownAt.value_or(TimePoint::max()) - *this->changedAt);
+        }
+        return latest;
+    }
+
+    int mostReading() const { return this->most; }
+
+private:
+    struct State
+    {
+        bool alive = true;
+        int phase = 0; // of its ticks
+        bool reading = false;
+        TimePoint confirmedAt;
+        TimePoint nextQuery;
+        std::optional<TimePoint> knownAt;
+    };
+
+    static constexpr std::chrono::milliseconds step{10};
+    static constexpr std::chrono::milliseconds storeTime{10};   // of a read and the way to others
+    static constexpr std::chrono::milliseconds watchTime{1100}; // of a watch without a change
+
+    bool arrives() { return static_cast<int>(this->random() % 100) >= this->loss.percentLost; }
+
+    void learn(State &state, Duration after)
+    {
+        const TimePoint at = this->clock.now() + after;
+        state.knownAt = std::min(state.knownAt.value_or(at), at);
+    }
+
+    bool knows(const State &state) const
+    {
+        return state.knownAt && *state.knownAt <= this->clock.now();
+    }
+
+    // How long an instance waits for a change that another one has before it asks the store.
+    Duration catchUpTime() const
+    {
+        const std::chrono::milliseconds wait(150 + 2 * this->states.size());
+        return std::min(wait, std::chrono::milliseconds(500)) + storeTime;
+    }
+
+    void read(int i)
+    {
+        State &state = this->states[static_cast<std::size_t>(i)];
+        if (this->loss.busyStore)
+            state.confirmedAt = this->clock.now();
+        else if (this->clock.now() - state.confirmedAt > 2 * watchTime)
+            state.confirmedAt = this->clock.now() - watchTime;
+        if (!this->changedAt || state.knownAt)
+            return;
+        this->learn(state, storeTime);
+        for (State &other : this->states) {
+            if (other.alive && this->arrives())
+                this->learn(other, storeTime);
+        }
+    }
+
+    void tick(int i)
+    {
+        State &state = this->states[static_cast<std::size_t>(i)];
+        ReadDuty &duty = *this->duties[static_cast<std::size_t>(i)];
+        const Duration age = this->clock.now() - state.confirmedAt;
+        state.reading = duty.reads(age);
+        if (state.reading)
+            this->read(i);
+        this->most = std::max(this->most, this->countReading());
+        if (duty.isReader() || this->clock.now() < state.nextQuery)
+            return;
+        state.nextQuery = this->clock.now() + duty.queryInterval();
+        for (const std::string &peer : duty.choosePeersToQuery(age)) {
+            duty.queried(peer);
+            const State &asked = this->states[static_cast<std::size_t>(this->index[peer])];
+            if (!asked.alive || !this->arrives() || !this->arrives())
+                continue;
+            duty.answered(peer, this->clock.now() - asked.confirmedAt);
+            state.confirmedAt = std::max(state.confirmedAt, asked.confirmedAt);
+            if (this->knows(asked) && !this->knows(state))
+                this->learn(state, this->catchUpTime());
+        }
+    }
+
+    int countReading() const
+    {
+        return static_cast<int>(
+                std::count_if(this->states.begin(), this->states.end(),
+                              [](const State &state) { return state.alive && state.reading; }));
+    }
+
+    ReaderLossCase loss;
+    ManualClock clock;
+    std::mt19937_64 random{7};
+    std::vector<std::unique_ptr<ReadDuty>> duties;
+    std::vector<State> states;
+    std::map<std::string, int> index;
+    std::optional<TimePoint> changedAt;
+    int steps = 0;
+    int most = 0;
+};
+
+ParameterizedTestParameters(readDuty, changeIsKnownInTimeWhenReadersAreLost)
+{
+    static const std::chrono::milliseconds shortest(2000);
+    static const std::chrono::milliseconds longer(3000);
+    static ReaderLossCase cases[] = {
+            {7, ReaderLoss::Together, false, 1, shortest},
+            {7, ReaderLoss::Together, true, 1, shortest},
+            {7, ReaderLoss::OneAfterTheOther, true, 1, shortest},
+            {7, ReaderLoss::Together, true, 1, std::chrono::milliseconds(1200)},
+            {195, ReaderLoss::Together, false, 1, longer},
+            {195, ReaderLoss::Together, true, 1, longer},
+            {195, ReaderLoss::OneAfterTheOther, true, 1, longer},
+            {195, ReaderLoss::Together, true, 1, shortest},
+            {195, ReaderLoss::Together, true, 10, shortest},
+            {584, ReaderLoss::Together, false, 1, shortest},
+            {584, ReaderLoss::Together, true, 1, longer},
+            {584, ReaderLoss::OneAfterTheOther, true, 1, longer},
+            {1000, ReaderLoss::Together, true, 1, longer},
+    };
+    return cr_make_param_array(ReaderLossCase, cases, std::size(cases));
+}
+
+// Guards against targets that are used after they left, because the instances that read the store
+// are lost at once and the others notice it by the age of their data.
+ParameterizedTest(ReaderLossCase *param, readDuty, changeIsKnownInTimeWhenReadersAreLost)
+{
+    ReaderLossPlay play(*param);
+    play.run(std::chrono::seconds(6));
+    const int calm = play.mostReading();
+    play.loseReaders();
+    play.run(std::chrono::seconds(4));
+    const Duration spare = param->bound / 10;
+    cr_assert(play.latest() < param->bound - spare,
+              "%d instances, loss %d, busy %d: known after %lld ms", param->instances,
+              static_cast<int>(param->loss), param->busyStore ? 1 : 0,
+              static_cast<long long>(toMillis(play.latest())));
+    cr_assert(param->percentLost > 1 || calm == 3, "%d read", calm);
+    cr_assert(play.mostReading() <= 48, "%d read", play.mostReading());
+}
+
 // Symptom: while the store is away a fleet of 195 makes a hundred calls a second to it. Events:
 // nobody's knowledge is confirmed for 2.8 s. Cause: each instance then reads for itself. Some
 // sixteen are drawn; three times as many is the bound, so that the calls do not grow with the
