A pause of this process does not count as an outage of the store

Cause: a reader of the store that stood still for five seconds had no contact for more than 4 s by the clock, took that for an outage, and marked the changes that it passed on so; whoever gets such changes keeps removed targets for 2.2 s.

Change: AwakeTime measures time without the pauses of the process (gaps of more than 0.5 s between ticks, which come every 0.1 s). StoreSharing concludes from that; an outage known before a pause lasts. Silence of readers begins anew after a pause. process_paused is logged.

--- a/include/jaytrack/Store/storesharing.h
+++ b/include/jaytrack/Store/storesharing.h
@@ -15,6 +15,7 @@
 #include "jaytrack/Store/snapshotserver.h"
 #include "jaytrack/Store/storefeeds.h"
 #include "jaytrack/Store/storefollower.h"
+#include "jaytrack/Support/awaketime.h"
 
 #include <memory>
 #include <random>
@@ -71,6 +72,8 @@
     std::optional<PackedSnapshot> packedSnapshot() override;
 
 private:
+    void noticePause();
+    Duration timeWithoutContact();
     void noticeRestoredStore();
     bool shouldRead(Duration age);
     void logListingCause(ListingCause cause);
@@ -95,6 +98,7 @@
     ListingCause loggedCause = ListingCause::None;
     std::optional<TimePoint> snapshotRequestedAt; // while one is on its way
     SnapshotCache snapshots;
+    AwakeTime pauses;
 };
 
 } // namespace jaytrack
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -10,6 +10,9 @@
 // 1.2 s, plus a pause of 0.2 s.
 constexpr std::chrono::milliseconds maxReaderAge{1400};
 
+// A longer time between two ticks, which come every 0.1 s, shows that this process was paused.
+constexpr std::chrono::milliseconds maxTickGap{500};
+
 // The age that an instance without data reports.
 constexpr std::chrono::hours unknownAge{24};
 
@@ -26,6 +29,7 @@
     , transport(storeTransport)
     , neededSince(time.now())
     , snapshots(time)
+    , pauses(time, maxTickGap)
 {
 }
 
@@ -50,11 +54,12 @@
 {
     if (this->follower == nullptr)
         return;
+    this->noticePause();
     this->follower->tick();
     this->noticeRestoredStore();
     const Duration age = this->configuration.age();
     this->targets.updateFreshness(this->configuration.confirmedAsOf(),
-                                  this->duty.showsOutage(this->configuration.timeSinceContact()));
+                                  this->duty.showsOutage(this->timeWithoutContact()));
     const bool read = this->shouldRead(age);
     if (read != this->reading) {
         this->reading = read;
@@ -71,6 +76,24 @@
     this->snapshots.dropIfUnused();
 }
 
+void StoreSharing::noticePause()
+{
+    const Duration paused = this->pauses.tick();
+    if (paused == Duration(0))
+        return;
+    this->duty.resumed();
+    logEvent(Severity::Warning, "process_paused",
+             {{"paused_ms", toMillis(paused)}, {"age_ms", toMillis(this->configuration.age())}});
+}
+
+// Returns how long this process has run without contact to the store. While it was paused, the
+// store may have been available to everybody else.
+Duration StoreSharing::timeWithoutContact()
+{
+    const TimePoint contact = this->clock.now() - this->configuration.timeSinceContact();
+    return this->pauses.awakeSince(contact);
+}
+
 void StoreSharing::noticeRestoredStore()
 {
     const bool hasListing = this->follower->hasListed();
