After a common start a stream goes on only with a record of its version

Cause: an instance that starts asks others which versions have served, and took any answer for knowledge. Those that start at the same time answer that they have seen no second version. A stream for which nothing was found also went on where nobody had told whether there were several.

Change: an answer counts if its sender has run for as long as a stream lives, was told by one that has, or the system starts for the first time (new setting first_start). Ruled out as sources of the past: the store's history, start times of engines, their reports (docs/design/stream-versions.md).

--- a/include/jaytrack/Proxy/entrysettings.h
+++ b/include/jaytrack/Proxy/entrysettings.h
@@ -18,6 +18,7 @@
 {
     std::string name;
     std::string dataCentre;
+    bool firstStart = false; // of the whole system, so that nothing has been served before
 
     std::map<std::string, std::string, std::less<>> regions; // by data centre
 
--- a/include/jaytrack/Versions/streamversionmessage.h
+++ b/include/jaytrack/Versions/streamversionmessage.h
@@ -42,13 +42,13 @@
     std::vector<StreamVersionQuery> queries;
     std::vector<StreamVersionAnswer> answers;
     bool asksForServices = false;          // the sender has just started
-    bool tellsServices = false;            // the answer to that
-    std::vector<ServedVersion> services{}; // those with several versions
+    bool tellsServices = false;            // services holds all that the sender asked needs
+    std::vector<ServedVersion> services{}; // with several versions
 
     bool isEmpty() const
     {
         return this->records.empty() && this->queries.empty() && this->answers.empty() &&
-               !this->asksForServices && !this->tellsServices;
+               !this->asksForServices && !this->tellsServices && this->services.empty();
     }
 };
 
--- a/include/jaytrack/Versions/streamversions.h
+++ b/include/jaytrack/Versions/streamversions.h
@@ -7,6 +7,11 @@
 // is placed and thus before the caller gets the first event. An instance that does not know a
 // stream asks those that rank highest now. When the members change, each instance that holds a
 // record sends it to the new keepers. While a service has one version, nothing is sent.
+//
+// An instance that has started sees only the versions that are listed now. What served before it
+// learns from others that have run for longer than a stream lives, or have learnt it. If all
+// instances have started since, nobody knows; until a stream that began before can no longer be
+// taken up, each stream then needs a record.
 #ifndef JAYTRACK_VERSIONS_STREAMVERSIONS_H
 #define JAYTRACK_VERSIONS_STREAMVERSIONS_H
 
@@ -59,8 +64,9 @@
     // Receives the version, or nothing if no instance that answers knows it.
     using Found = std::function<void(const std::optional<std::string> &)>;
 
-    // expectsOthers tells whether the settings name other instances.
-    StreamVersions(const Clock &time, std::string ownName, bool expectsOthers,
+    // expectsOthers tells whether the settings name other instances; firstStart, whether the system
+    // starts for the first time, so that there are no earlier streams.
+    StreamVersions(const Clock &time, std::string ownName, bool expectsOthers, bool firstStart,
                    StreamVersionTransport &peerTransport);
 
     void setInstances(std::span<const std::string> others);
@@ -74,7 +80,7 @@
     std::vector<std::string> mixedServices() const { return this->services.mixedServices(); }
 
     // Whether the version of a stream has to be found out before it goes on: the service has had
-    // several versions lately, or this instance has just started and does not know.
+    // several versions lately, or this instance does not know whether it has.
     bool mustKnow(std::string_view service) const;
 
     // Records that a run of the stream is being sent to an engine of this version. The last call
@@ -116,6 +122,10 @@
 
     using Outgoing = std::map<std::string, StreamVersionMessage, std::less<>>; // by instance
 
+    // Whether this instance knows all versions at which a stream may have begun that can still be
+    // taken up.
+    bool knowsVersions() const;
+    bool isShared(const Record &record) const;
     void store(const std::string &stream, Record record);
     void tellKeepers(const std::string &stream, Record &record, Outgoing &outgoing) const;
     void send(Outgoing &outgoing);
@@ -139,8 +149,9 @@
     std::map<std::int64_t, Search> searches;
     std::int64_t nextSerial = 1;
     bool othersExpected;
-    bool knowsServices = false; // some other instance has told which services are mixed
+    bool knowsPast; // the versions that served before this instance started
     bool instancesChanged = false;
+    TimePoint startedAt;
     TimePoint askedForServicesAt;
 };
 
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -72,7 +72,8 @@
               [this](std::shared_ptr<CallerConnection> connection, CallerRequest request) {
                   this->serve(std::move(connection), std::move(request));
               })
-    , streamVersions(time, entrySettings.name, configuredPeerCount(entrySettings) > 0, *this)
+    , streamVersions(time, entrySettings.name, configuredPeerCount(entrySettings) > 0,
+                     entrySettings.firstStart, *this)
     , runStops(this->loop, this->calls, time, platform, this->limitGate, this->metrics)
     , context{this->loop,
               this->calls,
--- a/lib/Proxy/entrysettings.cpp
+++ b/lib/Proxy/entrysettings.cpp
@@ -88,6 +88,7 @@
     TomlTable &root = *opened;
     settings.name = root.text("name");
     settings.dataCentre = root.text("data_centre");
+    settings.firstStart = root.flag("first_start", settings.firstStart);
 
     readRegions(root, settings);
 
--- a/lib/Proxy/streamtakeup.cpp
+++ b/lib/Proxy/streamtakeup.cpp
@@ -24,7 +24,8 @@
 }
 
 // Looks up the version of a stream that the caller takes up. A wrong version would mix incompatible
-// events, so a stream without a record is refused while the service has several versions.
+// events, so a stream without a record is refused while the service has several versions, or while
+// nobody knows whether it has.
 void StreamExchange::findVersion()
 {
     if (this->versionRequested)
@@ -57,7 +58,7 @@
                        {"search_ms", toMillis(took)}});
     this->context.metrics.count("jaytrack_streams_taken_up_total{known=\"" +
                                 std::string(version ? "yes" : "no") + "\"}");
-    if (!version && this->context.streamVersions.isMixed(this->serviceName))
+    if (!version && this->context.streamVersions.mustKnow(this->serviceName))
         return this->answerWithResult(ResultCode::VersionUnknown, "no_record");
     this->streamVersion = version;
     this->attempt();
--- a/lib/Versions/streamversions.cpp
+++ b/lib/Versions/streamversions.cpp
@@ -25,12 +25,14 @@
 } // namespace
 
 StreamVersions::StreamVersions(const Clock &time, std::string ownName, bool expectsOthers,
-                               StreamVersionTransport &peerTransport)
+                               bool firstStart, StreamVersionTransport &peerTransport)
     : clock(time)
     , transport(peerTransport)
     , ranking(std::move(ownName))
     , services(time)
     , othersExpected(expectsOthers)
+    , knowsPast(firstStart)
+    , startedAt(time.now())
 {
 }
 
@@ -51,7 +53,18 @@
 
 bool StreamVersions::mustKnow(std::string_view service) const
 {
-    return this->isMixed(service) || (this->othersExpected && !this->knowsServices);
+    return this->isMixed(service) || !this->knowsVersions();
+}
+
+bool StreamVersions::knowsVersions() const
+{
+    return this->knowsPast || this->clock.now() - this->startedAt >= ServiceVersions::maxStreamLife;
+}
+
+// Whether others have to know the record. Those of other instances' streams are kept for them.
+bool StreamVersions::isShared(const Record &record) const
+{
+    return record.service.empty() || this->mustKnow(record.service);
 }
 
 std::vector<std::string> StreamVersions::others(std::string_view stream, std::size_t count) const
@@ -78,7 +91,7 @@
         !known->second.told.empty())
         return;
     this->store(stream, {std::string(version), std::string(service), this->clock.now(), {}});
-    if (!this->isMixed(service))
+    if (!this->mustKnow(service))
         return;
     Outgoing outgoing;
     this->tellKeepers(stream, this->records[stream], outgoing);
@@ -214,7 +227,9 @@
                 {query.serial, isKnown ? std::optional(known->second.version) : std::nullopt});
     }
     if (message.asksForServices) {
-        reply.tellsServices = true;
+        // An instance that started with the one that asks knows no more than it does. Versions that
+        // it has seen exist all the same.
+        reply.tellsServices = this->knowsVersions();
         reply.services = this->services.mixedVersions();
     }
     if (!reply.isEmpty())
@@ -223,11 +238,9 @@
 
 void StreamVersions::learnServices(const StreamVersionMessage &message)
 {
-    if (!message.tellsServices)
-        return;
-    this->knowsServices = true;
     for (const ServedVersion &served : message.services)
         this->services.recordListed(served.service, served.version, served.ago);
+    this->knowsPast = this->knowsPast || message.tellsServices;
 }
 
 // An instance that has just started sees only the versions that are listed now, while streams may
@@ -235,7 +248,7 @@
 void StreamVersions::askForServices()
 {
     const TimePoint now = this->clock.now();
-    if (this->knowsServices || this->ranking.count() == 1 ||
+    if (this->knowsVersions() || this->ranking.count() == 1 ||
         now - this->askedForServicesAt < startQuestionInterval)
         return;
     this->askedForServicesAt = now;
@@ -278,8 +291,7 @@
         return;
     Outgoing outgoing;
     for (auto &[stream, record] : this->records) {
-        const bool isShared = record.service.empty() || this->isMixed(record.service);
-        if (isShared)
+        if (this->isShared(record))
             this->tellKeepers(stream, record, outgoing);
     }
     this->send(outgoing);
--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -109,6 +109,7 @@
     settings.callers = "127.0.0.1:0";
     settings.readiness = "127.0.0.1:0";
     settings.store = this->store.address();
+    settings.firstStart = this->options.firstStart;
     settings.regions = this->options.regions;
     settings.drainGrace = this->options.drainGrace;
     settings.peers = this->options.peers;
--- a/unittests/Platform/streamversionstest.cpp
+++ b/unittests/Platform/streamversionstest.cpp
@@ -270,6 +270,23 @@
         cr_expect(runsOf(newer) == 0, "%s", one->name);
 }
 
+// Guards against a stream that goes on at another version, because an instance that nobody told
+// takes the only version that it sees for the only one that there was.
+Test(streamVersions, instanceStartedAgainDoesNotGuess)
+{
+    ScriptedServer engine(quickEngine);
+    FixtureOptions options;
+    options.firstStart = false;
+    EntryFixture entry({resumableRoute()}, options);
+    entry.list("e1", engine);
+    cr_expect(isWhole(callOnce(entry.port(), requestText({})).bytes), "new streams begin");
+    const std::string bytes =
+            callOnce(entry.port(), takeUpText("b1", "Last-Event-Id: 2\r\nResumes: a9\r\n")).bytes;
+    cr_expect(bytes.starts_with("HTTP/1.1 503"), "%s", bytes.c_str());
+    cr_expect(bytes.find("not-run") != std::string::npos);
+    cr_expect(runsOf(engine) == 1);
+}
+
 // Guards against callers who wait in vain, or get another version, when no engine of theirs is
 // left.
 Test(streamVersions, callerIsToldAtOnceThatItsVersionIsGone)
--- a/unittests/Versions/streamversionstest.cpp
+++ b/unittests/Versions/streamversionstest.cpp
@@ -34,19 +34,19 @@
         : instances(count)
     {
         for (std::size_t i = 0; i < count; ++i)
-            this->start(i);
+            this->start(i, true);
         this->shareMembers();
         this->run(1s);
     }
 
     // Starts an instance, or starts it anew without anything that it knew.
-    void start(std::size_t index)
+    void start(std::size_t index, bool firstStart = false)
     {
         Instance &instance = this->instances[index];
         instance.alive = true;
         instance.port = std::make_unique<Port>(*this, nameOf(index));
         instance.streams = std::make_unique<StreamVersions>(
-                this->clock, nameOf(index), this->instances.size() > 1, *instance.port);
+                this->clock, nameOf(index), this->instances.size() > 1, firstStart, *instance.port);
         for (const std::string &version : this->listed)
             instance.streams->recordListed(service, version);
     }
@@ -337,6 +337,75 @@
     cr_expect(fleet.at(0).isMixed(service));
 }
 
+struct CommonStartCase
+{
+    std::size_t instances;
+    std::size_t survivors;
+    bool secondVersionIsListed; // when they start again, the first one still is
+};
+
+ParameterizedTestParameters(streamVersions, nobodyGuessesAfterACommonStart)
+{
+    static CommonStartCase cases[] = {{1, 0, false},   {7, 0, false},   {7, 0, true},
+                                      {7, 1, false},   {195, 0, false}, {195, 0, true},
+                                      {195, 1, false}, {584, 0, false}, {584, 1, false}};
+    return cr_make_param_array(CommonStartCase, cases, std::size(cases));
+}
+
+// Guards against streams that go on at another version, because all instances were killed while the
+// versions changed, and each takes the word of others that know no more than itself.
+ParameterizedTest(CommonStartCase *param, streamVersions, nobodyGuessesAfterACommonStart)
+{
+    Fleet fleet(param->instances);
+    const std::vector<Stream> before = beginStreams(fleet, param->instances, 1);
+    fleet.run(2s);
+    if (param->survivors > 0)
+        fleet.list(versions[1]);
+    for (std::size_t i = param->survivors; i < param->instances; ++i)
+        fleet.kill(i);
+    fleet.shareMembers();
+    fleet.run(1s);
+    if (param->survivors == 0)
+        fleet.list(versions[1]);
+    if (!param->secondVersionIsListed)
+        fleet.unlist(versions[0]);
+    for (std::size_t i = param->survivors; i < param->instances; ++i)
+        fleet.start(i);
+    fleet.shareMembers();
+    fleet.run(2s);
+    for (std::size_t i = 0; i < param->instances; ++i)
+        cr_assert(fleet.at(i).mustKnow(service), "%zu of %zu guesses", i, param->instances);
+    for (std::size_t i = 0; i < before.size(); i += 40) {
+        const auto version = fleet.find((i + 1) % param->instances, before[i].name);
+        cr_assert(!version || *version == versions[0]);
+    }
+    // Streams that begin now are known to others than their owner, which dies.
+    if (param->instances == 1)
+        return;
+    fleet.at(0).recordBegun(streamName("cust", service, "later"), service, versions[1]);
+    fleet.run(50ms);
+    fleet.kill(0);
+    fleet.shareMembers();
+    fleet.run(1s);
+    cr_expect(fleet.find(1, streamName("cust", service, "later")) == versions[1]);
+    fleet.run(ServiceVersions::maxStreamLife + 1s);
+    const bool stillMixed = param->survivors > 0 || param->secondVersionIsListed;
+    cr_expect(stillMixed || !fleet.at(1).mustKnow(service), "no stream from before is left");
+}
+
+// Guards against an instance that refuses streams after its start though others have served all the
+// while.
+Test(streamVersions, instanceThatStartedIsToldByThoseThatKnow)
+{
+    Fleet fleet(7);
+    fleet.kill(3);
+    fleet.start(3);
+    cr_expect(fleet.at(3).mustKnow(service));
+    fleet.shareMembers();
+    fleet.run(1s);
+    cr_expect(!fleet.at(3).mustKnow(service));
+}
+
 // Guards against a search that goes on for ever, or longer than needed, for an attempt without
 // a record, and against finding the stream of another customer or service.
 Test(streamVersions, unknownStreamsAreUnknownSoon)
