A stream goes on only at the incarnation of an engine that is listed

Cause: the version of the listed entry was believed; the request names the engine only, which the new incarnation accepts, and no answer tells which one it is.

Change: before a stream of which the caller has events is begun anew or taken up at an engine, its load report is asked for (IncarnationCheck). One that started since, or does not answer, is not used. A stream whose engine restarted while it went on generating does not go on elsewhere unless both incarnations have the same version.

Not tested: the last sentence of the change.

--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -153,6 +153,9 @@
     // Returns the incarnation with this id; null if it is no longer listed.
     const TargetEntry *find(std::string_view id) const;
 
+    // Returns the incarnation that is listed under this name; null if none is.
+    const TargetEntry *findByName(std::string_view name) const;
+
     // Returns an incarnation that was removed from the list and may still serve what it was given;
     // null if there is none with this id.
     const TargetEntry *findRemoved(std::string_view id) const;
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -29,6 +29,9 @@
 
 constexpr int okStatus = 200;
 
+// The version told to others of a stream that must not go on; no engine has it.
+constexpr std::string_view unclearVersion = "\x01unclear";
+
 std::optional<std::uint64_t> parseEventId(std::string_view text)
 {
     std::uint64_t number = 0;
@@ -225,7 +228,41 @@
                                                                         : ResultCode::NoTarget,
                                                         this->missingEngineReason())
                                : this->waitForCapacity();
-    this->sendWhenPermitted(*chosen, [this](const TargetEntry &engine) { this->begin(engine); });
+    this->sendWhenPermitted(*chosen,
+                            [this](const TargetEntry &engine) { this->beginAtListed(engine); });
+}
+
+// A stream of which the caller has events goes on only at the incarnation that is listed, because
+// another one may have another version.
+void StreamExchange::beginAtListed(const TargetEntry &engine)
+{
+    const bool isBegun = this->streamVersion || this->takesUpStream();
+    if (!isBegun || engine.startedAt == unknownStart)
+        return this->begin(engine);
+    const auto checked = [weak = this->weak_from_this(), this, engine](IncarnationVerdict verdict,
+                                                                       StartTime startedAt) {
+        const auto alive = weak.lock();
+        if (alive && !this->isFinished())
+            this->onIncarnationChecked(engine, verdict, startedAt);
+    };
+    IncarnationCheck::start(this->context, engine, this->callContext(engine, false), checked);
+}
+
+void StreamExchange::onIncarnationChecked(const TargetEntry &engine, IncarnationVerdict verdict,
+                                          StartTime startedAt)
+{
+    if (verdict == IncarnationVerdict::Listed)
+        return this->isAllowed(engine) ? this->begin(engine) : this->attempt();
+    const bool isAnother = verdict == IncarnationVerdict::Another;
+    this->logDecision("engine_not_resumed",
+                      {{"target", engine.id},
+                       {"version", engine.softwareVersion},
+                       {"reason", isAnother ? "another_incarnation" : "no_report"},
+                       {"started_at", static_cast<std::int64_t>(startedAt.count())}});
+    this->tried.insert(engine.id);
+    if (isAnother)
+        this->context.directory.updateStartTime(engine.id, startedAt);
+    this->attempt();
 }
 
 void StreamExchange::begin(const TargetEntry &engine)
@@ -402,7 +439,7 @@
         this->switchToNext();
     if (id)
         this->lastEvent = *id;
-    this->streamVersion = leg.target.softwareVersion;
+    this->recordVersionOf(leg);
     this->recordEventGap(leg);
     this->beginAnswer(leg.head);
     this->caller->write(event.text);
@@ -418,6 +455,20 @@
         this->executeNextStep();
 }
 
+// If the engine has restarted since the run was sent to it, the event may be of either incarnation.
+// Unless both have the same version, the stream cannot go on elsewhere.
+void StreamExchange::recordVersionOf(const StreamLeg &leg)
+{
+    this->streamVersion = leg.target.softwareVersion;
+    if (!leg.restarted || this->versionUnclear)
+        return;
+    const TargetEntry *listed = this->context.directory.findByName(leg.target.name);
+    if (listed != nullptr && listed->softwareVersion == leg.target.softwareVersion)
+        return;
+    this->versionUnclear = true;
+    this->context.streamVersions.recordBegun(this->streamName, this->serviceName, unclearVersion);
+}
+
 // Reports the run as safe once the engine has worked on it for long enough, so that a later crash
 // of the engine is not attributed to the run.
 void StreamExchange::recordProgress(StreamLeg &leg) const
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -9,6 +9,8 @@
 #include "jaytrack/Routing/runplan.h"
 #include "jaytrack/Stream/sse.h"
 
+#include "incarnationcheck.h"
+
 namespace jaytrack {
 
 // Maximum bytes buffered for a slow caller before reading from the engine is paused.
@@ -55,6 +57,7 @@
     std::optional<TimePoint> firstEventAt;
     bool pausedTooLong = false;   // between two of its events, for longer than the route allows
     bool waitedForCaller = false; // reading was paused because the caller read slowly
+    bool restarted = false;       // another incarnation of the engine was listed or reported since
     bool proven = false; // the engine ran long enough that the run is not blamed for a crash
 };
 
@@ -110,7 +113,7 @@
     bool hasBegunAnswer() const override { return this->answerBegun; }
     bool acceptsVersion(std::string_view version) const override
     {
-        return !this->streamVersion || *this->streamVersion == version;
+        return !this->versionUnclear && (!this->streamVersion || *this->streamVersion == version);
     }
     const TargetEntry *currentTarget() const override
     {
@@ -130,6 +133,10 @@
     }
 
     void begin(const TargetEntry &engine);
+    void beginAtListed(const TargetEntry &engine);
+    void onIncarnationChecked(const TargetEntry &engine, IncarnationVerdict verdict,
+                              StartTime startedAt);
+    void recordVersionOf(const StreamLeg &leg);
     std::shared_ptr<StreamLeg> open(const TargetEntry &target, std::optional<ResumePoint> resume);
     void updateCopyReservation();
     void discardCopyAt(const std::string &engine);
@@ -198,14 +205,15 @@
     // The version of the engine that began the stream, once the caller has an event of it. Events
     // of two versions do not fit together.
     std::optional<std::string> streamVersion;
+    bool versionUnclear = false;   // which incarnation of an engine generated the last events
     std::string streamName;        // under which the instances know the stream; may be empty
     bool versionSettled = false;   // the version is known, or any will do
     bool versionRequested = false; // it is being looked for
     bool answerBegun = false;
     std::string lossReason;
-    TimePoint lostAt;       // when the engine was lost after the run had begun
-    TimePoint verdictDueAt; // when it is known whether the lost engine crashed because of the run
-    bool uncertain = false; // some engine may have worked on the request before the current leg
+    TimePoint lostAt;        // when the engine was lost after the run had begun
+    TimePoint verdictDueAt;  // when it is known whether the lost engine crashed because of the run
+    bool uncertain = false;  // some engine may have worked on the request before the current leg
     bool beginsAnew = false; // the lost run is to be placed again, and may be waiting for capacity
     int handovers = 0;
     TimePoint lastEventAt;
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -91,8 +91,10 @@
     this->discardCopyAt(ended.id);
     if (this->next && this->next->target.id == ended.id)
         return this->onNextLost("engine_restarted", false);
-    if (this->current && this->current->target.id == ended.id)
-        this->watchSilence();
+    if (!this->current || this->current->target.id != ended.id)
+        return;
+    this->current->restarted = true;
+    this->watchSilence();
 }
 
 void StreamExchange::watchSilence()
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -323,6 +323,12 @@
     });
 }
 
+const TargetEntry *TargetDirectory::findByName(std::string_view name) const
+{
+    const auto found = this->entries.find(name);
+    return found == this->entries.end() ? nullptr : &found->second.entry;
+}
+
 const TargetEntry *TargetDirectory::findRemoved(std::string_view id) const
 {
     const auto found = this->removed.find(id);
--- a/unittests/Platform/streamversionstest.cpp
+++ b/unittests/Platform/streamversionstest.cpp
@@ -168,6 +168,55 @@
     }
 }
 
+struct ReportCase
+{
+    std::array<char, 32> name;
+    std::int64_t reportedStart; // by the engine that is chosen; 0: none, -1: no answer
+    bool goesOnThere;
+};
+
+ParameterizedTestParameters(streamVersions, streamGoesOnAtTheListedIncarnationOnly)
+{
+    static std::array<ReportCase, 4> cases = {{{{"the one listed"}, 1000, true},
+                                               {{"started since"}, 2000, false},
+                                               {{"does not tell"}, 0, true},
+                                               {{"does not answer"}, -1, false}}};
+    return cr_make_param_array(ReportCase, cases.data(), cases.size());
+}
+
+// Guards against streams that go on at an engine which has started again under its name at another
+// version, before its entry says so.
+ParameterizedTest(ReportCase *param, streamVersions, streamGoesOnAtTheListedIncarnationOnly)
+{
+    ScriptedServer first(dyingEngine);
+    std::atomic<bool> restarted = false;
+    ScriptedServer second([&](const SeenRequest &request) -> Answer {
+        if (!isReport(request))
+            return quickEngine(request);
+        if (restarted && param->reportedStart < 0)
+            return {{AnswerStep::Kind::Hang, "", {}}};
+        const std::int64_t born = restarted ? param->reportedStart : 1000;
+        const std::string start = born == 0 ? "" : R"("born":)" + std::to_string(born) + ",";
+        return wholeAnswer(
+                200, "Content-Type: application/json\r\n",
+                "{" + start + R"("Waiting":0,"Running":0,"KvInUse":0,"KvSize":9000,"Next":0})");
+    });
+    EntryFixture entry({resumableRoute()});
+    entry.list("e1", first, targetOfVersion(first.address(), "v1", "ready", 1000));
+    std::thread starter([&] {
+        std::this_thread::sleep_for(10ms);
+        entry.store.put("servers/e2", targetOfVersion(second.address(), "v1", "ready", 1000));
+        restarted = true;
+    });
+    const CallerView view = callOnce(entry.port(), requestText({}));
+    starter.join();
+    cr_expect(runsOf(second) == (param->goesOnThere ? 1 : 0), "%s: %zu runs", param->name.data(),
+              static_cast<std::size_t>(runsOf(second)));
+    cr_expect(isWhole(view.bytes) == param->goesOnThere, "%s: %s", param->name.data(),
+              view.bytes.c_str());
+    cr_expect(view.bytes.find("token2\n") != std::string::npos, "%s", param->name.data());
+}
+
 // Guards against refusing, for want of a version, a run of which the caller has no event yet.
 Test(streamVersions, runWithoutEventsMayBeginAtAnyVersion)
 {
