jaytrackd: an answer that ends inside its head is not whole

What callers saw: 200 with an empty or short body, framed as whole, when a target stopped in the middle of its answer's head and closed (report of other operators).

Cause: libcurl reports success when the connection is closed after some line of the head has arrived, and HttpClient took that for a whole answer. It passes the cut line, too.

Change: an answer is whole if the empty line behind a final head has arrived; without it there is no status and there are no headers. Headers of an interim answer are dropped when the next head begins.

--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -27,6 +27,8 @@
 // before it and the trailers. libcurl 7.88 does not limit their number.
 constexpr std::size_t maxHeadBytes = 64U << 10U;
 
+constexpr int firstFinalStatus = 200;
+
 struct CurlGlobal
 {
     CurlGlobal() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -64,6 +66,14 @@
         return static_cast<int>(code);
     }
 
+    std::string describeFailure(CURLcode code) const
+    {
+        if (this->tooLarge)
+            return "the answer is larger than the limit";
+        return code == CURLE_OK ? "the connection was closed inside the head"
+                                : curl_easy_strerror(code);
+    }
+
     void deliverHeaders()
     {
         if (this->headersTold)
@@ -77,6 +87,7 @@
 {
     auto *transfer = static_cast<Transfer *>(context);
     std::string_view line(data, size * count);
+    const bool isWholeLine = line.ends_with('\n');
     transfer->headBytes += line.size();
     if (transfer->headBytes > maxHeadBytes) {
         transfer->tooLarge = true;
@@ -84,11 +95,14 @@
     }
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
         line.remove_suffix(1);
-    // The head of an interim response is followed by another one.
-    if (line.starts_with("HTTP/"))
+    // The head of an interim response is followed by another one. libcurl also passes the part of a
+    // line after which the connection was closed.
+    if (line.starts_with("HTTP/")) {
         transfer->headComplete = false;
-    if (line.empty())
-        transfer->headComplete = true;
+        transfer->received.clear();
+    }
+    if (line.empty() && isWholeLine)
+        transfer->headComplete = transfer->status() >= firstFinalStatus;
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
         return size * count;
@@ -362,16 +376,14 @@
         this->transfers.erase(found);
         curl_multi_remove_handle(this->multi, easy);
         HttpCallEnd end;
-        end.whole = code == CURLE_OK;
+        // libcurl reports success when the connection is closed inside the head.
+        end.whole = code == CURLE_OK && transfer->headComplete;
         end.maySentBytes = code == CURLE_OK || !failedBeforeSending(code, easy);
-        end.status = transfer->status();
-        if (code != CURLE_OK)
-            end.error = transfer->tooLarge ? "the answer is larger than the limit"
-                                           : curl_easy_strerror(code);
         // Headers of an incomplete head may state an outcome that the rest of the head would
         // change.
-        if (transfer->tooLarge && !transfer->headComplete)
-            end.status = 0;
+        end.status = transfer->headComplete ? transfer->status() : 0;
+        if (!end.whole)
+            end.error = transfer->describeFailure(code);
         if (end.status != 0)
             transfer->deliverHeaders();
         transfer->listener->onEnd(end);
--- /dev/null
+++ b/unittests/Platform/cutanswers.h
@@ -0,0 +1,93 @@
+// Answers that end in the middle, for tests of clients.
+#ifndef JAYTRACK_TESTS_CUTANSWERS_H
+#define JAYTRACK_TESTS_CUTANSWERS_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include <asio.hpp>
+
+namespace jaytrack::testing {
+
+// A whole answer, which is sent up to each of its bytes.
+struct CutAnswer
+{
+    char name[32];
+    char method[8];
+    char text[176];
+    int status;
+    bool endsWithConnection; // so that only cuts inside its head can be told
+};
+
+inline constexpr CutAnswer cutAnswers[] = {
+        {"length", "GET",
+         "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello", 200,
+         false},
+        {"chunks", "GET",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 200,
+         false},
+        {"trailer", "GET",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-T: y\r\n\r\n",
+         200, false},
+        {"behind an interim answer", "GET",
+         "HTTP/1.1 100 Continue\r\nX-I: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+         200, false},
+        {"no length", "GET", "HTTP/1.1 200 OK\r\nX-Server: a\r\n\r\nhello", 200, true},
+        {"no body", "GET", "HTTP/1.1 204 No Content\r\nX-Server: a\r\n\r\n", 204, false},
+        {"empty body", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, false},
+        {"HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", 200, false},
+        {"failure", "GET", "HTTP/1.1 503 No\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", 503,
+         false},
+};
+
+// Whether the part of the answer can be told from the whole one.
+inline bool isToldFromWhole(const CutAnswer &answer, std::size_t sent)
+{
+    const std::string_view text(answer.text);
+    if (sent >= text.size())
+        return false;
+    return !answer.endsWithConnection || sent < text.find("\r\n\r\n") + 4;
+}
+
+// Sends bytes to whoever connects first, once it has sent something, and closes the connection.
+class CuttingServer
+{
+public:
+    CuttingServer(std::string bytes, bool resets)
+        : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
+        , thread([this, text = std::move(bytes), resets] { this->serve(text, resets); })
+    {
+    }
+
+    ~CuttingServer() { this->thread.join(); }
+    CuttingServer(const CuttingServer &) = delete;
+    CuttingServer &operator=(const CuttingServer &) = delete;
+
+    std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+
+private:
+    void serve(const std::string &bytes, bool resets)
+    {
+        asio::error_code failure;
+        asio::ip::tcp::socket socket = this->acceptor.accept(failure);
+        asio::streambuf request;
+        asio::read_until(socket, request, "\r\n\r\n", failure);
+        asio::write(socket, asio::buffer(bytes), failure);
+        if (resets) {
+            // The bytes arrive before the reset does.
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+            socket.set_option(asio::socket_base::linger(true, 0), failure);
+        }
+        socket.close(failure);
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+} // namespace jaytrack::testing
+
+#endif
