An id that is not UTF-8 does not end the process

Cause: a copy order is JSON, and the library throws on text that is not UTF-8; nobody caught it.

Change: encoding an order may fail. A run that orders cannot name is not moved and stays at its engine; an order to stop it is given up. Written with a replacement character, the id would name another run.

Shown: handOver/runThatNoOrderCanNameStaysWhereItIs, four ids: the program crashes without the catch and passes with it.

--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -164,8 +164,9 @@
     virtual Result<EngineLoad> decodeLoad(std::string_view body) const = 0;
 
     virtual std::string_view movePath() const = 0;
-    virtual std::string encodeMove(std::string_view attemptId, std::string_view destination,
-                                   bool last) const = 0;
+    // Fails if the order cannot name a run with this id.
+    virtual Result<std::string> encodeMove(std::string_view attemptId, std::string_view destination,
+                                           bool last) const = 0;
     virtual Result<MoveAnswer> decodeMove(std::string_view body) const = 0;
 
     // Returns the path of a copy at its source, by which it can be dropped; empty if no path can
--- a/lib/Proxy/runstops.cpp
+++ b/lib/Proxy/runstops.cpp
@@ -131,11 +131,15 @@
 private:
     void send()
     {
+        Result<std::string> text =
+                this->owner.dialect.encodeMove(this->stop.run, this->stop.destination, true);
+        if (!text)
+            return this->finish(StopOutcome::Unknown, "unnameable_run", {});
         TargetRequest request;
         request.method = "POST";
         request.target = this->owner.dialect.movePath();
         request.headers.push_back({"Content-Type", "application/json"});
-        request.body = this->owner.dialect.encodeMove(this->stop.run, this->stop.destination, true);
+        request.body = std::move(text.value());
         ++this->sends;
         this->call = this->start(std::move(request));
         if (!this->call)
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -52,19 +52,25 @@
     return service != nullptr && service->engine ? *service->engine : EngineTraits();
 }
 
-RunPlanOptions planOptions(const EngineTraits &traits, RequestKind kind,
+RunPlanOptions planOptions(const EngineTraits &traits, bool isNameable, RequestKind kind,
                            const StreamOptions &streams, std::mt19937_64 &random)
 {
     RunPlanOptions options;
     std::uniform_int_distribution<std::int64_t> pause(0, streams.maxFirstCopyDelay.count());
     options.firstCopyDelay = std::chrono::milliseconds(pause(random));
-    options.movesRuns = traits.movesRuns;
+    options.movesRuns = traits.movesRuns && isNameable;
     options.mayRunAgain = mayRunAgain(kind);
     if (traits.handleLifetime.count() > 0)
         options.copyLifetime = traits.handleLifetime;
     return options;
 }
 
+// Whether orders can name the run. One that they cannot stays at its engine.
+bool isNameable(const Dialect &dialect, std::string_view attemptId)
+{
+    return dialect.encodeMove(attemptId, {}, false).has_value();
+}
+
 } // namespace
 
 StreamExchange::StreamExchange(ExchangeContext &shared,
@@ -74,7 +80,8 @@
     , traits(engineTraits(this->service()))
     , reservations(shared, this->facts().attemptId)
     , plan(shared.clock,
-           planOptions(this->traits, this->route().kind, shared.streams, shared.random))
+           planOptions(this->traits, isNameable(shared.dialect, this->facts().attemptId),
+                       this->route().kind, shared.streams, shared.random))
     , overlapTimer(shared.loop)
     , moveTimer(shared.loop)
     , planTimer(shared.loop)
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -401,6 +401,9 @@
 {
     const auto endpoint = parseEndpoint(this->current->target.address);
     assert(endpoint && "the current leg was opened with this address, so it must parse");
+    Result<std::string> order =
+            this->context.dialect.encodeMove(this->facts().attemptId, destination.address, false);
+    assert(order && "a run that orders cannot name is not moved");
     this->plan.copyStarted();
     this->permittedEngine = destination.id;
     const GenerationNeed needed = this->needOfCopy();
@@ -425,8 +428,7 @@
     request.target = this->context.dialect.movePath();
     request.headers.push_back({"Host", this->current->target.address});
     request.headers.push_back({"Content-Type", "application/json"});
-    request.body =
-            this->context.dialect.encodeMove(this->facts().attemptId, destination.address, false);
+    request.body = std::move(order.value());
     this->move->call = this->context.calls.start(
             std::move(request), this->callContext(this->current->target, false), this->move);
     this->moveTimer.expires_after(copyTimeout);
--- a/unittests/Platform/handovertest.cpp
+++ b/unittests/Platform/handovertest.cpp
@@ -338,6 +338,35 @@
                  runsOf(third).size(), runsOf(fourth).size());
 }
 
+// Guards against a process that ends when the engine leaves that runs a request whose id is not
+// UTF-8.
+Test(handOver, runThatNoOrderCanNameStaysWhereItIs)
+{
+    for (const std::string id : {"a\xff", "\xc3(", "\xed\xa0\x80", "\xf8\x88\x80\x80\x80"}) {
+        ScriptedServer first([&id](const SeenRequest &request) -> Answer {
+            Answer answer = leavingEngine(200)(request);
+            if (isRun(request))
+                answer.front().bytes = streamHead("X-Attempt-Id: " + id + "\r\n");
+            return answer;
+        });
+        ScriptedServer refuge([](const SeenRequest &) { return wholeAnswer(200, "", "{}"); });
+        EntryFixture entry({RouteSpec()});
+        entry.list("e1", first);
+        std::thread announcer([&] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(150));
+            entry.store.put("servers/e2", targetJson(refuge.address()));
+            entry.store.put("servers/e1", targetJson(first.address(), "draining"));
+        });
+        RequestSpec spec;
+        spec.id = id;
+        const std::string bytes = callOnce(entry.port(), requestText(spec)).bytes;
+        announcer.join();
+        cr_expect(bytes.find("token40") != std::string::npos, "%s", bytes.c_str());
+        cr_expect(runsOf(refuge).empty());
+        cr_expect(entry.becomesReady());
+    }
+}
+
 // Symptom: a draft breaks off in the middle.
 // Events: its engine announces that it leaves; the run is copied to another engine and goes on
 // there after the last event that the caller has.
