jaytrackd: bodies of callers have a bounded nesting

What callers saw (found while seeking what can end a process): all connections cut, after one caller had sent a body with 200,000 nested lists.

Cause: the body is written again for the engine, and its messages for their digests; the library's writer calls itself for each level, until the stack is used up.

Change: a body of more than 100 levels is refused with 400, bad_request.

Shown: gateway/deeplyNestedBodiesAreRefused crashes the program without the bound and passes with it.

--- a/lib/Serve/gateway.cpp
+++ b/lib/Serve/gateway.cpp
@@ -90,12 +90,30 @@
     return true;
 }
 
+// Writing a document calls itself for each level of nesting, so a body has a bounded number.
+constexpr int maxNesting = 100;
+
+// Parses a body; the result is discarded if it is malformed or nested too deeply.
+json parseBody(std::string_view text)
+{
+    bool isTooDeep = false;
+    json body = json::parse(
+            text,
+            [&isTooDeep](int depth, json::parse_event_t, json &) {
+                isTooDeep = isTooDeep || depth > maxNesting;
+                return !isTooDeep;
+            },
+            false);
+    return isTooDeep ? json(json::value_t::discarded) : body;
+}
+
 // Parses the body of a completion request. The error detail is meant for the caller.
 Result<GenerationSpec> parseSpec(const HttpRequest &request)
 {
-    json body = json::parse(request.body, nullptr, false);
+    json body = parseBody(request.body);
     if (!body.is_object())
-        return Error{ResultCode::BadRequest, "the request body is not a JSON object"};
+        return Error{ResultCode::BadRequest,
+                     "the request body is not a JSON object of at most 100 levels"};
     if (!body.contains("model") || !body["model"].is_string())
         return Error{ResultCode::BadRequest, "model must be a string"};
     GenerationSpec spec;
--- a/unittests/Serve/servicetest.cpp
+++ b/unittests/Serve/servicetest.cpp
@@ -287,6 +287,18 @@
     cr_assert(site.request("GET", "/v1/models").end.status == 200);
 }
 
+// Guards against a body whose nesting exhausts the stack.
+Test(gateway, deeplyNestedBodiesAreRefused)
+{
+    Site site;
+    for (const std::size_t levels : {200U, 200'000U}) {
+        const std::string body = R"({"model":"m","messages":[)" + std::string(levels, '[') +
+                                 std::string(levels, ']') + R"(,{"role":"user","content":"a"}]})";
+        const FetchedAnswer answer = site.request("POST", "/v1/chat/completions", body);
+        cr_expect_eq(answer.end.status, 400, "%zu levels: %d", levels, answer.end.status);
+    }
+}
+
 Test(gateway, refusesOversizedBodies)
 {
     Site site;
