jaytrackd: malformed fields of engines and of the instance list end nothing

What callers would have seen: all connections cut, when an engine sent "content": null or a number in a piece of a collected generation, a load report with a text for a number, or when the platform's instance list held such an entry.

Cause: the JSON library throws where a field has another type, in callbacks of libcurl and in its thread, where nobody catches.

Change: decodePiece, decodeLoadReport and decodeInstances (targetmessages.h) decode and never throw. null is empty text; a malformed piece is a malformed stream, a malformed report a failed one, and a malformed entry is left out. What operators read, and tickets, are written with replacement characters.

Shown: targetMessages/*, 25 cases. They are of the new functions, so they were not run on the code before.

--- a/lib/Serve/enginewatcher.cpp
+++ b/lib/Serve/enginewatcher.cpp
@@ -3,10 +3,9 @@
 #include "jaytrack/Http/client.h"
 #include "jaytrack/Serve/sharedplacementpolicy.h"
 #include "jaytrack/Serve/targetlimits.h"
+#include "jaytrack/Serve/targetmessages.h"
 #include "jaytrack/Support/log.h"
 
-#include <nlohmann/json.hpp>
-
 namespace jaytrack {
 
 namespace {
@@ -90,17 +89,11 @@
             [serveContext, sharedState = this->state, name = engine,
              askedAt](const FetchedAnswer &answer) {
                 updateTargetLimit(serveContext->limits, name, {answer.end.status, answer.headers});
-                EngineReport report;
-                const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-                const bool succeeded =
-                        answer.end.whole && answer.end.status == statusOk && body.is_object();
-                if (succeeded) {
-                    report.memoryUsed = body.value("memory_used", std::uint64_t{0});
-                    report.running = body.value("running", 0U);
-                    report.waiting = body.value("waiting", 0U);
-                    report.leaving = body.value("leaving", false);
+                const std::optional<EngineReport> decoded = decodeLoadReport(answer.body);
+                const bool succeeded = answer.end.whole && answer.end.status == statusOk && decoded;
+                EngineReport report = succeeded ? *decoded : EngineReport();
+                if (succeeded)
                     report.takenAt = askedAt - reportLag;
-                }
                 const std::lock_guard lock(sharedState->mutex);
                 if (sharedState->ended)
                     return;
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -6,6 +6,7 @@
 #include "jaytrack/Quarantine/requestdigest.h"
 #include "jaytrack/Serve/sharedplacementpolicy.h"
 #include "jaytrack/Serve/targetlimits.h"
+#include "jaytrack/Serve/targetmessages.h"
 #include "jaytrack/Stream/sse.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Support/metrics.h"
@@ -470,18 +471,12 @@
 
 bool GenerationCall::collect(std::string_view data)
 {
-    const auto chunk = nlohmann::json::parse(data, nullptr, false);
-    if (!chunk.is_object() || !chunk.contains("choices") || chunk["choices"].empty())
+    const std::optional<GeneratedPiece> piece = decodePiece(data, this->spec.chat);
+    if (!piece)
         return false;
-    const auto &choice = chunk["choices"][0];
-    if (this->spec.chat) {
-        const auto delta = choice.value("delta", nlohmann::json::object());
-        this->collected += delta.value("content", std::string());
-    } else {
-        this->collected += choice.value("text", std::string());
-    }
-    if (choice.contains("finish_reason") && choice["finish_reason"].is_string())
-        this->finishReason = choice["finish_reason"].get<std::string>();
+    this->collected += piece->text;
+    if (!piece->finishReason.empty())
+        this->finishReason = piece->finishReason;
     return this->collected.size() <= this->context.settings.maxAnswerBytes;
 }
 
--- a/lib/Serve/operatorhandler.cpp
+++ b/lib/Serve/operatorhandler.cpp
@@ -114,7 +114,7 @@
                          {"in_service", this->view.gateway.inService()},
                          {"streams", this->view.gateway.streams()},
                          {"members", members}};
-    return status.dump();
+    return status.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string OperatorHandler::burn() const
@@ -128,7 +128,7 @@
                         {"total", row.total},
                         {"bad", row.bad}});
     }
-    return rows.dump();
+    return rows.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 void OperatorHandler::explain(const HttpRequest &request, ResponseWriter &writer) const
--- a/lib/Serve/platformreader.cpp
+++ b/lib/Serve/platformreader.cpp
@@ -2,11 +2,10 @@
 
 #include "jaytrack/Config/document.h"
 #include "jaytrack/Http/client.h"
+#include "jaytrack/Serve/targetmessages.h"
 #include "jaytrack/Stream/handle.h"
 #include "jaytrack/Support/log.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace jaytrack {
@@ -182,20 +181,13 @@
     void onInstances(const FetchedAnswer &answer, TimePoint requestedAt)
     {
         const TimePoint now = this->clock.now();
-        const auto list = nlohmann::json::parse(answer.body, nullptr, false);
-        if (!answer.end.whole || answer.end.status != statusOk || !list.is_array()) {
+        auto instances = decodeInstances(answer.body);
+        if (!answer.end.whole || answer.end.status != statusOk || !instances) {
             this->state->instances.failed(now, this->state->random);
             return;
         }
         this->state->instances.succeeded(now, instancesInterval);
-        std::vector<ListedInstance> instances;
-        for (const auto &entry : list) {
-            if (!entry.is_object())
-                continue;
-            instances.push_back({entry.value("name", ""), entry.value("peer", ""),
-                                 entry.value("leaving", false)});
-        }
-        this->listener.onInstances(std::move(instances), requestedAt);
+        this->listener.onInstances(std::move(*instances), requestedAt);
     }
 
     HttpClient &client;
--- a/lib/Serve/servicehandler.cpp
+++ b/lib/Serve/servicehandler.cpp
@@ -187,7 +187,8 @@
                                  {"message", "repeat the request at this URL; it then runs at "
                                              "most once however often it is repeated"}};
     const int status = keyed ? describe(ResultCode::TicketRequired).httpStatus : redirectStatus;
-    call->writer->respond(status, headers, body.dump());
+    call->writer->respond(status, headers,
+                          body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
     call->record.reason = "issued a ticket";
     this->end(call, ResultCode::TicketRequired);
 }
