--- a/include/jaytrack/Store/readduty.h
+++ b/include/jaytrack/Store/readduty.h
@@ -119,8 +119,8 @@
     // queried alternately, because a randomly chosen instance may have newer data.
     std::string choosePeerToQuery(Duration age);
 
-    // Returns the peers to query for freshness now: one, or all readers and another peer if the last
-    // query to a reader was not answered.
+    // Returns the peers to query for freshness now: one, or all readers and another peer if the
+    // last query to a reader was not answered.
     std::vector<std::string> choosePeersToQuery(Duration age);
 
     // Whether the readers have not answered for so long that none of them may be alive. They are
--- a/unittests/Platform/entryfixture.h
+++ b/unittests/Platform/entryfixture.h
@@ -45,7 +45,7 @@
     std::vector<std::string> peerSeeds = {};
     std::map<std::string, std::string, std::less<>> regions = {}; // by data centre
     std::map<std::string, std::string> items = {}; // in the store before the instance starts
-    bool firstStart = true; // of the whole system
+    bool firstStart = true;                        // of the whole system
     int storeStatus = 0; // with which the store refuses every call at first; 0 if it does not
 };
 
