Silent readers are asked one at a time; a stream without a name is recorded nowhere

While the store is away, readers answer with old data and count as silent. All three were then asked by each instance every 0.3 s: three times the questions of calm times, at 584 instances 1,946 a second for each reader by formula. Once they count as silent, one of them and an arbitrary peer are asked.

A stream whose request has no id was recorded under an empty name when its engine restarted.

--- a/include/jaytrack/Store/readduty.h
+++ b/include/jaytrack/Store/readduty.h
@@ -119,8 +119,9 @@
     // queried alternately, because a randomly chosen instance may have newer data.
     std::string choosePeerToQuery(Duration age);
 
-    // Returns the peers to query for freshness now: one, or all readers and another peer if the
-    // last query to a reader was not answered.
+    // Returns the peers to query for freshness now: one; or, if a query to a reader was not
+    // answered, all readers and another peer, and one reader and another peer once they count as
+    // silent.
     std::vector<std::string> choosePeersToQuery(Duration age);
 
     // Whether the readers have not answered for so long that none of them may be alive. They are
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -473,7 +473,9 @@
     if (listed != nullptr && listed->softwareVersion == leg.target.softwareVersion)
         return;
     this->versionUnclear = true;
-    this->context.streamVersions.recordBegun(this->streamName, this->serviceName, unclearVersion);
+    if (!this->streamName.empty())
+        this->context.streamVersions.recordBegun(this->streamName, this->serviceName,
+                                                 unclearVersion);
 }
 
 // Reports the run as safe once the engine has worked on it for long enough, so that a later crash
--- a/lib/Store/readduty.cpp
+++ b/lib/Store/readduty.cpp
@@ -134,11 +134,14 @@
 }
 
 // The arbitrary peer tells that this instance is not cut off, and may know one that has taken over.
+// Silent readers may be alive, and busy with the queries of a whole fleet.
 std::vector<std::string> ReadDuty::choosePeersToQuery(Duration age)
 {
     std::vector<std::string> chosen;
-    if (this->unansweredSince && !this->peers.empty()) {
+    if (this->unansweredSince) {
         chosen = this->readers;
+        if (this->readersAreSilent())
+            chosen = {this->readers[this->random() % this->readers.size()]};
         chosen.push_back(this->peers[this->random() % this->peers.size()]);
         return chosen;
     }
