--- a/include/jaytrack/Proxy/runstops.h
+++ b/include/jaytrack/Proxy/runstops.h
@@ -1,8 +1,8 @@
 // Tells engines to stop runs that have gone on elsewhere.
 //
-// Closing a run's connection does not stop it at every engine: some go on with what nobody reads,
-// and then two engines work on one run. An engine stops a run when it is told to copy it for the
-// last time. Engines that did stop with their connection answer that they have no such run.
+// Closing a run's connection does not stop it at every engine. At some the run continues without a
+// reader, and then two engines work on one run. An engine stops a run when it is told to copy it
+// for the last time. Engines that did stop with their connection answer that they have no such run.
 #ifndef JAYTRACK_PROXY_RUNSTOPS_H
 #define JAYTRACK_PROXY_RUNSTOPS_H
 
--- a/include/jaytrack/Versions/streamversions.h
+++ b/include/jaytrack/Versions/streamversions.h
@@ -10,8 +10,8 @@
 //
 // An instance that has started sees only the versions that are listed now. What served before it
 // learns from others that have run for longer than a stream lives, or have learnt it. If all
-// instances have started since, nobody knows; until a stream that began before can no longer be
-// taken up, each stream then needs a record.
+// instances have started since, no instance knows. Until a stream that began before can no longer
+// be taken up, each stream then needs a record.
 #ifndef JAYTRACK_VERSIONS_STREAMVERSIONS_H
 #define JAYTRACK_VERSIONS_STREAMVERSIONS_H
 
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -159,8 +159,8 @@
     this->abandoned.push_back(leg.target);
 }
 
-// Has the run stopped at all engines that it has left for this one. Two engines would work on it
-// otherwise, and the callers of the engine left would compete with a run that nobody reads.
+// Has the run stopped at all engines that it has left for this one. Otherwise two engines would
+// work on it, and the run without a reader would take capacity from other callers.
 void StreamExchange::stopAbandonedRuns(const StreamLeg &leg)
 {
     for (TargetEntry &engine : this->abandoned)
--- a/lib/Proxy/streamtakeup.cpp
+++ b/lib/Proxy/streamtakeup.cpp
@@ -25,7 +25,7 @@
 
 // Looks up the version of a stream that the caller takes up. A wrong version would mix incompatible
 // events, so a stream without a record is refused while the service has several versions, or while
-// nobody knows whether it has.
+// no instance knows whether it has.
 void StreamExchange::findVersion()
 {
     if (this->versionRequested)
--- a/unittests/Platform/cutanswers.h
+++ b/unittests/Platform/cutanswers.h
@@ -51,7 +51,7 @@
     return !answer.endsWithConnection || sent < text.find("\r\n\r\n") + 4;
 }
 
-// Sends bytes to whoever connects first, once it has sent something, and closes the connection.
+// Accepts one connection, sends the bytes after the head of a request, and closes the connection.
 class CuttingServer
 {
 public:
