Tests: allowedRegions/bind waits until its targets are known

Cause: the test listed three targets and then waited 0.4 s, which is the pause of a reader of the store after a change, so the listing of the last ones and the first request raced. A store that takes 200 ms for a call shows the same line in 3 of 3 runs (1 to 2 of 6 cases red in each); one that takes 60 ms does not.

Change: each target is listed by EntryFixture::list(), which waits until the instance asks it for its load. What is checked is the same. Before a store that takes 200 ms for a call: 3 of 3 runs pass.

--- a/unittests/Platform/regionstest.cpp
+++ b/unittests/Platform/regionstest.cpp
@@ -4,8 +4,6 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-#include <thread>
-
 using namespace jaytrack;
 using namespace jaytrack::testing;
 
@@ -85,11 +83,9 @@
     ScriptedServer north(targetNamed("north"));
     ScriptedServer south(targetNamed("south"));
     ScriptedServer unknown(targetNamed("unknown"));
-    entry.list("i-n", north);
-    entry.store.put("servers/i-n", entryIn(north, "dc-n"));
-    entry.store.put("servers/i-s", entryIn(south, "dc-s"));
-    entry.store.put("servers/i-u", entryIn(unknown, "dc-u"));
-    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    entry.list("i-n", north, entryIn(north, "dc-n"));
+    entry.list("i-s", south, entryIn(south, "dc-s"));
+    entry.list("i-u", unknown, entryIn(unknown, "dc-u"));
     std::map<std::string, int> served;
     for (int i = 0; i < 60; ++i) {
         const std::string answer = callOnce(entry.port(), requestText({})).bytes;
