--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -197,6 +197,8 @@
   7: i32 slots
   8: bool leaving
   9: i64 coldMillis
+  // Listed only by an older copy from which the store was restored.
+  10: bool withheld
 }
 
 // A data centre that is out of use, and the revision of that order.
@@ -233,6 +235,8 @@
   2: i64 ageMicros
   3: i64 revision
   4: i64 era
+  // How long ago the store was restored from an older copy; 0 if that was not lately.
+  5: i64 restoredAgoMicros
 }
 
 // A target has said in an answer that it is cold for so long.
--- a/include/jaytrack/Peers/peerlink.h
+++ b/include/jaytrack/Peers/peerlink.h
@@ -15,6 +15,7 @@
 #include "jaytrack/Peers/datagrampacer.h"
 #include "jaytrack/Peers/noticefragments.h"
 #include "jaytrack/Peers/sharedchanges.h"
+#include "jaytrack/Peers/storefreshness.h"
 #include "jaytrack/Quarantine/quarantinemessage.h"
 #include "jaytrack/Routing/enginechoice.h"
 #include "jaytrack/Routing/engineshares.h"
@@ -66,8 +67,8 @@
     virtual void onLoadFromPeer(std::string_view engine, const EngineLoad &load) = 0;
     virtual void onStoreFromPeer(const SharedChanges &changes) = 0;
     virtual void onFreshnessQuery(std::string_view peer, std::int64_t requestedAt) = 0;
-    virtual void onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt, Duration age,
-                                   std::uint64_t era, std::uint64_t revision) = 0;
+    virtual void onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt,
+                                   const StoreFreshness &freshness) = 0;
     virtual void onLeavingFromPeer(std::string_view target) = 0;
     virtual void onColdFromPeer(std::string_view target, Duration left) = 0;
     virtual void onQuarantineNews(const QuarantineMessage &news) = 0;
@@ -131,8 +132,8 @@
     // each pauses after a change.
     void shareStoreChanges(const SharedChanges &changes);
     void sendFreshnessQuery(std::string_view peer, std::int64_t requestedAt);
-    void sendFreshnessAnswer(std::string_view peer, std::int64_t requestedAt, Duration age,
-                             std::uint64_t era, std::uint64_t revision);
+    void sendFreshnessAnswer(std::string_view peer, std::int64_t requestedAt,
+                             const StoreFreshness &freshness);
 
     // Returns the name of another instance at random, mostly of the own data centre; empty if none
     // is known.
--- a/include/jaytrack/Routing/targetdirectory.h
+++ b/include/jaytrack/Routing/targetdirectory.h
@@ -81,6 +81,9 @@
 {
     std::vector<TargetEntry> entries;
     std::vector<std::string> unusable; // names whose entries do not describe a target
+    // Names whose entries were removed, and are listed only because the store was restored from an
+    // older copy.
+    std::set<std::string, std::less<>> withheld = {};
 };
 
 // The current list of targets. Entries that disappear during an outage of the store are kept for a
--- a/include/jaytrack/Store/storefeeds.h
+++ b/include/jaytrack/Store/storefeeds.h
@@ -19,6 +19,9 @@
 class ConfigurationFeed final : public StoreFollowerListener
 {
 public:
+    // The age of a table that has never been confirmed.
+    static constexpr Duration unknownAge = std::chrono::hours(24);
+
     ConfigurationFeed(const Clock &time, const Dialect &platform)
         : clock(time)
         , dialect(platform)
@@ -31,6 +34,8 @@
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
     void onStoreRestored() override;
+    void onStoreMaybeRestored() override;
+    bool isConfirmed() const override { return this->confirmedAt.has_value(); }
 
     // Applies the configuration that another instance held, and was the newest at asOf.
     void onSnapshot(const StoreSnapshot &snapshot, TimePoint asOf);
@@ -38,16 +43,27 @@
     // Returns the item of the table in force as the store holds it; null while there is none.
     const StoreItem *item() const { return this->activeTable ? &this->activeItem : nullptr; }
 
-    // Records that the table in force was the newest at asOf.
+    // Records that the store held the table in force at asOf.
     void confirm(TimePoint asOf);
 
+    // Records that another instance knew the table in force for the newest at asOf, unless its own
+    // was never confirmed. It may have seen more of the store's past than this one.
+    void confirmByPeer(TimePoint asOf);
+
     // Returns the table in force; null while there is none.
     std::shared_ptr<const RoutingTable> table() const { return this->activeTable; }
 
-    TimePoint confirmedAsOf() const { return this->confirmedAt; }
+    TimePoint confirmedAsOf() const { return this->clock.now() - this->age(); }
 
     // Time since the moment at which the table is known to have been the newest.
-    Duration age() const { return this->clock.now() - this->confirmedAt; }
+    Duration age() const
+    {
+        return this->confirmedAt ? this->clock.now() - *this->confirmedAt : unknownAge;
+    }
+
+    // Time since the moment as of which the store was read, before the first confirmation; age()
+    // after it.
+    Duration timeSinceRead() const;
 
     // Time since the store is known to have been available. Less than age() after it was restored
     // from an older copy, when it is available but confirms nothing yet.
@@ -55,12 +71,14 @@
 
 private:
     void applyItem(const StoreItem &item);
+    void applyConfiguration(const std::vector<StoreItem> &changed);
 
     const Clock &clock;
     const Dialect &dialect;
     std::shared_ptr<const RoutingTable> activeTable;
     StoreItem activeItem;
-    TimePoint confirmedAt;
+    std::optional<TimePoint> confirmedAt;
+    std::optional<TimePoint> readAt;
     // Between these times the store may lack a newer table that it had acknowledged.
     TimePoint uncertainFrom;
     TimePoint uncertainUntil;
@@ -159,6 +177,8 @@
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
     void onStoreRestored() override;
+    void onStoreMaybeRestored() override { this->configuration.onStoreMaybeRestored(); }
+    bool isConfirmed() const override { return this->configuration.isConfirmed(); }
     std::vector<std::string> storedKeys() const override { return this->targets.storedKeys(); }
 
 private:
--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -46,6 +46,13 @@
     // The store was restored from an older copy. Changes acknowledged after that copy was made are
     // missing until they are written again; the next listing belongs to the new history.
     virtual void onStoreRestored() = 0;
+
+    // The store may have been restored shortly before this instance started, which the instance
+    // cannot notice by itself.
+    virtual void onStoreMaybeRestored() {}
+
+    // Whether what was read is known to have been the newest at some time.
+    virtual bool isConfirmed() const { return true; }
 };
 
 // Receives what this instance itself read, to send it to the others.
@@ -66,6 +73,10 @@
 // still missing then belongs to a target that is gone.
 inline constexpr std::chrono::milliseconds restoreTime{2200};
 
+// Time after which the entry of a target that does not renew it has lapsed: three renewals, which
+// are about a second apart, and some more for the removal to arrive.
+inline constexpr std::chrono::milliseconds lapsePeriod{6000};
+
 struct StoreFollowerOptions
 {
     std::string prefix; // key prefix to follow; empty for everything
@@ -114,6 +125,10 @@
     // Pause after an answer with changes. Calls are priced and count towards the store's rate
     // limit, while one answer can hold several changes.
     std::chrono::milliseconds gap{0};
+
+    // Whether the system has run before this instance started, so that the store may have been
+    // restored from an older copy just then.
+    bool systemRanBefore = false;
 };
 
 class StoreFollower final : public TargetCallListener,
@@ -153,6 +168,13 @@
     // already. Only if hasListed() is false and holdsNewer() as well.
     void adoptSnapshot(std::uint64_t snapshotEra, std::uint64_t at);
 
+    // Takes over a snapshot in place of a listing of the same era, and reads again what has changed
+    // since.
+    void replaceListing(std::uint64_t snapshotEra, std::uint64_t at);
+
+    // Returns when this instance learnt that the store was restored; nothing if it was not.
+    std::optional<TimePoint> restoredAt() const { return this->lastRestore; }
+
     // Whether this instance holds all items of the store in the current era, and does not fail to
     // list them again.
     bool hasListed() const { return this->listedInEra && !(this->listing && this->lost); }
@@ -182,6 +204,8 @@
     void query();
     bool belongsToKnownEra();
     void listAfterRewrites();
+    void onFirstEra();
+    void confirmAfterRewrites(bool always);
     void enterEra(std::uint64_t next, std::string_view source, std::chrono::milliseconds pause);
     void queryMissing(std::string_view cause);
     std::chrono::milliseconds answerTimeout() const;
@@ -225,6 +249,7 @@
     std::string body;
     std::uint64_t era = 0;
     TimePoint eraSince; // when this instance learnt of it
+    std::optional<TimePoint> lastRestore;
     std::size_t instances = 1;
     bool listing = true;
     std::uint64_t revisionBeforeListing = 0; // 0 if there was none of the same history
--- a/include/jaytrack/Store/storesharing.h
+++ b/include/jaytrack/Store/storesharing.h
@@ -9,6 +9,7 @@
 #define JAYTRACK_STORE_STORESHARING_H
 
 #include "jaytrack/Peers/sharedchanges.h"
+#include "jaytrack/Peers/storefreshness.h"
 #include "jaytrack/Store/listingturn.h"
 #include "jaytrack/Store/readduty.h"
 #include "jaytrack/Store/snapshotcache.h"
@@ -36,7 +37,7 @@
     virtual void shareStoreChanges(const SharedChanges &changes) = 0;
     virtual void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) = 0;
     virtual void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt,
-                                     Duration age, std::uint64_t era, std::uint64_t revision) = 0;
+                                     const StoreFreshness &freshness) = 0;
 
     // Returns the name of another instance, mostly of the own data centre; empty if none is known.
     virtual std::string randomInstance() = 0;
@@ -66,21 +67,33 @@
     void onPeersChanged(const std::vector<std::string> &names);
     void onStoreFromPeer(const SharedChanges &changes);
     void onFreshnessQuery(std::string_view peer, std::int64_t requestedAt);
-    void onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt, Duration age,
-                           std::uint64_t era, std::uint64_t revision);
+    void onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt,
+                           const StoreFreshness &freshness);
     void onSnapshot(const std::optional<StoreSnapshot> &snapshot);
     std::optional<PackedSnapshot> packedSnapshot() override;
 
 private:
+    struct SnapshotRequest
+    {
+        TimePoint at;
+        bool replacesListing; // which may be of a copy that lacks changes
+    };
+
     void noticePause();
     Duration timeWithoutContact();
+    StoreFreshness freshness() const;
+    std::optional<Duration> sinceRestore() const;
+    void noteRestore(const StoreFreshness &reported);
+    bool lacksChangesOf(const StoreFreshness &other, TimePoint asOf) const;
     void noticeRestoredStore();
     bool shouldRead(Duration age);
     void logListingCause(ListingCause cause);
     void queryFreshness(Duration age);
     void searchSnapshot();
-    void requestSnapshot(std::string_view peer);
-    std::string_view reasonToIgnore(const std::optional<StoreSnapshot> &snapshot);
+    void requestSnapshot(std::string_view peer, bool replacesListing);
+    void adopt(const StoreSnapshot &snapshot);
+    std::string_view reasonToIgnore(const std::optional<StoreSnapshot> &snapshot,
+                                    const SnapshotRequest &request);
     StoreSnapshot makeSnapshot() const;
 
     const Clock &clock;
@@ -94,9 +107,10 @@
     bool hadListing = false; // at the last tick
     TimePoint nextQuery;
     std::size_t peerCount = 0;
-    TimePoint neededSince; // a listing: since the start, or the store's return
+    std::optional<TimePoint> restoredAt; // the store, as another instance has told
+    TimePoint neededSince;               // a listing: since the start, or the store's return
     ListingCause loggedCause = ListingCause::None;
-    std::optional<TimePoint> snapshotRequestedAt; // while one is on its way
+    std::optional<SnapshotRequest> snapshotRequest; // while one is on its way
     SnapshotCache snapshots;
     AwakeTime pauses;
 };
--- a/lib/Peers/peerlink.cpp
+++ b/lib/Peers/peerlink.cpp
@@ -72,6 +72,38 @@
 // A longer time between two events is an error, and the largest ones would overflow a Duration.
 constexpr std::chrono::microseconds maxEventInterval = std::chrono::minutes(1);
 
+// A restore of the store that is longer ago has no effect on any instance.
+constexpr std::chrono::microseconds maxSinceRestore = std::chrono::minutes(1);
+
+std::int64_t toMicros(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+}
+
+wire::FreshnessAnswer toNotice(const StoreFreshness &freshness)
+{
+    wire::FreshnessAnswer answer;
+    answer.ageMicros = toMicros(freshness.age);
+    answer.revision = static_cast<std::int64_t>(freshness.revision);
+    answer.era = static_cast<std::int64_t>(freshness.era);
+    // 0 stands for no restore.
+    if (freshness.sinceRestore)
+        answer.restoredAgoMicros = std::max<std::int64_t>(1, toMicros(*freshness.sinceRestore));
+    return answer;
+}
+
+StoreFreshness fromNotice(const wire::FreshnessAnswer &answer)
+{
+    StoreFreshness freshness;
+    freshness.age = std::chrono::microseconds(answer.ageMicros);
+    freshness.revision = static_cast<std::uint64_t>(answer.revision);
+    freshness.era = static_cast<std::uint64_t>(answer.era);
+    const std::chrono::microseconds sinceRestore(answer.restoredAgoMicros);
+    if (sinceRestore.count() > 0 && sinceRestore <= maxSinceRestore)
+        freshness.sinceRestore = sinceRestore;
+    return freshness;
+}
+
 std::uint32_t toTokens(std::int64_t number)
 {
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, number));
@@ -459,16 +491,12 @@
     this->membership.sendPolicy(peer, encodeMessage(message));
 }
 
-void PeerLink::sendFreshnessAnswer(std::string_view peer, std::int64_t requestedAt, Duration age,
-                                   std::uint64_t era, std::uint64_t revision)
+void PeerLink::sendFreshnessAnswer(std::string_view peer, std::int64_t requestedAt,
+                                   const StoreFreshness &freshness)
 {
-    wire::FreshnessAnswer answer;
-    answer.askedAt = requestedAt;
-    answer.ageMicros = std::chrono::duration_cast<std::chrono::microseconds>(age).count();
-    answer.revision = static_cast<std::int64_t>(revision);
-    answer.era = static_cast<std::int64_t>(era);
     wire::EntryNotices message;
-    message.answers.push_back(answer);
+    message.answers.push_back(toNotice(freshness));
+    message.answers.back().askedAt = requestedAt;
     this->membership.sendPolicy(peer, encodeMessage(message));
 }
 
@@ -566,12 +594,8 @@
         this->listener.onStoreFromPeer(fromNotice(notice));
     for (const wire::FreshnessAsk &ask : message->asks)
         this->listener.onFreshnessQuery(from, ask.askedAt);
-    for (const wire::FreshnessAnswer &answer : message->answers) {
-        this->listener.onFreshnessAnswer(from, answer.askedAt,
-                                         std::chrono::microseconds(answer.ageMicros),
-                                         static_cast<std::uint64_t>(answer.era),
-                                         static_cast<std::uint64_t>(answer.revision));
-    }
+    for (const wire::FreshnessAnswer &answer : message->answers)
+        this->listener.onFreshnessAnswer(from, answer.askedAt, fromNotice(answer));
 }
 
 void PeerLink::depart()
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -159,6 +159,7 @@
     everything.store = store.value();
     everything.stalePrefix = this->dialect.targetsPrefix();
     everything.gap = this->settings.tuning.storeReadInterval;
+    everything.systemRanBefore = !this->settings.firstStart;
     this->follower =
             std::make_shared<StoreFollower>(this->loop, this->clock, this->dialect, everything,
                                             this->random(), this->feeds, this->sharing);
--- a/lib/Proxy/entrynotifications.cpp
+++ b/lib/Proxy/entrynotifications.cpp
@@ -265,10 +265,9 @@
 }
 
 void EntryInstance::Parts::onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt,
-                                             Duration age, std::uint64_t era,
-                                             std::uint64_t revision)
+                                             const StoreFreshness &freshness)
 {
-    this->sharing.onFreshnessAnswer(peer, requestedAt, age, era, revision);
+    this->sharing.onFreshnessAnswer(peer, requestedAt, freshness);
 }
 
 void EntryInstance::Parts::onLeavingFromPeer(std::string_view target)
@@ -361,11 +360,10 @@
 }
 
 void EntryInstance::Parts::sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt,
-                                               Duration age, std::uint64_t era,
-                                               std::uint64_t revision)
+                                               const StoreFreshness &freshness)
 {
     if (this->peers)
-        this->peers->sendFreshnessAnswer(instance, requestedAt, age, era, revision);
+        this->peers->sendFreshnessAnswer(instance, requestedAt, freshness);
 }
 
 std::string EntryInstance::Parts::randomInstance()
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -134,8 +134,8 @@
     void onLoadFromPeer(std::string_view engine, const EngineLoad &load) override;
     void onStoreFromPeer(const SharedChanges &changes) override;
     void onFreshnessQuery(std::string_view peer, std::int64_t requestedAt) override;
-    void onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt, Duration age,
-                           std::uint64_t era, std::uint64_t revision) override;
+    void onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt,
+                           const StoreFreshness &freshness) override;
     void onLeavingFromPeer(std::string_view target) override;
     void onColdFromPeer(std::string_view target, Duration remaining) override;
 
@@ -194,8 +194,8 @@
 
     void shareStoreChanges(const SharedChanges &changes) override;
     void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) override;
-    void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt, Duration age,
-                             std::uint64_t era, std::uint64_t revision) override;
+    void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt,
+                             const StoreFreshness &freshness) override;
     std::string randomInstance() override;
     void requestSnapshot(std::string_view instance) override;
 
--- a/lib/Routing/targetdirectory.cpp
+++ b/lib/Routing/targetdirectory.cpp
@@ -36,7 +36,8 @@
         present.insert(entry.name);
         const std::string id = entry.id;
         const std::string name = entry.name;
-        const bool withhold = restoredFromCopy && this->removed.count(id) > 0;
+        const bool withhold = (restoredFromCopy && this->removed.count(id) > 0) ||
+                              listing.withheld.count(name) > 0;
         this->put(std::move(entry));
         const auto row = this->entries.find(name);
         if (!withhold || row == this->entries.end())
@@ -266,6 +267,8 @@
     for (const auto &[name, row] : this->entries) {
         if (row.missing)
             continue;
+        if (row.withheld)
+            listing.withheld.insert(name);
         if (row.suspended)
             listing.unusable.push_back(name);
         else
--- a/lib/Store/storefeeds.cpp
+++ b/lib/Store/storefeeds.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Time after which the entry of a target that does not renew it has lapsed: three renewals, which
-// are about a second apart, and some more for the removal to arrive.
-constexpr std::chrono::milliseconds lapsePeriod{6000};
-
 // Limits log lines about unusable entries per period. A faulty writer may leave thousands of them;
 // the first lines show the problem, and a metric counts all of them.
 constexpr std::size_t maxReportsPerPeriod = 20;
@@ -27,22 +23,27 @@
 
 void ConfigurationFeed::onChanges(const std::vector<StoreItem> &items, TimePoint asOf)
 {
-    for (const StoreItem &item : items) {
-        if (item.key == this->dialect.configurationKey() && !item.deleted && !item.unreadable)
-            this->applyItem(item);
-    }
+    this->applyConfiguration(items);
     this->confirm(asOf);
 }
 
 void ConfigurationFeed::onSharedChanges(const std::vector<StoreItem> &items, bool)
 {
-    this->onChanges(items, TimePoint());
+    this->applyConfiguration(items);
+}
+
+void ConfigurationFeed::applyConfiguration(const std::vector<StoreItem> &changed)
+{
+    for (const StoreItem &item : changed) {
+        if (item.key == this->dialect.configurationKey() && !item.deleted && !item.unreadable)
+            this->applyItem(item);
+    }
 }
 
 void ConfigurationFeed::onSnapshot(const StoreSnapshot &snapshot, TimePoint asOf)
 {
     this->applyItem(snapshot.configuration);
-    this->confirm(asOf);
+    this->confirmByPeer(asOf);
 }
 
 void ConfigurationFeed::applyItem(const StoreItem &item)
@@ -78,15 +79,28 @@
 
 void ConfigurationFeed::confirm(TimePoint asOf)
 {
+    this->readAt = std::max(this->readAt.value_or(asOf), asOf);
     const bool uncertain = asOf >= this->uncertainFrom && asOf < this->uncertainUntil;
     if (!uncertain)
-        this->confirmedAt = std::max(this->confirmedAt, asOf);
+        this->confirmByPeer(asOf);
+}
+
+void ConfigurationFeed::confirmByPeer(TimePoint asOf)
+{
+    if (this->clock.now() - asOf < unknownAge)
+        this->confirmedAt = std::max(this->confirmedAt.value_or(asOf), asOf);
+}
+
+Duration ConfigurationFeed::timeSinceRead() const
+{
+    const bool isOnlyRead = !this->confirmedAt && this->readAt;
+    return isOnlyRead ? this->clock.now() - *this->readAt : this->age();
 }
 
 Duration ConfigurationFeed::timeSinceContact() const
 {
     const TimePoint now = this->clock.now();
-    return now - std::max(this->confirmedAt, std::min(now, this->uncertainUntil));
+    return now - std::max(this->confirmedAsOf(), std::min(now, this->uncertainUntil));
 }
 
 // A key may have been revoked by an acknowledged change that is not in the restored copy and never
@@ -98,6 +112,15 @@
     this->uncertainUntil = this->uncertainFrom + restoreTime;
 }
 
+// What was read before the first answer told its history is no more certain.
+void ConfigurationFeed::onStoreMaybeRestored()
+{
+    this->uncertainFrom = TimePoint::min();
+    this->uncertainUntil = this->clock.now() + restoreTime;
+    logEvent(Severity::Info, "config_unconfirmed",
+             {{"reason", "store_maybe_restored"}, {"for_ms", toMillis(restoreTime)}});
+}
+
 void ConfigurationFeed::onStoreLost(std::string_view reason)
 {
     logEvent(Severity::Warning, "store_lost",
@@ -197,6 +220,8 @@
 void TargetFeed::onSnapshot(const StoreSnapshot &snapshot)
 {
     this->applyListing(snapshot.targets, snapshot.outOfUse);
+    if (!snapshot.targets.withheld.empty())
+        this->watchForLapses();
 }
 
 void TargetFeed::addTo(StoreSnapshot &snapshot) const
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -145,7 +145,8 @@
     const std::uint64_t before = std::exchange(this->era, next);
     this->eraSince = this->clock.now();
     if (before == 0)
-        return;
+        return this->onFirstEra();
+    this->lastRestore = this->eraSince;
     logEvent(Severity::Warning, "store_returned",
              {{"era", static_cast<std::int64_t>(next)},
               {"before", static_cast<std::int64_t>(before)},
@@ -162,28 +163,43 @@
     this->startListing();
     this->listener.onStoreRestored();
     this->queryAfter(pause);
-    this->listAfterRewrites();
+    this->confirmAfterRewrites(true);
+}
+
+// Only another instance can tell whether the store had this history for long.
+void StoreFollower::onFirstEra()
+{
+    if (!this->options.systemRanBefore)
+        return;
+    this->listener.onStoreMaybeRestored();
+    this->confirmAfterRewrites(false);
 }
 
 // Nothing read before lost changes are written again confirms that a configuration is the newest,
 // so an instance that reads the store lists it then, rather than when its next watches end.
-void StoreFollower::listAfterRewrites()
+void StoreFollower::confirmAfterRewrites(bool always)
 {
     this->rewriteTimer.expires_after(restoreTime);
-    this->rewriteTimer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
-        const auto self = weak.lock();
-        if (failure || !self || self->stopped || !self->active)
-            return;
-        // A listing that is still under way must not begin again: with a slow store it would never
-        // end.
-        if (!self->listedInEra || self->lost)
-            return;
-        if (self->call)
-            self->call->cancel();
-        self->timer.cancel();
-        self->startListing();
-        self->query();
-    });
+    this->rewriteTimer.async_wait(
+            [weak = this->weak_from_this(), always](const asio::error_code &failure) {
+                const auto self = weak.lock();
+                if (!failure && self && (always || !self->listener.isConfirmed()))
+                    self->listAfterRewrites();
+            });
+}
+
+void StoreFollower::listAfterRewrites()
+{
+    if (this->stopped || !this->active)
+        return;
+    // A listing that is still under way must not begin again: with a slow store it would never end.
+    if (!this->listedInEra || this->lost)
+        return;
+    if (this->call)
+        this->call->cancel();
+    this->timer.cancel();
+    this->startListing();
+    this->query();
 }
 
 // Whether the answer belongs to the known history. An answer to a query that was sent before this
@@ -340,6 +356,15 @@
         this->query();
 }
 
+void StoreFollower::replaceListing(std::uint64_t snapshotEra, std::uint64_t at)
+{
+    const std::uint64_t before = std::exchange(this->revision, 0);
+    this->listedInEra = false;
+    this->startListing();
+    this->adoptSnapshot(snapshotEra, at);
+    this->catchUp(before);
+}
+
 std::chrono::milliseconds StoreFollower::answerTimeout() const
 {
     if (!this->listing)
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -13,8 +13,9 @@
 // A longer time between two ticks, which come every 0.1 s, shows that this process was paused.
 constexpr std::chrono::milliseconds maxTickGap{500};
 
-// The age that an instance without data reports.
-constexpr std::chrono::hours unknownAge{24};
+// Data that was confirmed this much earlier than that of another instance may lack changes. Between
+// instances in contact with each other the difference is smaller.
+constexpr std::chrono::milliseconds maxLag{2800};
 
 } // namespace
 
@@ -60,7 +61,7 @@
     const Duration age = this->configuration.age();
     this->targets.updateFreshness(this->configuration.confirmedAsOf(),
                                   this->duty.showsOutage(this->timeWithoutContact()));
-    const bool read = this->shouldRead(age);
+    const bool read = this->shouldRead(this->configuration.timeSinceRead());
     if (read != this->reading) {
         this->reading = read;
         logEvent(Severity::Info, read ? "store_reading" : "store_shared",
@@ -130,7 +131,7 @@
 void StoreSharing::searchSnapshot()
 {
     const TimePoint now = this->clock.now();
-    if (this->snapshotRequestedAt || now < this->nextQuery)
+    if (this->snapshotRequest || now < this->nextQuery)
         return;
     const std::string queriedPeer = this->transport.randomInstance();
     if (queriedPeer.empty())
@@ -140,49 +141,59 @@
     this->transport.sendFreshnessQuery(queriedPeer, now.time_since_epoch().count());
 }
 
-void StoreSharing::requestSnapshot(std::string_view peer)
+void StoreSharing::requestSnapshot(std::string_view peer, bool replacesListing)
 {
-    if (this->snapshotRequestedAt)
+    if (this->snapshotRequest)
         return;
-    this->snapshotRequestedAt = this->clock.now();
+    this->snapshotRequest = SnapshotRequest{this->clock.now(), replacesListing};
     this->transport.requestSnapshot(peer);
 }
 
 // Returns why a snapshot is not taken; empty if it is.
-std::string_view StoreSharing::reasonToIgnore(const std::optional<StoreSnapshot> &snapshot)
+std::string_view StoreSharing::reasonToIgnore(const std::optional<StoreSnapshot> &snapshot,
+                                              const SnapshotRequest &request)
 {
     if (!snapshot)
         return "not_given";
-    if (this->follower->hasListed())
-        return "listed_meanwhile";
     if (!this->follower->updateEra(snapshot->era))
         return "older_era";
+    if (this->follower->hasListed())
+        return request.replacesListing ? "" : "listed_meanwhile";
     return this->follower->holdsNewer(snapshot->revision) ? "older_revision" : "";
 }
 
 void StoreSharing::onSnapshot(const std::optional<StoreSnapshot> &snapshot)
 {
-    const auto requestedAt = std::exchange(this->snapshotRequestedAt, std::nullopt);
-    if (!requestedAt)
+    const auto request = std::exchange(this->snapshotRequest, std::nullopt);
+    if (!request)
         return;
-    const std::string_view reason = this->reasonToIgnore(snapshot);
+    const std::string_view reason = this->reasonToIgnore(snapshot, *request);
     if (!reason.empty()) {
         logEvent(Severity::Info, "store_not_received",
                  {{"reason", reason},
                   {"waited_ms", toMillis(this->clock.now() - this->neededSince)}});
         return;
     }
-    this->configuration.onSnapshot(*snapshot, *requestedAt - snapshot->age);
+    this->configuration.onSnapshot(*snapshot, request->at - snapshot->age);
     if (!this->configuration.table())
         return;
     logEvent(Severity::Info, "store_received",
              {{"targets", static_cast<std::int64_t>(snapshot->targets.entries.size())},
               {"revision", static_cast<std::int64_t>(snapshot->revision)},
               {"age_ms", toMillis(snapshot->age)},
-              {"took_ms", toMillis(this->clock.now() - *requestedAt)},
+              {"took_ms", toMillis(this->clock.now() - request->at)},
+              {"replaces_listing", this->follower->hasListed() ? 1 : 0},
               {"waited_ms", toMillis(this->clock.now() - this->neededSince)}});
-    this->targets.onSnapshot(*snapshot);
-    this->follower->adoptSnapshot(snapshot->era, snapshot->revision);
+    this->adopt(*snapshot);
+}
+
+void StoreSharing::adopt(const StoreSnapshot &snapshot)
+{
+    this->targets.onSnapshot(snapshot);
+    if (this->follower->hasListed())
+        this->follower->replaceListing(snapshot.era, snapshot.revision);
+    else
+        this->follower->adoptSnapshot(snapshot.era, snapshot.revision);
 }
 
 std::optional<PackedSnapshot> StoreSharing::packedSnapshot()
@@ -241,35 +252,77 @@
 {
     if (this->follower == nullptr)
         return;
-    // An answer without data still shows the other instance that it is not alone.
-    const std::uint64_t revision = this->follower->knownRevision();
-    const Duration age = revision > 0 ? this->configuration.age() : Duration(unknownAge);
-    this->transport.sendFreshnessAnswer(peer, requestedAt, age, this->follower->knownEra(),
-                                        revision);
+    this->transport.sendFreshnessAnswer(peer, requestedAt, this->freshness());
+}
+
+// An answer without data still shows the other instance that it is not alone.
+StoreFreshness StoreSharing::freshness() const
+{
+    StoreFreshness own;
+    own.era = this->follower->knownEra();
+    own.revision = this->follower->knownRevision();
+    own.age = own.revision > 0 ? this->configuration.age() : ConfigurationFeed::unknownAge;
+    own.sinceRestore = this->sinceRestore();
+    return own;
+}
+
+// Returns how long ago the store was restored, as this or another instance has seen; nothing once
+// all that it had lost is written again or has lapsed.
+std::optional<Duration> StoreSharing::sinceRestore() const
+{
+    std::optional<TimePoint> latest = this->restoredAt;
+    const std::optional<TimePoint> seen = this->follower->restoredAt();
+    if (!latest || (seen && *seen > *latest))
+        latest = seen;
+    if (!latest || this->clock.now() - *latest >= lapsePeriod)
+        return std::nullopt;
+    return this->clock.now() - *latest;
+}
+
+void StoreSharing::noteRestore(const StoreFreshness &reported)
+{
+    if (!reported.sinceRestore)
+        return;
+    const TimePoint at = this->clock.now() - *reported.sinceRestore;
+    if (!this->restoredAt || *this->restoredAt < at)
+        this->restoredAt = at;
+}
+
+// Whether another instance, whose data was confirmed at the given time, may know changes that the
+// store has lost by a restore and this instance has never seen. Revisions do not show that. It may
+// if its data was confirmed before the restore, when this instance was not up or cut off.
+bool StoreSharing::lacksChangesOf(const StoreFreshness &other, TimePoint asOf) const
+{
+    return other.sinceRestore && other.age > *other.sinceRestore &&
+           asOf - this->configuration.confirmedAsOf() > maxLag;
 }
 
 // The peer answered after the query was sent, and its data had the reported age at that time.
 // Subtracting the age from the send time of the query therefore gives a safe lower bound for the
 // time as of which the data is confirmed, however long the answer took.
-void StoreSharing::onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt, Duration age,
-                                     std::uint64_t era, std::uint64_t revision)
+void StoreSharing::onFreshnessAnswer(std::string_view peer, std::int64_t requestedAt,
+                                     const StoreFreshness &freshness)
 {
-    this->duty.answered(peer, age);
+    this->duty.answered(peer, freshness.age);
     this->turn.answered();
     const TimePoint sentAt{Duration(requestedAt)};
-    if (this->follower == nullptr || sentAt > this->clock.now() || age < Duration(0))
+    if (this->follower == nullptr || sentAt > this->clock.now() || freshness.age < Duration(0))
         return;
+    this->noteRestore(freshness);
     // Revisions of different store histories cannot be compared.
-    if (revision == 0 || !this->follower->updateEra(era))
+    if (freshness.revision == 0 || !this->follower->updateEra(freshness.era))
         return;
     if (!this->follower->hasListed()) {
-        if (!this->follower->holdsNewer(revision))
-            this->requestSnapshot(peer);
+        if (!this->follower->holdsNewer(freshness.revision))
+            this->requestSnapshot(peer, false);
         return;
     }
-    if (revision > this->follower->knownRevision())
-        return this->follower->catchUp(revision);
-    this->configuration.confirm(sentAt - age);
+    const TimePoint asOf = sentAt - freshness.age;
+    if (this->lacksChangesOf(freshness, asOf))
+        return this->requestSnapshot(peer, true);
+    if (freshness.revision > this->follower->knownRevision())
+        return this->follower->catchUp(freshness.revision);
+    this->configuration.confirmByPeer(asOf);
 }
 
 } // namespace jaytrack
--- a/lib/Store/storesnapshot.cpp
+++ b/lib/Store/storesnapshot.cpp
@@ -52,8 +52,10 @@
     notice.configuration.key = snapshot.configuration.key;
     notice.configuration.value = snapshot.configuration.value;
     notice.configuration.revision = static_cast<std::int64_t>(snapshot.configuration.revision);
-    for (const TargetEntry &entry : snapshot.targets.entries)
+    for (const TargetEntry &entry : snapshot.targets.entries) {
         notice.targets.push_back(toNotice(entry));
+        notice.targets.back().withheld = snapshot.targets.withheld.count(entry.name) > 0;
+    }
     notice.unusableTargets = snapshot.targets.unusable;
     for (const DataCentreRecord &record : snapshot.outOfUse) {
         wire::DataCentreNotice outOfUse;
@@ -72,8 +74,11 @@
     snapshot.configuration.key = notice.configuration.key;
     snapshot.configuration.value = notice.configuration.value;
     snapshot.configuration.revision = static_cast<std::uint64_t>(notice.configuration.revision);
-    for (const wire::TargetNotice &target : notice.targets)
+    for (const wire::TargetNotice &target : notice.targets) {
         snapshot.targets.entries.push_back(fromNotice(target));
+        if (target.withheld)
+            snapshot.targets.withheld.insert(target.name);
+    }
     snapshot.targets.unusable = notice.unusableTargets;
     for (const wire::DataCentreNotice &record : notice.outOfUse)
         snapshot.outOfUse.push_back(
--- a/lib/Wire/gen/peer_types.cpp
+++ b/lib/Wire/gen/peer_types.cpp
@@ -3557,6 +3557,10 @@
 void TargetNotice::__set_coldMillis(const int64_t val) {
   this->coldMillis = val;
 }
+
+void TargetNotice::__set_withheld(const bool val) {
+  this->withheld = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetNotice& obj)
 {
   obj.printTo(out);
@@ -3657,6 +3661,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->withheld);
+          this->__isset.withheld = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3710,6 +3722,10 @@
   xfer += oprot->writeI64(this->coldMillis);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("withheld", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->withheld);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3726,6 +3742,7 @@
   swap(a.slots, b.slots);
   swap(a.leaving, b.leaving);
   swap(a.coldMillis, b.coldMillis);
+  swap(a.withheld, b.withheld);
   swap(a.__isset, b.__isset);
 }
 
@@ -3739,6 +3756,7 @@
   slots = other117.slots;
   leaving = other117.leaving;
   coldMillis = other117.coldMillis;
+  withheld = other117.withheld;
   __isset = other117.__isset;
 }
 TargetNotice& TargetNotice::operator=(const TargetNotice& other118) {
@@ -3751,6 +3769,7 @@
   slots = other118.slots;
   leaving = other118.leaving;
   coldMillis = other118.coldMillis;
+  withheld = other118.withheld;
   __isset = other118.__isset;
   return *this;
 }
@@ -3766,6 +3785,7 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "coldMillis=" << to_string(coldMillis);
+  out << ", " << "withheld=" << to_string(withheld);
   out << ")";
 }
 
@@ -4357,6 +4377,10 @@
 void FreshnessAnswer::__set_era(const int64_t val) {
   this->era = val;
 }
+
+void FreshnessAnswer::__set_restoredAgoMicros(const int64_t val) {
+  this->restoredAgoMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj)
 {
   obj.printTo(out);
@@ -4417,6 +4441,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->restoredAgoMicros);
+          this->__isset.restoredAgoMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4450,6 +4482,10 @@
   xfer += oprot->writeI64(this->era);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("restoredAgoMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->restoredAgoMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4461,6 +4497,7 @@
   swap(a.ageMicros, b.ageMicros);
   swap(a.revision, b.revision);
   swap(a.era, b.era);
+  swap(a.restoredAgoMicros, b.restoredAgoMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -4469,6 +4506,7 @@
   ageMicros = other145.ageMicros;
   revision = other145.revision;
   era = other145.era;
+  restoredAgoMicros = other145.restoredAgoMicros;
   __isset = other145.__isset;
 }
 FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other146) noexcept {
@@ -4476,6 +4514,7 @@
   ageMicros = other146.ageMicros;
   revision = other146.revision;
   era = other146.era;
+  restoredAgoMicros = other146.restoredAgoMicros;
   __isset = other146.__isset;
   return *this;
 }
@@ -4486,6 +4525,7 @@
   out << ", " << "ageMicros=" << to_string(ageMicros);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "era=" << to_string(era);
+  out << ", " << "restoredAgoMicros=" << to_string(restoredAgoMicros);
   out << ")";
 }
 
--- a/lib/Wire/gen/peer_types.h
+++ b/lib/Wire/gen/peer_types.h
@@ -1435,7 +1435,7 @@
 std::ostream& operator<<(std::ostream& out, const StoreNotice& obj);
 
 typedef struct _TargetNotice__isset {
-  _TargetNotice__isset() : name(false), startedAtMillis(false), serviceName(false), address(false), dataCentre(false), softwareVersion(false), slots(false), leaving(false), coldMillis(false) {}
+  _TargetNotice__isset() : name(false), startedAtMillis(false), serviceName(false), address(false), dataCentre(false), softwareVersion(false), slots(false), leaving(false), coldMillis(false), withheld(false) {}
   bool name :1;
   bool startedAtMillis :1;
   bool serviceName :1;
@@ -1445,6 +1445,7 @@
   bool slots :1;
   bool leaving :1;
   bool coldMillis :1;
+  bool withheld :1;
 } _TargetNotice__isset;
 
 class TargetNotice : public virtual ::apache::thrift::TBase {
@@ -1461,7 +1462,8 @@
                  softwareVersion(),
                  slots(0),
                  leaving(0),
-                 coldMillis(0) {
+                 coldMillis(0),
+                 withheld(0) {
   }
 
   virtual ~TargetNotice() noexcept;
@@ -1474,6 +1476,7 @@
   int32_t slots;
   bool leaving;
   int64_t coldMillis;
+  bool withheld;
 
   _TargetNotice__isset __isset;
 
@@ -1495,6 +1498,8 @@
 
   void __set_coldMillis(const int64_t val);
 
+  void __set_withheld(const bool val);
+
   bool operator == (const TargetNotice & rhs) const
   {
     if (!(name == rhs.name))
@@ -1515,6 +1520,8 @@
       return false;
     if (!(coldMillis == rhs.coldMillis))
       return false;
+    if (!(withheld == rhs.withheld))
+      return false;
     return true;
   }
   bool operator != (const TargetNotice &rhs) const {
@@ -1751,11 +1758,12 @@
 std::ostream& operator<<(std::ostream& out, const FreshnessAsk& obj);
 
 typedef struct _FreshnessAnswer__isset {
-  _FreshnessAnswer__isset() : askedAt(false), ageMicros(false), revision(false), era(false) {}
+  _FreshnessAnswer__isset() : askedAt(false), ageMicros(false), revision(false), era(false), restoredAgoMicros(false) {}
   bool askedAt :1;
   bool ageMicros :1;
   bool revision :1;
   bool era :1;
+  bool restoredAgoMicros :1;
 } _FreshnessAnswer__isset;
 
 class FreshnessAnswer : public virtual ::apache::thrift::TBase {
@@ -1767,7 +1775,8 @@
                   : askedAt(0),
                     ageMicros(0),
                     revision(0),
-                    era(0) {
+                    era(0),
+                    restoredAgoMicros(0) {
   }
 
   virtual ~FreshnessAnswer() noexcept;
@@ -1775,6 +1784,7 @@
   int64_t ageMicros;
   int64_t revision;
   int64_t era;
+  int64_t restoredAgoMicros;
 
   _FreshnessAnswer__isset __isset;
 
@@ -1786,6 +1796,8 @@
 
   void __set_era(const int64_t val);
 
+  void __set_restoredAgoMicros(const int64_t val);
+
   bool operator == (const FreshnessAnswer & rhs) const
   {
     if (!(askedAt == rhs.askedAt))
@@ -1796,6 +1808,8 @@
       return false;
     if (!(era == rhs.era))
       return false;
+    if (!(restoredAgoMicros == rhs.restoredAgoMicros))
+      return false;
     return true;
   }
   bool operator != (const FreshnessAnswer &rhs) const {
--- a/unittests/Platform/commonstartfleet.cpp
+++ b/unittests/Platform/commonstartfleet.cpp
@@ -5,6 +5,7 @@
 #include "jaytrack/Net/socket.h"
 
 #include <asio/post.hpp>
+#include <criterion/criterion.h>
 
 #include <algorithm>
 
@@ -41,6 +42,7 @@
     options.store = parseEndpoint(store).value();
     options.stalePrefix = dialect.targetsPrefix();
     options.gap = std::chrono::milliseconds(400);
+    options.systemRanBefore = true;
     return options;
 }
 
@@ -76,10 +78,10 @@
 }
 
 void StartingInstance::sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt,
-                                           Duration age, std::uint64_t era, std::uint64_t revision)
+                                           const StoreFreshness &freshness)
 {
     this->fleet.deliver(instance, [=, from = this->name](StartingInstance &to) {
-        to.sharing.onFreshnessAnswer(from, requestedAt, age, era, revision);
+        to.sharing.onFreshnessAnswer(from, requestedAt, freshness);
     });
 }
 
@@ -131,6 +133,8 @@
 
 void CommonStartFleet::deliver(std::string_view to, std::function<void(StartingInstance &)> message)
 {
+    if (to == this->cutName)
+        return;
     const auto found = std::find_if(this->instances.begin(), this->instances.end(),
                                     [to](const auto &one) { return one->name == to; });
     StartingInstance *receiver = found->get();
@@ -162,14 +166,41 @@
     if (count == this->known)
         return;
     this->known = count;
+    for (const auto &one : this->instances)
+        one->setPeers(this->othersOf(*one));
+}
+
+std::vector<std::string> CommonStartFleet::othersOf(const StartingInstance &one) const
+{
+    std::vector<std::string> others;
+    for (std::size_t i = 0; i < this->known; ++i) {
+        if (nameOf(i) != one.name)
+            others.push_back(nameOf(i));
+    }
+    return others;
+}
+
+const StartingInstance &CommonStartFleet::addInstance()
+{
+    const std::size_t index = this->instances.size();
+    this->instances.push_back(std::make_unique<StartingInstance>(
+            *this, this->loop, this->clock, nameOf(index), index, this->store.address()));
+    StartingInstance &added = *this->instances.back();
+    added.start();
+    added.setPeers(this->othersOf(added));
+    return added;
+}
+
+const StartingInstance &CommonStartFleet::nonReader() const
+{
     for (const auto &one : this->instances) {
-        std::vector<std::string> others;
-        for (std::size_t i = 0; i < count; ++i) {
-            if (nameOf(i) != one->name)
-                others.push_back(nameOf(i));
-        }
-        one->setPeers(others);
+        std::mt19937_64 random;
+        ReadDuty duty(this->clock, one->name, {}, random);
+        duty.setPeers(this->othersOf(*one));
+        if (!duty.isReader())
+            return *one;
     }
+    cr_assert_fail("all instances read the store");
 }
 
 void CommonStartFleet::runFor(std::chrono::milliseconds time)
@@ -178,8 +209,10 @@
         this->loop.restart();
         this->loop.run_for(tickInterval);
         this->discover();
-        for (const auto &one : this->instances)
-            one->tick();
+        for (const auto &one : this->instances) {
+            if (one->name != this->pausedName)
+                one->tick();
+        }
     }
 }
 
--- a/unittests/Platform/commonstartfleet.h
+++ b/unittests/Platform/commonstartfleet.h
@@ -8,6 +8,7 @@
 #include "platformstandin.h"
 #include "unreachableport.h"
 
+#include "jaytrack/Routing/admission.h"
 #include "jaytrack/Store/storesharing.h"
 #include "jaytrack/Support/metrics.h"
 
@@ -31,7 +32,17 @@
     void setPeers(const std::vector<std::string> &names) { this->sharing.onPeersChanged(names); }
 
     // Whether it can serve callers.
-    bool hasData() const { return this->configuration.table() && this->targets.isLoaded(); }
+    bool hasData() const
+    {
+        return this->configuration.table() && this->targets.isLoaded() &&
+               this->configuration.age() <= AdmissionBounds().keyFreshness;
+    }
+    std::uint64_t configurationVersion() const { return this->configuration.table()->version; }
+    bool maySendTo(std::string_view target) const { return this->directory.isOpen(target); }
+    bool isOutOfUse(std::string_view dataCentre) const
+    {
+        return this->directory.isOutOfUse(dataCentre);
+    }
     std::size_t targetCount() const { return this->directory.size(); }
 
     // Whether it holds all of the store as it is in this era.
@@ -42,8 +53,8 @@
 
     void shareStoreChanges(const SharedChanges &changes) override;
     void sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt) override;
-    void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt, Duration age,
-                             std::uint64_t era, std::uint64_t revision) override;
+    void sendFreshnessAnswer(std::string_view instance, std::int64_t requestedAt,
+                             const StoreFreshness &freshness) override;
     std::string randomInstance() override;
     void requestSnapshot(std::string_view instance) override;
 
@@ -87,6 +98,18 @@
     std::chrono::milliseconds timeUntilServing(std::size_t inAHundred,
                                                std::chrono::milliseconds limit);
 
+    // Starts another instance, which knows all others.
+    const StartingInstance &addInstance();
+
+    // Returns an instance that gets its data from others.
+    const StartingInstance &nonReader() const;
+
+    // Holds an instance up; none if empty.
+    void pause(const std::string &instance) { this->pausedName = instance; }
+
+    // Drops all messages of others to an instance; to none if empty.
+    void cutOff(const std::string &instance) { this->cutName = instance; }
+
     // Runs the fleet for some time.
     void runFor(std::chrono::milliseconds time);
 
@@ -105,6 +128,7 @@
 private:
     void discover();
     std::size_t knownPeers() const;
+    std::vector<std::string> othersOf(const StartingInstance &one) const;
 
     CommonStartPlan plan;
     UnreachablePort unreachable{LinkLoss::Refused};
@@ -112,6 +136,8 @@
     SystemClock clock;
     TimePoint startedAt; // what is known of the others grows by the clock that they decide by
     std::size_t known = 0;
+    std::string pausedName;
+    std::string cutName;
 
 public:
     std::vector<std::unique_ptr<StartingInstance>> instances;
--- a/unittests/Platform/peernoticestest.cpp
+++ b/unittests/Platform/peernoticestest.cpp
@@ -46,10 +46,7 @@
     void onFailedForPeer(std::string_view, std::string_view) override {}
     void onStoreFromPeer(const SharedChanges &) override {}
     void onFreshnessQuery(std::string_view, std::int64_t) override {}
-    void onFreshnessAnswer(std::string_view, std::int64_t, Duration, std::uint64_t,
-                           std::uint64_t) override
-    {
-    }
+    void onFreshnessAnswer(std::string_view, std::int64_t, const StoreFreshness &) override {}
     void onLeavingFromPeer(std::string_view) override {}
     void onColdFromPeer(std::string_view, Duration) override {}
     void onQuarantineNews(const QuarantineMessage &) override {}
--- a/unittests/Platform/snapshottest.cpp
+++ b/unittests/Platform/snapshottest.cpp
@@ -32,6 +32,7 @@
     entry.coldFor = 300ms;
     snapshot.targets.entries.push_back(entry);
     snapshot.targets.unusable.push_back("t2");
+    snapshot.targets.withheld.insert("t1");
     snapshot.outOfUse.push_back({"dc2", 17, true});
     return snapshot;
 }
@@ -81,6 +82,7 @@
     cr_assert(read->configuration.value == sent.configuration.value);
     cr_assert(read->configuration.revision == sent.configuration.revision);
     cr_assert(read->targets.unusable == sent.targets.unusable);
+    cr_assert(read->targets.withheld == sent.targets.withheld);
     cr_assert(read->outOfUse.size() == 1 && read->outOfUse[0].dataCentre == "dc2" &&
               read->outOfUse[0].revision == 17 && read->outOfUse[0].outOfUse);
     cr_assert(read->targets.entries.size() == 1);
--- /dev/null
+++ b/unittests/Platform/startafterrestoretest.cpp
@@ -0,0 +1,188 @@
+// Instances that start shortly after the store was restored from an older copy.
+#include "commonstartfleet.h"
+#include "entryfixture.h"
+#include "platformdocuments.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace jaytrack;
+using namespace jaytrack::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t changedVersion = 2;
+
+struct NewcomerCase
+{
+    char name[40];
+    int instances; // that run already
+    int pageItems;
+    bool restored;
+};
+
+NewcomerCase newcomerCases[] = {
+        {"a small store", 7, 100, true},   {"a store of several pages", 7, 10, true},
+        {"a large fleet", 195, 100, true}, {"a whole fleet", 584, 100, true},
+        {"no restore", 7, 100, false},
+};
+
+struct PauseCase
+{
+    int instances;
+};
+
+PauseCase pauseCases[] = {{7}, {195}};
+
+struct StartCase
+{
+    char name[40];
+    bool firstStart;
+    bool servedAtOnce;
+};
+
+StartCase startCases[] = {
+        {"first start of the system", true, true},
+        {"the system has run before", false, false},
+};
+
+RouteSpec plainRoute()
+{
+    RouteSpec route;
+    route.type = "safe";
+    return route;
+}
+
+nlohmann::json configurationWithKeys(std::uint64_t version, const nlohmann::json &keys)
+{
+    nlohmann::json document = configurationJson(static_cast<int>(version), {plainRoute()});
+    document["Tenants"][0]["ApiKeys"] = keys;
+    return document;
+}
+
+int statusOfKey(const EntryFixture &entry, const std::string &key)
+{
+    RequestSpec spec;
+    spec.key = key;
+    const CallerView view = callOnce(entry.port(), requestText(spec));
+    return view.bytes.size() < 12 ? 0 : std::stoi(view.bytes.substr(9, 3));
+}
+
+} // namespace
+
+ParameterizedTestParameters(startAfterRestore, takesOverWhatOthersKnow)
+{
+    return cr_make_param_array(NewcomerCase, newcomerCases, std::size(newcomerCases));
+}
+
+// Guards against an instance that starts after a restore and takes the copy for the newest: it lets
+// a key in that was taken away, and sends requests to a target that has left or to a data centre
+// that is out of use.
+ParameterizedTest(NewcomerCase *given, startAfterRestore, takesOverWhatOthersKnow)
+{
+    CommonStartPlan plan;
+    plan.instances = static_cast<std::size_t>(given->instances);
+    plan.targets = 20;
+    plan.pageItems = static_cast<std::size_t>(given->pageItems);
+    plan.timePerCall = 100us;
+    CommonStartFleet fleet(plan);
+    fleet.runFor(5000ms);
+    cr_assert_eq(fleet.serving(), plan.instances);
+    fleet.store.takeCopy();
+    fleet.store.put("op/config", configurationJson(changedVersion, {RouteSpec()}).dump());
+    fleet.store.remove("servers/t0");
+    fleet.store.put("op/evacuate/dc9", "{}");
+    fleet.runFor(1500ms);
+    if (given->restored)
+        fleet.store.comeBackFromCopy();
+    fleet.runFor(100ms);
+    const StartingInstance &newcomer = fleet.addInstance();
+    auto waited = 0ms;
+    while (!newcomer.hasData() && waited < restoreTime) {
+        fleet.runFor(100ms);
+        waited += 100ms;
+    }
+    cr_assert_lt(waited.count(), restoreTime.count(), "%s: not ready", given->name);
+    cr_expect(newcomer.isOutOfUse("dc9"), "%s", given->name);
+    for (; waited < restoreTime + 1000ms; waited += 100ms) {
+        cr_assert_eq(newcomer.configurationVersion(), changedVersion, "%s", given->name);
+        cr_assert_not(newcomer.maySendTo("t0"), "%s", given->name);
+        cr_assert(newcomer.maySendTo("t1"), "%s", given->name);
+        fleet.runFor(100ms);
+    }
+}
+
+ParameterizedTestParameters(startAfterRestore, pausedInstanceTakesOverWhatOthersKnow)
+{
+    return cr_make_param_array(PauseCase, pauseCases, std::size(pauseCases));
+}
+
+// Guards against an instance that was held up before a restore and then takes the copy for the
+// newest, since others have the same revision.
+ParameterizedTest(PauseCase *given, startAfterRestore, pausedInstanceTakesOverWhatOthersKnow)
+{
+    CommonStartPlan plan;
+    plan.instances = static_cast<std::size_t>(given->instances);
+    plan.targets = 20;
+    plan.pageItems = 100;
+    plan.timePerCall = 100us;
+    CommonStartFleet fleet(plan);
+    fleet.runFor(9000ms); // by then only readers read the store
+    cr_assert_eq(fleet.serving(), plan.instances);
+    const StartingInstance &paused = fleet.nonReader();
+    fleet.store.takeCopy();
+    fleet.pause(paused.name);
+    fleet.cutOff(paused.name);
+    fleet.store.put("op/config", configurationJson(changedVersion, {RouteSpec()}).dump());
+    fleet.store.remove("servers/t0");
+    fleet.runFor(4000ms);
+    fleet.store.comeBackFromCopy();
+    fleet.runFor(600ms);
+    cr_assert_not(paused.hasData());
+    cr_assert_eq(paused.configurationVersion(), 1, "it has missed the change");
+    fleet.pause("");
+    fleet.runFor(1300ms); // in which it reads the store by itself
+    fleet.cutOff("");
+    auto waited = 0ms;
+    while (!paused.hasData() && waited < restoreTime) {
+        fleet.runFor(100ms);
+        waited += 100ms;
+    }
+    cr_assert_lt(waited.count(), restoreTime.count(), "not ready");
+    for (; waited < restoreTime; waited += 100ms) {
+        cr_assert_eq(paused.configurationVersion(), changedVersion);
+        cr_assert_not(paused.maySendTo("t0"));
+        fleet.runFor(100ms);
+    }
+}
+
+ParameterizedTestParameters(startAfterRestore, aloneWaitsForLostChanges)
+{
+    return cr_make_param_array(StartCase, startCases, std::size(startCases));
+}
+
+// Guards against a key that works again where all instances were killed after a restore: nobody is
+// left who knows that it was taken away.
+ParameterizedTest(StartCase *given, startAfterRestore, aloneWaitsForLostChanges)
+{
+    ScriptedServer target(goodAnswer);
+    FixtureOptions options;
+    options.firstStart = given->firstStart;
+    options.items = {{"op/config", configurationWithKeys(1, {"k1", "k2"}).dump()},
+                     {"servers/t1", targetJson(target.address())}};
+    const auto startedAt = std::chrono::steady_clock::now();
+    EntryFixture entry({plainRoute()}, options);
+    cr_expect_eq(entry.becomesReady(1000ms), given->servedAtOnce, "%s", given->name);
+    bool served = false;
+    while (std::chrono::steady_clock::now() - startedAt < 1800ms) {
+        served = served || statusOfKey(entry, "k1") == 200;
+        std::this_thread::sleep_for(50ms);
+    }
+    cr_expect_eq(served, given->servedAtOnce, "%s", given->name);
+    entry.publish(configurationWithKeys(changedVersion, {"k2"}));
+    cr_assert(entry.becomesReady(2000ms));
+    std::this_thread::sleep_for(1000ms);
+    cr_expect_eq(statusOfKey(entry, "k1"), 401);
+    cr_expect_eq(statusOfKey(entry, "k2"), 200);
+}
--- a/unittests/Platform/storepausetest.cpp
+++ b/unittests/Platform/storepausetest.cpp
@@ -20,10 +20,7 @@
 public:
     void shareStoreChanges(const SharedChanges &changes) override { this->shared = changes; }
     void sendFreshnessQuery(std::string_view, std::int64_t) override {}
-    void sendFreshnessAnswer(std::string_view, std::int64_t, Duration, std::uint64_t,
-                             std::uint64_t) override
-    {
-    }
+    void sendFreshnessAnswer(std::string_view, std::int64_t, const StoreFreshness &) override {}
     std::string randomInstance() override { return {}; }
     void requestSnapshot(std::string_view) override {}
 
