--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -18,6 +18,9 @@
 
 class StreamExchange;
 
+// Returns a fraction in percent, as log lines show it.
+std::int64_t toPercent(double part);
+
 // One connection to an engine, which carries the stream or a part of it.
 class StreamLeg final : public TargetCallListener
 {
