Last read: one copy of the recovery bound, of the lag between instances and of a test's steps

Cause: the time within which service is back stood in three test files, the call time of a store in two, the lag between instances a second time in StoreSharing, and the plan and the changes of startAfterRestore twice. Left: toMicros in three files, announcers of hand-over tests.

--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -15,7 +15,7 @@
 
 // Data that was confirmed this much earlier than that of another instance may lack changes. Between
 // instances in contact with each other the difference is smaller.
-constexpr std::chrono::milliseconds maxLag{2800};
+constexpr Duration maxLag = ReadDutyOptions().maxAge;
 
 } // namespace
 
--- a/unittests/Platform/commonstartfleet.h
+++ b/unittests/Platform/commonstartfleet.h
@@ -20,6 +20,12 @@
 
 class CommonStartFleet;
 
+// Time within which service is back, as the sites with the least of it ask for it.
+inline constexpr std::chrono::milliseconds recoveryTime{12'000};
+
+// Time that a store in order takes for a call.
+inline constexpr std::chrono::microseconds quickCall{100};
+
 // What one instance knows of the store, and how it gets to know it.
 class StartingInstance final : public StoreTransport, public TargetDirectoryListener
 {
--- a/unittests/Platform/commonstarttest.cpp
+++ b/unittests/Platform/commonstarttest.cpp
@@ -15,10 +15,7 @@
 
 namespace {
 
-// Time within which service is back, as the sites with the least of it ask for it.
-constexpr std::chrono::milliseconds recoveryTime{12'000};
-
-// The same on the sheet of the whole fleet.
+// Time within which service is back on the sheet of the whole fleet.
 constexpr std::chrono::milliseconds fleetRecoveryTime{18'000};
 
 struct StartCase
--- a/unittests/Platform/restoredstoretest.cpp
+++ b/unittests/Platform/restoredstoretest.cpp
@@ -14,12 +14,7 @@
 
 namespace {
 
-// Time within which service is back, as the sites with the least of it ask for it.
-constexpr std::chrono::milliseconds recoveryTime{12'000};
-
-// Time that a store in order takes for a call, and that one takes whose capacity the listings of
-// all instances together exceed.
-constexpr std::chrono::microseconds quickCall{100};
+// Time that a store takes for a call whose capacity the listings of all instances together exceed.
 constexpr std::chrono::microseconds slowCall{5000};
 
 // Listings beyond the first page: each of three readers lists twice, and three draws have 28
--- a/unittests/Platform/startafterrestoretest.cpp
+++ b/unittests/Platform/startafterrestoretest.cpp
@@ -14,9 +14,6 @@
 
 constexpr std::uint64_t changedVersion = 2;
 
-// Time within which service is back, as the sites with the least of it ask for it.
-constexpr std::chrono::milliseconds recoveryTime{12'000};
-
 struct NewcomerCase
 {
     char name[40];
@@ -50,6 +47,24 @@
         {"the system has run before", false, false},
 };
 
+CommonStartPlan planOf(int instances, int pageItems)
+{
+    CommonStartPlan plan;
+    plan.instances = static_cast<std::size_t>(instances);
+    plan.targets = 20;
+    plan.pageItems = static_cast<std::size_t>(pageItems);
+    plan.timePerCall = quickCall;
+    return plan;
+}
+
+// Makes the changes that the store loses by its restore.
+void changeConfigurationAndTargets(StoreStandin &store)
+{
+    store.put("op/config", configurationJson(changedVersion, {RouteSpec()}).dump());
+    store.remove("servers/t0");
+    store.put("op/evacuate/dc9", "{}");
+}
+
 RouteSpec plainRoute()
 {
     RouteSpec route;
@@ -94,18 +109,11 @@
 // that is out of use.
 ParameterizedTest(NewcomerCase *given, startAfterRestore, takesOverWhatOthersKnow)
 {
-    CommonStartPlan plan;
-    plan.instances = static_cast<std::size_t>(given->instances);
-    plan.targets = 20;
-    plan.pageItems = static_cast<std::size_t>(given->pageItems);
-    plan.timePerCall = 100us;
-    CommonStartFleet fleet(plan);
+    CommonStartFleet fleet(planOf(given->instances, given->pageItems));
     cr_assert_lt(fleet.timeUntilServing(100, recoveryTime).count(), recoveryTime.count());
     fleet.runFor(4000ms); // by then all know each other
     fleet.store.takeCopy();
-    fleet.store.put("op/config", configurationJson(changedVersion, {RouteSpec()}).dump());
-    fleet.store.remove("servers/t0");
-    fleet.store.put("op/evacuate/dc9", "{}");
+    changeConfigurationAndTargets(fleet.store);
     fleet.runFor(1500ms);
     if (given->restored)
         fleet.store.comeBackFromCopy();
@@ -131,20 +139,14 @@
 // newest, since others have the same revision.
 ParameterizedTest(PauseCase *given, startAfterRestore, pausedInstanceTakesOverWhatOthersKnow)
 {
-    CommonStartPlan plan;
-    plan.instances = static_cast<std::size_t>(given->instances);
-    plan.targets = 20;
-    plan.pageItems = 100;
-    plan.timePerCall = 100us;
-    CommonStartFleet fleet(plan);
+    CommonStartFleet fleet(planOf(given->instances, 100));
     cr_assert_lt(fleet.timeUntilServing(100, recoveryTime).count(), recoveryTime.count());
     fleet.runFor(7000ms); // by then only readers read the store
     const StartingInstance &paused = fleet.nonReader();
     fleet.store.takeCopy();
     fleet.pause(paused.name);
     fleet.cutOff(paused.name);
-    fleet.store.put("op/config", configurationJson(changedVersion, {RouteSpec()}).dump());
-    fleet.store.remove("servers/t0");
+    changeConfigurationAndTargets(fleet.store);
     fleet.runFor(4000ms);
     fleet.store.comeBackFromCopy();
     fleet.runFor(600ms);
@@ -167,8 +169,8 @@
     return cr_make_param_array(StartCase, startCases, std::size(startCases));
 }
 
-// Guards against a key that works again where all instances were killed after a restore: nobody is
-// left who knows that it was taken away.
+// Guards against a key that was taken away and is accepted again, because all instances were killed
+// after a restore.
 ParameterizedTest(StartCase *given, startAfterRestore, aloneWaitsForLostChanges)
 {
     ScriptedServer target(goodAnswer);
