Tests: simulated instances on one thread do not take their turns for pauses

Repeated beside a build (load 9): its log has 3 x 584 process_paused of 1.1 to 2.3 s, one each time the instances learn of one another.

Cause: they do that side by side in reality, but one after the other on the test's only thread, where 584 times 583 names are hashed and sorted. Each instance took the time for a pause of its own process, and what it knew for old, and read the store. Ruled out: the product's waits after a start (without these pauses all serve).

Change: the fleet has a clock of turns, in which a turn counts as 0.2 s at most; its times are measured by that clock. The loop handles what has arrived between batches of instances. Messages find their receiver by a map, and what is sent to all is copied once. Checks and bounds are the same.

--- a/unittests/Platform/commonstartfleet.cpp
+++ b/unittests/Platform/commonstartfleet.cpp
@@ -31,6 +31,9 @@
         {std::chrono::milliseconds(3500), 100, 3},
 };
 
+// Instances that learn of others before the loop handles what has arrived meanwhile.
+constexpr std::size_t discoveryBatch = 16;
+
 std::string nameOf(std::size_t index)
 {
     return "instance-" + std::to_string(index);
@@ -48,6 +51,17 @@
 
 } // namespace
 
+TimePoint TurnClock::now() const
+{
+    return this->time + std::min(this->system.now() - this->turnBegin, maxTurn);
+}
+
+void TurnClock::beginTurn()
+{
+    this->time = this->now();
+    this->turnBegin = this->system.now();
+}
+
 StartingInstance::StartingInstance(CommonStartFleet &of, asio::io_context &loop, const Clock &time,
                                    const std::string &ownName, std::uint64_t seed,
                                    const std::string &store)
@@ -66,8 +80,9 @@
 
 void StartingInstance::shareStoreChanges(const SharedChanges &changes)
 {
+    const auto shared = std::make_shared<const SharedChanges>(changes);
     this->fleet.deliverToAll(
-            *this, [changes](StartingInstance &to) { to.sharing.onStoreFromPeer(changes); });
+            *this, [shared](StartingInstance &to) { to.sharing.onStoreFromPeer(*shared); });
 }
 
 void StartingInstance::sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt)
@@ -114,14 +129,23 @@
     this->store.limitCapacity(this->plan.timePerCall);
     const auto refused = this->plan.instances * static_cast<std::size_t>(this->plan.refused) / 100;
     for (std::size_t i = 0; i < this->plan.instances; ++i)
-        this->instances.push_back(std::make_unique<StartingInstance>(
-                *this, this->loop, this->clock, nameOf(i), i,
-                i < refused ? this->unreachable.address() : this->store.address()));
+        this->add(i < refused ? this->unreachable.address() : this->store.address());
+    this->clock.beginTurn();
     this->startedAt = this->clock.now();
     for (const auto &instance : this->instances)
         instance->start();
 }
 
+StartingInstance &CommonStartFleet::add(const std::string &storeAddress)
+{
+    const std::size_t index = this->instances.size();
+    this->instances.push_back(std::make_unique<StartingInstance>(
+            *this, this->loop, this->clock, nameOf(index), index, storeAddress));
+    StartingInstance &added = *this->instances.back();
+    this->byName.emplace(added.name, &added);
+    return added;
+}
+
 std::string CommonStartFleet::randomInstance(const StartingInstance &except,
                                              std::mt19937_64 &random) const
 {
@@ -133,12 +157,7 @@
 
 void CommonStartFleet::deliver(std::string_view to, std::function<void(StartingInstance &)> message)
 {
-    if (to == this->cutName)
-        return;
-    const auto found = std::find_if(this->instances.begin(), this->instances.end(),
-                                    [to](const auto &one) { return one->name == to; });
-    StartingInstance *receiver = found->get();
-    asio::post(this->loop, [receiver, message = std::move(message)] { message(*receiver); });
+    this->post(*this->byName.at(std::string(to)), std::move(message));
 }
 
 void CommonStartFleet::deliverToAll(const StartingInstance &from,
@@ -146,10 +165,17 @@
 {
     for (const auto &one : this->instances) {
         if (one.get() != &from)
-            this->deliver(one->name, message);
+            this->post(*one, message);
     }
 }
 
+void CommonStartFleet::post(StartingInstance &to, std::function<void(StartingInstance &)> message)
+{
+    if (to.name == this->cutName)
+        return;
+    asio::post(this->loop, [&to, message = std::move(message)] { message(to); });
+}
+
 std::size_t CommonStartFleet::knownPeers() const
 {
     std::size_t count = 0;
@@ -166,8 +192,12 @@
     if (count == this->known)
         return;
     this->known = count;
-    for (const auto &one : this->instances)
+    std::size_t told = 0;
+    for (const auto &one : this->instances) {
         one->setPeers(this->othersOf(*one));
+        if (++told % discoveryBatch == 0)
+            this->loop.poll();
+    }
 }
 
 std::vector<std::string> CommonStartFleet::othersOf(const StartingInstance &one) const
@@ -182,10 +212,7 @@
 
 const StartingInstance &CommonStartFleet::addInstance()
 {
-    const std::size_t index = this->instances.size();
-    this->instances.push_back(std::make_unique<StartingInstance>(
-            *this, this->loop, this->clock, nameOf(index), index, this->store.address()));
-    StartingInstance &added = *this->instances.back();
+    StartingInstance &added = this->add(this->store.address());
     added.start();
     added.setPeers(this->othersOf(added));
     return added;
@@ -206,6 +233,7 @@
 void CommonStartFleet::runFor(std::chrono::milliseconds time)
 {
     for (const TimePoint end = this->clock.now() + time; this->clock.now() < end;) {
+        this->clock.beginTurn();
         this->loop.restart();
         this->loop.run_for(tickInterval);
         this->discover();
@@ -225,10 +253,9 @@
 std::chrono::milliseconds CommonStartFleet::timeUntilServing(std::size_t inAHundred,
                                                              std::chrono::milliseconds limit)
 {
-    const auto begunAt = std::chrono::steady_clock::now();
-    const auto elapsed = [begunAt] {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(
-                std::chrono::steady_clock::now() - begunAt);
+    const TimePoint begunAt = this->now();
+    const auto elapsed = [this, begunAt] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(this->now() - begunAt);
     };
     while (this->serving() * 100 < inAHundred * this->instances.size()) {
         if (elapsed() >= limit)
--- a/unittests/Platform/commonstartfleet.h
+++ b/unittests/Platform/commonstartfleet.h
@@ -1,6 +1,6 @@
 // A fleet whose instances all start at the same moment before one store: what each of them holds,
 // reads and passes on. Messages between instances take no time; what they know of each other grows
-// as it does in a large fleet that starts.
+// as it does in a large fleet that starts. All instances run on one thread and have one clock.
 #ifndef JAYTRACK_TESTS_COMMONSTARTFLEET_H
 #define JAYTRACK_TESTS_COMMONSTARTFLEET_H
 
@@ -14,12 +14,31 @@
 
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace jaytrack::testing {
 
 class CommonStartFleet;
 
+// The time of instances that take turns on one thread. What they do one after the other in a turn
+// they would do side by side, so a turn counts as no more than maxTurn. A longer one would look to
+// all of them like a pause of their processes.
+class TurnClock final : public Clock
+{
+public:
+    // Less than what an instance takes for a pause.
+    static constexpr Duration maxTurn = std::chrono::milliseconds(200);
+
+    TimePoint now() const override;
+    void beginTurn();
+
+private:
+    SystemClock system;
+    TimePoint turnBegin = this->system.now(); // by the system's clock
+    TimePoint time = this->turnBegin;         // of this clock when the turn began
+};
+
 // Time within which service is back, as the sites with the least of it ask for it.
 inline constexpr std::chrono::milliseconds recoveryTime{12'000};
 
@@ -116,15 +135,17 @@
     // Drops all messages of others to an instance; to none if empty.
     void cutOff(const std::string &instance) { this->cutName = instance; }
 
-    // Runs the fleet for some time.
+    // Runs the fleet for some time by its clock.
     void runFor(std::chrono::milliseconds time);
 
+    TimePoint now() const { return this->clock.now(); }
+
     std::size_t serving() const;
 
-    // Calls a function of another instance, which gets the message with the next turn of the loop.
     // Returns the name of another instance that is known; empty if none is.
     std::string randomInstance(const StartingInstance &except, std::mt19937_64 &random) const;
 
+    // Calls a function of another instance, which gets the message with the next turn of the loop.
     void deliver(std::string_view to, std::function<void(StartingInstance &)> message);
     void deliverToAll(const StartingInstance &from,
                       const std::function<void(StartingInstance &)> &message);
@@ -132,6 +153,8 @@
     StoreStandin store;
 
 private:
+    StartingInstance &add(const std::string &storeAddress);
+    void post(StartingInstance &to, std::function<void(StartingInstance &)> message);
     void discover();
     std::size_t knownPeers() const;
     std::vector<std::string> othersOf(const StartingInstance &one) const;
@@ -139,7 +162,8 @@
     CommonStartPlan plan;
     UnreachablePort unreachable{LinkLoss::Refused};
     asio::io_context loop; // outlives the instances and their calls
-    SystemClock clock;
+    TurnClock clock;
+    std::unordered_map<std::string, StartingInstance *> byName;
     TimePoint startedAt; // what is known of the others grows by the clock that they decide by
     std::size_t known = 0;
     std::string pausedName;
--- a/unittests/Platform/startafterrestoretest.cpp
+++ b/unittests/Platform/startafterrestoretest.cpp
@@ -83,8 +83,8 @@
 // no others. Returns whether it can.
 bool becomesReady(CommonStartFleet &fleet, const StartingInstance &instance)
 {
-    const auto end = std::chrono::steady_clock::now() + restoreTime;
-    while (!instance.hasData() && std::chrono::steady_clock::now() < end)
+    const TimePoint end = fleet.now() + restoreTime;
+    while (!instance.hasData() && fleet.now() < end)
         fleet.runFor(100ms);
     return instance.hasData();
 }
@@ -119,10 +119,10 @@
         fleet.store.comeBackFromCopy();
     fleet.runFor(100ms);
     const StartingInstance &newcomer = fleet.addInstance();
-    const auto end = std::chrono::steady_clock::now() + restoreTime + 1000ms;
+    const TimePoint end = fleet.now() + restoreTime + 1000ms;
     cr_assert(becomesReady(fleet, newcomer), "%s", given->name);
     cr_expect(newcomer.isOutOfUse("dc9"), "%s", given->name);
-    while (std::chrono::steady_clock::now() < end) {
+    while (fleet.now() < end) {
         cr_assert_eq(newcomer.configurationVersion(), changedVersion, "%s", given->name);
         cr_assert_not(newcomer.maySendTo("t0"), "%s", given->name);
         cr_assert(newcomer.maySendTo("t1"), "%s", given->name);
@@ -155,9 +155,9 @@
     fleet.pause("");
     fleet.runFor(1300ms); // in which it reads the store by itself
     fleet.cutOff("");
-    const auto end = std::chrono::steady_clock::now() + restoreTime;
+    const TimePoint end = fleet.now() + restoreTime;
     cr_assert(becomesReady(fleet, paused));
-    while (std::chrono::steady_clock::now() < end) {
+    while (fleet.now() < end) {
         cr_assert_eq(paused.configurationVersion(), changedVersion);
         cr_assert_not(paused.maySendTo("t0"));
         fleet.runFor(100ms);
