--- a/review/standins-2/headerlimit.cpp
+++ b/review/standins-2/headerlimit.cpp
@@ -31,7 +31,8 @@
 int main(int, char **arguments)
 {
     Record record(arguments[1]);
-    const std::string folder = temporaryFolder();
+    const TemporaryFolder temporary;
+    const std::string &folder = temporary.path;
     const std::vector<std::string> ips = {"127.0.1.1", "127.0.2.1", "127.0.3.1"};
     const std::vector<std::string> zones = {"zone-1", "zone-2", "zone-3"};
     const Ports ports{freePort(ips), freePort(ips), freePort(ips), freePort(ips), freePort(ips)};
@@ -70,7 +71,7 @@
         instances.back()->start();
     }
     if (!awaitReady(instances)) {
-        record.verdict("could not run: the instances are not ready; logs in " + folder);
+        record.verdict("could not run: the instances are not ready");
         return 2;
     }
 
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -21,6 +21,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -642,16 +643,29 @@
     pid_t process = 0;
 };
 
-inline std::string temporaryFolder()
+// A folder that is removed at the end.
+class TemporaryFolder
 {
-    char name[] = "/tmp/jaytrack-review-XXXXXX";
-    const char *made = ::mkdtemp(name);
-    if (made == nullptr) {
-        std::cerr << "no temporary folder" << std::endl;
-        std::exit(2);
+public:
+    TemporaryFolder()
+    {
+        char name[] = "/tmp/jaytrack-review-XXXXXX";
+        const char *made = ::mkdtemp(name);
+        if (made == nullptr) {
+            std::cerr << "no temporary folder" << std::endl;
+            std::exit(2);
+        }
+        this->path = made;
     }
-    return made;
-}
+
+    ~TemporaryFolder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(this->path, ignored);
+    }
+
+    std::string path;
+};
 
 inline bool awaitReady(const std::vector<std::unique_ptr<Instance>> &instances)
 {
