--- a/review/standins-2/undigested.cpp
+++ b/review/standins-2/garbled.cpp
@@ -1,5 +1,6 @@
-// Case: an engine in trouble sends bytes that are not a response of the protocol: a complete HTTP
-// message with status 200, but without the digest and without the id of the request.
+// Cases: an engine in trouble runs a request and sends bytes that are not a response of the protocol: a
+// complete HTTP message without the digest, without the id of the request and without X-Not-Executed.
+// Usage: garbled STATUS RECORD, where STATUS is that of these messages.
 #include "standins.h"
 
 using namespace review;
@@ -10,7 +11,12 @@
 constexpr int answersPerSpoiltOne = 20; // x = 0.05, as in the day trouble-2 of the site file
 constexpr double troubleSeconds = 5.0;  // for_s of the same entry
 
-const std::string page = "<html><body>It works!</body></html>\n";
+const std::string page = "<html><body>A page of the engine's web server</body></html>\n";
+
+bool isPromise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
 
 struct Engine
 {
@@ -30,10 +36,11 @@
     Record &record;
     std::mutex mutex;
     std::map<std::string, std::string> bodies; // whole body by digest
-    std::map<std::string, std::string> digests; // by attempt
-    std::set<std::string> spoilt;               // attempts
-    std::atomic<int> doubles{0};
+    std::set<std::string> ran;                 // attempts
+    std::set<std::string> spoilt;              // attempts
     std::atomic<double> troubleFrom{1e9};
+    int spoiltStatus = 200;
+    std::map<std::string, int> runsOfOrder; // by the body of an unsafe request
 };
 
 bool serve(Shared &shared, Engine &engine, Connection &to, const Message &request)
@@ -54,8 +61,9 @@
     {
         const std::lock_guard lock(shared.mutex);
         shared.bodies[digest] = body;
-        if (!shared.digests.emplace(attempt, digest).second)
-            ++shared.doubles;
+        shared.ran.insert(attempt);
+        if (!request.body.empty())
+            ++shared.runsOfOrder[request.body];
         if (spoils)
             shared.spoilt.insert(attempt);
     }
@@ -63,8 +71,7 @@
     shared.record.line("run     " + attempt + " at " + engine.id +
                        (spoils ? ", its bytes are no response" : ""));
     if (spoils) {
-        to.send("HTTP/1.1 200 OK\r\nServer: httpd\r\nContent-Type: text/html\r\nContent-Length: " +
-                std::to_string(page.size()) + "\r\n\r\n" + page);
+        to.send(answerText(shared.spoiltStatus, "Server: httpd\r\nContent-Type: text/html\r\n", page));
         return false;
     }
     return to.send(
@@ -75,7 +82,7 @@
 
 int main(int, char **arguments)
 {
-    Record record(arguments[1]);
+    Record record(arguments[2]);
     const TemporaryFolder temporary;
     const std::string &folder = temporary.path;
     const std::vector<std::string> ips = {"127.0.1.1", "127.0.2.1", "127.0.3.1"};
@@ -83,6 +90,7 @@
     const Ports ports{freePort(ips), freePort(ips), freePort(ips), freePort(ips), freePort(ips)};
     Store store("127.0.9.1", freePort({"127.0.9.1"}));
     Shared shared{record};
+    shared.spoiltStatus = std::atoi(arguments[1]);
 
     std::vector<std::unique_ptr<Engine>> engines;
     for (int i = 0; i < 3; ++i) {
@@ -120,36 +128,61 @@
     shared.troubleFrom = seconds() + 1;
     int served = 0;
     int foreign = 0;
+    int falsePromises = 0;
     for (int i = 0; i < requests; ++i) {
         const bool once = i % 7 < 5;
-        const std::string attempt = "a" + std::to_string(100000 + i);
-        const std::string &ip = ips[static_cast<std::size_t>(i) % ips.size()];
-        const auto connection = Connection::open(ip, ports.front);
-        if (!connection)
-            continue;
-        connection->send((once ? "POST /once/x" : "GET /safe/x") +
-                         std::string(" HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: ") + attempt +
-                         "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Token key-of-tenant-1\r\n" +
-                         (once ? "Content-Length: 5\r\n\r\nhello" : "\r\n"));
-        const auto answer = connection->read(milliseconds(3000));
-        const int status = answer ? answer->status() : 0;
-        const std::string digest = answer ? answer->header("X-Server-Stamp") : "";
-        record.line("answer  " + attempt + (once ? " unsafe " : " safe ") + std::to_string(status) +
-                    " digest '" + digest + "'" + (answer ? "" : " " + connection->ended));
-        const bool success = status >= 200 && status < 300;
-        served += success ? 1 : 0;
-        const std::lock_guard lock(shared.mutex);
-        if (success && (digest.empty() || shared.bodies[digest] != answer->body)) {
-            ++foreign;
-            record.line("MIXED   " + attempt + ": a success without the engine's digest, body: " +
-                        answer->body.substr(0, 60));
+        const std::string order = "order " + std::to_string(i);
+        // A client tries once more, on a new connection to another instance: safe requests after any
+        // failure, unsafe ones only after a promise.
+        for (int attemptNumber = 0; attemptNumber < 2; ++attemptNumber) {
+            const std::string attempt =
+                    "a" + std::to_string(100000 + i) + "-" + std::to_string(attemptNumber);
+            const std::string &ip = ips[static_cast<std::size_t>(i + attemptNumber) % ips.size()];
+            const auto connection = Connection::open(ip, ports.front);
+            if (!connection)
+                continue;
+            connection->send(
+                    (once ? "POST /once/x" : "GET /safe/x") +
+                    std::string(" HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: ") + attempt +
+                    "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Token key-of-tenant-1\r\n" +
+                    (once ? "Content-Length: " + std::to_string(order.size()) + "\r\n\r\n" + order
+                          : "\r\n"));
+            const auto answer = connection->read(milliseconds(3000));
+            const int status = answer ? answer->status() : 0;
+            const std::string digest = answer ? answer->header("X-Server-Stamp") : "";
+            record.line("answer  " + attempt + (once ? " unsafe (" + order + ") " : " safe ") +
+                        std::to_string(status) + " digest '" + digest + "'" +
+                        (answer ? "" : " " + connection->ended));
+            const bool success = status >= 200 && status < 300;
+            served += success ? 1 : 0;
+            {
+                const std::lock_guard lock(shared.mutex);
+                if (success && (digest.empty() || shared.bodies[digest] != answer->body)) {
+                    ++foreign;
+                    record.line("MIXED   " + attempt +
+                                ": a success without the engine's digest, body: " + answer->body);
+                }
+                if (once && isPromise(status) && shared.ran.count(attempt) > 0) {
+                    ++falsePromises;
+                    record.line("REFUSED " + attempt + ": answered " + std::to_string(status) +
+                                " and has run");
+                }
+            }
+            const bool retries = !success && (!once || isPromise(status));
+            if (!retries)
+                break;
         }
     }
+    int doubled = 0;
+    for (const auto &[order, runs] : shared.runsOfOrder)
+        doubled += runs > 1 ? 1 : 0;
     record.verdict("requests " + std::to_string(requests) + ", successes " + std::to_string(served) +
                    ", answers spoilt by the engine " + std::to_string(shared.spoilt.size()) +
-                   ", successes without the engine's digest or body " + std::to_string(foreign));
+                   ", successes without the engine's digest or body " + std::to_string(foreign) +
+                   ", promises although the request has run " + std::to_string(falsePromises) +
+                   ", orders run twice as the client tried again " + std::to_string(doubled));
     instances.clear();
     if (served < requests / 2)
         return 2;
-    return foreign > 0 ? 1 : 0;
+    return foreign + falsePromises > 0 ? 1 : 0;
 }
