--- a/review/standins-2/garbled.cpp
+++ b/review/standins-2/garbled.cpp
@@ -36,7 +36,8 @@
     Record &record;
     std::mutex mutex;
     std::map<std::string, std::string> bodies; // whole body by digest
-    std::set<std::string> ran;                 // attempts
+    std::map<std::string, int> ran;            // runs by attempt
+    int twice = 0;                             // runs of unsafe attempts that had run
     std::set<std::string> spoilt;              // attempts
     std::atomic<double> troubleFrom{1e9};
     int spoiltStatus = 200;
@@ -61,7 +62,10 @@
     {
         const std::lock_guard lock(shared.mutex);
         shared.bodies[digest] = body;
-        shared.ran.insert(attempt);
+        if (++shared.ran[attempt] > 1 && !request.body.empty()) {
+            ++shared.twice;
+            shared.record.line("TWICE   " + attempt + " runs once more, at " + engine.id);
+        }
         if (!request.body.empty())
             ++shared.runsOfOrder[request.body];
         if (spoils)
@@ -180,9 +184,10 @@
                    ", answers spoilt by the engine " + std::to_string(shared.spoilt.size()) +
                    ", successes without the engine's digest or body " + std::to_string(foreign) +
                    ", promises although the request has run " + std::to_string(falsePromises) +
-                   ", orders run twice as the client tried again " + std::to_string(doubled));
+                   ", orders run twice " + std::to_string(doubled) + ", within one attempt " +
+                   std::to_string(shared.twice));
     instances.clear();
     if (served < requests / 2)
         return 2;
-    return foreign + falsePromises > 0 ? 1 : 0;
+    return foreign + falsePromises + shared.twice > 0 ? 1 : 0;
 }
--- a/review/standins-2/headerlimit.cpp
+++ b/review/standins-2/headerlimit.cpp
@@ -59,7 +59,7 @@
         store.put("servers/" + id,
                   listing("desk", engines.back()->text(), zones[static_cast<std::size_t>(i)], 6));
     }
-    const json routes = {route("/safe/", "safe", "desk", 1500, 100, 2)};
+    const json routes = json::array({route("/safe/", "safe", "desk", 1500, 100, 2)});
     const int firstLimit = hasTrouble() ? oldLimit : newLimit;
     store.put("op/config", configuration(1, routes, "desk", firstLimit).dump());
 
