--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -354,11 +354,21 @@
     const std::string &ip() const { return this->address; }
     int port() const { return this->portNumber; }
 
+    // Closes the port, as the end of a process does. The handlers reset their connections.
+    void stop()
+    {
+        this->stopped = true;
+        ::shutdown(this->listener, SHUT_RDWR);
+        ::close(this->listener);
+    }
+
 private:
     void accept()
     {
         for (;;) {
             const int socket = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (socket < 0 && this->stopped)
+                return;
             if (socket < 0) {
                 pause(5);
                 continue;
@@ -377,6 +387,7 @@
     int portNumber;
     Handler serve;
     int listener;
+    std::atomic<bool> stopped{false};
 };
 
 inline std::string base64(const std::string &bytes)
