--- a/review/standins-2/garbled.cpp
+++ b/review/standins-2/garbled.cpp
@@ -1,6 +1,6 @@
-// Cases: an engine in trouble runs a request and sends bytes that are not a response of the protocol: a
-// complete HTTP message without the digest, without the id of the request and without X-Not-Executed.
-// Usage: garbled STATUS RECORD, where STATUS is that of these messages.
+// Cases: an engine in trouble runs a request and sends bytes that are not a response of the
+// protocol: a complete HTTP message without the digest, without the id of the request and without
+// X-Not-Executed. Usage: garbled STATUS RECORD, where STATUS is that of these messages.
 #include "standins.h"
 
 using namespace review;
@@ -75,11 +75,12 @@
     shared.record.line("run     " + attempt + " at " + engine.id +
                        (spoils ? ", its bytes are no response" : ""));
     if (spoils) {
-        to.send(answerText(shared.spoiltStatus, "Server: httpd\r\nContent-Type: text/html\r\n", page));
+        to.send(answerText(shared.spoiltStatus, "Server: httpd\r\nContent-Type: text/html\r\n",
+                           page));
         return false;
     }
-    return to.send(
-            answerText(200, "X-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: " + digest + "\r\n", body));
+    return to.send(answerText(
+            200, "X-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: " + digest + "\r\n", body));
 }
 
 } // namespace
@@ -120,8 +121,8 @@
     std::vector<std::unique_ptr<Instance>> instances;
     for (std::size_t i = 0; i < ips.size(); ++i) {
         instances.push_back(std::make_unique<Instance>(
-                InstancePlan{"edge-" + std::to_string(i + 1), ips[i], zones[i], store.text()}, ports,
-                ips, folder));
+                InstancePlan{"edge-" + std::to_string(i + 1), ips[i], zones[i], store.text()},
+                ports, ips, folder));
         instances.back()->start();
     }
     if (!awaitReady(instances)) {
@@ -136,8 +137,8 @@
     for (int i = 0; i < requests; ++i) {
         const bool once = i % 7 < 5;
         const std::string order = "order " + std::to_string(i);
-        // A client tries once more, on a new connection to another instance: safe requests after any
-        // failure, unsafe ones only after a promise.
+        // A client tries once more, on a new connection to another instance: safe requests after
+        // any failure, unsafe ones only after a promise.
         for (int attemptNumber = 0; attemptNumber < 2; ++attemptNumber) {
             const std::string attempt =
                     "a" + std::to_string(100000 + i) + "-" + std::to_string(attemptNumber);
@@ -180,8 +181,9 @@
     int doubled = 0;
     for (const auto &[order, runs] : shared.runsOfOrder)
         doubled += runs > 1 ? 1 : 0;
-    record.verdict("requests " + std::to_string(requests) + ", successes " + std::to_string(served) +
-                   ", answers spoilt by the engine " + std::to_string(shared.spoilt.size()) +
+    record.verdict("requests " + std::to_string(requests) + ", successes " +
+                   std::to_string(served) + ", answers spoilt by the engine " +
+                   std::to_string(shared.spoilt.size()) +
                    ", successes without the engine's digest or body " + std::to_string(foreign) +
                    ", promises although the request has run " + std::to_string(falsePromises) +
                    ", orders run twice " + std::to_string(doubled) + ", within one attempt " +
--- a/review/standins-2/hangup.cpp
+++ b/review/standins-2/hangup.cpp
@@ -1,5 +1,5 @@
-// Case: a process is restarted, and SIGHUP, which tells that its settings file has changed, comes while it
-// starts. The process ends.
+// Case: a process is restarted, and SIGHUP, which tells that its settings file has changed, comes
+// while it starts. The process ends.
 #include "standins.h"
 
 using namespace review;
@@ -20,7 +20,8 @@
     const Ports ports{freePort(ips), freePort(ips), freePort(ips), freePort(ips), freePort(ips)};
     Store store("127.0.9.1", freePort({"127.0.9.1"}));
     store.put("op/config",
-              configuration(1, json::array({route("/safe/", "safe", "desk", 1500, 100, 2)}), "desk").dump());
+              configuration(1, json::array({route("/safe/", "safe", "desk", 1500, 100, 2)}), "desk")
+                      .dump());
 
     Server engine("127.0.1.100", freePort({"127.0.1.100"}), [](Connection &to, const Message &) {
         return to.send(answerText(200, "X-Instance: i-engine1\r\n", ""));
@@ -30,8 +31,8 @@
     std::vector<std::unique_ptr<Instance>> instances;
     for (std::size_t i = 0; i < ips.size(); ++i) {
         instances.push_back(std::make_unique<Instance>(
-                InstancePlan{"edge-" + std::to_string(i + 1), ips[i], zones[i], store.text()}, ports,
-                ips, temporary.path));
+                InstancePlan{"edge-" + std::to_string(i + 1), ips[i], zones[i], store.text()},
+                ports, ips, temporary.path));
         instances.back()->start();
     }
     if (!awaitReady(instances)) {
@@ -58,9 +59,10 @@
             one.signal(SIGHUP);
         pause(1500);
         end = one.endOf();
-        record.line(one.plan.name + " restarted" +
-                    (hasTrouble() ? ", SIGHUP " + std::to_string(after) + " ms after its start" : "") +
-                    ": " + (end.empty() ? "runs" : "ended by " + end));
+        record.line(
+                one.plan.name + " restarted" +
+                (hasTrouble() ? ", SIGHUP " + std::to_string(after) + " ms after its start" : "") +
+                ": " + (end.empty() ? "runs" : "ended by " + end));
         if (end.empty())
             continue;
         ++ended;
--- a/review/standins-2/headerlimit.cpp
+++ b/review/standins-2/headerlimit.cpp
@@ -1,5 +1,5 @@
-// Case: the operator raises MaxHeaderBytes. Connections that clients opened before keep the old limit
-// for as long as they last: proper requests on them get 431, which no client repeats.
+// Case: the operator raises MaxHeaderBytes. Connections that clients opened before keep the old
+// limit for as long as they last: proper requests on them get 431, which no client repeats.
 #include "standins.h"
 
 using namespace review;
@@ -66,8 +66,8 @@
     std::vector<std::unique_ptr<Instance>> instances;
     for (std::size_t i = 0; i < ips.size(); ++i) {
         instances.push_back(std::make_unique<Instance>(
-                InstancePlan{"edge-" + std::to_string(i + 1), ips[i], zones[i], store.text()}, ports,
-                ips, folder));
+                InstancePlan{"edge-" + std::to_string(i + 1), ips[i], zones[i], store.text()},
+                ports, ips, folder));
         instances.back()->start();
     }
     if (!awaitReady(instances)) {
@@ -87,8 +87,8 @@
         const auto answer = client.connection->read(milliseconds(3000));
         const int status = answer ? answer->status() : 0;
         record.line(attempt + " at edge-" + std::to_string(client.instance + 1) + " on a " + kind +
-                    " connection, head of " + std::to_string(headerBytes) + " bytes: " +
-                    (answer ? std::to_string(status) : client.connection->ended));
+                    " connection, head of " + std::to_string(headerBytes) +
+                    " bytes: " + (answer ? std::to_string(status) : client.connection->ended));
         return status;
     };
 
@@ -123,9 +123,10 @@
         pause(500);
     }
     const double bound = 5 + sent / 500.0;
-    record.verdict("requests " + std::to_string(sent) + ", denied with 431 on connections opened under version 1: " +
-                   std::to_string(denied) + ", on new ones: " + std::to_string(deniedNew) +
-                   ", bound " + std::to_string(bound));
+    record.verdict(
+            "requests " + std::to_string(sent) +
+            ", denied with 431 on connections opened under version 1: " + std::to_string(denied) +
+            ", on new ones: " + std::to_string(deniedNew) + ", bound " + std::to_string(bound));
     instances.clear();
     return denied + deniedNew > bound ? 1 : 0;
 }
--- a/review/standins-2/reborn.cpp
+++ b/review/standins-2/reborn.cpp
@@ -1,5 +1,6 @@
-// Case: an engine starts again under its Id at another software version and crashes once more, before its
-// entry in the store tells of the new lifetime. Streams that began there go on at engines of the old version.
+// Case: an engine starts again under its Id at another software version and crashes once more,
+// before its entry in the store tells of the new lifetime. Streams that began there go on at
+// engines of the old version.
 #include "standins.h"
 
 using namespace review;
@@ -56,7 +57,8 @@
         Lifetime &one = *life;
         engine.lifetimes.push_back(std::move(life));
         one.server = std::make_unique<Server>(
-                engine.ip, engine.port, [this, &engine, &one](Connection &c, const Message &request) {
+                engine.ip, engine.port,
+                [this, &engine, &one](Connection &c, const Message &request) {
                     return this->serve(engine, one, c, request);
                 });
         this->record.line(engine.id + " starts at " + version);
@@ -84,12 +86,18 @@
     {
         const int running = engine.busy + life.running;
         if (request.path() == "/jaytrack/report") {
-            const json report = {{"Phase", "both"},    {"Models", json::array()},
-                                 {"Busy", false},      {"Seq", 1},
-                                 {"Waiting", 0},       {"Running", running},
-                                 {"KvInUse", running * 1000}, {"KvSize", 34307},
-                                 {"KvHandles", 0},     {"State", "ready"},
-                                 {"Next", 0},          {"Runs", json::array()},
+            const json report = {{"Phase", "both"},
+                                 {"Models", json::array()},
+                                 {"Busy", false},
+                                 {"Seq", 1},
+                                 {"Waiting", 0},
+                                 {"Running", running},
+                                 {"KvInUse", running * 1000},
+                                 {"KvSize", 34307},
+                                 {"KvHandles", 0},
+                                 {"State", "ready"},
+                                 {"Next", 0},
+                                 {"Runs", json::array()},
                                  {"born", life.born}};
             return to.send(answerText(200, "Content-Type: application/json\r\n", report.dump()));
         }
@@ -116,7 +124,8 @@
                 const std::string &id, int from)
     {
         if (!to.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " +
-                     attempt + "\r\nX-Server-Stamp: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n"))
+                     attempt + "\r\nX-Server-Stamp: " + id +
+                     "\r\nTransfer-Encoding: chunked\r\n\r\n"))
             return false;
         for (int i = from + 1; i <= eventsOfStream; ++i) {
             pause(eventMillis);
@@ -166,18 +175,17 @@
     streamRoute["Resumable"] = true;
     streamRoute["Sticky"] = true;
     json document = configuration(1, json::array({streamRoute}), "llm");
-    document["Services"][0]["Engine"] = {{"Slots", 24},           {"KvCapacity", 34307},
-                                         {"KvTokenBytes", 35136}, {"LinkMbps", 5100.0},
-                                         {"Moves", true},         {"Backups", true},
-                                         {"Stride", 4},           {"HandleTtlS", 5.0},
-                                         {"Models", {{{"Name", "m"}}}}};
+    document["Services"][0]["Engine"] = {
+            {"Slots", 24},        {"KvCapacity", 34307}, {"KvTokenBytes", 35136},
+            {"LinkMbps", 5100.0}, {"Moves", true},       {"Backups", true},
+            {"Stride", 4},        {"HandleTtlS", 5.0},   {"Models", {{{"Name", "m"}}}}};
     store.put("op/config", document.dump());
 
     std::vector<std::unique_ptr<Instance>> instances;
     for (std::size_t i = 0; i < ips.size(); ++i) {
         instances.push_back(std::make_unique<Instance>(
-                InstancePlan{"edge-" + std::to_string(i + 1), ips[i], zones[i], store.text()}, ports,
-                ips, temporary.path));
+                InstancePlan{"edge-" + std::to_string(i + 1), ips[i], zones[i], store.text()},
+                ports, ips, temporary.path));
         instances.back()->start();
     }
     if (!awaitReady(instances)) {
@@ -204,10 +212,12 @@
             const std::string attempt = "s" + std::to_string(i);
             const auto connection =
                     Connection::open(ips[static_cast<std::size_t>(i) % ips.size()], ports.front);
-            connection->send("POST /verdict/x HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: " +
-                             attempt + "\r\nX-Model: m\r\nX-Token-Count: 100,240\r\nX-Prefix-Hash: aa:80,b" +
-                             std::to_string(i) + ":20\r\nX-Deadline-Ms: 6000\r\n"
-                             "Authorization: Token key-of-tenant-1\r\nContent-Length: 5\r\n\r\nhello");
+            connection->send(
+                    "POST /verdict/x HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: " + attempt +
+                    "\r\nX-Model: m\r\nX-Token-Count: 100,240\r\nX-Prefix-Hash: aa:80,b" +
+                    std::to_string(i) +
+                    ":20\r\nX-Deadline-Ms: 6000\r\n"
+                    "Authorization: Token key-of-tenant-1\r\nContent-Length: 5\r\n\r\nhello");
             const auto answer = connection->read(std::chrono::seconds(8));
             std::map<std::string, int> versions;
             std::string order;
@@ -220,7 +230,8 @@
                         order += " " + version;
                 }
             }
-            std::string line = "answer  " + attempt + " at edge-" + std::to_string(i % 3 + 1) + ": " +
+            std::string line = "answer  " + attempt + " at edge-" + std::to_string(i % 3 + 1) +
+                               ": " +
                                (answer ? std::to_string(answer->status()) : connection->ended);
             for (const auto &[version, count] : versions)
                 line += ", " + std::to_string(count) + " events of " + version;
@@ -241,8 +252,8 @@
     for (std::thread &client : clients)
         client.join();
     record.verdict("streams " + std::to_string(streams) + ", whole " + std::to_string(whole) +
-                   ", with events of v2 " + std::to_string(toldReborn) + ", of two versions in one answer " +
-                   std::to_string(mixed));
+                   ", with events of v2 " + std::to_string(toldReborn) +
+                   ", of two versions in one answer " + std::to_string(mixed));
     instances.clear();
     if (!hasTrouble() && whole < streams)
         return 2;
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -18,6 +18,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -28,7 +29,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <condition_variable>
 #include <optional>
 #include <random>
 #include <set>
@@ -105,8 +105,8 @@
         for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
             const int probe = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
             const sockaddr_in address = socketAddress(ip, port);
-            const bool bound =
-                    ::bind(probe, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+            const bool bound = ::bind(probe, reinterpret_cast<const sockaddr *>(&address),
+                                      sizeof(address)) == 0;
             ::close(probe);
             if (!bound)
                 return false;
@@ -342,7 +342,8 @@
         const int on = 1;
         ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
         const sockaddr_in where = socketAddress(this->address, this->portNumber);
-        if (::bind(this->listener, reinterpret_cast<const sockaddr *>(&where), sizeof(where)) != 0 ||
+        if (::bind(this->listener, reinterpret_cast<const sockaddr *>(&where), sizeof(where)) !=
+                    0 ||
             ::listen(this->listener, 1024) != 0) {
             std::cerr << "cannot listen at " << withPort(this->address, port) << std::endl;
             std::exit(2);
@@ -398,7 +399,8 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         unsigned group = 0;
         for (std::size_t j = 0; j < 3; ++j)
-            group = group << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0);
+            group = group << 8 |
+                    (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0);
         for (std::size_t j = 0; j < 4; ++j)
             text += i + j > bytes.size() ? '=' : digits[group >> (18 - 6 * j) & 63];
     }
@@ -479,8 +481,7 @@
                     item["Key"].get<std::string>().rfind(prefix, 0) == 0)
                     events.push_back(item);
             }
-            if (!events.empty() ||
-                this->changed.wait_until(lock, until) == std::cv_status::timeout)
+            if (!events.empty() || this->changed.wait_until(lock, until) == std::cv_status::timeout)
                 return {{"events", events}, {"At", this->revision}};
         }
     }
@@ -498,10 +499,10 @@
 inline json route(const std::string &prefix, const std::string &type, const std::string &service,
                   int timeoutMs, int sloMs, int attempts)
 {
-    return {{"Name", "r" + prefix},   {"Host", "site.example"}, {"Prefix", prefix},
-            {"Type", type},           {"TimeoutMs", timeoutMs}, {"SloMs", sloMs},
-            {"Priority", 2},          {"Service", service},     {"MaxAttempts", attempts},
-            {"Public", false},        {"Sticky", false},        {"Resumable", false},
+    return {{"Name", "r" + prefix}, {"Host", "site.example"}, {"Prefix", prefix},
+            {"Type", type},         {"TimeoutMs", timeoutMs}, {"SloMs", sloMs},
+            {"Priority", 2},        {"Service", service},     {"MaxAttempts", attempts},
+            {"Public", false},      {"Sticky", false},        {"Resumable", false},
             {"ItlTargetMs", 180}};
 }
 
@@ -528,9 +529,16 @@
 inline std::string listing(const std::string &service, const std::string &address,
                            const std::string &zone, int slots, const std::string &state = "ready")
 {
-    return json{{"Service", service},   {"Address", address}, {"Zone", zone}, {"Version", "v1"},
-                {"Slots", slots},       {"State", state},     {"ColdLeftMs", 0},
-                {"Phase", "both"},      {"Models", json::array()}, {"Seq", 1}}
+    return json{{"Service", service},
+                {"Address", address},
+                {"Zone", zone},
+                {"Version", "v1"},
+                {"Slots", slots},
+                {"State", state},
+                {"ColdLeftMs", 0},
+                {"Phase", "both"},
+                {"Models", json::array()},
+                {"Seq", 1}}
             .dump();
 }
 
@@ -581,8 +589,8 @@
         const auto text = [](const std::string &value) { return "\"" + value + "\""; };
         file << "name = " << text(this->plan.name) << "\ndata_centre = " << text(this->plan.zone)
              << "\n"
-             << (firstStart ? "first_start = true\n" : "") << "\n[listen]\ncallers = "
-             << text(withPort(this->plan.ip, this->ports.front))
+             << (firstStart ? "first_start = true\n" : "")
+             << "\n[listen]\ncallers = " << text(withPort(this->plan.ip, this->ports.front))
              << "\nreadiness = " << text(withPort(this->plan.ip, this->ports.ready))
              << "\nmetrics = " << text(withPort(this->plan.ip, this->ports.metrics))
              << "\n\n[store]\naddress = " << text(this->plan.store)
