--- a/review/standins-2/garbled.cpp
+++ b/review/standins-2/garbled.cpp
@@ -41,6 +41,7 @@
     std::set<std::string> spoilt;              // attempts
     std::atomic<double> troubleFrom{1e9};
     int spoiltStatus = 200;
+    bool isSigned = false;
     std::map<std::string, int> runsOfOrder; // by the body of an unsafe request
 };
 
@@ -75,7 +76,11 @@
     shared.record.line("run     " + attempt + " at " + engine.id +
                        (spoils ? ", its bytes are no response" : ""));
     if (spoils) {
-        to.send(answerText(shared.spoiltStatus, "Server: httpd\r\nContent-Type: text/html\r\n",
+        to.send(answerText(shared.spoiltStatus,
+                           (shared.isSigned ? "X-Attempt-Id: " + attempt +
+                                                      "\r\nX-Server-Stamp: " + digest + "\r\n"
+                                            : std::string()) +
+                                   "Server: httpd\r\nContent-Type: text/html\r\n",
                            page));
         return false;
     }
@@ -85,7 +90,7 @@
 
 } // namespace
 
-int main(int, char **arguments)
+int main(int count, char **arguments)
 {
     Record record(arguments[2]);
     const TemporaryFolder temporary;
@@ -96,6 +101,7 @@
     Store store("127.0.9.1", freePort({"127.0.9.1"}));
     Shared shared{record};
     shared.spoiltStatus = std::atoi(arguments[1]);
+    shared.isSigned = count > 3;
 
     std::vector<std::unique_ptr<Engine>> engines;
     for (int i = 0; i < 3; ++i) {
