--- a/review/standins-2/cutreaders.cpp
+++ b/review/standins-2/cutreaders.cpp
@@ -91,6 +91,7 @@
 int main(int, char **arguments)
 {
     Record record(arguments[1]);
+    guardProcesses();
     const TemporaryFolder temporary;
     std::vector<std::string> ips;
     for (const Machine &machine : machines)
--- a/review/standins-2/garbled.cpp
+++ b/review/standins-2/garbled.cpp
@@ -93,6 +93,7 @@
 int main(int count, char **arguments)
 {
     Record record(arguments[2]);
+    guardProcesses();
     const TemporaryFolder temporary;
     const std::string &folder = temporary.path;
     const std::vector<std::string> ips = {"127.0.1.1", "127.0.2.1", "127.0.3.1"};
--- a/review/standins-2/headerlimit.cpp
+++ b/review/standins-2/headerlimit.cpp
@@ -31,6 +31,7 @@
 int main(int, char **arguments)
 {
     Record record(arguments[1]);
+    guardProcesses();
     const TemporaryFolder temporary;
     const std::string &folder = temporary.path;
     const std::vector<std::string> ips = {"127.0.1.1", "127.0.2.1", "127.0.3.1"};
--- a/review/standins-2/reborn.cpp
+++ b/review/standins-2/reborn.cpp
@@ -150,6 +150,7 @@
 int main(int, char **arguments)
 {
     Record record(arguments[1]);
+    guardProcesses();
     const TemporaryFolder temporary;
     const std::vector<std::string> ips = {"127.0.1.1", "127.0.2.1", "127.0.3.1"};
     const std::vector<std::string> zones = {"zone-1", "zone-2", "zone-3"};
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -16,6 +16,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -542,6 +543,51 @@
             .dump();
 }
 
+// The ids of the processes that this program started and that have not been reaped.
+constexpr std::size_t maxProcesses = 16;
+inline std::array<std::atomic<pid_t>, maxProcesses> startedProcesses{};
+
+inline void noteStarted(pid_t process)
+{
+    for (std::atomic<pid_t> &slot : startedProcesses) {
+        pid_t none = 0;
+        if (slot.compare_exchange_strong(none, process))
+            return;
+    }
+}
+
+inline void noteReaped(pid_t process)
+{
+    for (std::atomic<pid_t> &slot : startedProcesses) {
+        pid_t known = process;
+        slot.compare_exchange_strong(known, 0);
+    }
+}
+
+inline void endStartedProcesses()
+{
+    for (std::atomic<pid_t> &slot : startedProcesses) {
+        const pid_t process = slot.exchange(0);
+        if (process > 0)
+            ::kill(process, SIGKILL);
+    }
+}
+
+// Ends the processes also at std::exit(), at SIGTERM, SIGINT and SIGHUP, and shortly before 120 s
+// are over.
+inline void guardProcesses()
+{
+    static constexpr unsigned maxSeconds = 115;
+    std::atexit(endStartedProcesses);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGALRM}) {
+        ::signal(number, [](int) {
+            endStartedProcesses();
+            ::_exit(2);
+        });
+    }
+    ::alarm(maxSeconds);
+}
+
 // The processes of the deploy file
 
 struct InstancePlan
@@ -580,6 +626,7 @@
         ::kill(this->process, SIGCONT);
         ::kill(this->process, SIGKILL);
         ::waitpid(this->process, nullptr, 0);
+        noteReaped(this->process);
     }
 
     // The settings as the platform fills in deploy/entry.toml.in.
@@ -626,6 +673,7 @@
             std::exit(2);
         }
         posix_spawn_file_actions_destroy(&files);
+        noteStarted(this->process);
     }
 
     void signal(int number) const { ::kill(this->process, number); }
@@ -636,6 +684,7 @@
         int status = 0;
         if (this->process <= 0 || ::waitpid(this->process, &status, WNOHANG) != this->process)
             return {};
+        noteReaped(this->process);
         this->process = 0;
         return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                                    : "exit " + std::to_string(WEXITSTATUS(status));
