Judge each answer once: a page of a web server is no success

Cause: "whole" meant that an HTTP message had ended. An answer without the attempt's id passed, and nobody looked for the digest or for an encoding: plain requests, streams, and both through a relay. What a page seemed to tell of its target (pauses, leaving) was believed too.

Change: judgeAnswer decides from the head what an answer means, and plain requests and streams act on that. A success needs id, digest and no encoding. Self-reports count only if the answer names the attempt. A stream that ends in order without any event is broken. Stand-ins of four test files that sent no id or no digest send both, as the platform's engines do; endlessTarget keeps its bound on bodies that way.

--- a/include/jaytrack/Calls/targetcalls.h
+++ b/include/jaytrack/Calls/targetcalls.h
@@ -40,7 +40,10 @@
 {
 public:
     virtual ~TargetAnswerListener() = default;
-    virtual void onTargetAnswer(std::string_view target, const MessageHead &answer) = 0;
+
+    // The answer is to the caller's attempt with this id, which is empty for all other calls.
+    virtual void onTargetAnswer(std::string_view target, std::string_view attemptId,
+                                const MessageHead &answer) = 0;
 };
 
 class TargetCalls
@@ -81,9 +84,10 @@
     std::string_view refusalToSend(std::string_view target, bool isNewWork,
                                    std::string_view attemptId) const;
 
-    void recordAnswer(std::string_view target, const MessageHead &answer)
+    void recordAnswer(std::string_view target, std::string_view attemptId,
+                      const MessageHead &answer)
     {
-        this->answers.onTargetAnswer(target, answer);
+        this->answers.onTargetAnswer(target, attemptId, answer);
     }
 
     asio::io_context &loop() { return this->context; }
--- a/include/jaytrack/Proxy/selfreports.h
+++ b/include/jaytrack/Proxy/selfreports.h
@@ -42,11 +42,13 @@
     {
     }
 
-    // Records what the head of any answer tells of its target. The answer must come from the
-    // current incarnation of the target. May cause calls of onTargetLeaving().
-    void recordAnswer(std::string_view target, const MessageHead &answer);
+    // Records what the head of any answer tells of its target, unless it is not the target's. The
+    // answer must come from the current incarnation of the target. May cause calls of
+    // onTargetLeaving().
+    void recordAnswer(std::string_view target, std::string_view attemptId,
+                      const MessageHead &answer);
 
-    // Records what only an answer to a caller's request tells, which was sent sentAgo ago.
+    // Records what only a usable answer to a caller's request tells, which was sent sentAgo ago.
     void recordServedAnswer(std::string_view target, const MessageHead &answer, Duration sentAgo);
 
     // Whether the target has asked for a pause that has not ended yet.
--- a/include/jaytrack/Routing/dialect.h
+++ b/include/jaytrack/Routing/dialect.h
@@ -66,6 +66,8 @@
     std::string attemptId;
     bool notExecuted = false; // the target guarantees that it did not run the request
     bool misdirected = false; // the address now belongs to another target
+    bool bearsDigest = false; // the target's digest of the answer, which each success has
+    bool isEncoded = false;   // the body is not as the target made it
     bool leaving = false;     // the answering target is shutting down
     // The target rejected the request and wants none from this instance for this long.
     std::optional<std::chrono::milliseconds> backOffFor;
--- a/lib/Calls/targetcalls.cpp
+++ b/lib/Calls/targetcalls.cpp
@@ -217,7 +217,9 @@
             this->calls.recordReachedByPeer(this->about, this->peer);
         head.headers = withoutRelayHeaders(head.headers);
     }
-    this->calls.recordAnswer(this->about.target, head);
+    // Orders and questions are about an attempt, but their answers do not name it.
+    const std::string_view answered = this->about.isNewWork ? this->about.attemptId : "";
+    this->calls.recordAnswer(this->about.target, answered, head);
     if (const auto to = this->listener.lock())
         to->onAnswerHead(std::move(head));
 }
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -110,9 +110,10 @@
 
     // TargetAnswerListener
 
-    void onTargetAnswer(std::string_view target, const MessageHead &answer) override
+    void onTargetAnswer(std::string_view target, std::string_view attemptId,
+                        const MessageHead &answer) override
     {
-        this->selfReports.recordAnswer(target, answer);
+        this->selfReports.recordAnswer(target, attemptId, answer);
     }
 
     // Records the versions of the service's targets, so that streams keep to theirs.
--- a/lib/Proxy/exchange.cpp
+++ b/lib/Proxy/exchange.cpp
@@ -416,6 +416,13 @@
         this->finishIfBarred();
 }
 
+AnswerJudgement Exchange::judge(const MessageHead &answer) const
+{
+    return judgeAnswer(answer.status,
+                       this->context.dialect.describeAnswer(answer.status, answer.headers),
+                       this->facts().attemptId);
+}
+
 void Exchange::answerWithResult(ResultCode code, std::string_view detail)
 {
     if (this->finished)
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -88,6 +88,7 @@
             return this->attempt();
         this->target = entry;
         this->answer = {};
+        this->judgement = {};
         this->body.clear();
         this->failedAnswer = false;
         this->sentAt = this->context.clock.now();
@@ -149,41 +150,46 @@
     void onAnswerHead(MessageHead head) override
     {
         this->answer = std::move(head);
+        this->judgement = this->judge(this->answer);
+        if (this->judgement.meaning == AnswerMeaning::Unusable)
+            return this->abandonAnswer(this->judgement.reason);
         this->context.selfReports.recordServedAnswer(this->target.id, this->answer,
                                                      this->context.clock.now() - this->sentAt);
     }
 
     void onAnswerBody(std::string_view bytes) override
     {
-        if (appendWithin(this->body, bytes, maxAnswerBytes))
-            return;
+        if (!appendWithin(this->body, bytes, maxAnswerBytes))
+            this->abandonAnswer(tooLargeReason);
+    }
+
+    // Ends the call, because what the target sends cannot be given to the caller.
+    void abandonAnswer(std::string_view reason)
+    {
         this->attemptTimer.cancel();
         ++this->sends;
         ++this->runs;
         this->uncertain = true;
         this->endCall(true);
-        this->retryOr(ResultCode::TargetGarbled, tooLargeReason);
+        this->retryOr(ResultCode::TargetGarbled, reason);
     }
 
     void onCallEnd(const TargetCallEnd &end) override
     {
         this->attemptTimer.cancel();
         const bool sent = end.bytesSent;
-        const AnswerFacts answerFacts =
-                this->context.dialect.describeAnswer(this->answer.status, this->answer.headers);
-        const bool idMatches =
-                answerFacts.attemptId.empty() || answerFacts.attemptId == this->facts().attemptId;
-        const bool valid = end.whole && idMatches;
-        const bool refused = valid && answerFacts.notExecuted;
+        const AnswerMeaning meaning = end.whole ? this->judgement.meaning : AnswerMeaning::Unusable;
+        const bool valid = meaning == AnswerMeaning::Served || meaning == AnswerMeaning::Failed;
+        const bool refused = meaning == AnswerMeaning::NotRun;
         this->sends += sent ? 1 : 0;
         this->runs += sent && !refused ? 1 : 0;
         const bool failedHere = !valid || this->answer.status >= serverErrorStatus;
-        this->endCall(refused ? answerFacts.misdirected : failedHere);
+        this->endCall(refused ? this->wasMisdirected() : failedHere);
         if (refused)
             return this->retryOr(ResultCode::TargetFull, "refused_by_target");
         if (!sent)
             return this->retryOr(ResultCode::TargetUnreachable, end.reason);
-        if (valid && !refused) {
+        if (valid) {
             this->reportSafeRun(this->target, this->sentAt);
             this->context.brittle.recordServed(this->target.service, this->target.slots,
                                                this->context.clock.now() - this->sentAt);
@@ -191,15 +197,20 @@
         if (valid && this->answer.status < serverErrorStatus)
             return this->forwardAnswer(this->answer, this->body, this->target.id);
         this->uncertain = true;
+        if (valid)
+            return this->retryOrForwardFailure();
         const bool unanswered = end.lostConnection && this->answer.status == 0;
         if (unanswered)
             this->reportLostUnanswered(this->target, this->sentAt);
-        if (valid)
-            return this->retryOrForwardFailure();
         if (unanswered && this->mayRetry() && this->mayCrashOthers(this->target))
             return this->retryAfterVerdict(end.reason);
-        this->retryOr(idMatches ? ResultCode::TargetLost : ResultCode::TargetGarbled,
-                      idMatches ? end.reason : "answer_to_another_request");
+        this->retryOr(ResultCode::TargetLost, end.reason);
+    }
+
+    bool wasMisdirected() const
+    {
+        return this->context.dialect.describeAnswer(this->answer.status, this->answer.headers)
+                .misdirected;
     }
 
     // The lost target may have crashed because of a part of the prompt.
@@ -291,6 +302,7 @@
     TargetEntry target;
     TimePoint sentAt;
     MessageHead answer;
+    AnswerJudgement judgement; // of the answer, once its head has arrived
     std::string body;
     bool failedAnswer = false; // the buffered answer is a failure; another target is being tried
     bool uncertain = false;    // an earlier target may have run the request
--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -36,11 +36,12 @@
 {
 public:
     Relay(RelayServer &owner, std::shared_ptr<CallerConnection> connection,
-          const TargetEntry &entry, RequestIdentity askedRequest, bool newWork)
+          const TargetEntry &entry, RequestIdentity askedRequest, std::string attempt, bool newWork)
         : server(owner)
         , asker(std::move(connection))
         , target(entry)
         , asked(std::move(askedRequest))
+        , attemptId(std::move(attempt))
         , isNewWork(newWork)
     {
     }
@@ -82,7 +83,8 @@
 
     void onAnswerHead(MessageHead head) override
     {
-        this->server.calls.recordAnswer(this->target.id, head);
+        this->server.calls.recordAnswer(this->target.id, this->isNewWork ? this->attemptId : "",
+                                        head);
         this->mustHaveBody =
                 !head.framed && head.header("Content-Type").starts_with(eventStreamType);
         const std::vector<HttpHeader> headers = markAnswered(answerHeaders(head.headers));
@@ -135,6 +137,7 @@
     std::shared_ptr<CallerConnection> asker;
     TargetEntry target;
     RequestIdentity asked; // without the digest, which only the instance that asks knows
+    std::string attemptId;
     bool isNewWork;
     std::shared_ptr<TargetCall> call;
     bool isHead = false;
@@ -225,8 +228,8 @@
     const std::string_view reason = this->refusalReason(*order, target);
     if (!reason.empty())
         return this->refuse(*connection, order->target, reason);
-    RequestIdentity asked{{},
-                          partDigests(this->dialect.describe(request.head.headers).sharedParts)};
+    const RequestFacts facts = this->dialect.describe(request.head.headers);
+    RequestIdentity asked{{}, partDigests(facts.sharedParts)};
     if (order->isNewWork && this->isBarred(asked, *target))
         return this->refuse(*connection, order->target, relayIsBarred);
     const auto endpoint = parseEndpoint(target->address);
@@ -240,7 +243,7 @@
     outgoing.body = std::move(request.body);
     outgoing.connectTimeout = order->connectTimeout;
     const auto relay = std::make_shared<Relay>(*this, std::move(connection), *target,
-                                               std::move(asked), order->isNewWork);
+                                               std::move(asked), facts.attemptId, order->isNewWork);
     relay->start(std::move(outgoing));
 }
 
--- a/lib/Proxy/selfreports.cpp
+++ b/lib/Proxy/selfreports.cpp
@@ -1,5 +1,6 @@
 #include "jaytrack/Proxy/selfreports.h"
 
+#include "jaytrack/Routing/answerjudgement.h"
 #include "jaytrack/Support/log.h"
 
 namespace jaytrack {
@@ -12,9 +13,12 @@
 
 } // namespace
 
-void SelfReports::recordAnswer(std::string_view target, const MessageHead &answer)
+void SelfReports::recordAnswer(std::string_view target, std::string_view attemptId,
+                               const MessageHead &answer)
 {
-    this->recordFacts(target, this->dialect.describeAnswer(answer.status, answer.headers));
+    const AnswerFacts facts = this->dialect.describeAnswer(answer.status, answer.headers);
+    if (attemptId.empty() || isFromTarget(facts, attemptId))
+        this->recordFacts(target, facts);
 }
 
 // A failure answer or the answer to a load probe may omit the limit. Only the answer to a request
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -196,16 +196,15 @@
 
 void StreamExchange::legHead(StreamLeg &leg)
 {
+    const AnswerJudgement judgement = this->judge(leg.head);
+    if (judgement.meaning == AnswerMeaning::Unusable) {
+        leg.call->cancel();
+        return this->legEnded(leg, {false, true, judgement.reason});
+    }
     this->context.selfReports.recordServedAnswer(leg.target.id, leg.head,
                                                  this->context.clock.now() - leg.openedAt);
     if (this->isFinished())
         return;
-    const AnswerFacts answerFacts =
-            this->context.dialect.describeAnswer(leg.head.status, leg.head.headers);
-    if (!answerFacts.attemptId.empty() && answerFacts.attemptId != this->facts().attemptId) {
-        leg.call->cancel();
-        return this->legEnded(leg, {false, true, "answer_to_another_request"});
-    }
     if (leg.streaming && this->next.get() == &leg)
         this->switchToNext();
 }
@@ -337,7 +336,8 @@
                                 end.bytesSent && !end.whole);
     if (this->current.get() != &leg)
         return;
-    if (!end.whole || leg.endsEarly())
+    const bool isEmpty = leg.streaming && !this->answerBegun && this->lastEvent == 0;
+    if (!end.whole || leg.endsEarly() || isEmpty)
         return this->onCurrentLost(end.whole ? "event_cut" : end.reason);
     if (!leg.streaming)
         return this->forwardNonStreamAnswer(leg);
--- a/unittests/Platform/brokenstreamtest.cpp
+++ b/unittests/Platform/brokenstreamtest.cpp
@@ -48,7 +48,9 @@
     ScriptedServer engine([param](const SeenRequest &request) -> Answer {
         if (request.head.method == "GET")
             return wholeAnswer(200, "", "{}");
-        return {{AnswerStep::Kind::Send, streamHead("X-Attempt-Id: a1\r\n"), {}},
+        return {{AnswerStep::Kind::Send,
+                 streamHead("X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n"),
+                 {}},
                 chunkStep(eventText(1, "first")),
                 {param->end, "", std::chrono::milliseconds(20)}};
     });
@@ -75,7 +77,9 @@
     ScriptedServer engine([&data, events](const SeenRequest &request) -> Answer {
         if (request.head.method == "GET")
             return wholeAnswer(200, "", "{}");
-        Answer answer = {{AnswerStep::Kind::Send, streamHead("X-Attempt-Id: a1\r\n"), {}}};
+        Answer answer = {{AnswerStep::Kind::Send,
+                          streamHead("X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n"),
+                          {}}};
         for (std::size_t id = 1; id <= events; ++id)
             answer.push_back(chunkStep(eventText(static_cast<int>(id), data)));
         answer.push_back({AnswerStep::Kind::Reset, "", std::chrono::milliseconds(100)});
--- a/unittests/Platform/endlessanswertest.cpp
+++ b/unittests/Platform/endlessanswertest.cpp
@@ -57,13 +57,19 @@
     static EndlessCase cases[] = {
             {"head", "unsafe", "HTTP/1.1 200 OK\r\nA: ", "aaaaaaaa"},
             {"interim answers", "unsafe", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-            {"body", "unsafe", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
-            {"body, may be repeated", "safe", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
+            {"body", "unsafe", "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n",
+             "aaaaaaaa"},
+            {"body, may be repeated", "safe",
+             "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n", "aaaaaaaa"},
             {"head of a stream", "stream", "HTTP/1.1 200 OK\r\nA: ", "aaaaaaaa"},
-            {"event", "stream", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
-            {"comments", "stream", "HTTP/1.1 200 OK\r\n\r\n", ": comment\n\n"},
-            {"error of an engine", "stream", "HTTP/1.1 500 Error\r\n\r\n", "aaaaaaaa"},
-            {"refusal of an engine", "stream", "HTTP/1.1 503 Busy\r\n\r\n", "aaaaaaaa"},
+            {"event", "stream", "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n",
+             "aaaaaaaa"},
+            {"comments", "stream",
+             "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n", ": comment\n\n"},
+            {"error of an engine", "stream",
+             "HTTP/1.1 500 Error\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n", "aaaaaaaa"},
+            {"refusal of an engine", "stream",
+             "HTTP/1.1 503 Busy\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n", "aaaaaaaa"},
     };
     return cr_make_param_array(EndlessCase, cases, std::size(cases));
 }
--- a/unittests/Platform/handovertest.cpp
+++ b/unittests/Platform/handovertest.cpp
@@ -99,7 +99,8 @@
         ScriptedServer first([&id](const SeenRequest &request) -> Answer {
             Answer answer = leavingEngine(200)(request);
             if (isRun(request))
-                answer.front().bytes = streamHead("X-Attempt-Id: " + id + "\r\n");
+                answer.front().bytes =
+                        streamHead("X-Attempt-Id: " + id + "\r\nX-Server-Stamp: s\r\n");
             return answer;
         });
         ScriptedServer refuge([](const SeenRequest &) { return wholeAnswer(200, "", "{}"); });
--- a/unittests/Platform/lostlinkstest.cpp
+++ b/unittests/Platform/lostlinkstest.cpp
@@ -1,7 +1,6 @@
 // Instances that have lost their links to all targets, while callers, the store and the other
 // instances still reach them.
-#include "entryfixture.h"
-#include "unreachableport.h"
+#include "cutsite.h"
 
 #include "jaytrack/Calls/relaymessage.h"
 
@@ -17,9 +16,6 @@
 
 namespace {
 
-// Instances know each other after this.
-constexpr std::chrono::milliseconds acquaintance{1500};
-
 constexpr int requestsSent = 6;
 
 const std::string ownHeaders = "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n";
@@ -49,51 +45,6 @@
     return route;
 }
 
-// A member whose store holds these targets before it starts. What is written later would also reach
-// it from the other member, whose store has other addresses under the same revisions.
-FixtureOptions memberWith(const std::string &name, const std::string &own, const std::string &other,
-                          const std::map<std::string, std::string> &addresses)
-{
-    FixtureOptions options = memberOf(name, own, other);
-    for (const auto &[id, address] : addresses)
-        options.items["servers/" + id] = targetJson(address);
-    return options;
-}
-
-// Two instances before two targets; the first one's links to the targets lead nowhere.
-struct CutSite
-{
-    CutSite(const std::string &type, LinkLoss loss)
-        : near([type](const SeenRequest &request) { return answerTo(type, request); })
-        , far([type](const SeenRequest &request) { return answerTo(type, request); })
-        , deadNear(loss)
-        , deadFar(loss)
-    {
-        const std::string first = freeDatagramAddress();
-        const std::string second = freeDatagramAddress();
-        const std::vector<RouteSpec> routes = {routeOf(type)};
-        this->cut = std::make_unique<EntryFixture>(
-                routes, memberWith("cut", first, second,
-                                   {{"i-near", this->deadNear.address()},
-                                    {"i-far", this->deadFar.address()}}));
-        this->sound = std::make_unique<EntryFixture>(
-                routes,
-                memberWith("sound", second, first,
-                           {{"i-near", this->near.address()}, {"i-far", this->far.address()}}));
-        cr_assert(this->cut->becomesReady() && this->sound->becomesReady());
-        std::this_thread::sleep_for(acquaintance);
-    }
-
-    std::size_t runs() const { return workSeen(this->near) + workSeen(this->far); }
-
-    ScriptedServer near;
-    ScriptedServer far;
-    UnreachablePort deadNear;
-    UnreachablePort deadFar;
-    std::unique_ptr<EntryFixture> cut;
-    std::unique_ptr<EntryFixture> sound;
-};
-
 struct LossCase
 {
     char type[8];
@@ -114,7 +65,10 @@
 
 ParameterizedTest(LossCase *one, lostLinks, callersAreServedThroughAnotherInstance)
 {
-    const CutSite site(one->type, one->loss);
+    const std::string type = one->type;
+    const CutSite site(
+            routeOf(type), [type](const SeenRequest &request) { return answerTo(type, request); },
+            one->loss);
     for (int i = 0; i < requestsSent; ++i) {
         const std::string answer = callOnce(site.cut->port(), requestText({})).bytes;
         cr_expect(answer.starts_with("HTTP/1.1 200"), "%s: %s", one->type, answer.c_str());
@@ -347,7 +301,9 @@
 // end, while its engine had closed the connection before the first event.
 Test(lostLinks, streamCutBeforeItsFirstEventIsNotWhole)
 {
-    CutSite site("cut", LinkLoss::Refused);
+    const CutSite site(
+            routeOf("cut"), [](const SeenRequest &request) { return answerTo("cut", request); },
+            LinkLoss::Refused);
     const CallerView view = callOnce(site.cut->port(), requestText({}));
     cr_assert_gt(site.runs(), 0);
     cr_assert(!view.bytes.ends_with("\r\n0\r\n\r\n"), "%s", view.bytes.c_str());
--- a/unittests/Platform/routedcalltest.cpp
+++ b/unittests/Platform/routedcalltest.cpp
@@ -60,7 +60,7 @@
 class IgnoredEvents final : public TargetDirectoryListener, public TargetAnswerListener
 {
 public:
-    void onTargetAnswer(std::string_view, const MessageHead &) override {}
+    void onTargetAnswer(std::string_view, std::string_view, const MessageHead &) override {}
     void onTargetLeaving(const TargetEntry &, std::string_view) override {}
     void onTargetListed(const TargetEntry &) override {}
     void onTargetRestarted(const TargetEntry &) override {}
--- a/unittests/Platform/streamversionstest.cpp
+++ b/unittests/Platform/streamversionstest.cpp
@@ -11,9 +11,14 @@
 
 namespace {
 
-const std::string ownHeaders = "X-Server-Stamp: s\r\n";
 constexpr int eventCount = 40;
 
+std::string ownHeaders(const SeenRequest &request)
+{
+    return "X-Attempt-Id: " + std::string(request.head.header("X-Attempt-Id")) +
+           "\r\nX-Server-Stamp: s\r\n";
+}
+
 bool isRun(const SeenRequest &request)
 {
     return request.head.path().starts_with("/jobs/");
@@ -33,7 +38,7 @@
 {
     const std::string_view after = request.head.header("Last-Event-Id");
     const int first = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
-    Answer answer = {{AnswerStep::Kind::Send, streamHead(ownHeaders), {}}};
+    Answer answer = {{AnswerStep::Kind::Send, streamHead(ownHeaders(request)), {}}};
     for (int id = first; id <= last; ++id)
         answer.push_back(chunkStep(eventText(id, "token" + std::to_string(id)), pause));
     if (whole)
@@ -222,7 +227,7 @@
 {
     ScriptedServer first([](const SeenRequest &request) -> Answer {
         if (isRun(request))
-            return wholeAnswer(503, ownHeaders + "X-Not-Executed: 1\r\n", "");
+            return wholeAnswer(503, ownHeaders(request) + "X-Not-Executed: 1\r\n", "");
         return wholeAnswer(200, "", "{}");
     });
     ScriptedServer newer(quickEngine);
