A status that promises "not run" needs the target's statement

A 421 page sent the instance itself to another target.

Cause: every whole answer but X-Not-Executed and 421 was passed on with its status, also 408, 429 and 503, whoever wrote it; each 421 counted as the word of another target at the address.

Change: any answer has to name the attempt or to state that it did not run. 408, 421, 429 and 503 without that statement end with 502. A 421 counts if it names the attempt or the instance, or states it. The soak's targets name themselves in it now, as the platform's do.

On spoiltAnswer/isNoPromise is red in 9 of 10 cases, isNoPromiseThroughARelay in 3 of 3; green with the change.

--- a/unittests/Platform/dialecttest.cpp
+++ b/unittests/Platform/dialecttest.cpp
@@ -132,8 +132,15 @@
     const auto dialect = makePlatformDialect();
     const std::vector<HttpHeader> shed = {{"X-Not-Executed", "1"}};
     cr_assert(dialect->describeAnswer(503, shed).notExecuted);
-    cr_assert(dialect->describeAnswer(421, {}).notExecuted);
-    cr_assert(dialect->describeAnswer(421, {}).misdirected);
+    for (const HttpHeader &mark :
+         {HttpHeader{"X-Instance", "i-2"}, HttpHeader{"X-Attempt-Id", "a1"},
+          HttpHeader{"X-Not-Executed", "1"}}) {
+        const std::vector<HttpHeader> misdirected = {mark};
+        cr_assert(dialect->describeAnswer(421, misdirected).notExecuted, "%s", mark.name.c_str());
+        cr_assert(dialect->describeAnswer(421, misdirected).misdirected, "%s", mark.name.c_str());
+    }
+    cr_assert_not(dialect->describeAnswer(421, {}).notExecuted);
+    cr_assert_not(dialect->describeAnswer(421, {}).misdirected);
     cr_assert_not(dialect->describeAnswer(503, shed).misdirected);
     cr_assert_not(dialect->describeAnswer(503, {}).notExecuted);
     cr_assert_eq(dialect->retryAfterHeader(std::chrono::milliseconds(250)).value,
--- a/unittests/Platform/endlessanswertest.cpp
+++ b/unittests/Platform/endlessanswertest.cpp
@@ -69,7 +69,7 @@
             {"error of an engine", "stream",
              "HTTP/1.1 500 Error\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n", "aaaaaaaa"},
             {"refusal of an engine", "stream",
-             "HTTP/1.1 503 Busy\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n", "aaaaaaaa"},
+             "HTTP/1.1 503 Busy\r\nX-Attempt-Id: a1\r\nX-Not-Executed: 1\r\n\r\n", "aaaaaaaa"},
     };
     return cr_make_param_array(EndlessCase, cases, std::size(cases));
 }
--- a/unittests/Platform/spoiltanswertest.cpp
+++ b/unittests/Platform/spoiltanswertest.cpp
@@ -148,6 +148,46 @@
     expectTruthThroughRelay(*param);
 }
 
+// Guards against a caller that is told that its request has not run, on the word of a message that
+// does not say so, and against the request being run again on that word.
+ParameterizedTestParameters(spoiltAnswer, isNoPromise)
+{
+    static SpoiltCase cases[] = {
+            {"unavailable", 503, "Content-Type: text/html\r\n"},
+            {"too many requests", 429, "Content-Type: text/html\r\n"},
+            {"timeout", 408, "Content-Type: text/html\r\n"},
+            {"misdirected", 421, "Content-Type: text/html\r\n"},
+            {"unavailable, of the target", 503, "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n"},
+            {"too many requests, of the target", 429, "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n"},
+            {"timeout, of the target", 408, "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n"},
+            {"to another request", 503, "X-Attempt-Id: b2\r\nX-Not-Executed: 1\r\n"},
+            {"failure", 500, "Content-Type: text/html\r\n"},
+            {"not found", 404, "Content-Type: text/html\r\n"},
+    };
+    return cr_make_param_array(SpoiltCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SpoiltCase *param, spoiltAnswer, isNoPromise)
+{
+    expectTruthDirectly(*param);
+}
+
+// The same where another instance calls the target.
+ParameterizedTestParameters(spoiltAnswer, isNoPromiseThroughARelay)
+{
+    static SpoiltCase cases[] = {
+            {"unavailable", 503, "Content-Type: text/html\r\n"},
+            {"misdirected", 421, "Content-Type: text/html\r\n"},
+            {"unavailable, of the target", 503, "X-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n"},
+    };
+    return cr_make_param_array(SpoiltCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SpoiltCase *param, spoiltAnswer, isNoPromiseThroughARelay)
+{
+    expectTruthThroughRelay(*param);
+}
+
 // Guards against a stream that looks whole although its engine sent a page in its place.
 Test(spoiltAnswer, pageIsNoEmptyStream)
 {
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -128,7 +128,7 @@
                            R"({"KvHandle":"h","Created":1})");
     }
     if (request.head.header("X-Expect-Instance") != this->id())
-        return wholeAnswer(421, "", "");
+        return wholeAnswer(421, "X-Instance: " + this->id() + "\r\n", "");
     const std::string attempt(request.head.header("X-Attempt-Id"));
     if (percent(this->random) < percentRefused)
         return wholeAnswer(503, stampHeaders(attempt, this->ownWords()) + "X-Not-Executed: 1\r\n",
