A reset that the write was told of is no orderly end

Cause: Linux reports a reset once. When the write takes the report, the read sees an orderly end, and TargetCall dropped the error of its write.

Change: the end of a connection is orderly only if the request was written whole; if the write is still going on, its outcome decides.

--- a/include/jaytrack/Net/targetcall.h
+++ b/include/jaytrack/Net/targetcall.h
@@ -81,10 +81,14 @@
     TargetRequest takeUnsent();
 
 private:
+    enum class WriteState { Writing, Written, Failed }; // of the request
+
     void connect();
     void send();
+    void onWritten(const asio::error_code &failure);
     void read();
     void onRead(const asio::error_code &failure, std::size_t bytes);
+    void onClosed();
     void end(bool whole, std::string_view reason, bool lostConnection = false);
     void onHead(MessageHead head) override;
     void onBody(std::string_view bytes) override;
@@ -97,6 +101,8 @@
     HttpMessageParser parser;
     std::string outgoing;
     std::array<char, 4096> incoming{};
+    WriteState writeState = WriteState::Writing;
+    bool closedByTarget = false;
     bool sent = false;
     bool ended = false;
     bool paused = false;
--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -17,6 +17,8 @@
 // would otherwise occupy the call until its deadline.
 constexpr int maxInterimAnswers = 256;
 
+constexpr std::string_view resetReason = "reset";
+
 } // namespace
 
 std::string formatRequest(const TargetRequest &request)
@@ -94,13 +96,20 @@
             [self = this->shared_from_this()](const asio::error_code &failure, std::size_t) {
                 self->outgoing.clear();
                 self->outgoing.shrink_to_fit();
-                // A target may respond without reading the whole body. The response is read in any
-                // case, so a failed write does not end the call.
-                (void)failure;
+                self->onWritten(failure);
             });
     this->read();
 }
 
+// A target may respond without reading the whole body. The response is read in any case, so a
+// failed write does not end the call.
+void TargetCall::onWritten(const asio::error_code &failure)
+{
+    this->writeState = failure ? WriteState::Failed : WriteState::Written;
+    if (this->closedByTarget && !this->ended)
+        this->onClosed();
+}
+
 void TargetCall::read()
 {
     if (this->ended || this->paused || this->reading)
@@ -118,13 +127,14 @@
 {
     if (this->ended)
         return;
+    if (failure && failure != asio::error::eof)
+        return this->end(false, resetReason, true);
     if (failure) {
-        // Only an orderly shutdown completes a response without a length; after a reset, bytes are
-        // missing.
-        const bool orderly = failure == asio::error::eof;
-        if (orderly && this->parser.inMessage() && this->parser.finish())
-            return this->end(true, "complete");
-        return this->end(false, orderly ? "closed_early" : "reset", true);
+        this->closedByTarget = true;
+        // Whether the end is orderly is not known before the write has ended.
+        if (this->writeState != WriteState::Writing)
+            this->onClosed();
+        return;
     }
     std::string_view rest(this->incoming.data(), bytes);
     while (!rest.empty() && !this->ended) {
@@ -145,6 +155,17 @@
     this->read();
 }
 
+// Only an orderly shutdown completes a response without a length; after a reset, bytes are missing.
+// The system reports a reset once: if a write takes the report, the read sees an orderly end.
+void TargetCall::onClosed()
+{
+    if (this->writeState != WriteState::Written)
+        return this->end(false, resetReason, true);
+    if (this->parser.inMessage() && this->parser.finish())
+        return this->end(true, "complete");
+    this->end(false, "closed_early", true);
+}
+
 void TargetCall::onHead(MessageHead head)
 {
     this->interim = head.status < firstFinalStatus;
--- a/unittests/Platform/cutanswers.h
+++ b/unittests/Platform/cutanswers.h
@@ -2,6 +2,7 @@
 #ifndef JAYTRACK_TESTS_CUTANSWERS_H
 #define JAYTRACK_TESTS_CUTANSWERS_H
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -51,13 +52,33 @@
     return !answer.endsWithConnection || sent < text.find("\r\n\r\n") + 4;
 }
 
+// A caller uploads more than the buffers of a connection hold.
+inline constexpr std::size_t longUploadBytes = 8U << 20U;
+
+// An answer without a length that is sent before its request has been read, and reset.
+struct UploadReset
+{
+    char name[24];
+    int delayMillis; // from the answer to the reset
+};
+
+inline constexpr UploadReset uploadResets[] = {
+        {"at once", 0}, {"soon", 3}, {"later", 60}, {"after a while", 300}};
+
+inline constexpr std::string_view unframedPart =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\npart";
+
 // Accepts one connection, sends the bytes after the head of a request, and closes the connection.
 class CuttingServer
 {
 public:
-    CuttingServer(std::string bytes, bool resets)
+    // The end comes so long after the bytes; if it is a reset, they arrive before it does.
+    CuttingServer(std::string bytes, bool resets,
+                  std::chrono::milliseconds delay = std::chrono::milliseconds(2))
         : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
-        , thread([this, text = std::move(bytes), resets] { this->serve(text, resets); })
+        , thread([this, text = std::move(bytes), resets, delay] {
+            this->serve(text, resets, delay);
+        })
     {
     }
 
@@ -68,7 +89,7 @@
     std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
 
 private:
-    void serve(const std::string &bytes, bool resets)
+    void serve(const std::string &bytes, bool resets, std::chrono::milliseconds delay)
     {
         asio::error_code failure;
         asio::ip::tcp::socket socket = this->acceptor.accept(failure);
@@ -76,8 +97,7 @@
         asio::read_until(socket, request, "\r\n\r\n", failure);
         asio::write(socket, asio::buffer(bytes), failure);
         if (resets) {
-            // The bytes arrive before the reset does.
-            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+            std::this_thread::sleep_for(delay);
             socket.set_option(asio::socket_base::linger(true, 0), failure);
         }
         socket.close(failure);
--- a/unittests/Platform/cutanswertest.cpp
+++ b/unittests/Platform/cutanswertest.cpp
@@ -24,13 +24,15 @@
     TargetCallEnd end;
 };
 
-std::shared_ptr<Received> receive(const CuttingServer &server, const char *method)
+std::shared_ptr<Received> receive(std::uint16_t port, const std::string &method,
+                                  std::size_t bodyBytes = 0)
 {
     asio::io_context loop;
     TargetRequest request;
-    request.endpoint = {asio::ip::make_address("127.0.0.1"), server.port()};
+    request.endpoint = {asio::ip::make_address("127.0.0.1"), port};
     request.method = method;
     request.target = "/";
+    request.body = std::string(bodyBytes, 'u');
     const auto received = std::make_shared<Received>();
     const auto call = TargetCall::start(loop, std::move(request), received);
     loop.run();
@@ -55,7 +57,7 @@
     for (const bool resets : {false, true}) {
         for (std::size_t sent = 0; sent < text.size(); ++sent) {
             const CuttingServer server(text.substr(0, sent), resets);
-            const auto received = receive(server, param->method);
+            const auto received = receive(server.port(), param->method);
             const bool mayBeWhole = !isToldFromWhole(*param, sent) && !resets;
             cr_expect(!received->end.whole || mayBeWhole, "%s: whole after %zu bytes", param->name,
                       sent);
@@ -65,7 +67,51 @@
         }
     }
     const CuttingServer server(text, false);
-    const auto received = receive(server, param->method);
+    const auto received = receive(server.port(), param->method);
     cr_expect(received->end.whole, "%s", param->name);
     cr_expect_eq(received->status, param->status, "%s", param->name);
 }
+
+// Guards against the part of an answer without a length that looks whole, because the reset that
+// cut it was reported to the write of the request.
+ParameterizedTestParameters(targetCall, answerCutDuringTheUploadIsNotWhole)
+{
+    static UploadReset cases[std::size(uploadResets)];
+    std::copy(std::begin(uploadResets), std::end(uploadResets), std::begin(cases));
+    return cr_make_param_array(UploadReset, cases, std::size(cases));
+}
+
+ParameterizedTest(UploadReset *param, targetCall, answerCutDuringTheUploadIsNotWhole)
+{
+    constexpr int repetitions = 8;
+    for (int i = 0; i < repetitions; ++i) {
+        const CuttingServer server(std::string(unframedPart), true,
+                                   std::chrono::milliseconds(param->delayMillis));
+        const auto received = receive(server.port(), "POST", longUploadBytes);
+        cr_expect_not(received->end.whole, "%s: %s", param->name,
+                      std::string(received->end.reason).c_str());
+        cr_expect(received->end.lostConnection && received->end.bytesSent, "%s", param->name);
+    }
+}
+
+// Guards against a whole answer that is lost because the target ended it before it had read the
+// request.
+Test(targetCall, answerBeforeTheUploadIsWhole)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    std::thread target([&acceptor] {
+        asio::ip::tcp::socket socket = acceptor.accept();
+        asio::streambuf request;
+        asio::read_until(socket, request, "\r\n\r\n");
+        asio::write(socket, asio::buffer(unframedPart));
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        asio::error_code end;
+        asio::read(socket, request, end);
+    });
+    const auto received = receive(acceptor.local_endpoint().port(), "POST", longUploadBytes);
+    target.join();
+    cr_expect(received->end.whole, "%s", std::string(received->end.reason).c_str());
+    cr_expect_eq(received->status, 200);
+}
--- a/unittests/Platform/unframedanswertest.cpp
+++ b/unittests/Platform/unframedanswertest.cpp
@@ -1,5 +1,6 @@
 // Answers without a length or chunks, which end with their connection.
-#include "entryfixture.h"
+#include "cutanswers.h"
+#include "cutsite.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -141,3 +142,125 @@
     cr_assert(view.bytes.find(param->expected) != std::string::npos, "%s: %s", param->name,
               view.bytes.c_str());
 }
+
+namespace {
+
+// Answers each request before it has read the body, and resets the connection in the middle of the
+// answer.
+class ImpatientTarget
+{
+public:
+    ImpatientTarget()
+        : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
+        , thread([this] { this->serve(); })
+    {
+    }
+
+    ~ImpatientTarget()
+    {
+        this->stopped = true;
+        asio::io_context own;
+        asio::ip::tcp::socket waker(own);
+        waker.connect(this->acceptor.local_endpoint());
+        waker.close();
+        this->thread.join();
+    }
+    ImpatientTarget(const ImpatientTarget &) = delete;
+    ImpatientTarget &operator=(const ImpatientTarget &) = delete;
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+private:
+    void serve()
+    {
+        while (!this->stopped)
+            this->answer(this->acceptor.accept());
+    }
+
+    void answer(asio::ip::tcp::socket socket)
+    {
+        asio::error_code failure;
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", failure);
+        if (request.starts_with("GET /jaytrack/report")) {
+            asio::write(socket, asio::buffer(wholeAnswer(200, "", "{}").front().bytes), failure);
+            return;
+        }
+        asio::write(socket, asio::buffer(unframedPart), failure);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        socket.set_option(asio::socket_base::linger(true, 0), failure);
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor;
+    std::atomic<bool> stopped{false};
+    std::thread thread;
+};
+
+nlohmann::json configurationForUploads(const RouteSpec &route)
+{
+    nlohmann::json configuration = configurationJson(2, {route});
+    configuration["Limits"]["MaxBodyBytes"] = 2 * longUploadBytes;
+    return configuration;
+}
+
+// Uploads until the instance has found a target, and returns the answer.
+std::string uploadTo(const EntryFixture &entry)
+{
+    RequestSpec spec;
+    spec.body = std::string(longUploadBytes, 'u');
+    std::string answer;
+    for (int i = 0; i < 40; ++i) {
+        answer = callOnce(entry.port(), requestText(spec)).bytes;
+        const bool isRefused =
+                answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 413");
+        if (!isRefused)
+            break;
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return answer;
+}
+
+RouteSpec uploadRoute(const std::string &type)
+{
+    RouteSpec route;
+    route.type = type;
+    return route;
+}
+
+} // namespace
+
+// Guards against a caller that gets the part of an answer as the whole one, because its target
+// reset the connection while the request was being sent.
+Test(unframedAnswer, cutDuringTheUploadIsNotWhole)
+{
+    for (const char *type : {"unsafe", "safe", "stream"}) {
+        const ImpatientTarget target;
+        EntryFixture entry({uploadRoute(type)});
+        entry.publish(configurationForUploads(uploadRoute(type)));
+        entry.store.put("servers/t1", targetJson(target.address()));
+        const std::string answer = uploadTo(entry);
+        cr_expect(answer.starts_with("HTTP/1.1 502"), "%s: %s", type, answer.c_str());
+    }
+}
+
+// The same where another instance calls the target.
+Test(unframedAnswer, cutDuringTheUploadIsNotWholeThroughARelay)
+{
+    const ImpatientTarget target;
+    const UnreachablePort dead(LinkLoss::Refused);
+    const std::string first = freeDatagramAddress();
+    const std::string second = freeDatagramAddress();
+    const RouteSpec route = uploadRoute("unsafe");
+    EntryFixture cut({route}, memberWith("cut", first, second, {{"t1", dead.address()}}));
+    EntryFixture sound({route}, memberWith("sound", second, first, {{"t1", target.address()}}));
+    cr_assert(cut.becomesReady() && sound.becomesReady());
+    cut.publish(configurationForUploads(route));
+    sound.publish(configurationForUploads(route));
+    std::this_thread::sleep_for(acquaintance);
+    const std::string answer = uploadTo(cut);
+    cr_expect(answer.starts_with("HTTP/1.1 502"), "%s", answer.c_str());
+}
--- a/unittests/Serve/cutanswertest.cpp
+++ b/unittests/Serve/cutanswertest.cpp
@@ -67,3 +67,29 @@
     cr_expect_eq(answer.end.status, param->status, "%s", param->name);
     cr_expect(findHeader(answer.headers, "X-I").empty(), "headers of an interim answer");
 }
+
+ParameterizedTestParameters(httpClient, answerCutDuringTheUploadIsNotWhole)
+{
+    static UploadReset cases[std::size(uploadResets)];
+    std::copy(std::begin(uploadResets), std::end(uploadResets), std::begin(cases));
+    return cr_make_param_array(UploadReset, cases, std::size(cases));
+}
+
+// Guards against the part of an answer without a length that looks whole, because the reset that
+// cut it was reported to the write of the request.
+ParameterizedTest(UploadReset *param, httpClient, answerCutDuringTheUploadIsNotWhole)
+{
+    HttpClient client(1);
+    constexpr int repetitions = 8;
+    for (int i = 0; i < repetitions; ++i) {
+        const CuttingServer server(std::string(unframedPart), true,
+                                   std::chrono::milliseconds(param->delayMillis));
+        HttpCall call;
+        call.method = "POST";
+        call.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/";
+        call.body = std::string(longUploadBytes, 'u');
+        const FetchedAnswer answer = fetch(client, std::move(call));
+        cr_expect_not(answer.end.whole, "%s", param->name);
+        cr_expect(answer.end.maySentBytes, "%s", param->name);
+    }
+}
