A number outside 100 to 599 is no status

Callers saw (MIXED, other operators): an answer with status 000.

Cause: http_parser and libcurl accept any three digits. TargetCall took 000 for an interim answer whose body lasts until the connection closes, and called that whole; 600 to 999 were passed on.

Change: both clients treat such a message as malformed, and the end of a connection completes a call only if its final answer has begun.

Evidence: on targetCall/foreignStatusIsNoAnswer is red in 7 of 10 cases, httpClient/foreignStatusIsNoAnswer in 4 of 10, and request/concludesFromWhatTheTargetDid in its 3 new rows; green now.

--- a/include/jaytrack/Net/message.h
+++ b/include/jaytrack/Net/message.h
@@ -24,6 +24,9 @@
 // Whether two header names are equal; HTTP header names are case-insensitive.
 bool sameHeaderName(std::string_view left, std::string_view right);
 
+// Whether the number is a status that an HTTP answer may have.
+bool isHttpStatus(int status);
+
 // Parses a Retry-After header given in seconds, which may have a fraction. The result is at most
 // ten minutes. Returns nothing for a date or for anything but a positive number.
 std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view value);
--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -48,6 +48,7 @@
     std::size_t headBytes = 0;
     std::size_t bodyBytes = 0;
     bool tooLarge = false;
+    bool malformed = false;
 
     Transfer() = default;
     Transfer(const Transfer &) = delete;
@@ -70,6 +71,8 @@
     {
         if (this->tooLarge)
             return "the answer is larger than the limit";
+        if (this->malformed)
+            return "the head of the answer is malformed";
         return code == CURLE_OK ? "the connection was closed inside the head"
                                 : curl_easy_strerror(code);
     }
@@ -101,8 +104,12 @@
         transfer->headComplete = false;
         transfer->received.clear();
     }
-    if (line.empty() && isWholeLine)
-        transfer->headComplete = transfer->status() >= firstFinalStatus;
+    if (line.empty() && isWholeLine) {
+        transfer->malformed = !isHttpStatus(transfer->status());
+        transfer->headComplete = !transfer->malformed && transfer->status() >= firstFinalStatus;
+    }
+    if (transfer->malformed)
+        return 0;
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
         return size * count;
--- a/lib/Net/httpparser.cpp
+++ b/lib/Net/httpparser.cpp
@@ -82,14 +82,17 @@
 
     // Debian builds http_parser in lenient mode. It accepts "Content-Length :" as the name of a
     // different header, although a peer may read it as the length, and it accepts requests without
-    // a protocol version.
+    // a protocol version. In any mode it accepts answers whose status is not one of HTTP.
     bool headIsStrict() const
     {
         const bool known = this->parser.http_major == 1;
-        return known && std::none_of(this->head.headers.begin(), this->head.headers.end(),
-                                     [](const HttpHeader &header) {
-                                         return header.name.find(' ') != std::string::npos;
-                                     });
+        const bool hasStatus =
+                this->requests || isHttpStatus(static_cast<int>(this->parser.status_code));
+        return known && hasStatus &&
+               std::none_of(this->head.headers.begin(), this->head.headers.end(),
+                            [](const HttpHeader &header) {
+                                return header.name.find(' ') != std::string::npos;
+                            });
     }
 
     int onHeadersEnd()
--- a/lib/Net/message.cpp
+++ b/lib/Net/message.cpp
@@ -35,6 +35,13 @@
     return found == headers.end() ? std::string_view{} : std::string_view(found->value);
 }
 
+bool isHttpStatus(int status)
+{
+    static constexpr int first = 100;
+    static constexpr int last = 599;
+    return status >= first && status <= last;
+}
+
 std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view value)
 {
     double seconds = 0;
--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -161,7 +161,7 @@
 {
     if (this->writeState != WriteState::Written)
         return this->end(false, resetReason, true);
-    if (this->parser.inMessage() && this->parser.finish())
+    if (this->parser.inMessage() && this->parser.finish() && this->answered)
         return this->end(true, "complete");
     this->end(false, "closed_early", true);
 }
--- a/unittests/Platform/cutanswers.h
+++ b/unittests/Platform/cutanswers.h
@@ -52,6 +52,31 @@
     return !answer.endsWithConnection || sent < text.find("\r\n\r\n") + 4;
 }
 
+// A status line whose number is no status of HTTP.
+struct ForeignStatus
+{
+    char number[4];
+    char rest[80]; // of the answer, which ends with its connection
+};
+
+inline constexpr ForeignStatus foreignStatuses[] = {
+        {"000", "\r\n\r\nhello"},
+        {"000", "\r\nContent-Length: 5\r\n\r\nhello"},
+        {"000", "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
+        {"000", "\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhello"},
+        {"099", "\r\n\r\nhello"},
+        {"099", "\r\nContent-Length: 5\r\n\r\nhello"},
+        {"600", "\r\nContent-Length: 5\r\n\r\nhello"},
+        {"700", "\r\n\r\nhello"},
+        {"700", "\r\nContent-Length: 5\r\n\r\nhello"},
+        {"999", "\r\nContent-Length: 5\r\n\r\nhello"},
+};
+
+inline std::string textOf(const ForeignStatus &answer)
+{
+    return std::string("HTTP/1.1 ") + answer.number + " S" + answer.rest;
+}
+
 // A caller uploads more than the buffers of a connection hold.
 inline constexpr std::size_t longUploadBytes = 8U << 20U;
 
--- a/unittests/Platform/cutanswertest.cpp
+++ b/unittests/Platform/cutanswertest.cpp
@@ -115,3 +115,20 @@
     cr_expect(received->end.whole, "%s", std::string(received->end.reason).c_str());
     cr_expect_eq(received->status, 200);
 }
+
+// Guards against a message with a number that is no status, such as 000, that looks like a whole
+// answer.
+ParameterizedTestParameters(targetCall, foreignStatusIsNoAnswer)
+{
+    static ForeignStatus cases[std::size(foreignStatuses)];
+    std::copy(std::begin(foreignStatuses), std::end(foreignStatuses), std::begin(cases));
+    return cr_make_param_array(ForeignStatus, cases, std::size(cases));
+}
+
+ParameterizedTest(ForeignStatus *param, targetCall, foreignStatusIsNoAnswer)
+{
+    const CuttingServer server(textOf(*param), false);
+    const auto received = receive(server.port(), "GET");
+    cr_expect_not(received->end.whole, "%s%s", param->number, param->rest);
+    cr_expect_eq(received->status, 0, "%s%s", param->number, param->rest);
+}
--- a/unittests/Platform/requesttest.cpp
+++ b/unittests/Platform/requesttest.cpp
@@ -22,7 +22,8 @@
     Garbles,
     OtherId,
     Unframed,
-    UnframedReset
+    UnframedReset,
+    StatusZero
 };
 
 Answer perform(Deed deed)
@@ -54,6 +55,9 @@
     case UnframedReset:
         return {{AnswerStep::Kind::Send, "HTTP/1.1 200 OK\r\n" + own + "\r\ngo", {}},
                 {AnswerStep::Kind::Reset, "", std::chrono::milliseconds(10)}};
+    case StatusZero:
+        return {{AnswerStep::Kind::Send, "HTTP/1.1 000 S\r\n" + own + "\r\ngood", {}},
+                {AnswerStep::Kind::Close, "", std::chrono::milliseconds(10)}};
     }
     return {};
 }
@@ -88,6 +92,9 @@
             {"once foreign", "unsafe", 2, OtherId, 502, 1},
             {"once unframed", "unsafe", 1, Unframed, 200, 1},
             {"once unframed reset", "unsafe", 2, UnframedReset, 502, 1},
+            {"once status 000", "unsafe", 2, StatusZero, 502, 1},
+            {"safe status 000", "safe", 2, StatusZero, 200, 2},
+            {"stream status 000", "stream", 2, StatusZero, 502, 1},
             {"safe failed", "safe", 2, Fails, 200, 2},
             {"safe reset", "safe", 2, Resets, 200, 2},
             {"safe cut", "safe", 2, CutsBody, 200, 2},
--- a/unittests/Serve/cutanswertest.cpp
+++ b/unittests/Serve/cutanswertest.cpp
@@ -93,3 +93,22 @@
         cr_expect(answer.end.maySentBytes, "%s", param->name);
     }
 }
+
+ParameterizedTestParameters(httpClient, foreignStatusIsNoAnswer)
+{
+    static ForeignStatus cases[std::size(foreignStatuses)];
+    std::copy(std::begin(foreignStatuses), std::end(foreignStatuses), std::begin(cases));
+    return cr_make_param_array(ForeignStatus, cases, std::size(cases));
+}
+
+// Guards against a message with a number that is no status, such as 000, that looks like a whole
+// answer.
+ParameterizedTest(ForeignStatus *param, httpClient, foreignStatusIsNoAnswer)
+{
+    HttpClient client(1);
+    const CuttingServer server(textOf(*param), false);
+    const FetchedAnswer answer = fetchFrom(client, server, "GET");
+    cr_expect_not(answer.end.whole, "%s%s", param->number, param->rest);
+    cr_expect_eq(answer.end.status, 0, "%s%s", param->number, param->rest);
+    cr_expect(answer.headers.empty() && answer.body.empty(), "%s%s", param->number, param->rest);
+}
