Names with blanks or control bytes are no headers

Callers saw (MIXED, other operators): an answer with such a line passed on, or with the chunk lines of "Transfer-Encoding : chunked" as its body.

Cause: libcurl checks neither names nor values and takes names with a blank for other fields; http_parser in Debian's lenient mode accepts blanks, which TargetCall refused in heads but not in trailers.

Change: isHeaderName and isHeaderValue, asked by both clients for each line of heads and trailers.

Evidence: on httpClient/foreignLineIsNoHeader is red in 12 of 15 cases, targetCall/foreignLineIsNoHeader in 5 of 15 (trailers); green now.

--- a/include/jaytrack/Net/message.h
+++ b/include/jaytrack/Net/message.h
@@ -27,6 +27,12 @@
 // Whether the number is a status that an HTTP answer may have.
 bool isHttpStatus(int status);
 
+// Whether the text may be the name of a header: not empty, and without blanks and control bytes.
+bool isHeaderName(std::string_view text);
+
+// Whether the text may be the value of a header: without control bytes other than tabs.
+bool isHeaderValue(std::string_view text);
+
 // Parses a Retry-After header given in seconds, which may have a fraction. The result is at most
 // ten minutes. Returns nothing for a date or for anything but a positive number.
 std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view value);
--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -86,6 +86,15 @@
     }
 };
 
+// Whether the line can be a header. libcurl accepts blanks and control bytes in a name, and takes
+// "Content-Length :" and "Transfer-Encoding :" for other headers.
+bool isHeaderLine(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    return colon != std::string_view::npos && isHeaderName(line.substr(0, colon)) &&
+           isHeaderValue(line.substr(colon + 1));
+}
+
 std::size_t onCurlHeader(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
@@ -98,9 +107,10 @@
     }
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
         line.remove_suffix(1);
+    const bool isStatusLine = line.starts_with("HTTP/");
     // The head of an interim response is followed by another one. libcurl also passes the part of a
     // line after which the connection was closed.
-    if (line.starts_with("HTTP/")) {
+    if (isStatusLine) {
         transfer->headComplete = false;
         transfer->received.clear();
     }
@@ -108,11 +118,12 @@
         transfer->malformed = !isHttpStatus(transfer->status());
         transfer->headComplete = !transfer->malformed && transfer->status() >= firstFinalStatus;
     }
+    transfer->malformed |= !isStatusLine && !line.empty() && !isHeaderLine(line);
     if (transfer->malformed)
         return 0;
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos)
+    if (isStatusLine || line.empty())
         return size * count;
+    const std::size_t colon = line.find(':');
     std::string_view value = line.substr(colon + 1);
     while (!value.empty() && value.front() == ' ')
         value.remove_prefix(1);
--- a/lib/Net/httpparser.cpp
+++ b/lib/Net/httpparser.cpp
@@ -88,11 +88,13 @@
         const bool known = this->parser.http_major == 1;
         const bool hasStatus =
                 this->requests || isHttpStatus(static_cast<int>(this->parser.status_code));
-        return known && hasStatus &&
-               std::none_of(this->head.headers.begin(), this->head.headers.end(),
-                            [](const HttpHeader &header) {
-                                return header.name.find(' ') != std::string::npos;
-                            });
+        return known && hasStatus && this->namesAreStrict();
+    }
+
+    bool namesAreStrict() const
+    {
+        return std::all_of(this->head.headers.begin(), this->head.headers.end(),
+                           [](const HttpHeader &header) { return isHeaderName(header.name); });
     }
 
     int onHeadersEnd()
@@ -115,8 +117,13 @@
         return skipBody ? 1 : 0;
     }
 
+    // The headers since the head are trailers.
     int onEnd()
     {
+        if (!this->namesAreStrict()) {
+            this->malformed = true;
+            return -1;
+        }
         this->begun = false;
         this->ended = true;
         this->noBody = false;
--- a/lib/Net/message.cpp
+++ b/lib/Net/message.cpp
@@ -42,6 +42,25 @@
     return status >= first && status <= last;
 }
 
+bool isHeaderName(std::string_view text)
+{
+    static constexpr std::string_view allowed = "!#$%&'*+-.^_`|~"
+                                                "0123456789"
+                                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                                "abcdefghijklmnopqrstuvwxyz";
+    return !text.empty() && text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+bool isHeaderValue(std::string_view text)
+{
+    static constexpr unsigned char firstPrintable = 0x20;
+    static constexpr unsigned char deleteByte = 0x7f;
+    return std::none_of(text.begin(), text.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return (byte < firstPrintable && c != '\t') || byte == deleteByte;
+    });
+}
+
 std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view value)
 {
     double seconds = 0;
--- a/unittests/Platform/cutanswers.h
+++ b/unittests/Platform/cutanswers.h
@@ -77,6 +77,62 @@
     return std::string("HTTP/1.1 ") + answer.number + " S" + answer.rest;
 }
 
+// A line in the head of an answer that is no header of HTTP.
+struct ForeignLine
+{
+    char name[32];
+    char line[48];
+    std::size_t size; // of the line, which may hold a NUL
+};
+
+template <std::size_t Size>
+constexpr ForeignLine foreignLine(const char *name, const char (&line)[Size])
+{
+    ForeignLine made{};
+    for (std::size_t i = 0; name[i] != 0; ++i)
+        made.name[i] = name[i];
+    for (std::size_t i = 0; i < Size; ++i)
+        made.line[i] = line[i];
+    made.size = Size - 1;
+    return made;
+}
+
+inline constexpr ForeignLine foreignLines[] = {
+        foreignLine("blank in a name", "X A: a"),
+        foreignLine("blank before the colon", "X-A : a"),
+        foreignLine("blank before the name", " X-A: a"),
+        foreignLine("tab in a name", "X\tA: a"),
+        foreignLine("control byte in a name", "X\x01"
+                                              "A: a"),
+        foreignLine("NUL in a name", "X\0A: a"),
+        foreignLine("delete in a name", "X\x7f"
+                                        "A: a"),
+        foreignLine("high byte in a name", "X\xe9"
+                                           "A: a"),
+        foreignLine("empty name", ": a"),
+        foreignLine("no colon", "X-A"),
+        foreignLine("length with a blank", "Content-Length : 2"),
+        foreignLine("encoding with a blank", "Transfer-Encoding : chunked"),
+        foreignLine("control byte in a value", "X-A: a\x01"
+                                               "b"),
+        foreignLine("return in a value", "X-A: a\rb"),
+        foreignLine("NUL in a value", "X-A: a\0b"),
+};
+
+// An answer of which the line is the first or the last one of the head, or a trailer.
+enum class LinePlace { First, Last, Trailer };
+
+inline std::string textWith(const ForeignLine &foreign, LinePlace place)
+{
+    const std::string line = std::string(foreign.line, foreign.size) + "\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    if (place == LinePlace::Trailer)
+        return head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + line + "\r\n";
+    const std::string length = "Content-Length: 5\r\n";
+    const bool isFirst = place == LinePlace::First;
+    return head + (isFirst ? line + length : length + line) + "\r\nhello";
+}
+
 // A caller uploads more than the buffers of a connection hold.
 inline constexpr std::size_t longUploadBytes = 8U << 20U;
 
--- a/unittests/Platform/cutanswertest.cpp
+++ b/unittests/Platform/cutanswertest.cpp
@@ -132,3 +132,21 @@
     cr_expect_not(received->end.whole, "%s%s", param->number, param->rest);
     cr_expect_eq(received->status, 0, "%s%s", param->number, param->rest);
 }
+
+// Guards against an answer of which the caller gets a line that is no header, or another body than
+// the target meant.
+ParameterizedTestParameters(targetCall, foreignLineIsNoHeader)
+{
+    static ForeignLine cases[std::size(foreignLines)];
+    std::copy(std::begin(foreignLines), std::end(foreignLines), std::begin(cases));
+    return cr_make_param_array(ForeignLine, cases, std::size(cases));
+}
+
+ParameterizedTest(ForeignLine *param, targetCall, foreignLineIsNoHeader)
+{
+    for (const LinePlace place : {LinePlace::First, LinePlace::Last, LinePlace::Trailer}) {
+        const CuttingServer server(textWith(*param, place), false);
+        const auto received = receive(server.port(), "GET");
+        cr_expect_not(received->end.whole, "%s", param->name);
+    }
+}
--- a/unittests/Serve/cutanswertest.cpp
+++ b/unittests/Serve/cutanswertest.cpp
@@ -112,3 +112,24 @@
     cr_expect_eq(answer.end.status, 0, "%s%s", param->number, param->rest);
     cr_expect(answer.headers.empty() && answer.body.empty(), "%s%s", param->number, param->rest);
 }
+
+// Guards against an answer of which the caller gets a line that is no header, or another body than
+// the target meant.
+ParameterizedTestParameters(httpClient, foreignLineIsNoHeader)
+{
+    static ForeignLine cases[std::size(foreignLines)];
+    std::copy(std::begin(foreignLines), std::end(foreignLines), std::begin(cases));
+    return cr_make_param_array(ForeignLine, cases, std::size(cases));
+}
+
+ParameterizedTest(ForeignLine *param, httpClient, foreignLineIsNoHeader)
+{
+    HttpClient client(1);
+    for (const LinePlace place : {LinePlace::First, LinePlace::Last, LinePlace::Trailer}) {
+        const CuttingServer server(textWith(*param, place), false);
+        const FetchedAnswer answer = fetchFrom(client, server, "GET");
+        cr_expect_not(answer.end.whole, "%s", param->name);
+        if (place != LinePlace::Trailer)
+            cr_expect(answer.end.status == 0 && answer.headers.empty(), "%s", param->name);
+    }
+}
