Bound what answers occupy together

Cause here: single answers were bounded (8 MB), their sum was not.

Change: AnswerMemory. It counts plain bodies, unfinished events and engines' errors.

--- a/include/jaytrack/Proxy/exchange.h
+++ b/include/jaytrack/Proxy/exchange.h
@@ -9,6 +9,7 @@
 #include "jaytrack/Net/callerconnection.h"
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Policy/targethealth.h"
+#include "jaytrack/Proxy/answermemory.h"
 #include "jaytrack/Proxy/entrytuning.h"
 #include "jaytrack/Proxy/runstops.h"
 #include "jaytrack/Proxy/selfreports.h"
@@ -73,6 +74,7 @@
     BrittleGate &brittle;
     StreamVersions &streamVersions;
     RunStops &runStops;
+    AnswerMemory &answerMemory;
     const StreamOptions &streams;
     std::set<std::shared_ptr<Exchange>>
             &open; // keeps each exchange alive until it has been answered
--- a/include/jaytrack/Stream/sse.h
+++ b/include/jaytrack/Stream/sse.h
@@ -37,6 +37,9 @@
     // Returns true if an event has begun but is not complete.
     bool hasPartialEvent() const { return !this->pending.empty(); }
 
+    // Bytes kept of an event that is not complete.
+    std::size_t pendingBytes() const { return this->pending.size(); }
+
 private:
     std::size_t completeEventLength(std::string_view text);
 
--- a/lib/Proxy/entryinstance.cpp
+++ b/lib/Proxy/entryinstance.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t maxListingLines = 40;
 constexpr std::chrono::seconds listingLogPeriod{1};
 
+// Answers that are being received may together use the instance's memory limit divided by this.
+constexpr std::size_t answerMemoryDivisor = 8;
+
 // Returns the number of other instances named in the settings.
 std::size_t configuredPeerCount(const EntrySettings &settings)
 {
@@ -33,6 +36,7 @@
     , clock(time)
     , dialect(platform)
     , serviceEndpoint(*this)
+    , answerMemory(this->settings.memoryBytes / answerMemoryDivisor)
     , random(std::random_device{}())
     , listingLogAllowance(time, maxListingLines, listingLogPeriod)
     , directory(*this)
@@ -96,6 +100,7 @@
               this->brittle,
               this->streamVersions,
               this->runStops,
+              this->answerMemory,
               this->settings.tuning.streams,
               this->open}
     , callers(this->loop, time, *this)
--- a/lib/Proxy/entryparts.h
+++ b/lib/Proxy/entryparts.h
@@ -245,6 +245,7 @@
     const Dialect &dialect;
     // Outlives the loop, whose open connections release their memory to it.
     ServiceEndpoint serviceEndpoint;
+    AnswerMemory answerMemory; // outlives the loop as well, which keeps exchanges
     asio::io_context loop{1};
     Metrics metrics;
     std::mt19937_64 random;
--- a/lib/Proxy/plainexchange.cpp
+++ b/lib/Proxy/plainexchange.cpp
@@ -21,6 +21,9 @@
 
 constexpr int serverErrorStatus = 500;
 
+// The answers that are being received occupy all memory that they may.
+constexpr std::string_view noMemoryReason = "no_memory_for_answer";
+
 // A request with a single, non-streaming answer. The answer is buffered completely before it is
 // forwarded, so that a broken answer can be replaced by an error or, if the request may run again,
 // by another target's answer.
@@ -31,6 +34,7 @@
                   AdmittedRequest admittedRequest)
         : Exchange(shared, std::move(connection), std::move(admittedRequest))
         , attemptTimer(shared.loop)
+        , bodyMemory(shared.answerMemory)
     {
     }
 
@@ -89,7 +93,7 @@
         this->target = entry;
         this->answer = {};
         this->judgement = {};
-        this->body.clear();
+        this->dropBody();
         this->failedAnswer = false;
         this->sentAt = this->context.clock.now();
         this->context.health.began(entry.id, entry.service);
@@ -160,7 +164,9 @@
     void onAnswerBody(std::string_view bytes) override
     {
         if (!appendWithin(this->body, bytes, maxAnswerBytes))
-            this->abandonAnswer(tooLargeReason);
+            return this->abandonAnswer(tooLargeReason);
+        if (!this->bodyMemory.resize(this->body.size()))
+            this->abandonAnswer(noMemoryReason);
     }
 
     // Ends the call, because what the target sends cannot be given to the caller.
@@ -171,9 +177,16 @@
         ++this->runs;
         this->uncertain = true;
         this->endCall(true);
+        this->dropBody();
         this->retryOr(ResultCode::TargetGarbled, reason);
     }
 
+    void dropBody()
+    {
+        this->body = {};
+        this->bodyMemory.resize(0);
+    }
+
     void onCallEnd(const TargetCallEnd &end) override
     {
         this->attemptTimer.cancel();
@@ -304,6 +317,7 @@
     MessageHead answer;
     AnswerJudgement judgement; // of the answer, once its head has arrived
     std::string body;
+    AnswerMemory::Holding bodyMemory;
     bool failedAnswer = false; // the buffered answer is a failure; another target is being tried
     bool uncertain = false;    // an earlier target may have run the request
 };
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -124,19 +124,25 @@
     if (!exchange)
         return;
     if (!this->streaming) {
-        if (appendWithin(this->plainBody, bytes, maxNonStreamBodyBytes))
-            return;
-        this->call->cancel();
-        return exchange->legEnded(*this, {false, true, tooLargeReason});
+        const bool fits = appendWithin(this->plainBody, bytes, maxNonStreamBodyBytes) &&
+                          this->memory.resize(this->plainBody.size());
+        return fits ? void() : this->abandon(*exchange, tooLargeReason);
     }
     const bool good = this->events.feed(bytes, [this, &exchange](const SseEvent &event) {
         exchange->legEvent(*this, event);
         return true;
     });
-    if (!good) {
-        this->call->cancel();
-        exchange->legEnded(*this, {false, true, garbledReason});
-    }
+    if (!good)
+        return this->abandon(*exchange, garbledReason);
+    if (!this->memory.resize(this->events.pendingBytes()))
+        this->abandon(*exchange, tooLargeReason);
+}
+
+// Ends the call, because what the engine sends cannot be given to the caller.
+void StreamLeg::abandon(StreamExchange &exchange, std::string_view reason)
+{
+    this->call->cancel();
+    exchange.legEnded(*this, {false, true, reason});
 }
 
 void StreamLeg::onCallEnd(const TargetCallEnd &end)
--- a/lib/Proxy/streamexchange.h
+++ b/lib/Proxy/streamexchange.h
@@ -26,17 +26,19 @@
 {
 public:
     StreamLeg(std::weak_ptr<StreamExchange> exchange, TargetEntry engine,
-              const std::optional<ResumePoint> &resume)
+              const std::optional<ResumePoint> &resume, AnswerMemory &answerMemory)
         : owner(std::move(exchange))
         , target(std::move(engine))
         , resumed(resume.has_value())
         , usedHandle(resume ? resume->handle : std::string())
+        , memory(answerMemory)
     {
     }
 
     void onAnswerHead(MessageHead answer) override;
     void onAnswerBody(std::string_view bytes) override;
     void onCallEnd(const TargetCallEnd &end) override;
+    void abandon(StreamExchange &exchange, std::string_view reason);
 
     // Whether a stream whose connection ended in order is not whole: it ended inside an event, or,
     // where only the connection marks the end, before any event. An engine that crashes closes its
@@ -55,7 +57,8 @@
     MessageHead head;
     std::string plainBody;
     SseSplitter events;
-    bool streaming = false; // the engine answers with an event stream
+    AnswerMemory::Holding memory; // of the two
+    bool streaming = false;       // the engine answers with an event stream
     TimePoint openedAt;
     std::optional<TimePoint> firstEventAt;
     bool pausedTooLong = false;   // between two of its events, for longer than the route allows
--- a/lib/Proxy/streamplacement.cpp
+++ b/lib/Proxy/streamplacement.cpp
@@ -32,7 +32,8 @@
     const KeyHolder *holder = this->admitted.admission.holder;
     orders.priority =
             holder != nullptr && holder->priority ? *holder->priority : this->route().priority;
-    auto leg = std::make_shared<StreamLeg>(this->self(), target, orders.resume);
+    auto leg = std::make_shared<StreamLeg>(this->self(), target, orders.resume,
+                                           this->context.answerMemory);
     const EngineChoice::Forecast forecast = this->context.engines.forecast(target.id);
     this->logDecision(orders.resume ? "run_resumed" : "run_placed",
                       {{"target", target.id},
--- a/unittests/Platform/endlessanswertest.cpp
+++ b/unittests/Platform/endlessanswertest.cpp
@@ -6,6 +6,7 @@
 #include <criterion/parameterized.h>
 
 #include <atomic>
+#include <fstream>
 
 using namespace jaytrack;
 using namespace jaytrack::testing;
@@ -154,3 +155,55 @@
     cr_expect(answer.starts_with("HTTP/1.1 200"), "%s", param->name);
     cr_expect_gt(answer.size(), events * text.size(), "%s", param->name);
 }
+
+namespace {
+
+// Kilobytes of memory that the process uses, or has used at most, as the system counts them.
+std::size_t memoryKilobytes(const std::string &field)
+{
+    std::ifstream status("/proc/self/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field + ":"))
+            return std::stoul(line.substr(field.size() + 1));
+    }
+    return 0;
+}
+
+} // namespace
+
+// Guards against an instance that runs out of memory because a target sends bytes without end in
+// all its answers.
+ParameterizedTestParameters(endlessTarget, answersTogetherFitIntoMemory)
+{
+    static EndlessCase cases[] = {
+            {"body", "unsafe", "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n",
+             "aaaaaaaa"},
+            {"page", "unsafe", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
+            {"event", "stream", "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\n",
+             "aaaaaaaa"},
+            {"head", "unsafe", "HTTP/1.1 200 OK\r\nA: ", "aaaaaaaa"},
+    };
+    return cr_make_param_array(EndlessCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EndlessCase *param, endlessTarget, answersTogetherFitIntoMemory)
+{
+    constexpr int callers = 60;
+    constexpr std::size_t maxGrowthKilobytes = 64U << 10U;
+    ScriptedServer target([param](const SeenRequest &request) {
+        return isReport(request) ? wholeAnswer(200, "", "{}")
+                                 : endlessAnswer(param->start, param->repeated);
+    });
+    RouteSpec route;
+    route.type = param->type;
+    EntryFixture entry({route});
+    entry.list("e1", target);
+    const std::size_t before = memoryKilobytes("VmRSS");
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers; ++i)
+        threads.emplace_back([&entry] { callOnce(entry.port(), requestText({})); });
+    for (std::thread &thread : threads)
+        thread.join();
+    const std::size_t growth = memoryKilobytes("VmHWM") - before;
+    cr_expect(growth < maxGrowthKilobytes, "%s: %zu KB more", param->name, growth);
+}
