Streams that are taken up are asked about in any case

Cause: the version of a stream was looked for only if this instance had itself seen several versions of the service.

Change: each stream that is taken up is asked about; the answers tell the record and the services of several versions. Three instances that know of one version only settle it. If nobody that knows answers, the stream is refused as not run.

--- a/include/jaytrack/Versions/streamversions.h
+++ b/include/jaytrack/Versions/streamversions.h
@@ -12,6 +12,10 @@
 // learns from others that have run for longer than a stream lives, or have learnt it. If all
 // instances have started since, no instance knows. Until a stream that began before can no longer
 // be taken up, each stream then needs a record.
+//
+// An instance that was cut off or paused may not have seen a version that others have used since.
+// So each stream that is taken up is asked about, also where this instance has seen one version,
+// and those asked tell the services of which they have seen several.
 #ifndef JAYTRACK_VERSIONS_STREAMVERSIONS_H
 #define JAYTRACK_VERSIONS_STREAMVERSIONS_H
 
@@ -50,6 +54,10 @@
     // may know different members.
     static constexpr std::size_t asked = 5;
 
+    // Where this instance has seen one version, so many others that have seen no other one either
+    // settle that there was no other.
+    static constexpr std::size_t witnesses = 3;
+
     // Time between two rounds of questions, and from the first one until the version counts as
     // unknown. A datagram between two data centres takes a few milliseconds.
     static constexpr Duration askInterval = std::chrono::milliseconds(60);
@@ -80,7 +88,8 @@
     std::vector<std::string> mixedServices() const { return this->services.mixedServices(); }
 
     // Whether the version of a stream has to be found out before it goes on: the service has had
-    // several versions lately, or this instance does not know whether it has.
+    // several versions lately, or this instance does not know whether it has, because it has just
+    // started or could ask nobody.
     bool mustKnow(std::string_view service) const;
 
     // Records that a run of the stream is being sent to an engine of this version. The last call
@@ -90,9 +99,10 @@
     // Records that the caller has the whole stream.
     void recordCompleted(const std::string &stream);
 
-    // Finds the version at which a stream began. Calls the callback once, at once or from tick() or
-    // onMessage().
-    void find(const std::string &stream, const Found &found);
+    // Finds the version at which a stream of the service began, and whether the service has had
+    // several, which mustKnow() tells afterwards. Calls the callback once, at once or from tick()
+    // or onMessage().
+    void find(const std::string &stream, std::string_view service, const Found &found);
 
     void onMessage(std::string_view from, const StreamVersionMessage &message);
 
@@ -113,11 +123,13 @@
     struct Search
     {
         std::string stream;
+        std::string service;
         Found found;
         TimePoint since;
         TimePoint askAgainAt;
         std::size_t rounds = 0;
-        std::set<std::string, std::less<>> unaware; // instances that have no record of it
+        std::set<std::string, std::less<>> unaware;   // instances that have no record of it
+        std::set<std::string, std::less<>> witnesses; // those of them that know all versions
     };
 
     using Outgoing = std::map<std::string, StreamVersionMessage, std::less<>>; // by instance
@@ -132,6 +144,9 @@
     void tellServiceRecords(std::string_view service);
     void ask(std::int64_t serial, Search &search);
     bool isExhausted(const Search &search) const;
+    bool isSettled(const Search &search) const;
+    void concludeSettled();
+    void giveUp(std::int64_t serial);
     void conclude(std::int64_t serial, const std::optional<std::string> &version);
     void concludeAll(const std::string &stream, const std::string &version);
     void answer(std::string_view from, const StreamVersionMessage &message);
@@ -149,7 +164,8 @@
     std::map<std::int64_t, Search> searches;
     std::int64_t nextSerial = 1;
     bool othersExpected;
-    bool knowsPast; // the versions that served before this instance started
+    bool knowsPast;            // the versions that served before this instance started
+    bool lacksWitness = false; // nobody that knows all versions answered the last search
     bool instancesChanged = false;
     TimePoint startedAt;
     TimePoint askedForServicesAt;
--- a/lib/Proxy/streamtakeup.cpp
+++ b/lib/Proxy/streamtakeup.cpp
@@ -25,20 +25,21 @@
 
 // Looks up the version of a stream that the caller takes up. A wrong version would mix incompatible
 // events, so a stream without a record is refused while the service has several versions, or while
-// no instance knows whether it has.
+// no instance that answers knows whether it has.
 void StreamExchange::findVersion()
 {
     if (this->versionRequested)
         return;
     this->versionRequested = true;
-    if (!this->takesUpStream() || !this->context.streamVersions.mustKnow(this->serviceName)) {
+    if (!this->takesUpStream()) {
         this->versionSettled = true;
         return this->attempt();
     }
-    if (this->facts().resumedAttempt.empty())
+    const bool isNamed = !this->facts().resumedAttempt.empty();
+    if (!isNamed && this->context.streamVersions.mustKnow(this->serviceName))
         return this->onVersionFound(std::nullopt);
     this->context.streamVersions.find(
-            this->streamName,
+            this->streamName, this->serviceName,
             [weak = this->weak_from_this(), this](const std::optional<std::string> &version) {
                 const auto alive = weak.lock();
                 if (alive && !this->isFinished())
--- a/lib/Versions/streamversions.cpp
+++ b/lib/Versions/streamversions.cpp
@@ -53,7 +53,7 @@
 
 bool StreamVersions::mustKnow(std::string_view service) const
 {
-    return this->isMixed(service) || !this->knowsVersions();
+    return this->isMixed(service) || !this->knowsVersions() || this->lacksWitness;
 }
 
 bool StreamVersions::knowsVersions() const
@@ -139,7 +139,7 @@
     this->send(outgoing);
 }
 
-void StreamVersions::find(const std::string &stream, const Found &found)
+void StreamVersions::find(const std::string &stream, std::string_view service, const Found &found)
 {
     const auto known = this->records.find(stream);
     if (known != this->records.end())
@@ -149,6 +149,7 @@
     const std::int64_t serial = this->nextSerial++;
     Search &search = this->searches[serial];
     search.stream = stream;
+    search.service = service;
     search.found = found;
     search.since = this->clock.now();
     this->ask(serial, search);
@@ -160,6 +161,7 @@
     ++search.rounds;
     StreamVersionMessage message;
     message.queries.push_back({serial, search.stream});
+    message.asksForServices = true;
     for (const std::string &instance : this->others(search.stream, asked))
         this->transport.sendStreamVersions(instance, message);
 }
@@ -169,6 +171,8 @@
 bool StreamVersions::isExhausted(const Search &search) const
 {
     const bool alone = this->ranking.count() == 1;
+    if (alone && this->knowsVersions())
+        return true;
     const Duration limit = alone ? maxSearchWithoutOthers : maxSearch;
     if (this->clock.now() - search.since >= limit)
         return true;
@@ -180,6 +184,34 @@
     });
 }
 
+// Whether the service has had one version, so that the stream needs no record.
+bool StreamVersions::isSettled(const Search &search) const
+{
+    const bool mayHaveSeveral = this->isMixed(search.service) || !this->knowsVersions();
+    const std::size_t needed = std::min(witnesses, this->ranking.count() - 1);
+    return !mayHaveSeveral && needed > 0 && search.witnesses.size() >= needed;
+}
+
+void StreamVersions::concludeSettled()
+{
+    std::vector<std::int64_t> settled;
+    for (const auto &[serial, search] : this->searches) {
+        if (this->isSettled(search))
+            settled.push_back(serial);
+    }
+    for (const std::int64_t serial : settled)
+        this->giveUp(serial);
+}
+
+// Ends a search that has found no record.
+void StreamVersions::giveUp(std::int64_t serial)
+{
+    const auto search = this->searches.find(serial);
+    if (search != this->searches.end())
+        this->lacksWitness = search->second.witnesses.empty();
+    this->conclude(serial, std::nullopt);
+}
+
 void StreamVersions::conclude(std::int64_t serial, const std::optional<std::string> &version)
 {
     auto node = this->searches.extract(serial);
@@ -208,12 +240,16 @@
         const auto search = this->searches.find(reply.serial);
         if (search == this->searches.end())
             continue;
-        if (reply.version)
+        if (reply.version) {
             this->conclude(reply.serial, reply.version);
-        else
-            search->second.unaware.emplace(from);
+            continue;
+        }
+        search->second.unaware.emplace(from);
+        if (message.tellsServices)
+            search->second.witnesses.emplace(from);
     }
     this->learnServices(message);
+    this->concludeSettled();
     this->answer(from, message);
 }
 
@@ -241,14 +277,16 @@
     for (const ServedVersion &served : message.services)
         this->services.recordListed(served.service, served.version, served.ago);
     this->knowsPast = this->knowsPast || message.tellsServices;
+    this->lacksWitness = this->lacksWitness && !message.tellsServices;
 }
 
 // An instance that has just started sees only the versions that are listed now, while streams may
-// have begun at one that is gone.
+// have begun at one that is gone. One that could ask nobody may have missed a version.
 void StreamVersions::askForServices()
 {
     const TimePoint now = this->clock.now();
-    if (this->knowsVersions() || this->ranking.count() == 1 ||
+    const bool knows = this->knowsVersions() && !this->lacksWitness;
+    if (knows || this->ranking.count() == 1 ||
         now - this->askedForServicesAt < startQuestionInterval)
         return;
     this->askedForServicesAt = now;
@@ -286,7 +324,7 @@
             this->ask(serial, search);
     }
     for (const std::int64_t serial : exhausted)
-        this->conclude(serial, std::nullopt);
+        this->giveUp(serial);
     if (!std::exchange(this->instancesChanged, false))
         return;
     Outgoing outgoing;
--- a/unittests/Platform/streamversionstest.cpp
+++ b/unittests/Platform/streamversionstest.cpp
@@ -403,3 +403,19 @@
         cr_expect(runsOf(*engine) == 0);
     cr_expect(runsOf(old) == 2 * streams);
 }
+
+// Guards against a stream that goes on at another version at an instance that is cut off from the
+// others, which may have seen a version that it has not.
+Test(streamVersions, nobodyToAskMeansThatAStreamIsNotTakenUp)
+{
+    ScriptedServer engine(quickEngine);
+    EntryFixture entry({resumableRoute()},
+                       memberOf("one", freeDatagramAddress(), freeDatagramAddress()));
+    entry.list("e1", engine);
+    for (const char *headers : {"Last-Event-Id: 2\r\nResumes: a9\r\n", "Last-Event-Id: 2\r\n"}) {
+        const std::string bytes = callOnce(entry.port(), takeUpText("b1", headers), 600ms).bytes;
+        cr_expect(bytes.starts_with("HTTP/1.1 503"), "%s", bytes.c_str());
+        cr_expect(bytes.find("not-run") != std::string::npos, "%s", bytes.c_str());
+    }
+    cr_expect_eq(runsOf(engine), 0);
+}
--- a/unittests/Versions/streamversionstest.cpp
+++ b/unittests/Versions/streamversionstest.cpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <set>
 
 using namespace jaytrack;
 using namespace std::chrono_literals;
@@ -64,7 +65,7 @@
                 names.push_back(nameOf(i));
         }
         for (std::size_t i = 0; i < this->instances.size(); ++i) {
-            if (!this->isAlive(i))
+            if (!this->isAlive(i) || this->cutOff.count(i) > 0)
                 continue;
             std::vector<std::string> others = names;
             std::erase(others, nameOf(i));
@@ -72,12 +73,13 @@
         }
     }
 
+    // Lists the version for all living instances but those that are cut off.
     void list(const std::string &version)
     {
         this->listed.push_back(version);
         for (std::size_t i = 0; i < this->instances.size(); ++i) {
             for (const std::string &each : this->listed) {
-                if (this->isAlive(i))
+                if (this->isAlive(i) && !this->cutOff.count(i))
                     this->instances[i].streams->recordListed(service, each);
             }
         }
@@ -107,7 +109,7 @@
     {
         bool done = false;
         std::optional<std::string> result;
-        this->at(index).find(stream, [&](const std::optional<std::string> &version) {
+        this->at(index).find(stream, service, [&](const std::optional<std::string> &version) {
             done = true;
             result = version;
         });
@@ -116,6 +118,7 @@
         return result;
     }
 
+    std::set<std::size_t> cutOff; // instances that see no listing, no member and no message
     double loss = 0;
     std::size_t messages = 0;
     ManualClock clock;
@@ -166,7 +169,9 @@
             const Message message = std::move(this->queue.front());
             this->queue.pop_front();
             const std::size_t to = std::stoul(message.to.substr(message.to.find('-') + 1));
-            if (this->isAlive(to))
+            const std::size_t from = std::stoul(message.from.substr(message.from.find('-') + 1));
+            const bool isCut = this->cutOff.count(from) + this->cutOff.count(to) > 0;
+            if (this->isAlive(to) && !isCut)
                 this->at(to).onMessage(message.from, message.content);
         }
     }
@@ -276,6 +281,91 @@
               plan->instances, found, asked);
 }
 
+namespace {
+
+struct OutOfStepCase
+{
+    char name[32];
+    std::size_t instances;
+    bool isBack;         // the others can be reached again when callers come
+    bool membersChanged; // some instances were killed, and some started, meanwhile
+};
+
+} // namespace
+
+// Guards against streams that go on at another version at an instance which was cut off, or stood
+// still, while others began them at engines of a version that it has not seen.
+ParameterizedTestParameters(streamVersions, instanceOutOfStepDoesNotGuess)
+{
+    static OutOfStepCase cases[] = {{"back", 7, true, false},
+                                    {"back", 195, true, false},
+                                    {"back", 584, true, false},
+                                    {"back, members changed", 7, true, true},
+                                    {"back, members changed", 195, true, true},
+                                    {"back, members changed", 584, true, true},
+                                    {"still cut off", 7, false, false},
+                                    {"still cut off", 195, false, true},
+                                    {"still cut off", 584, false, false}};
+    return cr_make_param_array(OutOfStepCase, cases, std::size(cases));
+}
+
+ParameterizedTest(OutOfStepCase *param, streamVersions, instanceOutOfStepDoesNotGuess)
+{
+    Fleet fleet(param->instances);
+    fleet.run(ServiceVersions::maxStreamLife + 1s);
+    fleet.cutOff.insert(0);
+    fleet.list(versions[1]);
+    for (std::size_t i = 1; param->membersChanged && i < param->instances; i += 4) {
+        fleet.kill(i);
+        if (i % 8 == 1)
+            fleet.start(i);
+    }
+    fleet.shareMembers();
+    fleet.run(1s);
+    std::vector<Stream> streams;
+    for (const Stream &stream : beginStreams(fleet, param->instances, versions.size())) {
+        if (stream.owner != 0)
+            streams.push_back(stream);
+    }
+    if (param->isBack)
+        fleet.cutOff.clear();
+    cr_assert_not(fleet.at(0).isMixed(service), "it has seen one version");
+    std::size_t found = 0;
+    std::size_t asked = 0;
+    for (std::size_t i = 0; i < streams.size(); i += 16, ++asked) {
+        const auto version = fleet.find(0, streams[i].name);
+        cr_assert(version || fleet.at(0).mustKnow(service), "%s, %zu: it guesses", param->name,
+                  param->instances);
+        cr_assert(!version || *version == streams[i].version, "%s, %zu: wrong version", param->name,
+                  param->instances);
+        found += version ? 1 : 0;
+    }
+    cr_expect(2 * found >= asked || !param->isBack, "%s, %zu instances: %zu of %zu known",
+              param->name, param->instances, found, asked);
+}
+
+// Guards against refusing streams, or asking for long, where all have seen the same version.
+Test(streamVersions, oneVersionIsSettledByWitnesses)
+{
+    Fleet fleet(7);
+    fleet.run(ServiceVersions::maxStreamLife + 1s);
+    bool done = false;
+    fleet.at(0).find(streamName("cust", service, "a9"), service,
+                     [&done](const std::optional<std::string> &version) {
+                         done = true;
+                         cr_expect_not(version.has_value());
+                     });
+    fleet.run(20ms);
+    cr_expect(done, "a few messages suffice");
+    cr_expect_not(fleet.at(0).mustKnow(service));
+    fleet.cutOff.insert(0);
+    fleet.find(0, streamName("cust", service, "a9"));
+    cr_expect(fleet.at(0).mustKnow(service), "nobody answers");
+    fleet.cutOff.clear();
+    fleet.run(1s);
+    cr_expect_not(fleet.at(0).mustKnow(service), "the others can be asked again");
+}
+
 // Guards against messages while every stream can only have begun at the one version that there is.
 Test(streamVersions, costNothingWithOneVersion)
 {
@@ -421,7 +511,7 @@
         cr_expect(!fleet.find(3, stream));
     const TimePoint began = fleet.clock.now();
     bool done = false;
-    fleet.at(3).find("forged", [&done](const auto &) { done = true; });
+    fleet.at(3).find("forged", service, [&done](const auto &) { done = true; });
     while (!done)
         fleet.run(stepTime);
     cr_expect(fleet.clock.now() - began <= StreamVersions::maxSearch + 100ms);
