Tests: late requests are served in the grace or refused as not run

The report of requests that are passed on late in the grace and cut at its end (LOST) does not show here: a stopping instance admits a request only if the time that its route and caller allow ends before the instance does, and no streams (admission, endsIn). A request whose last bytes arrive 3.9 s into a grace of 5 s is answered 503 without reaching a target (4 cases), or served if it has 400 ms (1 case). The test passed on the code as found.

--- a/unittests/Platform/stoptest.cpp
+++ b/unittests/Platform/stoptest.cpp
@@ -308,3 +308,60 @@
     }
     ended.get();
 }
+
+namespace {
+
+struct LateCase
+{
+    char name[32];
+    char type[8];
+    int deadlineMs;
+    char answer[16];
+    std::size_t runs;
+};
+
+// Time after the order to stop at which the last bytes of a request arrive, in a grace of five
+// seconds.
+constexpr milliseconds lateInGrace{3900};
+
+} // namespace
+
+// Guards against requests that are passed on so late in the grace that its end cuts them.
+ParameterizedTestParameters(stop, lateRequestIsServedInTimeOrNotAtAll)
+{
+    static LateCase cases[] = {{"plain, may last", "unsafe", 10000, "HTTP/1.1 503", 0},
+                               {"repeatable, may last", "safe", 10000, "HTTP/1.1 503", 0},
+                               {"stream, short", "stream", 300, "HTTP/1.1 503", 0},
+                               {"stream, may last", "stream", 10000, "HTTP/1.1 503", 0},
+                               {"plain, short", "unsafe", 400, "HTTP/1.1 200", 1}};
+    return cr_make_param_array(LateCase, cases, std::size(cases));
+}
+
+ParameterizedTest(LateCase *param, stop, lateRequestIsServedInTimeOrNotAtAll)
+{
+    ScriptedServer target([](const SeenRequest &request) -> Answer {
+        if (!isRun(request))
+            return wholeAnswer(200, "", "{}");
+        Answer answer = wholeAnswer(200, ownHeaders, "the answer");
+        answer.front().after = milliseconds(50);
+        return answer;
+    });
+    EntryFixture entry({patientRoute(param->type)}, {nullptr, true, shortGrace});
+    entry.list("e1", target);
+    RequestSpec spec;
+    spec.deadlineMs = param->deadlineMs;
+    const std::string request = requestText(spec);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), entry.port()});
+    asio::write(socket, asio::buffer(request.data(), request.size() - 2));
+    entry.orderStop();
+    std::this_thread::sleep_for(lateInGrace);
+    asio::write(socket, asio::buffer(request.data() + request.size() - 2, 2));
+    const std::string seen = readToEnd(socket);
+    entry.awaitEnd();
+    cr_expect(seen.starts_with(param->answer), "%s: %s", param->name, seen.c_str());
+    cr_expect_eq(workSeen(target), param->runs, "%s", param->name);
+    if (param->runs == 0)
+        cr_expect(seen.find("not-run") != std::string::npos, "%s: %s", param->name, seen.c_str());
+}
