Process soak: targets that send a page in place of their answer

Two of a hundred requests that run are answered with a page of a web server (200, 404, 421, 429, 503, 700; Retry-After 30), plain requests and streams.

--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -24,8 +24,18 @@
 constexpr int percentRefused = 4;
 constexpr int percentLost = 2;
 constexpr int percentHalved = 2;
+constexpr int percentPages = 2; // run, with a page of a web server in place of the answer
 constexpr int percentMovesRefused = 30;
 
+constexpr std::array<int, 6> pageStatuses = {200, 404, 421, 429, 503, 700};
+
+Answer pageAnswer(std::mt19937_64 &random)
+{
+    std::uniform_int_distribution<std::size_t> draw(0, pageStatuses.size() - 1);
+    return wholeAnswer(pageStatuses[draw(random)], "Content-Type: text/html\r\nRetry-After: 30\r\n",
+                       "<html>a page</html>\n");
+}
+
 std::string stampHeaders(const std::string &attempt, const std::string &ownWords)
 {
     return "X-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: s\r\n" + ownWords;
@@ -152,6 +162,9 @@
         std::string &bytes = answer.front().bytes;
         bytes.resize(luck < percentLost ? 0 : bytes.size() - 4);
         answer.push_back({AnswerStep::Kind::Close, "", {}});
+    } else if (luck < percentLost + percentHalved + percentPages) {
+        this->record.spoiled(attempt);
+        return pageAnswer(this->random);
     }
     return answer;
 }
@@ -186,9 +199,13 @@
     std::uniform_int_distribution<int> lastingGap(shortestLastingGapMs, longestLastingGapMs);
     const bool lasting = request.head.path().starts_with(lastingPrefix);
     const auto gap = lasting ? std::chrono::milliseconds(lastingGap(this->random)) : eventGap;
-    const bool lost = percent(this->random) < percentLost;
-    if (lost)
+    const int luck = percent(this->random);
+    const bool lost = luck < percentLost;
+    const bool isPage = !lost && luck < percentLost + percentPages;
+    if (lost || isPage)
         this->record.spoiled(attempt);
+    if (isPage)
+        return pageAnswer(this->random);
     const int last = lost ? (first + eventsOfStream) / 2 : eventsOfStream;
     this->noteWords(attempt);
     Answer answer = {{AnswerStep::Kind::Send,
