The limit of heads applies to open connections

Cause: a connection's parser kept the limit that was in force when the connection was opened; the other limits are read for each request.

Change: the limit is set as each request begins.

--- a/include/jaytrack/Net/httpparser.h
+++ b/include/jaytrack/Net/httpparser.h
@@ -59,6 +59,9 @@
     HttpMessageParser(const HttpMessageParser &) = delete;
     HttpMessageParser &operator=(const HttpMessageParser &) = delete;
 
+    // Changes the limit for the heads of messages that begin from now on.
+    void limitHeads(std::size_t maxHeadBytes);
+
     // Consumes bytes up to the end of a message; the caller keeps the bytes that follow it.
     FeedResult feed(std::string_view bytes);
 
--- a/lib/Net/callerconnection.cpp
+++ b/lib/Net/callerconnection.cpp
@@ -128,7 +128,9 @@
            (this->stage == Stage::Idle || this->stage == Stage::Receiving)) {
         if (this->stage == Stage::Idle) {
             this->stage = Stage::Receiving;
-            this->startTimeout(this->handler.connectionLimits().headerTimeout);
+            const ConnectionLimits limits = this->handler.connectionLimits();
+            this->parser.limitHeads(limits.headerBytes);
+            this->startTimeout(limits.headerTimeout);
         }
         const std::string bytes = std::move(this->unread);
         this->unread.clear();
--- a/lib/Net/httpparser.cpp
+++ b/lib/Net/httpparser.cpp
@@ -177,6 +177,11 @@
 
 HttpMessageParser::~HttpMessageParser() = default;
 
+void HttpMessageParser::limitHeads(std::size_t maxHeadBytes)
+{
+    this->state->maxHeadBytes = maxHeadBytes;
+}
+
 HttpMessageParser::FeedResult HttpMessageParser::feed(std::string_view bytes)
 {
     State &now = *this->state;
--- a/unittests/Platform/requesttest.cpp
+++ b/unittests/Platform/requesttest.cpp
@@ -370,3 +370,42 @@
     cr_assert(view.bytes.starts_with("HTTP/1.1 " + std::to_string(param->status)), "%s: %s",
               param->name, view.bytes.c_str());
 }
+
+// Guards against proper requests that are denied on connections which were opened before the limit
+// of heads was raised, and against large heads that pass there after it was lowered.
+Test(request, limitOfHeadsAppliesToOpenConnections)
+{
+    constexpr std::size_t between = 6000; // bytes; the limits are 4096 and 16384
+    ScriptedServer target(goodAnswer);
+    RouteSpec route;
+    route.type = "safe";
+    EntryFixture entry({route});
+    entry.list("t1", target);
+    asio::io_context context;
+    RequestSpec spec;
+    spec.keepOpen = true;
+    const auto ask = [&](asio::ip::tcp::socket &socket) {
+        asio::write(socket, asio::buffer(requestText(spec)));
+        std::array<char, 4096> bytes{};
+        std::string answer;
+        while (!answer.ends_with("good") && !answer.ends_with("close\r\n\r\n"))
+            answer.append(bytes.data(), socket.read_some(asio::buffer(bytes)));
+        return answer;
+    };
+    const auto publish = [&](int version, int headBytes) {
+        nlohmann::json configuration = configurationJson(version, {route});
+        configuration["Limits"]["MaxHeaderBytes"] = headBytes;
+        entry.publish(configuration);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    };
+    asio::ip::tcp::socket opened(context);
+    opened.connect({asio::ip::make_address("127.0.0.1"), entry.port()});
+    cr_assert(ask(opened).starts_with("HTTP/1.1 200"));
+    spec.extraHeaders = "X-Long: " + std::string(between, 'a') + "\r\n";
+    publish(2, 16384);
+    const std::string raised = ask(opened);
+    cr_expect(raised.starts_with("HTTP/1.1 200"), "%s", raised.c_str());
+    publish(3, 4096);
+    const std::string lowered = ask(opened);
+    cr_expect(lowered.starts_with("HTTP/1.1 431"), "%s", lowered.c_str());
+}
