The attempt's id outlives the look at its answer

Found by reading the change as a whole: a view was taken of a temporary string, so what a target says of itself could be lost (attempts have ids of 16 characters and more).

--- a/lib/Calls/targetcalls.cpp
+++ b/lib/Calls/targetcalls.cpp
@@ -218,8 +218,10 @@
         head.headers = withoutRelayHeaders(head.headers);
     }
     // Orders and questions are about an attempt, but their answers do not name it.
-    const std::string_view answered = this->about.isNewWork ? this->about.attemptId : "";
-    this->calls.recordAnswer(this->about.target, answered, head);
+    std::string_view answeredAttempt;
+    if (this->about.isNewWork)
+        answeredAttempt = this->about.attemptId;
+    this->calls.recordAnswer(this->about.target, answeredAttempt, head);
     if (const auto to = this->listener.lock())
         to->onAnswerHead(std::move(head));
 }
--- a/lib/Proxy/relayserver.cpp
+++ b/lib/Proxy/relayserver.cpp
@@ -83,8 +83,7 @@
 
     void onAnswerHead(MessageHead head) override
     {
-        this->server.calls.recordAnswer(this->target.id, this->isNewWork ? this->attemptId : "",
-                                        head);
+        this->server.calls.recordAnswer(this->target.id, this->attemptId, head);
         this->mustHaveBody =
                 !head.framed && head.header("Content-Type").starts_with(eventStreamType);
         const std::vector<HttpHeader> headers = markAnswered(answerHeaders(head.headers));
@@ -137,7 +136,7 @@
     std::shared_ptr<CallerConnection> asker;
     TargetEntry target;
     RequestIdentity asked; // without the digest, which only the instance that asks knows
-    std::string attemptId;
+    std::string attemptId; // empty for orders and questions, whose answers do not name it
     bool isNewWork;
     std::shared_ptr<TargetCall> call;
     bool isHead = false;
@@ -242,8 +241,9 @@
     outgoing.headers = withoutRelayHeaders(withoutHopByHop(request.head.headers));
     outgoing.body = std::move(request.body);
     outgoing.connectTimeout = order->connectTimeout;
-    const auto relay = std::make_shared<Relay>(*this, std::move(connection), *target,
-                                               std::move(asked), facts.attemptId, order->isNewWork);
+    const auto relay = std::make_shared<Relay>(
+            *this, std::move(connection), *target, std::move(asked),
+            order->isNewWork ? facts.attemptId : std::string(), order->isNewWork);
     relay->start(std::move(outgoing));
 }
 
--- a/lib/Proxy/streamexchange.cpp
+++ b/lib/Proxy/streamexchange.cpp
@@ -126,7 +126,9 @@
     if (!this->streaming) {
         const bool fits = appendWithin(this->plainBody, bytes, maxNonStreamBodyBytes) &&
                           this->memory.resize(this->plainBody.size());
-        return fits ? void() : this->abandon(*exchange, tooLargeReason);
+        if (!fits)
+            this->abandon(*exchange, tooLargeReason);
+        return;
     }
     const bool good = this->events.feed(bytes, [this, &exchange](const SseEvent &event) {
         exchange->legEvent(*this, event);
--- a/unittests/Platform/answertoldtest.cpp
+++ b/unittests/Platform/answertoldtest.cpp
@@ -277,3 +277,25 @@
         cr_assert(send(second).starts_with("HTTP/1.1 200"));
     cr_assert_eq(workSeen(leaving), before);
 }
+
+// Guards against what a target says of itself being lost where the attempt has a long id.
+Test(answerTold, namesOfAttemptsMayBeLong)
+{
+    const std::string id(64, 'a');
+    ScriptedServer target([&id](const SeenRequest &request) {
+        return isReport(request) ? wholeAnswer(200, "", "{}")
+                                 : wholeAnswer(200,
+                                               "X-Attempt-Id: " + id + "\r\nX-Server-Stamp: s\r\n" +
+                                                       leavingHeader,
+                                               "good");
+    });
+    RouteSpec route;
+    route.type = "unsafe";
+    EntryFixture entry({route});
+    entry.list("i-1", target);
+    RequestSpec spec;
+    spec.id = id;
+    cr_expect(callOnce(entry.port(), requestText(spec)).bytes.starts_with("HTTP/1.1 200"));
+    cr_expect(callOnce(entry.port(), requestText(spec)).bytes.starts_with("HTTP/1.1 503"));
+    cr_expect_eq(workSeen(target), 1);
+}
