Tests: what a process uses tells nothing under the address sanitizer

The check's step asan failed in 2 of 551 cases of Platform, both endlessTarget/answersTogetherFitIntoMemory (306,048 and 197,128 KB more, 65,536 allowed): the sanitizer keeps freed memory, by default 256 MB of it, and shadow memory beside it. The bound is as strict as before in builds without it, where the step test passed it; under it the same answers are still received and checked for errors of memory.

--- a/unittests/Platform/endlessanswertest.cpp
+++ b/unittests/Platform/endlessanswertest.cpp
@@ -158,6 +158,14 @@
 
 namespace {
 
+// The address sanitizer keeps memory that was freed, so that what the process uses tells nothing of
+// what the instance holds. Builds without it check that.
+#if defined(__SANITIZE_ADDRESS__)
+constexpr bool keepsFreedMemory = true;
+#else
+constexpr bool keepsFreedMemory = false;
+#endif
+
 // Kilobytes of memory that the process uses, or has used at most, as the system counts them.
 std::size_t memoryKilobytes(const std::string &field)
 {
@@ -205,5 +213,6 @@
     for (std::thread &thread : threads)
         thread.join();
     const std::size_t growth = memoryKilobytes("VmHWM") - before;
-    cr_expect(growth < maxGrowthKilobytes, "%s: %zu KB more", param->name, growth);
+    cr_expect(keepsFreedMemory || growth < maxGrowthKilobytes, "%s: %zu KB more", param->name,
+              growth);
 }
