Log how far a listing of the store has come, and why an answer is not used

store_listed comes at the end of a listing only, so that one that begins anew for ever looked like a slow one or one whose pages are refused. store_listing_progress tells once a second what a listing has read and after which key it goes on; store_answer_rejected gives the parser's reason for the first refused answer in a row. No logic changes.

--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -224,6 +224,8 @@
     void startListing();
     std::vector<StoreItem> changesInListing(const std::vector<StoreItem> &whole) const;
     ReadFreshness pageFreshness() const;
+    void reject(const Error &error);
+    void logProgress(const StorePage &page);
     void applyPage();
     void addToListing(StorePage &page);
     void completeListing();
@@ -243,6 +245,8 @@
     ReadFreshness queryFreshness = ReadFreshness::Current; // of the last listing call
     std::chrono::milliseconds requestedWait{0};
     TimePoint listingStartedAt;
+    TimePoint progressLoggedAt;
+    std::size_t pagesRead = 0; // of the listing under way
     TimePoint lastAnswer;
     int status = 0;
     std::optional<std::uint64_t> answerEra;
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -39,6 +39,9 @@
 // Consecutive failures after which the store is considered lost.
 constexpr int failuresUntilLost = 2;
 
+// Interval of log lines while a listing is under way.
+constexpr std::chrono::seconds progressInterval{1};
+
 } // namespace
 
 StoreFollower::StoreFollower(asio::io_context &loop, const Clock &time, const Dialect &platform,
@@ -393,8 +396,11 @@
     this->answerEra.reset();
     this->body.clear();
     this->querySentAt = this->clock.now();
-    if (this->listing && this->pageAfter.empty())
+    if (this->listing && this->pageAfter.empty()) {
         this->listingStartedAt = this->querySentAt;
+        this->progressLoggedAt = this->querySentAt;
+        this->pagesRead = 0;
+    }
     this->call = TargetCall::start(this->context, std::move(request), this->weak_from_this());
     this->timer.expires_after(this->answerTimeout());
     this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code &failure) {
@@ -499,14 +505,46 @@
     this->lastAnswer = now;
 }
 
+// Tells why an answer is not used. Further ones in a row are asked for again, and are not told.
+void StoreFollower::reject(const Error &error)
+{
+    if (this->failures == 0)
+        logEvent(Severity::Warning, "store_answer_rejected",
+                 {{"code", static_cast<std::int64_t>(error.code)},
+                  {"what", this->listing ? "page" : "changes"},
+                  {"after", this->pageAfter},
+                  {"revision", static_cast<std::int64_t>(this->revision)},
+                  {"detail", error.detail}});
+    this->failed("malformed_answer");
+}
+
+// Tells how far a listing has come. In one that goes on, the number of items grows with each line
+// and the key after which it goes on comes once.
+void StoreFollower::logProgress(const StorePage &page)
+{
+    ++this->pagesRead;
+    const TimePoint now = this->clock.now();
+    if (now - this->progressLoggedAt < progressInterval)
+        return;
+    this->progressLoggedAt = now;
+    logEvent(Severity::Info, "store_listing_progress",
+             {{"pages", static_cast<std::int64_t>(this->pagesRead)},
+              {"items", static_cast<std::int64_t>(this->listed.size())},
+              {"in_page", static_cast<std::int64_t>(page.items.size())},
+              {"after", this->pageAfter},
+              {"more", page.more ? 1 : 0},
+              {"since_ms", toMillis(now - this->listingStartedAt)}});
+}
+
 void StoreFollower::applyPage()
 {
     Result<StorePage> decoded = this->dialect.decodePage(this->body);
     if (!decoded)
-        return this->failed("malformed_answer");
+        return this->reject(decoded.error());
     this->succeeded();
     StorePage &page = decoded.value();
     this->addToListing(page);
+    this->logProgress(page);
     if (page.more && !this->listed.empty()) {
         this->pageAfter = this->listed.back().key;
         return this->queryAfter(std::chrono::milliseconds(0));
@@ -581,7 +619,7 @@
 {
     Result<StorePage> decoded = this->dialect.decodeChanges(this->body);
     if (!decoded)
-        return this->failed("malformed_answer");
+        return this->reject(decoded.error());
     this->succeeded();
     StorePage &page = decoded.value();
     const std::uint64_t before = this->revision;
