Tests: a list of targets that begins anew for ever (red)

Callers saw almost no request served after all processes were restarted, while an entry under a name with é stood at the edge of a page of the list. Of the hypotheses that leaves the first: the key goes out as %-3D%-57, which a strict reader of percent-encoding takes for no key. Names with &, +, #, %, blanks, quotes, line breaks and control bytes are listed whole.

--- a/unittests/Platform/commonstartfleet.cpp
+++ b/unittests/Platform/commonstartfleet.cpp
@@ -125,6 +125,8 @@
     this->store.put("op/config", configurationJson(1, {RouteSpec()}).dump());
     for (int i = 0; i < this->plan.targets; ++i)
         this->store.put("servers/t" + std::to_string(i), targetJson("127.0.0.1:9"));
+    for (const std::string &key : this->plan.otherKeys)
+        this->store.put(key, "{}");
     this->store.limitPages(this->plan.pageItems);
     this->store.limitCapacity(this->plan.timePerCall);
     const auto refused = this->plan.instances * static_cast<std::size_t>(this->plan.refused) / 100;
--- a/unittests/Platform/commonstartfleet.h
+++ b/unittests/Platform/commonstartfleet.h
@@ -111,6 +111,7 @@
     std::size_t pageItems = 10;
     std::chrono::microseconds timePerCall{5000}; // that the store takes for each call
     int refused = 0; // instances in a hundred whose calls to the store all fail
+    std::vector<std::string> otherKeys = {}; // items of the store that name no target
 };
 
 class CommonStartFleet
