A listing that does not go on ends, is told and spaced

A listing asked for the next page whatever came: a store that reads the last key of a page as another one and begins anew was listed for ever, without a pause or a line, and so was one that tells of more and has nothing more. Any fault of that kind takes the store's rate from the other instances and leaves this one without targets.

A page that brings nothing new though the store has more, or a request that the store refuses for its key (400, 414, 431), counts as a failure: store_listing_stuck tells it, jaytrack_listings_stuck_total counts it, the next call waits for the back-off. Whether a page is new is judged by keys that were listed, not by an order that the store may define otherwise. The pages read so far are a class of their own, StoreListing.

--- a/include/jaytrack/Store/storefeeds.h
+++ b/include/jaytrack/Store/storefeeds.h
@@ -97,6 +97,7 @@
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
     void onStoreRestored() override;
+    void onListingStuck() override;
     std::vector<std::string> storedKeys() const override;
 
     // Applies the targets that another instance held.
@@ -179,6 +180,7 @@
     void onStoreRestored() override;
     void onStoreMaybeRestored() override { this->configuration.onStoreMaybeRestored(); }
     bool isConfirmed() const override { return this->configuration.isConfirmed(); }
+    void onListingStuck() override { this->targets.onListingStuck(); }
     std::vector<std::string> storedKeys() const override { return this->targets.storedKeys(); }
 
 private:
--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -6,6 +6,7 @@
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Peers/sharedchanges.h"
 #include "jaytrack/Routing/dialect.h"
+#include "jaytrack/Store/storelisting.h"
 #include "jaytrack/Support/clock.h"
 
 #include <asio/io_context.hpp>
@@ -40,6 +41,9 @@
     // them. A listing that lacks one of them shows that it was deleted.
     virtual std::vector<std::string> storedKeys() const { return {}; }
 
+    // The store answered a page of a listing with nothing new, though it has more.
+    virtual void onListingStuck() {}
+
     virtual void onStoreLost(std::string_view reason) = 0;
     virtual void onStoreRegained(Duration away) = 0;
 
@@ -227,7 +231,8 @@
     void reject(const Error &error);
     void logProgress(const StorePage &page);
     void applyPage();
-    void addToListing(StorePage &page);
+    bool addToListing(StorePage &page);
+    void onListingStuck(std::string_view reason);
     void completeListing();
     void applyChanges();
 
@@ -258,8 +263,7 @@
     bool listing = true;
     std::uint64_t revisionBeforeListing = 0; // 0 if there was none of the same history
     std::optional<TimePoint> relistAt;       // the watch was refused; lists then if still behind
-    std::string pageAfter;
-    std::vector<StoreItem> listed;
+    StoreListing pages;
     bool mayListStale = true; // until the first listing is complete or has to be repeated
     bool listedStale = false; // the last listing may lack changes that no watch has reported yet
     std::uint64_t revision = 0;
--- a/lib/Store/storefeeds.cpp
+++ b/lib/Store/storefeeds.cpp
@@ -277,6 +277,11 @@
     }
 }
 
+void TargetFeed::onListingStuck()
+{
+    this->metrics.count("jaytrack_listings_stuck_total");
+}
+
 void TargetFeed::onStoreLost(std::string_view)
 {
     this->lost = true;
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -42,6 +42,15 @@
 // Interval of log lines while a listing is under way.
 constexpr std::chrono::seconds progressInterval{1};
 
+// Whether the status says that the request as such is refused, whenever it comes.
+bool refusesRequest(int status)
+{
+    static constexpr int badRequest = 400;
+    static constexpr int uriTooLong = 414;
+    static constexpr int headTooLarge = 431;
+    return status == badRequest || status == uriTooLong || status == headTooLarge;
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(asio::io_context &loop, const Clock &time, const Dialect &platform,
@@ -242,14 +251,14 @@
     this->mayListStale = false;
     this->listedStale = false;
     this->relistAt.reset();
-    this->pageAfter.clear();
-    this->listed.clear();
+    this->pages.clear();
 }
 
 ReadFreshness StoreFollower::pageFreshness() const
 {
     const std::string &prefix = this->options.stalePrefix;
-    const bool stale = this->mayListStale && !prefix.empty() && this->pageAfter.starts_with(prefix);
+    const bool stale =
+            this->mayListStale && !prefix.empty() && this->pages.after().starts_with(prefix);
     return stale ? ReadFreshness::MayBeStale : ReadFreshness::Current;
 }
 
@@ -349,8 +358,7 @@
     this->listing = false;
     this->mayListStale = false;
     this->listedStale = false;
-    this->pageAfter.clear();
-    this->listed = {};
+    this->pages.clear();
     this->revision = at;
     this->failures = 0;
     this->waiting = false;
@@ -383,7 +391,7 @@
     request.connectTimeout = maxConnectTime;
     if (this->listing) {
         this->queryFreshness = this->pageFreshness();
-        request.target = this->dialect.rangeTarget(this->options.prefix, this->pageAfter,
+        request.target = this->dialect.rangeTarget(this->options.prefix, this->pages.after(),
                                                    this->queryFreshness);
     } else {
         std::uniform_int_distribution<std::int64_t> jitter(0, this->options.waitJitter.count());
@@ -396,7 +404,7 @@
     this->answerEra.reset();
     this->body.clear();
     this->querySentAt = this->clock.now();
-    if (this->listing && this->pageAfter.empty()) {
+    if (this->listing && this->pages.after().empty()) {
         this->listingStartedAt = this->querySentAt;
         this->progressLoggedAt = this->querySentAt;
         this->pagesRead = 0;
@@ -416,7 +424,8 @@
     // An inactive follower makes no further calls once it has a complete and current listing, but
     // still retries a failed call.
     const bool isCurrent = !this->listing && !this->listedStale;
-    const bool isSpared = this->awaitsSnapshot && !this->hasListed() && !this->pageAfter.empty();
+    const bool isSpared =
+            this->awaitsSnapshot && !this->hasListed() && !this->pages.after().empty();
     const bool rests = isSpared || (isCurrent && this->failures == 0);
     if (this->stopped || (!this->active && rests))
         return;
@@ -458,6 +467,8 @@
         return;
     if (!this->listing && this->status == historyGoneStatus)
         return this->onHistoryGone();
+    if (this->listing && !this->pages.after().empty() && refusesRequest(this->status))
+        return this->onListingStuck("status_" + std::to_string(this->status));
     if (this->status != okStatus)
         return this->failed("status_" + std::to_string(this->status));
     if (this->listing)
@@ -512,7 +523,7 @@
         logEvent(Severity::Warning, "store_answer_rejected",
                  {{"code", static_cast<std::int64_t>(error.code)},
                   {"what", this->listing ? "page" : "changes"},
-                  {"after", this->pageAfter},
+                  {"after", this->pages.after()},
                   {"revision", static_cast<std::int64_t>(this->revision)},
                   {"detail", error.detail}});
     this->failed("malformed_answer");
@@ -529,9 +540,9 @@
     this->progressLoggedAt = now;
     logEvent(Severity::Info, "store_listing_progress",
              {{"pages", static_cast<std::int64_t>(this->pagesRead)},
-              {"items", static_cast<std::int64_t>(this->listed.size())},
+              {"items", static_cast<std::int64_t>(this->pages.size())},
               {"in_page", static_cast<std::int64_t>(page.items.size())},
-              {"after", this->pageAfter},
+              {"after", this->pages.after()},
               {"more", page.more ? 1 : 0},
               {"since_ms", toMillis(now - this->listingStartedAt)}});
 }
@@ -541,34 +552,55 @@
     Result<StorePage> decoded = this->dialect.decodePage(this->body);
     if (!decoded)
         return this->reject(decoded.error());
-    this->succeeded();
     StorePage &page = decoded.value();
-    this->addToListing(page);
+    const bool advanced = this->addToListing(page);
     this->logProgress(page);
-    if (page.more && !this->listed.empty()) {
-        this->pageAfter = this->listed.back().key;
+    if (page.more && !advanced)
+        return this->onListingStuck("no_new_items");
+    this->succeeded();
+    if (page.more) {
+        this->pages.advance();
         return this->queryAfter(std::chrono::milliseconds(0));
     }
     this->completeListing();
 }
 
 // Pages are read one after another, and stale ones from replicas that lag by different amounts.
-// Watching from the oldest of their revisions catches all changes that any of them lacks.
-void StoreFollower::addToListing(StorePage &page)
+// Watching from the oldest of their revisions catches all changes that any of them lacks. Returns
+// whether the page brought anything that was not listed yet.
+bool StoreFollower::addToListing(StorePage &page)
 {
-    const bool isFirst = this->pageAfter.empty();
+    const bool isFirst = this->pages.after().empty();
     this->revision = isFirst ? page.revision : std::min(this->revision, page.revision);
     const bool stale = this->queryFreshness == ReadFreshness::MayBeStale;
     this->listedStale = this->listedStale || stale;
+    const std::size_t before = this->pages.size();
     for (StoreItem &item : page.items) {
         // Only keys under the prefix may be stale, so the rest of the page is read again.
         if (stale && !item.key.starts_with(this->options.stalePrefix)) {
             this->mayListStale = false;
             page.more = true;
-            return;
+            return true;
         }
-        this->listed.push_back(std::move(item));
+        this->pages.add(std::move(item));
     }
+    return this->pages.size() > before;
+}
+
+// The store does not go on after the key at the end of the last page, as one would that reads the
+// key as another and begins anew.
+void StoreFollower::onListingStuck(std::string_view reason)
+{
+    const std::string stuckAfter = this->pages.after();
+    this->pages.stepBack();
+    if (this->failures == 0)
+        logEvent(Severity::Warning, "store_listing_stuck",
+                 {{"reason", reason},
+                  {"after", stuckAfter},
+                  {"resumes_after", this->pages.after()},
+                  {"items", static_cast<std::int64_t>(this->pages.size())}});
+    this->listener.onListingStuck();
+    this->failed("listing_stuck");
 }
 
 void StoreFollower::completeListing()
@@ -577,9 +609,7 @@
     this->listedInEra = true;
     this->holdsData = true;
     this->mayListStale = false;
-    this->pageAfter.clear();
-    const std::vector<StoreItem> whole = std::move(this->listed);
-    this->listed.clear();
+    const std::vector<StoreItem> whole = this->pages.take();
     logEvent(Severity::Info, "store_listed",
              {{"items", static_cast<std::int64_t>(whole.size())},
               {"revision", static_cast<std::int64_t>(this->revision)},
--- /dev/null
+++ b/lib/Store/storelisting.cpp
@@ -0,0 +1,67 @@
+#include "jaytrack/Store/storelisting.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace jaytrack {
+
+namespace {
+
+// The store's limit on the size of a key.
+constexpr std::size_t maxKeyBytes = 200;
+
+// Whether each byte of the key stands for itself in the query of a request.
+bool isPlainKey(std::string_view key)
+{
+    static constexpr std::string_view plain = "-._~/"
+                                              "0123456789"
+                                              "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                              "abcdefghijklmnopqrstuvwxyz";
+    return key.size() <= maxKeyBytes && key.find_first_not_of(plain) == std::string_view::npos;
+}
+
+} // namespace
+
+void StoreListing::clear()
+{
+    this->items = {};
+    this->keys = {};
+    this->pageAfter.clear();
+    this->steppedBack = false;
+}
+
+void StoreListing::add(StoreItem item)
+{
+    if (this->keys.insert(item.key).second)
+        this->items.push_back(std::move(item));
+}
+
+void StoreListing::advance()
+{
+    assert(!this->items.empty() && "an empty listing has no key to go on after");
+    this->pageAfter = this->items.back().key;
+    this->steppedBack = false;
+}
+
+void StoreListing::stepBack()
+{
+    if (this->steppedBack)
+        return;
+    this->steppedBack = true;
+    const auto plain =
+            std::find_if(this->items.rbegin(), this->items.rend(), [this](const StoreItem &item) {
+                return item.key != this->pageAfter && isPlainKey(item.key);
+            });
+    if (plain != this->items.rend())
+        this->pageAfter = plain->key;
+}
+
+std::vector<StoreItem> StoreListing::take()
+{
+    std::vector<StoreItem> whole = std::move(this->items);
+    this->clear();
+    return whole;
+}
+
+} // namespace jaytrack
--- a/unittests/Platform/oddnamestest.cpp
+++ b/unittests/Platform/oddnamestest.cpp
@@ -156,6 +156,66 @@
 
 namespace {
 
+struct MisreadCase
+{
+    char name[40];
+    int status; // with which the store refuses odd keys; 0 if it reads them as none
+    int itemsInPage;
+    int odd; // odd keys in a row
+};
+
+MisreadCase misreadCases[] = {
+        {"begins anew", 0, 3, 1},
+        {"begins anew, odd keys in a row", 0, 4, 3},
+        {"refuses the request", 400, 3, 1},
+        {"refuses the length", 414, 3, 2},
+};
+
+} // namespace
+
+ParameterizedTestParameters(storeFollower, goesOnAfterAnEarlierKey)
+{
+    return cr_make_param_array(MisreadCase, misreadCases, std::size(misreadCases));
+}
+
+// Guards against a listing that never ends, where the store does not understand the key that stands
+// at the end of a page.
+ParameterizedTest(MisreadCase *misread, storeFollower, goesOnAfterAnEarlierKey)
+{
+    StoreStandin store;
+    store.limitPages(static_cast<std::size_t>(misread->itemsInPage));
+    store.misreadOddKeys(misread->status);
+    std::vector<std::string> keys;
+    for (char digit = '0'; digit <= '9'; ++digit)
+        keys.push_back(std::string("servers/a") + digit);
+    for (int i = 0; i < misread->odd; ++i)
+        keys.push_back("servers/a1&" + std::to_string(i));
+    std::sort(keys.begin(), keys.end());
+    for (const std::string &key : keys)
+        store.put(key, "x");
+    const std::vector<std::string> found = listOnce(store, 1s);
+    cr_assert(found == keys, "%s: %zu of %zu listed, %zu calls", misread->name, found.size(),
+              keys.size(), store.calls());
+}
+
+// Guards against calls without a pause to a store that tells of more and has nothing more.
+Test(storeFollower, listingWithoutProgressIsSpaced)
+{
+    // Back-off after failures: 30 to 250 ms, at least half of it.
+    static constexpr std::size_t maxCalls = 24;
+    for (const int items : {0, 5}) {
+        StoreStandin store;
+        for (int i = 0; i < items; ++i)
+            store.put("servers/a" + std::to_string(i), "x");
+        store.alwaysTellMore();
+        const std::vector<std::string> found = listOnce(store, 2s);
+        cr_assert(found.empty());
+        cr_assert_leq(store.calls(), maxCalls, "%d items: %zu calls", items, store.calls());
+    }
+}
+
+namespace {
+
 enum class PageEdge { First, Last };
 
 struct RestartCase
--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include <algorithm>
+
 namespace jaytrack::testing {
 
 using nlohmann::json;
@@ -27,6 +29,14 @@
     return request.queryValue(name);
 }
 
+bool isOddKey(const std::string &key)
+{
+    return std::any_of(key.begin(), key.end(), [](unsigned char c) {
+        const bool isLetter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        return !isLetter && !(c >= '-' && c <= '9');
+    });
+}
+
 } // namespace
 
 Answer wholeAnswer(int status, const std::string &headers, const std::string &body)
@@ -264,6 +274,18 @@
     this->failure = status;
 }
 
+void StoreStandin::misreadOddKeys(int status)
+{
+    const std::lock_guard lock(this->mutex);
+    this->oddKeyStatus = status;
+}
+
+void StoreStandin::alwaysTellMore()
+{
+    const std::lock_guard lock(this->mutex);
+    this->tellsMore = true;
+}
+
 void StoreStandin::compact()
 {
     const std::lock_guard lock(this->mutex);
@@ -362,25 +384,31 @@
     const bool stale = !queryValue(target, "StaleOk").empty();
     this->staleCallCount += stale ? 1 : 0;
     if (!stale || !this->replica)
-        return page(this->eraHeader(), target, this->items, this->revision, this->pageItems);
+        return page(this->eraHeader(), target, this->items, this->revision);
     const std::string header = "Store-Era: " + std::to_string(this->replica->era) + "\r\n";
-    return page(header, target, this->replica->items, this->replica->revision, this->pageItems);
+    return page(header, target, this->replica->items, this->replica->revision);
 }
 
 Answer StoreStandin::page(const std::string &headers, const std::string &target, const Items &from,
-                          std::uint64_t at, std::size_t maxItems)
+                          std::uint64_t at) const
 {
     const std::string prefix = queryValue(target, "Prefix");
-    const std::string after = queryValue(target, "After");
+    std::string after = queryValue(target, "After");
+    if (this->oddKeyStatus && isOddKey(after)) {
+        if (*this->oddKeyStatus != 0)
+            return wholeAnswer(*this->oddKeyStatus, headers, "");
+        after.clear();
+    }
     json entries = json::array();
-    bool more = false;
+    bool more = this->tellsMore;
     for (auto item = from.upper_bound(after); item != from.end(); ++item) {
         const auto &[key, value] = *item;
         if (!key.starts_with(prefix))
             continue;
-        more = entries.size() == maxItems;
-        if (more)
+        if (entries.size() == this->pageItems) {
+            more = true;
             break;
+        }
         entries.push_back({{"Key", key},
                            {"Value", encodeBase64(value.first)},
                            {"Revision", value.second},
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -95,6 +95,13 @@
     // Refuses every call with this status until set to 0.
     void failWith(int status);
 
+    // Reads keys in requests that hold other characters than letters, digits, "-", "." and "/" as
+    // no key, or refuses such requests with this status.
+    void misreadOddKeys(int status = 0);
+
+    // Answers that there is more after each page, also after the last one.
+    void alwaysTellMore();
+
     // Forgets the history, so that watches from before get 410.
     void compact();
 
@@ -141,8 +148,8 @@
     Answer answerNow(const SeenRequest &request);
     std::chrono::microseconds reserveTime();
     Answer range(const std::string &target);
-    static Answer page(const std::string &headers, const std::string &target, const Items &from,
-                       std::uint64_t at, std::size_t maxItems);
+    Answer page(const std::string &headers, const std::string &target, const Items &from,
+                std::uint64_t at) const;
     Answer watch(const std::string &target, std::chrono::milliseconds held);
 
     std::string eraHeader() const;
@@ -161,6 +168,8 @@
     std::chrono::microseconds timePerCall{0};
     std::chrono::steady_clock::time_point busyUntil; // with the calls received so far
     int failure = 0;
+    std::optional<int> oddKeyStatus; // none: odd keys are read as all others; 0: as no key
+    bool tellsMore = false;
     std::size_t callCount = 0;
     std::size_t staleCallCount = 0;
     std::unique_ptr<ScriptedServer> server;
