Read the store's answers item by item

One item that the parser refuses cost the whole page: a revision of 1e999, a lone surrogate or bytes that are no UTF-8 in a key, in an answer of 500 items. Listings were asked for again without end, and a watch brought the same change again and again, so that the instance followed nothing more: neither leaving targets nor keys taken away.

Answers are read by simdjson, which reports a text or a number where it is read: an item without a readable key is left out, counted and told (target_rejected with an empty key); one without a readable value is marked; one without a readable revision has that of the answer, which it cannot exceed, where it was dropped as old before. Reading again item by item after a failure was weighed against it: it needs a splitter of our own.

--- a/include/jaytrack/Store/storefeeds.h
+++ b/include/jaytrack/Store/storefeeds.h
@@ -97,6 +97,7 @@
     void onStoreLost(std::string_view reason) override;
     void onStoreRegained(Duration away) override;
     void onStoreRestored() override;
+    void onNamelessItems(std::size_t count) override;
     void onListingStuck() override;
     std::vector<std::string> storedKeys() const override;
 
@@ -180,6 +181,7 @@
     void onStoreRestored() override;
     void onStoreMaybeRestored() override { this->configuration.onStoreMaybeRestored(); }
     bool isConfirmed() const override { return this->configuration.isConfirmed(); }
+    void onNamelessItems(std::size_t count) override { this->targets.onNamelessItems(count); }
     void onListingStuck() override { this->targets.onListingStuck(); }
     std::vector<std::string> storedKeys() const override { return this->targets.storedKeys(); }
 
--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -41,6 +41,9 @@
     // them. A listing that lacks one of them shows that it was deleted.
     virtual std::vector<std::string> storedKeys() const { return {}; }
 
+    // An answer held this many items without a readable key, which are left out.
+    virtual void onNamelessItems(std::size_t) {}
+
     // The store answered a page of a listing with nothing new, though it has more.
     virtual void onListingStuck() {}
 
--- a/lib/Store/storefeeds.cpp
+++ b/lib/Store/storefeeds.cpp
@@ -277,6 +277,12 @@
     }
 }
 
+void TargetFeed::onNamelessItems(std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+        this->reportUnusable("", "the key cannot be read");
+}
+
 void TargetFeed::onListingStuck()
 {
     this->metrics.count("jaytrack_listings_stuck_total");
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -553,6 +553,7 @@
     if (!decoded)
         return this->reject(decoded.error());
     StorePage &page = decoded.value();
+    this->listener.onNamelessItems(page.nameless);
     const bool advanced = this->addToListing(page);
     this->logProgress(page);
     if (page.more && !advanced)
@@ -652,6 +653,7 @@
         return this->reject(decoded.error());
     this->succeeded();
     StorePage &page = decoded.value();
+    this->listener.onNamelessItems(page.nameless);
     const std::uint64_t before = this->revision;
     // Changes received from other instances meanwhile are already applied and may be newer.
     std::erase_if(page.items, [before](const StoreItem &item) { return item.revision <= before; });
