Config: refuse documents whose numbers or names cannot be meant

A number in the document was converted by the JSON library: -1 slots became, a weight of 1e300 or a fraction was undefined or cut off, and a time limit of 2^63-1 ms overflowed later. A list that was null or an object counted as empty, so that one wrong field took away all customers. A customer's name with CR LF went into the X-Customer header as it was, and a parse error quoted up to a megabyte of the document in its log line. Whole numbers are read within their bounds now, lists must be lists, names have at most 256 bytes and no control characters, and details at most 300 bytes.

Failed before: 45 of 48 cases of document/refusesUnusableValues, 7 of 8 of document/boundsNames, and document/boundsParseErrors. All pass now. document/survivesDeepNesting (7 cases, values nested 300,000 deep) passed before and after: nothing copies or prints what it read.

--- a/lib/Config/document.cpp
+++ b/lib/Config/document.cpp
@@ -1,11 +1,14 @@
 #include "jaytrack/Config/document.h"
 
 #include "jaytrack/Support/digest.h"
+#include "jaytrack/Support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <set>
+#include <stdexcept>
 
 namespace jaytrack {
 
@@ -13,6 +16,94 @@
 
 using nlohmann::json;
 
+// Names and addresses become parts of heads, URLs and log lines.
+constexpr std::size_t maxNameBytes = 256;
+// A parse error quotes what was read last, which may be the whole document.
+constexpr std::size_t maxDetailBytes = 300;
+constexpr std::int64_t maxCount = std::numeric_limits<std::uint32_t>::max();
+// Sums of the memory of all engines must not overflow.
+constexpr std::int64_t maxMemoryTokens = 1'000'000'000'000;
+// Converting a duration to nanoseconds must not overflow.
+constexpr std::int64_t maxMilliseconds = std::chrono::milliseconds(std::chrono::days(1)).count();
+
+// A field of the document holds a value that it cannot have.
+class FieldError final : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+std::int64_t readWhole(const json &from, const char *key, std::int64_t least, std::int64_t most)
+{
+    const std::optional<std::int64_t> number = wholeNumber(from.at(key), least, most);
+    if (!number) {
+        throw FieldError(std::string(key) + " is not a whole number within " +
+                         std::to_string(least) + " to " + std::to_string(most));
+    }
+    return *number;
+}
+
+std::uint32_t readCount(const json &from, const char *key, std::int64_t least)
+{
+    return static_cast<std::uint32_t>(readWhole(from, key, least, maxCount));
+}
+
+std::chrono::milliseconds readMillis(const json &from, const char *key)
+{
+    return std::chrono::milliseconds(readWhole(from, key, 0, maxMilliseconds));
+}
+
+std::chrono::milliseconds readMillis(const json &from, const char *key,
+                                     std::chrono::milliseconds fallback)
+{
+    return from.contains(key) ? readMillis(from, key) : fallback;
+}
+
+double readShare(const json &from, const char *key)
+{
+    const auto share = from.at(key).get<double>();
+    if (!(share >= 0 && share <= 1))
+        throw FieldError(std::string(key) + " is not within 0 to 1");
+    return share;
+}
+
+double readShare(const json &from, const char *key, double fallback)
+{
+    return from.contains(key) ? readShare(from, key) : fallback;
+}
+
+const json &readList(const json &from, const char *key)
+{
+    const json &list = from.at(key);
+    if (!list.is_array())
+        throw FieldError(std::string(key) + " is not a list");
+    return list;
+}
+
+bool isControl(char c)
+{
+    return static_cast<unsigned char>(c) < ' ' || c == 127;
+}
+
+std::string readName(const json &from, const char *key)
+{
+    const auto &name = from.at(key).get_ref<const std::string &>();
+    if (name.size() > maxNameBytes)
+        throw FieldError(std::string(key) + " is longer than " + std::to_string(maxNameBytes) +
+                         " bytes");
+    if (std::any_of(name.begin(), name.end(), isControl))
+        throw FieldError(std::string(key) + " contains a control character");
+    return name;
+}
+
+std::string readAddress(const json &from, const char *key)
+{
+    std::string address = readName(from, key);
+    if (address.find(' ') != std::string::npos)
+        throw FieldError(std::string(key) + " contains a blank");
+    return address;
+}
+
 json toJson(const Engine &engine)
 {
     json abilities = json::array();
@@ -31,12 +122,12 @@
 
 void fromJson(const json &from, Engine &engine)
 {
-    from.at("name").get_to(engine.name);
-    from.at("dc").get_to(engine.dataCentre);
-    from.at("address").get_to(engine.address);
-    from.at("model").get_to(engine.model);
-    from.at("slots").get_to(engine.slots);
-    from.at("memory").get_to(engine.memoryTokens);
+    engine.name = readName(from, "name");
+    engine.dataCentre = readName(from, "dc");
+    engine.address = readAddress(from, "address");
+    engine.model = readName(from, "model");
+    engine.slots = readCount(from, "slots", 1);
+    engine.memoryTokens = static_cast<std::uint64_t>(readWhole(from, "memory", 1, maxMemoryTokens));
     from.at("leaving").get_to(engine.leaving);
     for (const std::string &ability : from.at("can").get<std::vector<std::string>>()) {
         engine.can.resume |= ability == "resume";
@@ -71,18 +162,18 @@
 
 void fromJson(const json &from, Service &service)
 {
-    from.at("name").get_to(service.name);
+    service.name = readName(from, "name");
     from.at("deduplicates").get_to(service.deduplicates);
-    service.objectiveShare = from.value("objective", service.objectiveShare);
-    service.timeout = std::chrono::milliseconds(from.at("timeout_ms").get<std::int64_t>());
-    for (const json &entry : from.at("targets")) {
+    service.objectiveShare = readShare(from, "objective", service.objectiveShare);
+    service.timeout = readMillis(from, "timeout_ms");
+    for (const json &entry : readList(from, "targets")) {
         ServiceTarget &target = service.targets.emplace_back();
-        entry.at("name").get_to(target.name);
-        entry.at("dc").get_to(target.dataCentre);
-        entry.at("address").get_to(target.address);
+        target.name = readName(entry, "name");
+        target.dataCentre = readName(entry, "dc");
+        target.address = readAddress(entry, "address");
         entry.at("leaving").get_to(target.leaving);
     }
-    for (const json &entry : from.at("routes")) {
+    for (const json &entry : readList(from, "routes")) {
         Route &route = service.routes.emplace_back();
         entry.at("method").get_to(route.method);
         entry.at("path").get_to(route.pathPrefix);
@@ -106,18 +197,18 @@
 
 void fromJson(const json &from, Model &model)
 {
-    from.at("name").get_to(model.name);
+    model.name = readName(from, "name");
     from.at("may_wait").get_to(model.mayWait);
-    model.maxWait = std::chrono::milliseconds(from.at("max_wait_ms").get<std::int64_t>());
-    from.at("priority").get_to(model.priority);
+    model.maxWait = readMillis(from, "max_wait_ms");
+    model.priority =
+            static_cast<int>(readWhole(from, "priority", std::numeric_limits<std::int32_t>::min(),
+                                       std::numeric_limits<std::int32_t>::max()));
     from.at("repeatable").get_to(model.repeatable);
-    from.at("overflow_bound").get_to(model.overflowBound);
-    model.silenceTimeout = std::chrono::milliseconds(from.at("silence_ms").get<std::int64_t>());
-    model.firstTokenObjective = std::chrono::milliseconds(
-            from.value("first_token_ms", model.firstTokenObjective.count()));
-    model.stallObjective =
-            std::chrono::milliseconds(from.value("stall_ms", model.stallObjective.count()));
-    model.objectiveShare = from.value("objective", model.objectiveShare);
+    model.overflowBound = readShare(from, "overflow_bound");
+    model.silenceTimeout = readMillis(from, "silence_ms");
+    model.firstTokenObjective = readMillis(from, "first_token_ms", model.firstTokenObjective);
+    model.stallObjective = readMillis(from, "stall_ms", model.stallObjective);
+    model.objectiveShare = readShare(from, "objective", model.objectiveShare);
 }
 
 json toJson(const Customer &customer)
@@ -130,10 +221,10 @@
 
 void fromJson(const json &from, Customer &customer)
 {
-    from.at("name").get_to(customer.name);
+    customer.name = readName(from, "name");
     from.at("keys").get_to(customer.keyDigests);
-    from.at("weight").get_to(customer.weight);
-    from.at("max_concurrent").get_to(customer.maxConcurrent);
+    customer.weight = readCount(from, "weight", 1);
+    customer.maxConcurrent = readCount(from, "max_concurrent", 0);
 }
 
 template <typename Item>
@@ -146,9 +237,9 @@
 }
 
 template <typename Item>
-void listFromJson(const json &from, std::vector<Item> &items)
+void listFromJson(const json &from, const char *key, std::vector<Item> &items)
 {
-    for (const json &entry : from)
+    for (const json &entry : readList(from, key))
         fromJson(entry, items.emplace_back());
 }
 
@@ -208,18 +299,21 @@
     auto document = std::make_shared<Document>();
     try {
         const json root = json::parse(text);
-        listFromJson(root.at("models"), document->models);
-        listFromJson(root.at("engines"), document->engines);
-        listFromJson(root.at("services"), document->services);
-        listFromJson(root.at("customers"), document->customers);
+        listFromJson(root, "models", document->models);
+        listFromJson(root, "engines", document->engines);
+        listFromJson(root, "services", document->services);
+        listFromJson(root, "customers", document->customers);
     } catch (const json::exception &e) {
+        return Error{ResultCode::DocumentMalformed,
+                     std::string(e.what()).substr(0, maxDetailBytes)};
+    } catch (const FieldError &e) {
         return Error{ResultCode::DocumentMalformed, e.what()};
     }
     document->revision = revision;
     document->index();
     const std::vector<Error> errors = document->check();
     if (!errors.empty())
-        return errors.front();
+        return Error{errors.front().code, errors.front().detail.substr(0, maxDetailBytes)};
     return std::shared_ptr<const Document>(std::move(document));
 }
 
