Settings: refuse keys of more names than the stack bears

toml++ bounds the nesting of values at 256, but not the names in a dotted key, each of which becomes a table that is freed recursively. A settings file, inventory or load plan with a key of 200,000 names ended the program by a segmentation fault. A line with more than 4,096 dots is refused now with 401 and its number, and values nest 16 deep at most, so that a file of several such keys stays within the stack. A directory in place of a file is reported the same way.

--- a/lib/Support/tomlreader.cpp
+++ b/lib/Support/tomlreader.cpp
@@ -1,12 +1,53 @@
 #include "jaytrack/Support/tomlreader.h"
 
+// No file of ours nests values more than a few levels deep.
+#define TOML_MAX_NESTED_VALUES 16
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <cassert>
+#include <fstream>
+#include <iterator>
 #include <set>
 
 namespace jaytrack {
 
+namespace {
+
+// The library bounds the nesting of values, but not the number of names in a dotted key, each of
+// which is a nested table. Tables are freed recursively, so the stack limits their depth. A line
+// holds a whole key; lists of addresses also have dots.
+constexpr std::ptrdiff_t maxDotsInLine = 4096;
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return std::nullopt;
+    try {
+        return std::string{std::istreambuf_iterator<char>(file), {}};
+    } catch (const std::ios_base::failure &) {
+        return std::nullopt; // a directory
+    }
+}
+
+// Returns the number of the first line with too many dots; 0 if there is none.
+unsigned lineWithTooManyDots(std::string_view text)
+{
+    unsigned number = 0;
+    while (!text.empty()) {
+        ++number;
+        const std::size_t end = std::min(text.find('\n'), text.size());
+        const std::string_view line = text.substr(0, end);
+        if (std::count(line.begin(), line.end(), '.') > maxDotsInLine)
+            return number;
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return 0;
+}
+
+} // namespace
+
 // State shared by all tables of one file.
 struct TomlTable::Shared
 {
@@ -51,8 +92,18 @@
     auto shared = std::make_shared<Shared>();
     shared->file = file;
     shared->problems = &problems;
+    const std::optional<std::string> text = readFile(file);
+    if (!text) {
+        problems.push_back({ResultCode::SettingsUnreadable, file, 0, "", "cannot be read"});
+        return std::nullopt;
+    }
+    if (const unsigned line = lineWithTooManyDots(*text); line != 0) {
+        problems.push_back({ResultCode::SettingsUnreadable, file, line, "",
+                            "the line has more than " + std::to_string(maxDotsInLine) + " dots"});
+        return std::nullopt;
+    }
     try {
-        shared->root = toml::parse_file(file);
+        shared->root = toml::parse(*text, file);
     } catch (const toml::parse_error &e) {
         problems.push_back({ResultCode::SettingsUnreadable, file, e.source().begin.line, "",
                             std::string(e.description())});
--- a/unittests/Config/documenttest.cpp
+++ b/unittests/Config/documenttest.cpp
@@ -2,39 +2,20 @@
 #include "jaytrack/Config/inventory.h"
 #include "jaytrack/Config/settings.h"
 
+#include "temporaryfile.h"
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
 
 using namespace jaytrack;
+using namespace jaytrack::test;
 
 namespace {
 
 const std::string goodDocument = R"({"models":[],"engines":[],"services":[],"customers":[]})";
 
-// A file with the given text, removed when the test ends.
-class TemporaryFile
-{
-public:
-    explicit TemporaryFile(const std::string &text)
-        : path(std::filesystem::temp_directory_path() /
-               ("jaytrack-test-" + std::to_string(reinterpret_cast<std::uintptr_t>(this))))
-    {
-        std::ofstream(this->path) << text;
-    }
-    ~TemporaryFile() { std::filesystem::remove(this->path); }
-    TemporaryFile(const TemporaryFile &) = delete;
-    TemporaryFile &operator=(const TemporaryFile &) = delete;
-
-    std::string name() const { return this->path.string(); }
-
-private:
-    std::filesystem::path path;
-};
-
 bool contains(const Problems &problems, ResultCode code, std::string_view key)
 {
     return std::any_of(problems.begin(), problems.end(), [&](const Problem &problem) {
