Inventory: report addresses and names that instances cannot use

jaytrackctl check and compile took any text as an address: port 0 or 99999, 0.0.0.0, a multicast group or a name where IP:PORT is due. The document was published, and the engine was never reached. A document that compiles is read as instances read it, so that a name with control characters is reported where it is written and not by the whole fleet. Instances themselves still take a document with such an address: it costs only its own target.

--- /dev/null
+++ b/include/jaytrack/Net/targetaddress.h
@@ -0,0 +1,15 @@
+// Checks the addresses that others write for targets and instances.
+#ifndef JAYTRACK_NET_TARGETADDRESS_H
+#define JAYTRACK_NET_TARGETADDRESS_H
+
+#include <string_view>
+
+namespace jaytrack {
+
+// Whether the text is IP:PORT of a single host to which something can be sent: no port 0, and no
+// unspecified, multicast or broadcast address.
+bool isTargetAddress(std::string_view address);
+
+} // namespace jaytrack
+
+#endif
--- a/lib/Config/inventory.cpp
+++ b/lib/Config/inventory.cpp
@@ -1,5 +1,7 @@
 #include "jaytrack/Config/inventory.h"
 
+#include "jaytrack/Net/targetaddress.h"
+
 #include <algorithm>
 
 namespace jaytrack {
@@ -64,6 +66,15 @@
         return name;
     }
 
+    std::string targetAddress(TomlTable &entry)
+    {
+        std::string address = entry.text("address");
+        if (entry.has("address") && !isTargetAddress(address))
+            entry.report(ResultCode::SettingsOutOfRange, "address",
+                         "must be IP:PORT of a single host");
+        return address;
+    }
+
     // Reads a name and reports it if another entry of the same kind has the same name.
     template <typename Item>
     std::string uniqueName(TomlTable &entry, const std::vector<Item> &others)
@@ -93,7 +104,7 @@
         Engine engine;
         engine.name = this->uniqueName(entry, this->document.engines);
         engine.dataCentre = this->dataCentreOf(entry);
-        engine.address = entry.text("address");
+        engine.address = this->targetAddress(entry);
         engine.model = entry.text("model");
         engine.slots = static_cast<std::uint32_t>(entry.integer("slots", slotRange, 64));
         engine.memoryTokens =
@@ -129,7 +140,7 @@
             ServiceTarget target;
             target.name = this->uniqueName(targetEntry, service.targets);
             target.dataCentre = this->dataCentreOf(targetEntry);
-            target.address = targetEntry.text("address");
+            target.address = this->targetAddress(targetEntry);
             target.leaving = targetEntry.flag("leaving", false);
             targetEntry.finish();
             service.targets.push_back(std::move(target));
@@ -231,9 +242,16 @@
         for (const Error &error : document.check())
             problems.push_back({error.code, inventoryFile, 0, "", error.detail});
     }
-    if (document.serialise().size() > maxDocumentBytes)
+    const std::string compiled = document.serialise();
+    if (compiled.size() > maxDocumentBytes) {
         problems.push_back({ResultCode::DocumentTooLarge, inventoryFile, 0, "",
                             "the compiled document exceeds one megabyte"});
+    } else if (problems.empty()) {
+        // Names with control characters and the like, which instances would refuse.
+        const auto parsed = Document::parse(compiled, 0);
+        if (!parsed)
+            problems.push_back({parsed.error().code, inventoryFile, 0, "", parsed.error().detail});
+    }
     return document;
 }
 
