Platform reader: ask for a faulty document at intervals and report it once

A document that is refused left the revision in force as it was, so the next read, a watch for anything newer, was answered at once with the same document: 99 reads of up to a megabyte and 100 log lines in two seconds by each instance, without end. A revision that has been passed on already is asked for again after the back-off of up to 6 s now, and a refusal is logged once for each revision, source and reason. An unreadable list of instances was not logged at all; it is logged like an unreadable document, when the reason changes, and so is the first success after it.

Each daemon of a test has a directory of its own, since two in one test shared their settings and log.

--- a/include/jaytrack/Config/documentstore.h
+++ b/include/jaytrack/Config/documentstore.h
@@ -48,11 +48,15 @@
     // Returns the verdict for a document of this revision, assuming that it is well-formed.
     OfferVerdict classifyRevision(std::uint64_t revision) const;
 
+    // Logs why a document is refused, unless the same refusal was the last one.
+    void logRefusal(const Error &error, std::uint64_t revision, std::string_view source);
+
     std::mutex offers;        // serialises changes of the current document
     mutable std::mutex mutex; // guards the fields below
     Snapshot<Document> currentDocument;
     std::string currentBytes;
     std::uint64_t currentRevision = 0;
+    std::string lastRefusal; // source, revision and detail
     Watcher onChange;
 };
 
--- a/lib/Config/documentstore.cpp
+++ b/lib/Config/documentstore.cpp
@@ -2,6 +2,8 @@
 
 #include "jaytrack/Support/log.h"
 
+#include <utility>
+
 namespace jaytrack {
 
 OfferVerdict DocumentStore::offer(std::string_view bytes, std::uint64_t revision,
@@ -12,11 +14,7 @@
         return early;
     const auto parsed = Document::parse(bytes, revision);
     if (!parsed) {
-        logEvent(Severity::Warning, "document_refused",
-                 {{"source", source},
-                  {"revision", static_cast<std::int64_t>(revision)},
-                  {"code", static_cast<std::int64_t>(parsed.error().code)},
-                  {"detail", parsed.error().detail}});
+        this->logRefusal(parsed.error(), revision, source);
         return OfferVerdict::Faulty;
     }
     {
@@ -38,6 +36,23 @@
     return OfferVerdict::Accepted;
 }
 
+// A faulty document is offered again for as long as its source has no other.
+void DocumentStore::logRefusal(const Error &error, std::uint64_t revision, std::string_view source)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        std::string refusal =
+                std::string(source) + " " + std::to_string(revision) + " " + error.detail;
+        if (std::exchange(this->lastRefusal, refusal) == refusal)
+            return;
+    }
+    logEvent(Severity::Warning, "document_refused",
+             {{"source", source},
+              {"revision", static_cast<std::int64_t>(revision)},
+              {"code", static_cast<std::int64_t>(error.code)},
+              {"detail", error.detail}});
+}
+
 OfferVerdict DocumentStore::classifyRevision(std::uint64_t revision) const
 {
     const std::uint64_t held = this->revision();
--- a/lib/Serve/platformreader.cpp
+++ b/lib/Serve/platformreader.cpp
@@ -7,6 +7,7 @@
 #include "jaytrack/Support/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jaytrack {
 
@@ -52,6 +53,47 @@
     Duration backoff = initialBackoff;
 };
 
+// Logs a failure when it begins and when its reason changes, and the first success after it.
+class FailureLog
+{
+public:
+    explicit FailureLog(std::string_view readName)
+        : name(readName)
+    {
+    }
+
+    void failed(int status, std::string_view detail)
+    {
+        std::string reason = std::to_string(status) + " " + std::string(detail);
+        if (std::exchange(this->lastReason, reason) == reason)
+            return;
+        logEvent(Severity::Warning, "platform_read_failed",
+                 {{"code", static_cast<int>(ResultCode::PlatformUnreachable)},
+                  {"what", this->name},
+                  {"status", status},
+                  {"detail", detail}});
+    }
+
+    void succeeded()
+    {
+        if (this->lastReason.empty())
+            return;
+        this->lastReason.clear();
+        logEvent(Severity::Info, "platform_read_recovered", {{"what", this->name}});
+    }
+
+private:
+    std::string_view name;
+    std::string lastReason; // empty after a success
+};
+
+// Returns why an answer cannot be used as a document or a list.
+std::string_view failureDetail(const FetchedAnswer &answer)
+{
+    return answer.end.whole && answer.end.status == statusOk ? "the answer is malformed"
+                                                             : std::string_view(answer.end.error);
+}
+
 class HttpPlatform final : public Platform
 {
 public:
@@ -107,6 +149,9 @@
         std::mt19937_64 random;
         Pacing document;
         Pacing instances;
+        FailureLog documentFailures{"document"};
+        FailureLog instancesFailures{"instances"};
+        std::uint64_t offeredRevision = 0; // of the last document that was passed on
     };
 
     void startRead(HttpCall call,
@@ -146,21 +191,20 @@
         const bool unchanged = answer.end.whole && answer.end.status == notModified;
         if (!changed && !unchanged) {
             this->state->document.failed(now, this->state->random);
-            logEvent(Severity::Warning, "platform_read_failed",
-                     {{"code", static_cast<int>(ResultCode::PlatformUnreachable)},
-                      {"what", "document"},
-                      {"status", answer.end.status},
-                      {"detail", answer.end.error}});
+            this->state->documentFailures.failed(answer.end.status, failureDetail(answer));
             return;
         }
+        this->state->documentFailures.succeeded();
         if (unchanged) {
             this->state->document.succeeded(now, Duration(0));
             this->listener.onUnchanged(requestedAt);
             return;
         }
-        // A replica that lags behind responds immediately with a revision that is already known.
-        // Polling again without a delay would flood the service with reads from the whole fleet.
-        if (*revision <= this->listener.revisionInForce())
+        // A replica that lags behind, and a service with a faulty document, respond immediately
+        // with a revision that has been passed on already. Polling again without a delay would
+        // flood the service with reads from the whole fleet.
+        const bool isOffered = std::exchange(this->state->offeredRevision, *revision) == *revision;
+        if (isOffered || *revision <= this->listener.revisionInForce())
             this->state->document.failed(now, this->state->random);
         else
             this->state->document.succeeded(now, Duration(0));
@@ -184,8 +228,10 @@
         auto instances = decodeInstances(answer.body);
         if (!answer.end.whole || answer.end.status != statusOk || !instances) {
             this->state->instances.failed(now, this->state->random);
+            this->state->instancesFailures.failed(answer.end.status, failureDetail(answer));
             return;
         }
+        this->state->instancesFailures.succeeded();
         this->state->instances.succeeded(now, instancesInterval);
         this->listener.onInstances(std::move(*instances), requestedAt);
     }
--- a/unittests/Serve/daemonprocess.cpp
+++ b/unittests/Serve/daemonprocess.cpp
@@ -14,17 +14,24 @@
 
 namespace jaytrack::test {
 
+namespace {
+
+int startedProcesses = 0;
+
+} // namespace
+
 struct DaemonProcess::Child
 {
     boost::process::child process;
 };
 
-DaemonProcess::DaemonProcess(const std::string &configUrl)
+DaemonProcess::DaemonProcess(const std::string &configUrl, const std::string &instancesUrl)
     : directory(std::filesystem::temp_directory_path() /
-                ("jaytrackd-test-" + std::to_string(::getpid())))
+                ("jaytrackd-test-" + std::to_string(::getpid()) + "-" +
+                 std::to_string(startedProcesses++)))
 {
     std::filesystem::create_directories(this->directory);
-    this->writeSettings(configUrl);
+    this->writeSettings(configUrl, instancesUrl);
     const std::string settings = (this->directory / "settings.toml").string();
     const std::string log = (this->directory / "log").string();
     // A failed assertion ends the test without running destructors.
@@ -42,7 +49,8 @@
     std::filesystem::remove_all(this->directory);
 }
 
-void DaemonProcess::writeSettings(const std::string &configUrl) const
+void DaemonProcess::writeSettings(const std::string &configUrl,
+                                  const std::string &instancesUrl) const
 {
     std::ofstream file(this->directory / "settings.toml");
     file << "name = \"falun-1\"\ndata_centre = \"falun\"\n"
@@ -50,6 +58,7 @@
          << "[peers]\naddress = \"127.0.0.1\"\nport = 0\n"
          << "keys = [\"the key of the test's fleet\"]\n"
          << "[platform]\nconfig_url = \"" << configUrl << "\"\n"
+         << "instances_url = \"" << instancesUrl << "\"\n"
          << "[limits]\nready_delay_ms = 300\n";
 }
 
@@ -79,6 +88,15 @@
     return this->log().find(text) != std::string::npos;
 }
 
+std::size_t DaemonProcess::countLogged(const std::string &text) const
+{
+    const std::string seen = this->log();
+    std::size_t count = 0;
+    for (std::size_t at = seen.find(text); at != std::string::npos; at = seen.find(text, at + 1))
+        ++count;
+    return count;
+}
+
 std::uint16_t DaemonProcess::callersPort() const
 {
     const std::string seen = this->log();
--- a/unittests/Serve/daemonprocess.h
+++ b/unittests/Serve/daemonprocess.h
@@ -15,7 +15,7 @@
 class DaemonProcess
 {
 public:
-    explicit DaemonProcess(const std::string &configUrl);
+    explicit DaemonProcess(const std::string &configUrl, const std::string &instancesUrl = "");
     ~DaemonProcess();
     DaemonProcess(const DaemonProcess &) = delete;
     DaemonProcess &operator=(const DaemonProcess &) = delete;
@@ -26,12 +26,13 @@
 
     std::string log() const;
     bool logged(const std::string &text) const;
+    std::size_t countLogged(const std::string &text) const;
 
     // Reads the port from the log. Returns 0 until the instance has started.
     std::uint16_t callersPort() const;
 
 private:
-    void writeSettings(const std::string &configUrl) const;
+    void writeSettings(const std::string &configUrl, const std::string &instancesUrl) const;
 
     struct Child;
     std::filesystem::path directory; // for settings and log
