Configuration: fetch a document that was refused from peers at intervals

Each message of a peer that has a newer revision in force starts a fetch, also if this instance has just refused that document, as a program of another version may. A revision that did not come into force is fetched again after 4 s now; another newer one is fetched at once. The refusal is logged once for each revision and reason, whether the platform or a peer offered it.

--- a/include/jaytrack/Cluster/configpropagation.h
+++ b/include/jaytrack/Cluster/configpropagation.h
@@ -39,6 +39,9 @@
     Duration fetchTimeout = std::chrono::seconds(2);
     // Time to wait for answers of peers after the start.
     Duration readyDelay = std::chrono::milliseconds(1500);
+    // Time after which a document that was refused is fetched again. Two versions of this program
+    // may differ in what they refuse.
+    Duration refusedPause = std::chrono::seconds(4);
     Duration staleAfter = std::chrono::seconds(10); // maximum time without confirmation
 };
 
@@ -83,6 +86,7 @@
 private:
     void confirm(TimePoint at);
     void maybeFetch();
+    bool isRefused(std::uint64_t revision) const;
 
     const Clock &clock;
     std::mt19937_64 random;
@@ -96,6 +100,8 @@
     std::map<std::string, std::uint64_t> newerPeers; // peers that report a newer revision
     std::string fetchingFrom;
     TimePoint fetchingSince;
+    std::uint64_t refusedRevision = 0; // of the last document that did not come into force
+    TimePoint refusedAt;
 };
 
 } // namespace jaytrack
--- a/include/jaytrack/Config/documentstore.h
+++ b/include/jaytrack/Config/documentstore.h
@@ -56,7 +56,7 @@
     Snapshot<Document> currentDocument;
     std::string currentBytes;
     std::uint64_t currentRevision = 0;
-    std::string lastRefusal; // source, revision and detail
+    std::string lastRefusal; // revision and detail
     Watcher onChange;
 };
 
--- a/lib/Cluster/configpropagation.cpp
+++ b/lib/Cluster/configpropagation.cpp
@@ -27,6 +27,8 @@
                                std::optional<TimePoint> requestedAt)
 {
     const std::uint64_t own = this->sink.revision();
+    if (this->isRefused(revision))
+        return;
     if (revision > own) {
         this->newerPeers[peerAddress] = revision;
         this->maybeFetch();
@@ -55,9 +57,19 @@
     this->newerPeers.erase(peerAddress);
     if (bytes)
         this->sink.offer(*bytes, revision, "peer");
+    if (bytes && this->sink.revision() < revision) {
+        this->refusedRevision = revision;
+        this->refusedAt = this->clock.now();
+    }
     this->maybeFetch();
 }
 
+bool ConfigPropagation::isRefused(std::uint64_t revision) const
+{
+    return revision != 0 && revision == this->refusedRevision && revision > this->sink.revision() &&
+           this->clock.now() - this->refusedAt < this->options.refusedPause;
+}
+
 void ConfigPropagation::tick()
 {
     const bool late = !this->fetchingFrom.empty() &&
@@ -76,7 +88,9 @@
     if (!this->fetchingFrom.empty())
         return;
     const std::uint64_t own = this->sink.revision();
-    std::erase_if(this->newerPeers, [own](const auto &entry) { return entry.second <= own; });
+    std::erase_if(this->newerPeers, [this, own](const auto &entry) {
+        return entry.second <= own || this->isRefused(entry.second);
+    });
     if (this->newerPeers.empty())
         return;
     auto pick = this->newerPeers.begin();
--- a/lib/Config/documentstore.cpp
+++ b/lib/Config/documentstore.cpp
@@ -41,8 +41,7 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        std::string refusal =
-                std::string(source) + " " + std::to_string(revision) + " " + error.detail;
+        std::string refusal = std::to_string(revision) + " " + error.detail;
         if (std::exchange(this->lastRefusal, refusal) == refusal)
             return;
     }
--- a/unittests/Cluster/configpropagationtest.cpp
+++ b/unittests/Cluster/configpropagationtest.cpp
@@ -14,13 +14,15 @@
 
     void offer(std::string_view, std::uint64_t offered, std::string_view) override
     {
-        this->currentRevision = std::max(this->currentRevision, offered);
+        if (!this->refuses)
+            this->currentRevision = std::max(this->currentRevision, offered);
     }
     std::uint64_t revision() const override { return this->currentRevision; }
     void fetchDocument(const std::string &peer) override { this->fetched.push_back(peer); }
 
     ManualClock clock;
     std::uint64_t currentRevision = 0;
+    bool refuses = false;
     std::vector<std::string> fetched;
 };
 
@@ -86,3 +88,29 @@
     fixture.clock.advance(std::chrono::seconds(30));
     cr_assert(propagation.mayBeStale());
 }
+
+// Guards against fetching a document that this instance refuses with each message of each peer that
+// has it in force.
+Test(configpropagation, refusedDocumentIsFetchedAtIntervals)
+{
+    constexpr int messages = 100;
+    Fixture fixture;
+    fixture.refuses = true;
+    ConfigPropagation propagation(fixture.clock, 1, fixture, fixture);
+    fixture.currentRevision = 3;
+    std::size_t answered = 0;
+    for (int i = 0; i < messages; ++i) {
+        const std::string peer = "p" + std::to_string(i % 7);
+        propagation.onPeer(peer, 5, Duration(0), fixture.clock.now());
+        while (answered < fixture.fetched.size()) {
+            const std::string asked = fixture.fetched[answered++];
+            propagation.onFetched(asked, 5, "faulty");
+        }
+        fixture.clock.advance(std::chrono::milliseconds(100));
+    }
+    cr_expect_leq(fixture.fetched.size(), 4U, "%zu fetches in 10 s", fixture.fetched.size());
+    cr_expect_eq(fixture.currentRevision, 3U);
+    fixture.refuses = false;
+    propagation.onPeer("p", 6, Duration(0), fixture.clock.now());
+    cr_assert_eq(fixture.fetched.back(), std::string("p"), "a newer revision is fetched at once");
+}
