Load reports and the list of instances: values nobody can mean cost only themselves

A load report's counts were converted by the JSON library: -1 running became, 1e300 tokens was undefined, and both went into the forecast of the engine's memory. Such a report is unreadable now, and engine_unreachable says so after two of them; a fraction is cut off. Addresses in the list of instances were kept whatever they were: port 0 and names took their share of the requests for tables, and a multicast or broadcast address got datagrams. Only IP:PORT of a single host is used now.

--- a/include/jaytrack/Serve/targetmessages.h
+++ b/include/jaytrack/Serve/targetmessages.h
@@ -7,6 +7,7 @@
 #include "jaytrack/Serve/platformreader.h"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,10 @@
 // Returns the listed instances without malformed entries; nothing if the list is malformed.
 std::optional<std::vector<ListedInstance>> decodeInstances(std::string_view body);
 
+// Returns the addresses at which the listed instances can be reached, without those that are
+// leaving.
+std::vector<std::string> peerAddresses(std::span<const ListedInstance> instances);
+
 } // namespace jaytrack
 
 #endif
--- a/lib/Serve/enginewatcher.cpp
+++ b/lib/Serve/enginewatcher.cpp
@@ -18,6 +18,13 @@
 constexpr std::size_t maxResponseBytes = 64U << 10U;
 constexpr int statusOk = 200;
 
+// Returns why an answer is no load report.
+std::string_view failureDetail(const FetchedAnswer &answer)
+{
+    return answer.end.whole && answer.end.status == statusOk ? "the load report is malformed"
+                                                             : std::string_view(answer.end.error);
+}
+
 } // namespace
 
 struct EngineWatcher::State
@@ -106,7 +113,9 @@
                     return;
                 if (pollState.failures == failuresBeforeUnreachable)
                     logEvent(Severity::Warning, "engine_unreachable",
-                             {{"engine", name}, {"detail", answer.end.error}});
+                             {{"engine", name},
+                              {"status", answer.end.status},
+                              {"detail", failureDetail(answer)}});
                 report.alive = succeeded;
                 serveContext->placement.with(
                         [&name, &report](PlacementPolicy &policy) { policy.report(name, report); });
--- a/lib/Serve/instance.cpp
+++ b/lib/Serve/instance.cpp
@@ -13,6 +13,7 @@
 #include "jaytrack/Serve/peernode.h"
 #include "jaytrack/Serve/platformreader.h"
 #include "jaytrack/Serve/sharedplacementpolicy.h"
+#include "jaytrack/Serve/targetmessages.h"
 #include "jaytrack/Support/keyring.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Support/metrics.h"
@@ -260,13 +261,9 @@
 
     void onInstances(std::vector<ListedInstance> instances, TimePoint) override
     {
-        std::vector<std::string> addresses;
-        for (const ListedInstance &instance : instances) {
-            if (!instance.leaving)
-                addresses.push_back(instance.peerAddress);
-        }
-        asio::post(this->control,
-                   [this, addresses = std::move(addresses)] { this->peers.suggest(addresses); });
+        asio::post(this->control, [this, addresses = peerAddresses(instances)] {
+            this->peers.suggest(addresses);
+        });
     }
 
     std::uint64_t revisionInForce() override { return this->documents.revision(); }
--- a/lib/Serve/targetmessages.cpp
+++ b/lib/Serve/targetmessages.cpp
@@ -1,7 +1,11 @@
 #include "jaytrack/Serve/targetmessages.h"
 
+#include "jaytrack/Net/targetaddress.h"
+
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace jaytrack {
 
 namespace {
@@ -35,6 +39,25 @@
     return piece;
 }
 
+// Sums of the counts of all engines must not overflow, and a double holds each of them exactly.
+constexpr double maxReportedCount = 1e15;
+
+// Returns a count of a load report; 0 if it is missing. Engines may report fractions, which are cut
+// off. Returns nothing for a value of another type, or one that is not within 0 to `most`.
+std::optional<std::uint64_t> countField(const json &document, const char *name, double most)
+{
+    const auto &object = document.get_ref<const json::object_t &>();
+    const auto found = object.find(name);
+    if (found == object.end())
+        return 0;
+    if (!found->second.is_number())
+        return std::nullopt;
+    const auto value = found->second.get<double>();
+    if (!(value >= 0 && value <= most))
+        return std::nullopt;
+    return static_cast<std::uint64_t>(value);
+}
+
 std::optional<ListedInstance> decodeInstance(const json &entry)
 {
     try {
@@ -60,10 +83,16 @@
 {
     try {
         const json document = parse(body);
+        static constexpr double maxRuns = std::numeric_limits<std::uint32_t>::max();
+        const auto memoryUsed = countField(document, "memory_used", maxReportedCount);
+        const auto running = countField(document, "running", maxRuns);
+        const auto waiting = countField(document, "waiting", maxRuns);
+        if (!memoryUsed || !running || !waiting)
+            return std::nullopt;
         EngineReport report;
-        report.memoryUsed = document.value("memory_used", report.memoryUsed);
-        report.running = document.value("running", report.running);
-        report.waiting = document.value("waiting", report.waiting);
+        report.memoryUsed = *memoryUsed;
+        report.running = static_cast<std::uint32_t>(*running);
+        report.waiting = static_cast<std::uint32_t>(*waiting);
         report.leaving = document.value("leaving", false);
         return report;
     } catch (const json::exception &) {
@@ -84,4 +113,14 @@
     return instances;
 }
 
+std::vector<std::string> peerAddresses(std::span<const ListedInstance> instances)
+{
+    std::vector<std::string> addresses;
+    for (const ListedInstance &instance : instances) {
+        if (!instance.leaving && isTargetAddress(instance.peerAddress))
+            addresses.push_back(instance.peerAddress);
+    }
+    return addresses;
+}
+
 } // namespace jaytrack
