jaytrackctl: report answers that cannot be read instead of ending

A field of another type, a missing one or a nested value in an answer of the operators' interface ended jaytrackctl by an exception, an assertion or its stack; an answer that is no JSON was printed as <discarded> with success, and control characters went to the terminal. The answers are read in the library now: rows of a burn report are taken whole or refused with 304, a table shows what it can, nested values are not written out, and control characters are question marks.

--- a/tools/jaytrackctl/main.cpp
+++ b/tools/jaytrackctl/main.cpp
@@ -2,6 +2,7 @@
 #include "jaytrack/Config/inventory.h"
 #include "jaytrack/Http/client.h"
 #include "jaytrack/Policy/burnmeter.h"
+#include "jaytrack/Serve/operatoranswers.h"
 #include "jaytrack/Support/commandline.h"
 
 #include <nlohmann/json.hpp>
@@ -138,37 +139,17 @@
     if (answer.end.whole && answer.end.status == 200)
         return answer.body;
     std::cerr << "error: " << address << ": "
-              << (answer.end.whole
-                          ? "status " + std::to_string(answer.end.status) + ": " + answer.body
-                          : answer.end.error)
+              << (answer.end.whole ? "status " + std::to_string(answer.end.status) + ": " +
+                                             jaytrack::printableText(answer.body)
+                                   : answer.end.error)
               << "\n";
     return std::nullopt;
 }
 
-// Formats the value for a table cell.
-std::string cell(const nlohmann::json &value)
+void printError(const std::string &address, const jaytrack::Error &error)
 {
-    return value.is_string() ? value.get<std::string>() : value.dump();
-}
-
-// Prints one line for each plain value of an object, and a table of its members if it has any.
-void printTable(const nlohmann::json &object)
-{
-    for (const auto &[key, value] : object.items()) {
-        if (!value.is_array())
-            std::cout << std::left << std::setw(18) << key << cell(value) << "\n";
-    }
-    if (!object.contains("members"))
-        return;
-    std::cout << "\n"
-              << std::setw(24) << "instance" << std::setw(14) << "data centre" << std::setw(10)
-              << "state"
-              << "callers\n";
-    for (const nlohmann::json &member : object["members"])
-        std::cout << std::setw(24) << cell(member["name"]) << std::setw(14)
-                  << cell(member["data_centre"]) << std::setw(10) << cell(member["state"])
-                  << cell(member["callers"]) << (member["self"].get<bool>() ? "  (asked)" : "")
-                  << "\n";
+    std::cerr << "error: " << address << ": " << static_cast<int>(error.code) << " "
+              << jaytrack::describe(error.code).name << ": " << error.detail << "\n";
 }
 
 int queryAndPrint(int argc, const char *const *argv, const std::string &name,
@@ -187,13 +168,20 @@
         return exitCode;
     if (takesRequest)
         path += "?id=" + values["request"].as<std::string>();
-    const auto body = queryInstance(values["operators"].as<std::string>(), method, path);
+    const std::string address = values["operators"].as<std::string>();
+    const auto body = queryInstance(address, method, path);
     if (!body)
         return jaytrack::ExitFailed;
-    if (values["format"].as<std::string>() == "json")
+    if (values["format"].as<std::string>() == "json") {
         std::cout << *body << "\n";
-    else
-        printTable(nlohmann::json::parse(*body, nullptr, false));
+        return jaytrack::ExitGood;
+    }
+    const auto table = jaytrack::formatObjectTable(*body);
+    if (!table) {
+        printError(address, table.error());
+        return jaytrack::ExitFailed;
+    }
+    std::cout << table.value();
     return jaytrack::ExitGood;
 }
 
@@ -217,18 +205,12 @@
     const auto body = queryInstance(address, "GET", "/burn");
     if (!body)
         return std::nullopt;
-    std::vector<jaytrack::BurnRow> rows;
-    for (const nlohmann::json &entry : nlohmann::json::parse(*body)) {
-        jaytrack::BurnRow row;
-        entry.at("customer").get_to(row.customer);
-        entry.at("subject").get_to(row.subject);
-        entry.at("objective").get_to(row.objective);
-        entry.at("share").get_to(row.share);
-        entry.at("total").get_to(row.total);
-        entry.at("bad").get_to(row.bad);
-        rows.push_back(std::move(row));
+    const auto rows = jaytrack::decodeBurnRows(*body);
+    if (!rows) {
+        printError(address, rows.error());
+        return std::nullopt;
     }
-    return rows;
+    return rows.value();
 }
 
 void printBurnTable(const std::vector<jaytrack::BurnRow> &rows)
