jaytrack-load: count answers that cannot be read as garbled instead of ending

Events, completions, a service's answers and the stand-ins' counts were read by operators that throw, or assert, on a field of another type, some of them inside a callback of libcurl. A library part reads them now without throwing. What cannot be read is garbled, and so are counts that a stand-in sent: without them the comparison would blame jaytrack.

--- a/lib/Load/generationcaller.cpp
+++ b/lib/Load/generationcaller.cpp
@@ -1,5 +1,6 @@
 #include "tally.h"
 
+#include "jaytrack/Load/answermessages.h"
 #include "jaytrack/Stream/handle.h"
 #include "jaytrack/Stream/sse.h"
 
@@ -152,19 +153,19 @@
             return false;
         }
         if (event.name == "error") {
-            const auto error = nlohmann::json::parse(event.data, nullptr, false);
-            this->outcome = error["error"].value("outcome", "unknown");
-            this->code = error["error"].value("code", 0);
+            const StreamError error = decodeStreamError(event.data);
+            this->outcome = error.outcome;
+            this->code = error.code;
             this->failed = true;
             return false;
         }
-        const auto chunk = nlohmann::json::parse(event.data, nullptr, false);
-        if (!chunk.is_object()) {
-            this->tally.recordGarbled(this->id + " received an event that is not JSON");
+        const std::optional<std::string> content = decodeContent(event.data, "delta");
+        if (!content) {
+            this->tally.recordGarbled(this->id + " received an event that is no chunk");
             return true;
         }
         this->cursor = event.id;
-        this->checkText(chunk["choices"][0]["delta"].value("content", ""));
+        this->checkText(*content);
         return true;
     }
 
@@ -214,8 +215,10 @@
         if (connection != this->connectionNumber || this->finished)
             return;
         if (end.whole && this->status == 200 && !this->load.stream) {
-            const auto body = nlohmann::json::parse(this->errorBody, nullptr, false);
-            this->checkText(body["choices"][0]["message"].value("content", ""));
+            const std::optional<std::string> content = decodeContent(this->errorBody, "message");
+            if (!content)
+                this->tally.recordGarbled(this->id + " received an answer that is no completion");
+            this->checkText(content.value_or(""));
             this->done = true;
         }
         if (this->done) {
--- a/lib/Load/servicecaller.cpp
+++ b/lib/Load/servicecaller.cpp
@@ -1,5 +1,6 @@
 #include "tally.h"
 
+#include "jaytrack/Load/answermessages.h"
 #include "jaytrack/Stream/handle.h"
 
 #include <nlohmann/json.hpp>
@@ -53,7 +54,7 @@
     void onAnswer(const FetchedAnswer &answer)
     {
         const std::string outcome(findHeader(answer.headers, "Jaytrack-Outcome"));
-        if (answer.end.whole && answer.end.status == redirect) {
+        if (answer.end.whole && answer.end.status == redirect && this->tries < maxTries) {
             this->url = findHeader(answer.headers, "Location");
             this->ticketed = true;
             this->send();
@@ -76,8 +77,7 @@
     {
         const auto took = std::chrono::steady_clock::now() - this->startedAt;
         if (outcome == "complete" && this->load.method != "GET") {
-            const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-            if (!body.is_object() || body.value("order", "") != this->id)
+            if (decodeOrder(answer.body) != this->id)
                 this->tally.recordGarbled(this->id + " received another caller's answer");
         }
         if (outcome == "complete")
--- a/lib/Load/tally.cpp
+++ b/lib/Load/tally.cpp
@@ -1,6 +1,6 @@
 #include "tally.h"
 
-#include <nlohmann/json.hpp>
+#include "jaytrack/Load/answermessages.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,13 +11,11 @@
 
 constexpr std::size_t maxFaults = 20;
 
-void addCounts(const nlohmann::json &counts, const char *key,
+void addCounts(const std::map<std::string, std::uint64_t> &counts,
                std::map<std::string, std::uint64_t> &sum)
 {
-    if (!counts.contains(key))
-        return;
-    for (const auto &[name, value] : counts[key].items())
-        sum[name] += value.get<std::uint64_t>();
+    for (const auto &[name, count] : counts)
+        sum[name] += count;
 }
 
 } // namespace
@@ -104,12 +102,16 @@
         call.totalTimeout = std::chrono::seconds(5);
         call.mayRepeat = true;
         const FetchedAnswer answer = fetch(this->client, call);
-        const auto counts = nlohmann::json::parse(answer.body, nullptr, false);
-        if (!answer.end.whole || !counts.is_object())
+        if (!answer.end.whole)
             continue; // the stand-in was killed, and its counts are lost
-        addCounts(counts, "runs", runs);
-        addCounts(counts, "by_user", starts);
-        preemptions += counts.value("preempted", 0ULL);
+        const std::optional<StandinCounts> counts = decodeCounts(answer.body);
+        if (!counts) {
+            this->recordGarbled("the counts at " + url + " are malformed");
+            continue;
+        }
+        addCounts(counts->runs, runs);
+        addCounts(counts->starts, starts);
+        preemptions += counts->preemptions;
     }
     const std::lock_guard lock(this->mutex);
     this->report.preemptions = preemptions;
