Streams: escape the name that an engine gives its generation

The name went into the URL at which a broken stream goes on, and into the order to cancel, as it was: a blank ended the resumption, a question mark or slashes asked for another path, and a name of 20,000 letters became part of the id of each event. The name is one percent-encoded segment now.

--- a/include/jaytrack/Http/client.h
+++ b/include/jaytrack/Http/client.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace jaytrack {
 
@@ -93,6 +95,9 @@
 // path.
 FetchedAnswer fetch(HttpClient &client, HttpCall call);
 
+// Returns the bytes as one segment of a URL's path, percent-encoded.
+std::string escapePathSegment(std::string_view segment);
+
 // Sends one call and passes the complete response, limited to maxBytes, to a function.
 void fetchLater(HttpClient &client, HttpCall call, std::size_t maxBytes,
                 std::function<void(FetchedAnswer)> done);
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -33,6 +33,20 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
+// The name is part of the handle that each event of a stream carries.
+constexpr std::size_t maxGenerationNameBytes = 256;
+
+// Whether the name can be a segment of a path. An engine that can't resume gives none.
+bool isGenerationName(std::string_view name)
+{
+    return name.size() <= maxGenerationNameBytes && name != "." && name != "..";
+}
+
+std::string generationUrl(const Engine &engine, std::string_view name)
+{
+    return "http://" + engine.address + "/v1/generations/" + escapePathSegment(name);
+}
+
 } // namespace
 
 // Forwards the response of one attempt to the call together with the attempt's ID. The call uses
@@ -262,7 +276,7 @@
     const std::string name =
             this->spec.resumed ? this->spec.resumed->generation : this->relay.generation();
     HttpCall call;
-    call.url = "http://" + generationEngine.address + "/v1/generations/" + name +
+    call.url = generationUrl(generationEngine, name) +
                "/events?from=" + std::to_string(this->relay.nextIndex());
     call.connectTimeout = engineConnectTimeout;
     call.mayRepeat = true;
@@ -340,6 +354,12 @@
         return;
     }
     const std::string name(findHeader(headers, generationHeader));
+    if (!isGenerationName(name)) {
+        this->onAttemptLost(true, {ResultCode::TargetGarbled,
+                                   "the engine named its generation in an unusable way",
+                                   {}});
+        return;
+    }
     if (this->relay.onGeneration(from, name) != FrameVerdict::Pass) {
         this->onAttemptLost(true, {ResultCode::TargetGarbled,
                                    "the engine returned a different generation than before",
@@ -637,7 +657,7 @@
         return;
     HttpCall call;
     call.method = "DELETE";
-    call.url = "http://" + this->engine->address + "/v1/generations/" + this->relay.generation();
+    call.url = generationUrl(*this->engine, this->relay.generation());
     call.headers = {{std::string(attachHeader), this->attachEpoch}};
     call.totalTimeout = std::chrono::seconds(5);
     call.mayRepeat = true;
