Check every field of an entry in one place

Cause: decodeEntry judged an entry field by field as cases came up. Port 0, addresses of no host (0.0.0.0, multicast, broadcast, also as IPv6 and mapped), texts of any length, control bytes and names with line breaks passed, and the name goes into X-Expect-Instance. Two further ways were found by the tests: an address that goes on after a NUL or after the '%' of an interface, whose rest reaches Kv-From and the log as it is.

A name that ends like the id of an incarnation is refused, since both would share what is known of a target; only numbers of ten digits and more count as a start.

--- a/lib/Net/socket.cpp
+++ b/lib/Net/socket.cpp
@@ -53,8 +53,12 @@
     const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
     if (failure != std::errc() || end != digits.data() + digits.size())
         return bad;
+    // The parser of the system ends at a NUL and ignores what follows.
+    const std::string host(address.substr(0, colon));
+    if (host.find('\0') != std::string::npos)
+        return bad;
     asio::error_code code;
-    const auto ip = asio::ip::make_address(std::string(address.substr(0, colon)), code);
+    const auto ip = asio::ip::make_address(host, code);
     if (code)
         return bad;
     return asio::ip::tcp::endpoint(ip, port);
--- /dev/null
+++ b/lib/Routing/targetentrycheck.cpp
@@ -0,0 +1,101 @@
+#include "jaytrack/Routing/targetentrycheck.h"
+
+#include "jaytrack/Net/socket.h"
+
+#include <algorithm>
+
+namespace jaytrack {
+
+namespace {
+
+constexpr std::string_view digits = "0123456789";
+
+// Digits of a start time in Unix milliseconds, which has 13; shorter numbers may be part of a name.
+constexpr std::size_t minStartDigits = 10;
+
+bool isVisibleAscii(char c)
+{
+    return c >= '!' && c <= '~';
+}
+
+bool isControlByte(char c)
+{
+    static constexpr unsigned char firstPrintable = 0x20;
+    static constexpr unsigned char deleteByte = 0x7f;
+    const auto byte = static_cast<unsigned char>(c);
+    return byte < firstPrintable || byte == deleteByte;
+}
+
+// Whether the name is the id of an incarnation of another name, with which its target would share
+// all that is known of it.
+bool resemblesIncarnation(std::string_view name)
+{
+    const std::size_t at = name.rfind('@');
+    if (at == std::string_view::npos)
+        return false;
+    const std::string_view start = name.substr(at + 1);
+    return start.size() >= minStartDigits &&
+           start.find_first_not_of(digits) == std::string_view::npos;
+}
+
+bool isUnicast(const asio::ip::address_v4 &ip)
+{
+    return !ip.is_unspecified() && !ip.is_multicast() && ip != asio::ip::address_v4::broadcast();
+}
+
+bool isUnicast(const asio::ip::address &ip)
+{
+    if (ip.is_v4())
+        return isUnicast(ip.to_v4());
+    if (ip.to_v6().is_v4_mapped())
+        return isUnicast(asio::ip::make_address_v4(asio::ip::v4_mapped, ip.to_v6()));
+    return !ip.is_unspecified() && !ip.is_multicast();
+}
+
+} // namespace
+
+bool isTargetName(std::string_view text)
+{
+    return !text.empty() && text.size() <= maxEntryTextBytes &&
+           std::all_of(text.begin(), text.end(), isVisibleAscii) && !resemblesIncarnation(text);
+}
+
+bool isEntryText(std::string_view text)
+{
+    return text.size() <= maxEntryTextBytes &&
+           std::none_of(text.begin(), text.end(), isControlByte);
+}
+
+// Other characters than these belong to the name of a network interface, which means nothing on
+// another machine and may hold any bytes.
+bool isTargetAddress(std::string_view text)
+{
+    static constexpr std::string_view allowed = "0123456789abcdefABCDEF.:";
+    if (text.size() > maxEntryTextBytes || text.find_first_not_of(allowed) != text.npos)
+        return false;
+    const auto endpoint = parseEndpoint(text);
+    return endpoint && endpoint.value().port() != 0 && isUnicast(endpoint.value().address());
+}
+
+std::optional<std::string_view> findEntryFault(const TargetEntry &entry)
+{
+    if (!isTargetName(entry.name))
+        return "the name is not one of a target";
+    if (entry.startedAt < unknownStart)
+        return "the start time is negative";
+    if (entry.service.empty() || !isEntryText(entry.service))
+        return "the service is not a name";
+    if (!isEntryText(entry.dataCentre))
+        return "the data centre is not a name";
+    if (!isEntryText(entry.softwareVersion))
+        return "the software version is not a name";
+    if (!isTargetAddress(entry.address))
+        return "the address is not IP:PORT of one host";
+    if (entry.slots < 1 || entry.slots > maxTargetSlots)
+        return "the number of slots is out of range";
+    if (entry.coldFor < std::chrono::milliseconds(0) || entry.coldFor > maxColdTime)
+        return "the time until the target is warm is out of range";
+    return std::nullopt;
+}
+
+} // namespace jaytrack
--- a/unittests/Net/sockettest.cpp
+++ b/unittests/Net/sockettest.cpp
@@ -1,10 +1,12 @@
-// The options of open connections.
+// The options of open connections, and their addresses.
 #include "jaytrack/Net/socket.h"
 
 #include <criterion/criterion.h>
 
 #include <netinet/tcp.h>
 
+#include <string_view>
+
 using namespace jaytrack;
 
 namespace {
@@ -39,3 +41,13 @@
     prepareSocket(socket);
     cr_expect(optionOf(socket, TCP_USER_TIMEOUT) >= 2000);
 }
+
+// Guards against addresses that go on after a NUL, which reach a log or a head as a whole though
+// only their beginning was read.
+Test(socket, addressWithNulIsNoAddress)
+{
+    using namespace std::string_view_literals;
+    cr_assert(parseEndpoint("10.0.0.1:80").has_value());
+    cr_assert_not(parseEndpoint("10.0.0.1\0\r\nX-Injected: 1:80"sv).has_value());
+    cr_assert_not(parseEndpoint("10.0.0.1\0:80"sv).has_value());
+}
--- a/unittests/Platform/dialecttest.cpp
+++ b/unittests/Platform/dialecttest.cpp
@@ -1,10 +1,12 @@
 // What the platform's words mean, and what becomes of input that means nothing.
 #include "platformdialect.h"
+#include "platformdocuments.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
 using namespace jaytrack;
+using jaytrack::testing::entryWith;
 
 namespace {
 
@@ -338,24 +340,6 @@
 
 namespace {
 
-// An entry as targets write it, with one field replaced (or taken out, for an empty text).
-std::string entryWith(const std::string &field, const std::string &text)
-{
-    std::string made = "{";
-    const std::vector<std::pair<std::string, std::string>> fields = {
-            {"Service", R"("svc")"},  {"Address", R"("10.0.0.1:80")"},
-            {"Zone", R"("z")"},       {"Version", R"("v1")"},
-            {"Slots", "24"},          {"State", R"("ready")"},
-            {"ColdLeftMs", "0"},      {"Seq", "3"},
-            {"born", "1791614788022"}};
-    for (const auto &[name, value] : fields) {
-        const std::string &written = name == field ? text : value;
-        if (!written.empty())
-            made += (made.size() > 1 ? ",\"" : "\"") + name + "\":" + written;
-    }
-    return made + "}";
-}
-
 struct EntryCase
 {
     char field[16];
--- a/unittests/Platform/platformdocuments.cpp
+++ b/unittests/Platform/platformdocuments.cpp
@@ -72,6 +72,23 @@
     return document.dump();
 }
 
+std::string entryWith(const std::string &field, const std::string &text)
+{
+    std::string made = "{";
+    const std::vector<std::pair<std::string, std::string>> fields = {
+            {"Service", R"("svc")"},  {"Address", R"("10.0.0.1:80")"},
+            {"Zone", R"("z")"},       {"Version", R"("v1")"},
+            {"Slots", "24"},          {"State", R"("ready")"},
+            {"ColdLeftMs", "0"},      {"Seq", "3"},
+            {"born", "1791614788022"}};
+    for (const auto &[name, value] : fields) {
+        const std::string &written = name == field ? text : value;
+        if (!written.empty())
+            made += (made.size() > 1 ? ",\"" : "\"") + name + "\":" + written;
+    }
+    return made + "}";
+}
+
 std::string requestText(const RequestSpec &spec)
 {
     std::string text = spec.method + " " + spec.path + " HTTP/1.1\r\nHost: site.example\r\n";
--- a/unittests/Platform/platformdocuments.h
+++ b/unittests/Platform/platformdocuments.h
@@ -37,6 +37,10 @@
 std::string targetOfVersion(const std::string &address, const std::string &version,
                             const std::string &state = "ready", std::int64_t born = 0);
 
+// An entry as targets write it, with one field replaced by this JSON text, or left out for an empty
+// text.
+std::string entryWith(const std::string &field, const std::string &text);
+
 // The text of a request of the customer.
 struct RequestSpec
 {
