Check the entries of another instance's copy of the store

An instance of an older version holds entries that name no target (port 0, names with line breaks) and passes them on to all that start. Negative revisions and eras became the highest unsigned numbers, after which no change counts as newer.

Change: entries are checked as those of the store are, and an unusable one is listed as such. A record with a negative revision is left out, and a copy whose own revision, era or configuration has a negative number is refused.

--- a/lib/Store/storesnapshot.cpp
+++ b/lib/Store/storesnapshot.cpp
@@ -1,5 +1,6 @@
 #include "jaytrack/Store/storesnapshot.h"
 
+#include "jaytrack/Routing/targetentrycheck.h"
 #include "jaytrack/Support/compression.h"
 #include "jaytrack/Wire/codec.h"
 
@@ -66,6 +67,19 @@
     return notice;
 }
 
+// An instance of an older version may take entries for targets that name none.
+void addTarget(const wire::TargetNotice &notice, TargetListing &listing)
+{
+    TargetEntry entry = fromNotice(notice);
+    if (findEntryFault(entry)) {
+        listing.unusable.push_back(notice.name);
+        return;
+    }
+    if (notice.withheld)
+        listing.withheld.insert(entry.name);
+    listing.entries.push_back(std::move(entry));
+}
+
 StoreSnapshot fromNotice(const wire::StoreSnapshotNotice &notice)
 {
     StoreSnapshot snapshot;
@@ -74,15 +88,15 @@
     snapshot.configuration.key = notice.configuration.key;
     snapshot.configuration.value = notice.configuration.value;
     snapshot.configuration.revision = static_cast<std::uint64_t>(notice.configuration.revision);
-    for (const wire::TargetNotice &target : notice.targets) {
-        snapshot.targets.entries.push_back(fromNotice(target));
-        if (target.withheld)
-            snapshot.targets.withheld.insert(target.name);
-    }
     snapshot.targets.unusable = notice.unusableTargets;
-    for (const wire::DataCentreNotice &record : notice.outOfUse)
-        snapshot.outOfUse.push_back(
-                {record.dataCentre, static_cast<std::uint64_t>(record.revision), true});
+    for (const wire::TargetNotice &target : notice.targets)
+        addTarget(target, snapshot.targets);
+    for (const wire::DataCentreNotice &record : notice.outOfUse) {
+        // As an unsigned number, a negative revision would be later than each that the store gives.
+        if (record.revision >= 0)
+            snapshot.outOfUse.push_back(
+                    {record.dataCentre, static_cast<std::uint64_t>(record.revision), true});
+    }
     return snapshot;
 }
 
@@ -106,7 +120,7 @@
             decompressed(outer->bytes, static_cast<std::size_t>(outer->plainSize), maxPlainBytes);
     const auto notice =
             plain ? decodeMessage<wire::StoreSnapshotNotice>(*plain, maxTargets) : std::nullopt;
-    if (!notice || notice->revision <= 0)
+    if (!notice || notice->revision <= 0 || notice->era < 0 || notice->configuration.revision < 0)
         return std::nullopt;
     return fromNotice(*notice);
 }
