Keep numbers and texts of other instances in range

Cause: messages between instances were decoded field by field. A negative revision or era became the highest unsigned number, after which an instance follows the store no more; counts beyond 32 bits wrapped around, negative loads were taken, times of 2^63 microseconds overflowed; versions of any bytes and length were kept; an instance whose address cannot be connected to was asked to relay calls, and no other one was tried then.

Change: store notices and freshness answers with negative numbers are dropped, counts and times are clamped, versions and services that no target can have are left out, and only instances with an address of a host relay calls. An answer to a query at a negative time, which none was sent at, is ignored.

--- a/include/jaytrack/Peers/peerlink.h
+++ b/include/jaytrack/Peers/peerlink.h
@@ -160,6 +160,7 @@
     void sendSpread(const std::vector<SpreadTarget> &targets, wire::EntryNotices &message);
     void passOn(std::string_view from, wire::EntryNotices &message);
     void onFragments(std::string_view origin, const wire::EntryNotices &message);
+    void onStores(const wire::EntryNotices &message);
     void logDroppedNotices();
     void receiveNext();
     void tick();
--- a/include/jaytrack/Peers/sharedchanges.h
+++ b/include/jaytrack/Peers/sharedchanges.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace jaytrack {
@@ -32,7 +33,8 @@
 wire::StoreNotice toNotice(const SharedChanges &changes);
 
 // Marks the changes as incomplete if a value cannot be decoded, so that the store is queried.
-SharedChanges fromNotice(const wire::StoreNotice &notice);
+// Returns nothing if a revision or the era is negative, which no store gives.
+std::optional<SharedChanges> fromNotice(const wire::StoreNotice &notice);
 
 } // namespace jaytrack
 
--- a/include/jaytrack/Routing/targetentrycheck.h
+++ b/include/jaytrack/Routing/targetentrycheck.h
@@ -30,7 +30,7 @@
 bool isEntryText(std::string_view text);
 
 // Whether the text is IP:PORT and one host can be reached there.
-bool isTargetAddress(std::string_view text);
+bool isHostAddress(std::string_view text);
 
 // Returns why the entry names no target; nothing if it names one.
 std::optional<std::string_view> findEntryFault(const TargetEntry &entry);
--- a/lib/Peers/peerlink.cpp
+++ b/lib/Peers/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "jaytrack/Peers/peerlink.h"
 
 #include "jaytrack/Net/socket.h"
+#include "jaytrack/Routing/targetentrycheck.h"
 #include "jaytrack/Support/digest.h"
 #include "jaytrack/Support/log.h"
 #include "jaytrack/Wire/codec.h"
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace jaytrack {
 
@@ -53,12 +55,13 @@
     return asio::ip::udp::endpoint(parsed.value().address(), parsed.value().port());
 }
 
+// An instance whose address cannot be connected to would be asked in vain.
 std::vector<RelayPeer> relayPeersAmong(const std::vector<Member> &members)
 {
     std::vector<RelayPeer> peers;
     peers.reserve(members.size());
     for (const Member &member : members) {
-        if (member.acceptsWork())
+        if (member.acceptsWork() && isHostAddress(member.peerAddress))
             peers.push_back({member.name, member.dataCentre, member.peerAddress});
     }
     return peers;
@@ -75,6 +78,9 @@
 // A restore of the store that is longer ago has no effect on any instance.
 constexpr std::chrono::microseconds maxSinceRestore = std::chrono::minutes(1);
 
+// Data of the store that is older is as good as none.
+constexpr std::chrono::microseconds maxFreshnessAge = std::chrono::hours(24);
+
 std::int64_t toMicros(Duration time)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
@@ -92,10 +98,24 @@
     return answer;
 }
 
+// Converts a time of another instance. Numbers out of range are an error of the sender, and large
+// ones would overflow a Duration.
+Duration toTime(std::int64_t micros, std::chrono::microseconds longest)
+{
+    return std::chrono::microseconds(std::clamp<std::int64_t>(micros, 0, longest.count()));
+}
+
+// Whether the numbers can be those of a store. As unsigned numbers, negative ones would be later
+// than each that the store gives.
+bool isPlausible(const wire::FreshnessAnswer &answer)
+{
+    return answer.ageMicros >= 0 && answer.revision >= 0 && answer.era >= 0;
+}
+
 StoreFreshness fromNotice(const wire::FreshnessAnswer &answer)
 {
     StoreFreshness freshness;
-    freshness.age = std::chrono::microseconds(answer.ageMicros);
+    freshness.age = toTime(answer.ageMicros, maxFreshnessAge);
     freshness.revision = static_cast<std::uint64_t>(answer.revision);
     freshness.era = static_cast<std::uint64_t>(answer.era);
     const std::chrono::microseconds sinceRestore(answer.restoredAgoMicros);
@@ -106,7 +126,8 @@
 
 std::uint32_t toTokens(std::int64_t number)
 {
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, number));
+    static constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(number, 0, most));
 }
 
 std::string textOf(const asio::ip::udp::endpoint &endpoint)
@@ -477,8 +498,15 @@
         const auto joined = whole ? decodeMessage<wire::EntryNotices>(*whole) : std::nullopt;
         if (!joined)
             continue;
-        for (const wire::StoreNotice &store : joined->stores)
-            this->listener.onStoreFromPeer(fromNotice(store));
+        this->onStores(*joined);
+    }
+}
+
+void PeerLink::onStores(const wire::EntryNotices &message)
+{
+    for (const wire::StoreNotice &notice : message.stores) {
+        if (const auto changes = fromNotice(notice))
+            this->listener.onStoreFromPeer(*changes);
     }
 }
 
@@ -563,20 +591,19 @@
         this->listener.onFailedForPeer(engine, origin);
     for (const wire::LoadNotice &notice : message->loads) {
         EngineLoad load;
-        load.waiting = notice.waiting;
-        load.running = notice.running;
+        load.waiting = std::max(0, notice.waiting);
+        load.running = std::max(0, notice.running);
         load.memoryInUse = toTokens(notice.memoryInUse);
         load.memoryTokens = toTokens(notice.memoryTokens);
         load.leaving = notice.leaving;
         load.firstWaitingTokens = toTokens(notice.firstWaitingTokens);
-        load.eventInterval = std::chrono::microseconds(
-                std::clamp<std::int64_t>(notice.eventIntervalMicros, 0, maxEventInterval.count()));
+        load.eventInterval = toTime(notice.eventIntervalMicros, maxEventInterval);
         this->listener.onLoadFromPeer(notice.engine, load);
     }
     for (const std::string &target : message->leavingTargets)
         this->listener.onLeavingFromPeer(target);
     for (const wire::ColdNotice &notice : message->coldTargets)
-        this->listener.onColdFromPeer(notice.target, std::chrono::microseconds(notice.leftMicros));
+        this->listener.onColdFromPeer(notice.target, toTime(notice.leftMicros, maxColdTime));
     const QuarantineMessage quarantine = fromNotices(message->quarantine);
     if (!quarantine.isEmpty())
         this->listener.onQuarantineNews(quarantine);
@@ -590,12 +617,13 @@
         this->listener.onRetryPermits(from, retryPermits);
     if (message->__isset.streamVersions)
         this->listener.onStreamVersions(from, fromNotices(message->streamVersions));
-    for (const wire::StoreNotice &notice : message->stores)
-        this->listener.onStoreFromPeer(fromNotice(notice));
+    this->onStores(*message);
     for (const wire::FreshnessAsk &ask : message->asks)
         this->listener.onFreshnessQuery(from, ask.askedAt);
-    for (const wire::FreshnessAnswer &answer : message->answers)
-        this->listener.onFreshnessAnswer(from, answer.askedAt, fromNotice(answer));
+    for (const wire::FreshnessAnswer &answer : message->answers) {
+        if (isPlausible(answer))
+            this->listener.onFreshnessAnswer(from, answer.askedAt, fromNotice(answer));
+    }
 }
 
 void PeerLink::depart()
--- a/lib/Peers/sharedchanges.cpp
+++ b/lib/Peers/sharedchanges.cpp
@@ -45,10 +45,21 @@
     return decompressed(item.value, static_cast<std::size_t>(item.plainSize), maxValueBytes);
 }
 
+// As unsigned numbers, negative revisions would be later than each that the store gives, and an
+// instance that took one for its own would follow no change any more.
+bool hasNegative(const wire::StoreNotice &notice)
+{
+    return notice.fromRevision < 0 || notice.toRevision < 0 || notice.era < 0 ||
+           std::any_of(notice.items.begin(), notice.items.end(),
+                       [](const wire::StoreItemNotice &item) { return item.revision < 0; });
+}
+
 } // namespace
 
-SharedChanges fromNotice(const wire::StoreNotice &notice)
+std::optional<SharedChanges> fromNotice(const wire::StoreNotice &notice)
 {
+    if (hasNegative(notice))
+        return std::nullopt;
     SharedChanges changes;
     changes.from = static_cast<std::uint64_t>(notice.fromRevision);
     changes.to = static_cast<std::uint64_t>(notice.toRevision);
--- a/lib/Routing/targetentrycheck.cpp
+++ b/lib/Routing/targetentrycheck.cpp
@@ -68,7 +68,7 @@
 
 // Other characters than these belong to the name of a network interface, which means nothing on
 // another machine and may hold any bytes.
-bool isTargetAddress(std::string_view text)
+bool isHostAddress(std::string_view text)
 {
     static constexpr std::string_view allowed = "0123456789abcdefABCDEF.:";
     if (text.size() > maxEntryTextBytes || text.find_first_not_of(allowed) != text.npos)
@@ -89,7 +89,7 @@
         return "the data centre is not a name";
     if (!isEntryText(entry.softwareVersion))
         return "the software version is not a name";
-    if (!isTargetAddress(entry.address))
+    if (!isHostAddress(entry.address))
         return "the address is not IP:PORT of one host";
     if (entry.slots < 1 || entry.slots > maxTargetSlots)
         return "the number of slots is out of range";
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -306,7 +306,9 @@
     this->duty.answered(peer, freshness.age);
     this->turn.answered();
     const TimePoint sentAt{Duration(requestedAt)};
-    if (this->follower == nullptr || sentAt > this->clock.now() || freshness.age < Duration(0))
+    // This instance has sent no query at such a time.
+    const bool isForged = requestedAt < 0 || sentAt > this->clock.now();
+    if (this->follower == nullptr || isForged || freshness.age < Duration(0))
         return;
     this->noteRestore(freshness);
     // Revisions of different store histories cannot be compared.
--- a/lib/Versions/streamversionmessage.cpp
+++ b/lib/Versions/streamversionmessage.cpp
@@ -1,5 +1,6 @@
 #include "jaytrack/Versions/streamversionmessage.h"
 
+#include "jaytrack/Routing/targetentrycheck.h"
 #include "jaytrack/Support/digest.h"
 
 #include "peer_types.h"
@@ -13,6 +14,10 @@
 // Hexadecimal digits of a stream's name: 128 bits.
 constexpr std::size_t nameDigits = 32;
 
+// Longer than any stream. A larger number of microseconds would overflow when converted to
+// nanoseconds.
+constexpr std::chrono::microseconds maxAge = std::chrono::hours(24);
+
 std::int64_t toMicros(Duration time)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
@@ -54,20 +59,30 @@
     return notices;
 }
 
+// Versions and services that no target can have are left out: an instance of an older version may
+// have read them from entries of other writers.
 StreamVersionMessage fromNotices(const wire::StreamVersionNotices &notices)
 {
     StreamVersionMessage message;
-    for (const wire::StreamVersionNotice &notice : notices.records)
-        message.records.push_back({notice.stream, notice.version});
-    for (const wire::StreamVersionAsk &ask : notices.asks)
-        message.queries.push_back({ask.serial, ask.stream});
-    for (const wire::StreamVersionReply &reply : notices.replies)
+    for (const wire::StreamVersionNotice &notice : notices.records) {
+        if (isEntryText(notice.stream) && isEntryText(notice.version))
+            message.records.push_back({notice.stream, notice.version});
+    }
+    for (const wire::StreamVersionAsk &ask : notices.asks) {
+        if (isEntryText(ask.stream))
+            message.queries.push_back({ask.serial, ask.stream});
+    }
+    for (const wire::StreamVersionReply &reply : notices.replies) {
+        const bool isKnown = reply.known && isEntryText(reply.version);
         message.answers.push_back(
-                {reply.serial, reply.known ? std::optional(reply.version) : std::nullopt});
+                {reply.serial, isKnown ? std::optional(reply.version) : std::nullopt});
+    }
     message.asksForServices = notices.asksForServices;
     message.tellsServices = notices.tellsServices;
     for (const wire::ServedVersionNotice &notice : notices.services) {
-        const std::int64_t ago = std::max<std::int64_t>(0, notice.agoMicros);
+        if (!isEntryText(notice.serviceName) || !isEntryText(notice.version))
+            continue;
+        const std::int64_t ago = std::clamp<std::int64_t>(notice.agoMicros, 0, maxAge.count());
         message.services.push_back(
                 {notice.serviceName, notice.version, std::chrono::microseconds(ago)});
     }
