--- a/unittests/Platform/nestingtest.cpp
+++ b/unittests/Platform/nestingtest.cpp
@@ -24,14 +24,18 @@
         const bool concernsOneRun = std::string_view(field) == "Runs";
         cr_assert_eq(dialect->decodeLoad(report).has_value(), concernsOneRun, "%s", field);
     }
-    const std::string start = R"({"Version":1,"Routes":[)";
-    const std::string route = R"({"Host":"h","Prefix":"/","Type":"safe","Service":"s")";
-    const std::string customer = R"("Tenants":[{"Name":"c")";
-    for (const std::string &configuration :
-         {start + deep + "]}", start + route + R"(,"AllowedRegions":)" + deep + "}]}",
-          start + route + R"(,"Backends":)" + deep + "}]}", start + R"(],"Tenants":)" + deep + "}",
-          start + R"(],"Services":)" + deep + "}", start + R"(],"Limits":)" + deep + "}",
-          start + "]," + customer + R"(,"ApiKeys":)" + deep + "}]}",
-          start + "]," + customer + R"(,"AllowedRegions":)" + deep + "}]}"})
+    // Each place of the configuration that holds a list or an object, marked by '@'.
+    for (const std::string_view text :
+         {R"({"Version":1,"Routes":[@]})", R"({"Version":1,"Routes":[],"Tenants":@})",
+          R"({"Version":1,"Routes":[],"Services":@})", R"({"Version":1,"Routes":[],"Limits":@})",
+          R"({"Version":1,"Routes":[],"Tenants":[{"Name":"c","ApiKeys":@}]})",
+          R"({"Version":1,"Routes":[],"Tenants":[{"Name":"c","AllowedRegions":@}]})",
+          R"({"Version":1,"Routes":[{"Host":"h","Prefix":"/","Type":"safe","Service":"s",
+          "AllowedRegions":@}]})",
+          R"({"Version":1,"Routes":[{"Host":"h","Prefix":"/","Type":"safe","Service":"s",
+          "Backends":@}]})"}) {
+        std::string configuration(text);
+        configuration.replace(configuration.find('@'), 1, deep);
         cr_assert_not(dialect->decodeConfiguration(configuration).has_value());
+    }
 }
