Share only values of the store that other instances read

Cause: an instance passed on each change with its value. A value over 128 KB does not fit, so that the notice was marked incomplete and each of hundreds of instances queried the store, at every change of an entry that names no target or of a key that nobody reads.

Change: of entries that name no target, of out-of-use records and of other keys, only key, revision and removal are shared. An entry without a value is unusable for the receivers, also for those of earlier versions, so that the message format stays as it is.

--- a/include/jaytrack/Store/storefeeds.h
+++ b/include/jaytrack/Store/storefeeds.h
@@ -105,6 +105,10 @@
     // Adds all that this instance holds.
     void addTo(StoreSnapshot &snapshot) const;
 
+    // Returns the changes for other instances, without the values that none of them reads: of
+    // entries that name no target, the key alone suspends the name.
+    std::vector<StoreItem> withoutUnreadValues(const std::vector<StoreItem> &changes) const;
+
     // Records the time as of which the data was last confirmed, by this or another instance, and
     // whether that is too long ago. If so, the store is considered unavailable. An instance that
     // gets its updates from others makes no calls that would show this, and would remove entries
@@ -117,6 +121,7 @@
     bool isLoaded() const { return this->loaded; }
 
 private:
+    bool isValueRead(const StoreItem &item) const;
     void startGrace();
     void endGrace();
     void startOverdueGrace();
--- a/lib/Store/storefeeds.cpp
+++ b/lib/Store/storefeeds.cpp
@@ -230,6 +230,27 @@
     snapshot.outOfUse = this->directory.recordsOutOfUse();
 }
 
+bool TargetFeed::isValueRead(const StoreItem &item) const
+{
+    if (item.key == this->dialect.configurationKey())
+        return true;
+    return this->isTarget(item) && !item.deleted && !item.unreadable &&
+           this->dialect.decodeTarget(item.key, item.value).has_value();
+}
+
+std::vector<StoreItem> TargetFeed::withoutUnreadValues(const std::vector<StoreItem> &changes) const
+{
+    std::vector<StoreItem> shared;
+    shared.reserve(changes.size());
+    for (const StoreItem &item : changes) {
+        if (this->isValueRead(item))
+            shared.push_back(item);
+        else
+            shared.push_back({item.key, {}, item.revision, item.deleted, item.unreadable});
+    }
+    return shared;
+}
+
 void TargetFeed::applyListing(TargetListing listing, std::span<const DataCentreRecord> records)
 {
     // Apply out-of-use records first, so that targets in those data centres are not queried when
--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -237,8 +237,9 @@
                                const std::vector<StoreItem> &items)
 {
     if (this->follower != nullptr && this->duty.sharesReads())
-        this->transport.shareStoreChanges(
-                {from, to, items, false, this->targets.inGrace(), this->follower->knownEra()});
+        this->transport.shareStoreChanges({from, to, this->targets.withoutUnreadValues(items),
+                                           false, this->targets.inGrace(),
+                                           this->follower->knownEra()});
 }
 
 void StoreSharing::onStoreFromPeer(const SharedChanges &changes)
