Write no invalid header into a request to a target

Cause: formatRequest wrote each name and value as it was. A name of a target or a handle of an engine with a line break became further headers, or a request of another's choice.

Change: a header whose name or value is not valid is left out, as a second line of defence behind the checks where values are read.

Measured: requestHead/invalidHeadersAreNotWritten failed before and passes now, with all 60 tests of NetTests.

--- a/lib/Net/targetcall.cpp
+++ b/lib/Net/targetcall.cpp
@@ -24,8 +24,11 @@
 std::string formatRequest(const TargetRequest &request)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-    for (const HttpHeader &header : request.headers)
-        text += header.name + ": " + header.value + "\r\n";
+    for (const HttpHeader &header : request.headers) {
+        // A line break in a value would begin another header, or another request.
+        if (isHeaderName(header.name) && isHeaderValue(header.value))
+            text += header.name + ": " + header.value + "\r\n";
+    }
     if (!request.body.empty() || request.method != "GET")
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     text += "Connection: close\r\n\r\n";
