Cut values of more than 512 bytes in the log

Cause: a value was written at any length, so that a key, a service or a parser's quotation of an entry of another writer could fill the half megabyte of lines that waits to be written, and others were dropped.

Change: values over 512 bytes end with three dots.

--- a/include/jaytrack/Support/log.h
+++ b/include/jaytrack/Support/log.h
@@ -42,7 +42,8 @@
 void initialiseLog(const char *program);
 
 // Writes one event. Values with blanks, quotes or control characters are quoted, so that an event
-// stays on one line whatever a caller sent. Never pass secrets.
+// stays on one line whatever a caller sent. Values of more than 512 bytes are cut and end with
+// three dots. Never pass secrets.
 void logEvent(Severity severity, std::string_view event, std::span<const LogField> fields);
 void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields);
 
--- a/lib/Support/log.cpp
+++ b/lib/Support/log.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 
+// Maximum size of a value in a line. Names come from other writers of the store, and reasons quote
+// what could not be read.
+constexpr std::size_t maxValueBytes = 512;
+constexpr std::string_view cutMark = "...";
+
 bool needsQuotes(std::string_view value)
 {
     if (value.empty())
@@ -26,10 +31,14 @@
 
 // A line break inside a value would let a caller forge a second event, so control characters are
 // replaced by question marks.
-void appendValue(std::string &line, std::string_view value)
+void appendValue(std::string &line, std::string_view whole)
 {
+    const bool isCut = whole.size() > maxValueBytes;
+    const std::string_view value = isCut ? whole.substr(0, maxValueBytes - cutMark.size()) : whole;
+    const std::string_view end = isCut ? cutMark : std::string_view();
     if (!needsQuotes(value)) {
         line += value;
+        line += end;
         return;
     }
     line += '"';
@@ -38,6 +47,7 @@
             line += '\\';
         line += static_cast<unsigned char>(c) < ' ' || c == 127 ? '?' : c;
     }
+    line += end;
     line += '"';
 }
 
