--- a/include/jaytrack/Net/targetcall.h
+++ b/include/jaytrack/Net/targetcall.h
@@ -112,7 +112,8 @@
     int interimAnswers = 0; // complete 1xx responses received
 };
 
-// Formats a request with a body of known length.
+// Formats a request with a body of known length. Headers whose name or value is not valid are left
+// out.
 std::string formatRequest(const TargetRequest &request);
 
 } // namespace jaytrack
