--- a/lib/Store/storesharing.cpp
+++ b/lib/Store/storesharing.cpp
@@ -237,8 +237,9 @@
                                const std::vector<StoreItem> &items)
 {
     if (this->follower != nullptr && this->duty.sharesReads())
-        this->transport.shareStoreChanges(
-                {from, to, items, false, this->targets.inGrace(), this->follower->knownEra()});
+        this->transport.shareStoreChanges({from, to, this->targets.withoutUnreadValues(items),
+                                           false, this->targets.inGrace(),
+                                           this->follower->knownEra()});
 }
 
 void StoreSharing::onStoreFromPeer(const SharedChanges &changes)
@@ -306,7 +307,9 @@
     this->duty.answered(peer, freshness.age);
     this->turn.answered();
     const TimePoint sentAt{Duration(requestedAt)};
-    if (this->follower == nullptr || sentAt > this->clock.now() || freshness.age < Duration(0))
+    // This instance has sent no query at such a time.
+    const bool isForged = requestedAt < 0 || sentAt > this->clock.now();
+    if (this->follower == nullptr || isForged || freshness.age < Duration(0))
         return;
     this->noteRestore(freshness);
     // Revisions of different store histories cannot be compared.
