One check of the addresses of hosts for both programs

Two parts brought the same check, one without the rule for characters of an interface's name and for mapped IPv4 addresses. isHostAddress in Net has the stricter form; entries, members, inventories and lists of instances ask it.

--- a/include/jaytrack/Routing/targetentrycheck.h
+++ b/include/jaytrack/Routing/targetentrycheck.h
@@ -29,9 +29,6 @@
 // without control bytes. It may be empty.
 bool isEntryText(std::string_view text);
 
-// Whether the text is IP:PORT and one host can be reached there.
-bool isHostAddress(std::string_view text);
-
 // Returns why the entry names no target; nothing if it names one.
 std::optional<std::string_view> findEntryFault(const TargetEntry &entry);
 
--- a/lib/Config/inventory.cpp
+++ b/lib/Config/inventory.cpp
@@ -1,6 +1,6 @@
 #include "jaytrack/Config/inventory.h"
 
-#include "jaytrack/Net/targetaddress.h"
+#include "jaytrack/Net/hostaddress.h"
 
 #include <algorithm>
 
@@ -69,7 +69,7 @@
     std::string targetAddress(TomlTable &entry)
     {
         std::string address = entry.text("address");
-        if (entry.has("address") && !isTargetAddress(address))
+        if (entry.has("address") && !isHostAddress(address))
             entry.report(ResultCode::SettingsOutOfRange, "address",
                          "must be IP:PORT of a single host");
         return address;
--- a/lib/Peers/peerlink.cpp
+++ b/lib/Peers/peerlink.cpp
@@ -1,5 +1,6 @@
 #include "jaytrack/Peers/peerlink.h"
 
+#include "jaytrack/Net/hostaddress.h"
 #include "jaytrack/Net/socket.h"
 #include "jaytrack/Routing/targetentrycheck.h"
 #include "jaytrack/Support/digest.h"
--- a/lib/Routing/targetentrycheck.cpp
+++ b/lib/Routing/targetentrycheck.cpp
@@ -1,6 +1,6 @@
 #include "jaytrack/Routing/targetentrycheck.h"
 
-#include "jaytrack/Net/socket.h"
+#include "jaytrack/Net/hostaddress.h"
 
 #include <algorithm>
 
@@ -38,20 +38,6 @@
            start.find_first_not_of(digits) == std::string_view::npos;
 }
 
-bool isUnicast(const asio::ip::address_v4 &ip)
-{
-    return !ip.is_unspecified() && !ip.is_multicast() && ip != asio::ip::address_v4::broadcast();
-}
-
-bool isUnicast(const asio::ip::address &ip)
-{
-    if (ip.is_v4())
-        return isUnicast(ip.to_v4());
-    if (ip.to_v6().is_v4_mapped())
-        return isUnicast(asio::ip::make_address_v4(asio::ip::v4_mapped, ip.to_v6()));
-    return !ip.is_unspecified() && !ip.is_multicast();
-}
-
 } // namespace
 
 bool isTargetName(std::string_view text)
@@ -66,17 +52,6 @@
            std::none_of(text.begin(), text.end(), isControlByte);
 }
 
-// Other characters than these belong to the name of a network interface, which means nothing on
-// another machine and may hold any bytes.
-bool isHostAddress(std::string_view text)
-{
-    static constexpr std::string_view allowed = "0123456789abcdefABCDEF.:";
-    if (text.size() > maxEntryTextBytes || text.find_first_not_of(allowed) != text.npos)
-        return false;
-    const auto endpoint = parseEndpoint(text);
-    return endpoint && endpoint.value().port() != 0 && isUnicast(endpoint.value().address());
-}
-
 std::optional<std::string_view> findEntryFault(const TargetEntry &entry)
 {
     if (!isTargetName(entry.name))
--- a/lib/Serve/targetmessages.cpp
+++ b/lib/Serve/targetmessages.cpp
@@ -1,6 +1,6 @@
 #include "jaytrack/Serve/targetmessages.h"
 
-#include "jaytrack/Net/targetaddress.h"
+#include "jaytrack/Net/hostaddress.h"
 
 #include <nlohmann/json.hpp>
 
@@ -117,7 +117,7 @@
 {
     std::vector<std::string> addresses;
     for (const ListedInstance &instance : instances) {
-        if (!instance.leaving && isTargetAddress(instance.peerAddress))
+        if (!instance.leaving && isHostAddress(instance.peerAddress))
             addresses.push_back(instance.peerAddress);
     }
     return addresses;
