--- a/include/jaytrack/Store/storelisting.h
+++ b/include/jaytrack/Store/storelisting.h
@@ -30,7 +30,8 @@
 
     // Goes on after an earlier key that every reader of a request takes for the same, for a store
     // that does not go on after the last one. The page then repeats what is listed after that key.
-    // Stays where it is if it has done so since the last advance(), or has no such key.
+    // Goes on after the last one again if it has stepped back already, since the store may only
+    // have failed to understand it once.
     void stepBack();
 
     // Returns all items, and begins anew.
@@ -40,7 +41,7 @@
     std::vector<StoreItem> items;
     std::unordered_set<std::string> keys;
     std::string pageAfter;
-    bool steppedBack = false;
+    std::string lastKey; // of the last page
 };
 
 } // namespace jaytrack
--- a/lib/Store/storelisting.cpp
+++ b/lib/Store/storelisting.cpp
@@ -18,7 +18,8 @@
                                               "0123456789"
                                               "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
                                               "abcdefghijklmnopqrstuvwxyz";
-    return key.size() <= maxKeyBytes && key.find_first_not_of(plain) == std::string_view::npos;
+    return !key.empty() && key.size() <= maxKeyBytes &&
+           key.find_first_not_of(plain) == std::string_view::npos;
 }
 
 } // namespace
@@ -28,7 +29,7 @@
     this->items = {};
     this->keys = {};
     this->pageAfter.clear();
-    this->steppedBack = false;
+    this->lastKey.clear();
 }
 
 void StoreListing::add(StoreItem item)
@@ -40,18 +41,19 @@
 void StoreListing::advance()
 {
     assert(!this->items.empty() && "an empty listing has no key to go on after");
-    this->pageAfter = this->items.back().key;
-    this->steppedBack = false;
+    this->lastKey = this->items.back().key;
+    this->pageAfter = this->lastKey;
 }
 
 void StoreListing::stepBack()
 {
-    if (this->steppedBack)
+    if (this->pageAfter != this->lastKey) {
+        this->pageAfter = this->lastKey;
         return;
-    this->steppedBack = true;
+    }
     const auto plain =
             std::find_if(this->items.rbegin(), this->items.rend(), [this](const StoreItem &item) {
-                return item.key != this->pageAfter && isPlainKey(item.key);
+                return item.key != this->lastKey && isPlainKey(item.key);
             });
     if (plain != this->items.rend())
         this->pageAfter = plain->key;
--- a/unittests/Platform/unreadableitemstest.cpp
+++ b/unittests/Platform/unreadableitemstest.cpp
@@ -67,6 +67,26 @@
     cr_assert(page.more, "%s", name);
 }
 
+struct RefusedCase
+{
+    char name[40];
+    char text[96];
+};
+
+RefusedCase refusedCases[] = {
+        {"nothing", ""},
+        {"blanks", "   "},
+        {"cut in a text", R"({"At":5,"HasMore":false,"Entries":[],"events":[],"X":"a)"},
+        {"cut behind a text", R"({"At":5,"Entries":[{"Key":"a")"},
+        {"raw control byte", "{\"At\":5,\"X\":\"\x01\",\"Entries\":[],\"events\":[]}"},
+        {"cut in a letter", "{\"At\":5,\"Entries\":[],\"events\":[],\"X\":\"\xc3"},
+        {"text behind the end", R"({"At":5,"Entries":[],"events":[]} {})"},
+        {"more is a text", R"({"At":5,"HasMore":"true","Entries":[],"events":[]})"},
+        {"more is null", R"({"At":5,"HasMore":null,"Entries":[],"events":[]})"},
+        {"revision beyond the signed", R"({"At":9223372036854775808,"Entries":[],"events":[]})"},
+        {"no list", R"({"At":5})"},
+};
+
 // Levels beyond what a recursive function could handle.
 constexpr std::size_t manyLevels = 300'000;
 
@@ -102,6 +122,38 @@
     }
 }
 
+ParameterizedTestParameters(platformDialect, answersOfNoUseAreRefused)
+{
+    return cr_make_param_array(RefusedCase, refusedCases, std::size(refusedCases));
+}
+
+// Guards against a process that ends for an answer that is no JSON, and against an answer taken
+// for the whole list though it does not say so.
+ParameterizedTest(RefusedCase *answer, platformDialect, answersOfNoUseAreRefused)
+{
+    const auto dialect = makePlatformDialect();
+    cr_assert_not(dialect->decodePage(answer->text).has_value(), "%s", answer->name);
+    cr_assert_not(dialect->decodeChanges(answer->text).has_value(), "%s", answer->name);
+}
+
+// Guards against a later change that is dropped as old, since the one before it in the same answer
+// has no readable revision.
+Test(platformDialect, changeWithoutRevisionIsNoLaterThanTheNext)
+{
+    const std::string events = R"([{"Key":"a","Revision":1e999,"Value":"YQ=="},)"
+                               R"({"Key":"a","Revision":5,"Deleted":true},)"
+                               R"({"Key":"b","Revision":-1,"Value":"YQ=="}])";
+    const auto changes =
+            makePlatformDialect()->decodeChanges(R"({"At":6,"events":)" + events + "}");
+    cr_assert(changes.has_value());
+    const std::vector<StoreItem> &items = changes.value().items;
+    cr_assert_eq(items[0].revision, 5U);
+    cr_assert_eq(items[1].revision, 5U);
+    cr_assert_eq(items[2].revision, 6U);
+    const auto page = makePlatformDialect()->decodePage(R"({"At":6,"Entries":)" + events + "}");
+    cr_assert_eq(page.value().items[0].revision, 6U, "pages are in the order of their keys");
+}
+
 // Guards against a process that ends, or reads nothing, for an item nested deeper than its stack.
 Test(platformDialect, deeplyNestedItemCostsOnlyItself)
 {
