Space calls to the store that repeat one another

Cause: a watch that was refused with 410, was answered at once without a change, or belonged to another era led to the next call without a pause, whatever came before. Only failures were spaced. A store that answers each call so was called about ten thousand times a second by one instance.

A watch that was held, or brought a later revision, is no repeat. A series is told once (store_calls_spaced).

--- a/include/jaytrack/Store/storefollower.h
+++ b/include/jaytrack/Store/storefollower.h
@@ -6,6 +6,7 @@
 #include "jaytrack/Net/targetcall.h"
 #include "jaytrack/Peers/sharedchanges.h"
 #include "jaytrack/Routing/dialect.h"
+#include "jaytrack/Store/callpacing.h"
 #include "jaytrack/Store/storelisting.h"
 #include "jaytrack/Support/clock.h"
 
@@ -215,6 +216,9 @@
     void confirmAfterRewrites(bool always);
     void enterEra(std::uint64_t next, std::string_view source, std::chrono::milliseconds pause);
     void queryMissing(std::string_view cause);
+    std::chrono::milliseconds spaceRepeat(std::string_view cause,
+                                          std::chrono::milliseconds maxInterval);
+    void reportSpacing(std::string_view cause);
     std::chrono::milliseconds answerTimeout() const;
     void useEarlyChanges(const std::vector<StoreItem> &items, bool afterOutage);
     void keepEarlyChanges(SharedChanges changes);
@@ -250,6 +254,7 @@
     StoreReadListener &reads;
     std::shared_ptr<TargetCall> call;
     TimePoint querySentAt;
+    std::uint64_t queriedRevision = 0; // after which the last watch asked for changes
     ReadFreshness queryFreshness = ReadFreshness::Current; // of the last listing call
     std::chrono::milliseconds requestedWait{0};
     TimePoint listingStartedAt;
@@ -284,6 +289,7 @@
     std::uint64_t announcedRevision = 0; // newest revision reported by another instance
     TimePoint behindSince;
     bool waiting = false; // a call is in progress or scheduled
+    CallPacing repeats;   // of calls whose answers brought nothing new
 };
 
 } // namespace jaytrack
--- a/lib/Store/storefollower.cpp
+++ b/lib/Store/storefollower.cpp
@@ -68,6 +68,7 @@
     , reads(readListener)
     , lastAnswer(time.now())
     , sharedChangeWait(this->options.sharedChangeWait)
+    , repeats(time, firstBackoff, this->random)
 {
 }
 
@@ -146,7 +147,34 @@
         return;
     }
     this->startListing();
-    this->queryAfter(std::chrono::milliseconds(0));
+    this->queryAfter(this->spaceRepeat("history_gone", this->options.maxBackoffWithUpdates));
+}
+
+// Returns how long to wait before a call that an answer without news has made necessary. Each
+// answer of a store that holds no watches, refuses each of them or changes between eras leads to
+// another call, ten thousand a second if none waited. One such answer alone does not delay the next
+// call.
+std::chrono::milliseconds StoreFollower::spaceRepeat(std::string_view cause,
+                                                     std::chrono::milliseconds maxInterval)
+{
+    const std::chrono::milliseconds interval = this->repeats.repeat(maxInterval);
+    const auto elapsed =
+            std::chrono::floor<std::chrono::milliseconds>(this->clock.now() - this->querySentAt);
+    if (elapsed >= interval)
+        return std::chrono::milliseconds(0);
+    this->reportSpacing(cause);
+    return interval - elapsed;
+}
+
+void StoreFollower::reportSpacing(std::string_view cause)
+{
+    if (!this->repeats.takeReport())
+        return;
+    logEvent(Severity::Warning, "store_calls_spaced",
+             {{"cause", cause},
+              {"revision", static_cast<std::int64_t>(this->revision)},
+              {"era", static_cast<std::int64_t>(this->era)},
+              {"heard_of", static_cast<std::int64_t>(this->announcedRevision)}});
 }
 
 // The known revisions belong to a history that no longer exists. If the follower continued from
@@ -159,6 +187,7 @@
     if (before == 0)
         return this->onFirstEra();
     this->lastRestore = this->eraSince;
+    pause = std::max(pause, this->spaceRepeat("era_changed", this->options.maxBackoff));
     logEvent(Severity::Warning, "store_returned",
              {{"era", static_cast<std::int64_t>(next)},
               {"before", static_cast<std::int64_t>(before)},
@@ -404,6 +433,7 @@
     this->answerEra.reset();
     this->body.clear();
     this->querySentAt = this->clock.now();
+    this->queriedRevision = this->revision;
     if (this->listing && this->pages.after().empty()) {
         this->listingStartedAt = this->querySentAt;
         this->progressLoggedAt = this->querySentAt;
@@ -655,6 +685,7 @@
     StorePage &page = decoded.value();
     this->listener.onNamelessItems(page.nameless);
     const std::uint64_t before = this->revision;
+    const bool isNews = !page.items.empty() && page.revision > this->queriedRevision;
     // Changes received from other instances meanwhile are already applied and may be newer.
     std::erase_if(page.items, [before](const StoreItem &item) { return item.revision <= before; });
     this->revision = std::max(before, page.revision);
@@ -664,7 +695,10 @@
         this->listener.onChanges(page.items, this->querySentAt);
     if (!page.items.empty())
         this->reads.onStoreRead(before, this->revision, page.items);
-    this->queryAfter(page.items.empty() ? std::chrono::milliseconds(0) : this->options.gap);
+    const auto gap = page.items.empty() ? std::chrono::milliseconds(0) : this->options.gap;
+    if (isNews || heldForFullWait || !this->active)
+        return this->queryAfter(gap);
+    this->queryAfter(std::max(gap, this->spaceRepeat("no_news", this->options.maxBackoff)));
 }
 
 } // namespace jaytrack
