Tests: fleets beside odd entries that change, and while a page fails

CommonStartFleet replaces instances, splits notices as instances do and counts their bytes; StoreStandin takes a function that answers in its place.

--- a/unittests/Platform/commonstartfleet.cpp
+++ b/unittests/Platform/commonstartfleet.cpp
@@ -31,6 +31,9 @@
         {std::chrono::milliseconds(3500), 100, 3},
 };
 
+// As instances share at most.
+constexpr std::size_t maxSharedBytes = 131'072;
+
 // Instances that learn of others before the loop handles what has arrived meanwhile.
 constexpr std::size_t discoveryBatch = 16;
 
@@ -80,9 +83,12 @@
 
 void StartingInstance::shareStoreChanges(const SharedChanges &changes)
 {
-    const auto shared = std::make_shared<const SharedChanges>(changes);
-    this->fleet.deliverToAll(
-            *this, [shared](StartingInstance &to) { to.sharing.onStoreFromPeer(*shared); });
+    for (SharedChanges &part : splitChanges(changes, maxSharedBytes)) {
+        this->fleet.countNotice(part);
+        const auto shared = std::make_shared<const SharedChanges>(std::move(part));
+        this->fleet.deliverToAll(
+                *this, [shared](StartingInstance &to) { to.sharing.onStoreFromPeer(*shared); });
+    }
 }
 
 void StartingInstance::sendFreshnessQuery(std::string_view instance, std::int64_t requestedAt)
@@ -127,6 +133,7 @@
         this->store.put("servers/t" + std::to_string(i), targetJson("127.0.0.1:9"));
     for (const std::string &key : this->plan.otherKeys)
         this->store.put(key, "{}");
+    this->store.answerInstead(this->plan.otherAnswer);
     this->store.limitPages(this->plan.pageItems);
     this->store.limitCapacity(this->plan.timePerCall);
     const auto refused = this->plan.instances * static_cast<std::size_t>(this->plan.refused) / 100;
@@ -220,6 +227,31 @@
     return added;
 }
 
+void CommonStartFleet::restart(std::size_t index)
+{
+    std::unique_ptr<StartingInstance> &place = this->instances[index];
+    place->stop();
+    this->ended.push_back(std::move(place));
+    place = std::make_unique<StartingInstance>(*this, this->loop, this->clock, nameOf(index),
+                                               this->plan.instances + this->ended.size(),
+                                               this->store.address());
+    this->byName[place->name] = place.get();
+    place->start();
+    place->setPeers(this->othersOf(*place));
+}
+
+void CommonStartFleet::forgetMembers()
+{
+    this->startedAt = this->clock.now();
+    this->known = 0;
+}
+
+void CommonStartFleet::countNotice(const SharedChanges &part)
+{
+    for (const StoreItem &item : part.items)
+        this->sentBytes += item.key.size() + item.value.size();
+}
+
 const StartingInstance &CommonStartFleet::nonReader() const
 {
     for (const auto &one : this->instances) {
--- a/unittests/Platform/commonstartfleet.h
+++ b/unittests/Platform/commonstartfleet.h
@@ -53,6 +53,7 @@
                      const std::string &ownName, std::uint64_t seed, const std::string &store);
 
     void start() { this->follower->start(); }
+    void stop() { this->follower->stop(); }
     void tick() { this->sharing.tick(); }
     void setPeers(const std::vector<std::string> &names) { this->sharing.onPeersChanged(names); }
 
@@ -112,6 +113,7 @@
     std::chrono::microseconds timePerCall{5000}; // that the store takes for each call
     int refused = 0; // instances in a hundred whose calls to the store all fail
     std::vector<std::string> otherKeys = {}; // items of the store that name no target
+    StoreStandin::OtherAnswer otherAnswer = {};
 };
 
 class CommonStartFleet
@@ -127,6 +129,13 @@
     // Starts another instance, which knows all others.
     const StartingInstance &addInstance();
 
+    // Replaces the process of an instance by one that holds nothing. It learns of the others as far
+    // as they are known.
+    void restart(std::size_t index);
+
+    // What is known of the others grows again as after a common start.
+    void forgetMembers();
+
     // Returns an instance that gets its data from others.
     const StartingInstance &nonReader() const;
 
@@ -151,6 +160,10 @@
     void deliverToAll(const StartingInstance &from,
                       const std::function<void(StartingInstance &)> &message);
 
+    // Counts what an instance sends to one other for these changes.
+    void countNotice(const SharedChanges &part);
+    std::size_t noticeBytes() const { return this->sentBytes; }
+
     StoreStandin store;
 
 private:
@@ -169,6 +182,8 @@
     std::size_t known = 0;
     std::string pausedName;
     std::string cutName;
+    std::size_t sentBytes = 0;
+    std::vector<std::unique_ptr<StartingInstance>> ended; // calls and messages may refer to them
 
 public:
     std::vector<std::unique_ptr<StartingInstance>> instances;
--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -286,6 +286,12 @@
     this->tellsMore = true;
 }
 
+void StoreStandin::answerInstead(OtherAnswer other)
+{
+    const std::lock_guard lock(this->mutex);
+    this->otherAnswer = std::move(other);
+}
+
 void StoreStandin::compact()
 {
     const std::lock_guard lock(this->mutex);
@@ -374,6 +380,8 @@
 {
     if (this->failure != 0)
         return wholeAnswer(this->failure, this->eraHeader(), "");
+    if (std::optional<Answer> other = this->otherAnswer ? this->otherAnswer(request) : std::nullopt)
+        return std::move(*other);
     if (request.head.path() == "/jaytrack/kv-range")
         return this->range(request.head.target);
     return this->watch(request.head.target, {});
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -102,6 +102,11 @@
     // Answers that there is more after each page, also after the last one.
     void alwaysTellMore();
 
+    // Answers calls for which the function returns an answer with that one. It is called on the
+    // thread of the stand-in.
+    using OtherAnswer = std::function<std::optional<Answer>(const SeenRequest &request)>;
+    void answerInstead(OtherAnswer other);
+
     // Forgets the history, so that watches from before get 410.
     void compact();
 
@@ -170,6 +175,7 @@
     int failure = 0;
     std::optional<int> oddKeyStatus; // none: odd keys are read as all others; 0: as no key
     bool tellsMore = false;
+    OtherAnswer otherAnswer; // none: all calls are answered as usual
     std::size_t callCount = 0;
     std::size_t staleCallCount = 0;
     std::unique_ptr<ScriptedServer> server;
