Stand-in of the store: items whose JSON text a test gives

Cause: the stand-in builds every item of a page and of changes from a JSON library, which cannot write an item that a reader refuses: a revision of 1e999, -5 or beyond 64 bits, a field nested 100,000 deep, a lone surrogate in a key, or bytes that are no UTF-8. Whether one such item takes what stands beside it along could not be tested.

Change: putRaw stores an item under a key that decides its place, and pages and changes hold the given text as it is between the texts of the other items. Answers without such items have the same bytes as before.

--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -27,6 +27,15 @@
     return request.queryValue(name);
 }
 
+// Joins texts of JSON values as they are, so that an unreadable one stands beside readable ones.
+std::string arrayText(const std::vector<std::string> &values)
+{
+    std::string text = "[";
+    for (const std::string &value : values)
+        text += (text.size() > 1 ? "," : "") + value;
+    return text + "]";
+}
+
 } // namespace
 
 Answer wholeAnswer(int status, const std::string &headers, const std::string &body)
@@ -258,6 +267,14 @@
     this->history.push_back({this->revision, key, "", true});
 }
 
+void StoreStandin::putRaw(const std::string &key, const std::string &itemText)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->revision;
+    this->items[key] = {"", this->revision, itemText};
+    this->history.push_back({this->revision, key, "", false, itemText});
+}
+
 void StoreStandin::failWith(int status)
 {
     const std::lock_guard lock(this->mutex);
@@ -372,23 +389,44 @@
 {
     const std::string prefix = queryValue(target, "Prefix");
     const std::string after = queryValue(target, "After");
-    json entries = json::array();
+    std::vector<std::string> entries;
     bool more = false;
     for (auto item = from.upper_bound(after); item != from.end(); ++item) {
-        const auto &[key, value] = *item;
+        const auto &[key, stored] = *item;
         if (!key.starts_with(prefix))
             continue;
         more = entries.size() == maxItems;
         if (more)
             break;
-        entries.push_back({{"Key", key},
-                           {"Value", encodeBase64(value.first)},
-                           {"Revision", value.second},
-                           {"Created", value.second},
-                           {"Lease", 0}});
+        entries.push_back(entryText(key, stored));
     }
     return wholeAnswer(200, headers + "Content-Type: application/json\r\n",
-                       json{{"Entries", entries}, {"HasMore", more}, {"At", at}}.dump());
+                       "{\"At\":" + std::to_string(at) + ",\"Entries\":" + arrayText(entries) +
+                               ",\"HasMore\":" + (more ? "true}" : "false}"));
+}
+
+std::string StoreStandin::entryText(const std::string &key, const Stored &stored)
+{
+    if (!stored.rawText.empty())
+        return stored.rawText;
+    return json{{"Key", key},
+                {"Value", encodeBase64(stored.value)},
+                {"Revision", stored.revision},
+                {"Created", stored.revision},
+                {"Lease", 0}}
+            .dump();
+}
+
+std::string StoreStandin::eventText(const Change &change)
+{
+    if (!change.rawText.empty())
+        return change.rawText;
+    json event = {{"Key", change.key}, {"Revision", change.revision}};
+    if (change.deleted)
+        event["Deleted"] = true;
+    else
+        event["Value"] = encodeBase64(change.value);
+    return event.dump();
 }
 
 // Changes are answered at once; without any the question is held as long as it asks for.
@@ -400,17 +438,10 @@
     const std::chrono::milliseconds wait(std::stoll(queryValue(target, "WaitMs")));
     if (after < this->oldest || after > this->revision)
         return wholeAnswer(410, this->eraHeader(), "");
-    json events = json::array();
+    std::vector<std::string> events;
     for (const Change &change : this->history) {
-        if (change.revision <= after || !change.key.starts_with(prefix))
-            continue;
-        if (change.deleted)
-            events.push_back(
-                    {{"Key", change.key}, {"Revision", change.revision}, {"Deleted", true}});
-        else
-            events.push_back({{"Key", change.key},
-                              {"Value", encodeBase64(change.value)},
-                              {"Revision", change.revision}});
+        if (change.revision > after && change.key.starts_with(prefix))
+            events.push_back(eventText(change));
     }
     if (events.empty() && held < wait) {
         AnswerStep later{AnswerStep::Kind::LookAgain, "", lookGap};
@@ -422,7 +453,8 @@
         return {later};
     }
     return wholeAnswer(200, this->eraHeader() + "Content-Type: application/json\r\n",
-                       json{{"events", events}, {"At", this->revision}}.dump());
+                       "{\"At\":" + std::to_string(this->revision) +
+                               ",\"events\":" + arrayText(events) + "}");
 }
 
 CallerView callOnce(std::uint16_t port, const std::string &request,
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -92,6 +92,10 @@
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
 
+    // Stores an item that pages and changes hold as this text, whether it is readable JSON or not.
+    // The key decides only its place in the order and the prefixes that it lies under.
+    void putRaw(const std::string &key, const std::string &itemText);
+
     // Refuses every call with this status until set to 0.
     void failWith(int status);
 
@@ -125,9 +129,17 @@
         std::string key;
         std::string value;
         bool deleted;
+        std::string rawText = {}; // of the whole item; empty for one that is encoded as usual
+    };
+
+    struct Stored
+    {
+        std::string value;
+        std::uint64_t revision;
+        std::string rawText = {};
     };
 
-    using Items = std::map<std::string, std::pair<std::string, std::uint64_t>>;
+    using Items = std::map<std::string, Stored>;
 
     // What a replica that lags holds.
     struct Replica
@@ -141,6 +153,8 @@
     Answer answerNow(const SeenRequest &request);
     std::chrono::microseconds reserveTime();
     Answer range(const std::string &target);
+    static std::string entryText(const std::string &key, const Stored &stored);
+    static std::string eventText(const Change &change);
     static Answer page(const std::string &headers, const std::string &target, const Items &from,
                        std::uint64_t at, std::size_t maxItems);
     Answer watch(const std::string &target, std::chrono::milliseconds held);
