Process soak: foreign entries at the edges of short pages

Cause: a listing that begins anew for ever at a key beyond ASCII was not found by the process soak. The keys of its store were plain, its list fitted into one page and nothing but targets stood in it.

Entries of another writer stand first, last and alone on a page and in a row longer than a page, with odd names and values; some look like targets at an address where none is. In a series of its own beside the faults, so that the draws of the other series stay as they were, such an entry is written, changes every 100 ms, is deleted and written again; two hundred of them come and go; the instances are killed at once or in turn at most once. Every second run ends with a restart of all within the time given. Instances have 12 s together until they serve, where each had 12 s after the one before it, and it is a violation that nobody is served for 12 s though the store and the targets are undisturbed and an instance runs. A request that the other server answers is a success without a run.

Of the entries that look usable at most three stand at a time, and large values come singly, not among the two hundred.

--- a/unittests/Platform/platformstandin.cpp
+++ b/unittests/Platform/platformstandin.cpp
@@ -275,6 +275,15 @@
     this->history.push_back({this->revision, key, "", false, itemText});
 }
 
+std::vector<std::string> StoreStandin::keys() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::string> stored;
+    for (const auto &[key, item] : this->items)
+        stored.push_back(key);
+    return stored;
+}
+
 void StoreStandin::failWith(int status)
 {
     const std::lock_guard lock(this->mutex);
--- a/unittests/Platform/platformstandin.h
+++ b/unittests/Platform/platformstandin.h
@@ -96,6 +96,9 @@
     // The key decides only its place in the order and the prefixes that it lies under.
     void putRaw(const std::string &key, const std::string &itemText);
 
+    // The keys that are stored, in the order of pages.
+    std::vector<std::string> keys() const;
+
     // Refuses every call with this status until set to 0.
     void failWith(int status);
 
--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -372,12 +372,41 @@
     ++this->counts[answer.whole ? std::to_string(answer.status) : "cut"];
     if (answer.extraBytes)
         this->broken("bytes_after_answer", id, "");
-    if (answer.status == 200)
+    if (answer.status == 200) {
+        this->servedAt = std::chrono::steady_clock::now();
         this->checkSuccess(id, request, answer);
+    }
     request.refused = answer.whole && isNotRunStatus(answer.status);
     this->checkStop(id, request, answer);
 }
 
+void Record::reachedOther(const std::string &id)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->counts["at_other_server"];
+    if (this->byId.count(id) == 0)
+        this->broken("sent_unasked_to_other_server", id, "");
+}
+
+void Record::checkService(const std::map<std::string, SteadyTime> &running)
+{
+    const std::lock_guard lock(this->mutex);
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const auto undisturbedSince = [this](const std::string &who, SteadyTime since) {
+        const auto known = this->disturbedUntil.find(who);
+        return known == this->disturbedUntil.end() ? since : std::max(since, known->second);
+    };
+    SteadyTime runsSince = now;
+    for (const auto &[instance, since] : running)
+        runsSince = std::min(runsSince, undisturbedSince(instance, since));
+    const SteadyTime owedSince = undisturbedSince(
+            "store", undisturbedSince("targets", std::max(runsSince, this->servedAt)));
+    if (now <= owedSince + recoveryBound)
+        return;
+    this->broken("nobody_served", "none", "");
+    this->servedAt = now;
+}
+
 std::vector<std::string> Record::violations(bool atEnd)
 {
     const std::lock_guard lock(this->mutex);
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -38,6 +38,10 @@
 class Record
 {
 public:
+    // Time within which a system that nothing disturbs any longer serves again: the longest pause
+    // between calls to the store, what peers need to find each other again, and a busy machine.
+    static constexpr std::chrono::milliseconds recoveryBound{12000};
+
     // The bound of the operators within which a key that was taken away stops working, the one for
     // leaving targets, and what this machine may add to either when it is busy.
     static constexpr std::chrono::milliseconds keyBound{5000};
@@ -112,6 +116,13 @@
     // The generation that goes on when a run is resumed from a copy.
     int generationOf(const std::string &id);
 
+    // A request reaches a server that is no target.
+    void reachedOther(const std::string &id);
+
+    // Checks that somebody was served within the bound, while the store answers, targets stand and
+    // an instance runs. Takes since when each instance runs that is not stopping.
+    void checkService(const std::map<std::string, SteadyTime> &running);
+
     // What was broken so far; with the runs over, the promises that only the end can judge too.
     std::vector<std::string> violations(bool atEnd);
 
@@ -184,6 +195,7 @@
     // By instance and target, when an answer that passed there first said that the target leaves.
     std::map<std::pair<std::string, std::string>, SteadyTime> toldLeaving;
     std::map<std::string, Stop> stops;
+    SteadyTime servedAt; // the last success, or the begin of the calls
     std::map<std::string, std::size_t> counts;
     std::vector<std::string> found;
 };
--- a/unittests/ProcessSoak/scenario.cpp
+++ b/unittests/ProcessSoak/scenario.cpp
@@ -2,6 +2,7 @@
 
 #include "caller.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 
@@ -16,10 +17,6 @@
 constexpr milliseconds callerPatience{4500};
 constexpr milliseconds lastingPatience = lastingLimit + milliseconds(1500);
 
-// After the faults are over an instance serves again within this time: the longest pause between
-// questions to the store, what peers need to find each other again, and a busy machine.
-constexpr milliseconds healBound{12000};
-
 constexpr milliseconds stopBound{9000};
 
 // After a fault ends an instance needs this long until time bounds hold for it again.
@@ -32,6 +29,14 @@
 // by other faults.
 constexpr std::uint64_t stopsOnlyEvery = 4;
 
+// A foreign entry that changes is rewritten this often, and many are written at once.
+constexpr milliseconds rewriteGap{100};
+constexpr std::size_t manyEntries = 200;
+
+// Every second run ends with a restart of all instances, which takes this much of its length.
+constexpr std::uint64_t restartAllEvery = 2;
+constexpr milliseconds restartTime{4000};
+
 // Requests a second.
 constexpr double lowestLimit = 1.5;
 
@@ -45,6 +50,7 @@
 Scenario::Scenario(ScenarioOptions given)
     : options(std::move(given))
     , random(this->options.seed)
+    , seriesRandom(this->options.seed + 1)
     , site(this->record, this->random(), this->options.engines, this->options.desks)
     , targetLeaving(this->site.targets.size(), false)
 {
@@ -106,21 +112,40 @@
     return answer.whole && answer.status == 200;
 }
 
-void Scenario::awaitService(const std::string &promise)
+// Whether all instances serve within the bound, which begins for all of them now. They are asked in
+// turn, so that one that serves late takes no time from the others.
+bool Scenario::awaitService(const std::string &promise)
 {
+    const SteadyTime end = Clock::now() + Record::recoveryBound;
+    std::vector<const Member *> waiting;
+    for (const Member &member : this->members)
+        waiting.push_back(&member);
     int serial = 0;
+    for (;;) {
+        std::erase_if(waiting, [&](const Member *member) {
+            return this->serves(*member, promise + "-" + member->process->name() + "-" +
+                                                 std::to_string(serial));
+        });
+        if (waiting.empty() || Clock::now() > end)
+            break;
+        ++serial;
+        std::this_thread::sleep_for(milliseconds(50));
+        if (this->calling)
+            this->checkService();
+    }
+    for (const Member *member : waiting)
+        this->ownViolations.push_back(promise + " instance=" + member->process->name());
+    return waiting.empty();
+}
+
+void Scenario::checkService()
+{
+    std::map<std::string, SteadyTime> running;
     for (const Member &member : this->members) {
-        const SteadyTime end = Clock::now() + healBound;
-        const std::string base = promise + "-" + member.process->name() + "-";
-        bool good = false;
-        while (!good && Clock::now() < end) {
-            good = this->serves(member, base + std::to_string(serial++));
-            if (!good)
-                std::this_thread::sleep_for(milliseconds(50));
-        }
-        if (!good)
-            this->ownViolations.push_back(promise + " instance=" + member.process->name());
+        if (!member.stopping)
+            running.emplace(member.process->name(), member.startedAt);
     }
+    this->record.checkService(running);
 }
 
 Work Scenario::drawWork(std::mt19937_64 &draws, bool lasting) const
@@ -193,7 +218,11 @@
 void Scenario::killInstance()
 {
     Member &member = this->someMember();
-    const milliseconds down = this->drawTime(50, 1500);
+    this->killFor(member, this->drawTime(50, 1500));
+}
+
+void Scenario::killFor(Member &member, milliseconds down)
+{
     this->disturb(member.process->name(), down);
     member.process->signal(SIGKILL);
     this->later(down, [&member] { member.restartDue = true; });
@@ -419,6 +448,78 @@
     (this->*kind.inject)();
 }
 
+milliseconds Scenario::drawSeriesTime(int fromMs, int toMs)
+{
+    std::uniform_int_distribution<int> draw(fromMs, toMs);
+    return milliseconds(draw(this->seriesRandom));
+}
+
+// An entry appears while all instances watch, changes for some seconds, is deleted, and is written
+// again. The store may forget any of it.
+void Scenario::changeForeignEntry()
+{
+    const std::string key = this->site.foreign.writeOne();
+    const milliseconds changes = this->drawSeriesTime(500, 4000);
+    for (milliseconds at = rewriteGap; at < changes; at += rewriteGap)
+        this->later(at, [this, key] { this->site.foreign.rewrite(key); });
+    this->later(changes, [this, key] { this->site.foreign.remove(key); });
+    this->later(changes + this->drawSeriesTime(20, 1000),
+                [this, key] { this->site.foreign.rewrite(key); });
+}
+
+void Scenario::writeManyForeignEntries()
+{
+    const std::vector<std::string> keys = this->site.foreign.writeMany(manyEntries);
+    this->later(this->drawSeriesTime(500, 4000), [this, keys] {
+        for (const std::string &key : keys)
+            this->site.foreign.remove(key);
+    });
+}
+
+void Scenario::killAll()
+{
+    const milliseconds down = this->drawSeriesTime(50, 1500);
+    for (Member &member : this->members)
+        this->killFor(member, down);
+}
+
+void Scenario::killInTurn()
+{
+    milliseconds at{0};
+    for (Member &member : this->members) {
+        const milliseconds down = this->drawSeriesTime(50, 500);
+        this->later(at, [this, &member, down] { this->killFor(member, down); });
+        at += down + this->drawSeriesTime(100, 1000);
+    }
+}
+
+// The instances are killed at most once here, since most else is excused while they come back.
+void Scenario::planSeries()
+{
+    const auto length = static_cast<int>(milliseconds(this->options.length).count());
+    const auto plan = [this](const char *name, milliseconds at, void (Scenario::*inject)()) {
+        this->later(at, [this, name, inject] {
+            ++this->faults[name];
+            (this->*inject)();
+        });
+    };
+    for (milliseconds at = this->drawSeriesTime(0, 1000); at < this->options.length;
+         at += this->drawSeriesTime(300, 2000)) {
+        if (this->seriesRandom() % 4 == 0)
+            plan("foreign_many", at, &Scenario::writeManyForeignEntries);
+        else
+            plan("foreign_entry", at, &Scenario::changeForeignEntry);
+    }
+    const std::uint64_t kills = this->seriesRandom() % 3;
+    const milliseconds killsAt = this->drawSeriesTime(length / 4, length * 3 / 4);
+    if (this->stopsOnly() || kills == 0)
+        return;
+    if (kills == 1)
+        plan("kill_all", killsAt, &Scenario::killAll);
+    else
+        plan("kill_in_turn", killsAt, &Scenario::killInTurn);
+}
+
 void Scenario::restartEnded()
 {
     for (Member &member : this->members) {
@@ -438,6 +539,7 @@
         }
         this->restartEnded();
         this->bringBackEnded();
+        this->checkService();
         std::this_thread::sleep_for(milliseconds(5));
     }
 }
@@ -446,9 +548,11 @@
 void Scenario::heal()
 {
     this->bringBackEnded();
-    for (const auto &[time, action] : this->planned)
+    while (!this->planned.empty()) {
+        const std::function<void()> action = std::move(this->planned.begin()->second);
+        this->planned.erase(this->planned.begin());
         action();
-    this->planned.clear();
+    }
     const SteadyTime end = Clock::now() + stopBound;
     const auto allUp = [this] {
         for (const Member &member : this->members) {
@@ -461,6 +565,19 @@
         this->advance(Clock::now() + milliseconds(50));
 }
 
+// Kills all instances and starts them again together, while foreign entries stand at the edges of
+// the store's pages.
+void Scenario::restartAll()
+{
+    this->site.foreign.writeAtEdges();
+    for (Member &member : this->members)
+        this->killFor(member, milliseconds(0));
+    const auto isDown = [](const Member &member) { return member.restartDue; };
+    do {
+        this->advance(Clock::now() + milliseconds(20));
+    } while (std::any_of(this->members.begin(), this->members.end(), isDown));
+}
+
 void Scenario::stopInstances()
 {
     for (const Member &member : this->members)
@@ -476,14 +593,15 @@
     }
 }
 
-ScenarioResult Scenario::run()
+void Scenario::disturbAndHeal()
 {
-    this->startInstances();
-    this->awaitService("serves_at_start");
     this->calling = true;
     for (int i = 0; i < this->options.callers + this->options.lastingCallers; ++i)
         this->callers.emplace_back([this, i] { this->callFrom(i); });
-    const SteadyTime end = Clock::now() + this->options.length;
+    const bool restarts = this->options.seed % restartAllEvery == 1;
+    const SteadyTime end =
+            Clock::now() + this->options.length - (restarts ? restartTime : milliseconds(0));
+    this->planSeries();
     while (Clock::now() < end) {
         this->injectFault();
         this->advance(Clock::now() + this->drawTime(100, 900));
@@ -491,9 +609,20 @@
     this->heal();
     this->awaitService("serves_after_faults");
     this->calling = false;
+    if (restarts) {
+        this->restartAll();
+        this->awaitService("serves_after_restart_of_all");
+    }
     for (std::thread &caller : this->callers)
         caller.join();
     this->callers.clear();
+}
+
+ScenarioResult Scenario::run()
+{
+    this->startInstances();
+    if (this->awaitService("serves_at_start"))
+        this->disturbAndHeal();
     this->stopInstances();
     ScenarioResult result{this->record.violations(true), this->record.requests(),
                           this->record.outcomes(), this->faults};
--- a/unittests/ProcessSoak/scenario.h
+++ b/unittests/ProcessSoak/scenario.h
@@ -58,7 +58,7 @@
     };
 
     void startInstances();
-    void awaitService(const std::string &promise);
+    bool awaitService(const std::string &promise);
     bool serves(const Member &member, const std::string &id);
     void start(Member &member);
     void callFrom(int caller);
@@ -67,6 +67,9 @@
     void advance(SteadyTime until);
     void restartEnded();
     void heal();
+    void disturbAndHeal();
+    void restartAll();
+    void checkService();
     void stopInstances();
 
     // Faults. Each notes what it disturbs and plans its own end.
@@ -90,16 +93,26 @@
     void sendDeadlyPart();
     void bringBackEnded();
 
+    // Faults of a series of its own, beside the others.
+    void planSeries();
+    void changeForeignEntry();
+    void writeManyForeignEntries();
+    void killAll();
+    void killInTurn();
+    void killFor(Member &member, std::chrono::milliseconds down);
+
     Member &someMember();
     bool orderStop(Member &member);
     bool stopsOnly() const;
     void disturb(const std::string &who, std::chrono::milliseconds time);
     std::chrono::milliseconds drawTime(int fromMs, int toMs);
+    std::chrono::milliseconds drawSeriesTime(int fromMs, int toMs);
     LinkFault drawLinkFault();
     void later(std::chrono::milliseconds after, std::function<void()> action);
 
     ScenarioOptions options;
     std::mt19937_64 random;
+    std::mt19937_64 seriesRandom; // of the second series, so that the first draws the same without
     Record record;
     Site site;
     std::vector<Member> members;
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -1,5 +1,7 @@
 #include "site.h"
 
+#include "instanceprocess.h"
+
 #include "jaytrack/Net/socket.h"
 
 namespace jaytrack::soak {
@@ -223,7 +225,11 @@
 }
 
 Site::Site(Record &seen, std::uint64_t seed, int engines, int desks)
-    : record(seen)
+    : otherServer([this](const SeenRequest &request) { return this->answerOfOther(request); })
+    , foreign(this->store, this->otherServer.address(), "127.0.0.1:" + std::to_string(freePort()),
+              seed)
+    , record(seen)
+    , otherRandom(seed)
     , work(asio::make_work_guard(this->context))
     , random(seed)
     , keys({"key-0"})
@@ -236,9 +242,21 @@
     }
     this->serial = engines + desks;
     this->changeConfiguration();
+    this->foreign.writeAtEdges();
     this->thread = std::thread([this] { this->context.run(); });
 }
 
+// A web server that knows nothing of the platform: pages, and requests sent back as they came.
+Answer Site::answerOfOther(const SeenRequest &request)
+{
+    const std::string attempt(request.head.header("X-Attempt-Id"));
+    if (!attempt.empty())
+        this->record.reachedOther(attempt);
+    if (this->otherRandom() % 2 == 0)
+        return pageAnswer(this->otherRandom);
+    return wholeAnswer(200, "X-Attempt-Id: " + attempt + "\r\n", request.body);
+}
+
 Site::~Site()
 {
     this->stopProxies();
--- a/unittests/ProcessSoak/site.h
+++ b/unittests/ProcessSoak/site.h
@@ -4,6 +4,7 @@
 #define JAYTRACK_TESTS_PROCESSSOAK_SITE_H
 
 #include "faultproxy.h"
+#include "foreignentries.h"
 #include "record.h"
 
 #include "platformdocuments.h"
@@ -119,11 +120,19 @@
     std::vector<std::unique_ptr<SoakTarget>> targets;
 
 private:
+    testing::ScriptedServer otherServer; // no target, but foreign entries name its address
+
+public:
+    ForeignEntries foreign;
+
+private:
+    testing::Answer answerOfOther(const testing::SeenRequest &request);
     void publish();
     void list(const SoakTarget &target, const std::string &state, int coldMillis = 0);
     void writeOutOfUse(const std::string &dataCentre);
 
     Record &record;
+    std::mt19937_64 otherRandom; // used by the other server's thread alone
     asio::executor_work_guard<asio::io_context::executor_type> work;
     mutable std::mutex mutex;
     std::mt19937_64 random;
