Process soak: no header line from the name of a foreign entry

Cause: a name of another writer may hold a line break, and the name of a listed entry goes into the head of requests to its address. No check of the soak saw it.

Change: the odd name with a line break is followed by a header line, and a request that reaches the other server with that line is a violation, header_injected. The record and the random source that the other server uses are made before it and outlive its thread.

It was not run on a program that refuses such names.

--- a/unittests/ProcessSoak/foreignentries.cpp
+++ b/unittests/ProcessSoak/foreignentries.cpp
@@ -31,8 +31,9 @@
                                                               "\xf0\x9f\x98\x80"sv, "\xc2\x80"sv};
 
 constexpr std::array<std::string_view, 14> asciiNames = {
-        "&After="sv, "&b="sv, "+"sv,  "#"sv,  "%"sv,       "%#"sv,   "%C3%A9"sv,
-        " "sv,       "/"sv,   "\""sv, "\\"sv, "\r\n: 1"sv, "\x01"sv, "\0"sv};
+        "&After="sv, "&b="sv, "+"sv, "#"sv,  "%"sv,  "%#"sv,
+        "%C3%A9"sv,  " "sv,   "/"sv, "\""sv, "\\"sv, "\r\nX-Injected: 1"sv,
+        "\x01"sv,    "\0"sv};
 
 // Entries that look usable at a time. Only its answers tell that such a server is no target, and
 // retries are limited, so that targets have to be the majority.
--- a/unittests/ProcessSoak/record.cpp
+++ b/unittests/ProcessSoak/record.cpp
@@ -388,6 +388,12 @@
         this->broken("sent_unasked_to_other_server", id, "");
 }
 
+void Record::headWasInjected(const std::string &id)
+{
+    const std::lock_guard lock(this->mutex);
+    this->broken("header_injected", id, "");
+}
+
 void Record::checkService(const std::map<std::string, SteadyTime> &running)
 {
     const std::lock_guard lock(this->mutex);
--- a/unittests/ProcessSoak/record.h
+++ b/unittests/ProcessSoak/record.h
@@ -119,6 +119,9 @@
     // A request reaches a server that is no target.
     void reachedOther(const std::string &id);
 
+    // A request has a header line that a name of a foreign entry wrote into its head.
+    void headWasInjected(const std::string &id);
+
     // Checks that somebody was served within the bound, while the store answers, targets stand and
     // an instance runs. Takes since when each instance runs that is not stopping.
     void checkService(const std::map<std::string, SteadyTime> &running);
--- a/unittests/ProcessSoak/site.cpp
+++ b/unittests/ProcessSoak/site.cpp
@@ -225,11 +225,11 @@
 }
 
 Site::Site(Record &seen, std::uint64_t seed, int engines, int desks)
-    : otherServer([this](const SeenRequest &request) { return this->answerOfOther(request); })
+    : record(seen)
+    , otherRandom(seed)
+    , otherServer([this](const SeenRequest &request) { return this->answerOfOther(request); })
     , foreign(this->store, this->otherServer.address(), "127.0.0.1:" + std::to_string(freePort()),
               seed)
-    , record(seen)
-    , otherRandom(seed)
     , work(asio::make_work_guard(this->context))
     , random(seed)
     , keys({"key-0"})
@@ -250,6 +250,8 @@
 Answer Site::answerOfOther(const SeenRequest &request)
 {
     const std::string attempt(request.head.header("X-Attempt-Id"));
+    if (!request.head.header("X-Injected").empty())
+        this->record.headWasInjected(attempt);
     if (!attempt.empty())
         this->record.reachedOther(attempt);
     if (this->otherRandom() % 2 == 0)
--- a/unittests/ProcessSoak/site.h
+++ b/unittests/ProcessSoak/site.h
@@ -114,6 +114,8 @@
 
 private:
     asio::io_context context; // outlives the proxies of the targets
+    Record &record;
+    std::mt19937_64 otherRandom; // used by the other server's thread alone
 
 public:
     testing::StoreStandin store;
@@ -131,8 +133,6 @@
     void list(const SoakTarget &target, const std::string &state, int coldMillis = 0);
     void writeOutOfUse(const std::string &dataCentre);
 
-    Record &record;
-    std::mt19937_64 otherRandom; // used by the other server's thread alone
     asio::executor_work_guard<asio::io_context::executor_type> work;
     mutable std::mutex mutex;
     std::mt19937_64 random;
