Tests: instances that pass a refused page serve within the recovery time

oddEntries/callsForAPageThatFailsAreSpaced, 195 instances, failed under the address sanitizer beside load: not all served 4 s after the start, all after 6 s. The stated aim is the recovery time of 12 s, which the other fleets of these tests have; the page goes on being refused meanwhile.

--- a/unittests/Platform/oddentriesfleettest.cpp
+++ b/unittests/Platform/oddentriesfleettest.cpp
@@ -305,7 +305,10 @@
     CommonStartFleet fleet(plan);
     fleet.runFor(failingTime);
     const std::size_t calls = fleet.store.calls();
-    cr_expect_eq(fleet.serving(), one->isPassed ? plan.instances : 0);
+    if (one->isPassed)
+        cr_expect_lt(fleet.timeUntilServing(100, recoveryTime).count(), recoveryTime.count());
+    else
+        cr_expect_eq(fleet.serving(), 0);
     // Where the page is passed, all instances may list the store, and once more when its changes
     // are confirmed; none calls more often than its back-off allows.
     const std::size_t pagesRead = 2 * (targetCount / pageItems + 1);
