--- a/include/jaytrack/Http/client.h
+++ b/include/jaytrack/Http/client.h
@@ -95,9 +95,6 @@
 // path.
 FetchedAnswer fetch(HttpClient &client, HttpCall call);
 
-// Returns the bytes as one segment of a URL's path, percent-encoded.
-std::string escapePathSegment(std::string_view segment);
-
 // Sends one call and passes the complete response, limited to maxBytes, to a function.
 void fetchLater(HttpClient &client, HttpCall call, std::size_t maxBytes,
                 std::function<void(FetchedAnswer)> done);
--- a/include/jaytrack/Routing/targetentrycheck.h
+++ b/include/jaytrack/Routing/targetentrycheck.h
@@ -15,8 +15,11 @@
 // Maximum size of an encoded entry. Targets write a few hundred bytes.
 inline constexpr std::size_t maxEntryBytes = 16U << 10U;
 
-// Maximum size of each text of an entry; the platform's store allows no longer keys.
-inline constexpr std::size_t maxEntryTextBytes = 200;
+// The store's limit on the size of a key.
+inline constexpr std::size_t maxKeyBytes = 200;
+
+// Maximum size of each text of an entry.
+inline constexpr std::size_t maxEntryTextBytes = maxKeyBytes;
 
 inline constexpr int maxTargetSlots = 1'000'000;
 inline constexpr std::chrono::milliseconds maxColdTime = std::chrono::hours(24);
--- a/lib/Http/client.cpp
+++ b/lib/Http/client.cpp
@@ -505,15 +505,4 @@
     return promise.get_future().get();
 }
 
-std::string escapePathSegment(std::string_view segment)
-{
-    // A length of zero would make libcurl look for the end of a string.
-    if (segment.empty())
-        return {};
-    const std::unique_ptr<char, decltype(&curl_free)> escaped(
-            curl_easy_escape(nullptr, segment.data(), static_cast<int>(segment.size())),
-            &curl_free);
-    return escaped ? std::string(escaped.get()) : std::string();
-}
-
 } // namespace jaytrack
--- a/lib/Serve/generationcall.cpp
+++ b/lib/Serve/generationcall.cpp
@@ -2,6 +2,7 @@
 
 #include "jaytrack/Cluster/pausedetector.h"
 #include "jaytrack/Config/settings.h"
+#include "jaytrack/Net/percentencoding.h"
 #include "jaytrack/Quarantine/crashwatch.h"
 #include "jaytrack/Quarantine/requestdigest.h"
 #include "jaytrack/Serve/sharedplacementpolicy.h"
@@ -44,7 +45,7 @@
 
 std::string generationUrl(const Engine &engine, std::string_view name)
 {
-    return "http://" + engine.address + "/v1/generations/" + escapePathSegment(name);
+    return "http://" + engine.address + "/v1/generations/" + percentEncoded(name);
 }
 
 } // namespace
--- a/lib/Store/storelisting.cpp
+++ b/lib/Store/storelisting.cpp
@@ -1,5 +1,7 @@
 #include "jaytrack/Store/storelisting.h"
 
+#include "jaytrack/Routing/targetentrycheck.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -8,9 +10,6 @@
 
 namespace {
 
-// The store's limit on the size of a key.
-constexpr std::size_t maxKeyBytes = 200;
-
 // Whether each byte of the key stands for itself in the query of a request.
 bool isPlainKey(std::string_view key)
 {
