A run never goes on without the name of its copy

What callers saw: nothing that was reported; found while the cause of the odd entry was looked for in answers. A generation that may run once began a second time at the engine to which it should have moved.

Cause: the answer to an order to copy a run names the copy by a text of the engine's choice, which goes into the header of the request that goes on from it. formatRequest leaves out a header whose value holds a control byte, so the request went out without Kv-From, with Last-Event-Id alone, and the engine began the run anew. A blank at the end of a value is left out by whoever reads it, so that such a handle names another copy; an empty one names none.

Change: a copy whose handle a header does not carry as it is counts as not made; the run stays at its engine, which goes on until it ends, and run_copied tells reason=handle_unusable. The paths of copies were escaped already.

Handles with &, +, #, %, /, quotes, blanks inside and letters beyond ASCII reach the engine byte by byte, before and since.

--- a/include/jaytrack/Net/message.h
+++ b/include/jaytrack/Net/message.h
@@ -33,6 +33,10 @@
 // Whether the text may be the value of a header: without control bytes other than tabs.
 bool isHeaderValue(std::string_view text);
 
+// Whether each recipient of a header with this value reads the text as it is: a header value that
+// is not empty, without blanks at its ends, which recipients leave out.
+bool isExactHeaderValue(std::string_view text);
+
 // Parses a Retry-After header given in seconds, which may have a fraction. The result is at most
 // ten minutes. Returns nothing for a date or for anything but a positive number.
 std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view value);
--- a/lib/Net/message.cpp
+++ b/lib/Net/message.cpp
@@ -61,6 +61,13 @@
     });
 }
 
+bool isExactHeaderValue(std::string_view text)
+{
+    static constexpr std::string_view blanks = " \t";
+    return isHeaderValue(text) && !text.empty() && blanks.find(text.front()) == blanks.npos &&
+           blanks.find(text.back()) == blanks.npos;
+}
+
 std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view value)
 {
     double seconds = 0;
--- a/lib/Proxy/streamhandover.cpp
+++ b/lib/Proxy/streamhandover.cpp
@@ -39,6 +39,8 @@
 // Maximum size of the answer to a copy order, which consists of a handle.
 constexpr std::size_t maxMoveAnswerBytes = 64U << 10U;
 
+constexpr std::string_view unusableHandleReason = "handle_unusable";
+
 constexpr int okStatus = 200;
 constexpr int copyInProgressStatus = 409;
 
@@ -457,11 +459,15 @@
     this->move.reset();
     this->moveTimer.cancel();
     const Result<MoveAnswer> answer = this->context.dialect.decodeMove(done->body);
-    const bool good = end.whole && done->status == okStatus && answer && this->current;
+    // A handle that a header does not carry would be left out of the request that goes on from the
+    // copy, and the run would begin anew.
+    const bool canBeNamed = answer && isExactHeaderValue(answer.value().handle);
+    const bool isMade = end.whole && done->status == okStatus;
+    const bool good = isMade && canBeNamed && this->current;
     this->logDecision("run_copied",
                       {{"to", done->destination.id},
                        {"status", done->status},
-                       {"reason", end.reason},
+                       {"reason", isMade && !canBeNamed ? unusableHandleReason : end.reason},
                        {"took_ms", toMillis(this->context.clock.now() - done->startedAt)},
                        {"leaving", this->plan.isLeaving() ? 1 : 0}});
     const bool isBroken = end.reason == garbledReason || end.reason == tooLargeReason;
