A name with characters that separate or escape parameters names no target

What callers saw: with an entry of another writer under a name like "a&b", "a+", "a#" or "a%", whose fields are all proper, requests went to the address in it and were answered by whatever listens there.

Tests: the restart of all processes has one such entry more, whose address must get no request.

--- a/include/jaytrack/Routing/targetentrycheck.h
+++ b/include/jaytrack/Routing/targetentrycheck.h
@@ -24,8 +24,8 @@
 inline constexpr int maxTargetSlots = 1'000'000;
 inline constexpr std::chrono::milliseconds maxColdTime = std::chrono::hours(24);
 
-// Whether the text may name a target: visible ASCII, since the name is sent in request heads, and
-// different from all ids that incarnationId() makes for other names.
+// Whether the text may name a target: characters that stand for themselves in the heads and queries
+// of requests, and different from all ids that incarnationId() makes for other names.
 bool isTargetName(std::string_view text);
 
 // Whether the text may name a service, a data centre or a version of software: of bounded size and
--- a/lib/Routing/targetentrycheck.cpp
+++ b/lib/Routing/targetentrycheck.cpp
@@ -10,14 +10,15 @@
 
 constexpr std::string_view digits = "0123456789";
 
+// What the query of a URL may hold as it is, except what separates or escapes its parameters.
+constexpr std::string_view nameCharacters = "!$'()*,-./:=?@_~"
+                                            "0123456789"
+                                            "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                            "abcdefghijklmnopqrstuvwxyz";
+
 // Digits of a start time in Unix milliseconds, which has 13; shorter numbers may be part of a name.
 constexpr std::size_t minStartDigits = 10;
 
-bool isVisibleAscii(char c)
-{
-    return c >= '!' && c <= '~';
-}
-
 bool isControlByte(char c)
 {
     static constexpr unsigned char firstPrintable = 0x20;
@@ -43,7 +44,8 @@
 bool isTargetName(std::string_view text)
 {
     return !text.empty() && text.size() <= maxEntryTextBytes &&
-           std::all_of(text.begin(), text.end(), isVisibleAscii) && !resemblesIncarnation(text);
+           text.find_first_not_of(nameCharacters) == std::string_view::npos &&
+           !resemblesIncarnation(text);
 }
 
 bool isEntryText(std::string_view text)
--- a/unittests/Entry/oddnamestest.cpp
+++ b/unittests/Entry/oddnamestest.cpp
@@ -55,16 +55,18 @@
     return {};
 }
 
-// Writes entries that name no target, each unusable for another reason, and returns their keys. The
-// last one stands at the end of a page.
+// Writes entries that name no target, three with unusable values and one that a target could have
+// written but for its name, and returns their keys. The last one stands at the end of a page.
 std::vector<std::string> writeOddEntries(EntryFleet &fleet, const std::string &text)
 {
     const std::string address = fleet.strangerAddress();
-    std::vector<std::string> keys = {"servers/" + text, "servers/t03" + text + "x"};
+    std::vector<std::string> keys = {"servers/" + text, "servers/t03" + text + "x",
+                                     "servers/t06" + text};
     fleet.store.put(keys[0], R"({"Service":"svc","Address":")" + address + "\"}");
     fleet.store.put(keys[1], targetJson(address, "resting"));
-    keys.push_back(keyAtPageEnd(fleet.store, text));
-    fleet.store.put(keys[2], "\xff\xfe");
+    fleet.store.put(keys[2], targetJson(address));
+    keys.push_back(keyAtPageEnd(fleet.store, text + "y"));
+    fleet.store.put(keys[3], "\xff\xfe");
     return keys;
 }
 
@@ -119,7 +121,8 @@
 }
 
 // Guards against a fleet that serves nobody after a restart of all its processes, while an entry
-// under a name of another writer's choice stands in a list of targets of several pages.
+// under a name of another writer's choice stands in a list of targets of several pages, and against
+// requests to the address in such an entry.
 ParameterizedTest(NameCase *odd, entryFleet, servesAfterARestartBesideOddNames)
 {
     // Processes that run on after a failed assertion would be nobody's, so it comes after their
--- a/unittests/Platform/entryfieldstest.cpp
+++ b/unittests/Platform/entryfieldstest.cpp
@@ -107,7 +107,24 @@
 
 KeyCase keyCases[] = {
         {"usual", "servers/i-1", 0, true},
-        {"all visible bytes", "servers/!\"#$%&'()*+,-./:;<=>?@[\\]^_`{|}~", 0, true},
+        {"all bytes of a query", "servers/!$'()*,-./:=?@_~", 0, true},
+        {"ampersand", "servers/i&1", 0, false},
+        {"plus", "servers/i+1", 0, false},
+        {"hash", "servers/i#1", 0, false},
+        {"percent", "servers/i%1", 0, false},
+        {"escaped letter", "servers/i%C3%A9", 0, false},
+        {"semicolon", "servers/i;1", 0, false},
+        {"quote", "servers/i\"1", 0, false},
+        {"less", "servers/i<1", 0, false},
+        {"greater", "servers/i>1", 0, false},
+        {"opening bracket", "servers/i[1", 0, false},
+        {"closing bracket", "servers/i]1", 0, false},
+        {"backslash", "servers/i\\1", 0, false},
+        {"caret", "servers/i^1", 0, false},
+        {"backquote", "servers/i`1", 0, false},
+        {"opening brace", "servers/i{1", 0, false},
+        {"bar", "servers/i|1", 0, false},
+        {"closing brace", "servers/i}1", 0, false},
         {"longest", "servers/i", 200, true},
         {"too long", "servers/i", 201, false},
         {"far too long", "servers/i", 100'000, false},
@@ -157,14 +174,14 @@
     cr_assert_eq(entry.has_value(), param->good, "%s: %zu bytes", param->field, param->bytes);
 }
 
-ParameterizedTestParameters(entryFields, nameIsVisibleAscii)
+ParameterizedTestParameters(entryFields, nameHoldsCharactersOfAQuery)
 {
     return cr_make_param_array(KeyCase, keyCases, std::size(keyCases));
 }
 
-// Guards against request heads with lines of another writer's choice: a target's name goes into
-// each request to it.
-ParameterizedTest(KeyCase *param, entryFields, nameIsVisibleAscii)
+// Guards against request heads with lines of another writer's choice, since a target's name goes
+// into each request to it, and against requests to the address in an entry that is no target's.
+ParameterizedTest(KeyCase *param, entryFields, nameHoldsCharactersOfAQuery)
 {
     std::string key = param->key;
     key.resize(std::max(key.size(), param->length), 'a');
--- a/unittests/ProcessSoak/foreignentries.cpp
+++ b/unittests/ProcessSoak/foreignentries.cpp
@@ -30,9 +30,10 @@
                                                               "\xe4\xb8\x96\xe7\x95\x8c"sv,
                                                               "\xf0\x9f\x98\x80"sv, "\xc2\x80"sv};
 
+// A target could have the names with "=", "/" and "~".
 constexpr std::array<std::string_view, 14> asciiNames = {
-        "&After="sv, "&b="sv, "+"sv, "#"sv,  "%"sv,  "%#"sv,
-        "%C3%A9"sv,  " "sv,   "/"sv, "\""sv, "\\"sv, "\r\nX-Injected: 1"sv,
+        "&After="sv, "="sv, "+"sv, "#"sv,  "%"sv, "%#"sv,
+        "%C3%A9"sv,  " "sv, "/"sv, "\""sv, "~"sv, "\r\nX-Injected: 1"sv,
         "\x01"sv,    "\0"sv};
 
 // Entries that look usable at a time. Only its answers tell that such a server is no target, and
