jaytrackctl asks for the record of the request that it was given

What operators saw: nothing that was reported; found while the cause of the odd entry was looked for elsewhere. It holds the name of an instance, which is any text of its settings, so that an id with &, +, # or % asked for another record or for none.

Change: explainTarget escapes the id byte by byte, as keys of the store are.

Measured: operatorAnswers/requestIsAskedForByItsId, 9 ids: 8 red with the id as it was, 46 of 46 cases of operatorAnswers pass since.

--- a/include/jaytrack/Serve/operatoranswers.h
+++ b/include/jaytrack/Serve/operatoranswers.h
@@ -1,5 +1,5 @@
-// Reads the answers of the operators' interface for jaytrackctl. They may come from another version
-// or from something else; no function here throws.
+// Calls of the operators' interface for jaytrackctl, and reading its answers. They may come from
+// another version or from something else; no function here throws.
 #ifndef JAYTRACK_SERVE_OPERATORANSWERS_H
 #define JAYTRACK_SERVE_OPERATORANSWERS_H
 
@@ -12,6 +12,9 @@
 
 namespace jaytrack {
 
+// Returns the path and query of the call for the record of this request.
+std::string explainTarget(std::string_view requestId);
+
 // Returns the text with question marks for its control characters, which a terminal would obey.
 std::string printableText(std::string_view text);
 
--- a/lib/Serve/operatoranswers.cpp
+++ b/lib/Serve/operatoranswers.cpp
@@ -1,5 +1,6 @@
 #include "jaytrack/Serve/operatoranswers.h"
 
+#include "jaytrack/Net/percentencoding.h"
 #include "jaytrack/Support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
@@ -93,6 +94,12 @@
 
 } // namespace
 
+// The id holds the name of an instance, which is any text.
+std::string explainTarget(std::string_view requestId)
+{
+    return "/explain?id=" + percentEncoded(requestId);
+}
+
 std::string printableText(std::string_view text)
 {
     const auto isControl = [](char c) { return static_cast<unsigned char>(c) < ' ' || c == 127; };
--- a/tools/jaytrackctl/main.cpp
+++ b/tools/jaytrackctl/main.cpp
@@ -167,7 +167,7 @@
                                     values, exitCode))
         return exitCode;
     if (takesRequest)
-        path += "?id=" + values["request"].as<std::string>();
+        path = jaytrack::explainTarget(values["request"].as<std::string>());
     const std::string address = values["operators"].as<std::string>();
     const auto body = queryInstance(address, method, path);
     if (!body)
@@ -192,7 +192,7 @@
 
 int runExplain(int argc, const char *const *argv)
 {
-    return queryAndPrint(argc, argv, "explain", "GET", "/explain", true);
+    return queryAndPrint(argc, argv, "explain", "GET", {}, true);
 }
 
 int runDrain(int argc, const char *const *argv)
--- a/unittests/Serve/operatoranswerstest.cpp
+++ b/unittests/Serve/operatoranswerstest.cpp
@@ -1,5 +1,6 @@
 // What an instance of another version, or something else, may answer to jaytrackctl.
 #include "jaytrack/Serve/operatoranswers.h"
+#include "jaytrack/Net/message.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -122,3 +123,41 @@
     if (!rows)
         cr_expect(rows.error().code == ResultCode::TargetGarbled);
 }
+
+namespace {
+
+struct IdCase
+{
+    std::array<char, 32> id;
+};
+
+} // namespace
+
+ParameterizedTestParameters(operatorAnswers, requestIsAskedForByItsId)
+{
+    static std::array<IdCase, 9> cases = {{
+            {{"falun-1-1-17"}},
+            {{"a&id=b-1-17"}},
+            {{"a+b-1-17"}},
+            {{"a#b-1-17"}},
+            {{"a%b-1-17"}},
+            {{"a%C3%A9-1-17"}},
+            {{"a b-1-17"}},
+            {{"\xc3\xa9-1-17"}},
+            {{"a/b?c=d-1-17"}},
+    }};
+    return cr_make_param_array(IdCase, cases.data(), cases.size());
+}
+
+// Guards against the record of another request, or of none, where the name of an instance holds
+// characters that separate or escape the parameters of a call.
+ParameterizedTest(IdCase *param, operatorAnswers, requestIsAskedForByItsId)
+{
+    const std::string target = explainTarget(param->id.data());
+    const std::string path = "/explain?";
+    cr_assert(target.starts_with(path), "%s", target.c_str());
+    HttpRequest request;
+    request.query = target.substr(path.size());
+    cr_assert_eq(request.queryValue("id"), param->id.data(), "%s", target.c_str());
+    cr_assert_eq(target.find_first_of(" #+"), std::string::npos, "%s", target.c_str());
+}
