Tests: an instance of a cut site uses its own links

Cause, by its log: the site has two stores with one revision and other addresses, so that one instance's links lead nowhere. The second instance was held up for 0.1 s while it read its store, met the first one and took its content of the store (store_received targets=2 took_ms=0), as it should if there were one store. Then neither had links, and the refusal was right.

Change: the site starts its instances anew, five times at most, until a target was asked for its load, which only an instance with sound links can do; it fails if none was. What the tests check is as before.

--- a/unittests/Platform/cutsite.cpp
+++ b/unittests/Platform/cutsite.cpp
@@ -4,6 +4,12 @@
 
 namespace jaytrack::testing {
 
+namespace {
+
+constexpr int startTries = 5;
+
+} // namespace
+
 FixtureOptions memberWith(const std::string &name, const std::string &own, const std::string &other,
                           const std::map<std::string, std::string> &addresses)
 {
@@ -19,6 +25,17 @@
     , deadNear(loss)
     , deadFar(loss)
 {
+    for (int i = 0; i < startTries && !this->isLinked(); ++i)
+        this->startInstances(route);
+    cr_assert(this->isLinked(), "no instance has read the store with the targets' addresses");
+}
+
+// An instance that is held up while it reads its store takes the content of the other one's store
+// for its own, with the links of that one.
+void CutSite::startInstances(const RouteSpec &route)
+{
+    this->sound.reset();
+    this->cut.reset();
     const std::string first = freeDatagramAddress();
     const std::string second = freeDatagramAddress();
     this->cut = std::make_unique<EntryFixture>(
--- a/unittests/Platform/cutsite.h
+++ b/unittests/Platform/cutsite.h
@@ -18,19 +18,26 @@
 FixtureOptions memberWith(const std::string &name, const std::string &own, const std::string &other,
                           const std::map<std::string, std::string> &addresses);
 
-// Two instances before two targets; the first one's links to the targets lead nowhere.
+// Two instances before two targets; the first one's links to the targets lead nowhere. Each has a
+// store of its own, with the addresses that its links lead to.
 struct CutSite
 {
     CutSite(const RouteSpec &route, const ScriptedServer::Script &script, LinkLoss loss);
 
     std::size_t runs() const { return workSeen(this->near) + workSeen(this->far); }
 
+    // Whether a target was asked for its load, which only the second instance can do.
+    bool isLinked() const { return !this->near.seen().empty() || !this->far.seen().empty(); }
+
     ScriptedServer near;
     ScriptedServer far;
     UnreachablePort deadNear;
     UnreachablePort deadFar;
     std::unique_ptr<EntryFixture> cut;
     std::unique_ptr<EntryFixture> sound;
+
+private:
+    void startInstances(const RouteSpec &route);
 };
 
 } // namespace jaytrack::testing
