Tests: a port that a test drew is not drawn by another one

Cause: freeDatagramAddress draws a port and gives it back unbound; until the instance binds it, a test beside it may draw and bind the same one, of 20,001.

Change: a drawn port is reserved by a socket at another loopback address until the test's process ends, and each draw asks for that first. No check changes.

--- a/unittests/Platform/entryfixture.cpp
+++ b/unittests/Platform/entryfixture.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <list>
 #include <random>
 #include <unistd.h>
 
@@ -52,18 +53,27 @@
     // Below the ports that the system hands out, which others would take in the meantime.
     std::uniform_int_distribution<std::uint16_t> draw(10'000, 30'000);
     std::random_device random;
+    static asio::io_context context;
+    // A port that was drawn is kept from other draws, of this process and of others, until the
+    // process ends: between the draw and its use nothing is bound to the address itself.
+    static std::list<asio::ip::udp::socket> reservations;
+    const asio::ip::address here = asio::ip::make_address("127.0.0.1");
+    const asio::ip::address reserving = asio::ip::make_address("127.1.0.1");
     for (;;) {
-        const asio::ip::address here = asio::ip::make_address("127.0.0.1");
         const std::uint16_t port = draw(random);
-        asio::io_context context;
+        asio::ip::udp::socket reservation(context, asio::ip::udp::v4());
         asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
         asio::ip::tcp::socket stream(context, asio::ip::tcp::v4());
         asio::error_code failure;
-        datagrams.bind({here, port}, failure);
+        reservation.bind({reserving, port}, failure);
         if (!failure)
-            stream.bind({here, port}, failure);
+            datagrams.bind({here, port}, failure);
         if (!failure)
-            return "127.0.0.1:" + std::to_string(port);
+            stream.bind({here, port}, failure);
+        if (failure)
+            continue;
+        reservations.push_back(std::move(reservation));
+        return "127.0.0.1:" + std::to_string(port);
     }
 }
 
