Postmortem of handles that no header carries; the fleet's store refuses unescaped queries

The store of the fleet of processes only noted queries with characters that readers take for different bytes, and then read them with the decoder that the product has for its own callers.

No check is loosened.

--- a/unittests/Entry/entryfleet.cpp
+++ b/unittests/Entry/entryfleet.cpp
@@ -181,9 +181,10 @@
     call.query = queryOf(request);
     const std::lock_guard lock(this->mutex);
     this->pageKeys.insert(call.queryValue("After"));
-    if (!isEscaped(call.query))
-        this->unescaped = call.query;
-    return std::nullopt;
+    if (isEscaped(call.query))
+        return std::nullopt;
+    this->unescaped = call.query;
+    return wholeAnswer(400, "", "");
 }
 
 Answer EntryFleet::answerOfTarget(const std::string &id, const SeenRequest &request) const
