Tests: an odd entry first on a page of several items as well

Cause: of the entries of entryFleet one ended a page of five items; at the beginning of a page, and alone on one, they stood only with pages of one item.

Change: one more unusable entry stands first on a page of five. Alone on a page they stand with pages of one item, as before.

--- a/unittests/Entry/oddnamestest.cpp
+++ b/unittests/Entry/oddnamestest.cpp
@@ -41,22 +41,25 @@
         {"line break", "\r\n"},
 };
 
-// Returns a key that ends with this text and stands at the end of a page; empty if none does.
-std::string keyAtPageEnd(const StoreStandin &store, const std::string &text)
+// Returns a key that ends with this text, stands behind another key and has this place on its page,
+// counted from 0; empty if there is none.
+std::string keyAtPlace(const StoreStandin &store, const std::string &text, std::size_t place,
+                       const std::string &behind)
 {
     const std::vector<std::string> keys = store.keys();
-    for (std::size_t i = pageItems; i + 1 < keys.size(); ++i) {
-        const std::string key = keys[i] + text;
+    for (const std::string &before : keys) {
+        const std::string key = before + text;
         const auto rank = static_cast<std::size_t>(std::lower_bound(keys.begin(), keys.end(), key) -
                                                    keys.begin());
-        if (rank % pageItems == pageItems - 1 && keys[i].starts_with("servers/t"))
+        if (rank > pageItems && rank % pageItems == place && key > behind)
             return key;
     }
     return {};
 }
 
-// Writes entries that name no target, three with unusable values and one that a target could have
-// written but for its name, and returns their keys. The last one stands at the end of a page.
+// Writes entries that name no target, four with unusable values and one that a target could have
+// written but for its name, and returns their keys. The last two stand at the end of a page and at
+// the beginning of one.
 std::vector<std::string> writeOddEntries(EntryFleet &fleet, const std::string &text)
 {
     const std::string address = fleet.strangerAddress();
@@ -65,8 +68,10 @@
     fleet.store.put(keys[0], R"({"Service":"svc","Address":")" + address + "\"}");
     fleet.store.put(keys[1], targetJson(address, "resting"));
     fleet.store.put(keys[2], targetJson(address));
-    keys.push_back(keyAtPageEnd(fleet.store, text + "y"));
+    keys.push_back(keyAtPlace(fleet.store, text + "y", pageItems - 1, "servers/t"));
     fleet.store.put(keys[3], "\xff\xfe");
+    keys.push_back(keyAtPlace(fleet.store, text + "z", 0, keys[3]));
+    fleet.store.put(keys[4], "not JSON");
     return keys;
 }
 
@@ -94,8 +99,8 @@
     fleet.startAll();
     std::string fault = awaitService(fleet, "before");
     const std::vector<std::string> odd = writeOddEntries(fleet, text);
-    if (odd.back().empty())
-        return "no key stands at the end of a page";
+    if (odd[3].empty() || odd[4].empty())
+        return "no key stands at an edge of a page";
     for (const std::size_t items : {pageItems, std::size_t(1)}) {
         if (!fault.empty())
             return fault;
@@ -105,7 +110,7 @@
         fleet.startAll();
         fault = awaitService(fleet, items == 1 ? "pages of one" : "pages of several");
         const std::set<std::string> asked = fleet.takePageKeys();
-        if (fault.empty() && asked.count(odd.back()) == 0)
+        if (fault.empty() && asked.count(odd[3]) == 0)
             fault = "no page was asked for after the odd key";
     }
     if (fault.empty() && !fleet.unescapedCall().empty())
